--- /dev/null
+++ b/cardamomwharf-core/src/main/kotlin/org/cardamomwharf/core/Identifiers.kt
@@ -0,0 +1,66 @@
+/*
+ * Identifiers are value classes, so that a zone can't be passed where a region is meant. They serialize as plain
+ * strings or numbers.
+ */
+package org.cardamomwharf.core
+
+import kotlinx.serialization.Serializable
+
+/** Represents the name of a service, as written in the environment document. */
+@Serializable
+@JvmInline
+public value class ServiceName(public val value: String)
+
+/** Represents the name of a region. */
+@Serializable
+@JvmInline
+public value class RegionName(public val value: String)
+
+/** Represents the name of an availability zone. */
+@Serializable
+@JvmInline
+public value class ZoneName(public val value: String)
+
+/** Represents the name of a partner. */
+@Serializable
+@JvmInline
+public value class PartnerName(public val value: String)
+
+/** Represents the name of an entry instance; a restarted process keeps the name and gets a new [Incarnation]. */
+@Serializable
+@JvmInline
+public value class InstanceName(public val value: String)
+
+/** Represents the name of a backend server. */
+@Serializable
+@JvmInline
+public value class ServerName(public val value: String)
+
+/** Represents one life of an entry process; a later life of the same instance has a larger number. */
+@Serializable
+@JvmInline
+public value class Incarnation(public val value: Long) : Comparable<Incarnation> {
+    override fun compareTo(other: Incarnation): Int = value.compareTo(other.value)
+}
+
+/** Represents one request inside one entry process. */
+@Serializable
+@JvmInline
+public value class RequestId(public val value: Long)
+
+/** Represents one try of an operation, unique over all processes; it settles answers that got lost. */
+@Serializable
+@JvmInline
+public value class AttemptId(public val value: String)
+
+/** Represents the number of a document within its environment; larger numbers are newer. */
+@Serializable
+@JvmInline
+public value class DocumentVersion(public val value: Long) : Comparable<DocumentVersion> {
+    override fun compareTo(other: DocumentVersion): Int = value.compareTo(other.value)
+
+    public companion object {
+        /** Represents the absence of a document. */
+        public val NONE: DocumentVersion = DocumentVersion(0)
+    }
+}
--- /dev/null
+++ b/cardamomwharf-core/src/main/kotlin/org/cardamomwharf/core/document/ClientBlockTable.kt
@@ -0,0 +1,68 @@
+/*
+ * Finds the zone of a client address among all client blocks. Blocks must not overlap; they are kept as two sorted
+ * arrays, so that 440,000 IPv4 blocks need about 9 MB and a look-up is one binary search.
+ */
+package org.cardamomwharf.core.document
+
+import org.cardamomwharf.core.ZoneName
+
+/** Represents an inclusive range of IPv4 addresses. */
+public data class AddressRange(public val first: Long, public val last: Long)
+
+/** Represents the sorted client blocks of one document. */
+public class ClientBlockTable private constructor(
+    private val firsts: LongArray,
+    private val lasts: LongArray,
+    private val zoneIndexes: ShortArray,
+    private val zones: List<ZoneName>,
+) {
+    /** The number of blocks. */
+    public val size: Int get() = firsts.size
+
+    /** Returns the zone of [address], or null when no block holds it. */
+    public fun findZone(address: String): ZoneName? {
+        val number = parseIpv4(address) ?: return null
+        val found = firsts.binarySearch(number)
+        val index = if (found >= 0) found else -found - 2
+        val isInside = index >= 0 && lasts[index] >= number
+        return if (isInside) zones[zoneIndexes[index].toInt()] else null
+    }
+
+    public companion object {
+        /** Returns the table of [blocks]; blocks that can't be parsed are left out, the checker reports them. */
+        public fun of(blocks: List<ClientBlock>): ClientBlockTable {
+            val zones = blocks.map { it.zone }.distinct()
+            val indexOfZone = zones.withIndex().associate { it.value to it.index }
+            val ranges = blocks
+                .mapNotNull { block -> parseCidr(block.cidr)?.let { it to indexOfZone.getValue(block.zone) } }
+                .sortedBy { it.first.first }
+            return ClientBlockTable(
+                firsts = LongArray(ranges.size) { ranges[it].first.first },
+                lasts = LongArray(ranges.size) { ranges[it].first.last },
+                zoneIndexes = ShortArray(ranges.size) { ranges[it].second.toShort() },
+                zones = zones,
+            )
+        }
+    }
+}
+
+private const val OCTETS = 4
+private const val OCTET_BITS = 8
+private const val OCTET_MAX = 255
+private const val ADDRESS_BITS = 32
+
+/** Returns the IPv4 address [text] as a number, or null when it isn't one. */
+public fun parseIpv4(text: String): Long? {
+    val octets = text.split('.').mapNotNull { it.toIntOrNull() }
+    val isAddress = octets.size == OCTETS && octets.all { it in 0..OCTET_MAX } && text.count { it == '.' } == OCTETS - 1
+    return if (isAddress) octets.fold(0L) { number, octet -> (number shl OCTET_BITS) or octet.toLong() } else null
+}
+
+/** Returns the range of the block [text] in CIDR notation, or null when it isn't one. */
+public fun parseCidr(text: String): AddressRange? {
+    val base = parseIpv4(text.substringBefore('/'))
+    val prefixBits = text.substringAfter('/', "").toIntOrNull()?.takeIf { it in 0..ADDRESS_BITS }
+    if (base == null || prefixBits == null) return null
+    val size = 1L shl (ADDRESS_BITS - prefixBits)
+    return if (base % size == 0L) AddressRange(base, base + size - 1) else null
+}
--- /dev/null
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/DocumentFollowing.kt
@@ -0,0 +1,52 @@
+/*
+ * Follows the document of the environment, from the store and from peers that have a newer one.
+ */
+package org.cardamomwharf.decision
+
+import org.cardamomwharf.core.document.DocumentIndex
+import org.cardamomwharf.decision.adoption.adopt
+import org.cardamomwharf.decision.adoption.failFetch
+import org.cardamomwharf.decision.adoption.startFetch
+import org.cardamomwharf.decision.membership.findNewestVersion
+import org.cardamomwharf.decision.requests.wakeWaiting
+
+internal fun Turn.follow(event: EntryEvent) {
+    when (event) {
+        is EntryEvent.HeadRead -> followHead(event)
+        is EntryEvent.DocumentFetched -> adoptDocument(event)
+        else -> state = state.copy(adoption = state.adoption.failFetch())
+    }
+}
+
+private fun Turn.followHead(event: EntryEvent.HeadRead) {
+    if (!state.adoption.isWanted(event.head.version, nowMs)) return
+    state = state.copy(adoption = state.adoption.startFetch(event.head.version, nowMs))
+    add(EntryEffect.FetchDocument(event.head))
+}
+
+private fun Turn.adoptDocument(event: EntryEvent.DocumentFetched) {
+    val newIndex = DocumentIndex(event.document)
+    val next = state.adoption.adopt(event.head, newIndex, nowMs)
+    val isAdopted = next !== state.adoption
+    state = state.copy(adoption = next)
+    if (!isAdopted) return
+    add(EntryEffect.Adopted(event.head))
+    advanceOwnership()
+    wakeWaiting()
+}
+
+/** Fetches a document from a peer that has a newer one; the store may be out of reach. */
+internal fun Turn.followPeers() {
+    val membership = state.membership
+    val newest = membership.findNewestVersion()
+    if (!state.adoption.isWanted(newest, nowMs)) return
+    val near = membership.peers.values
+        .filter { it.heartbeat.documentVersion == newest }
+        .map { it.member }
+    val far = membership.remoteZones.values
+        .filter { it.summary.documentVersion == newest }
+        .flatMap { zone -> zone.summary.members.map { it.member } }
+    val source = (near + far).minByOrNull { it.name.value } ?: return
+    state = state.copy(adoption = state.adoption.startFetch(newest, nowMs))
+    add(EntryEffect.FetchFromPeer(source.name, source.peerAddress))
+}
--- /dev/null
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/EntryEvent.kt
@@ -0,0 +1,101 @@
+/*
+ * Everything that can happen to an entry instance, as values. A file of events replayed gives the same effects each
+ * time.
+ */
+package org.cardamomwharf.decision
+
+import kotlinx.serialization.Serializable
+import org.cardamomwharf.core.AttemptId
+import org.cardamomwharf.core.InstanceName
+import org.cardamomwharf.core.RequestId
+import org.cardamomwharf.core.ServerName
+import org.cardamomwharf.core.document.EnvironmentDocument
+import org.cardamomwharf.decision.adoption.DocumentHead
+import org.cardamomwharf.decision.caps.LoanGrant
+import org.cardamomwharf.decision.caps.LoanRequest
+import org.cardamomwharf.decision.claims.ClaimReply
+import org.cardamomwharf.decision.membership.Heartbeat
+import org.cardamomwharf.decision.membership.ListedInstance
+import org.cardamomwharf.decision.membership.ZoneSummary
+import org.cardamomwharf.decision.requests.AttemptResult
+import org.cardamomwharf.decision.requests.RequestSpec
+import org.cardamomwharf.decision.servers.ListedServer
+import org.cardamomwharf.decision.servers.LoadReport
+
+/** Represents something that happened to an entry instance. */
+@Serializable
+public sealed interface EntryEvent {
+    /** Time passed; [epochSeconds] is the wall clock, for planned drains. */
+    @Serializable
+    public data class Tick(public val epochSeconds: Long) : EntryEvent
+
+    /** The head row of the environment was read. */
+    @Serializable
+    public data class HeadRead(public val head: DocumentHead) : EntryEvent
+
+    /** A document was fetched and its hash is right. Its client blocks are kept outside of the decisions. */
+    @Serializable
+    public data class DocumentFetched(
+        public val head: DocumentHead,
+        public val document: EnvironmentDocument,
+    ) : EntryEvent
+
+    /** A document could not be fetched. */
+    @Serializable
+    public data object DocumentMissed : EntryEvent
+
+    /** The platform's list was read. */
+    @Serializable
+    public data class ListRead(
+        public val instances: List<ListedInstance>,
+        public val servers: List<ListedServer>,
+    ) : EntryEvent
+
+    /** A heartbeat arrived. */
+    @Serializable
+    public data class HeartbeatHeard(public val heartbeat: Heartbeat) : EntryEvent
+
+    /** A summary arrived, from its zone or passed on by a peer of the own zone. */
+    @Serializable
+    public data class SummaryHeard(public val summary: ZoneSummary, public val isPassedOn: Boolean) : EntryEvent
+
+    /** A backend server reported its load. */
+    @Serializable
+    public data class LoadHeard(public val server: ServerName, public val report: LoadReport) : EntryEvent
+
+    /** A peer asks for a loan. */
+    @Serializable
+    public data class LoanAsked(public val request: LoanRequest) : EntryEvent
+
+    /** A peer answered a request for a loan. */
+    @Serializable
+    public data class LoanAnswered(public val grant: LoanGrant) : EntryEvent
+
+    /** A request arrived whole. */
+    @Serializable
+    public data class RequestArrived(public val spec: RequestSpec) : EntryEvent
+
+    /** The table service answered about the claim of a request. */
+    @Serializable
+    public data class ClaimAnswered(public val request: RequestId, public val reply: ClaimReply) : EntryEvent
+
+    /** An attempt ended. */
+    @Serializable
+    public data class AttemptEnded(public val attempt: AttemptId, public val result: AttemptResult) : EntryEvent
+
+    /** A peer holds an answer that is [missingBytes] larger than the credit it was given. */
+    @Serializable
+    public data class CreditAsked(public val attempt: AttemptId, public val missingBytes: Long) : EntryEvent
+
+    /** The caller of a request closed its connection. */
+    @Serializable
+    public data class CallerGone(public val request: RequestId) : EntryEvent
+
+    /** The connection to a peer was closed by it. */
+    @Serializable
+    public data class PeerClosed(public val peer: InstanceName) : EntryEvent
+
+    /** The instance was asked to leave. */
+    @Serializable
+    public data object LeaveAsked : EntryEvent
+}
--- /dev/null
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/EntryState.kt
@@ -0,0 +1,80 @@
+/*
+ * The whole state of the decisions of one entry instance. Each part has its own file and rules; this one only joins
+ * them.
+ */
+package org.cardamomwharf.decision
+
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.serialization.Serializable
+import org.cardamomwharf.core.AttemptId
+import org.cardamomwharf.decision.adoption.DocumentAdoption
+import org.cardamomwharf.decision.caps.CapId
+import org.cardamomwharf.decision.caps.CapLedger
+import org.cardamomwharf.decision.claims.BoundKeys
+import org.cardamomwharf.decision.claims.StoreHealth
+import org.cardamomwharf.decision.membership.Member
+import org.cardamomwharf.decision.membership.Membership
+import org.cardamomwharf.decision.membership.MembershipSettings
+import org.cardamomwharf.decision.membership.ServiceLoad
+import org.cardamomwharf.decision.membership.newMembership
+import org.cardamomwharf.decision.ownership.Ownership
+import org.cardamomwharf.decision.requests.HeldAnswer
+import org.cardamomwharf.decision.requests.RequestTable
+import org.cardamomwharf.decision.retry.RetryBudget
+import org.cardamomwharf.decision.servers.ServerTable
+import org.cardamomwharf.decision.shift.ShiftPlan
+
+/**
+ * Represents the limits of one entry instance.
+ *
+ * @param largestOpenRequests requests without their answer; the last fifth is for the heaviest services.
+ * @param largestWaiting requests of one service that wait for a slot.
+ */
+@Serializable
+public data class EntryLimits(
+    public val largestOpenRequests: Int = 2_000,
+    public val largestWaiting: Int = 64,
+)
+
+/** Represents when this instance was asked to leave. */
+public data class LeaveState(public val sinceMs: Long, public val acceptsUntilMs: Long)
+
+/** Represents the last heartbeat that went out. */
+public data class HeartbeatState(
+    public val sequence: Long = 0,
+    public val sentAtMs: Long = Long.MIN_VALUE / 2,
+    public val viewHash: Long = 0,
+    public val loads: List<ServiceLoad> = emptyList(),
+)
+
+/** Represents the state of one entry instance. */
+public data class EntryState(
+    public val limits: EntryLimits,
+    public val membership: Membership,
+    public val epochSeconds: Long = 0,
+    public val ownership: Ownership = Ownership(),
+    public val adoption: DocumentAdoption = DocumentAdoption(),
+    public val servers: ServerTable = ServerTable(),
+    public val ledger: CapLedger = CapLedger(burstMs = 0),
+    public val budget: RetryBudget = RetryBudget(),
+    public val store: StoreHealth = StoreHealth(),
+    public val boundKeys: BoundKeys = BoundKeys(),
+    public val requests: RequestTable = RequestTable(),
+    public val held: PersistentMap<AttemptId, HeldAnswer> = persistentMapOf(),
+    public val loanAskedAtMs: PersistentMap<CapId, Long> = persistentMapOf(),
+    public val shifts: ShiftPlan = ShiftPlan(),
+    public val heartbeats: HeartbeatState = HeartbeatState(),
+    public val leave: LeaveState? = null,
+)
+
+/** Represents the state after an event, and what has to be done. */
+public data class EntryStep(public val state: EntryState, public val effects: List<EntryEffect>)
+
+/** Returns the state of an instance that has just started. */
+public fun newEntryState(
+    self: Member,
+    membership: MembershipSettings,
+    limits: EntryLimits,
+    nowMs: Long,
+): EntryState = EntryState(limits, newMembership(self, membership, nowMs))
--- /dev/null
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/Heartbeats.kt
@@ -0,0 +1,55 @@
+/*
+ * Heartbeats to all instances of the own zone, sent on time and whenever the view of the members changed.
+ */
+package org.cardamomwharf.decision
+
+import org.cardamomwharf.decision.membership.Heartbeat
+import org.cardamomwharf.decision.membership.ResidualSlots
+import org.cardamomwharf.decision.membership.hashView
+import org.cardamomwharf.decision.membership.isJoining
+import org.cardamomwharf.decision.membership.listLive
+import org.cardamomwharf.decision.membership.listSettled
+
+internal fun Turn.sendHeartbeats() {
+    val membership = state.membership
+    val liveHash = hashView(membership.listLive(nowMs))
+    val settledHash = hashView(membership.listSettled(nowMs))
+    val isDue = nowMs - state.heartbeats.sentAtMs >= membership.settings.heartbeatIntervalMs
+    val viewHash = liveHash xor settledHash.rotateLeft(1)
+    if (!isDue && viewHash == state.heartbeats.viewHash) return
+    val loads = state.computeLoads(nowMs)
+    val sequence = state.heartbeats.sequence + 1
+    val heartbeat = Heartbeat(
+        sender = membership.self,
+        sequence = sequence,
+        isLeaving = membership.isLeaving,
+        isJoining = membership.isJoining(nowMs),
+        liveViewHash = liveHash,
+        settledViewHash = settledHash,
+        documentVersion = state.adoption.version,
+        loads = loads,
+        residuals = listResiduals(),
+    )
+    state = state.copy(heartbeats = HeartbeatState(sequence, nowMs, viewHash, loads))
+    add(EntryEffect.SendHeartbeat(heartbeat, findZoneAddresses()))
+    if (isDue) sendSummaries(sequence, loads)
+}
+
+private fun Turn.listResiduals(): List<ResidualSlots> =
+    state.servers.servers.values
+        .filter { it.inFlight > 0 && it.name !in state.ownership.servers }
+        .map { ResidualSlots(it.name, it.inFlight) }
+        .sortedBy { it.server.value }
+
+/** Returns the addresses of all other instances of the own zone, from the list and from heartbeats. */
+internal fun Turn.findZoneAddresses(): List<PeerAddress> {
+    val self = state.membership.self
+    val heard = state.membership.peers.values.map { PeerAddress(it.member.name, it.member.peerAddress) }
+    val listed = state.membership.listed.values
+        .filter { it.zone == self.zone }
+        .map { PeerAddress(it.name, it.peerAddress) }
+    return (heard + listed)
+        .distinctBy { it.name }
+        .filter { it.name != self.name }
+        .sortedBy { it.name.value }
+}
--- /dev/null
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/caps/CapLedger.kt
@@ -0,0 +1,94 @@
+/*
+ * Keeps the buckets of this instance: its parts of the zone's shares, plus what it borrowed, less what it lent. All
+ * charges of one request are made together or not at all.
+ */
+package org.cardamomwharf.decision.caps
+
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.toPersistentList
+import kotlinx.collections.immutable.toPersistentMap
+import org.cardamomwharf.core.InstanceName
+
+private const val MS_PER_SECOND = 1_000L
+private const val LARGEST_LENT_FRACTION = 4
+
+/** Represents an amount to spend of one cap. */
+public data class Charge(public val cap: CapId, public val amount: Long)
+
+/** Represents the cap shares of this instance. */
+public data class CapLedger(
+    public val burstMs: Long,
+    public val zoneShares: PersistentMap<CapId, Long> = persistentMapOf(),
+    public val heldParts: Int = 0,
+    public val buckets: PersistentMap<CapId, CapBucket> = persistentMapOf(),
+    public val borrowed: PersistentList<Loan> = persistentListOf(),
+    public val lent: PersistentList<Loan> = persistentListOf(),
+) {
+    /** Returns the units per second of [cap] that this instance may spend. */
+    public fun rateOf(cap: CapId): Long {
+        val own = partOfShare(zoneShares[cap] ?: 0, heldParts)
+        val more = borrowed.filter { it.cap == cap }.sumOf { it.unitsPerSecond }
+        val less = lent.filter { it.cap == cap }.sumOf { it.unitsPerSecond }
+        return (own + more - less).coerceAtLeast(0)
+    }
+
+    /** Returns the whole tokens of [cap] at [nowMs]. */
+    public fun availableOf(cap: CapId, nowMs: Long): Long = buckets[cap]?.refill(nowMs)?.available ?: 0
+}
+
+/** Returns this ledger with shares from a document, parts from the ownership, and ended loans removed. */
+public fun CapLedger.advance(shares: Map<CapId, Long>, parts: Int, nowMs: Long): CapLedger {
+    val next = copy(
+        zoneShares = shares.toPersistentMap(),
+        heldParts = parts,
+        borrowed = borrowed.filter { nowMs < it.untilMs }.toPersistentList(),
+        lent = lent.filter { nowMs < it.untilMs }.toPersistentList(),
+    )
+    return next.copy(buckets = shares.keys.associateWith { next.adjustBucket(it, nowMs) }.toPersistentMap())
+}
+
+private fun CapLedger.adjustBucket(cap: CapId, nowMs: Long): CapBucket {
+    val rate = rateOf(cap)
+    val burst = rate * burstMs / MS_PER_SECOND
+    return buckets[cap]?.withRate(rate, burst, nowMs) ?: newCapBucket(rate, burst, nowMs)
+}
+
+/** Returns this ledger after all [charges], or null when one of them doesn't fit or its loan has ended. */
+public fun CapLedger.spend(charges: List<Charge>, nowMs: Long): CapLedger? {
+    val current = if (hasEndedLoan(nowMs)) advance(zoneShares, heldParts, nowMs) else this
+    var next = current.buckets
+    for (charge in charges) {
+        val bucket = next[charge.cap] ?: continue
+        val spent = bucket.refill(nowMs).spend(charge.amount) ?: return null
+        next = next.put(charge.cap, spent)
+    }
+    return current.copy(buckets = next)
+}
+
+private fun CapLedger.hasEndedLoan(nowMs: Long): Boolean = borrowed.any { nowMs >= it.untilMs }
+
+/** Represents the ledger after a loan was considered, with the answer for the borrower. */
+public data class LoanStep(public val ledger: CapLedger, public val grant: LoanGrant)
+
+/** Returns the answer to [request]: at most a quarter of the own rate, and only out of unused tokens. */
+public fun CapLedger.lend(request: LoanRequest, lender: InstanceName, nowMs: Long): LoanStep {
+    val bucket = buckets[request.cap]?.refill(nowMs)
+    val isIdle = bucket != null && bucket.available >= bucket.burst
+    val most = if (isIdle) rateOf(request.cap) / LARGEST_LENT_FRACTION else 0
+    val units = minOf(most, request.unitsPerSecond).coerceAtLeast(0)
+    val grant = LoanGrant(lender, request.cap, units, request.askedAtMs)
+    if (units == 0L) return LoanStep(this, grant)
+    val loan = Loan(request.cap, units, nowMs + LOAN_MS + LOAN_GUARD_MS)
+    return LoanStep(copy(lent = lent.add(loan)).advance(zoneShares, heldParts, nowMs), grant)
+}
+
+/** Returns this ledger after a grant; the loan ends [LOAN_MS] after it was asked for. */
+public fun CapLedger.borrow(grant: LoanGrant, nowMs: Long): CapLedger {
+    val untilMs = grant.askedAtMs + LOAN_MS
+    if (grant.unitsPerSecond <= 0 || nowMs >= untilMs) return this
+    val loan = Loan(grant.cap, grant.unitsPerSecond, untilMs)
+    return copy(borrowed = borrowed.add(loan)).advance(zoneShares, heldParts, nowMs)
+}
--- /dev/null
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/caps/CapShares.kt
@@ -0,0 +1,59 @@
+/*
+ * Divides each cap into shares from the document alone. A zone spends its own share only, so no cut between zones can
+ * break a cap. A direction of a link is shared by the zones at both ends: those at its start send requests over it,
+ * those at its end receive responses over it. Partner caps are halved between hand-overs and look-ups.
+ */
+package org.cardamomwharf.decision.caps
+
+import org.cardamomwharf.core.RegionName
+import org.cardamomwharf.core.ZoneName
+import org.cardamomwharf.core.document.DocumentIndex
+import org.cardamomwharf.core.document.Partner
+import org.cardamomwharf.decision.ownership.CAP_PARTS
+
+private const val PERCENT = 100
+private const val PARTNER_PATHS = 2
+
+/** Returns the units per second that [zone] may spend of each cap, the reserve taken off. */
+public fun computeZoneShares(index: DocumentIndex, zone: ZoneName): Map<CapId, Long> {
+    val region = index.regionOf[zone] ?: return emptyMap()
+    val usable = PERCENT - index.document.policy.capReservePercent
+    val whole = linkShares(index, region.name) + partnerShares(index, zone)
+    return whole.mapValues { (_, perSecond) -> perSecond * usable / PERCENT }
+}
+
+/** Returns the units per second of a zone's share that [heldParts] parts give. */
+public fun partOfShare(sharePerSecond: Long, heldParts: Int): Long = sharePerSecond * heldParts / CAP_PARTS
+
+private fun linkShares(index: DocumentIndex, region: RegionName): Map<CapId, Long> =
+    index.document.links
+        .filter { it.from == region || it.to == region }
+        .associate { link ->
+            val zonesAtEnds = countZones(index, link.from) + countZones(index, link.to)
+            CapId.LinkBytes(link.from, link.to) to link.capBytesPerSecond / zonesAtEnds
+        }
+
+private fun partnerShares(index: DocumentIndex, zone: ZoneName): Map<CapId, Long> {
+    val own = index.regionOf.getValue(zone).partner
+    return index.document.partners.flatMap { partner ->
+        val path = if (partner.name == own) PartnerPath.LOOK_UP else PartnerPath.HAND_OVER
+        shareOf(partner, path, countSharing(index, partner, path))
+    }.toMap()
+}
+
+private fun countSharing(index: DocumentIndex, partner: Partner, path: PartnerPath): Int {
+    val isSharing = { name: Boolean -> if (path == PartnerPath.LOOK_UP) name else !name }
+    return index.document.regions.filter { isSharing(it.partner == partner.name) }.sumOf { it.zones.size }
+}
+
+private fun shareOf(partner: Partner, path: PartnerPath, zones: Int): List<Pair<CapId, Long>> {
+    if (zones == 0) return emptyList()
+    val divisor = PARTNER_PATHS * zones.toLong()
+    return listOf(
+        CapId.PartnerRequests(partner.name, path) to partner.inboundRequestsPerSecond / divisor,
+        CapId.PartnerBytes(partner.name, path) to partner.inboundBytesPerSecond / divisor,
+    )
+}
+
+private fun countZones(index: DocumentIndex, region: RegionName): Int =
+    index.regions[region]?.zones?.size ?: 1
--- /dev/null
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/lookup/LookupRanking.kt
@@ -0,0 +1,107 @@
+/*
+ * Ranks entry instances for a client: the region that the split gives to the client first, its own region next, others
+ * by the document's weights. Inside a place instances are spread by their free slots with a seeded hash of the client's
+ * address, so that equal clients get equal answers and clients spread by weight. The short list that goes out spans
+ * zones and regions, so that a cached answer outlives an instance or a zone.
+ */
+package org.cardamomwharf.decision.lookup
+
+import org.cardamomwharf.core.RegionName
+import org.cardamomwharf.core.ZoneName
+import org.cardamomwharf.core.document.Objective
+import org.cardamomwharf.core.document.Service
+import org.cardamomwharf.core.unitPositionOf
+import org.cardamomwharf.core.weightedRank
+
+private const val DEFAULT_WEIGHT = 1
+
+/** Represents how one candidate was placed; `explain` shows it. */
+public data class Placement(
+    public val candidate: LookupCandidate,
+    public val region: RegionName,
+    public val tier: Tier,
+    public val freeSlots: Int,
+    public val rank: Double,
+)
+
+/** Represents how well a candidate's place suits the client, best first. */
+public enum class Tier { CLIENT_ZONE, TARGET_REGION, CLIENT_REGION, OTHER_REGION, FULL, NOT_SERVED }
+
+/** Returns the ranked short list for a client at [address] whose block belongs to [clientZone]. */
+public fun LookupView.rank(service: Service, clientZone: ZoneName, address: String): List<Placement> {
+    val placements = placeAll(service, clientZone, address)
+    return spanPlaces(placements, index.document.policy.lookupCandidates)
+}
+
+/** Returns all candidates in the order of the ranking. */
+public fun LookupView.placeAll(service: Service, clientZone: ZoneName, address: String): List<Placement> {
+    val clientRegion = index.regionOf[clientZone]?.name ?: home
+    val target = findTarget(service, clientRegion, address)
+    val place = ClientPlace(clientZone, clientRegion, target, address)
+    val weights = service.regionWeights.associate { it.region to it.weight }
+    return candidates
+        .mapNotNull { place(it, service, place) }
+        .sortedWith(
+            compareBy<Placement> { it.tier }
+                .thenByDescending { if (it.tier == Tier.OTHER_REGION) weights[it.region] ?: DEFAULT_WEIGHT else 0 }
+                .thenByDescending { it.rank }
+                .thenBy { it.candidate.member.name.value },
+        )
+}
+
+/** Represents the client's place and the region that the split gives to it. */
+private data class ClientPlace(
+    val zone: ZoneName,
+    val region: RegionName,
+    val target: RegionName,
+    val address: String,
+)
+
+private fun LookupView.findTarget(service: Service, clientRegion: RegionName, address: String): RegionName {
+    val split = splits[service.name]
+    if (clientRegion != home || split == null) return clientRegion
+    return split.pick(unitPositionOf("${service.name.value}/$address"), clientRegion)
+}
+
+private fun LookupView.place(candidate: LookupCandidate, service: Service, client: ClientPlace): Placement? {
+    val member = candidate.member
+    val region = index.regionOf[member.zone]?.name ?: return null
+    val free = candidate.loads.filter { it.service == service.name }.sumOf { it.freeSlots }
+    val tier = tierOf(member.zone, region, service, client, free)
+    val rank = weightedRank("${service.name.value}/${client.address}", member.name.value, weight = free + 1.0)
+    return Placement(candidate, region, tier, free, rank)
+}
+
+private fun LookupView.tierOf(
+    zone: ZoneName,
+    region: RegionName,
+    service: Service,
+    client: ClientPlace,
+    free: Int,
+): Tier {
+    val isServed = index.findPool(service.name, zone) != null && DrainedPlace(service.name, zone) !in drained
+    val isNear = index.document.objective == Objective.LATENCY && zone == client.zone
+    return when {
+        !isServed -> Tier.NOT_SERVED
+        free == 0 && isFullZone(service, zone) -> Tier.FULL
+        region == client.target && isNear -> Tier.CLIENT_ZONE
+        region == client.target -> Tier.TARGET_REGION
+        region == client.region -> Tier.CLIENT_REGION
+        else -> Tier.OTHER_REGION
+    }
+}
+
+private fun LookupView.isFullZone(service: Service, zone: ZoneName): Boolean =
+    candidates
+        .filter { it.member.zone == zone }
+        .all { candidate -> candidate.loads.none { it.service == service.name && it.freeSlots > 0 } }
+
+private fun spanPlaces(placements: List<Placement>, count: Int): List<Placement> {
+    if (placements.size <= count) return placements
+    val first = placements.first()
+    val otherZone = placements.firstOrNull { it.candidate.member.zone != first.candidate.member.zone }
+    val otherRegion = placements.firstOrNull { it.region != first.region }
+    val required = listOfNotNull(first, otherZone, otherRegion).distinct().take(count)
+    val fill = placements.filter { it !in required }.take(count - required.size)
+    return placements.filter { it in required || it in fill }
+}
--- /dev/null
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/lookup/LookupViews.kt
@@ -0,0 +1,40 @@
+/*
+ * Makes the view that look-ups are answered from out of the state of an instance.
+ */
+package org.cardamomwharf.decision.lookup
+
+import org.cardamomwharf.decision.EntryState
+import org.cardamomwharf.decision.computeLoads
+import org.cardamomwharf.decision.membership.findLivePeers
+import org.cardamomwharf.decision.membership.findRemoteZones
+
+/** Returns the view of look-ups at [nowMs], or null before a document is in force. */
+public fun lookupViewOf(state: EntryState, nowMs: Long): LookupView? {
+    val index = state.adoption.index
+    val home = index?.regionOf?.get(state.membership.self.zone)?.name
+    if (index == null || home == null) return null
+    val drained = index.document.services.flatMap { service ->
+        service.pools
+            .filter { index.isDrained(service.name, it.zone, state.epochSeconds) }
+            .map { DrainedPlace(service.name, it.zone) }
+    }
+    return LookupView(
+        index = index,
+        version = state.adoption.version,
+        home = home,
+        candidates = listCandidates(state, nowMs),
+        splits = state.shifts.splits,
+        drained = drained.toSet(),
+    )
+}
+
+private fun listCandidates(state: EntryState, nowMs: Long): List<LookupCandidate> {
+    val membership = state.membership
+    val own = LookupCandidate(membership.self, state.computeLoads(nowMs))
+    val near = membership.findLivePeers(nowMs).map { LookupCandidate(it.member, it.heartbeat.loads) }
+    val far = membership.findRemoteZones(nowMs)
+        .flatMap { it.members }
+        .filter { !it.isLeaving }
+        .map { LookupCandidate(it.member, it.loads) }
+    return if (membership.isLeaving) near + far else near + far + own
+}
--- /dev/null
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/membership/Knowledge.kt
@@ -0,0 +1,25 @@
+/*
+ * What peers and zones have told lately.
+ */
+package org.cardamomwharf.decision.membership
+
+import org.cardamomwharf.core.DocumentVersion
+import org.cardamomwharf.core.ZoneName
+import org.cardamomwharf.core.rendezvousTop
+
+/** Returns the summaries that are young enough to act on. */
+public fun Membership.findRemoteZones(nowMs: Long): List<ZoneSummary> =
+    remoteZones.values.filter { nowMs - it.heardAtMs < settings.summaryMaxAgeMs }.map { it.summary }
+
+/** Returns the newest document version that any peer or zone has. */
+public fun Membership.findNewestVersion(): DocumentVersion {
+    val near = peers.values.map { it.heartbeat.documentVersion }
+    val far = remoteZones.values.map { it.summary.documentVersion }
+    return (near + far).maxOrNull() ?: DocumentVersion.NONE
+}
+
+/** Returns true when this instance exchanges summaries with [zone]. */
+public fun Membership.isDelegateFor(zone: ZoneName, nowMs: Long): Boolean {
+    val live = listLive(nowMs)
+    return self.name in rendezvousTop(zone.value, live, settings.delegateCount) { it.value }
+}
--- /dev/null
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/Admission.kt
@@ -0,0 +1,96 @@
+/*
+ * Decides on arrival whether a request is taken. What can't be finished in time, or would crowd out heavier requests,
+ * is refused at once and as not run.
+ */
+package org.cardamomwharf.decision.requests
+
+import org.cardamomwharf.core.AttemptId
+import org.cardamomwharf.core.Reason
+import org.cardamomwharf.core.document.DocumentIndex
+import org.cardamomwharf.core.document.Service
+import org.cardamomwharf.decision.EntryEffect
+import org.cardamomwharf.decision.Turn
+import org.cardamomwharf.decision.caps.CapId
+import org.cardamomwharf.decision.caps.Charge
+import org.cardamomwharf.decision.caps.PartnerPath
+import org.cardamomwharf.decision.caps.spend
+import org.cardamomwharf.decision.retry.earn
+
+private const val LIGHT_SHARE_NUMERATOR = 4
+private const val LIGHT_SHARE_DENOMINATOR = 5
+
+internal fun Turn.admit(spec: RequestSpec) {
+    val current = index
+    val service = current?.services?.get(spec.service)
+    val refusal = findRefusal(spec, service)
+    if (refusal != null || service == null || current == null) {
+        refuse(spec, refusal ?: Reason.UNKNOWN_SERVICE)
+        return
+    }
+    if (!chargeArrival(spec, service, current)) {
+        refuse(spec, Reason.CAP_REACHED)
+        return
+    }
+    state = state.copy(budget = state.budget.earn(policy.retryBudgetPercent))
+    val request = OpenRequest(spec, claimAttempt = spec.attempt ?: newAttemptId(spec, 0), phase = Phase.Waiting)
+    update(request)
+    if (needsClaim(spec)) startClaim(request) else dispatch(spec.id)
+}
+
+private fun needsClaim(spec: RequestSpec): Boolean = !spec.isIdempotent && spec.origin == RequestOrigin.CALLER
+
+private fun Turn.findRefusal(spec: RequestSpec, service: Service?): Reason? = when {
+    index == null -> Reason.NO_DOCUMENT
+    service == null -> Reason.UNKNOWN_SERVICE
+    isLeft(spec) -> Reason.LEAVING
+    needsClaim(spec) && spec.key == null -> Reason.KEY_MISSING
+    spec.deadlineAtMs <= nowMs -> Reason.DEADLINE_PASSED
+    spec.deadlineAtMs - nowMs < service.expectedServiceMs -> Reason.DEADLINE_TOO_SHORT
+    isCrowded(spec, service) -> Reason.BUSY
+    else -> null
+}
+
+private fun Turn.isLeft(spec: RequestSpec): Boolean {
+    val leave = state.leave ?: return false
+    return spec.origin == RequestOrigin.PEER || nowMs >= leave.acceptsUntilMs
+}
+
+private fun Turn.isCrowded(spec: RequestSpec, service: Service): Boolean {
+    val open = state.requests.open.size
+    val most = state.limits.largestOpenRequests
+    val isHeavy = isHeavy(spec, service)
+    return open >= if (isHeavy) most else most * LIGHT_SHARE_NUMERATOR / LIGHT_SHARE_DENOMINATOR
+}
+
+/** Returns true when the request may use what is held back for the heaviest services. */
+internal fun Turn.isHeavy(spec: RequestSpec, service: Service): Boolean =
+    !spec.isIdempotent && index?.isHeaviest(service) == true
+
+/** Charges a request that look-up sent here from another partner's region to this zone's share. */
+private fun Turn.chargeArrival(spec: RequestSpec, service: Service, current: DocumentIndex): Boolean {
+    val payer = spec.clientZone?.let { current.regionOf[it] }?.partner
+    val partner = current.regionOf[state.membership.self.zone]?.partner
+    val isShifted = spec.origin == RequestOrigin.CALLER && payer != partner
+    if (!isShifted || payer == null || partner == null) return true
+    val bytes = spec.requestBytes + service.expectedResponseBytes
+    val charges = listOf(
+        Charge(CapId.PartnerRequests(partner, PartnerPath.LOOK_UP), 1),
+        Charge(CapId.PartnerBytes(partner, PartnerPath.LOOK_UP), bytes),
+    )
+    return trySpend(charges)
+}
+
+internal fun Turn.trySpend(charges: List<Charge>): Boolean {
+    val ledger = state.ledger.spend(charges, nowMs) ?: return false
+    state = state.copy(ledger = ledger)
+    return true
+}
+
+private fun Turn.refuse(spec: RequestSpec, reason: Reason) {
+    add(EntryEffect.Answer(spec.id, reason, retryAfterMs = retryAfterMs(reason)))
+}
+
+internal fun Turn.newAttemptId(spec: RequestSpec, number: Int): AttemptId {
+    val self = state.membership.self
+    return AttemptId("${self.name.value}-${self.incarnation.value}-${spec.id.value}-$number")
+}
--- /dev/null
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/Dispatch.kt
@@ -0,0 +1,86 @@
+/*
+ * Finds a place for a request: a free slot of an owned backend server, then an instance of the own zone that has one,
+ * then another zone under the caps of the way there, then a short wait if the deadline allows it.
+ */
+package org.cardamomwharf.decision.requests
+
+import org.cardamomwharf.core.Reason
+import org.cardamomwharf.core.RequestId
+import org.cardamomwharf.core.document.DocumentIndex
+import org.cardamomwharf.core.document.Service
+import org.cardamomwharf.decision.EntryEffect
+import org.cardamomwharf.decision.EntryState
+import org.cardamomwharf.decision.Turn
+import org.cardamomwharf.decision.servers.PoolView
+import org.cardamomwharf.decision.servers.ServerState
+import org.cardamomwharf.decision.servers.change
+import org.cardamomwharf.decision.servers.select
+import org.cardamomwharf.decision.servers.take
+
+/** Returns the backend servers of [service] in the own zone as the selection needs them. */
+internal fun poolViewOf(state: EntryState, index: DocumentIndex, service: Service, nowMs: Long): PoolView {
+    val pool = index.findPool(service.name, state.membership.self.zone)
+    return PoolView(
+        servers = state.servers.findServers(service.name),
+        owned = state.ownership.servers,
+        slotsPerUpstream = pool?.slotsPerUpstream ?: 0,
+        policy = index.document.policy.copy(
+            reservedSlotsPercent = if (service.isIdempotent) 0 else index.document.policy.reservedSlotsPercent,
+        ),
+        nowMs = nowMs,
+    )
+}
+
+internal fun Turn.dispatch(id: RequestId) {
+    val request = find(id) ?: return
+    val current = index
+    val service = current?.services?.get(request.spec.service)
+    when {
+        current == null || service == null -> end(request, Reason.UNKNOWN_SERVICE)
+        request.spec.deadlineAtMs - nowMs < service.expectedServiceMs -> end(request, Reason.DEADLINE_PASSED)
+        else -> findPlace(request, service, current)
+    }
+}
+
+private fun Turn.findPlace(request: OpenRequest, service: Service, current: DocumentIndex) {
+    if (!isDrainedHere(service) && sendToServer(request, service, current)) return
+    val refusal = if (request.spec.origin == RequestOrigin.CALLER) handOver(request, service, current) else null
+    if (refusal !is HandOverRefusal.Sent) waitOrRefuse(request, service, current, refusal)
+}
+
+internal fun Turn.isDrainedHere(service: Service): Boolean =
+    index?.isDrained(service.name, state.membership.self.zone, state.epochSeconds) == true
+
+internal fun Turn.sendToServer(request: OpenRequest, service: Service, current: DocumentIndex): Boolean {
+    val view = poolViewOf(state, current, service, nowMs)
+    val server = view.select(isHeavy(request.spec, service), request.triedServers) ?: return false
+    forward(request, server)
+    return true
+}
+
+private fun Turn.forward(request: OpenRequest, server: ServerState) {
+    val running = startAttempt(request, Target.Server(server.name))
+    state = state.copy(servers = state.servers.change(server.name) { it.take() })
+    add(
+        EntryEffect.Forward(
+            request = request.spec.id,
+            attempt = running,
+            server = server.name,
+            address = server.listed.address,
+            isFreshConnection = !request.spec.isIdempotent,
+        ),
+    )
+}
+
+internal fun Turn.startAttempt(request: OpenRequest, target: Target) = newAttemptId(
+    request.spec,
+    request.attempts + 1,
+).also { attempt ->
+    changeRequests { table ->
+        val unqueued = table.unqueue(request.spec.service, request.spec.id)
+        unqueued.copy(
+            attempts = unqueued.attempts.put(attempt, RunningAttempt(request.spec.id, request.spec.service, target)),
+        )
+    }
+    update(request.copy(phase = Phase.Running(attempt), attempts = request.attempts + 1))
+}
--- /dev/null
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/HeldAnswer.kt
@@ -0,0 +1,10 @@
+/*
+ * An answer that a peer holds back because it is larger than the share of the link that was charged for it. The missing
+ * bytes are charged as the share refills, then the answer may travel.
+ */
+package org.cardamomwharf.decision.requests
+
+import org.cardamomwharf.decision.caps.Charge
+
+/** Represents what is still to be charged for an answer, by cap. */
+public data class HeldAnswer(public val owed: List<Charge>)
--- /dev/null
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/RequestEnding.kt
@@ -0,0 +1,80 @@
+/*
+ * Gives requests their final answer and settles their claims.
+ */
+package org.cardamomwharf.decision.requests
+
+import org.cardamomwharf.core.AttemptId
+import org.cardamomwharf.core.Outcome
+import org.cardamomwharf.core.Reason
+import org.cardamomwharf.decision.EntryEffect
+import org.cardamomwharf.decision.Turn
+import org.cardamomwharf.decision.claims.Binding
+import org.cardamomwharf.decision.claims.RecordedAnswer
+import org.cardamomwharf.decision.claims.forget
+import org.cardamomwharf.decision.claims.record
+
+private const val DEFAULT_RETRY_AFTER_MS = 1_000L
+
+/**
+ * Ends [request] with its final answer, and settles its claim. A request that an earlier attempt may have run is never
+ * answered as not run.
+ */
+internal fun Turn.end(
+    request: OpenRequest,
+    wantedReason: Reason,
+    attempt: AttemptId? = null,
+    recorded: RecordedAnswer? = null,
+) {
+    val reason = if (wantedReason.outcome == Outcome.NOT_RUN) request.lastLoss ?: wantedReason else wantedReason
+    changeRequests { it.close(request.spec.id) }
+    settleKey(request, reason, recorded)
+    add(
+        EntryEffect.Answer(
+            request = request.spec.id,
+            reason = reason,
+            retryAfterMs = retryAfterMs(reason),
+            attempt = attempt,
+            recorded = if (reason == Reason.RECORDED_ANSWER) recorded else null,
+            offer = offerFor(reason),
+        ),
+    )
+}
+
+private fun Turn.settleKey(request: OpenRequest, reason: Reason, recorded: RecordedAnswer?) {
+    val boundKey = request.spec.boundKey
+    if (reason.outcome == Outcome.NOT_RUN) {
+        if (request.isBound) state = state.copy(boundKeys = state.boundKeys.forget(boundKey))
+        if (request.isClaimTouched) add(releaseOf(request))
+        return
+    }
+    if (recorded == null) return
+    if (request.isBound) state = state.copy(boundKeys = state.boundKeys.record(boundKey, recorded))
+    val isOurs = request.isClaimTouched || request.isBound
+    if (isOurs && reason == Reason.ANSWERED) add(recordOf(request, recorded))
+}
+
+private fun releaseOf(request: OpenRequest) = EntryEffect.ReleaseClaim(
+    request.spec.id,
+    request.claimName,
+    request.claimAttempt,
+    request.spec.fingerprint,
+)
+
+private fun recordOf(request: OpenRequest, answer: RecordedAnswer) = EntryEffect.RecordAnswer(
+    request.spec.id,
+    request.claimName,
+    request.claimAttempt,
+    request.spec.fingerprint,
+    answer,
+)
+
+private fun Turn.offerFor(reason: Reason): Binding? {
+    val isOffered = reason == Reason.STORE_UNAVAILABLE && policy.boundBookingsWhenStoreDown && state.leave == null
+    return if (isOffered) Binding(state.membership.self.incarnation, nowMs) else null
+}
+
+internal fun Turn.retryAfterMs(reason: Reason): Long = when {
+    !reason.isRepeatable -> 0
+    reason == Reason.STORE_UNAVAILABLE -> state.store.retryAfterMs(nowMs)
+    else -> DEFAULT_RETRY_AFTER_MS
+}
--- /dev/null
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/Waiting.kt
@@ -0,0 +1,77 @@
+/*
+ * Requests that wait for a slot of a backend server, as long as their deadline allows it.
+ */
+package org.cardamomwharf.decision.requests
+
+import org.cardamomwharf.core.Reason
+import org.cardamomwharf.core.document.DocumentIndex
+import org.cardamomwharf.core.document.Service
+import org.cardamomwharf.decision.Turn
+
+internal fun Turn.waitOrRefuse(
+    request: OpenRequest,
+    service: Service,
+    current: DocumentIndex,
+    refusal: HandOverRefusal?,
+) {
+    if (canWait(request, service, current)) {
+        if (request.phase != Phase.Waiting || !isQueued(request)) {
+            update(request.copy(phase = Phase.Waiting))
+            changeRequests { it.enqueue(service.name, request.spec.id) }
+        }
+        return
+    }
+    end(request, refusalReason(request, service, current, refusal))
+}
+
+internal fun Turn.isQueued(request: OpenRequest): Boolean =
+    state.requests.waiting[request.spec.service]?.contains(request.spec.id) == true
+
+private fun Turn.canWait(request: OpenRequest, service: Service, current: DocumentIndex): Boolean {
+    val isOwn = request.spec.origin == RequestOrigin.CALLER && !isDrainedHere(service)
+    if (!isOwn || isQueued(request)) return isOwn
+    val view = poolViewOf(state, current, service, nowMs)
+    val slots = view.open.count { it.name !in request.triedServers } * view.slotsPerUpstream
+    return slots > 0 && isWaitShort(request, service, slots)
+}
+
+private fun Turn.isWaitShort(request: OpenRequest, service: Service, slots: Int): Boolean {
+    val ahead = state.requests.countWaiting(service.name)
+    val waitMs = (ahead + 1) * service.expectedServiceMs / slots
+    val isInTime = waitMs + service.expectedServiceMs <= request.spec.deadlineAtMs - nowMs
+    return isInTime && ahead < state.limits.largestWaiting
+}
+
+private fun Turn.refusalReason(
+    request: OpenRequest,
+    service: Service,
+    current: DocumentIndex,
+    refusal: HandOverRefusal?,
+): Reason {
+    val hasServers = poolViewOf(state, current, service, nowMs).servers.isNotEmpty()
+    return when {
+        request.lastRefusal != null -> request.lastRefusal
+        refusal is HandOverRefusal.Capped -> Reason.CAP_REACHED
+        isDrainedHere(service) -> Reason.DRAINED
+        hasServers || refusal is HandOverRefusal.Full -> Reason.NO_SLOT
+        else -> Reason.NO_SERVER
+    }
+}
+
+/** Gives slots that have become free to waiting requests, the heaviest first and else in order of arrival. */
+internal fun Turn.wakeWaiting() {
+    val current = index ?: return
+    for (service in current.document.services.sortedByDescending { it.weight }) {
+        wakeService(service, current)
+    }
+}
+
+private fun Turn.wakeService(service: Service, current: DocumentIndex) {
+    val queue = state.requests.waiting[service.name].orEmpty()
+    if (queue.isEmpty()) return
+    val waiting = queue.mapNotNull { find(it) }.sortedBy { it.spec.isIdempotent }
+    for (request in waiting) {
+        val isSent = !isDrainedHere(service) && sendToServer(request, service, current)
+        if (!isSent && poolViewOf(state, current, service, nowMs).freeSlots == 0) return
+    }
+}
--- /dev/null
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/servers/PoolView.kt
@@ -0,0 +1,69 @@
+/*
+ * Chooses a backend server for one request and counts free slots. A cold server gets one slot more for each part of the
+ * slow start; slots of the reserve are for the heaviest services only; at most half of a pool is closed by failures.
+ */
+package org.cardamomwharf.decision.servers
+
+import org.cardamomwharf.core.ServerName
+import org.cardamomwharf.core.document.Policy
+import kotlin.math.ceil
+
+private const val PERCENT = 100
+
+/**
+ * Represents what the selection needs to know of a pool.
+ *
+ * @param owned servers that this instance owns.
+ * @param isHeaviest true when the request may use reserved slots.
+ */
+public data class PoolView(
+    public val servers: List<ServerState>,
+    public val owned: Set<ServerName>,
+    public val slotsPerUpstream: Int,
+    public val policy: Policy,
+    public val nowMs: Long,
+) {
+    /** The owned servers that may get new work. */
+    public val open: List<ServerState> = keepOpen(servers.filter { it.name in owned && !it.isLeaving })
+
+    /** Returns the slots of [server] that are free now. */
+    public fun countFree(server: ServerState): Int =
+        (countAllowed(server) - maxOf(server.inFlight + server.residual, reported(server))).coerceAtLeast(0)
+
+    /** The free slots of all open servers. */
+    public val freeSlots: Int get() = open.sumOf { countFree(it) }
+
+    /** The slots of all owned servers that aren't leaving. */
+    public val totalSlots: Int get() = servers.count { it.name in owned && !it.isLeaving } * slotsPerUpstream
+
+    /** The slots that only the heaviest services may use. */
+    public val reservedSlots: Int get() = totalSlots * policy.reservedSlotsPercent / PERCENT
+
+    private fun countAllowed(server: ServerState): Int {
+        val warmMs = nowMs - server.warmFromMs
+        if (policy.slowStartMs <= 0 || warmMs >= policy.slowStartMs) return slotsPerUpstream
+        return ceil(slotsPerUpstream * warmMs.toDouble() / policy.slowStartMs).toInt().coerceIn(1, slotsPerUpstream)
+    }
+
+    private fun reported(server: ServerState): Int {
+        val isYoung = nowMs - server.reportAtMs < policy.measurementMaxAgeMs
+        return if (isYoung) server.report?.inFlight?.coerceAtMost(slotsPerUpstream - 1) ?: 0 else 0
+    }
+
+    private fun keepOpen(candidates: List<ServerState>): List<ServerState> {
+        val open = candidates.filter { it.closedUntilMs <= nowMs }
+        val smallest = (candidates.size + 1) / 2
+        if (open.size >= smallest) return open
+        val soonest = candidates.filter { it.closedUntilMs > nowMs }.sortedBy { it.closedUntilMs }
+        return open + soonest.take(smallest - open.size)
+    }
+}
+
+/** Returns the server with most free slots outside [excluded], or null when no slot may be used. */
+public fun PoolView.select(isHeaviest: Boolean, excluded: Set<ServerName>): ServerState? {
+    if (!isHeaviest && freeSlots <= reservedSlots) return null
+    return open
+        .filter { it.name !in excluded && countFree(it) > 0 }
+        .sortedBy { it.name.value }
+        .maxByOrNull { countFree(it) }
+}
