--- /dev/null
+++ b/cardamomwharf-document/src/main/kotlin/org/cardamomwharf/document/yaml/Problem.kt
@@ -0,0 +1,45 @@
+/*
+ * A fault of a YAML file with its place. All faults of a file are reported at once.
+ */
+package org.cardamomwharf.document.yaml
+
+import kotlinx.serialization.Serializable
+
+/** Represents the kind of a fault; the exit code of a check depends on it. */
+@Serializable
+public enum class ProblemKind(public val code: String) {
+    UNREADABLE("unreadable"),
+    SYNTAX("syntax"),
+    UNKNOWN_KEY("unknown-key"),
+    MISSING_KEY("missing-key"),
+    WRONG_TYPE("wrong-type"),
+    OUT_OF_RANGE("out-of-range"),
+    DUPLICATE("duplicate"),
+    UNKNOWN_REFERENCE("unknown-reference"),
+    IMPOSSIBLE("impossible"),
+}
+
+/** Represents a line and a column, both counted from 1. */
+@Serializable
+public data class Place(public val line: Int, public val column: Int) {
+    public companion object {
+        /** The first character of a file. */
+        public val START: Place = Place(1, 1)
+    }
+}
+
+/**
+ * Represents one fault.
+ *
+ * @param path the field, such as `services[2].pools[0].zone`.
+ * @param detail what was found and what is allowed.
+ */
+@Serializable
+public data class Problem(
+    public val kind: ProblemKind,
+    public val place: Place,
+    public val path: String,
+    public val detail: String,
+) {
+    override fun toString(): String = "${place.line}:${place.column} ${kind.code} $path: $detail"
+}
--- /dev/null
+++ b/cardamomwharf-document/src/main/kotlin/org/cardamomwharf/document/yaml/YamlFile.kt
@@ -0,0 +1,41 @@
+/*
+ * Reads a YAML file whole and gives either its value or all of its problems.
+ */
+package org.cardamomwharf.document.yaml
+
+import com.charleskorn.kaml.Yaml
+import com.charleskorn.kaml.YamlException
+import com.charleskorn.kaml.YamlMap
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import java.io.IOException
+import java.nio.file.Files
+import java.nio.file.Path
+
+/** Returns what [read] makes of the YAML text [text], or every problem of it. */
+public fun <T> readYaml(text: String, read: (YamlFields, YamlFindings) -> T): Result<T, List<Problem>> =
+    try {
+        readNode(text, read)
+    } catch (e: YamlException) {
+        val detail = e.message.lineSequence().first()
+        Err(listOf(Problem(ProblemKind.SYNTAX, Place(e.line, e.column), "", detail)))
+    }
+
+private fun <T> readNode(text: String, read: (YamlFields, YamlFindings) -> T): Result<T, List<Problem>> {
+    val node = Yaml.default.parseToYamlNode(text)
+    if (node !is YamlMap) return Err(listOf(Problem(ProblemKind.WRONG_TYPE, Place.START, "", "must be a mapping")))
+    val findings = YamlFindings()
+    val fields = YamlFields(node, "", findings)
+    val value = read(fields, findings)
+    fields.reportUnknown()
+    return if (findings.problems.isEmpty()) Ok(value) else Err(findings.problems)
+}
+
+/** Returns the text of [file], or the problem of reading it. */
+public fun readText(file: Path): Result<String, List<Problem>> =
+    try {
+        Ok(Files.readString(file))
+    } catch (e: IOException) {
+        Err(listOf(Problem(ProblemKind.UNREADABLE, Place.START, "", e.javaClass.simpleName)))
+    }
--- /dev/null
+++ b/cardamomwharf-http/src/main/kotlin/org/cardamomwharf/http/JettyServer.kt
@@ -0,0 +1,120 @@
+/*
+ * A thin bridge from Jetty's core handler to http4k's HttpHandler. The Jetty adapters of http4k aren't available for
+ * this version of Jetty, so this is their nearest kin. Bodies are read whole before the handler runs.
+ */
+package org.cardamomwharf.http
+
+import org.cardamomwharf.core.HeaderNames
+import org.cardamomwharf.core.Reason
+import org.eclipse.jetty.http.HttpHeader
+import org.eclipse.jetty.io.Content
+import org.eclipse.jetty.server.ConnectionLimit
+import org.eclipse.jetty.server.Handler
+import org.eclipse.jetty.server.HttpConfiguration
+import org.eclipse.jetty.server.HttpConnectionFactory
+import org.eclipse.jetty.server.Server
+import org.eclipse.jetty.server.ServerConnector
+import org.eclipse.jetty.util.Callback
+import org.eclipse.jetty.util.thread.QueuedThreadPool
+import org.http4k.core.Body
+import org.http4k.core.HttpHandler
+import org.http4k.core.Method
+import org.http4k.core.Request
+import org.http4k.core.RequestSource
+import org.http4k.core.Response
+import org.http4k.core.Status
+import java.nio.ByteBuffer
+import org.eclipse.jetty.server.Request as JettyRequest
+import org.eclipse.jetty.server.Response as JettyResponse
+
+private const val LARGEST_CONNECTIONS = 20_000
+private const val STOP_MS = 1_000L
+
+/** Represents a running HTTP server. */
+public class JettyServer internal constructor(private val server: Server, private val connector: ServerConnector) {
+    /** The port that the server listens on. */
+    public val port: Int get() = connector.localPort
+
+    /** Stops the server; requests that are still open are cut off after a second. */
+    public fun stop() {
+        server.stopTimeout = STOP_MS
+        server.stop()
+    }
+}
+
+/** Returns a started server that gives whole requests to [handler] and refusals to [onRefusal]. */
+public fun startJettyServer(
+    settings: HttpServerSettings,
+    onRefusal: (Reason) -> Unit = {},
+    handler: HttpHandler,
+): JettyServer {
+    val threads = QueuedThreadPool(settings.largestThreads)
+    threads.name = "http-${settings.address.port}"
+    val server = Server(threads)
+    val configuration = HttpConfiguration().apply {
+        requestHeaderSize = settings.largestHeadBytes
+        sendServerVersion = false
+    }
+    val connector = ServerConnector(server, HttpConnectionFactory(configuration)).apply {
+        host = settings.address.host
+        port = settings.address.port
+        idleTimeout = settings.idleMs
+        acceptQueueSize = settings.acceptQueue
+    }
+    server.addConnector(connector)
+    server.addBean(ConnectionLimit(LARGEST_CONNECTIONS, server))
+    server.handler = BridgeHandler(settings, onRefusal, handler)
+    server.errorHandler = RefusingErrorHandler(onRefusal)
+    server.start()
+    return JettyServer(server, connector)
+}
+
+/** Turns Jetty's requests into http4k's and back. */
+private class BridgeHandler(
+    private val settings: HttpServerSettings,
+    private val onRefusal: (Reason) -> Unit,
+    private val handler: HttpHandler,
+) : Handler.Abstract() {
+    override fun handle(request: JettyRequest, response: JettyResponse, callback: Callback): Boolean {
+        val body = Content.Source.asInputStream(request).readBody(settings.largestBodyBytes, request.length)
+        val answer = when (body) {
+            is BodyRead.Whole -> handler(toHttp4k(request, body.bytes))
+            is BodyRead.TooLarge -> refuse(Reason.BODY_TOO_LARGE)
+            is BodyRead.Truncated -> refuse(Reason.BODY_TRUNCATED)
+        }
+        write(answer, response, callback)
+        return true
+    }
+
+    private fun refuse(reason: Reason): Response {
+        onRefusal(reason)
+        return refusalResponse(reason).header(HttpHeader.CONNECTION.asString(), "close")
+    }
+
+    private fun toHttp4k(request: JettyRequest, bytes: ByteArray): Request {
+        val method = Method.entries.firstOrNull { it.name == request.method } ?: Method.GET
+        val remote = JettyRequest.getRemoteAddr(request)
+        val bare = Request(method, request.httpURI.pathQuery.orEmpty())
+            .source(RequestSource(remote, JettyRequest.getRemotePort(request), request.httpURI.scheme))
+            .body(Body(ByteBuffer.wrap(bytes)))
+        return request.headers.fold(bare) { built, field -> built.header(field.name, field.value) }
+    }
+
+    private fun write(answer: Response, response: JettyResponse, callback: Callback) {
+        val payload = answer.body.payload
+        response.status = answer.status.code
+        answer.headers
+            .filter { !it.first.equals(HttpHeader.CONTENT_LENGTH.asString(), ignoreCase = true) }
+            .forEach { (name, value) -> response.headers.add(name, value.orEmpty()) }
+        response.headers.put(HttpHeader.CONTENT_LENGTH, payload.remaining().toLong())
+        response.write(true, payload.slice(), callback)
+    }
+}
+
+/** Returns the answer for a request that was refused before it was looked at. */
+public fun refusalResponse(reason: Reason): Response =
+    Response(Status(reason.status, reason.code))
+        .header(HeaderNames.OUTCOME, reason.outcome.code)
+        .header(HeaderNames.REASON, reason.code)
+        .header("Content-Type", "text/plain")
+        .body(reason.code + "\n")
--- /dev/null
+++ b/cardamomwharf-peer/src/main/kotlin/org/cardamomwharf/peer/PeerCodec.kt
@@ -0,0 +1,43 @@
+/*
+ * Turns messages into frames and back. Unknown fields are passed over, so that instances of two versions understand
+ * each other while they are replaced.
+ */
+package org.cardamomwharf.peer
+
+import io.ktor.utils.io.ByteReadChannel
+import io.ktor.utils.io.ByteWriteChannel
+import io.ktor.utils.io.readByteArray
+import io.ktor.utils.io.readInt
+import io.ktor.utils.io.writeFully
+import io.ktor.utils.io.writeInt
+import kotlinx.io.IOException
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.cbor.Cbor
+
+/** The largest frame in bytes; client blocks are the largest contents. */
+public const val LARGEST_FRAME_BYTES: Int = 50_331_648
+
+@OptIn(ExperimentalSerializationApi::class)
+private val cbor = Cbor { ignoreUnknownKeys = true }
+
+/** Returns the bytes of [message] without the size before them. */
+@OptIn(ExperimentalSerializationApi::class)
+public fun encodeMessage(message: PeerMessage): ByteArray =
+    cbor.encodeToByteArray(PeerMessage.serializer(), message)
+
+/** Returns the message in [bytes]. */
+@OptIn(ExperimentalSerializationApi::class)
+public fun decodeMessage(bytes: ByteArray): PeerMessage =
+    cbor.decodeFromByteArray(PeerMessage.serializer(), bytes)
+
+internal suspend fun ByteWriteChannel.writeFrame(frame: ByteArray) {
+    writeInt(frame.size)
+    writeFully(frame)
+    flush()
+}
+
+internal suspend fun ByteReadChannel.readMessage(): PeerMessage {
+    val size = readInt()
+    if (size !in 1..LARGEST_FRAME_BYTES) throw IOException("frame of $size bytes")
+    return decodeMessage(readByteArray(size))
+}
--- /dev/null
+++ b/cardamomwharf-platform/src/main/kotlin/org/cardamomwharf/platform/HeadChange.kt
@@ -0,0 +1,21 @@
+/*
+ * A wish to move the head of an environment. The same attempt may be tried again; it takes effect once.
+ */
+package org.cardamomwharf.platform
+
+import org.cardamomwharf.core.AttemptId
+import org.cardamomwharf.core.DocumentVersion
+
+/**
+ * Represents a change that an operator wants.
+ *
+ * @param expected version that must be in force, [DocumentVersion.NONE] for an empty environment.
+ */
+public data class HeadChange(
+    public val environment: EnvironmentName,
+    public val expected: DocumentVersion,
+    public val attempt: AttemptId,
+    public val operator: String,
+    public val note: String,
+    public val epochSeconds: Long,
+)
--- /dev/null
+++ b/cardamomwharf-platform/src/main/kotlin/org/cardamomwharf/platform/ObjectStore.kt
@@ -0,0 +1,15 @@
+/*
+ * The platform's object store as the system uses it: immutable contents under the name of their hash.
+ */
+package org.cardamomwharf.platform
+
+import com.github.michaelbull.result.Result
+
+/** Represents the object store. */
+public interface ObjectStore {
+    /** Returns the object [name], or null when there is none. */
+    public fun read(name: String): Result<ByteArray?, PlatformError>
+
+    /** Writes the object [name]; writing the same contents again changes nothing. */
+    public fun write(name: String, contents: ByteArray): Result<Unit, PlatformError>
+}
--- /dev/null
+++ b/cardamomwharf-platform/src/main/kotlin/org/cardamomwharf/platform/StoredDocument.kt
@@ -0,0 +1,37 @@
+/*
+ * Documents are stored in two objects: the document without its client blocks, and the blocks. Most changes leave the
+ * blocks alone, so that entry instances fetch a few kilobytes for them and not the whole block table.
+ */
+package org.cardamomwharf.platform
+
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.encodeToString
+import kotlinx.serialization.json.Json
+import org.cardamomwharf.core.document.ClientBlock
+import org.cardamomwharf.core.document.EnvironmentDocument
+import org.cardamomwharf.core.sha256Hex
+
+/** Represents a document as it is stored; its client blocks are under [blocksHash]. */
+@Serializable
+public data class StoredDocument(public val document: EnvironmentDocument, public val blocksHash: String)
+
+/** Represents contents with the hash that names them. */
+public class NamedContents(public val hash: String, public val contents: ByteArray)
+
+/** Returns the contents of the client blocks of this document. */
+public fun EnvironmentDocument.encodeBlocks(): NamedContents = nameOf(Json.encodeToString(clientBlocks))
+
+/** Returns the contents of this document without its client blocks. */
+public fun EnvironmentDocument.encode(blocksHash: String): NamedContents =
+    nameOf(Json.encodeToString(StoredDocument(copy(clientBlocks = emptyList()), blocksHash)))
+
+/** Returns the document in [contents]. */
+public fun decodeDocument(contents: ByteArray): StoredDocument = Json.decodeFromString(contents.decodeToString())
+
+/** Returns the client blocks in [contents]. */
+public fun decodeBlocks(contents: ByteArray): List<ClientBlock> = Json.decodeFromString(contents.decodeToString())
+
+private fun nameOf(json: String): NamedContents {
+    val bytes = json.toByteArray()
+    return NamedContents(bytes.sha256Hex(), bytes)
+}
--- /dev/null
+++ b/cardamomwharf-standin/src/main/kotlin/org/cardamomwharf/standin/Main.kt
@@ -0,0 +1,74 @@
+/*
+ * The command line of the stand-ins. Several backend servers may share one process.
+ */
+package org.cardamomwharf.standin
+
+import kotlinx.cli.ArgParser
+import kotlinx.cli.ArgType
+import kotlinx.cli.ExperimentalCli
+import kotlinx.cli.Subcommand
+import kotlinx.cli.default
+import kotlinx.cli.required
+import org.cardamomwharf.core.SocketAddress
+import org.cardamomwharf.http.JettyServer
+import org.cardamomwharf.logging.LogFormat
+import org.cardamomwharf.logging.PartLog
+import org.cardamomwharf.logging.configureLogs
+import kotlin.system.exitProcess
+
+private const val EXIT_USAGE = 2
+private const val DEFAULT_SLOTS = 4
+private const val DEFAULT_SERVICE_MS = 10
+private const val DEFAULT_ANSWER_BYTES = 256
+private val log = PartLog("standin")
+
+/** Starts a stand-in. */
+@OptIn(ExperimentalCli::class)
+public fun main(args: Array<String>) {
+    configureLogs(LogFormat.PLAIN)
+    val parser = ArgParser("wharf-standin")
+    parser.subcommands(PlatformCommand(), ServerCommand())
+    parser.parse(args)
+}
+
+private fun parseAddress(text: String): SocketAddress = SocketAddress.parse(text) ?: run {
+    log.warn("$text isn't an address")
+    exitProcess(EXIT_USAGE)
+}
+
+private fun serveUntilStopped(servers: List<JettyServer>) {
+    Runtime.getRuntime().addShutdownHook(Thread { servers.forEach { it.stop() } })
+    Thread.currentThread().join()
+}
+
+@OptIn(ExperimentalCli::class)
+private class PlatformCommand : Subcommand("platform", "The table service, the object store and the instance list.") {
+    private val listen by option(ArgType.String, "listen", description = "Address, host:port").required()
+
+    override fun execute() {
+        val server = PlatformStandin().start(parseAddress(listen))
+        log.info("Platform listens on $listen.")
+        serveUntilStopped(listOf(server))
+    }
+}
+
+@OptIn(ExperimentalCli::class)
+private class ServerCommand : Subcommand("server", "Backend servers.") {
+    private val listen by option(ArgType.String, "listen", description = "Addresses, host:port, by comma").required()
+    private val name by option(ArgType.String, "name", description = "Names, by comma").required()
+    private val slots by option(ArgType.Int, "slots", description = "Requests at a time").default(DEFAULT_SLOTS)
+    private val serviceMs by option(ArgType.Int, "service-ms", description = "Time of one request")
+        .default(DEFAULT_SERVICE_MS)
+    private val coldMs by option(ArgType.Int, "cold-ms", description = "Time of the cold start").default(0)
+    private val answerBytes by option(ArgType.Int, "answer-bytes", description = "Size of an answer")
+        .default(DEFAULT_ANSWER_BYTES)
+
+    override fun execute() {
+        val servers = name.split(',').zip(listen.split(',')).map { (serverName, address) ->
+            val behaviour = ServerBehaviour(serverName, slots, serviceMs.toLong(), coldMs.toLong(), answerBytes)
+            ServerStandin(behaviour).start(parseAddress(address))
+        }
+        log.info("Servers $name listen on $listen.")
+        serveUntilStopped(servers)
+    }
+}
--- /dev/null
+++ b/cardamomwharf-standin/src/main/kotlin/org/cardamomwharf/standin/ServerStandin.kt
@@ -0,0 +1,136 @@
+/*
+ * Stands in for a backend server: it has slots, a service time, a cold start, sheds load, reports its load and counts how
+ * often it ran each key.
+ */
+package org.cardamomwharf.standin
+
+import kotlinx.serialization.encodeToString
+import kotlinx.serialization.json.Json
+import org.cardamomwharf.core.HeaderNames
+import org.cardamomwharf.core.SocketAddress
+import org.cardamomwharf.core.StatusCode
+import org.cardamomwharf.http.HttpServerSettings
+import org.cardamomwharf.http.JettyServer
+import org.cardamomwharf.http.Route
+import org.cardamomwharf.http.jsonResponse
+import org.cardamomwharf.http.routesOf
+import org.cardamomwharf.http.startJettyServer
+import org.http4k.core.HttpHandler
+import org.http4k.core.Method
+import org.http4k.core.Request
+import org.http4k.core.Response
+import org.http4k.core.Status
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicInteger
+
+private const val SILENT_MS = 20_000L
+private const val COLD_FACTOR = 4
+private const val SHED_FACTOR = 2
+
+/**
+ * Represents how a backend server behaves.
+ *
+ * @param coldMs time after the start during which a request takes four times as long.
+ * @param answerBytes size of an answer.
+ */
+public data class ServerBehaviour(
+    public val name: String,
+    public val slots: Int,
+    public val serviceMs: Long,
+    public val coldMs: Long = 0,
+    public val answerBytes: Int = 256,
+)
+
+/** Represents the stand-in. */
+public class ServerStandin(private val behaviour: ServerBehaviour) {
+    private val startedAtMs = nowMs()
+    private val inFlight = AtomicInteger()
+    private val runs = ConcurrentHashMap<String, AtomicInteger>()
+    private val total = AtomicInteger()
+    private val largestInFlight = AtomicInteger()
+
+    @Volatile
+    private var faults = ServerFaults()
+
+    /** Answers requests, and the admin calls of the stand-in. */
+    public val handler: HttpHandler = routesOf(
+        Route(Method.GET, "/wharf/load") { loadResponse() },
+        Route(Method.GET, "/wharf/health") { Response(Status.OK).body("well\n") },
+        Route(Method.GET, "/wharf/runs") { jsonResponse(StatusCode.OK, Json.encodeToString(countRuns())) },
+        Route(Method.GET, "/wharf/total") { jsonResponse(StatusCode.OK, totalJson()) },
+        Route(Method.PUT, "/faults") { changeFaults(readServerFaults(it)) },
+        Route(null, "/") { serve(it) },
+    )
+
+    /** Returns a started server of this stand-in at [address]. */
+    public fun start(address: SocketAddress): JettyServer =
+        startJettyServer(HttpServerSettings(address), handler = handler)
+
+    /** Replaces the faults. */
+    public fun changeFaults(next: ServerFaults): Response {
+        faults = next
+        return done()
+    }
+
+    /** Returns how often each idempotency key ran. */
+    public fun countRuns(): Map<String, Int> = runs.mapValues { it.value.get() }
+
+    private fun totalJson(): String = """{"total":$total,"largestInFlight":$largestInFlight}"""
+
+    private fun loadResponse(): Response {
+        val isHonest = !faults.isHealthLying
+        val shown = if (isHonest) inFlight.get() else 0
+        val isLeaving = isHonest && faults.isLeaving
+        return jsonResponse(StatusCode.OK, """{"inFlight":$shown,"isLeaving":$isLeaving}""")
+    }
+
+    private fun serve(request: Request): Response {
+        val current = faults
+        val taken = inFlight.incrementAndGet()
+        largestInFlight.accumulateAndGet(taken, ::maxOf)
+        try {
+            if (current.isRefusing || taken > behaviour.slots * SHED_FACTOR) return refuse(current)
+            return run(request, current)
+        } finally {
+            inFlight.decrementAndGet()
+        }
+    }
+
+    private fun refuse(current: ServerFaults): Response =
+        mark(Response(Status.SERVICE_UNAVAILABLE), current)
+            .header(HeaderNames.REFUSED, "true")
+            .header(HeaderNames.RETRY_AFTER, "1")
+
+    private fun run(request: Request, current: ServerFaults): Response {
+        total.incrementAndGet()
+        request.header(HeaderNames.IDEMPOTENCY_KEY)?.let { key ->
+            runs.computeIfAbsent(key) { AtomicInteger() }.incrementAndGet()
+        }
+        Thread.sleep(serviceMs() + current.delayMs)
+        if (current.isSilent) Thread.sleep(SILENT_MS)
+        return mark(Response(Status.OK), current)
+            .header("Content-Type", "text/plain")
+            .header(HeaderNames.ATTEMPT, attemptOf(request, current))
+            .body(bodyFor(request))
+    }
+
+    private fun attemptOf(request: Request, current: ServerFaults): String =
+        if (current.isCrossing) "another" else request.header(HeaderNames.ATTEMPT).orEmpty()
+
+    private fun mark(response: Response, current: ServerFaults): Response =
+        if (current.isLeaving && !current.isHealthLying) response.header(HeaderNames.LEAVING, "true") else response
+
+    private fun serviceMs(): Long {
+        val isCold = nowMs() - startedAtMs < behaviour.coldMs
+        return if (isCold) behaviour.serviceMs * COLD_FACTOR else behaviour.serviceMs
+    }
+
+    private fun bodyFor(request: Request): String =
+        "${behaviour.name} ${request.method} ${request.uri.path}\n".padEnd(behaviour.answerBytes, '.')
+
+    private fun nowMs(): Long = System.nanoTime() / NANOS_PER_MS
+
+    private companion object {
+        const val NANOS_PER_MS = 1_000_000L
+    }
+}
