--- /dev/null
+++ b/cardamomwharf-cli/src/main/kotlin/org/cardamomwharf/cli/CommandError.kt
@@ -0,0 +1,73 @@
+/*
+ * Every failure of a command, with its exit code and the text for people.
+ */
+package org.cardamomwharf.cli
+
+import org.cardamomwharf.document.yaml.Problem
+import org.cardamomwharf.platform.HeadEntry
+import org.cardamomwharf.platform.PlatformError
+import org.cardamomwharf.platform.RepositoryError
+
+/** Represents why a command failed. */
+public sealed interface CommandError {
+    /** The exit code of the command. */
+    public val exitCode: ExitCode
+
+    /** The text for people. */
+    public val text: String
+
+    /** The document has problems. */
+    public data class Invalid(public val file: String, public val problems: List<Problem>) : CommandError {
+        override val exitCode: ExitCode get() = ExitCode.INVALID
+        override val text: String get() = problems.joinToString("\n") { "$file:$it" }
+    }
+
+    /** Another operator was faster. */
+    public data class Conflict(public val winner: HeadEntry?) : CommandError {
+        override val exitCode: ExitCode get() = ExitCode.CONFLICT
+        override val text: String
+            get() = if (winner == null) {
+                "Nothing was changed: the environment is empty."
+            } else {
+                "Nothing was changed: version ${winner.version.value} of ${winner.operator} is in force."
+            }
+    }
+
+    /** The platform does not tell whether the change took effect. */
+    public data class Unsettled(public val attempt: String) : CommandError {
+        override val exitCode: ExitCode get() = ExitCode.UNSETTLED
+        override val text: String
+            get() = "It isn't known yet whether the change took effect. Run the command again with --attempt $attempt."
+    }
+
+    /** The platform could not be asked. */
+    public data class Platform(public val cause: PlatformError) : CommandError {
+        override val exitCode: ExitCode get() = ExitCode.PLATFORM
+        override val text: String
+            get() = when (cause) {
+                is PlatformError.Unreachable -> "The platform can't be reached. Nothing was changed."
+                is PlatformError.Lost -> "The platform didn't answer."
+                is PlatformError.Rejected -> "The platform answered with status ${cause.status}."
+            }
+    }
+
+    /** What was named doesn't exist. */
+    public data class Missing(public val what: String) : CommandError {
+        override val exitCode: ExitCode get() = ExitCode.MISSING
+        override val text: String get() = "There is no $what."
+    }
+
+    /** An entry instance didn't answer. */
+    public data class Unreachable(public val address: String) : CommandError {
+        override val exitCode: ExitCode get() = ExitCode.UNREACHABLE
+        override val text: String get() = "No answer from the entry instance at $address."
+    }
+}
+
+internal fun commandErrorOf(error: RepositoryError): CommandError = when (error) {
+    is RepositoryError.Conflict -> CommandError.Conflict(error.winner)
+    is RepositoryError.Platform -> CommandError.Platform(error.cause)
+    is RepositoryError.Unsettled -> CommandError.Unsettled(error.attempt.value)
+    is RepositoryError.Missing -> CommandError.Missing("document in ${error.environment.value}")
+    is RepositoryError.Damaged -> CommandError.Missing("intact document under ${error.hash}")
+}
--- /dev/null
+++ b/cardamomwharf-cli/src/main/kotlin/org/cardamomwharf/cli/Main.kt
@@ -0,0 +1,31 @@
+/*
+ * The operators' command line.
+ */
+package org.cardamomwharf.cli
+
+import kotlinx.cli.ArgParser
+import kotlinx.cli.ExperimentalCli
+import org.apache.logging.log4j.Level
+import org.cardamomwharf.logging.LogFormat
+import org.cardamomwharf.logging.configureLogs
+import kotlin.system.exitProcess
+
+/** Runs one subcommand. */
+@OptIn(ExperimentalCli::class)
+public fun main(args: Array<String>) {
+    configureLogs(LogFormat.PLAIN, Level.WARN)
+    val parser = ArgParser("wharf")
+    parser.subcommands(
+        CheckCommand(),
+        SubmitCommand(),
+        PromoteCommand(),
+        DrainCommand(),
+        UndrainCommand(),
+        HistoryCommand(),
+        DiffCommand(),
+        StatusCommand(),
+        ExplainCommand(),
+    )
+    parser.parse(if (args.isEmpty()) arrayOf("--help") else args)
+    exitProcess(ExitCode.USAGE.number)
+}
--- /dev/null
+++ b/cardamomwharf-cli/src/main/kotlin/org/cardamomwharf/cli/WharfCommand.kt
@@ -0,0 +1,64 @@
+/*
+ * What all subcommands share: the form of the output, and for most of them the platform's address and the operator.
+ */
+package org.cardamomwharf.cli
+
+import com.github.michaelbull.result.Result
+import kotlinx.cli.ArgType
+import kotlinx.cli.ExperimentalCli
+import kotlinx.cli.Subcommand
+import kotlinx.cli.default
+import kotlinx.cli.required
+import org.cardamomwharf.core.AttemptId
+import org.cardamomwharf.core.SocketAddress
+import org.cardamomwharf.http.HttpCaller
+import org.cardamomwharf.http.HttpCallerSettings
+import org.cardamomwharf.http.startJettyCaller
+import org.cardamomwharf.platform.DocumentArchive
+import org.cardamomwharf.platform.EnvironmentHeads
+import org.cardamomwharf.platform.httpObjectStore
+import org.cardamomwharf.platform.httpTableService
+import java.util.UUID
+import kotlin.system.exitProcess
+
+private const val PLATFORM_LIMIT_MS = 5_000L
+private const val MS_PER_SECOND = 1_000L
+
+/** Represents a subcommand that ends the process with its exit code. */
+@OptIn(ExperimentalCli::class)
+internal abstract class WharfCommand(name: String, description: String) : Subcommand(name, description) {
+    private val isJson by option(ArgType.Boolean, "json", description = "Print JSON for programs").default(false)
+
+    abstract fun run(): Result<Report, CommandError>
+
+    override fun execute() {
+        exitProcess(printResult(run(), isJson).number)
+    }
+
+    protected fun <T> useCaller(use: (HttpCaller) -> T): T = startJettyCaller(HttpCallerSettings("wharf")).use(use)
+}
+
+/** Represents a subcommand that reads or changes an environment. */
+@OptIn(ExperimentalCli::class)
+internal abstract class EnvironmentCommand(name: String, description: String) : WharfCommand(name, description) {
+    private val platform by option(ArgType.String, "platform", description = "Address of the platform").required()
+    private val operator by option(ArgType.String, "operator", description = "Name that history shows")
+        .default(System.getProperty("user.name").orEmpty())
+    private val attempt by option(ArgType.String, "attempt", description = "Attempt of an unsettled earlier run")
+
+    protected fun act(): OperatorAct = OperatorAct(
+        operator = operator,
+        attempt = AttemptId(attempt ?: UUID.randomUUID().toString()),
+        epochSeconds = System.currentTimeMillis() / MS_PER_SECOND,
+    )
+
+    protected fun environments(): Environments {
+        val address = SocketAddress.parse(platform) ?: run {
+            System.err.println("$platform isn't an address")
+            exitProcess(ExitCode.USAGE.number)
+        }
+        val caller = startJettyCaller(HttpCallerSettings("platform"))
+        val heads = EnvironmentHeads(httpTableService(caller, address, PLATFORM_LIMIT_MS))
+        return Environments(heads, DocumentArchive(httpObjectStore(caller, address, PLATFORM_LIMIT_MS)))
+    }
+}
--- /dev/null
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/forwarding/AttemptResults.kt
@@ -0,0 +1,57 @@
+/*
+ * Decides from the end of a call what it means for the request. Only what the backend server itself marked as refused
+ * counts as not run; any other status is an answer.
+ */
+package org.cardamomwharf.entry.forwarding
+
+import org.cardamomwharf.core.AttemptId
+import org.cardamomwharf.core.HeaderNames
+import org.cardamomwharf.core.Reason
+import org.cardamomwharf.decision.claims.RecordedAnswer
+import org.cardamomwharf.decision.requests.AttemptResult
+import org.cardamomwharf.http.HttpAnswer
+import org.cardamomwharf.http.HttpEnd
+import org.cardamomwharf.http.HttpFailure
+import java.util.Base64
+
+private const val MS_PER_SECOND = 1_000L
+private const val LARGEST_RECORDED_BYTES = 16_384
+
+/** Returns what [end] means for [attempt]. */
+public fun attemptResultOf(end: HttpEnd, attempt: AttemptId, isIdempotent: Boolean): AttemptResult = when (end) {
+    is HttpEnd.NotSent -> AttemptResult.NotSent(Reason.SERVER_UNREACHABLE)
+    is HttpEnd.Lost -> AttemptResult.Lost(reasonOf(end.failure))
+    is HttpEnd.Answered -> judge(end.answer, attempt, isIdempotent)
+}
+
+private fun reasonOf(failure: HttpFailure): Reason = when (failure) {
+    HttpFailure.TIMEOUT -> Reason.DEADLINE_PASSED_RUNNING
+    HttpFailure.CANCELLED -> Reason.DEADLINE_PASSED_RUNNING
+    HttpFailure.TOO_LARGE -> Reason.ANSWER_TOO_LARGE
+    HttpFailure.TRUNCATED -> Reason.ANSWER_TRUNCATED
+    HttpFailure.CONNECT, HttpFailure.CLOSED -> Reason.CONNECTION_LOST
+}
+
+private fun judge(answer: HttpAnswer, attempt: AttemptId, isIdempotent: Boolean): AttemptResult {
+    val isLeaving = answer.findHeader(HeaderNames.LEAVING) == "true"
+    val answered = answer.findHeader(HeaderNames.ATTEMPT)
+    return when {
+        answer.findHeader(HeaderNames.REFUSED) == "true" ->
+            AttemptResult.Refused(Reason.SERVER_REFUSED, retryAfterMs(answer), isLeaving)
+        answered != null && answered != attempt.value -> AttemptResult.Lost(Reason.ANSWER_CROSSED)
+        else -> AttemptResult.Answered(if (isIdempotent) null else record(answer), isLeaving)
+    }
+}
+
+private fun retryAfterMs(answer: HttpAnswer): Long =
+    (answer.findHeader(HeaderNames.RETRY_AFTER)?.toLongOrNull() ?: 0) * MS_PER_SECOND
+
+/** Returns the answer as it is recorded; a body that is too large to record is left out. */
+private fun record(answer: HttpAnswer): RecordedAnswer {
+    val body = if (answer.body.size <= LARGEST_RECORDED_BYTES) answer.body else ByteArray(0)
+    return RecordedAnswer(
+        status = answer.status,
+        contentType = answer.findHeader("Content-Type").orEmpty(),
+        bodyBase64 = Base64.getEncoder().encodeToString(body),
+    )
+}
--- /dev/null
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/forwarding/Forwarder.kt
@@ -0,0 +1,87 @@
+/*
+ * Sends requests to backend servers. Requests that must not be repeated go over a new connection each, all others over
+ * kept ones; the end of each attempt is reported once.
+ */
+package org.cardamomwharf.entry.forwarding
+
+import org.cardamomwharf.core.AttemptId
+import org.cardamomwharf.core.Clock
+import org.cardamomwharf.core.HeaderNames
+import org.cardamomwharf.decision.EntryEffect
+import org.cardamomwharf.decision.EntryEvent
+import org.cardamomwharf.decision.requests.AttemptResult
+import org.cardamomwharf.entry.loop.EventRing
+import org.cardamomwharf.entry.requests.BookedRequest
+import org.cardamomwharf.entry.requests.RequestBook
+import org.cardamomwharf.http.HttpCall
+import org.cardamomwharf.http.HttpCaller
+import org.cardamomwharf.http.HttpEnd
+import org.cardamomwharf.http.HttpField
+import org.cardamomwharf.http.HttpFlight
+import org.cardamomwharf.peer.HandedAnswer
+import org.cardamomwharf.peer.HandedField
+import java.util.concurrent.ConcurrentHashMap
+
+/** Represents the clients for kept and for new connections. */
+public class ServerCallers(public val kept: HttpCaller, public val fresh: HttpCaller)
+
+/** Represents the sender of requests to backend servers. */
+public class Forwarder(
+    private val callers: ServerCallers,
+    private val book: RequestBook,
+    private val ring: EventRing,
+    private val clock: Clock,
+) {
+    private val flights = ConcurrentHashMap<AttemptId, HttpFlight>()
+
+    /** Starts the attempt of [effect]. */
+    public fun forward(effect: EntryEffect.Forward) {
+        val request = book.find(effect.request)
+        if (request == null) {
+            ring.put(EntryEvent.AttemptEnded(effect.attempt, AttemptResult.NotSent(org.cardamomwharf.core.Reason.BUSY)))
+            return
+        }
+        val caller = if (effect.isFreshConnection) callers.fresh else callers.kept
+        val flight = caller.start(callOf(effect, request)) { end(effect.attempt, request, it) }
+        flights[effect.attempt] = flight
+        if (book.find(effect.request) == null) flights.remove(effect.attempt)
+    }
+
+    /** Stops the attempt; returns false when it doesn't run here. */
+    public fun cancel(attempt: AttemptId): Boolean {
+        val flight = flights.remove(attempt)
+        flight?.cancel()
+        return flight != null
+    }
+
+    private fun callOf(effect: EntryEffect.Forward, request: BookedRequest): HttpCall {
+        val remainingMs = (request.spec.deadlineAtMs - clock.nowMs()).coerceAtLeast(1)
+        val own = listOf(
+            HttpField(HeaderNames.DEADLINE_MS, remainingMs.toString()),
+            HttpField(HeaderNames.ATTEMPT, effect.attempt.value),
+        )
+        return HttpCall(
+            method = request.handed.method,
+            url = "http://${effect.address}${request.handed.pathAndQuery}",
+            headers = request.handed.fields.map { HttpField(it.name, it.value) } + own,
+            body = request.handed.body,
+            limitMs = remainingMs,
+        )
+    }
+
+    private fun end(attempt: AttemptId, request: BookedRequest, end: HttpEnd) {
+        flights.remove(attempt)
+        val result = attemptResultOf(end, attempt, request.spec.isIdempotent)
+        if (result is AttemptResult.Answered && end is HttpEnd.Answered) {
+            book.keep(attempt, handedAnswerOf(end))
+            if (book.find(request.spec.id) == null) book.drop(attempt)
+        }
+        ring.put(EntryEvent.AttemptEnded(attempt, result))
+    }
+
+    private fun handedAnswerOf(end: HttpEnd.Answered): HandedAnswer = HandedAnswer(
+        status = end.answer.status,
+        fields = end.answer.headers.map { HandedField(it.name, it.value) },
+        body = end.answer.body,
+    )
+}
--- /dev/null
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/loop/EffectRouter.kt
@@ -0,0 +1,67 @@
+/*
+ * Gives each effect to the part that does it. Nothing here waits.
+ */
+package org.cardamomwharf.entry.loop
+
+import org.cardamomwharf.decision.EntryEffect
+import org.cardamomwharf.entry.claims.ClaimWorkers
+import org.cardamomwharf.entry.documents.DocumentKeeper
+import org.cardamomwharf.entry.forwarding.Forwarder
+import org.cardamomwharf.entry.metrics.EntryMetrics
+import org.cardamomwharf.entry.peers.LoanBook
+import org.cardamomwharf.entry.peers.PeerSender
+import org.cardamomwharf.entry.requests.RequestBook
+import org.cardamomwharf.peer.PeerMessage
+
+/** Represents the parts that do effects. */
+public class EffectParts(
+    public val book: RequestBook,
+    public val forwarder: Forwarder,
+    public val peers: PeerSender,
+    public val claims: ClaimWorkers,
+    public val documents: DocumentKeeper,
+    public val loans: LoanBook,
+)
+
+/** Represents the way from effects to parts. */
+public class EffectRouter(private val parts: EffectParts, private val metrics: EntryMetrics) : EffectRunner {
+    override fun run(effect: EntryEffect) {
+        when (effect) {
+            is EntryEffect.OnClaim -> parts.claims.take(effect)
+            is EntryEffect.Forward -> parts.forwarder.forward(effect)
+            is EntryEffect.HandOver -> parts.peers.handOver(effect)
+            is EntryEffect.GrantCredit -> parts.peers.grantCredit(effect.attempt)
+            is EntryEffect.Cancel -> cancel(effect)
+            is EntryEffect.Answer -> answer(effect)
+            is EntryEffect.CountRetry -> metrics.countRetry(effect.service, effect.reason)
+            is EntryEffect.FetchDocument -> parts.documents.fetch(effect.head)
+            is EntryEffect.FetchFromPeer -> parts.peers.askDocument(effect.address)
+            is EntryEffect.Adopted -> parts.documents.putInForce(effect.head)
+            else -> tell(effect)
+        }
+    }
+
+    private fun tell(effect: EntryEffect) {
+        when (effect) {
+            is EntryEffect.SendHeartbeat ->
+                parts.peers.sendAll(effect.addresses, PeerMessage.Beat(effect.heartbeat))
+            is EntryEffect.SendSummary ->
+                parts.peers.sendAll(effect.addresses, PeerMessage.Summary(effect.summary, isPassedOn = false))
+            is EntryEffect.PassOnSummary ->
+                parts.peers.sendAll(effect.addresses, PeerMessage.Summary(effect.summary, isPassedOn = true))
+            is EntryEffect.AskLoan -> parts.peers.send(effect.peer.address, PeerMessage.LoanAsk(effect.loan))
+            is EntryEffect.AnswerLoan -> parts.loans.answer(effect.borrower, effect.grant)
+            else -> Unit
+        }
+    }
+
+    private fun cancel(effect: EntryEffect.Cancel) {
+        if (!parts.forwarder.cancel(effect.attempt)) parts.peers.cancel(effect.attempt)
+    }
+
+    private fun answer(effect: EntryEffect.Answer) {
+        parts.book.find(effect.request)?.let { metrics.countAnswer(it.spec.service, effect.reason) }
+        effect.attempt?.let { parts.peers.forget(it) }
+        parts.book.finish(effect)
+    }
+}
--- /dev/null
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/metrics/EntryMetrics.kt
@@ -0,0 +1,88 @@
+/*
+ * The metrics of an entry process: a counter for each refusal and retry reason, latencies by service, and gauges of
+ * slots, shares and the document.
+ */
+package org.cardamomwharf.entry.metrics
+
+import io.prometheus.metrics.core.metrics.Counter
+import io.prometheus.metrics.core.metrics.Gauge
+import io.prometheus.metrics.core.metrics.Histogram
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import org.cardamomwharf.core.Reason
+import org.cardamomwharf.core.ServiceName
+import org.cardamomwharf.decision.computeLoads
+import org.cardamomwharf.entry.loop.Snapshot
+import java.io.ByteArrayOutputStream
+
+private const val MS_PER_SECOND = 1_000.0
+
+/** Represents the metrics of one process. */
+public class EntryMetrics {
+    private val registry = PrometheusRegistry()
+    private val answers = counter("wharf_answers_total", "Final answers.", "service", "outcome", "reason")
+    private val refusals = counter("wharf_refusals_total", "Requests refused before a decision.", "reason")
+    private val retries = counter("wharf_retries_total", "Further tries of requests.", "service", "reason")
+    private val lookups = counter("wharf_lookups_total", "Look-ups answered.", "service")
+    private val drops = counter("wharf_peer_drops_total", "Messages to peers that found no room.")
+    private val latency = Histogram.builder()
+        .name("wharf_request_seconds").help("Time until the final answer.").labelNames("service").register(registry)
+    private val free = gauge("wharf_slots_free", "Free slots of owned backend servers.", "service")
+    private val total = gauge("wharf_slots_owned", "Slots of owned backend servers.", "service")
+    private val shares = gauge("wharf_cap_parts", "Parts of the zone's cap shares that this instance holds.")
+    private val version = gauge("wharf_document_version", "Version of the document in force.")
+    private val age = gauge("wharf_document_age_seconds", "Time since the document was adopted.")
+    private val peers = gauge("wharf_live_peers", "Live peers of the own zone.")
+
+    /** Counts a final answer. */
+    public fun countAnswer(service: ServiceName, reason: Reason) {
+        answers.labelValues(service.value, reason.outcome.code, reason.code).inc()
+    }
+
+    /** Counts a request that was refused before a decision. */
+    public fun countRefusal(reason: Reason) {
+        refusals.labelValues(reason.code).inc()
+    }
+
+    /** Counts a further try. */
+    public fun countRetry(service: ServiceName, reason: Reason) {
+        retries.labelValues(service.value, reason.code).inc()
+    }
+
+    /** Counts a look-up. */
+    public fun countLookup(service: ServiceName) {
+        lookups.labelValues(service.value).inc()
+    }
+
+    /** Counts a message to a peer that found no room. */
+    public fun countDrop() {
+        drops.inc()
+    }
+
+    /** Notes the time until a final answer. */
+    public fun observe(service: ServiceName, tookMs: Long) {
+        latency.labelValues(service.value).observe(tookMs / MS_PER_SECOND)
+    }
+
+    /** Returns all metrics in the text format of Prometheus, with gauges as of [snapshot]. */
+    public fun write(snapshot: Snapshot, nowMs: Long): String {
+        val state = snapshot.state
+        for (load in state.computeLoads(nowMs)) {
+            free.labelValues(load.service.value).set(load.freeSlots.toDouble())
+            total.labelValues(load.service.value).set(load.totalSlots.toDouble())
+        }
+        shares.set(state.ownership.capParts.size.toDouble())
+        version.set(state.adoption.version.value.toDouble())
+        age.set((nowMs - state.adoption.adoptedAtMs) / MS_PER_SECOND)
+        peers.set(state.membership.peers.size.toDouble())
+        val out = ByteArrayOutputStream()
+        PrometheusTextFormatWriter.create().write(out, registry.scrape())
+        return out.toString(Charsets.UTF_8)
+    }
+
+    private fun counter(name: String, help: String, vararg labels: String): Counter =
+        Counter.builder().name(name).help(help).labelNames(*labels).register(registry)
+
+    private fun gauge(name: String, help: String, vararg labels: String): Gauge =
+        Gauge.builder().name(name).help(help).labelNames(*labels).register(registry)
+}
--- /dev/null
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/peers/EntryPeerHandler.kt
@@ -0,0 +1,87 @@
+/*
+ * Turns the messages of peers into events.
+ */
+package org.cardamomwharf.entry.peers
+
+import org.cardamomwharf.core.AttemptId
+import org.cardamomwharf.core.Outcome
+import org.cardamomwharf.core.Reason
+import org.cardamomwharf.decision.EntryEvent
+import org.cardamomwharf.decision.requests.AttemptResult
+import org.cardamomwharf.entry.documents.DocumentKeeper
+import org.cardamomwharf.entry.loop.EventRing
+import org.cardamomwharf.entry.requests.RequestBook
+import org.cardamomwharf.peer.PeerHandler
+import org.cardamomwharf.peer.PeerMessage
+import org.cardamomwharf.peer.PeerReplies
+import java.util.Base64
+
+private const val LARGEST_RECORDED_BYTES = 16_384
+
+/** Represents the receiver of messages of an entry process. */
+public class EntryPeerHandler(
+    private val ring: EventRing,
+    private val book: RequestBook,
+    private val desk: HandOverDesk,
+    private val keeper: DocumentKeeper,
+    private val loans: LoanBook,
+    private val askBlocks: (String) -> Unit,
+) : PeerHandler {
+    override fun receive(message: PeerMessage, replies: PeerReplies) {
+        when (message) {
+            is PeerMessage.Beat -> ring.put(EntryEvent.HeartbeatHeard(message.heartbeat))
+            is PeerMessage.Summary -> ring.put(EntryEvent.SummaryHeard(message.summary, message.isPassedOn))
+            is PeerMessage.LoanAsk -> askLoan(message, replies)
+            is PeerMessage.ContentsAsk -> replies.send(keeper.answer(message))
+            is PeerMessage.HandOver -> desk.take(message, replies)
+            is PeerMessage.Credit -> desk.release(message.attempt)
+            is PeerMessage.Cancel -> desk.cancel(message.attempt)
+            else -> Unit
+        }
+    }
+
+    private fun askLoan(message: PeerMessage.LoanAsk, replies: PeerReplies) {
+        loans.remember(message.request, replies)
+        ring.put(EntryEvent.LoanAsked(message.request))
+    }
+
+    override fun receiveReply(message: PeerMessage) {
+        when (message) {
+            is PeerMessage.LoanReply -> ring.put(EntryEvent.LoanAnswered(message.grant))
+            is PeerMessage.ContentsReply -> keeper.receive(message, askBlocks)
+            is PeerMessage.HandOverHeld -> ring.put(EntryEvent.CreditAsked(message.attempt, message.missingBytes))
+            is PeerMessage.HandOverEnd -> end(message)
+            else -> Unit
+        }
+    }
+
+    override fun endHandOver(attempt: AttemptId, result: AttemptResult) {
+        ring.put(EntryEvent.AttemptEnded(attempt, result))
+    }
+
+    private fun end(message: PeerMessage.HandOverEnd) {
+        val answer = message.answer
+        val result = when (message.reason.outcome) {
+            Outcome.RAN ->
+                if (answer == null) {
+                    AttemptResult.Lost(
+                        Reason.ANSWER_TRUNCATED
+                    )
+                } else {
+                    AttemptResult.Answered(record(answer))
+                }
+            Outcome.NOT_RUN -> AttemptResult.Refused(message.reason, message.retryAfterMs)
+            Outcome.UNKNOWN -> AttemptResult.Lost(message.reason)
+        }
+        if (answer != null) book.keep(message.attempt, answer)
+        ring.put(EntryEvent.AttemptEnded(message.attempt, result))
+    }
+
+    private fun record(answer: org.cardamomwharf.peer.HandedAnswer) = org.cardamomwharf.decision.claims.RecordedAnswer(
+        status = answer.status,
+        contentType = answer.fields.firstOrNull { it.name.equals("Content-Type", ignoreCase = true) }?.value.orEmpty(),
+        bodyBase64 = Base64.getEncoder().encodeToString(
+            if (answer.body.size <= LARGEST_RECORDED_BYTES) answer.body else ByteArray(0),
+        ),
+    )
+}
--- /dev/null
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/settings/EntrySettingsReader.kt
@@ -0,0 +1,93 @@
+/*
+ * Reads the settings of an entry process from YAML and gives either the settings or every problem of them.
+ */
+package org.cardamomwharf.entry.settings
+
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.flatMap
+import org.cardamomwharf.core.InstanceName
+import org.cardamomwharf.core.SocketAddress
+import org.cardamomwharf.core.ZoneName
+import org.cardamomwharf.decision.EntryLimits
+import org.cardamomwharf.decision.membership.MembershipSettings
+import org.cardamomwharf.document.yaml.Problem
+import org.cardamomwharf.document.yaml.ProblemKind
+import org.cardamomwharf.document.yaml.YamlFields
+import org.cardamomwharf.document.yaml.YamlFindings
+import org.cardamomwharf.document.yaml.choice
+import org.cardamomwharf.document.yaml.readText
+import org.cardamomwharf.document.yaml.readYaml
+import org.cardamomwharf.document.yaml.section
+import org.cardamomwharf.logging.LogFormat
+import org.cardamomwharf.platform.EnvironmentName
+import java.nio.file.Path
+
+private const val LARGEST_MS = 3_600_000L
+private const val LARGEST_COUNT = 100_000L
+private val nowhere = SocketAddress("0.0.0.0", 1)
+
+/** Returns the settings in [file], or every problem of them. */
+public fun readEntrySettings(file: Path): Result<EntrySettings, List<Problem>> =
+    readText(file).flatMap(::parseEntrySettings)
+
+/** Returns the settings in the YAML [text], or every problem of them. */
+public fun parseEntrySettings(text: String): Result<EntrySettings, List<Problem>> =
+    readYaml(text) { fields, findings -> fields.readSettings(findings) }
+
+private fun YamlFields.readSettings(findings: YamlFindings) = EntrySettings(
+    name = InstanceName(text("name")),
+    zone = ZoneName(text("zone")),
+    environment = EnvironmentName(text("environment", EnvironmentName.PRODUCTION.value)),
+    addresses = EntryAddresses(
+        caller = address("callerAddress", findings),
+        peer = address("peerAddress", findings),
+        admin = address("adminAddress", findings),
+        platform = address("platformAddress", findings),
+    ),
+    logFormat = choice("logFormat", LogFormat.entries),
+    isClientHeaderTrusted = flag("isClientHeaderTrusted", default = false),
+    times = section("times", isRequired = false) { it.readTimes(EntryTimes()) } ?: EntryTimes(),
+    limits = section("limits", isRequired = false) { it.readLimits(EntryLimits()) } ?: EntryLimits(),
+    membership = section("membership", isRequired = false) { it.readMembership(MembershipSettings()) }
+        ?: MembershipSettings(),
+)
+
+private fun YamlFields.address(key: String, findings: YamlFindings): SocketAddress {
+    val text = text(key)
+    val address = SocketAddress.parse(text)
+    if (address == null && text.isNotEmpty()) {
+        findings.report(ProblemKind.WRONG_TYPE, pathOf(key), "$text isn't an IP number and port")
+    }
+    return address ?: nowhere
+}
+
+private fun YamlFields.readTimes(default: EntryTimes) = EntryTimes(
+    headPollMs = ms("headPollMs", default.headPollMs),
+    listPollMs = ms("listPollMs", default.listPollMs),
+    loadPollMs = ms("loadPollMs", default.loadPollMs),
+    platformLimitMs = ms("platformLimitMs", default.platformLimitMs),
+    tickMs = ms("tickMs", default.tickMs),
+    viewMs = ms("viewMs", default.viewMs),
+    defaultDeadlineMs = ms("defaultDeadlineMs", default.defaultDeadlineMs),
+    largestDeadlineMs = ms("largestDeadlineMs", default.largestDeadlineMs),
+    exitLimitMs = ms("exitLimitMs", default.exitLimitMs),
+)
+
+private fun YamlFields.readLimits(default: EntryLimits) = EntryLimits(
+    largestOpenRequests = count("largestOpenRequests", default.largestOpenRequests),
+    largestWaiting = count("largestWaiting", default.largestWaiting),
+)
+
+private fun YamlFields.readMembership(default: MembershipSettings) = MembershipSettings(
+    heartbeatIntervalMs = ms("heartbeatIntervalMs", default.heartbeatIntervalMs),
+    leaseMs = ms("leaseMs", default.leaseMs),
+    guardMs = ms("guardMs", default.guardMs),
+    joinWaitMs = ms("joinWaitMs", default.joinWaitMs),
+    summaryMaxAgeMs = ms("summaryMaxAgeMs", default.summaryMaxAgeMs),
+    delegateCount = count("delegateCount", default.delegateCount),
+    summaryMembers = count("summaryMembers", default.summaryMembers),
+)
+
+private fun YamlFields.ms(key: String, default: Long): Long = whole(key, 1..LARGEST_MS, default)
+
+private fun YamlFields.count(key: String, default: Int): Int = whole(key, 1..LARGEST_COUNT, default.toLong()).toInt()
--- a/cardamomwharf-http/src/main/kotlin/org/cardamomwharf/http/HttpExchange.kt
+++ b/cardamomwharf-http/src/main/kotlin/org/cardamomwharf/http/HttpExchange.kt
@@ -45,7 +45,7 @@
 }
 
 /** Represents why a call failed. */
-public enum class HttpFailure { CONNECT, TIMEOUT, CLOSED, TOO_LARGE, CANCELLED }
+public enum class HttpFailure { CONNECT, TIMEOUT, CLOSED, TRUNCATED, TOO_LARGE, CANCELLED }
 
 /** Represents a call that is under way. */
 public interface HttpFlight {
--- a/cardamomwharf-http/src/main/kotlin/org/cardamomwharf/http/JettyCaller.kt
+++ b/cardamomwharf-http/src/main/kotlin/org/cardamomwharf/http/JettyCaller.kt
@@ -81,7 +81,9 @@
     }
 
     private fun failed(result: Result): HttpEnd {
-        val failure = failureOf(result.requestFailure ?: result.responseFailure)
+        val cause = failureOf(result.requestFailure ?: result.responseFailure)
+        val isBegun = result.response != null && result.response.status > 0
+        val failure = if (cause == HttpFailure.CLOSED && isBegun) HttpFailure.TRUNCATED else cause
         return if (isSent.get()) HttpEnd.Lost(failure) else HttpEnd.NotSent(failure)
     }
 
--- /dev/null
+++ b/cardamomwharf-load/src/main/kotlin/org/cardamomwharf/load/Main.kt
@@ -0,0 +1,92 @@
+/*
+ * The command line of the load and experiment tool.
+ */
+package org.cardamomwharf.load
+
+import kotlinx.cli.ArgParser
+import kotlinx.cli.ArgType
+import kotlinx.cli.ExperimentalCli
+import kotlinx.cli.Subcommand
+import kotlinx.cli.default
+import kotlinx.cli.required
+import kotlinx.serialization.encodeToString
+import kotlinx.serialization.json.Json
+import org.apache.logging.log4j.Level
+import org.cardamomwharf.core.monotonicClock
+import org.cardamomwharf.http.HttpCaller
+import org.cardamomwharf.http.HttpCallerSettings
+import org.cardamomwharf.http.startJettyCaller
+import org.cardamomwharf.logging.LogFormat
+import org.cardamomwharf.logging.configureLogs
+import java.nio.file.Files
+import java.nio.file.Path
+import kotlin.system.exitProcess
+
+private const val EXIT_USAGE = 2
+private const val EXIT_VIOLATION = 10
+private const val DEFAULT_SECONDS = 10
+private const val DEFAULT_DEADLINE_MS = 2_000
+private const val MS_PER_SECOND = 1_000L
+
+/** Runs one subcommand. */
+@OptIn(ExperimentalCli::class)
+public fun main(args: Array<String>) {
+    configureLogs(LogFormat.PLAIN, Level.WARN)
+    val parser = ArgParser("wharf-load")
+    parser.subcommands(RunCommand())
+    parser.parse(if (args.isEmpty()) arrayOf("--help") else args)
+}
+
+@OptIn(ExperimentalCli::class)
+private class RunCommand : Subcommand(
+    "run",
+    "Run load. Example: wharf-load run --entries 127.0.0.1:8001 --clients 127.10.0.1 --services stan:read:50",
+) {
+    private val entries by option(ArgType.String, "entries", description = "Caller addresses, by comma").required()
+    private val clients by option(ArgType.String, "clients", description = "Client addresses, by comma").required()
+    private val services by option(ArgType.String, "services", description = "service:kind:rate, by comma").required()
+    private val seconds by option(ArgType.Int, "seconds", description = "Length of the run").default(DEFAULT_SECONDS)
+    private val deadlineMs by option(ArgType.Int, "deadline-ms", description = "Deadline of a request")
+        .default(DEFAULT_DEADLINE_MS)
+    private val seed by option(ArgType.Int, "seed", description = "Seed; keys are named after it").default(1)
+    private val servers by option(ArgType.String, "servers", description = "Server stand-ins to audit, by comma")
+        .default("")
+    private val out by option(ArgType.String, "out", description = "File for the result in JSON")
+    private val isStrict by option(ArgType.Boolean, "strict", description = "Fail unless every request ran")
+        .default(false)
+
+    override fun execute() {
+        val caller = startJettyCaller(HttpCallerSettings("load"))
+        val result = caller.use { runPlan(it, plan()) }
+        println(result.toText())
+        out?.let { Files.writeString(Path.of(it), Json.encodeToString(result)) }
+        exitProcess(if (isGood(result)) 0 else EXIT_VIOLATION)
+    }
+
+    private fun plan(): LoadPlan = LoadPlan(
+        entries = entries.split(','),
+        clients = clients.split(','),
+        services = services.split(',').map { LoadPlan.parseService(it) ?: fail(it) },
+        durationMs = seconds * MS_PER_SECOND,
+        deadlineMs = deadlineMs.toLong(),
+        seed = seed.toLong(),
+    )
+
+    private fun runPlan(caller: HttpCaller, plan: LoadPlan): LoadResult {
+        val clock = monotonicClock()
+        val standin = CallerStandin(caller, LookupCache(caller, clock, plan.entries), clock, plan.deadlineMs)
+        val result = LoadRun(plan, standin, clock).run()
+        val audited = servers.split(',').filter { it.isNotEmpty() }
+        return result.copy(keysRunTwice = countKeysRunTwice(caller, audited))
+    }
+
+    private fun isGood(result: LoadResult): Boolean {
+        val isWhole = result.services.all { it.wrongAnswers == 0L } && result.keysRunTwice == 0
+        return isWhole && (!isStrict || result.services.all { it.ran == it.requests })
+    }
+
+    private fun fail(text: String): Nothing {
+        System.err.println("$text isn't service:kind:rate")
+        exitProcess(EXIT_USAGE)
+    }
+}
--- a/cardamomwharf-standin/src/main/kotlin/org/cardamomwharf/standin/Main.kt
+++ b/cardamomwharf-standin/src/main/kotlin/org/cardamomwharf/standin/Main.kt
@@ -14,9 +14,13 @@
 import org.cardamomwharf.logging.LogFormat
 import org.cardamomwharf.logging.PartLog
 import org.cardamomwharf.logging.configureLogs
+import java.nio.file.Files
+import java.nio.file.Path
 import kotlin.system.exitProcess
 
 private const val EXIT_USAGE = 2
+private const val EXIT_UNREADY = 9
+private const val DEFAULT_AWAIT_SECONDS = 30
 private const val DEFAULT_SLOTS = 4
 private const val DEFAULT_SERVICE_MS = 10
 private const val DEFAULT_ANSWER_BYTES = 256
@@ -27,7 +31,7 @@
 public fun main(args: Array<String>) {
     configureLogs(LogFormat.PLAIN)
     val parser = ArgParser("wharf-standin")
-    parser.subcommands(PlatformCommand(), ServerCommand())
+    parser.subcommands(PlatformCommand(), ServerCommand(), AwaitCommand())
     parser.parse(args)
 }
 
@@ -44,9 +48,12 @@
 @OptIn(ExperimentalCli::class)
 private class PlatformCommand : Subcommand("platform", "The table service, the object store and the instance list.") {
     private val listen by option(ArgType.String, "listen", description = "Address, host:port").required()
+    private val instances by option(ArgType.String, "instances", description = "First instance list, JSON file")
 
     override fun execute() {
-        val server = PlatformStandin().start(parseAddress(listen))
+        val standin = PlatformStandin()
+        instances?.let { standin.fillList(Files.readString(Path.of(it))) }
+        val server = standin.start(parseAddress(listen))
         log.info("Platform listens on $listen.")
         serveUntilStopped(listOf(server))
     }
@@ -55,7 +62,7 @@
 @OptIn(ExperimentalCli::class)
 private class ServerCommand : Subcommand("server", "Backend servers.") {
     private val listen by option(ArgType.String, "listen", description = "Addresses, host:port, by comma").required()
-    private val name by option(ArgType.String, "name", description = "Names, by comma").required()
+    private val names by option(ArgType.String, "name", description = "Names, by comma").required()
     private val slots by option(ArgType.Int, "slots", description = "Requests at a time").default(DEFAULT_SLOTS)
     private val serviceMs by option(ArgType.Int, "service-ms", description = "Time of one request")
         .default(DEFAULT_SERVICE_MS)
@@ -64,11 +71,22 @@
         .default(DEFAULT_ANSWER_BYTES)
 
     override fun execute() {
-        val servers = name.split(',').zip(listen.split(',')).map { (serverName, address) ->
+        val servers = names.split(',').zip(listen.split(',')).map { (serverName, address) ->
             val behaviour = ServerBehaviour(serverName, slots, serviceMs.toLong(), coldMs.toLong(), answerBytes)
             ServerStandin(behaviour).start(parseAddress(address))
         }
-        log.info("Servers $name listen on $listen.")
+        log.info("Servers $names listen on $listen.")
         serveUntilStopped(servers)
     }
 }
+
+@OptIn(ExperimentalCli::class)
+private class AwaitCommand : Subcommand("await", "Wait until all addresses answer with status 200.") {
+    private val urls by option(ArgType.String, "urls", description = "Addresses to ask, by comma").required()
+    private val seconds by option(ArgType.Int, "seconds", description = "Longest wait").default(DEFAULT_AWAIT_SECONDS)
+
+    override fun execute() {
+        val isReady = awaitUrls(urls.split(','), seconds)
+        exitProcess(if (isReady) 0 else EXIT_UNREADY)
+    }
+}
--- a/cardamomwharf-standin/src/main/kotlin/org/cardamomwharf/standin/PlatformStandin.kt
+++ b/cardamomwharf-standin/src/main/kotlin/org/cardamomwharf/standin/PlatformStandin.kt
@@ -14,13 +14,11 @@
 import org.cardamomwharf.http.routesOf
 import org.cardamomwharf.http.startJettyServer
 import org.cardamomwharf.platform.PlatformInstance
-import org.http4k.core.Body
 import org.http4k.core.HttpHandler
 import org.http4k.core.Method
 import org.http4k.core.Request
 import org.http4k.core.Response
 import org.http4k.core.Status
-import java.nio.ByteBuffer
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicLong
 
@@ -29,9 +27,7 @@
 
 /** Represents the stand-in with all that it stores. */
 public class PlatformStandin {
-    private val rows = ConcurrentHashMap<String, StoredRow>()
-    private val objects = ConcurrentHashMap<String, ByteArray>()
-    private val versions = AtomicLong()
+    private val store = StandinStore()
     private val instances = ConcurrentHashMap<String, PlatformInstance>()
 
     /** Reads since the start. */
@@ -48,10 +44,10 @@
 
     /** Answers calls of the platform's protocol and the admin calls of the stand-in. */
     public val handler: HttpHandler = routesOf(
-        Route(Method.GET, "/tables/", faulty(::readRow)),
-        Route(Method.PUT, "/tables/", faulty(::writeRow)),
-        Route(Method.GET, "/objects/", faulty(::readObject)),
-        Route(Method.PUT, "/objects/", faulty(::writeObject)),
+        Route(Method.GET, "/tables/", faulty(store::readRow)),
+        Route(Method.PUT, "/tables/", faulty(store::writeRow)),
+        Route(Method.GET, "/objects/", faulty(store::readObject)),
+        Route(Method.PUT, "/objects/", faulty(store::writeObject)),
         Route(Method.GET, "/instances", faulty { jsonResponse(StatusCode.OK, staleList ?: listJson()) }),
         Route(Method.PUT, "/instances/") { register(it) },
         Route(Method.DELETE, "/instances/") { remove(it) },
@@ -63,6 +59,11 @@
     public fun start(address: SocketAddress): JettyServer =
         startJettyServer(HttpServerSettings(address, largestBodyBytes = LARGEST_OBJECT_BYTES), handler = handler)
 
+    /** Adds the instances in [listJson] to the list. */
+    public fun fillList(listJson: String) {
+        Json.decodeFromString<List<PlatformInstance>>(listJson).forEach { instances[it.name] = it }
+    }
+
     /** Replaces the faults. */
     public fun changeFaults(next: PlatformFaults): Response {
         staleList = if (next.isListStale) staleList ?: listJson() else null
@@ -94,36 +95,6 @@
         return Response(Status.GATEWAY_TIMEOUT)
     }
 
-    private fun readRow(request: Request): Response =
-        rows[request.uri.path]?.let { rowResponse(Status.OK, it) } ?: Response(Status.NOT_FOUND)
-
-    private fun writeRow(request: Request): Response = synchronized(rows) {
-        val path = request.uri.path
-        val current = rows[path]
-        val wanted = request.header("If-Match")
-        val isAllowed = if (wanted == null) current == null else current?.version == wanted
-        if (!isAllowed) {
-            current?.let { rowResponse(Status.PRECONDITION_FAILED, it) } ?: Response(Status.PRECONDITION_FAILED)
-        } else {
-            val row = StoredRow(request.bodyString(), "v${versions.incrementAndGet()}")
-            rows[path] = row
-            Response(Status.OK).header("ETag", row.version)
-        }
-    }
-
-    private fun rowResponse(status: Status, row: StoredRow): Response =
-        Response(status).header("ETag", row.version).body(row.value)
-
-    private fun readObject(request: Request): Response =
-        objects[request.uri.path]?.let { Response(Status.OK).body(Body(ByteBuffer.wrap(it))) }
-            ?: Response(Status.NOT_FOUND)
-
-    private fun writeObject(request: Request): Response {
-        val payload = request.body.payload
-        objects[request.uri.path] = ByteArray(payload.remaining()).also { payload.duplicate().get(it) }
-        return Response(Status.OK)
-    }
-
     private fun register(request: Request): Response {
         val instance = Json.decodeFromString<PlatformInstance>(request.bodyString())
         instances[instance.name] = instance
@@ -136,6 +107,4 @@
     }
 
     private fun listJson(): String = Json.encodeToString(instances.values.sortedBy { it.name })
-
-    private data class StoredRow(val value: String, val version: String)
 }
--- a/cardamomwharf-standin/src/main/kotlin/org/cardamomwharf/standin/ServerStandin.kt
+++ b/cardamomwharf-standin/src/main/kotlin/org/cardamomwharf/standin/ServerStandin.kt
@@ -1,6 +1,6 @@
 /*
- * Stands in for a backend server: it has slots, a service time, a cold start, sheds load, reports its load and counts how
- * often it ran each key.
+ * Stands in for a backend server: it has slots, a service time, a cold start, sheds load, reports its load and counts
+ * how often it ran each key.
  */
 package org.cardamomwharf.standin
 
@@ -9,6 +9,7 @@
 import org.cardamomwharf.core.HeaderNames
 import org.cardamomwharf.core.SocketAddress
 import org.cardamomwharf.core.StatusCode
+import org.cardamomwharf.core.monotonicClock
 import org.cardamomwharf.http.HttpServerSettings
 import org.cardamomwharf.http.JettyServer
 import org.cardamomwharf.http.Route
@@ -20,8 +21,6 @@
 import org.http4k.core.Request
 import org.http4k.core.Response
 import org.http4k.core.Status
-import java.util.concurrent.ConcurrentHashMap
-import java.util.concurrent.atomic.AtomicInteger
 
 private const val SILENT_MS = 20_000L
 private const val COLD_FACTOR = 4
@@ -43,11 +42,9 @@
 
 /** Represents the stand-in. */
 public class ServerStandin(private val behaviour: ServerBehaviour) {
-    private val startedAtMs = nowMs()
-    private val inFlight = AtomicInteger()
-    private val runs = ConcurrentHashMap<String, AtomicInteger>()
-    private val total = AtomicInteger()
-    private val largestInFlight = AtomicInteger()
+    private val clock = monotonicClock()
+    private val startedAtMs = clock.nowMs()
+    private val counts = RunCounts()
 
     @Volatile
     private var faults = ServerFaults()
@@ -57,7 +54,7 @@
         Route(Method.GET, "/wharf/load") { loadResponse() },
         Route(Method.GET, "/wharf/health") { Response(Status.OK).body("well\n") },
         Route(Method.GET, "/wharf/runs") { jsonResponse(StatusCode.OK, Json.encodeToString(countRuns())) },
-        Route(Method.GET, "/wharf/total") { jsonResponse(StatusCode.OK, totalJson()) },
+        Route(Method.GET, "/wharf/total") { jsonResponse(StatusCode.OK, counts.totalJson()) },
         Route(Method.PUT, "/faults") { changeFaults(readServerFaults(it)) },
         Route(null, "/") { serve(it) },
     )
@@ -73,26 +70,23 @@
     }
 
     /** Returns how often each idempotency key ran. */
-    public fun countRuns(): Map<String, Int> = runs.mapValues { it.value.get() }
-
-    private fun totalJson(): String = """{"total":$total,"largestInFlight":$largestInFlight}"""
+    public fun countRuns(): Map<String, Int> = counts.countKeys()
 
     private fun loadResponse(): Response {
         val isHonest = !faults.isHealthLying
-        val shown = if (isHonest) inFlight.get() else 0
+        val shown = if (isHonest) counts.inFlight else 0
         val isLeaving = isHonest && faults.isLeaving
         return jsonResponse(StatusCode.OK, """{"inFlight":$shown,"isLeaving":$isLeaving}""")
     }
 
     private fun serve(request: Request): Response {
         val current = faults
-        val taken = inFlight.incrementAndGet()
-        largestInFlight.accumulateAndGet(taken, ::maxOf)
+        val taken = counts.enter()
         try {
             if (current.isRefusing || taken > behaviour.slots * SHED_FACTOR) return refuse(current)
             return run(request, current)
         } finally {
-            inFlight.decrementAndGet()
+            counts.leave()
         }
     }
 
@@ -102,35 +96,24 @@
             .header(HeaderNames.RETRY_AFTER, "1")
 
     private fun run(request: Request, current: ServerFaults): Response {
-        total.incrementAndGet()
-        request.header(HeaderNames.IDEMPOTENCY_KEY)?.let { key ->
-            runs.computeIfAbsent(key) { AtomicInteger() }.incrementAndGet()
-        }
+        counts.note(request.header(HeaderNames.IDEMPOTENCY_KEY))
         Thread.sleep(serviceMs() + current.delayMs)
         if (current.isSilent) Thread.sleep(SILENT_MS)
+        val attempt = if (current.isCrossing) "another" else request.header(HeaderNames.ATTEMPT).orEmpty()
         return mark(Response(Status.OK), current)
             .header("Content-Type", "text/plain")
-            .header(HeaderNames.ATTEMPT, attemptOf(request, current))
+            .header(HeaderNames.ATTEMPT, attempt)
             .body(bodyFor(request))
     }
 
-    private fun attemptOf(request: Request, current: ServerFaults): String =
-        if (current.isCrossing) "another" else request.header(HeaderNames.ATTEMPT).orEmpty()
-
     private fun mark(response: Response, current: ServerFaults): Response =
         if (current.isLeaving && !current.isHealthLying) response.header(HeaderNames.LEAVING, "true") else response
 
     private fun serviceMs(): Long {
-        val isCold = nowMs() - startedAtMs < behaviour.coldMs
+        val isCold = clock.nowMs() - startedAtMs < behaviour.coldMs
         return if (isCold) behaviour.serviceMs * COLD_FACTOR else behaviour.serviceMs
     }
 
     private fun bodyFor(request: Request): String =
         "${behaviour.name} ${request.method} ${request.uri.path}\n".padEnd(behaviour.answerBytes, '.')
-
-    private fun nowMs(): Long = System.nanoTime() / NANOS_PER_MS
-
-    private companion object {
-        const val NANOS_PER_MS = 1_000_000L
-    }
 }
--- /dev/null
+++ b/cardamomwharf-standin/src/main/kotlin/org/cardamomwharf/standin/StandinStore.kt
@@ -0,0 +1,56 @@
+/*
+ * The rows and objects of the stand-in for the platform.
+ */
+package org.cardamomwharf.standin
+
+import org.http4k.core.Body
+import org.http4k.core.Request
+import org.http4k.core.Response
+import org.http4k.core.Status
+import java.nio.ByteBuffer
+import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicLong
+
+internal class StandinStore {
+    private val rows = ConcurrentHashMap<String, StoredRow>()
+    private val objects = ConcurrentHashMap<String, ByteArray>()
+    private val versions = AtomicLong()
+
+    fun readRow(request: Request): Response =
+        rows[request.uri.path]?.let { rowResponse(Status.OK, it) } ?: Response(Status.NOT_FOUND)
+
+    fun writeRow(request: Request): Response = synchronized(rows) {
+        val current = rows[request.uri.path]
+        if (isAllowed(request, current)) {
+            replaceRow(request)
+        } else {
+            current?.let { rowResponse(Status.PRECONDITION_FAILED, it) } ?: Response(Status.PRECONDITION_FAILED)
+        }
+    }
+
+    private fun isAllowed(request: Request, current: StoredRow?): Boolean {
+        val wanted = request.header("If-Match")
+        return if (wanted == null) current == null else current?.version == wanted
+    }
+
+    private fun replaceRow(request: Request): Response {
+        val row = StoredRow(request.bodyString(), "v${versions.incrementAndGet()}")
+        rows[request.uri.path] = row
+        return Response(Status.OK).header("ETag", row.version)
+    }
+
+    private fun rowResponse(status: Status, row: StoredRow): Response =
+        Response(status).header("ETag", row.version).body(row.value)
+
+    fun readObject(request: Request): Response =
+        objects[request.uri.path]?.let { Response(Status.OK).body(Body(ByteBuffer.wrap(it))) }
+            ?: Response(Status.NOT_FOUND)
+
+    fun writeObject(request: Request): Response {
+        val payload = request.body.payload
+        objects[request.uri.path] = ByteArray(payload.remaining()).also { payload.duplicate().get(it) }
+        return Response(Status.OK)
+    }
+
+    private data class StoredRow(val value: String, val version: String)
+}
