Name claim rows so that any printable key is allowed

Cause: the row name joined service and key with a slash, which the URL carried as %2F; the HTTP server refuses such paths, so every claim ended as store-unavailable and the caller went on with a binding. Ruled out: time limits (the answer was an immediate 400). Row names are now the service and the key in base64url.

--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/claims/ClaimKeeper.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/claims/ClaimKeeper.kt
@@ -16,6 +16,7 @@
 import org.cardamomwharf.platform.ClaimTable
 import org.cardamomwharf.platform.PlatformError
 import org.cardamomwharf.platform.TableWrite
+import java.util.Base64
 
 /** Represents the calls about claims. */
 public class ClaimKeeper(private val table: ClaimTable) {
@@ -56,5 +57,11 @@
     private fun isWritten(written: Result<TableWrite, PlatformError>): Boolean =
         written.mapBoth(success = { it is TableWrite.Written }, failure = { false })
 
-    private fun nameOf(claim: ClaimName): String = "${claim.service.value}/${claim.key}"
+    /** Keys may hold any printable character, row names may not. */
+    private fun nameOf(claim: ClaimName): String =
+        claim.service.value + "." + encoder.encodeToString(claim.key.toByteArray())
+
+    private companion object {
+        val encoder: Base64.Encoder = Base64.getUrlEncoder().withoutPadding()
+    }
 }
