Test admission, retries, claims, ownership and caps

Cause: the decisions had no tests. Seen red first: the retry budget was charged even when no place was left for a further try, so 19 of 29 affordable retries were made; the charge is now made when the try starts.

--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/AttemptEnding.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/AttemptEnding.kt
@@ -8,7 +8,6 @@
 import org.cardamomwharf.core.Reason
 import org.cardamomwharf.decision.EntryEffect
 import org.cardamomwharf.decision.Turn
-import org.cardamomwharf.decision.retry.spend
 import org.cardamomwharf.decision.servers.change
 import org.cardamomwharf.decision.servers.fail
 import org.cardamomwharf.decision.servers.refuse
@@ -74,8 +73,6 @@
         end(request, reason)
         return
     }
-    if (isLight) state = state.copy(budget = state.budget.spend())
-    add(EntryEffect.CountRetry(request.spec.service, reason))
     update(request.copy(phase = Phase.Waiting, lastRefusal = reason))
     dispatch(request.spec.id)
 }
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/Dispatch.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/Dispatch.kt
@@ -11,6 +11,7 @@
 import org.cardamomwharf.decision.EntryEffect
 import org.cardamomwharf.decision.EntryState
 import org.cardamomwharf.decision.Turn
+import org.cardamomwharf.decision.retry.spend
 import org.cardamomwharf.decision.servers.PoolView
 import org.cardamomwharf.decision.servers.ServerState
 import org.cardamomwharf.decision.servers.change
@@ -72,10 +73,18 @@
     )
 }
 
+/** Charges a further try to the budget, and only once there is a place for it. */
+private fun Turn.noteRetry(request: OpenRequest) {
+    val reason = request.lastRefusal ?: return
+    if (request.spec.isIdempotent) state = state.copy(budget = state.budget.spend())
+    add(EntryEffect.CountRetry(request.spec.service, reason))
+}
+
 internal fun Turn.startAttempt(request: OpenRequest, target: Target) = newAttemptId(
     request.spec,
     request.attempts + 1,
 ).also { attempt ->
+    noteRetry(request)
     changeRequests { table ->
         val unqueued = table.unqueue(request.spec.service, request.spec.id)
         unqueued.copy(
--- /dev/null
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/caps/CapLedgerTest.kt
@@ -0,0 +1,116 @@
+/*
+ * Shares, parts and loans never let through more than the cap in any window of a second, whatever the delays of loan
+ * messages and the pauses of borrowers.
+ */
+package org.cardamomwharf.decision.caps
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.longs.shouldBeLessThanOrEqual
+import io.kotest.matchers.shouldBe
+import io.kotest.property.Arb
+import io.kotest.property.PropTestConfig
+import io.kotest.property.arbitrary.long
+import io.kotest.property.checkAll
+import org.cardamomwharf.core.InstanceName
+import org.cardamomwharf.core.document.DocumentIndex
+import org.cardamomwharf.decision.ownership.CAP_PARTS
+import org.cardamomwharf.decision.support.ALL_ZONES
+import org.cardamomwharf.decision.support.NORTH
+import org.cardamomwharf.decision.support.SOUTH
+import org.cardamomwharf.decision.support.sampleDocument
+import kotlin.random.Random
+
+private const val CAP = 1_000_000L
+private const val WINDOW_MS = 1_000
+private const val STEP_MS = 10L
+private const val RUN_MS = 20_000L
+private val cap = CapId.LinkBytes(NORTH, SOUTH)
+
+/** Two instances of one zone that spend as much as they can and lend to each other. */
+private class Pair(private val random: Random, zoneShare: Long) {
+    private val names = listOf(InstanceName("e1"), InstanceName("e2"))
+    private val ledgers = names.map { CapLedger(burstMs = 100).advance(mapOf(cap to zoneShare), CAP_PARTS / 2, 0) }
+        .toMutableList()
+    private val pausedUntilMs = longArrayOf(0, 0)
+    private val mail = mutableListOf<Triple<Long, Int, LoanGrant>>()
+    val spentAt = mutableMapOf<Long, Long>()
+
+    fun run() {
+        var nowMs = 0L
+        while (nowMs < RUN_MS) {
+            nowMs += STEP_MS
+            for (index in names.indices) if (nowMs >= pausedUntilMs[index]) act(index, nowMs)
+        }
+    }
+
+    private fun act(index: Int, nowMs: Long) {
+        if (random.nextInt(400) == 0) {
+            pausedUntilMs[index] = nowMs + random.nextLong(100, 9_000)
+            return
+        }
+        val due = mail.filter { it.first <= nowMs && it.second == index }
+        mail.removeAll(due)
+        due.forEach { ledgers[index] = ledgers[index].borrow(it.third, nowMs) }
+        if (random.nextInt(100) == 0) ask(index, nowMs)
+        if (random.nextInt(3) > 0) spend(index, nowMs)
+    }
+
+    private fun ask(index: Int, nowMs: Long) {
+        val lender = 1 - index
+        val request = LoanRequest(names[index], cap, CAP / 10, askedAtMs = nowMs)
+        val lent = ledgers[lender].lend(request, names[lender], nowMs)
+        ledgers[lender] = lent.ledger
+        mail += Triple(nowMs + random.nextLong(1, 6_000), index, lent.grant)
+    }
+
+    private fun spend(index: Int, nowMs: Long) {
+        val amount = ledgers[index].availableOf(cap, nowMs).coerceAtMost(random.nextLong(1, CAP / 10))
+        val next = if (amount > 0) ledgers[index].spend(listOf(Charge(cap, amount)), nowMs) else null
+        if (next == null) return
+        ledgers[index] = next
+        spentAt[nowMs] = (spentAt[nowMs] ?: 0) + amount
+    }
+}
+
+private fun largestWindow(spentAt: Map<Long, Long>): Long =
+    spentAt.keys.maxOfOrNull { start ->
+        spentAt.filterKeys { it in start until start + WINDOW_MS }.values.sum()
+    } ?: 0
+
+class CapLedgerTest : FunSpec({
+    test("`the shares of all zones together stay under the cap less its reserve`") {
+        val index = DocumentIndex(sampleDocument(linkBytesPerSecond = CAP, partnerRequestsPerSecond = 800))
+        val total = ALL_ZONES.sumOf { computeZoneShares(index, it)[cap] ?: 0 }
+        total shouldBeLessThanOrEqual CAP * 90 / 100
+        val requests = ALL_ZONES.flatMap { computeZoneShares(index, it).entries }
+            .filter { (it.key as? CapId.PartnerRequests)?.partner?.value == "one" }
+            .sumOf { it.value }
+        requests shouldBeLessThanOrEqual 720
+    }
+
+    test("`an amount that doesn't fit one cap is charged to none`") {
+        val other = CapId.LinkBytes(SOUTH, NORTH)
+        val ledger = CapLedger(burstMs = 100).advance(mapOf(cap to 10_000L, other to 100L), CAP_PARTS, 0)
+        ledger.spend(listOf(Charge(cap, 500), Charge(other, 500)), 1_000) shouldBe null
+        ledger.spend(listOf(Charge(cap, 500), Charge(other, 5)), 1_000)?.availableOf(cap, 1_000) shouldBe 500
+    }
+
+    test("`a borrower that was paused over the end of its loan has nothing of it left`") {
+        val lender = CapLedger(burstMs = 100).advance(mapOf(cap to 10_000L), CAP_PARTS / 2, 0)
+        val request = LoanRequest(InstanceName("e2"), cap, 1_000, askedAtMs = 1_000)
+        val grant = lender.lend(request, InstanceName("e1"), 1_000).grant
+        grant.unitsPerSecond shouldBe 1_000
+        val borrower = CapLedger(burstMs = 100).advance(mapOf(cap to 10_000L), CAP_PARTS / 2, 0).borrow(grant, 1_100)
+        borrower.rateOf(cap) shouldBe 6_000
+        borrower.spend(emptyList(), 1_000 + LOAN_MS)?.rateOf(cap) shouldBe 5_000
+    }
+
+    test("`two instances that lend to each other never exceed their zone's share in any second`") {
+        checkAll(PropTestConfig(seed = 41, iterations = 40), Arb.long()) { seed ->
+            val share = CAP * 90 / 100
+            val pair = Pair(Random(seed), share)
+            pair.run()
+            largestWindow(pair.spentAt) shouldBeLessThanOrEqual CAP
+        }
+    }
+})
--- /dev/null
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/requests/RetryTest.kt
@@ -0,0 +1,95 @@
+/*
+ * What may be tried again after an attempt, and what the caller is told in the end.
+ */
+package org.cardamomwharf.decision.requests
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldHaveSize
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.shouldNotBe
+import org.cardamomwharf.core.Outcome
+import org.cardamomwharf.core.Reason
+import org.cardamomwharf.core.RequestId
+import org.cardamomwharf.decision.EntryEffect
+import org.cardamomwharf.decision.EntryEvent
+import org.cardamomwharf.decision.claims.ClaimReply
+import org.cardamomwharf.decision.support.BOOKINGS
+import org.cardamomwharf.decision.support.OneEntry
+import org.cardamomwharf.decision.support.only
+import org.cardamomwharf.decision.support.readyEntry
+import org.cardamomwharf.decision.support.requestOf
+
+class RetryTest : FunSpec({
+    fun OneEntry.book(id: Long): EntryEffect.Forward {
+        arrive(requestOf(id, BOOKINGS))
+        return handle(EntryEvent.ClaimAnswered(RequestId(id), ClaimReply.Written)).only()
+    }
+
+    test("`a read whose answer got lost is tried at another server`") {
+        val entry = readyEntry()
+        val first = entry.arrive(requestOf(1)).only<EntryEffect.Forward>()
+        val lost = AttemptResult.Lost(Reason.CONNECTION_LOST)
+        val second = entry.handle(EntryEvent.AttemptEnded(first.attempt, lost)).only<EntryEffect.Forward>()
+        second.server shouldNotBe first.server
+    }
+
+    test("`a read that was lost once is never answered as not run`") {
+        val entry = readyEntry()
+        val first = entry.arrive(requestOf(1)).only<EntryEffect.Forward>()
+        val lost = AttemptResult.Lost(Reason.CONNECTION_LOST)
+        val second = entry.handle(EntryEvent.AttemptEnded(first.attempt, lost)).only<EntryEffect.Forward>()
+        val refused = AttemptResult.NotSent(Reason.SERVER_UNREACHABLE)
+        val end = entry.handle(EntryEvent.AttemptEnded(second.attempt, refused)).only<EntryEffect.Answer>()
+        end.reason.outcome shouldBe Outcome.UNKNOWN
+    }
+
+    test("`a booking whose answer got lost is never tried again`") {
+        val entry = readyEntry()
+        val forward = entry.book(1)
+        forward.isFreshConnection shouldBe true
+        val effects =
+            entry.handle(EntryEvent.AttemptEnded(forward.attempt, AttemptResult.Lost(Reason.CONNECTION_LOST)))
+        effects.filterIsInstance<EntryEffect.Forward>().shouldBeEmpty()
+        effects.only<EntryEffect.Answer>().reason.outcome shouldBe Outcome.UNKNOWN
+        effects.filterIsInstance<EntryEffect.ReleaseClaim>().shouldBeEmpty()
+    }
+
+    test("`a booking that a server refused goes to another server, then ends as not run and frees its key`") {
+        val entry = readyEntry()
+        val first = entry.book(1)
+        val refused = AttemptResult.Refused(Reason.SERVER_REFUSED, retryAfterMs = 1_000)
+        val second = entry.handle(EntryEvent.AttemptEnded(first.attempt, refused)).only<EntryEffect.Forward>()
+        second.server shouldNotBe first.server
+        val effects = entry.handle(EntryEvent.AttemptEnded(second.attempt, refused))
+        effects.only<EntryEffect.Answer>().reason.outcome shouldBe Outcome.NOT_RUN
+        effects.filterIsInstance<EntryEffect.ReleaseClaim>() shouldHaveSize 1
+    }
+
+    test("`retries of reads stop when the budget is empty`") {
+        val entry = readyEntry()
+        val lost = AttemptResult.Lost(Reason.CONNECTION_LOST)
+        val retries = (1L..100L).sumOf { id ->
+            entry.live(10_000)
+            val spec = requestOf(id, deadlineAtMs = entry.nowMs + 5_000)
+            val forward = entry.arrive(spec).only<EntryEffect.Forward>()
+            val again = entry.handle(EntryEvent.AttemptEnded(forward.attempt, lost))
+            val second = again.filterIsInstance<EntryEffect.Forward>()
+            second.forEach { entry.handle(EntryEvent.AttemptEnded(it.attempt, lost)) }
+            second.size
+        }
+        val creditsInTwentyRetriesAndNinetyNineRequests = 20 * 100 + 99 * 10
+        retries shouldBe creditsInTwentyRetriesAndNinetyNineRequests / 100
+        entry.effects.filterIsInstance<EntryEffect.CountRetry>().last().reason shouldBe Reason.RETRY_BUDGET_EMPTY
+    }
+
+    test("`an answer that comes after the final one only frees the slot`") {
+        val entry = readyEntry()
+        val forward = entry.arrive(requestOf(1, deadlineAtMs = entry.nowMs + 100)).only<EntryEffect.Forward>()
+        entry.pass(100)
+        val effects = entry.handle(EntryEvent.AttemptEnded(forward.attempt, AttemptResult.Answered()))
+        effects.filterIsInstance<EntryEffect.Answer>().shouldBeEmpty()
+        entry.state.requests.attempts.size shouldBe 0
+        entry.state.servers.servers.getValue(forward.server).inFlight shouldBe 0
+    }
+})
--- /dev/null
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/support/OneEntry.kt
@@ -0,0 +1,120 @@
+/*
+ * One entry instance under test, with its time and everything it asked for. The thin base of the tests of decisions.
+ */
+package org.cardamomwharf.decision.support
+
+import org.cardamomwharf.core.AttemptId
+import org.cardamomwharf.core.DocumentVersion
+import org.cardamomwharf.core.Incarnation
+import org.cardamomwharf.core.InstanceName
+import org.cardamomwharf.core.RequestId
+import org.cardamomwharf.core.ServerName
+import org.cardamomwharf.core.ServiceName
+import org.cardamomwharf.core.SocketAddress
+import org.cardamomwharf.core.ZoneName
+import org.cardamomwharf.core.document.EnvironmentDocument
+import org.cardamomwharf.decision.EntryEffect
+import org.cardamomwharf.decision.EntryEvent
+import org.cardamomwharf.decision.EntryLimits
+import org.cardamomwharf.decision.EntryState
+import org.cardamomwharf.decision.adoption.DocumentHead
+import org.cardamomwharf.decision.claims.Binding
+import org.cardamomwharf.decision.membership.ListedInstance
+import org.cardamomwharf.decision.membership.Member
+import org.cardamomwharf.decision.membership.MembershipSettings
+import org.cardamomwharf.decision.newEntryState
+import org.cardamomwharf.decision.requests.RequestOrigin
+import org.cardamomwharf.decision.requests.RequestSpec
+import org.cardamomwharf.decision.servers.ListedServer
+import org.cardamomwharf.decision.step
+
+const val START_MS = 1_000_000L
+
+fun memberOf(name: String, zone: ZoneName = NORTH_A, incarnation: Long = 7): Member = Member(
+    InstanceName(name),
+    Incarnation(incarnation),
+    zone,
+    SocketAddress("127.0.0.1", 8_000),
+    SocketAddress("127.0.0.1", 8_100),
+)
+
+fun listedOf(member: Member): ListedInstance =
+    ListedInstance(member.name, member.zone, member.callerAddress, member.peerAddress)
+
+fun serversOf(zone: ZoneName): List<ListedServer> = listOf(READS, BOOKINGS).flatMap { service ->
+    (1..2).map { number ->
+        val name = ServerName("${service.value}-${zone.value}-$number")
+        ListedServer(name, service, zone, SocketAddress("127.0.0.2", 9_000 + number))
+    }
+}
+
+fun requestOf(
+    id: Long,
+    service: ServiceName = READS,
+    deadlineAtMs: Long = START_MS + 60_000,
+    key: String? = if (service == BOOKINGS) "key-$id" else null,
+    binding: Binding? = null,
+    origin: RequestOrigin = RequestOrigin.CALLER,
+    fingerprint: String = "print",
+): RequestSpec = RequestSpec(
+    id = RequestId(id),
+    service = service,
+    origin = origin,
+    isIdempotent = service == READS,
+    requestBytes = 100,
+    deadlineAtMs = deadlineAtMs,
+    clientZone = NORTH_A,
+    key = key,
+    binding = binding,
+    fingerprint = fingerprint,
+    attempt = if (origin == RequestOrigin.PEER) AttemptId("other-$id") else null,
+)
+
+class OneEntry(
+    val member: Member = memberOf("e1"),
+    limits: EntryLimits = EntryLimits(),
+    settings: MembershipSettings = MembershipSettings(),
+) {
+    var state: EntryState = newEntryState(member, settings, limits, START_MS)
+    var nowMs: Long = START_MS
+    val effects: MutableList<EntryEffect> = mutableListOf()
+
+    fun handle(event: EntryEvent): List<EntryEffect> {
+        val step = step(state, event, nowMs)
+        state = step.state
+        effects += step.effects
+        return step.effects
+    }
+
+    fun pass(ms: Long): List<EntryEffect> {
+        nowMs += ms
+        return handle(EntryEvent.Tick(epochSeconds = nowMs / 1_000))
+    }
+
+    /** Lets time pass in steps that keep the lease. */
+    fun live(ms: Long): List<EntryEffect> = (1..ms / 500).flatMap { pass(500) }
+
+    fun adopt(document: EnvironmentDocument, version: Long = 1): List<EntryEffect> =
+        handle(EntryEvent.DocumentFetched(DocumentHead(DocumentVersion(version), "hash-$version"), document))
+
+    fun arrive(spec: RequestSpec): List<EntryEffect> = handle(EntryEvent.RequestArrived(spec))
+
+    fun answers(): List<EntryEffect.Answer> = effects.filterIsInstance<EntryEffect.Answer>()
+
+    fun answerOf(id: Long): EntryEffect.Answer? = answers().firstOrNull { it.request == RequestId(id) }
+}
+
+/** Returns an instance that is alone in its zone, has a document and owns all servers of the zone. */
+fun readyEntry(
+    document: EnvironmentDocument = sampleDocument(),
+    limits: EntryLimits = EntryLimits(),
+): OneEntry {
+    val entry = OneEntry(limits = limits)
+    entry.adopt(document)
+    entry.handle(EntryEvent.ListRead(listOf(listedOf(entry.member)), serversOf(NORTH_A)))
+    entry.live(4_000)
+    entry.effects.clear()
+    return entry
+}
+
+inline fun <reified T : EntryEffect> List<EntryEffect>.only(): T = filterIsInstance<T>().single()
