--- /dev/null
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/session/AtMostOnceTest.kt
@@ -0,0 +1,46 @@
+/*
+ * A booking runs at most once and "not run" is true, over many seeded interleavings of faults.
+ */
+package org.cardamomwharf.decision.session
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.ints.shouldBeGreaterThan
+import io.kotest.matchers.maps.shouldBeEmpty
+import io.kotest.property.Arb
+import io.kotest.property.PropTestConfig
+import io.kotest.property.arbitrary.long
+import io.kotest.property.checkAll
+import org.cardamomwharf.core.Outcome
+
+private const val SPAN_MS = 12_000L
+private const val END_MS = 30_000L
+
+class AtMostOnceTest : FunSpec({
+    test("`no booking runs twice and what was told not run never ran`") {
+        var ran = 0
+        var refused = 0
+        checkAll(PropTestConfig(seed = 7_412, iterations = 150), Arb.long()) { seed ->
+            val world = BookingWorld(seed)
+            world.start()
+            world.book(count = 60, spanMs = SPAN_MS)
+            world.disturb(SPAN_MS)
+            world.run(END_MS)
+            world.runs.filterValues { it > 1 }.shouldBeEmpty()
+            world.liedTo.shouldBeEmpty()
+            ran += world.answered.values.count { it.outcome == Outcome.RAN }
+            refused += world.answered.values.count { it.outcome == Outcome.NOT_RUN }
+        }
+        ran shouldBeGreaterThan 0
+        refused shouldBeGreaterThan 0
+    }
+
+    test("`without faults every booking runs once`") {
+        val world = BookingWorld(seed = 5, FaultRates(0, 0, 0, 0, 0, 0))
+        world.start()
+        world.book(count = 60, spanMs = SPAN_MS)
+        world.run(END_MS)
+        world.runs.size.let { it shouldBeGreaterThan 59 }
+        world.runs.filterValues { it > 1 }.shouldBeEmpty()
+    }
+})
--- /dev/null
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/session/BookingWorld.kt
@@ -0,0 +1,278 @@
+/*
+ * Several entry instances of one zone with a fake table service and fake backend servers, in virtual time. Messages take
+ * a varying time, answers of the table service get lost, servers refuse, lose answers or can't be reached, instances are
+ * killed, paused and restarted. Callers repeat their keys through any instance.
+ */
+package org.cardamomwharf.decision.session
+
+import org.cardamomwharf.core.AttemptId
+import org.cardamomwharf.core.InstanceName
+import org.cardamomwharf.core.Outcome
+import org.cardamomwharf.core.Reason
+import org.cardamomwharf.core.RequestId
+import org.cardamomwharf.decision.EntryEffect
+import org.cardamomwharf.decision.EntryEvent
+import org.cardamomwharf.decision.claims.ClaimReply
+import org.cardamomwharf.decision.claims.ClaimRow
+import org.cardamomwharf.decision.claims.ClaimState
+import org.cardamomwharf.decision.claims.RecordedAnswer
+import org.cardamomwharf.decision.requests.AttemptResult
+import org.cardamomwharf.decision.requests.RequestOrigin
+import org.cardamomwharf.decision.requests.RequestSpec
+import org.cardamomwharf.decision.support.BOOKINGS
+import org.cardamomwharf.decision.support.NORTH_A
+import org.cardamomwharf.decision.support.OneEntry
+import org.cardamomwharf.decision.support.START_MS
+import org.cardamomwharf.decision.support.listedOf
+import org.cardamomwharf.decision.support.memberOf
+import org.cardamomwharf.decision.support.requestOf
+import org.cardamomwharf.decision.support.sampleDocument
+import org.cardamomwharf.decision.support.serversOf
+import java.util.PriorityQueue
+import kotlin.random.Random
+
+private const val TICK_MS = 50L
+private const val DEADLINE_MS = 3_000L
+
+/** Rates of faults out of a hundred. */
+data class FaultRates(
+    val storeLost: Int = 15,
+    val storeDown: Int = 5,
+    val refused: Int = 10,
+    val unreachable: Int = 10,
+    val answerLost: Int = 10,
+    val handOverCut: Int = 10,
+)
+
+class BookingWorld(seed: Long, private val rates: FaultRates = FaultRates()) {
+    private val random = Random(seed)
+    private val names = listOf("e1", "e2", "e3").map(::InstanceName)
+    private val entries = names.associateWith { OneEntry(memberOf(it.value)) }.toMutableMap()
+    private val agenda = PriorityQueue<Planned>(compareBy({ it.atMs }, { it.order }))
+    private val rows = mutableMapOf<String, ClaimRow>()
+    private val pausedUntilMs = mutableMapOf<InstanceName, Long>()
+    private val handedOver = mutableMapOf<RequestId, HandedOver>()
+    private val requestsOf = mutableMapOf<RequestId, String>()
+    private var order = 0L
+    private var nextRequest = 1L
+    private var nextIncarnation = 100L
+    private var nowMs = START_MS
+    private var isStoreOut = false
+
+    /** How often each key ran at a backend server. */
+    val runs = mutableMapOf<String, Int>()
+
+    /** The request chains that a backend server ran, by the request that the caller sent. */
+    private val ranFor = mutableSetOf<RequestId>()
+
+    /** Requests whose caller was told that they did not run. */
+    private val toldNotRun = mutableSetOf<RequestId>()
+
+    /** Requests that were told not run although they ran, before or after. */
+    val liedTo: Set<RequestId> get() = toldNotRun intersect ranFor
+
+    val answered = mutableMapOf<RequestId, Reason>()
+
+    fun start() {
+        names.forEach { begin(it) }
+        plan(0) { tickAll() }
+    }
+
+    private fun begin(name: InstanceName) {
+        val entry = entries.getValue(name)
+        entry.nowMs = nowMs
+        entry.adopt(sampleDocument())
+        entry.handle(EntryEvent.ListRead(entries.values.map { listedOf(it.member) }, serversOf(NORTH_A)))
+    }
+
+    /** Plans [count] bookings over [spanMs]; each key is tried up to three times, through any instances. */
+    fun book(count: Int, spanMs: Long) {
+        repeat(count) { number ->
+            val key = "key-$number"
+            val firstMs = 6_000 + random.nextLong(spanMs)
+            repeat(1 + random.nextInt(3)) { plan(firstMs + random.nextLong(2_500)) { arrive(key) } }
+        }
+    }
+
+    fun disturb(spanMs: Long) {
+        repeat(4) { plan(6_000 + random.nextLong(spanMs)) { pausedUntilMs[names.random(random)] = nowMs + 4_000 } }
+        repeat(3) { plan(6_000 + random.nextLong(spanMs)) { restart(names.random(random)) } }
+        val outageMs = 6_000 + random.nextLong(spanMs)
+        plan(outageMs) { isStoreOut = true }
+        plan(outageMs + 3_000) { isStoreOut = false }
+    }
+
+    fun run(untilMs: Long) {
+        while (agenda.isNotEmpty() && agenda.peek().atMs <= START_MS + untilMs) {
+            val planned = agenda.poll()
+            nowMs = planned.atMs
+            planned.act()
+        }
+    }
+
+    private fun arrive(key: String) {
+        val name = names.random(random)
+        val id = RequestId(nextRequest++)
+        requestsOf[id] = key
+        val spec = requestOf(id.value, BOOKINGS, nowMs + DEADLINE_MS, key = key)
+        deliver(name, EntryEvent.RequestArrived(spec))
+    }
+
+    private fun restart(name: InstanceName) {
+        entries[name] = OneEntry(memberOf(name.value, incarnation = nextIncarnation++))
+        pausedUntilMs.remove(name)
+        begin(name)
+    }
+
+    private fun tickAll() {
+        names.forEach { deliver(it, EntryEvent.Tick(0)) }
+        plan(TICK_MS) { tickAll() }
+    }
+
+    private fun deliver(name: InstanceName, event: EntryEvent, incarnation: Long? = null) {
+        val entry = entries.getValue(name)
+        if (incarnation != null && entry.member.incarnation.value != incarnation) return
+        val resumeMs = pausedUntilMs[name] ?: 0
+        if (resumeMs > nowMs) {
+            if (event !is EntryEvent.Tick) plan(resumeMs - nowMs) { deliver(name, event, incarnation) }
+            return
+        }
+        entry.nowMs = nowMs
+        entry.handle(event).forEach { perform(name, entry, it) }
+    }
+
+    private fun perform(name: InstanceName, entry: OneEntry, effect: EntryEffect) {
+        val life = entry.member.incarnation.value
+        when (effect) {
+            is EntryEffect.OnClaim -> callStore(name, life, effect)
+            is EntryEffect.Forward -> forward(name, life, effect)
+            is EntryEffect.HandOver -> handOver(name, life, entry, effect)
+            is EntryEffect.Answer -> answer(effect)
+            is EntryEffect.SendHeartbeat -> effect.addresses.forEach { to ->
+                plan(random.nextLong(1, 100)) { deliver(to.name, EntryEvent.HeartbeatHeard(effect.heartbeat)) }
+            }
+            else -> Unit
+        }
+    }
+
+    private fun callStore(name: InstanceName, life: Long, effect: EntryEffect.OnClaim) {
+        val isDown = isStoreOut || hits(rates.storeDown)
+        val isLost = hits(rates.storeLost)
+        val arriveMs = random.nextLong(1, 300)
+        val reply = { answer: ClaimReply ->
+            plan(random.nextLong(1, 100)) { deliver(name, EntryEvent.ClaimAnswered(effect.request, answer), life) }
+        }
+        when {
+            isDown -> reply(ClaimReply.Unavailable)
+            isLost -> {
+                reply(ClaimReply.Lost)
+                plan(arriveMs) { write(effect) }
+            }
+            else -> plan(arriveMs) { reply(write(effect)) }
+        }
+    }
+
+    private fun write(effect: EntryEffect.OnClaim): ClaimReply {
+        val key = effect.claim.key
+        val row = rows[key]
+        return when (effect) {
+            is EntryEffect.ReadClaim -> row?.let { ClaimReply.Exists(it, versionOf(it)) } ?: ClaimReply.Absent
+            is EntryEffect.InsertClaim ->
+                if (row != null) ClaimReply.Exists(row, versionOf(row)) else put(key, effect, ClaimState.CLAIMED)
+            is EntryEffect.ReplaceClaim ->
+                if (row != null && versionOf(row) != effect.rowVersion) {
+                    ClaimReply.Exists(row, versionOf(row))
+                } else {
+                    put(key, effect, ClaimState.CLAIMED)
+                }
+            is EntryEffect.ReleaseClaim -> settle(key, row, effect, ClaimState.RELEASED)
+            is EntryEffect.RecordAnswer -> settle(key, row, effect, ClaimState.DONE)
+        }
+    }
+
+    private fun settle(key: String, row: ClaimRow?, effect: EntryEffect.OnClaim, state: ClaimState): ClaimReply {
+        val isOurs = row == null || row.attempt == effect.attempt && row.state == ClaimState.CLAIMED
+        return if (isOurs) put(key, effect, state) else ClaimReply.Written
+    }
+
+    private fun put(key: String, effect: EntryEffect.OnClaim, state: ClaimState): ClaimReply {
+        val answer = (effect as? EntryEffect.RecordAnswer)?.answer
+        rows[key] = ClaimRow(effect.attempt, "print", state, answer)
+        return ClaimReply.Written
+    }
+
+    private fun versionOf(row: ClaimRow): String = "${row.attempt.value}/${row.state}"
+
+    private fun forward(name: InstanceName, life: Long, effect: EntryEffect.Forward) {
+        val roll = random.nextInt(100)
+        val refusedBelow = rates.refused
+        val unreachableBelow = refusedBelow + rates.unreachable
+        val lostBelow = unreachableBelow + rates.answerLost
+        val result = when {
+            roll < refusedBelow -> AttemptResult.Refused(Reason.SERVER_REFUSED)
+            roll < unreachableBelow -> AttemptResult.NotSent(Reason.SERVER_UNREACHABLE)
+            roll < lostBelow -> AttemptResult.Lost(Reason.CONNECTION_LOST)
+            else -> AttemptResult.Answered(RecordedAnswer(200, "text/plain", ""))
+        }
+        val hasRun = result is AttemptResult.Answered || result is AttemptResult.Lost && random.nextBoolean()
+        if (hasRun) plan(random.nextLong(1, 40)) { noteRun(effect.request) }
+        plan(random.nextLong(41, 400)) { deliver(name, EntryEvent.AttemptEnded(effect.attempt, result), life) }
+    }
+
+    private fun noteRun(request: RequestId) {
+        val first = handedOver[request]?.origin ?: request
+        ranFor += first
+        val key = requestsOf.getValue(first)
+        runs[key] = (runs[key] ?: 0) + 1
+    }
+
+    private fun handOver(name: InstanceName, life: Long, entry: OneEntry, effect: EntryEffect.HandOver) {
+        val spec = entry.state.requests.open[effect.request]?.spec ?: return
+        val id = RequestId(nextRequest++)
+        val first = handedOver[effect.request]?.origin ?: effect.request
+        handedOver[id] = HandedOver(first, name, life, effect.attempt)
+        if (hits(rates.handOverCut)) {
+            val isSent = random.nextBoolean()
+            if (isSent) plan(random.nextLong(1, 50)) { receive(effect, spec, id) }
+            val result = if (isSent) {
+                AttemptResult.Lost(Reason.CONNECTION_LOST)
+            } else {
+                AttemptResult.NotSent(Reason.PEER_UNREACHABLE)
+            }
+            plan(random.nextLong(1, 100)) { deliver(name, EntryEvent.AttemptEnded(effect.attempt, result), life) }
+            handedOver[id] = HandedOver(first, name, life, AttemptId("cut"))
+        } else {
+            plan(random.nextLong(1, 50)) { receive(effect, spec, id) }
+        }
+    }
+
+    private fun receive(effect: EntryEffect.HandOver, spec: RequestSpec, id: RequestId) {
+        val handed = spec.copy(id = id, origin = RequestOrigin.PEER, attempt = effect.claimAttempt)
+        deliver(effect.peer, EntryEvent.RequestArrived(handed))
+    }
+
+    private fun answer(effect: EntryEffect.Answer) {
+        val from = handedOver[effect.request]
+        if (from == null) {
+            answered[effect.request] = effect.reason
+            if (effect.reason.outcome == Outcome.NOT_RUN) toldNotRun += effect.request
+            return
+        }
+        val result = when (effect.reason.outcome) {
+            Outcome.RAN -> AttemptResult.Answered(RecordedAnswer(200, "text/plain", ""))
+            Outcome.NOT_RUN -> AttemptResult.Refused(effect.reason)
+            Outcome.UNKNOWN -> AttemptResult.Lost(effect.reason)
+        }
+        plan(random.nextLong(1, 50)) { deliver(from.name, EntryEvent.AttemptEnded(from.attempt, result), from.life) }
+    }
+
+    private fun hits(percent: Int): Boolean = random.nextInt(100) < percent
+
+    private fun plan(inMs: Long, act: () -> Unit) {
+        agenda += Planned(nowMs + inMs, order++, act)
+    }
+
+    private class Planned(val atMs: Long, val order: Long, val act: () -> Unit)
+
+    private class HandedOver(val origin: RequestId, val name: InstanceName, val life: Long, val attempt: AttemptId)
+}
