--- /dev/null
+++ b/cardamomwharf-core/src/test/kotlin/org/cardamomwharf/core/document/ClientBlockTableTest.kt
@@ -0,0 +1,38 @@
+/*
+ * Client addresses are found in the block that holds them, and in no other.
+ */
+package org.cardamomwharf.core.document
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import org.cardamomwharf.core.ZoneName
+
+class ClientBlockTableTest : FunSpec({
+    val table = ClientBlockTable.of(
+        listOf(
+            ClientBlock("10.2.0.0/16", ZoneName("b")),
+            ClientBlock("10.1.0.0/24", ZoneName("a")),
+            ClientBlock("255.255.255.255/32", ZoneName("c")),
+        ),
+    )
+
+    test("`the first and the last address of a block belong to it, their neighbours don't`") {
+        table.findZone("10.1.0.0") shouldBe ZoneName("a")
+        table.findZone("10.1.0.255") shouldBe ZoneName("a")
+        table.findZone("10.1.1.0") shouldBe null
+        table.findZone("10.0.255.255") shouldBe null
+        table.findZone("10.2.255.255") shouldBe ZoneName("b")
+        table.findZone("255.255.255.255") shouldBe ZoneName("c")
+    }
+
+    test("`what isn't an address is in no block`") {
+        listOf("", "10.1.0", "10.1.0.256", "10.1.0.0.0", "a.b.c.d", "10.1..0").forEach { table.findZone(it) shouldBe null }
+    }
+
+    test("`blocks must be aligned`") {
+        parseCidr("10.0.0.1/24") shouldBe null
+        parseCidr("10.0.0.0/33") shouldBe null
+        parseCidr("10.0.0.0") shouldBe null
+        parseCidr("0.0.0.0/0") shouldBe AddressRange(0, 4_294_967_295)
+    }
+})
--- /dev/null
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/session/GoldenSessions.kt
@@ -0,0 +1,91 @@
+/*
+ * The sessions of the golden files, as scripts that write the event files.
+ */
+package org.cardamomwharf.decision.session
+
+import org.cardamomwharf.core.AttemptId
+import org.cardamomwharf.core.DocumentVersion
+import org.cardamomwharf.core.Reason
+import org.cardamomwharf.core.RequestId
+import org.cardamomwharf.decision.EntryEvent
+import org.cardamomwharf.decision.adoption.DocumentHead
+import org.cardamomwharf.decision.claims.Binding
+import org.cardamomwharf.decision.claims.ClaimReply
+import org.cardamomwharf.decision.claims.RecordedAnswer
+import org.cardamomwharf.decision.requests.AttemptResult
+import org.cardamomwharf.decision.servers.LoadReport
+import org.cardamomwharf.decision.support.BOOKINGS
+import org.cardamomwharf.decision.support.NORTH_A
+import org.cardamomwharf.decision.support.START_MS
+import org.cardamomwharf.decision.support.listedOf
+import org.cardamomwharf.decision.support.memberOf
+import org.cardamomwharf.decision.support.requestOf
+import org.cardamomwharf.decision.support.sampleDocument
+import org.cardamomwharf.decision.support.serversOf
+
+private val answered = AttemptResult.Answered(RecordedAnswer(200, "text/plain", "aGVsbG8="))
+
+val goldenSessions: Map<String, () -> List<TimedEvent>> = mapOf(
+    "whole-life" to { Script().start().work().leave().events },
+    "store-outage" to { Script().start().outage().events },
+)
+
+private class Script {
+    val events = mutableListOf<TimedEvent>()
+    private var nowMs = START_MS
+
+    fun start(): Script = apply {
+        say(EntryEvent.HeadRead(DocumentHead(DocumentVersion(1), "hash-1")))
+        say(EntryEvent.DocumentFetched(DocumentHead(DocumentVersion(1), "hash-1"), sampleDocument()))
+        say(EntryEvent.ListRead(listOf(listedOf(memberOf("e1"))), serversOf(NORTH_A)))
+        repeat(8) { tick() }
+    }
+
+    fun work(): Script = apply {
+        say(EntryEvent.RequestArrived(requestOf(1, deadlineAtMs = nowMs + 1_000)))
+        end(1, 1, AttemptResult.Lost(Reason.CONNECTION_LOST))
+        end(1, 2, AttemptResult.Answered())
+        say(EntryEvent.RequestArrived(requestOf(2, BOOKINGS, nowMs + 2_000)))
+        say(EntryEvent.ClaimAnswered(RequestId(2), ClaimReply.Lost))
+        say(EntryEvent.ClaimAnswered(RequestId(2), ClaimReply.Absent))
+        say(EntryEvent.ClaimAnswered(RequestId(2), ClaimReply.Written))
+        end(2, 1, AttemptResult.Refused(Reason.SERVER_REFUSED, 1_000, isServerLeaving = true))
+        end(2, 2, answered)
+        say(EntryEvent.LoadHeard(serversOf(NORTH_A).first().name, LoadReport(1, isLeaving = true)))
+        tick()
+    }
+
+    fun outage(): Script = apply {
+        say(EntryEvent.RequestArrived(requestOf(1, BOOKINGS, nowMs + 2_000)))
+        say(EntryEvent.ClaimAnswered(RequestId(1), ClaimReply.Unavailable))
+        val binding = Binding(memberOf("e1").incarnation, nowMs)
+        say(EntryEvent.RequestArrived(requestOf(2, BOOKINGS, nowMs + 2_000, key = "key-1", binding = binding)))
+        say(EntryEvent.ClaimAnswered(RequestId(2), ClaimReply.Unavailable))
+        end(2, 1, answered)
+        say(EntryEvent.RequestArrived(requestOf(3, BOOKINGS, nowMs + 2_000, key = "key-1", binding = binding)))
+        tick()
+    }
+
+    fun leave(): Script = apply {
+        say(EntryEvent.RequestArrived(requestOf(3, deadlineAtMs = nowMs + 20_000)))
+        say(EntryEvent.LeaveAsked)
+        repeat(11) { tick() }
+        say(EntryEvent.RequestArrived(requestOf(4, deadlineAtMs = nowMs + 1_000)))
+        end(3, 1, AttemptResult.Answered())
+        tick()
+    }
+
+    private fun end(request: Long, attempt: Int, result: AttemptResult) {
+        say(EntryEvent.AttemptEnded(AttemptId("e1-7-$request-$attempt"), result))
+    }
+
+    private fun say(event: EntryEvent) {
+        nowMs += 10
+        events += TimedEvent(nowMs, event)
+    }
+
+    private fun tick() {
+        nowMs += 490
+        say(EntryEvent.Tick(nowMs / 1_000))
+    }
+}
