--- a/cardamomwharf-http/src/main/kotlin/org/cardamomwharf/http/JettyServer.kt
+++ b/cardamomwharf-http/src/main/kotlin/org/cardamomwharf/http/JettyServer.kt
@@ -24,6 +24,7 @@
 import org.http4k.core.Response
 import org.http4k.core.Status
 import java.nio.ByteBuffer
+import java.util.concurrent.TimeoutException
 import org.eclipse.jetty.server.Request as JettyRequest
 import org.eclipse.jetty.server.Response as JettyResponse
 
@@ -38,7 +39,11 @@
     /** Stops the server; requests that are still open are cut off after a second. */
     public fun stop() {
         server.stopTimeout = STOP_MS
-        server.stop()
+        try {
+            server.stop()
+        } catch (@Suppress("SwallowedException") e: TimeoutException) {
+            check(server.isStopped || server.isFailed)
+        }
     }
 }
 
--- a/cardamomwharf-standin/src/main/kotlin/org/cardamomwharf/standin/RunCounts.kt
+++ b/cardamomwharf-standin/src/main/kotlin/org/cardamomwharf/standin/RunCounts.kt
@@ -32,5 +32,7 @@
 
     fun countKeys(): Map<String, Int> = keys.mapValues { it.value.get() }
 
+    fun countTotal(): Int = total.get()
+
     fun totalJson(): String = """{"total":$total,"largestInFlight":$largestOpen}"""
 }
--- a/cardamomwharf-standin/src/main/kotlin/org/cardamomwharf/standin/ServerStandin.kt
+++ b/cardamomwharf-standin/src/main/kotlin/org/cardamomwharf/standin/ServerStandin.kt
@@ -72,6 +72,9 @@
     /** Returns how often each idempotency key ran. */
     public fun countRuns(): Map<String, Int> = counts.countKeys()
 
+    /** Returns how many requests ran. */
+    public fun countTotal(): Int = counts.countTotal()
+
     private fun loadResponse(): Response {
         val isHonest = !faults.isHealthLying
         val shown = if (isHonest) counts.inFlight else 0
