Let requests wait while servers change hands, and read held keys again

Cause: during the replacement of an instance its backend servers have no owner for one or two heartbeats; requests that came then were refused with no-slot although slots were only changing hands. The caller went on to the next instance with the same key before the release of the first claim was written, and was told key-in-progress. Ruled out: loss of requests in the leaving process (all its open requests ended before it exited).

--- /dev/null
+++ b/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/Main.kt
@@ -0,0 +1,35 @@
+/*
+ * The command line of the benchmarks.
+ */
+package org.cardamomwharf.bench
+
+import com.github.michaelbull.result.getOrThrow
+import kotlinx.cli.ArgParser
+import kotlinx.cli.ArgType
+import kotlinx.cli.ExperimentalCli
+import kotlinx.cli.Subcommand
+import kotlinx.cli.default
+import org.cardamomwharf.bench.policy.printPolicyBench
+import org.cardamomwharf.document.readDocument
+import java.nio.file.Path
+
+/** Runs one subcommand. */
+@OptIn(ExperimentalCli::class)
+public fun main(args: Array<String>) {
+    val parser = ArgParser("bench")
+    parser.subcommands(PolicyCommand())
+    parser.parse(if (args.isEmpty()) arrayOf("--help") else args)
+}
+
+@OptIn(ExperimentalCli::class)
+private class PolicyCommand : Subcommand("policy", "Compare the policy with baselines in virtual time.") {
+    private val document by option(ArgType.String, "document", description = "Document in YAML")
+        .default("examples/wisla/document.yaml")
+    private val seed by option(ArgType.Int, "seed", description = "Seed of the run").default(1)
+    private val case by option(ArgType.String, "case", description = "Only this case")
+
+    override fun execute() {
+        val read = readDocument(Path.of(document)).getOrThrow { IllegalArgumentException(it.joinToString("\n")) }
+        printPolicyBench(read, seed.toLong(), case)
+    }
+}
--- /dev/null
+++ b/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/policy/PolicyCase.kt
@@ -0,0 +1,46 @@
+/*
+ * The cases of the policy bench: how much load comes from where, and what fails.
+ */
+package org.cardamomwharf.bench.policy
+
+import org.cardamomwharf.core.RegionName
+
+/**
+ * Represents one case.
+ *
+ * @param loadPercent load of each region in percent of the slots it has itself.
+ * @param lost region whose servers and entry instances fail at half time.
+ * @param drained region whose zones are drained from the start.
+ * @param reportLagMs age of the reports that the least-loaded baseline goes by.
+ */
+public data class PolicyCase(
+    public val name: String,
+    public val loadPercent: Map<RegionName, Int>,
+    public val lost: RegionName? = null,
+    public val drained: RegionName? = null,
+    public val isCold: Boolean = false,
+    public val isStoreDown: Boolean = false,
+    public val reportLagMs: Long = 2_000,
+)
+
+/** Returns the cases for a deployment with [regions]. */
+public fun policyCases(regions: List<RegionName>): List<PolicyCase> {
+    val steady = regions.associateWith { STEADY_PERCENT }
+    val first = regions.first()
+    return listOf(
+        PolicyCase("steady", steady),
+        PolicyCase("one region at 1.5x peak", steady + (first to PEAK_PERCENT)),
+        PolicyCase("all at 2x of capacity", regions.associateWith { DOUBLE_PERCENT }),
+        PolicyCase("all at 5x of capacity", regions.associateWith { FIVEFOLD_PERCENT }),
+        PolicyCase("region lost", steady, lost = first),
+        PolicyCase("planned drain", regions.associateWith { LIGHT_PERCENT }, drained = first),
+        PolicyCase("cold caches", steady + (first to PEAK_PERCENT), isCold = true),
+        PolicyCase("store down", steady, isStoreDown = true),
+    )
+}
+
+private const val LIGHT_PERCENT = 40
+private const val STEADY_PERCENT = 60
+private const val PEAK_PERCENT = 150
+private const val DOUBLE_PERCENT = 200
+private const val FIVEFOLD_PERCENT = 500
--- /dev/null
+++ b/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/policy/PolicyReport.kt
@@ -0,0 +1,37 @@
+/*
+ * Prints policy runs as a table.
+ */
+package org.cardamomwharf.bench.policy
+
+import org.cardamomwharf.core.document.EnvironmentDocument
+
+private const val ROW = "%-24s %-23s %-10s %8s %8s %7s %7s %7s %7s  %s"
+private const val PERCENT = 100
+
+/** Runs all cases of [document] with our routing and all baselines, and prints a row for each service. */
+public fun printPolicyBench(document: EnvironmentDocument, seed: Long, caseName: String?) {
+    println("${document.deployment}, objective ${document.objective.name.lowercase()}, seed $seed; times 10x of real")
+    println(ROW.format("case", "routing", "service", "offered", "goodput%", "median", "p95", "p99", "free%", "other ends"))
+    policyCases(document.regions.map { it.name })
+        .filter { caseName == null || it.name == caseName }
+        .forEach { printCase(document, it, seed) }
+}
+
+private fun printCase(document: EnvironmentDocument, case: PolicyCase, seed: Long) {
+    val makers: List<(PolicyWorld) -> Router> =
+        listOf<(PolicyWorld) -> Router>(::WharfRouter) + (0..2).map { index -> { world -> baselinesOf(world)[index] } }
+    makers.flatMap { runPolicy(document, case, seed, it) }.forEach { println(rowOf(it)) }
+}
+
+private fun rowOf(count: PolicyCount): String = ROW.format(
+    count.case,
+    count.router,
+    count.service,
+    count.offered,
+    "%.1f".format(count.ranInTime * PERCENT.toDouble() / count.offered.coerceAtLeast(1)),
+    count.medianMs,
+    count.p95Ms,
+    count.p99Ms,
+    count.leastFreePercent,
+    count.ends.entries.joinToString { "${it.key} ${it.value}" },
+)
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/EntryMachine.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/EntryMachine.kt
@@ -15,8 +15,10 @@
 import org.cardamomwharf.decision.requests.endAttempt
 import org.cardamomwharf.decision.requests.expireDeadlines
 import org.cardamomwharf.decision.requests.forgetCaller
+import org.cardamomwharf.decision.requests.handOverWaiting
 import org.cardamomwharf.decision.requests.hold
 import org.cardamomwharf.decision.requests.payHeldAnswers
+import org.cardamomwharf.decision.requests.readDueClaims
 import org.cardamomwharf.decision.requests.settleClaim
 import org.cardamomwharf.decision.requests.wakeWaiting
 import org.cardamomwharf.decision.servers.applyList
@@ -59,10 +61,12 @@
 private fun Turn.tick(event: EntryEvent.Tick) {
     state = state.copy(epochSeconds = event.epochSeconds)
     expireDeadlines()
+    readDueClaims()
     payHeldAnswers()
     advanceOwnership()
     advanceShifts()
     wakeWaiting()
+    handOverWaiting()
     sendHeartbeats()
     exitWhenDone()
 }
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/Claiming.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/Claiming.kt
@@ -70,6 +70,7 @@
         }
         is ClaimDecision.End -> endAtClaim(request, decision)
         is ClaimDecision.StoreDown -> goOnWithoutStore(request)
+        is ClaimDecision.ReadLater -> update(request.copy(readClaimAtMs = nowMs + decision.pauseMs))
         else -> callStore(request, decision)
     }
 }
@@ -79,6 +80,14 @@
     end(request.copy(isClaimTouched = false), decision.reason, recorded = decision.answer)
 }
 
+/** Reads the claims again whose pause is over. */
+internal fun Turn.readDueClaims() {
+    state.requests.open.values
+        .filter { request -> request.readClaimAtMs?.let { it <= nowMs } == true }
+        .sortedBy { it.spec.id.value }
+        .forEach { callStore(it, ClaimDecision.Read) }
+}
+
 private fun Turn.noteStoreHealth(reply: ClaimReply) {
     val isAnswered = reply !is ClaimReply.Lost && reply !is ClaimReply.Unavailable
     state = state.copy(store = if (isAnswered) state.store.succeed() else state.store.fail(nowMs))
@@ -88,6 +97,7 @@
     val claiming = (find(request.spec.id) ?: request).copy(
         phase = Phase.Claiming,
         claimCalls = request.claimCalls + 1,
+        readClaimAtMs = null,
         isClaimTouched = true,
     )
     update(claiming)
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/RequestTable.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/RequestTable.kt
@@ -42,6 +42,7 @@
 /**
  * Represents a request without its final answer.
  *
+ * @param readClaimAtMs when the claim row is read again, or null when a call is under way.
  * @param isClaimed true when the claim row names [claimAttempt].
  * @param isClaimTouched true when a write of the claim row may have taken effect or may yet.
  * @param lastLoss why an earlier attempt may have run without a whole answer, or null when none did.
@@ -54,6 +55,7 @@
     public val attempts: Int = 0,
     public val claimCalls: Int = 0,
     public val isClaimed: Boolean = false,
+    public val readClaimAtMs: Long? = null,
     public val isClaimTouched: Boolean = false,
     public val isBound: Boolean = false,
     public val triedServers: PersistentSet<ServerName> = persistentSetOf(),
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/Waiting.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/Waiting.kt
@@ -1,8 +1,10 @@
 /*
- * Requests that wait for a slot of a backend server, as long as their deadline allows it.
+ * Requests that wait for a slot of a backend server of the zone, as long as their deadline allows it. They also wait while
+ * servers change hands between the instances of the zone.
  */
 package org.cardamomwharf.decision.requests
 
+import kotlinx.collections.immutable.persistentSetOf
 import org.cardamomwharf.core.Reason
 import org.cardamomwharf.core.document.DocumentIndex
 import org.cardamomwharf.core.document.Service
@@ -31,7 +33,7 @@
     val isOwn = request.spec.origin == RequestOrigin.CALLER && !isDrainedHere(service)
     if (!isOwn || isQueued(request)) return isOwn
     val view = poolViewOf(state, current, service, nowMs)
-    val slots = view.open.count { it.name !in request.triedServers } * view.slotsPerUpstream
+    val slots = view.servers.count { !it.isLeaving && it.name !in request.triedServers } * view.slotsPerUpstream
     return slots > 0 && isWaitShort(request, service, slots)
 }
 
@@ -75,3 +77,17 @@
         if (!isSent && poolViewOf(state, current, service, nowMs).freeSlots == 0) return
     }
 }
+
+private const val LARGEST_HAND_OVERS_PER_TICK = 8
+
+/** Hands waiting requests over to instances that have slots again. */
+internal fun Turn.handOverWaiting() {
+    val current = index ?: return
+    for (service in current.document.services.sortedByDescending { it.weight }) {
+        state.requests.waiting[service.name].orEmpty()
+            .take(LARGEST_HAND_OVERS_PER_TICK)
+            .mapNotNull { find(it) }
+            .filter { it.attempts < policy.maxAttempts }
+            .forEach { handOver(it.copy(triedPeers = persistentSetOf()), service, current) }
+    }
+}
