Judge waits by the service time that was seen, and keep them short

Cause: with cold caches requests took twice the time in the document, so too many waited and ran past their deadline. Ruled out: sheds by servers (none). Waits and deadlines now go by a moving average of the service time, and no request waits longer than twice that time.

--- a/cardamomwharf-core/src/main/kotlin/org/cardamomwharf/core/document/Policy.kt
+++ b/cardamomwharf-core/src/main/kotlin/org/cardamomwharf/core/document/Policy.kt
@@ -12,6 +12,7 @@
  * @param largestShiftPercent largest change of a region's split in one [shiftIntervalMs].
  * @param shiftStartPercent utilization of the own region above which traffic is shifted.
  * @param shiftStopPercent utilization of the own region below which shifted traffic returns.
+ * @param largestWaitPercent longest wait for a slot, in percent of the time that a request takes.
  * @param reservedSlotsPercent slots of a pool held back for services of the largest weight.
  */
 @Serializable
@@ -25,6 +26,7 @@
     public val measurementMaxAgeMs: Long = 5_000,
     public val slowStartMs: Long = 10_000,
     public val reservedSlotsPercent: Int = 20,
+    public val largestWaitPercent: Int = 200,
     public val maxAttempts: Int = 3,
     public val retryBudgetPercent: Int = 10,
     public val keyTtlMs: Long = 600_000,
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/EntryState.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/EntryState.kt
@@ -23,6 +23,7 @@
 import org.cardamomwharf.decision.requests.RequestTable
 import org.cardamomwharf.decision.retry.RetryBudget
 import org.cardamomwharf.decision.servers.ServerTable
+import org.cardamomwharf.decision.servers.ServiceTimes
 import org.cardamomwharf.decision.shift.ShiftPlan
 
 /**
@@ -56,6 +57,7 @@
     public val ownership: Ownership = Ownership(),
     public val adoption: DocumentAdoption = DocumentAdoption(),
     public val servers: ServerTable = ServerTable(),
+    public val serviceTimes: ServiceTimes = ServiceTimes(),
     public val ledger: CapLedger = CapLedger(burstMs = 0),
     public val budget: RetryBudget = RetryBudget(),
     public val store: StoreHealth = StoreHealth(),
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/Turn.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/Turn.kt
@@ -7,6 +7,7 @@
 import org.cardamomwharf.core.RequestId
 import org.cardamomwharf.core.document.DocumentIndex
 import org.cardamomwharf.core.document.Policy
+import org.cardamomwharf.core.document.Service
 import org.cardamomwharf.decision.requests.OpenRequest
 import org.cardamomwharf.decision.requests.RequestTable
 import org.cardamomwharf.decision.requests.put
@@ -18,6 +19,9 @@
 
     val policy: Policy get() = index?.document?.policy ?: Policy()
 
+    /** Returns the time that a request of [service] will take at a backend server. */
+    fun expectMs(service: Service): Long = state.serviceTimes.expectMs(service)
+
     fun add(effect: EntryEffect) {
         effects += effect
     }
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/Admission.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/Admission.kt
@@ -45,7 +45,7 @@
     isLeft(spec) -> Reason.LEAVING
     needsClaim(spec) && spec.key == null -> Reason.KEY_MISSING
     spec.deadlineAtMs <= nowMs -> Reason.DEADLINE_PASSED
-    spec.deadlineAtMs - nowMs < service.expectedServiceMs -> Reason.DEADLINE_TOO_SHORT
+    spec.deadlineAtMs - nowMs < expectMs(service) -> Reason.DEADLINE_TOO_SHORT
     isCrowded(spec, service) -> Reason.BUSY
     else -> null
 }
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/AttemptEnding.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/AttemptEnding.kt
@@ -19,6 +19,10 @@
     changeRequests { it.copy(attempts = it.attempts.remove(attempt)) }
     state = state.copy(held = state.held.remove(attempt))
     noteServer(running.target, result)
+    if (running.target is Target.Server && result is AttemptResult.Answered) {
+        val tookMs = nowMs - running.startedAtMs
+        state = state.copy(serviceTimes = state.serviceTimes.note(running.service, tookMs))
+    }
     val request = find(running.request)
     if (request != null && request.phase == Phase.Running(attempt)) {
         goOn(request, running.target, attempt, result)
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/Dispatch.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/Dispatch.kt
@@ -38,7 +38,7 @@
     val service = current?.services?.get(request.spec.service)
     when {
         current == null || service == null -> end(request, Reason.UNKNOWN_SERVICE)
-        request.spec.deadlineAtMs - nowMs < service.expectedServiceMs -> end(request, Reason.DEADLINE_PASSED)
+        request.spec.deadlineAtMs - nowMs < expectMs(service) -> end(request, Reason.DEADLINE_PASSED)
         else -> findPlace(request, service, current)
     }
 }
@@ -88,7 +88,7 @@
     changeRequests { table ->
         val unqueued = table.unqueue(request.spec.service, request.spec.id)
         unqueued.copy(
-            attempts = unqueued.attempts.put(attempt, RunningAttempt(request.spec.id, request.spec.service, target)),
+            attempts = unqueued.attempts.put(attempt, RunningAttempt(request.spec.id, request.spec.service, target, nowMs)),
         )
     }
     update(request.copy(phase = Phase.Running(attempt), attempts = request.attempts + 1))
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/Place.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/Place.kt
@@ -54,5 +54,5 @@
         isOwnRegion(place) -> delays.betweenZonesMs
         else -> delays.betweenRegionsMs
     }
-    return 2 * oneWayMs + service.expectedServiceMs <= request.spec.deadlineAtMs - nowMs
+    return 2 * oneWayMs + expectMs(service) <= request.spec.deadlineAtMs - nowMs
 }
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/RequestTable.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/RequestTable.kt
@@ -69,6 +69,7 @@
     public val request: RequestId,
     public val service: ServiceName,
     public val target: Target,
+    public val startedAtMs: Long,
 )
 
 /** Represents all open requests, those waiting by service in order of arrival, and the running attempts. */
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/Waiting.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/Waiting.kt
@@ -39,9 +39,11 @@
 
 private fun Turn.isWaitShort(request: OpenRequest, service: Service, slots: Int): Boolean {
     val ahead = state.requests.countWaiting(service.name)
-    val waitMs = (ahead + 1) * service.expectedServiceMs / slots
-    val isInTime = waitMs + service.expectedServiceMs <= request.spec.deadlineAtMs - nowMs
-    return isInTime && ahead < state.limits.largestWaiting
+    val serviceMs = expectMs(service)
+    val waitMs = (ahead + 1) * serviceMs / slots
+    val isInTime = waitMs + serviceMs <= request.spec.deadlineAtMs - nowMs
+    val isShort = waitMs <= serviceMs * policy.largestWaitPercent / WHOLE_PERCENT
+    return isInTime && isShort && ahead < state.limits.largestWaiting
 }
 
 private fun Turn.refusalReason(
@@ -79,6 +81,7 @@
 }
 
 private const val LARGEST_HAND_OVERS_PER_TICK = 8
+private const val WHOLE_PERCENT = 100
 
 /** Hands waiting requests over to instances that have slots again. */
 internal fun Turn.handOverWaiting() {
--- a/cardamomwharf-document/src/main/kotlin/org/cardamomwharf/document/ServiceReader.kt
+++ b/cardamomwharf-document/src/main/kotlin/org/cardamomwharf/document/ServiceReader.kt
@@ -19,6 +19,7 @@
 private const val LARGEST_MS = 3_600_000L
 private const val LARGEST_PERCENT = 100L
 private const val LARGEST_RESPONSE_BYTES = 4_194_304L
+private const val LARGEST_WAIT_PERCENT = 10_000L
 private const val LARGEST_ATTEMPTS = 10L
 private const val LARGEST_CANDIDATES = 16L
 
@@ -58,6 +59,7 @@
     measurementMaxAgeMs = ms("measurementMaxAgeMs", default.measurementMaxAgeMs),
     slowStartMs = ms("slowStartMs", default.slowStartMs),
     reservedSlotsPercent = percent("reservedSlotsPercent", default.reservedSlotsPercent),
+    largestWaitPercent = whole("largestWaitPercent", 0..LARGEST_WAIT_PERCENT, default.largestWaitPercent.toLong()).toInt(),
     maxAttempts = whole("maxAttempts", 1..LARGEST_ATTEMPTS, default.maxAttempts.toLong()).toInt(),
     retryBudgetPercent = percent("retryBudgetPercent", default.retryBudgetPercent),
     keyTtlMs = ms("keyTtlMs", default.keyTtlMs),
