Keep requests away from instances that could not be reached

Cause: after a region was lost, summaries of its zones counted for up to eight seconds; requests were handed over to it again and again until their tries were used up. Ruled out: the callers' own look-ups (their third candidate is in another region). An instance that could not be reached is now a suspect for five seconds or until it is heard: it gets no hand-over and no look-up names it.

--- a/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/policy/PolicyReport.kt
+++ b/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/policy/PolicyReport.kt
@@ -32,6 +32,6 @@
     count.medianMs,
     count.p95Ms,
     count.p99Ms,
-    count.leastFreePercent,
+    "%.1f".format(count.meanFreePercent),
     count.ends.entries.joinToString { "${it.key} ${it.value}" },
 )
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/EntryMachine.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/EntryMachine.kt
@@ -85,7 +85,10 @@
     val membership = state.membership
     when (event) {
         is EntryEvent.HeartbeatHeard -> {
-            state = state.copy(membership = membership.hear(event.heartbeat, nowMs))
+            state = state.copy(
+                membership = membership.hear(event.heartbeat, nowMs),
+                suspects = state.suspects.clear(event.heartbeat.sender.name),
+            )
             advanceOwnership()
         }
         is EntryEvent.SummaryHeard -> {
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/EntryState.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/EntryState.kt
@@ -17,6 +17,7 @@
 import org.cardamomwharf.decision.membership.Membership
 import org.cardamomwharf.decision.membership.MembershipSettings
 import org.cardamomwharf.decision.membership.ServiceLoad
+import org.cardamomwharf.decision.membership.Suspects
 import org.cardamomwharf.decision.membership.newMembership
 import org.cardamomwharf.decision.ownership.Ownership
 import org.cardamomwharf.decision.requests.HeldAnswer
@@ -57,6 +58,7 @@
     public val ownership: Ownership = Ownership(),
     public val adoption: DocumentAdoption = DocumentAdoption(),
     public val servers: ServerTable = ServerTable(),
+    public val suspects: Suspects = Suspects(),
     public val serviceTimes: ServiceTimes = ServiceTimes(),
     public val ledger: CapLedger = CapLedger(burstMs = 0),
     public val budget: RetryBudget = RetryBudget(),
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/lookup/LookupViews.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/lookup/LookupViews.kt
@@ -36,5 +36,6 @@
         .flatMap { it.members }
         .filter { !it.isLeaving }
         .map { LookupCandidate(it.member, it.loads) }
-    return if (membership.isLeaving) near + far else near + far + own
+    val others = (near + far).filter { !state.suspects.isSuspect(it.member.name, nowMs) }
+    return if (membership.isLeaving) others else others + own
 }
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/AttemptEnding.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/AttemptEnding.kt
@@ -19,6 +19,7 @@
     changeRequests { it.copy(attempts = it.attempts.remove(attempt)) }
     state = state.copy(held = state.held.remove(attempt))
     noteServer(running.target, result)
+    notePeer(running.target, result)
     if (running.target is Target.Server && result is AttemptResult.Answered) {
         val tookMs = nowMs - running.startedAtMs
         state = state.copy(serviceTimes = state.serviceTimes.note(running.service, tookMs))
@@ -47,6 +48,16 @@
     state = state.copy(servers = next)
 }
 
+private fun Turn.notePeer(target: Target, result: AttemptResult) {
+    if (target !is Target.Peer) return
+    val isUnreached = result is AttemptResult.NotSent ||
+        result is AttemptResult.Lost && result.reason == Reason.CONNECTION_LOST
+    val suspects = state.suspects
+    state = state.copy(
+        suspects = if (isUnreached) suspects.add(target.name, nowMs) else suspects.clear(target.name),
+    )
+}
+
 private fun isServerFault(result: AttemptResult.Lost): Boolean =
     result.reason != Reason.CALLER_GONE && result.reason != Reason.DEADLINE_PASSED_RUNNING
 
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/HandingOver.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/HandingOver.kt
@@ -35,7 +35,8 @@
 }
 
 internal fun Turn.handOver(request: OpenRequest, service: Service, current: DocumentIndex): HandOverRefusal {
-    val places = findPlaces(service, current).filter { it.member.name !in request.triedPeers }
+    val places = findPlaces(service, current)
+        .filter { it.member.name !in request.triedPeers && !state.suspects.isSuspect(it.member.name, nowMs) }
     val free = places.filter { countFree(it, request, service) > 0 && isInTime(it, request, service, current) }
     return when {
         places.isEmpty() -> HandOverRefusal.NoPlace
--- /dev/null
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/requests/HandOverTest.kt
@@ -0,0 +1,89 @@
+/*
+ * Requests that are handed over: where to, under which caps, and what follows when the other instance can't be reached.
+ */
+package org.cardamomwharf.decision.requests
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.shouldBe
+import org.cardamomwharf.core.DocumentVersion
+import org.cardamomwharf.core.Reason
+import org.cardamomwharf.core.document.EnvironmentDocument
+import org.cardamomwharf.decision.EntryEffect
+import org.cardamomwharf.decision.EntryEvent
+import org.cardamomwharf.decision.lookup.lookupViewOf
+import org.cardamomwharf.decision.membership.ServiceLoad
+import org.cardamomwharf.decision.membership.SummaryMember
+import org.cardamomwharf.decision.membership.ZoneSummary
+import org.cardamomwharf.decision.support.BOOKINGS
+import org.cardamomwharf.decision.support.OneEntry
+import org.cardamomwharf.decision.support.READS
+import org.cardamomwharf.decision.support.SOUTH_A
+import org.cardamomwharf.decision.support.SOUTH_B
+import org.cardamomwharf.decision.support.memberOf
+import org.cardamomwharf.decision.support.only
+import org.cardamomwharf.decision.support.readyEntry
+import org.cardamomwharf.decision.support.requestOf
+import org.cardamomwharf.decision.support.sampleDocument
+
+private val far = memberOf("s1", SOUTH_A)
+private val farther = memberOf("s2", SOUTH_B)
+
+private fun summaryOf(member: org.cardamomwharf.decision.membership.Member, sequence: Long = 1): ZoneSummary {
+    val loads = listOf(ServiceLoad(READS, 8, 8, 0), ServiceLoad(BOOKINGS, 8, 8, 0))
+    val members = listOf(SummaryMember(member, isLeaving = false, loads))
+    return ZoneSummary(member.zone, sequence, DocumentVersion(1), members, loads)
+}
+
+/** Returns an instance whose own slots are all taken and that hears two zones of the other region. */
+private fun fullEntry(document: EnvironmentDocument = sampleDocument()): OneEntry {
+    val entry = readyEntry(document)
+    listOf(far, farther).forEach { entry.handle(EntryEvent.SummaryHeard(summaryOf(it), isPassedOn = false)) }
+    (1L..8L).forEach { entry.arrive(requestOf(it)) }
+    entry.effects.clear()
+    return entry
+}
+
+class HandOverTest : FunSpec({
+    test("`a request without a free slot goes to another region under its caps`") {
+        val handOver = fullEntry().arrive(requestOf(20)).only<EntryEffect.HandOver>()
+        handOver.peer shouldBe far.name
+        handOver.creditBytes shouldBe 1_000
+    }
+
+    test("`when the caps of the way are used up the request waits or is refused, and nothing is handed over`") {
+        val entry = fullEntry(sampleDocument(linkBytesPerSecond = 100))
+        val effects = entry.arrive(requestOf(20, deadlineAtMs = entry.nowMs + 10))
+        effects.filterIsInstance<EntryEffect.HandOver>().shouldBeEmpty()
+        effects.only<EntryEffect.Answer>().reason shouldBe Reason.CAP_REACHED
+    }
+
+    test("`an instance that can't be reached gets no more requests and is left out of look-ups`") {
+        val entry = fullEntry()
+        val first = entry.arrive(requestOf(20)).only<EntryEffect.HandOver>()
+        val failed = AttemptResult.NotSent(Reason.PEER_UNREACHABLE)
+        val second = entry.handle(EntryEvent.AttemptEnded(first.attempt, failed)).only<EntryEffect.HandOver>()
+        second.peer shouldBe farther.name
+        entry.arrive(requestOf(21)).only<EntryEffect.HandOver>().peer shouldBe farther.name
+        val named = lookupViewOf(entry.state, entry.nowMs)?.candidates.orEmpty().map { it.member.name }
+        (far.name in named) shouldBe false
+    }
+
+    test("`a request from a peer is never handed over again`") {
+        val entry = fullEntry()
+        val handed = requestOf(20, BOOKINGS, origin = RequestOrigin.PEER)
+        entry.arrive(handed).only<EntryEffect.Forward>()
+        entry.arrive(requestOf(21, origin = RequestOrigin.PEER)).only<EntryEffect.Answer>().reason shouldBe
+            Reason.NO_SLOT
+    }
+
+    test("`an answer larger than its credit is charged before it travels`") {
+        val entry = fullEntry(sampleDocument(linkBytesPerSecond = 1_000_000))
+        val handOver = entry.arrive(requestOf(20)).only<EntryEffect.HandOver>()
+        entry.handle(EntryEvent.CreditAsked(handOver.attempt, missingBytes = 60_000)).shouldBeEmpty()
+        val granted = (1..100).firstOrNull { entry.pass(20).any { it is EntryEffect.GrantCredit } }
+        val zoneBytesPerSecond = 1_000_000 * 90 / 100 / 4
+        val shortestMs = (60_000 - zoneBytesPerSecond / 10) * 1_000 / zoneBytesPerSecond
+        ((granted ?: 0) * 20 >= shortestMs) shouldBe true
+    }
+})
