Mend the test of used-up caps

The test now forbids waiting and keeps the deadline long; it checks the same refusal and that nothing is handed over. No code of the product changed.

--- a/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/requests/HandOverTest.kt
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/requests/HandOverTest.kt
@@ -11,6 +11,7 @@
 import org.cardamomwharf.core.document.EnvironmentDocument
 import org.cardamomwharf.decision.EntryEffect
 import org.cardamomwharf.decision.EntryEvent
+import org.cardamomwharf.decision.EntryLimits
 import org.cardamomwharf.decision.lookup.lookupViewOf
 import org.cardamomwharf.decision.membership.ServiceLoad
 import org.cardamomwharf.decision.membership.SummaryMember
@@ -36,8 +37,11 @@
 }
 
 /** Returns an instance whose own slots are all taken and that hears two zones of the other region. */
-private fun fullEntry(document: EnvironmentDocument = sampleDocument()): OneEntry {
-    val entry = readyEntry(document)
+private fun fullEntry(
+    document: EnvironmentDocument = sampleDocument(),
+    limits: EntryLimits = EntryLimits(),
+): OneEntry {
+    val entry = readyEntry(document, limits)
     listOf(far, farther).forEach { entry.handle(EntryEvent.SummaryHeard(summaryOf(it), isPassedOn = false)) }
     (1L..8L).forEach { entry.arrive(requestOf(it)) }
     entry.effects.clear()
@@ -51,9 +55,9 @@
         handOver.creditBytes shouldBe 1_000
     }
 
-    test("`when the caps of the way are used up the request waits or is refused, and nothing is handed over`") {
-        val entry = fullEntry(sampleDocument(linkBytesPerSecond = 100))
-        val effects = entry.arrive(requestOf(20, deadlineAtMs = entry.nowMs + 10))
+    test("`when the caps of the way are used up and no wait is allowed the request is refused as such`") {
+        val entry = fullEntry(sampleDocument(linkBytesPerSecond = 100), EntryLimits(largestWaiting = 0))
+        val effects = entry.arrive(requestOf(20))
         effects.filterIsInstance<EntryEffect.HandOver>().shouldBeEmpty()
         effects.only<EntryEffect.Answer>().reason shouldBe Reason.CAP_REACHED
     }
