--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/shift/ShiftPlan.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/shift/ShiftPlan.kt
@@ -41,7 +41,6 @@
 public data class ShiftPlan(
     public val splits: PersistentMap<ServiceName, RegionSplit> = persistentMapOf(),
     public val plannedAtMs: Long = 0,
-    public val averages: PersistentMap<ServiceName, UseAverages> = persistentMapOf(),
 )
 
 /**
@@ -60,25 +59,20 @@
 /** Returns the plan after one step, or the same plan before the interval has passed. */
 public fun ShiftPlan.advance(input: ShiftInput): ShiftPlan {
     if (input.nowMs - plannedAtMs < input.index.document.policy.shiftIntervalMs) return this
-    val services = input.index.document.services
-    val nextAverages = services.associate { service ->
-        val uses = input.uses[service.name].orEmpty()
-        service.name to (averages[service.name] ?: UseAverages()).note(uses)
-    }
-    val next = services.associate { service ->
+    val next = input.index.document.services.associate { service ->
         val current = splits[service.name] ?: RegionSplit()
-        service.name to current.advance(service, input, nextAverages.getValue(service.name))
+        service.name to current.advance(service, input)
     }
-    return ShiftPlan(next.toPersistentMap(), input.nowMs, nextAverages.toPersistentMap())
+    return ShiftPlan(next.toPersistentMap(), input.nowMs)
 }
 
-private fun RegionSplit.advance(service: Service, input: ShiftInput, averages: UseAverages): RegionSplit {
+private fun RegionSplit.advance(service: Service, input: ShiftInput): RegionSplit {
     val uses = input.uses[service.name].orEmpty()
     val own = uses[input.home]
     val others = uses.filterKeys { it != input.home }
     if (own == null || others.isEmpty()) return this
     val step = input.index.document.policy.largestShiftPercent * PERMILLE_PER_PERCENT
-    val permille = when (direct(service, averages, input)) {
+    val permille = when (direct(service, own, others, input)) {
         ShiftDirection.GROW -> (shiftedPermille + step).coerceAtMost(WHOLE_PERMILLE)
         ShiftDirection.HOLD -> shiftedPermille
         ShiftDirection.SHRINK -> (shiftedPermille - step).coerceAtLeast(0)
@@ -86,12 +80,16 @@
     return divide(service, permille, others, input)
 }
 
-private fun direct(service: Service, averages: UseAverages, input: ShiftInput): ShiftDirection {
+private fun direct(
+    service: Service,
+    own: SlotUse,
+    others: Map<RegionName, SlotUse>,
+    input: ShiftInput,
+): ShiftDirection {
     if (service.name in input.drainedAtHome) return ShiftDirection.GROW
     val rule = shiftRuleOf(input.index.document.objective)
-    val own = averages.usedPercentOf(input.home)
-    val others = averages.usedPercentWithout(input.home)
-    return rule.direct(own, others, input.index.document.policy)
+    val othersUse = others.values.reduce(SlotUse::plus)
+    return rule.direct(own.usedPercent, othersUse.usedPercent, input.index.document.policy)
 }
 
 private fun RegionSplit.divide(
