Count waiting requests as used headroom in the policy bench

Cause: requests that waited at a server left its slots free in the figure, so routings that overfill servers looked roomier. Load now counts requests that run and wait.

--- a/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/policy/PolicyRun.kt
+++ b/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/policy/PolicyRun.kt
@@ -96,7 +96,7 @@
         if (world.time.nowMs < WARM_UP_MS + LOAD_MS) world.time.plan(SAMPLE_MS) { sample() }
     }
 
-    /** The free slots of the fullest region, in percent. */
+    /** The free slots of the fullest region in percent; requests that wait at a server count as if they ran. */
     private fun leastFree(service: ServiceName): Int =
         world.servers
             .filter { it.place.service == service && it.isUp && !isDrained(it) }
@@ -108,7 +108,7 @@
 
     private fun freePercent(servers: List<FakeServer>): Int {
         val slots = servers.sumOf { it.place.slots }
-        return (slots - servers.sumOf { it.running }) * PERCENT / slots
+        return (slots - servers.sumOf { it.load }) * PERCENT / slots
     }
 
     fun countOf(service: Service): PolicyCount {
