--- a/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/Main.kt
+++ b/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/Main.kt
@@ -9,15 +9,17 @@
 import kotlinx.cli.ExperimentalCli
 import kotlinx.cli.Subcommand
 import kotlinx.cli.default
+import org.cardamomwharf.bench.paths.measurePaths
 import org.cardamomwharf.bench.policy.printPolicyBench
 import org.cardamomwharf.document.readDocument
 import java.nio.file.Path
+import kotlin.system.exitProcess
 
 /** Runs one subcommand. */
 @OptIn(ExperimentalCli::class)
 public fun main(args: Array<String>) {
     val parser = ArgParser("bench")
-    parser.subcommands(PolicyCommand())
+    parser.subcommands(PolicyCommand(), CheckCommand())
     parser.parse(if (args.isEmpty()) arrayOf("--help") else args)
 }
 
@@ -33,3 +35,14 @@
         printPolicyBench(read, seed.toLong(), case)
     }
 }
+
+@OptIn(ExperimentalCli::class)
+private class CheckCommand : Subcommand("check", "Measure the hot paths and compare them with the stated targets.") {
+    override fun execute() {
+        val figures = measurePaths()
+        figures.forEach { println(it) }
+        exitProcess(if (figures.all { it.isFine }) 0 else EXIT_ABOVE_BOUND)
+    }
+}
+
+private const val EXIT_ABOVE_BOUND = 11
--- /dev/null
+++ b/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/paths/FleetSample.kt
@@ -0,0 +1,143 @@
+/*
+ * A made fleet of a given size: a document, a zone full of peers, summaries of other zones, and client blocks.
+ */
+package org.cardamomwharf.bench.paths
+
+import org.cardamomwharf.core.DocumentVersion
+import org.cardamomwharf.core.Incarnation
+import org.cardamomwharf.core.InstanceName
+import org.cardamomwharf.core.PartnerName
+import org.cardamomwharf.core.RegionName
+import org.cardamomwharf.core.ServerName
+import org.cardamomwharf.core.ServiceName
+import org.cardamomwharf.core.SocketAddress
+import org.cardamomwharf.core.ZoneName
+import org.cardamomwharf.core.document.ClientBlock
+import org.cardamomwharf.core.document.Delays
+import org.cardamomwharf.core.document.EnvironmentDocument
+import org.cardamomwharf.core.document.Link
+import org.cardamomwharf.core.document.Objective
+import org.cardamomwharf.core.document.Partner
+import org.cardamomwharf.core.document.Pool
+import org.cardamomwharf.core.document.Region
+import org.cardamomwharf.core.document.Service
+import org.cardamomwharf.decision.EntryEvent
+import org.cardamomwharf.decision.EntryLimits
+import org.cardamomwharf.decision.EntryState
+import org.cardamomwharf.decision.adoption.DocumentHead
+import org.cardamomwharf.decision.membership.Heartbeat
+import org.cardamomwharf.decision.membership.ListedInstance
+import org.cardamomwharf.decision.membership.Member
+import org.cardamomwharf.decision.membership.MembershipSettings
+import org.cardamomwharf.decision.membership.ServiceLoad
+import org.cardamomwharf.decision.membership.SummaryMember
+import org.cardamomwharf.decision.membership.ZoneSummary
+import org.cardamomwharf.decision.newEntryState
+import org.cardamomwharf.decision.servers.ListedServer
+import org.cardamomwharf.decision.step
+
+private const val REGIONS = 5
+private const val ZONES_PER_REGION = 3
+private const val SERVICES = 3
+private const val SUMMARY_MEMBERS = 8
+private const val SLOTS = 8
+private const val CAP = 1_000_000_000L
+private const val BLOCK_BITS = 24
+private const val BLOCK_SIZE = 256L
+private const val FIRST_ADDRESS = 0x0A000000L
+private const val OCTET_BITS = 8
+private const val OCTET_MASK = 0xFFL
+private const val OCTETS = 4
+private const val JOIN_STEPS = 10
+private const val STEP_MS = 500L
+private const val SERVICE_MS = 10L
+private const val ANSWER_BYTES = 4_096L
+private const val TTL_MS = 5_000L
+private val address = SocketAddress("10.0.0.1", 8_000)
+private val zones = (1..REGIONS).flatMap { region -> (1..ZONES_PER_REGION).map { ZoneName("zone-$region-$it") } }
+private val services = (1..SERVICES).map { ServiceName("service-$it") }
+
+/** The time of the sample. */
+public const val SAMPLE_NOW_MS: Long = 100_000
+
+/** Returns a document with 5 regions and 15 zones. */
+public fun sampleDocument(): EnvironmentDocument = EnvironmentDocument(
+    deployment = "sample",
+    objective = Objective.LATENCY,
+    partners = listOf(Partner(PartnerName("one"), CAP, CAP)),
+    regions = (1..REGIONS).map { region ->
+        val own = (1..ZONES_PER_REGION).map { ZoneName("zone-$region-$it") }
+        Region(RegionName("region-$region"), PartnerName("one"), own)
+    },
+    delays = Delays(1.5, 12.0, 1.0),
+    links = (1..REGIONS).flatMap { from -> (1..REGIONS).filter { it != from }.map { linkOf(from, it) } },
+    services = services.map { name ->
+        Service(name, true, 1, SERVICE_MS, ANSWER_BYTES, TTL_MS, zones.map { Pool(it, 2, SLOTS, SLOTS) })
+    },
+    clientBlocks = emptyList(),
+)
+
+private fun linkOf(from: Int, to: Int) = Link(RegionName("region-$from"), RegionName("region-$to"), CAP)
+
+/** Returns [count] client blocks of 256 addresses each. */
+public fun sampleBlocks(count: Int): List<ClientBlock> = (0 until count).map { number ->
+    ClientBlock("${addressOf(number)}/$BLOCK_BITS", zones[number % zones.size])
+}
+
+/** Returns the first address of the block [number]. */
+public fun addressOf(number: Int): String {
+    val value = FIRST_ADDRESS + number * BLOCK_SIZE
+    return (OCTETS - 1 downTo 0).joinToString(".") { ((value shr (it * OCTET_BITS)) and OCTET_MASK).toString() }
+}
+
+/** Returns the member [number] of the first zone. */
+public fun sampleMember(number: Int, zone: ZoneName = zones.first()): Member =
+    Member(InstanceName("${zone.value}-$number"), Incarnation(1), zone, address, address)
+
+/** Returns the heartbeat [sequence] of the member [number]. */
+public fun sampleHeartbeat(number: Int, sequence: Long): Heartbeat = Heartbeat(
+    sender = sampleMember(number),
+    sequence = sequence,
+    isLeaving = false,
+    isJoining = false,
+    liveViewHash = sequence,
+    settledViewHash = sequence,
+    documentVersion = DocumentVersion(1),
+    loads = services.map { ServiceLoad(it, SLOTS, SLOTS, 0) },
+)
+
+/** Returns the summary of a zone. */
+public fun sampleSummary(zone: ZoneName): ZoneSummary {
+    val loads = services.map { ServiceLoad(it, SLOTS, SLOTS, 0) }
+    val members = (1..SUMMARY_MEMBERS).map { SummaryMember(sampleMember(it, zone), isLeaving = false, loads) }
+    return ZoneSummary(zone, 1, DocumentVersion(1), members, loads)
+}
+
+/** Returns the other zones. */
+public fun otherZones(): List<ZoneName> = zones.drop(1)
+
+/** Returns an instance that has joined a zone with [peers] others and has heard all zones. */
+public fun sampleState(peers: Int): EntryState {
+    val self = sampleMember(0)
+    val startMs = SAMPLE_NOW_MS - JOIN_STEPS * STEP_MS
+    val listed = (0..peers).map { sampleMember(it) }.map { ListedInstance(it.name, it.zone, address, address) } +
+        otherZones().flatMap { zone -> (1..2).map { ListedInstance(sampleMember(it, zone).name, zone, address, address) } }
+    val servers = services.flatMap { service ->
+        (1..2).map { ListedServer(ServerName("${service.value}-$it"), service, zones.first(), address) }
+    }
+    val first = listOf(
+        EntryEvent.DocumentFetched(DocumentHead(DocumentVersion(1), "1"), sampleDocument()),
+        EntryEvent.ListRead(listed, servers),
+    )
+    var state = newEntryState(self, MembershipSettings(), EntryLimits(), startMs)
+    first.forEach { state = step(state, it, startMs).state }
+    for (number in 1..JOIN_STEPS) {
+        val nowMs = startMs + number * STEP_MS
+        (1..peers).forEach { state = hear(state, EntryEvent.HeartbeatHeard(sampleHeartbeat(it, number.toLong())), nowMs) }
+        otherZones().forEach { state = hear(state, EntryEvent.SummaryHeard(sampleSummary(it), true), nowMs) }
+        state = hear(state, EntryEvent.Tick(0), nowMs)
+    }
+    return state
+}
+
+private fun hear(state: EntryState, event: EntryEvent, nowMs: Long): EntryState = step(state, event, nowMs).state
