--- a/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/paths/ControlBenchmark.kt
+++ b/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/paths/ControlBenchmark.kt
@@ -49,14 +49,20 @@
     public fun hear(): EntryStep {
         sequence++
         val number = 1 + (sequence % peers).toInt()
-        return step(state, EntryEvent.HeartbeatHeard(sampleHeartbeat(number, sequence)), SAMPLE_NOW_MS)
+        val next = step(state, EntryEvent.HeartbeatHeard(sampleHeartbeat(number, sequence)), SAMPLE_NOW_MS)
+        state = next.state
+        return next
     }
 
     /** Ticks once without a heartbeat being due. */
     @Benchmark
     public fun tick(): EntryStep = step(state, EntryEvent.Tick(0), SAMPLE_NOW_MS)
 
-    /** Ticks once with a heartbeat being due. */
+    /** Ticks once with the ownership being looked at again. */
+    @Benchmark
+    public fun divide(): EntryStep = step(state, EntryEvent.Tick(0), SAMPLE_NOW_MS + OWNERSHIP_MS)
+
+    /** Ticks once with a heartbeat and summaries being due. */
     @Benchmark
     public fun tell(): EntryStep = step(state, EntryEvent.Tick(0), SAMPLE_NOW_MS + HEARTBEAT_MS)
 
@@ -69,6 +75,7 @@
     public fun decode(): PeerMessage = decodeMessage(frame)
 
     private companion object {
-        const val HEARTBEAT_MS = 1_000L
+        const val HEARTBEAT_MS = 2_000L
+        const val OWNERSHIP_MS = 300L
     }
 }
--- a/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/paths/FleetSample.kt
+++ b/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/paths/FleetSample.kt
@@ -39,7 +39,7 @@
 private const val REGIONS = 5
 private const val ZONES_PER_REGION = 3
 private const val SERVICES = 3
-private const val SUMMARY_MEMBERS = 8
+private const val SUMMARY_MEMBERS = 4
 private const val SLOTS = 8
 private const val CAP = 1_000_000_000L
 private const val BLOCK_BITS = 24
@@ -100,8 +100,8 @@
     sequence = sequence,
     isLeaving = false,
     isJoining = false,
-    liveViewHash = sequence,
-    settledViewHash = sequence,
+    liveViewHash = 1,
+    settledViewHash = 1,
     documentVersion = DocumentVersion(1),
     loads = services.map { ServiceLoad(it, SLOTS, SLOTS, 0) },
 )
--- a/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/paths/PathFigures.kt
+++ b/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/paths/PathFigures.kt
@@ -7,6 +7,7 @@
 import org.cardamomwharf.core.document.ClientBlockTable
 import org.cardamomwharf.decision.EntryEffect
 import org.cardamomwharf.decision.EntryEvent
+import org.cardamomwharf.decision.membership.MembershipSettings
 import org.cardamomwharf.decision.step
 import org.cardamomwharf.peer.PeerMessage
 import org.cardamomwharf.peer.encodeMessage
@@ -22,6 +23,7 @@
 private const val DAEMONS = 870
 private const val LOOKUPS_PER_SECOND = 680_000
 private const val TICKS_PER_SECOND = 50
+private const val DIVISIONS_PER_SECOND = 4
 private const val US_PER_SECOND = 1_000_000.0
 private const val PERCENT = 100
 private const val BYTES_PER_KB = 1_024.0
@@ -77,9 +79,9 @@
     val cost = { name: String -> times.getValue("$name at peers $PEERS") }
     val heardPerSecond = PEERS.toDouble()
     val summariesPerSecond = summariesPerSecond()
-    val usPerSecond = heardPerSecond * (cost("decode") + cost("hear") + cost("encode")) +
+    val usPerSecond = heardPerSecond * (cost("decode") + cost("hear")) +
         summariesPerSecond * (cost("decode") + cost("hear")) * SUMMARY_TO_HEARTBEAT +
-        TICKS_PER_SECOND * cost("tick") + cost("tell")
+        TICKS_PER_SECOND * cost("tick") + DIVISIONS_PER_SECOND * cost("divide") + cost("tell") + cost("encode")
     return listOf(Figure("control of a daemon, percent of a core", usPerSecond * PERCENT / US_PER_SECOND, CORE_PERCENT))
 }
 
@@ -101,7 +103,7 @@
     val due = SAMPLE_NOW_MS + SUMMARY_DUE_MS
     val effects = step(sampleState(PEERS), EntryEvent.Tick(0), due).effects
     check(effects.any { it is EntryEffect.SendHeartbeat }) { "no heartbeat was due" }
-    return OTHER_ZONES * PASSES_PER_SUMMARY * US_PER_SECOND / (SUMMARY_INTERVAL_MS * MS_IN_US)
+    return OTHER_ZONES * PASSES_PER_SUMMARY * US_PER_SECOND / (MembershipSettings().summaryIntervalMs * MS_IN_US)
 }
 
 private fun lookupFigures(times: Map<String, Double>): List<Figure> {
@@ -138,8 +140,9 @@
 private const val APPLY_MS = 15_000.0
 private const val TABLE_MB = 128.0
 private const val SUMMARY_DUE_MS = 1_000L
-private const val SUMMARY_INTERVAL_MS = 1_000.0
 private const val MS_IN_US = 1_000.0
 private const val SUMMARY_TO_HEARTBEAT = 4
-private const val PASSES_PER_SUMMARY = 4
+
+/** One delegate passes each summary on, once in an interval. */
+private const val PASSES_PER_SUMMARY = 1
 private const val GC_ROUNDS = 3
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/EntryMachine.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/EntryMachine.kt
@@ -7,6 +7,7 @@
 import org.cardamomwharf.decision.caps.borrow
 import org.cardamomwharf.decision.caps.lend
 import org.cardamomwharf.decision.membership.applyList
+import org.cardamomwharf.decision.membership.changesOwnership
 import org.cardamomwharf.decision.membership.hear
 import org.cardamomwharf.decision.membership.isLapsed
 import org.cardamomwharf.decision.membership.run
@@ -25,6 +26,8 @@
 import org.cardamomwharf.decision.servers.change
 import org.cardamomwharf.decision.servers.hear
 
+private const val OWNERSHIP_INTERVAL_MS = 250L
+
 /** Returns the state after [event] at [nowMs] on the monotonic clock, with the effects in order. */
 public fun step(state: EntryState, event: EntryEvent, nowMs: Long): EntryStep {
     val turn = Turn(state, nowMs)
@@ -63,7 +66,7 @@
     expireDeadlines()
     readDueClaims()
     payHeldAnswers()
-    advanceOwnership()
+    if (nowMs - state.ownershipAtMs >= OWNERSHIP_INTERVAL_MS) advanceOwnership()
     advanceShifts()
     wakeWaiting()
     handOverWaiting()
@@ -85,15 +88,16 @@
     val membership = state.membership
     when (event) {
         is EntryEvent.HeartbeatHeard -> {
+            val known = membership.peers[event.heartbeat.sender.name]?.heartbeat
             state = state.copy(
                 membership = membership.hear(event.heartbeat, nowMs),
                 suspects = state.suspects.clear(event.heartbeat.sender.name),
             )
-            advanceOwnership()
+            if (known == null || event.heartbeat.changesOwnership(known)) advanceOwnership()
         }
         is EntryEvent.SummaryHeard -> {
             state = state.copy(membership = membership.hear(event.summary, nowMs))
-            if (!event.isPassedOn) passOn(event.summary)
+            if (event.isPassedOn) notePassedOn(event.summary) else passOn(event.summary)
         }
         is EntryEvent.PeerClosed -> state = state.copy(membership = membership.closePeer(event.peer, nowMs))
         else -> Unit
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/EntryState.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/EntryState.kt
@@ -8,6 +8,7 @@
 import kotlinx.collections.immutable.persistentMapOf
 import kotlinx.serialization.Serializable
 import org.cardamomwharf.core.AttemptId
+import org.cardamomwharf.core.ZoneName
 import org.cardamomwharf.decision.adoption.DocumentAdoption
 import org.cardamomwharf.decision.caps.CapId
 import org.cardamomwharf.decision.caps.CapLedger
@@ -47,6 +48,7 @@
     public val sequence: Long = 0,
     public val sentAtMs: Long = Long.MIN_VALUE / 2,
     public val viewHash: Long = 0,
+    public val summarySentAtMs: Long = Long.MIN_VALUE / 2,
     public val loads: List<ServiceLoad> = emptyList(),
 )
 
@@ -67,6 +69,8 @@
     public val requests: RequestTable = RequestTable(),
     public val held: PersistentMap<AttemptId, HeldAnswer> = persistentMapOf(),
     public val loanAskedAtMs: PersistentMap<CapId, Long> = persistentMapOf(),
+    public val passedOnAtMs: PersistentMap<ZoneName, Long> = persistentMapOf(),
+    public val ownershipAtMs: Long = Long.MIN_VALUE / 2,
     public val shifts: ShiftPlan = ShiftPlan(),
     public val heartbeats: HeartbeatState = HeartbeatState(),
     public val leave: LeaveState? = null,
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/Heartbeats.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/Heartbeats.kt
@@ -30,9 +30,12 @@
         loads = loads,
         residuals = listResiduals(),
     )
-    state = state.copy(heartbeats = HeartbeatState(sequence, nowMs, viewHash, loads))
+    state = state.copy(
+        heartbeats = state.heartbeats.copy(sequence = sequence, sentAtMs = nowMs, viewHash = viewHash, loads = loads),
+    )
     add(EntryEffect.SendHeartbeat(heartbeat, findZoneAddresses()))
-    if (isDue) sendSummaries(sequence, loads)
+    val isSummaryDue = nowMs - state.heartbeats.summarySentAtMs >= membership.settings.summaryIntervalMs
+    if (isSummaryDue) sendSummaries(sequence, loads)
 }
 
 private fun Turn.listResiduals(): List<ResidualSlots> =
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/Shares.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/Shares.kt
@@ -36,7 +36,12 @@
         if (server.residual == residual) table else table.change(server.name) { it.copy(residual = residual) }
     }
     val ownership = state.ownership.advance(state.membership, servers.servers.keys, nowMs)
-    state = state.copy(servers = servers, ownership = ownership, boundKeys = state.boundKeys.expire(nowMs))
+    state = state.copy(
+        servers = servers,
+        ownership = ownership,
+        ownershipAtMs = nowMs,
+        boundKeys = state.boundKeys.expire(nowMs),
+    )
     adjustLedger()
 }
 
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/Summaries.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/Summaries.kt
@@ -11,9 +11,11 @@
 import org.cardamomwharf.decision.membership.ZoneSummary
 import org.cardamomwharf.decision.membership.findLivePeers
 import org.cardamomwharf.decision.membership.isDelegateFor
+import org.cardamomwharf.decision.membership.listLive
 
 internal fun Turn.sendSummaries(sequence: Long, loads: List<ServiceLoad>) {
     val membership = state.membership
+    state = state.copy(heartbeats = state.heartbeats.copy(summarySentAtMs = nowMs))
     val zones = membership.listed.values.map { it.zone }.distinct().filter { it != membership.self.zone }
     val summary = summarize(sequence, loads)
     for (zone in zones.sortedBy { it.value }) {
@@ -59,6 +61,22 @@
         }
 
 internal fun Turn.passOn(summary: ZoneSummary) {
-    if (summary.zone == state.membership.self.zone) return
+    if (summary.zone == state.membership.self.zone || !isPassDue(summary.zone)) return
+    state = state.copy(passedOnAtMs = state.passedOnAtMs.put(summary.zone, nowMs))
     add(EntryEffect.PassOnSummary(summary, findZoneAddresses()))
 }
+
+/** Notes that another delegate passed a summary on. */
+internal fun Turn.notePassedOn(summary: ZoneSummary) {
+    state = state.copy(passedOnAtMs = state.passedOnAtMs.put(summary.zone, nowMs))
+}
+
+/** The first delegate passes each summary on once in an interval, the second only when the first has fallen silent. */
+private fun Turn.isPassDue(zone: ZoneName): Boolean {
+    val membership = state.membership
+    val intervalMs = membership.settings.summaryIntervalMs
+    val rank = rendezvousTop(zone.value, membership.listLive(nowMs), membership.settings.delegateCount) { it.value }
+        .indexOf(membership.self.name)
+    val silenceMs = if (rank == 0) intervalMs / 2 else intervalMs + intervalMs / 2
+    return nowMs - (state.passedOnAtMs[zone] ?: Long.MIN_VALUE / 2) >= silenceMs
+}
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/lookup/LookupRanking.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/lookup/LookupRanking.kt
@@ -37,7 +37,7 @@
 public fun LookupView.placeAll(service: Service, clientZone: ZoneName, address: String): List<Placement> {
     val clientRegion = index.regionOf[clientZone]?.name ?: home
     val target = findTarget(service, clientRegion, address)
-    val place = ClientPlace(clientZone, clientRegion, target, address)
+    val place = ClientPlace(clientZone, clientRegion, target, address, findFullZones(service))
     val weights = service.regionWeights.associate { it.region to it.weight }
     return candidates
         .mapNotNull { place(it, service, place) }
@@ -55,6 +55,7 @@
     val region: RegionName,
     val target: RegionName,
     val address: String,
+    val fullZones: Set<ZoneName>,
 )
 
 private fun LookupView.findTarget(service: Service, clientRegion: RegionName, address: String): RegionName {
@@ -67,7 +68,7 @@
     val member = candidate.member
     val region = index.regionOf[member.zone]?.name ?: return null
     val free = candidate.loads.filter { it.service == service.name }.sumOf { it.freeSlots }
-    val tier = tierOf(member.zone, region, service, client, free)
+    val tier = tierOf(member.zone, region, service, client)
     val rank = weightedRank("${service.name.value}/${client.address}", member.name.value, weight = free + 1.0)
     return Placement(candidate, region, tier, free, rank)
 }
@@ -77,13 +78,12 @@
     region: RegionName,
     service: Service,
     client: ClientPlace,
-    free: Int,
 ): Tier {
     val isServed = index.findPool(service.name, zone) != null && DrainedPlace(service.name, zone) !in drained
     val isNear = index.document.objective == Objective.LATENCY && zone == client.zone
     return when {
         !isServed -> Tier.NOT_SERVED
-        free == 0 && isFullZone(service, zone) -> Tier.FULL
+        zone in client.fullZones -> Tier.FULL
         region == client.target && isNear -> Tier.CLIENT_ZONE
         region == client.target -> Tier.TARGET_REGION
         region == client.region -> Tier.CLIENT_REGION
@@ -91,10 +91,14 @@
     }
 }
 
-private fun LookupView.isFullZone(service: Service, zone: ZoneName): Boolean =
-    candidates
-        .filter { it.member.zone == zone }
-        .all { candidate -> candidate.loads.none { it.service == service.name && it.freeSlots > 0 } }
+/** Returns the zones in which no instance has a free slot of [service]. */
+private fun LookupView.findFullZones(service: Service): Set<ZoneName> {
+    val open = candidates
+        .filter { candidate -> candidate.loads.any { it.service == service.name && it.freeSlots > 0 } }
+        .map { it.member.zone }
+        .toSet()
+    return candidates.map { it.member.zone }.filter { it !in open }.toSet()
+}
 
 private fun spanPlaces(placements: List<Placement>, count: Int): List<Placement> {
     if (placements.size <= count) return placements
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/membership/Agreement.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/membership/Agreement.kt
@@ -14,3 +14,12 @@
     val hash = hashView(listSettled(nowMs))
     return findLivePeers(nowMs).all { it.heartbeat.settledViewHash == hash }
 }
+
+/** Returns true when something that ownership depends on differs from the [known] heartbeat of the same instance. */
+public fun Heartbeat.changesOwnership(known: Heartbeat): Boolean =
+    sender.incarnation != known.sender.incarnation ||
+        isLeaving != known.isLeaving ||
+        isJoining != known.isJoining ||
+        liveViewHash != known.liveViewHash ||
+        settledViewHash != known.settledViewHash ||
+        residuals != known.residuals
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/membership/MembershipSettings.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/membership/MembershipSettings.kt
@@ -19,8 +19,9 @@
     public val guardMs: Long = 1_500,
     public val joinWaitMs: Long = 3_000,
     public val summaryMaxAgeMs: Long = 8_000,
+    public val summaryIntervalMs: Long = 2_000,
     public val delegateCount: Int = 2,
-    public val summaryMembers: Int = 8,
+    public val summaryMembers: Int = 4,
 ) {
     /** The silence after which a peer counts as dead. */
     public val takeoverMs: Long get() = leaseMs + guardMs
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/membership/Messages.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/membership/Messages.kt
@@ -1,10 +1,15 @@
 /*
  * What entry instances tell each other. Inside an availability zone every instance sends heartbeats to every other;
- * between zones a few delegates exchange one summary for each zone.
+ * between zones a few delegates exchange one summary for each zone. On the wire fields are numbers; a number is never used
+ * again for another field.
  */
+@file:OptIn(ExperimentalSerializationApi::class)
+
 package org.cardamomwharf.decision.membership
 
+import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.cbor.CborLabel
 import org.cardamomwharf.core.DocumentVersion
 import org.cardamomwharf.core.Incarnation
 import org.cardamomwharf.core.InstanceName
@@ -16,25 +21,25 @@
 /** Represents one life of an entry instance with the addresses it listens on. */
 @Serializable
 public data class Member(
-    public val name: InstanceName,
-    public val incarnation: Incarnation,
-    public val zone: ZoneName,
-    public val callerAddress: SocketAddress,
-    public val peerAddress: SocketAddress,
+    @CborLabel(1) public val name: InstanceName,
+    @CborLabel(2) public val incarnation: Incarnation,
+    @CborLabel(3) public val zone: ZoneName,
+    @CborLabel(4) public val callerAddress: SocketAddress,
+    @CborLabel(5) public val peerAddress: SocketAddress,
 )
 
 /** Represents the slots of one service at one instance. */
 @Serializable
 public data class ServiceLoad(
-    public val service: ServiceName,
-    public val freeSlots: Int,
-    public val totalSlots: Int,
-    public val waiting: Int,
+    @CborLabel(1) public val service: ServiceName,
+    @CborLabel(2) public val freeSlots: Int,
+    @CborLabel(3) public val totalSlots: Int,
+    @CborLabel(4) public val waiting: Int,
 )
 
 /** Represents slots of a backend server that an instance still uses without owning the server any more. */
 @Serializable
-public data class ResidualSlots(public val server: ServerName, public val slots: Int)
+public data class ResidualSlots(@CborLabel(1) public val server: ServerName, @CborLabel(2) public val slots: Int)
 
 /**
  * Represents a heartbeat from one instance to another of its zone.
@@ -43,33 +48,33 @@
  */
 @Serializable
 public data class Heartbeat(
-    public val sender: Member,
-    public val sequence: Long,
-    public val isLeaving: Boolean,
-    public val isJoining: Boolean,
-    public val liveViewHash: Long,
-    public val settledViewHash: Long,
-    public val documentVersion: DocumentVersion,
-    public val loads: List<ServiceLoad>,
-    public val residuals: List<ResidualSlots> = emptyList(),
+    @CborLabel(1) public val sender: Member,
+    @CborLabel(2) public val sequence: Long,
+    @CborLabel(3) public val isLeaving: Boolean,
+    @CborLabel(4) public val isJoining: Boolean,
+    @CborLabel(5) public val liveViewHash: Long,
+    @CborLabel(6) public val settledViewHash: Long,
+    @CborLabel(7) public val documentVersion: DocumentVersion,
+    @CborLabel(8) public val loads: List<ServiceLoad>,
+    @CborLabel(9) public val residuals: List<ResidualSlots> = emptyList(),
 )
 
 /** Represents one instance inside a zone's summary. */
 @Serializable
 public data class SummaryMember(
-    public val member: Member,
-    public val isLeaving: Boolean,
-    public val loads: List<ServiceLoad>,
+    @CborLabel(1) public val member: Member,
+    @CborLabel(2) public val isLeaving: Boolean,
+    @CborLabel(3) public val loads: List<ServiceLoad>,
 )
 
 /** Represents the state of a zone as one of its delegates sees it. */
 @Serializable
 public data class ZoneSummary(
-    public val zone: ZoneName,
-    public val sequence: Long,
-    public val documentVersion: DocumentVersion,
-    public val members: List<SummaryMember>,
-    public val loads: List<ServiceLoad>,
+    @CborLabel(1) public val zone: ZoneName,
+    @CborLabel(2) public val sequence: Long,
+    @CborLabel(3) public val documentVersion: DocumentVersion,
+    @CborLabel(4) public val members: List<SummaryMember>,
+    @CborLabel(5) public val loads: List<ServiceLoad>,
 )
 
 /** Represents an entry instance on the platform's instance list. */
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/peers/PeerSender.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/peers/PeerSender.kt
@@ -35,7 +35,7 @@
 
     /** Sends [message] to all [addresses]. */
     public fun sendAll(addresses: List<PeerAddress>, message: PeerMessage) {
-        addresses.forEach { send(it.address, message) }
+        repeat(node.sendAll(addresses.map { it.address }, message)) { metrics.countDrop() }
     }
 
     /** Sends [message] to one peer. */
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/settings/EntrySettingsReader.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/settings/EntrySettingsReader.kt
@@ -84,6 +84,7 @@
     guardMs = ms("guardMs", default.guardMs),
     joinWaitMs = ms("joinWaitMs", default.joinWaitMs),
     summaryMaxAgeMs = ms("summaryMaxAgeMs", default.summaryMaxAgeMs),
+    summaryIntervalMs = ms("summaryIntervalMs", default.summaryIntervalMs),
     delegateCount = count("delegateCount", default.delegateCount),
     summaryMembers = count("summaryMembers", default.summaryMembers),
 )
--- /dev/null
+++ b/cardamomwharf-peer/src/main/kotlin/org/cardamomwharf/peer/Outgoing.kt
@@ -0,0 +1,8 @@
+/*
+ * A message on its way to one or many peers. It is encoded once, by the first connection that writes it.
+ */
+package org.cardamomwharf.peer
+
+internal class Outgoing(val message: PeerMessage) {
+    val frame: ByteArray by lazy { encodeMessage(message) }
+}
--- a/cardamomwharf-peer/src/main/kotlin/org/cardamomwharf/peer/PeerCodec.kt
+++ b/cardamomwharf-peer/src/main/kotlin/org/cardamomwharf/peer/PeerCodec.kt
@@ -18,7 +18,10 @@
 public const val LARGEST_FRAME_BYTES: Int = 50_331_648
 
 @OptIn(ExperimentalSerializationApi::class)
-private val cbor = Cbor { ignoreUnknownKeys = true }
+private val cbor = Cbor {
+    ignoreUnknownKeys = true
+    preferCborLabelsOverNames = true
+}
 
 /** Returns the bytes of [message] without the size before them. */
 @OptIn(ExperimentalSerializationApi::class)
--- a/cardamomwharf-peer/src/main/kotlin/org/cardamomwharf/peer/PeerLink.kt
+++ b/cardamomwharf-peer/src/main/kotlin/org/cardamomwharf/peer/PeerLink.kt
@@ -35,7 +35,7 @@
     private val clock: Clock,
     private val handler: PeerHandler,
 ) {
-    private val queue = Channel<PeerMessage>(settings.largestQueue)
+    private val queue = Channel<Outgoing>(settings.largestQueue)
     private val pending = ConcurrentHashMap<AttemptId, HandOverState>()
 
     @Volatile
@@ -51,10 +51,11 @@
     /** Whether the peer has shown lately that this connection works; a connection being dialed counts as proven. */
     val isProven: Boolean get() = clock.nowMs() - heardAtMs < settings.provenMs
 
-    fun send(message: PeerMessage): Boolean {
+    fun send(outgoing: Outgoing): Boolean {
+        val message = outgoing.message
         usedAtMs = clock.nowMs()
         if (message is PeerMessage.HandOver) pending[message.attempt] = HandOverState.QUEUED
-        val isQueued = !isClosed && queue.trySend(message).isSuccess
+        val isQueued = !isClosed && queue.trySend(outgoing).isSuccess
         if (!isQueued && message is PeerMessage.HandOver) pending.remove(message.attempt)
         return isQueued
     }
@@ -94,15 +95,16 @@
             val nowMs = clock.nowMs()
             val silentMs = nowMs - heardAtMs
             if (silentMs >= settings.silentMs || nowMs - usedAtMs >= settings.idleMs) return
-            if (silentMs >= settings.pingAfterMs) queue.trySend(PeerMessage.Ping)
+            if (silentMs >= settings.pingAfterMs) queue.trySend(Outgoing(PeerMessage.Ping))
         }
     }
 
     private suspend fun writeAll(channel: ByteWriteChannel) {
         try {
-            for (message in queue) {
+            for (outgoing in queue) {
+                val message = outgoing.message
                 if (message is PeerMessage.HandOver) pending.replace(message.attempt, HandOverState.SENT)
-                channel.writeFrame(encodeMessage(message))
+                channel.writeFrame(outgoing.frame)
             }
         } catch (@Suppress("SwallowedException") e: IOException) {
             isClosed = true
--- a/cardamomwharf-peer/src/main/kotlin/org/cardamomwharf/peer/PeerMessage.kt
+++ b/cardamomwharf-peer/src/main/kotlin/org/cardamomwharf/peer/PeerMessage.kt
@@ -2,12 +2,15 @@
  * The messages between entry instances. Each is one frame: its size in four bytes, then CBOR. An instance dials the
  * peers that it has something to tell; answers come back on the same connection.
  */
+@file:OptIn(ExperimentalSerializationApi::class)
+
 package org.cardamomwharf.peer
 
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.ByteString
+import kotlinx.serialization.cbor.CborLabel
 import org.cardamomwharf.core.AttemptId
 import org.cardamomwharf.core.DocumentVersion
 import org.cardamomwharf.core.Reason
@@ -24,12 +27,15 @@
     /** Tells the state of an instance to a peer of its zone. */
     @Serializable
     @SerialName("h")
-    public data class Beat(public val heartbeat: Heartbeat) : PeerMessage
+    public data class Beat(@CborLabel(1) public val heartbeat: Heartbeat) : PeerMessage
 
     /** Tells the state of a zone. */
     @Serializable
     @SerialName("s")
-    public data class Summary(public val summary: ZoneSummary, public val isPassedOn: Boolean) : PeerMessage
+    public data class Summary(
+        @CborLabel(1) public val summary: ZoneSummary,
+        @CborLabel(2) public val isPassedOn: Boolean,
+    ) : PeerMessage
 
     /** Asks for proof that the connection works. */
     @Serializable
@@ -57,7 +63,6 @@
     public data class ContentsAsk(public val blocksHash: String? = null) : PeerMessage
 
     /** Answers [ContentsAsk]; [contents] is null when the peer has none. */
-    @OptIn(ExperimentalSerializationApi::class)
     @Serializable
     @SerialName("c")
     public class ContentsReply(
@@ -123,7 +128,6 @@
 public data class HandedField(public val name: String, public val value: String)
 
 /** Represents a request as it is handed over. */
-@OptIn(ExperimentalSerializationApi::class)
 @Serializable
 public class HandedRequest(
     public val method: String,
@@ -134,7 +138,6 @@
 )
 
 /** Represents a whole answer as it is handed back. */
-@OptIn(ExperimentalSerializationApi::class)
 @Serializable
 public class HandedAnswer(
     public val status: Int,
--- a/cardamomwharf-peer/src/main/kotlin/org/cardamomwharf/peer/PeerNode.kt
+++ b/cardamomwharf-peer/src/main/kotlin/org/cardamomwharf/peer/PeerNode.kt
@@ -38,13 +38,19 @@
     }
 
     /** Sends [message] to the peer at [address]; returns false when its queue is full. */
-    public fun send(address: SocketAddress, message: PeerMessage): Boolean = linkTo(address).send(message)
+    public fun send(address: SocketAddress, message: PeerMessage): Boolean = linkTo(address).send(Outgoing(message))
+
+    /** Sends [message] to all [addresses], encoded once; returns the number of peers whose queue is full. */
+    public fun sendAll(addresses: List<SocketAddress>, message: PeerMessage): Int {
+        val outgoing = Outgoing(message)
+        return addresses.count { !linkTo(it).send(outgoing) }
+    }
 
     /** Hands a request over; a connection that isn't proven alive is replaced by a new one first. */
     public fun handOver(address: SocketAddress, message: PeerMessage.HandOver) {
         val known = linkTo(address)
         val link = if (known.isProven) known else renew(address, known)
-        if (!link.send(message)) {
+        if (!link.send(Outgoing(message))) {
             handler.endHandOver(message.attempt, AttemptResult.NotSent(Reason.PEER_UNREACHABLE))
         }
     }
