Read the code as a newcomer and mend what the linter finds

Splits files with many functions, names wire fields by constants, and moves the made fleet of the benchmarks into files of one job.

--- a/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/paths/ControlBenchmark.kt
+++ b/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/paths/ControlBenchmark.kt
@@ -1,5 +1,6 @@
 /*
- * What an instance does for its membership at several numbers of peers in its zone: hearing heartbeats, ticking, telling.
+ * What an instance does for its membership at several numbers of peers in its zone: hearing heartbeats, ticking,
+ * telling.
  */
 package org.cardamomwharf.bench.paths
 
--- a/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/paths/FleetSample.kt
+++ b/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/paths/FleetSample.kt
@@ -12,7 +12,6 @@
 import org.cardamomwharf.core.ServiceName
 import org.cardamomwharf.core.SocketAddress
 import org.cardamomwharf.core.ZoneName
-import org.cardamomwharf.core.document.ClientBlock
 import org.cardamomwharf.core.document.Delays
 import org.cardamomwharf.core.document.EnvironmentDocument
 import org.cardamomwharf.core.document.Link
@@ -42,19 +41,18 @@
 private const val SUMMARY_MEMBERS = 4
 private const val SLOTS = 8
 private const val CAP = 1_000_000_000L
-private const val BLOCK_BITS = 24
-private const val BLOCK_SIZE = 256L
-private const val FIRST_ADDRESS = 0x0A000000L
-private const val OCTET_BITS = 8
-private const val OCTET_MASK = 0xFFL
-private const val OCTETS = 4
 private const val JOIN_STEPS = 10
 private const val STEP_MS = 500L
 private const val SERVICE_MS = 10L
 private const val ANSWER_BYTES = 4_096L
 private const val TTL_MS = 5_000L
-private val address = SocketAddress("10.0.0.1", 8_000)
-private val zones = (1..REGIONS).flatMap { region -> (1..ZONES_PER_REGION).map { ZoneName("zone-$region-$it") } }
+private const val PORT = 8_000
+private const val ZONE_DELAY_MS = 1.5
+private const val REGION_DELAY_MS = 12.0
+private const val CLIENT_DELAY_MS = 1.0
+private val address = SocketAddress("10.0.0.1", PORT)
+internal val zones: List<ZoneName> =
+    (1..REGIONS).flatMap { region -> (1..ZONES_PER_REGION).map { ZoneName("zone-$region-$it") } }
 private val services = (1..SERVICES).map { ServiceName("service-$it") }
 
 /** The time of the sample. */
@@ -69,7 +67,7 @@
         val own = (1..ZONES_PER_REGION).map { ZoneName("zone-$region-$it") }
         Region(RegionName("region-$region"), PartnerName("one"), own)
     },
-    delays = Delays(1.5, 12.0, 1.0),
+    delays = Delays(ZONE_DELAY_MS, REGION_DELAY_MS, CLIENT_DELAY_MS),
     links = (1..REGIONS).flatMap { from -> (1..REGIONS).filter { it != from }.map { linkOf(from, it) } },
     services = services.map { name ->
         Service(name, true, 1, SERVICE_MS, ANSWER_BYTES, TTL_MS, zones.map { Pool(it, 2, SLOTS, SLOTS) })
@@ -79,17 +77,6 @@
 
 private fun linkOf(from: Int, to: Int) = Link(RegionName("region-$from"), RegionName("region-$to"), CAP)
 
-/** Returns [count] client blocks of 256 addresses each. */
-public fun sampleBlocks(count: Int): List<ClientBlock> = (0 until count).map { number ->
-    ClientBlock("${addressOf(number)}/$BLOCK_BITS", zones[number % zones.size])
-}
-
-/** Returns the first address of the block [number]. */
-public fun addressOf(number: Int): String {
-    val value = FIRST_ADDRESS + number * BLOCK_SIZE
-    return (OCTETS - 1 downTo 0).joinToString(".") { ((value shr (it * OCTET_BITS)) and OCTET_MASK).toString() }
-}
-
 /** Returns the member [number] of the first zone. */
 public fun sampleMember(number: Int, zone: ZoneName = zones.first()): Member =
     Member(InstanceName("${zone.value}-$number"), Incarnation(1), zone, address, address)
@@ -121,7 +108,7 @@
     val self = sampleMember(0)
     val startMs = SAMPLE_NOW_MS - JOIN_STEPS * STEP_MS
     val listed = (0..peers).map { sampleMember(it) }.map { ListedInstance(it.name, it.zone, address, address) } +
-        otherZones().flatMap { zone -> (1..2).map { ListedInstance(sampleMember(it, zone).name, zone, address, address) } }
+        otherZones().flatMap { zone -> (1..2).map { listedIn(zone, it) } }
     val servers = services.flatMap { service ->
         (1..2).map { ListedServer(ServerName("${service.value}-$it"), service, zones.first(), address) }
     }
@@ -133,11 +120,17 @@
     first.forEach { state = step(state, it, startMs).state }
     for (number in 1..JOIN_STEPS) {
         val nowMs = startMs + number * STEP_MS
-        (1..peers).forEach { state = hear(state, EntryEvent.HeartbeatHeard(sampleHeartbeat(it, number.toLong())), nowMs) }
+        for (peer in 1..peers) {
+            val heartbeat = sampleHeartbeat(peer, number.toLong())
+            state = hear(state, EntryEvent.HeartbeatHeard(heartbeat), nowMs)
+        }
         otherZones().forEach { state = hear(state, EntryEvent.SummaryHeard(sampleSummary(it), true), nowMs) }
         state = hear(state, EntryEvent.Tick(0), nowMs)
     }
     return state
 }
 
+private fun listedIn(zone: ZoneName, number: Int) =
+    ListedInstance(sampleMember(number, zone).name, zone, address, address)
+
 private fun hear(state: EntryState, event: EntryEvent, nowMs: Long): EntryState = step(state, event, nowMs).state
--- a/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/paths/PathFigures.kt
+++ b/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/paths/PathFigures.kt
@@ -34,21 +34,6 @@
 /** The overhead of IP and TCP for one small message and its acknowledgement, in bytes. */
 private const val PACKET_BYTES = 104
 
-/**
- * Represents one figure with its bound.
- *
- * @param bound largest value allowed, from the stated targets; null when there is none.
- */
-public data class Figure(public val name: String, public val value: Double, public val bound: Double?) {
-    /** True when the figure is within its bound. */
-    public val isFine: Boolean get() = bound == null || value <= bound
-
-    override fun toString(): String {
-        val verdict = if (bound == null) "" else if (isFine) "  within %.2f".format(bound) else "  ABOVE %.2f".format(bound)
-        return "%-60s %12.2f".format(name, value) + verdict
-    }
-}
-
 /** Returns all figures; runs for about two minutes. */
 public fun measurePaths(): List<Figure> {
     val times = runBenchmarks()
@@ -111,7 +96,11 @@
     val perDaemon = LOOKUPS_PER_SECOND.toDouble() / DAEMONS
     return listOf(
         Figure("look-ups for one core, per second", US_PER_SECOND / us, null),
-        Figure("core that the look-ups of a daemon take, percent", perDaemon * us * PERCENT / US_PER_SECOND, WHOLE_CORE),
+        Figure(
+            "core that the look-ups of a daemon take, percent",
+            perDaemon * us * PERCENT / US_PER_SECOND,
+            WHOLE_CORE
+        ),
     )
 }
 
--- a/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/policy/Baselines.kt
+++ b/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/policy/Baselines.kt
@@ -13,7 +13,10 @@
 /** Returns the baselines in [world]. */
 public fun baselinesOf(world: PolicyWorld): List<Router> = listOf(
     Baseline("nearest zone", world) { request, _ -> request.zone },
-    Baseline("random zone", world) { request, candidates -> candidates[world.time.below(candidates.size)] ?: request.zone },
+    Baseline(
+        "random zone",
+        world
+    ) { request, candidates -> candidates[world.time.below(candidates.size)] ?: request.zone },
     LeastLoaded(world),
 )
 
--- a/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/policy/PolicyReport.kt
+++ b/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/policy/PolicyReport.kt
@@ -11,7 +11,9 @@
 /** Runs all cases of [document] with our routing and all baselines, and prints a row for each service. */
 public fun printPolicyBench(document: EnvironmentDocument, seed: Long, caseName: String?) {
     println("${document.deployment}, objective ${document.objective.name.lowercase()}, seed $seed; times 10x of real")
-    println(ROW.format("case", "routing", "service", "offered", "goodput%", "median", "p95", "p99", "free%", "other ends"))
+    println(
+        ROW.format("case", "routing", "service", "offered", "goodput%", "median", "p95", "p99", "free%", "other ends")
+    )
     policyCases(document.regions.map { it.name })
         .filter { caseName == null || it.name == caseName }
         .forEach { printCase(document, it, seed) }
--- a/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/policy/PolicyRun.kt
+++ b/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/policy/PolicyRun.kt
@@ -25,21 +25,6 @@
 private const val VERY_HIGH = 99.0
 private const val COUNTED_PERCENTILE = 95.0
 
-/** Represents the counts of one service in one run. */
-public data class PolicyCount(
-    public val case: String,
-    public val router: String,
-    public val service: String,
-    public val offered: Long,
-    public val ran: Long,
-    public val ranInTime: Long,
-    public val ends: Map<String, Long>,
-    public val medianMs: Long,
-    public val p95Ms: Long,
-    public val p99Ms: Long,
-    public val meanFreePercent: Double,
-)
-
 /** Returns the counts by service of [case] with the router that [makeRouter] gives. */
 public fun runPolicy(
     document: EnvironmentDocument,
--- a/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/policy/PolicyWorld.kt
+++ b/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/policy/PolicyWorld.kt
@@ -6,8 +6,8 @@
 
 import org.cardamomwharf.core.RegionName
 import org.cardamomwharf.core.ZoneName
-import org.cardamomwharf.core.document.Drain
 import org.cardamomwharf.core.document.DocumentIndex
+import org.cardamomwharf.core.document.Drain
 import org.cardamomwharf.core.document.EnvironmentDocument
 
 /** The factor on service times and deadlines. */
--- a/cardamomwharf-core/src/test/kotlin/org/cardamomwharf/core/document/ClientBlockTableTest.kt
+++ b/cardamomwharf-core/src/test/kotlin/org/cardamomwharf/core/document/ClientBlockTableTest.kt
@@ -26,7 +26,14 @@
     }
 
     test("`what isn't an address is in no block`") {
-        listOf("", "10.1.0", "10.1.0.256", "10.1.0.0.0", "a.b.c.d", "10.1..0").forEach { table.findZone(it) shouldBe null }
+        listOf(
+            "",
+            "10.1.0",
+            "10.1.0.256",
+            "10.1.0.0.0",
+            "a.b.c.d",
+            "10.1..0"
+        ).forEach { table.findZone(it) shouldBe null }
     }
 
     test("`blocks must be aligned`") {
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/claims/ClaimDecision.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/claims/ClaimDecision.kt
@@ -1,7 +1,8 @@
 /*
- * Decides what follows from an answer about a claim. A key that another attempt holds is read again for a short time: the
- * attempt may just be ending, and then its answer is given or its key is free. A lost answer is settled by reading the row back and comparing the
- * attempt; a row that is absent after that is inserted again with the same attempt, which is idempotent.
+ * Decides what follows from an answer about a claim. A key that another attempt holds is read again for a short time:
+ * the attempt may just be ending, and then its answer is given or its key is free. A lost answer is settled by reading
+ * the row back and comparing the attempt; a row that is absent after that is inserted again with the same attempt,
+ * which is idempotent.
  */
 package org.cardamomwharf.decision.claims
 
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/membership/Messages.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/membership/Messages.kt
@@ -1,7 +1,7 @@
 /*
  * What entry instances tell each other. Inside an availability zone every instance sends heartbeats to every other;
- * between zones a few delegates exchange one summary for each zone. On the wire fields are numbers; a number is never used
- * again for another field.
+ * between zones a few delegates exchange one summary for each zone. On the wire fields are numbers; a number is never
+ * used again for another field.
  */
 @file:OptIn(ExperimentalSerializationApi::class)
 
@@ -21,25 +21,30 @@
 /** Represents one life of an entry instance with the addresses it listens on. */
 @Serializable
 public data class Member(
-    @CborLabel(1) public val name: InstanceName,
-    @CborLabel(2) public val incarnation: Incarnation,
-    @CborLabel(3) public val zone: ZoneName,
-    @CborLabel(4) public val callerAddress: SocketAddress,
-    @CborLabel(5) public val peerAddress: SocketAddress,
+    @CborLabel(WireField.FIRST) public val name: InstanceName,
+    @CborLabel(WireField.SECOND) public val incarnation: Incarnation,
+    @CborLabel(WireField.THIRD) public val zone: ZoneName,
+    @CborLabel(WireField.FOURTH) public val callerAddress: SocketAddress,
+    @CborLabel(WireField.FIFTH) public val peerAddress: SocketAddress,
 )
 
 /** Represents the slots of one service at one instance. */
 @Serializable
 public data class ServiceLoad(
-    @CborLabel(1) public val service: ServiceName,
-    @CborLabel(2) public val freeSlots: Int,
-    @CborLabel(3) public val totalSlots: Int,
-    @CborLabel(4) public val waiting: Int,
+    @CborLabel(WireField.FIRST) public val service: ServiceName,
+    @CborLabel(WireField.SECOND) public val freeSlots: Int,
+    @CborLabel(WireField.THIRD) public val totalSlots: Int,
+    @CborLabel(WireField.FOURTH) public val waiting: Int,
 )
 
 /** Represents slots of a backend server that an instance still uses without owning the server any more. */
 @Serializable
-public data class ResidualSlots(@CborLabel(1) public val server: ServerName, @CborLabel(2) public val slots: Int)
+public data class ResidualSlots(
+    @CborLabel(
+        WireField.FIRST
+    ) public val server: ServerName,
+    @CborLabel(WireField.SECOND) public val slots: Int
+)
 
 /**
  * Represents a heartbeat from one instance to another of its zone.
@@ -48,33 +53,33 @@
  */
 @Serializable
 public data class Heartbeat(
-    @CborLabel(1) public val sender: Member,
-    @CborLabel(2) public val sequence: Long,
-    @CborLabel(3) public val isLeaving: Boolean,
-    @CborLabel(4) public val isJoining: Boolean,
-    @CborLabel(5) public val liveViewHash: Long,
-    @CborLabel(6) public val settledViewHash: Long,
-    @CborLabel(7) public val documentVersion: DocumentVersion,
-    @CborLabel(8) public val loads: List<ServiceLoad>,
-    @CborLabel(9) public val residuals: List<ResidualSlots> = emptyList(),
+    @CborLabel(WireField.FIRST) public val sender: Member,
+    @CborLabel(WireField.SECOND) public val sequence: Long,
+    @CborLabel(WireField.THIRD) public val isLeaving: Boolean,
+    @CborLabel(WireField.FOURTH) public val isJoining: Boolean,
+    @CborLabel(WireField.FIFTH) public val liveViewHash: Long,
+    @CborLabel(WireField.SIXTH) public val settledViewHash: Long,
+    @CborLabel(WireField.SEVENTH) public val documentVersion: DocumentVersion,
+    @CborLabel(WireField.EIGHTH) public val loads: List<ServiceLoad>,
+    @CborLabel(WireField.NINTH) public val residuals: List<ResidualSlots> = emptyList(),
 )
 
 /** Represents one instance inside a zone's summary. */
 @Serializable
 public data class SummaryMember(
-    @CborLabel(1) public val member: Member,
-    @CborLabel(2) public val isLeaving: Boolean,
-    @CborLabel(3) public val loads: List<ServiceLoad>,
+    @CborLabel(WireField.FIRST) public val member: Member,
+    @CborLabel(WireField.SECOND) public val isLeaving: Boolean,
+    @CborLabel(WireField.THIRD) public val loads: List<ServiceLoad>,
 )
 
 /** Represents the state of a zone as one of its delegates sees it. */
 @Serializable
 public data class ZoneSummary(
-    @CborLabel(1) public val zone: ZoneName,
-    @CborLabel(2) public val sequence: Long,
-    @CborLabel(3) public val documentVersion: DocumentVersion,
-    @CborLabel(4) public val members: List<SummaryMember>,
-    @CborLabel(5) public val loads: List<ServiceLoad>,
+    @CborLabel(WireField.FIRST) public val zone: ZoneName,
+    @CborLabel(WireField.SECOND) public val sequence: Long,
+    @CborLabel(WireField.THIRD) public val documentVersion: DocumentVersion,
+    @CborLabel(WireField.FOURTH) public val members: List<SummaryMember>,
+    @CborLabel(WireField.FIFTH) public val loads: List<ServiceLoad>,
 )
 
 /** Represents an entry instance on the platform's instance list. */
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/membership/Suspects.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/membership/Suspects.kt
@@ -1,6 +1,6 @@
 /*
- * Instances that could not be reached lately. What this instance saw itself outranks heartbeats and summaries, which may
- * be older: a suspect gets no requests and is left out of look-ups until it is heard again or a pause is over.
+ * Instances that could not be reached lately. What this instance saw itself outranks heartbeats and summaries, which
+ * may be older: a suspect gets no requests and is left out of look-ups until it is heard again or a pause is over.
  */
 package org.cardamomwharf.decision.membership
 
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/Dispatch.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/Dispatch.kt
@@ -88,7 +88,10 @@
     changeRequests { table ->
         val unqueued = table.unqueue(request.spec.service, request.spec.id)
         unqueued.copy(
-            attempts = unqueued.attempts.put(attempt, RunningAttempt(request.spec.id, request.spec.service, target, nowMs)),
+            attempts = unqueued.attempts.put(
+                attempt,
+                RunningAttempt(request.spec.id, request.spec.service, target, nowMs)
+            ),
         )
     }
     update(request.copy(phase = Phase.Running(attempt), attempts = request.attempts + 1))
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/Waiting.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/Waiting.kt
@@ -1,6 +1,6 @@
 /*
- * Requests that wait for a slot of a backend server of the zone, as long as their deadline allows it. They also wait while
- * servers change hands between the instances of the zone.
+ * Requests that wait for a slot of a backend server of the zone, as long as their deadline allows it. They also wait
+ * while servers change hands between the instances of the zone.
  */
 package org.cardamomwharf.decision.requests
 
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/servers/ServiceTimes.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/servers/ServiceTimes.kt
@@ -13,7 +13,7 @@
 
 /** Represents moving averages in sixteenths of a millisecond. */
 public data class ServiceTimes(private val averages: PersistentMap<ServiceName, Long> = persistentMapOf()) {
-    /** Returns the time to expect of [service] in milliseconds: what was seen lately, at least what the document says. */
+    /** Returns the time to expect of [service] in milliseconds, at least what the document says. */
     public fun expectMs(service: Service): Long =
         maxOf(service.expectedServiceMs, (averages[service.name] ?: 0) / SCALE)
 
--- a/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/claims/ClaimTest.kt
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/claims/ClaimTest.kt
@@ -77,7 +77,7 @@
         entry.arrive(requestOf(1, BOOKINGS))
         val done = rowOf(AttemptId("other"), ClaimState.DONE, answer = recorded)
         entry.reply(1, done).only<EntryEffect.Answer>().recorded shouldBe recorded
-        entry.arrive(requestOf(2, BOOKINGS, fingerprint = "another"))
+        entry.arrive(requestOf(2, BOOKINGS).copy(fingerprint = "another"))
         entry.reply(2, done).only<EntryEffect.Answer>().reason shouldBe Reason.KEY_REUSED
     }
 
--- a/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/ownership/OwnershipTest.kt
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/ownership/OwnershipTest.kt
@@ -1,6 +1,6 @@
 /*
- * Backend servers and cap parts of a zone never have two owners among instances that hear each other, whatever the order
- * and the delay of heartbeats, pauses and joins.
+ * Backend servers and cap parts of a zone never have two owners among instances that hear each other, whatever the
+ * order and the delay of heartbeats, pauses and joins.
  */
 package org.cardamomwharf.decision.ownership
 
--- a/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/requests/HandOverTest.kt
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/requests/HandOverTest.kt
@@ -21,6 +21,7 @@
 import org.cardamomwharf.decision.support.READS
 import org.cardamomwharf.decision.support.SOUTH_A
 import org.cardamomwharf.decision.support.SOUTH_B
+import org.cardamomwharf.decision.support.handedRequestOf
 import org.cardamomwharf.decision.support.memberOf
 import org.cardamomwharf.decision.support.only
 import org.cardamomwharf.decision.support.readyEntry
@@ -75,9 +76,8 @@
 
     test("`a request from a peer is never handed over again`") {
         val entry = fullEntry()
-        val handed = requestOf(20, BOOKINGS, origin = RequestOrigin.PEER)
-        entry.arrive(handed).only<EntryEffect.Forward>()
-        entry.arrive(requestOf(21, origin = RequestOrigin.PEER)).only<EntryEffect.Answer>().reason shouldBe
+        entry.arrive(handedRequestOf(20, BOOKINGS)).only<EntryEffect.Forward>()
+        entry.arrive(handedRequestOf(21, READS)).only<EntryEffect.Answer>().reason shouldBe
             Reason.NO_SLOT
     }
 
--- a/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/session/BookingWorld.kt
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/session/BookingWorld.kt
@@ -1,7 +1,7 @@
 /*
- * Several entry instances of one zone with a fake table service and fake backend servers, in virtual time. Messages take
- * a varying time, answers of the table service get lost, servers refuse, lose answers or can't be reached, instances are
- * killed, paused and restarted. Callers repeat their keys through any instance.
+ * Several entry instances of one zone with a fake table service and fake backend servers, in virtual time. Messages
+ * take a varying time, answers of the table service get lost, servers refuse, lose answers or can't be reached,
+ * instances are killed, paused and restarted. Callers repeat their keys through any instance.
  */
 package org.cardamomwharf.decision.session
 
--- a/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/support/OneEntry.kt
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/support/OneEntry.kt
@@ -54,22 +54,22 @@
     deadlineAtMs: Long = START_MS + 60_000,
     key: String? = if (service == BOOKINGS) "key-$id" else null,
     binding: Binding? = null,
-    origin: RequestOrigin = RequestOrigin.CALLER,
-    fingerprint: String = "print",
 ): RequestSpec = RequestSpec(
     id = RequestId(id),
     service = service,
-    origin = origin,
+    origin = RequestOrigin.CALLER,
     isIdempotent = service == READS,
     requestBytes = 100,
     deadlineAtMs = deadlineAtMs,
     clientZone = NORTH_A,
     key = key,
     binding = binding,
-    fingerprint = fingerprint,
-    attempt = if (origin == RequestOrigin.PEER) AttemptId("other-$id") else null,
+    fingerprint = "print",
 )
 
+fun handedRequestOf(id: Long, service: ServiceName): RequestSpec =
+    requestOf(id, service).copy(origin = RequestOrigin.PEER, attempt = AttemptId("other-$id"))
+
 class OneEntry(
     val member: Member = memberOf("e1"),
     limits: EntryLimits = EntryLimits(),
--- a/cardamomwharf-dist/src/test/kotlin/org/cardamomwharf/dist/failures/ProcessFailureTest.kt
+++ b/cardamomwharf-dist/src/test/kotlin/org/cardamomwharf/dist/failures/ProcessFailureTest.kt
@@ -95,9 +95,9 @@
             deployment.faults(PlatformFaults(isListStale = true))
             deployment.faults(name, ServerFaults(isLeaving = true))
             deployment.load(seed = 5, seconds = 3) { }
-            val before = deployment.servers.getValue(name).countTotal()
+            val before = deployment.servers.getValue(name).counts.countTotal()
             val result = deployment.load(seed = 6, seconds = 3) { }
-            deployment.servers.getValue(name).countTotal() shouldBe before
+            deployment.servers.getValue(name).counts.countTotal() shouldBe before
             result.ranOf("stan") shouldBe result.requestsOf("stan")
         }
     }
--- a/cardamomwharf-dist/src/test/kotlin/org/cardamomwharf/dist/session/WholeSessionTest.kt
+++ b/cardamomwharf-dist/src/test/kotlin/org/cardamomwharf/dist/session/WholeSessionTest.kt
@@ -75,10 +75,14 @@
             transcript.note("unknown service", deployment.get("$run/none/x", client))
             val deadline = HttpField("Wharf-Deadline-Ms", "soon")
             transcript.note("bad deadline", deployment.get("$run/stan/x", client, deadline))
-            transcript.note("short deadline", deployment.get("$run/stan/x", client, HttpField("Wharf-Deadline-Ms", "3")))
+            transcript.note(
+                "short deadline",
+                deployment.get("$run/stan/x", client, HttpField("Wharf-Deadline-Ms", "3"))
+            )
             val largeHead = "GET /run/stan/x HTTP/1.1\r\nHost: x\r\nX-Large: ${"x".repeat(9_000)}\r\n\r\n"
             transcript.note("head too large -> " + callRaw(entry.host, 8_000, largeHead))
-            val shortBody = "POST /run/zapis/x HTTP/1.1\r\nHost: x\r\nIdempotency-Key: k3\r\nContent-Length: 9\r\n\r\nhalf"
+            val fields = "Host: x\r\nIdempotency-Key: k3\r\nContent-Length: 9"
+            val shortBody = "POST /run/zapis/x HTTP/1.1\r\n$fields\r\n\r\nhalf"
             transcript.note("body truncated -> " + callRaw(entry.host, 8_000, shortBody))
             val body = "x".repeat(1_100_000)
             transcript.note("body too large", deployment.post("$run/zapis/book", body, client, key("k2")))
--- a/cardamomwharf-dist/src/test/kotlin/org/cardamomwharf/dist/support/Deployment.kt
+++ b/cardamomwharf-dist/src/test/kotlin/org/cardamomwharf/dist/support/Deployment.kt
@@ -76,7 +76,11 @@
         running += platform.start(platformAddress)
         zones.forEach(::startServers)
         environments.submit(document(), null, act()).getOrThrow { IllegalStateException(it.text) }
-        environments.promote(DocumentVersion(1), DocumentVersion.NONE, act()).getOrThrow { IllegalStateException(it.text) }
+        environments.promote(
+            DocumentVersion(1),
+            DocumentVersion.NONE,
+            act()
+        ).getOrThrow { IllegalStateException(it.text) }
         for (zone in zones) repeat(entriesPerZone) { addEntry(zone) }
         awaitReady()
     }
@@ -166,7 +170,7 @@
     /** Checks what must hold after any load: whole answers, and no key that ran twice. */
     fun checkInvariants(result: LoadResult) {
         result.services.sumOf { it.wrongAnswers } shouldBe 0
-        val runs = servers.values.flatMap { it.countRuns().entries }.groupBy({ it.key }, { it.value })
+        val runs = servers.values.flatMap { it.counts.countKeys().entries }.groupBy({ it.key }, { it.value })
         runs.filterValues { it.sum() > 1 } shouldBe emptyMap()
     }
 
--- a/cardamomwharf-document/src/main/kotlin/org/cardamomwharf/document/ServiceReader.kt
+++ b/cardamomwharf-document/src/main/kotlin/org/cardamomwharf/document/ServiceReader.kt
@@ -59,7 +59,11 @@
     measurementMaxAgeMs = ms("measurementMaxAgeMs", default.measurementMaxAgeMs),
     slowStartMs = ms("slowStartMs", default.slowStartMs),
     reservedSlotsPercent = percent("reservedSlotsPercent", default.reservedSlotsPercent),
-    largestWaitPercent = whole("largestWaitPercent", 0..LARGEST_WAIT_PERCENT, default.largestWaitPercent.toLong()).toInt(),
+    largestWaitPercent = whole(
+        "largestWaitPercent",
+        0..LARGEST_WAIT_PERCENT,
+        default.largestWaitPercent.toLong()
+    ).toInt(),
     maxAttempts = whole("maxAttempts", 1..LARGEST_ATTEMPTS, default.maxAttempts.toLong()).toInt(),
     retryBudgetPercent = percent("retryBudgetPercent", default.retryBudgetPercent),
     keyTtlMs = ms("keyTtlMs", default.keyTtlMs),
--- a/cardamomwharf-load/src/main/kotlin/org/cardamomwharf/load/CallerStandin.kt
+++ b/cardamomwharf-load/src/main/kotlin/org/cardamomwharf/load/CallerStandin.kt
@@ -1,6 +1,7 @@
 /*
- * Stands in for a caller. It follows the rules of the caller API: a request that was not run goes to the next instance,
- * a read is repeated once, a booking keeps its key on every try and takes a binding only after it was refused as not run.
+ * Stands in for a caller. It follows the rules of the caller API: a request that was not run goes to the next
+ * instance, a read is repeated once, a booking keeps its key on every try and takes a binding only after it was
+ * refused as not run.
  */
 package org.cardamomwharf.load
 
--- a/cardamomwharf-load/src/main/kotlin/org/cardamomwharf/load/LoadPlan.kt
+++ b/cardamomwharf-load/src/main/kotlin/org/cardamomwharf/load/LoadPlan.kt
@@ -36,8 +36,8 @@
             val parts = text.split(':')
             val kind = RequestKind.entries.firstOrNull { it.name.lowercase() == parts.getOrNull(1) }
             val rate = parts.getOrNull(2)?.toIntOrNull()
-            if (parts.size != PARTS || kind == null || rate == null || rate < 1) return null
-            return ServiceLoadPlan(parts.first(), kind, rate)
+            if (parts.size != PARTS || kind == null || rate == null) return null
+            return if (rate > 0) ServiceLoadPlan(parts.first(), kind, rate) else null
         }
     }
 }
--- a/cardamomwharf-standin/src/main/kotlin/org/cardamomwharf/standin/RunCounts.kt
+++ b/cardamomwharf-standin/src/main/kotlin/org/cardamomwharf/standin/RunCounts.kt
@@ -6,33 +6,36 @@
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicInteger
 
-internal class RunCounts {
+/** Represents what one backend server ran. */
+public class RunCounts {
     private val open = AtomicInteger()
     private val largestOpen = AtomicInteger()
     private val total = AtomicInteger()
     private val keys = ConcurrentHashMap<String, AtomicInteger>()
 
-    /** Requests that are open now. */
-    val inFlight: Int get() = open.get()
+    /** The requests that are open now. */
+    public val inFlight: Int get() = open.get()
 
-    fun enter(): Int {
+    internal fun enter(): Int {
         val taken = open.incrementAndGet()
         largestOpen.accumulateAndGet(taken, ::maxOf)
         return taken
     }
 
-    fun leave() {
+    internal fun leave() {
         open.decrementAndGet()
     }
 
-    fun note(key: String?) {
+    internal fun note(key: String?) {
         total.incrementAndGet()
         if (key != null) keys.computeIfAbsent(key) { AtomicInteger() }.incrementAndGet()
     }
 
-    fun countKeys(): Map<String, Int> = keys.mapValues { it.value.get() }
+    /** Returns how often each idempotency key ran. */
+    public fun countKeys(): Map<String, Int> = keys.mapValues { it.value.get() }
 
-    fun countTotal(): Int = total.get()
+    /** Returns how many requests ran. */
+    public fun countTotal(): Int = total.get()
 
-    fun totalJson(): String = """{"total":$total,"largestInFlight":$largestOpen}"""
+    internal fun totalJson(): String = """{"total":$total,"largestInFlight":$largestOpen}"""
 }
--- a/cardamomwharf-standin/src/main/kotlin/org/cardamomwharf/standin/ServerStandin.kt
+++ b/cardamomwharf-standin/src/main/kotlin/org/cardamomwharf/standin/ServerStandin.kt
@@ -42,9 +42,10 @@
 
 /** Represents the stand-in. */
 public class ServerStandin(private val behaviour: ServerBehaviour) {
+    /** What the server ran. */
+    public val counts: RunCounts = RunCounts()
     private val clock = monotonicClock()
     private val startedAtMs = clock.nowMs()
-    private val counts = RunCounts()
 
     @Volatile
     private var faults = ServerFaults()
@@ -53,7 +54,7 @@
     public val handler: HttpHandler = routesOf(
         Route(Method.GET, "/wharf/load") { loadResponse() },
         Route(Method.GET, "/wharf/health") { Response(Status.OK).body("well\n") },
-        Route(Method.GET, "/wharf/runs") { jsonResponse(StatusCode.OK, Json.encodeToString(countRuns())) },
+        Route(Method.GET, "/wharf/runs") { jsonResponse(StatusCode.OK, Json.encodeToString(counts.countKeys())) },
         Route(Method.GET, "/wharf/total") { jsonResponse(StatusCode.OK, counts.totalJson()) },
         Route(Method.PUT, "/faults") { changeFaults(readServerFaults(it)) },
         Route(null, "/") { serve(it) },
@@ -69,12 +70,6 @@
         return done()
     }
 
-    /** Returns how often each idempotency key ran. */
-    public fun countRuns(): Map<String, Int> = counts.countKeys()
-
-    /** Returns how many requests ran. */
-    public fun countTotal(): Int = counts.countTotal()
-
     private fun loadResponse(): Response {
         val isHonest = !faults.isHealthLying
         val shown = if (isHonest) counts.inFlight else 0
