Wait for all instances in look-ups before the golden session begins

The test began once the backend servers were owned; an instance may own them before it has heard that its peer ended joining, up to one heartbeat later. Ruled out: a lost heartbeat (the second instance was ready and later answered), a wrong ranking. The instance that isn't listed yet is correct behaviour: it may still be joining.

--- a/cardamomwharf-dist/src/test/kotlin/org/cardamomwharf/dist/support/Deployment.kt
+++ b/cardamomwharf-dist/src/test/kotlin/org/cardamomwharf/dist/support/Deployment.kt
@@ -120,6 +120,13 @@
         eventually("all servers owned") {
             wanted.flatMap { ownedServers(it) }.size == servers.size
         }
+        eventually("all entries listed") { wanted.all { listsZone(it, wanted) } }
+    }
+
+    private fun listsZone(entry: EntryProcessHandle, wanted: List<EntryProcessHandle>): Boolean {
+        val answer = get("http://${entry.callerAddress}/lookup?service=stan&client=127.10.0.1") ?: return false
+        val text = answer.body.decodeToString()
+        return wanted.filter { it.zone == entry.zone }.all { "\"${it.name}\"" in text }
     }
 
     private fun ownedServers(entry: EntryProcessHandle): List<String> {
