Keep caps while zones have different documents

Cause: a zone's shares came from its own document alone. Zones adopt a document at different times, and one that is cut off keeps the old one; the shares of two documents together may exceed the cap, for example when a zone is added. Ruled out: that the reserve covers it (it doesn't when a share doubles), leases from the table service (no traffic between regions while it is down), times in the document (a cut-off zone doesn't know them). Found on the way: a charge on a cap without a share was let through; an instance whose zone the document leaves out handed requests over without any charge. Both are refused now.

--- a/cardamomwharf-cli/src/main/kotlin/org/cardamomwharf/cli/CommandError.kt
+++ b/cardamomwharf-cli/src/main/kotlin/org/cardamomwharf/cli/CommandError.kt
@@ -51,6 +51,13 @@
             }
     }
 
+    /** The document leaves zones out whose instances may still spend caps. */
+    public data class ZonesNotStopped(public val zones: List<String>) : CommandError {
+        override val exitCode: ExitCode get() = ExitCode.INVALID
+        override val text: String
+            get() = "Nothing was changed: ${zones.joinToString()} would be left out without being in stoppedZones."
+    }
+
     /** What was named doesn't exist. */
     public data class Missing(public val what: String) : CommandError {
         override val exitCode: ExitCode get() = ExitCode.MISSING
--- a/cardamomwharf-cli/src/main/kotlin/org/cardamomwharf/cli/EntryQueries.kt
+++ b/cardamomwharf-cli/src/main/kotlin/org/cardamomwharf/cli/EntryQueries.kt
@@ -65,7 +65,9 @@
     val leaving = status.getValue("servers").jsonArray.map { it.jsonObject }
         .filter { it.field("isLeaving") == "true" }
         .map { "  ${it.field("server")} is leaving, ${it.field("inFlight")} in flight" }
-    return (listOf(head) + services + leaving).joinToString("\n")
+    val awaited = status.getValue("capRaisesAwait").jsonArray.map { it.jsonPrimitive.content }
+    val raises = if (awaited.isEmpty()) emptyList() else listOf("  raised caps wait for ${awaited.joinToString()}")
+    return (listOf(head) + services + leaving + raises).joinToString("\n")
 }
 
 private fun explainLines(explanation: JsonObject): String {
--- a/cardamomwharf-cli/src/main/kotlin/org/cardamomwharf/cli/Environments.kt
+++ b/cardamomwharf-cli/src/main/kotlin/org/cardamomwharf/cli/Environments.kt
@@ -49,12 +49,23 @@
         act: OperatorAct,
     ): Result<Report, CommandError> =
         findEntry(EnvironmentName.TRIAL, trialVersion)
+            .flatMap { tried -> checkZones(tried.hash, expected).map { tried } }
             .flatMap { tried ->
                 val note = "promote trial ${tried.version.value}"
                 move(tried.hash, EnvironmentName.PRODUCTION, expected, act, note).mapError(::commandErrorOf)
             }
             .map { reportOf("Promoted to production", it) }
 
+    /** Checks that every zone that the document under [hash] leaves out was stopped before. */
+    private fun checkZones(hash: String, expected: DocumentVersion?): Result<Unit, CommandError> =
+        heads.find(EnvironmentName.PRODUCTION)
+            .flatMap { head ->
+                val before = head?.entries?.firstOrNull { expected == null || it.version == expected }
+                if (before == null) Ok(emptyList()) else archive.findUnstoppedZones(before.hash, hash)
+            }
+            .mapError(::commandErrorOf)
+            .flatMap { if (it.isEmpty()) Ok(Unit) else Err(CommandError.ZonesNotStopped(it)) }
+
     /** Changes the drains of production and makes the result its next version. */
     public fun changeDrains(
         note: String,
@@ -94,21 +105,21 @@
         act: OperatorAct,
         note: String,
     ): Result<HeadEntry, RepositoryError> =
-        findExpected(environment, expected).flatMap { version ->
-            val change = HeadChange(environment, version, act.attempt, act.operator, note, act.epochSeconds)
+        heads.find(environment).flatMap { head ->
+            val version = expected ?: head?.newest?.version ?: DocumentVersion.NONE
+            val before = head?.entries?.firstOrNull { it.version == version }
+            val change = HeadChange(
+                environment = environment,
+                expected = version,
+                attempt = act.attempt,
+                operator = act.operator,
+                note = note,
+                epochSeconds = act.epochSeconds,
+                keepsCaps = before != null && archive.haveSameCaps(before.hash, hash),
+            )
             heads.move(hash, change)
         }
 
-    private fun findExpected(
-        environment: EnvironmentName,
-        expected: DocumentVersion?,
-    ): Result<DocumentVersion, RepositoryError> =
-        if (expected != null) {
-            Ok(expected)
-        } else {
-            heads.find(environment).map { it?.newest?.version ?: DocumentVersion.NONE }
-        }
-
     private fun findNewest(environment: EnvironmentName): Result<HeadEntry, CommandError> =
         heads.find(environment).mapError(::commandErrorOf).flatMap { head ->
             if (head == null) Err(CommandError.Missing("document in ${environment.value}")) else Ok(head.newest)
--- a/cardamomwharf-core/src/main/kotlin/org/cardamomwharf/core/Identifiers.kt
+++ b/cardamomwharf-core/src/main/kotlin/org/cardamomwharf/core/Identifiers.kt
@@ -64,3 +64,24 @@
         public val NONE: DocumentVersion = DocumentVersion(0)
     }
 }
+
+/**
+ * Represents the number of changes to the caps of an environment. Documents whose caps are divided alike share an
+ * epoch; each other change adds one.
+ */
+@Serializable
+@JvmInline
+public value class CapEpoch(public val value: Long) : Comparable<CapEpoch> {
+    /** Returns the epoch after this one. */
+    public fun next(): CapEpoch = CapEpoch(value + 1)
+
+    override fun compareTo(other: CapEpoch): Int = value.compareTo(other.value)
+
+    public companion object {
+        /** Represents the absence of a document. */
+        public val NONE: CapEpoch = CapEpoch(0)
+
+        /** Represents the caps of the first document of an environment. */
+        public val FIRST: CapEpoch = CapEpoch(1)
+    }
+}
--- a/cardamomwharf-core/src/main/kotlin/org/cardamomwharf/core/document/EnvironmentDocument.kt
+++ b/cardamomwharf-core/src/main/kotlin/org/cardamomwharf/core/document/EnvironmentDocument.kt
@@ -11,7 +11,11 @@
 import org.cardamomwharf.core.ServiceName
 import org.cardamomwharf.core.ZoneName
 
-/** Represents one whole environment document. */
+/**
+ * Represents one whole environment document.
+ *
+ * @param stoppedZones zones whose instances operators have stopped; raised cap shares don't wait for them.
+ */
 @Serializable
 public data class EnvironmentDocument(
     public val deployment: String,
@@ -23,6 +27,7 @@
     public val services: List<Service>,
     public val clientBlocks: List<ClientBlock>,
     public val drains: List<Drain> = emptyList(),
+    public val stoppedZones: List<ZoneName> = emptyList(),
     public val policy: Policy = Policy(),
 )
 
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/DocumentFollowing.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/DocumentFollowing.kt
@@ -31,6 +31,7 @@
     state = state.copy(adoption = next)
     if (!isAdopted) return
     add(EntryEffect.Adopted(event.head))
+    adoptCaps(event.head.capEpoch)
     advanceOwnership()
     wakeWaiting()
 }
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/EntryState.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/EntryState.kt
@@ -12,6 +12,7 @@
 import org.cardamomwharf.decision.adoption.DocumentAdoption
 import org.cardamomwharf.decision.caps.CapId
 import org.cardamomwharf.decision.caps.CapLedger
+import org.cardamomwharf.decision.caps.CapTransition
 import org.cardamomwharf.decision.claims.BoundKeys
 import org.cardamomwharf.decision.claims.StoreHealth
 import org.cardamomwharf.decision.membership.Member
@@ -63,6 +64,7 @@
     public val suspects: Suspects = Suspects(),
     public val serviceTimes: ServiceTimes = ServiceTimes(),
     public val ledger: CapLedger = CapLedger(burstMs = 0),
+    public val capTransition: CapTransition = CapTransition(),
     public val budget: RetryBudget = RetryBudget(),
     public val store: StoreHealth = StoreHealth(),
     public val boundKeys: BoundKeys = BoundKeys(),
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/Shares.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/Shares.kt
@@ -4,8 +4,14 @@
  */
 package org.cardamomwharf.decision
 
+import org.cardamomwharf.core.CapEpoch
+import org.cardamomwharf.decision.caps.CapTransition
+import org.cardamomwharf.decision.caps.EpochShares
+import org.cardamomwharf.decision.caps.adopt
 import org.cardamomwharf.decision.caps.advance
 import org.cardamomwharf.decision.caps.computeZoneShares
+import org.cardamomwharf.decision.caps.hear
+import org.cardamomwharf.decision.caps.leftFor
 import org.cardamomwharf.decision.claims.expire
 import org.cardamomwharf.decision.membership.Membership
 import org.cardamomwharf.decision.membership.ServiceLoad
@@ -52,10 +58,42 @@
         .mapValues { (_, slots) -> slots.sum() }
 
 internal fun Turn.adjustLedger() {
-    val current = index ?: return
-    val shares = computeZoneShares(current, state.membership.self.zone)
+    if (index == null) return
+    val transition = hearEpochs(state.capTransition)
     val ledger = state.ledger.copy(burstMs = policy.capBurstMs)
-    state = state.copy(ledger = ledger.advance(shares, state.ownership.capParts.size, nowMs))
+    state = state.copy(
+        capTransition = transition,
+        ledger = ledger.advance(transition.shares, state.ownership.capParts.size, nowMs),
+    )
+}
+
+private fun Turn.hearEpochs(transition: CapTransition): CapTransition {
+    val membership = state.membership
+    val far = membership.remoteZones.values.map { it.summary }
+    return far.fold(transition.hear(membership.self.zone, findZoneEpoch())) { next, summary ->
+        next.hear(summary.zone, summary.capEpoch)
+    }
+}
+
+/** Returns the oldest epoch that an instance of the own zone may spend by; one that wasn't heard may use any. */
+internal fun Turn.findZoneEpoch(): CapEpoch {
+    val membership = state.membership
+    val known = membership.peers.values
+    val silent = membership.listed.values.filter { listed ->
+        val isOwnZone = listed.zone == membership.self.zone && listed.name != membership.self.name
+        isOwnZone && known.none { it.member.name == listed.name }
+    }
+    if (silent.isNotEmpty()) return CapEpoch.NONE
+    val own = state.capTransition.leftFor(nowMs)
+    return known.minOfOrNull { it.heartbeat.capEpoch }?.let { minOf(it, own) } ?: own
+}
+
+/** Takes over the caps of the document that was adopted under [epoch]. */
+internal fun Turn.adoptCaps(epoch: CapEpoch) {
+    val current = index ?: return
+    val shares = EpochShares(epoch, computeZoneShares(current, state.membership.self.zone))
+    val zones = current.regionOf.keys - current.document.stoppedZones.toSet()
+    state = state.copy(capTransition = state.capTransition.adopt(shares, zones, nowMs))
 }
 
 internal fun Turn.advanceShifts() {
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/Summaries.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/Summaries.kt
@@ -45,7 +45,7 @@
     val shown = rendezvousTop(membership.self.zone.value, all, membership.settings.summaryMembers) {
         it.member.name.value
     }
-    return ZoneSummary(membership.self.zone, sequence, state.adoption.version, shown, sumLoads(all))
+    return ZoneSummary(membership.self.zone, sequence, state.adoption.version, shown, sumLoads(all), findZoneEpoch())
 }
 
 private fun sumLoads(members: List<SummaryMember>): List<ServiceLoad> =
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/adoption/DocumentAdoption.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/adoption/DocumentAdoption.kt
@@ -5,13 +5,18 @@
 package org.cardamomwharf.decision.adoption
 
 import kotlinx.serialization.Serializable
+import org.cardamomwharf.core.CapEpoch
 import org.cardamomwharf.core.DocumentVersion
 import org.cardamomwharf.core.InstanceName
 import org.cardamomwharf.core.document.DocumentIndex
 
 /** Represents the head row of an environment as it was read. */
 @Serializable
-public data class DocumentHead(public val version: DocumentVersion, public val hash: String)
+public data class DocumentHead(
+    public val version: DocumentVersion,
+    public val hash: String,
+    public val capEpoch: CapEpoch = CapEpoch.FIRST,
+)
 
 /** Represents the document in force and the version that is being fetched. */
 public data class DocumentAdoption(
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/caps/CapLedger.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/caps/CapLedger.kt
@@ -56,18 +56,17 @@
     return buckets[cap]?.withRate(rate, burst, nowMs) ?: newCapBucket(rate, burst, nowMs)
 }
 
-/** Returns this ledger after all [charges], or null when one of them doesn't fit or its loan has ended. */
+/** Returns this ledger after all [charges], or null when one of them doesn't fit; a cap without a share fits none. */
 public fun CapLedger.spend(charges: List<Charge>, nowMs: Long): CapLedger? {
     val current = if (hasEndedLoan(nowMs)) advance(zoneShares, heldParts, nowMs) else this
-    var next = current.buckets
-    for (charge in charges) {
-        val bucket = next[charge.cap] ?: continue
-        val spent = bucket.refill(nowMs).spend(charge.amount) ?: return null
-        next = next.put(charge.cap, spent)
-    }
-    return current.copy(buckets = next)
+    val first: PersistentMap<CapId, CapBucket>? = current.buckets
+    val spent = charges.fold(first) { buckets, charge -> buckets?.spend(charge, nowMs) }
+    return spent?.let { current.copy(buckets = it) }
 }
 
+private fun PersistentMap<CapId, CapBucket>.spend(charge: Charge, nowMs: Long): PersistentMap<CapId, CapBucket>? =
+    get(charge.cap)?.refill(nowMs)?.spend(charge.amount)?.let { put(charge.cap, it) }
+
 private fun CapLedger.hasEndedLoan(nowMs: Long): Boolean = borrowed.any { nowMs >= it.untilMs }
 
 /** Represents the ledger after a loan was considered, with the answer for the borrower. */
--- /dev/null
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/caps/CapTransition.kt
@@ -0,0 +1,82 @@
+/*
+ * Keeps caps while documents change. Zones adopt a document at different times, and one that is cut off may go on under
+ * an old one for long. Lowered shares are in force at once; a raised share waits until every zone has told that none of
+ * its instances spends by an older epoch. Until then the smallest share of all epochs that may still be in use counts,
+ * so that the zones together never spend more than the caps of the oldest of them.
+ */
+package org.cardamomwharf.decision.caps
+
+import kotlinx.collections.immutable.PersistentList
+import kotlinx.collections.immutable.PersistentMap
+import kotlinx.collections.immutable.persistentListOf
+import kotlinx.collections.immutable.persistentMapOf
+import kotlinx.collections.immutable.toPersistentList
+import org.cardamomwharf.core.CapEpoch
+import org.cardamomwharf.core.ZoneName
+
+/** Represents the shares of the own zone in one epoch. */
+public data class EpochShares(public val epoch: CapEpoch, public val shares: Map<CapId, Long>)
+
+/**
+ * Represents the epochs that may still be in use anywhere, the oldest first.
+ *
+ * @param heard the oldest epoch that a zone may spend by, as it told itself.
+ * @param zones zones of the newest document that operators haven't stopped. Zones that it lacks were stopped before
+ * they were taken out.
+ */
+public data class CapTransition(
+    public val epochs: PersistentList<EpochShares> = persistentListOf(),
+    public val heard: PersistentMap<ZoneName, CapEpoch> = persistentMapOf(),
+    public val zones: Set<ZoneName> = emptySet(),
+    public val adoptedAtMs: Long = 0,
+) {
+    /** The newest epoch. */
+    public val newest: CapEpoch get() = epochs.lastOrNull()?.epoch ?: CapEpoch.NONE
+
+    /** The shares that may be spent. */
+    public val shares: Map<CapId, Long> get() {
+        val current = epochs.lastOrNull() ?: return emptyMap()
+        return current.shares.mapValues { (cap, _) -> epochs.minOf { it.shares[cap] ?: 0 } }
+    }
+
+    /** The zones that raised shares wait for. */
+    public val awaitedZones: Set<ZoneName>
+        get() = if (epochs.size < 2) emptySet() else zones.filter { heardOf(it) < newest }.toSet()
+
+    /** Returns the epoch that [zone] has told. */
+    public fun heardOf(zone: ZoneName): CapEpoch = heard[zone] ?: CapEpoch.NONE
+}
+
+/**
+ * Returns the transition after the document of [next] was adopted. Epochs that this instance has no document of give it
+ * no share at all.
+ */
+public fun CapTransition.adopt(next: EpochShares, documentZones: Set<ZoneName>, nowMs: Long): CapTransition {
+    if (next.epoch <= newest) return copy(zones = documentZones).settle()
+    val missed = EpochShares(CapEpoch(next.epoch.value - 1), emptyMap())
+    val between = if (next.epoch > newest.next()) listOf(missed) else emptyList()
+    return copy(
+        epochs = (epochs + between + next).toPersistentList(),
+        zones = documentZones,
+        adoptedAtMs = nowMs,
+    ).settle()
+}
+
+/** Returns the transition after [zone] told that it spends by [epoch] or newer ones only. */
+public fun CapTransition.hear(zone: ZoneName, epoch: CapEpoch): CapTransition =
+    if (epoch <= heardOf(zone)) this else copy(heard = heard.put(zone, epoch)).settle()
+
+/** Returns the epoch that this instance has left all older ones for; loans of older ones have ended by then. */
+public fun CapTransition.leftFor(nowMs: Long): CapEpoch = when {
+    epochs.isEmpty() -> CapEpoch.NONE
+    nowMs - adoptedAtMs >= LOAN_MS -> newest
+    else -> epochs.first().epoch
+}
+
+/** Drops the epochs that no zone uses any more. */
+private fun CapTransition.settle(): CapTransition {
+    if (epochs.size < 2) return this
+    val oldest = zones.minOfOrNull { heardOf(it) } ?: newest
+    val isUsed = { at: Int -> at + 1 >= epochs.size || epochs[at + 1].epoch > oldest }
+    return copy(epochs = epochs.filterIndexed { at, _ -> isUsed(at) }.toPersistentList())
+}
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/membership/Messages.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/membership/Messages.kt
@@ -10,6 +10,7 @@
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.CborLabel
+import org.cardamomwharf.core.CapEpoch
 import org.cardamomwharf.core.DocumentVersion
 import org.cardamomwharf.core.Incarnation
 import org.cardamomwharf.core.InstanceName
@@ -50,6 +51,7 @@
  * Represents a heartbeat from one instance to another of its zone.
  *
  * @param isJoining true while the sender only listens and owns nothing.
+ * @param capEpoch the sender spends no cap by an older epoch any more.
  */
 @Serializable
 public data class Heartbeat(
@@ -62,6 +64,7 @@
     @CborLabel(WireField.SEVENTH) public val documentVersion: DocumentVersion,
     @CborLabel(WireField.EIGHTH) public val loads: List<ServiceLoad>,
     @CborLabel(WireField.NINTH) public val residuals: List<ResidualSlots> = emptyList(),
+    @CborLabel(WireField.TENTH) public val capEpoch: CapEpoch = CapEpoch.NONE,
 )
 
 /** Represents one instance inside a zone's summary. */
@@ -72,7 +75,11 @@
     @CborLabel(WireField.THIRD) public val loads: List<ServiceLoad>,
 )
 
-/** Represents the state of a zone as one of its delegates sees it. */
+/**
+ * Represents the state of a zone as one of its delegates sees it.
+ *
+ * @param capEpoch no instance of the zone spends any cap by an older epoch.
+ */
 @Serializable
 public data class ZoneSummary(
     @CborLabel(WireField.FIRST) public val zone: ZoneName,
@@ -80,6 +87,7 @@
     @CborLabel(WireField.THIRD) public val documentVersion: DocumentVersion,
     @CborLabel(WireField.FOURTH) public val members: List<SummaryMember>,
     @CborLabel(WireField.FIFTH) public val loads: List<ServiceLoad>,
+    @CborLabel(WireField.SIXTH) public val capEpoch: CapEpoch = CapEpoch.NONE,
 )
 
 /** Represents an entry instance on the platform's instance list. */
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/membership/WireField.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/membership/WireField.kt
@@ -13,4 +13,5 @@
     const val SEVENTH: Long = 7
     const val EIGHTH: Long = 8
     const val NINTH: Long = 9
+    const val TENTH: Long = 10
 }
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/HandingOver.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/HandingOver.kt
@@ -35,6 +35,7 @@
 }
 
 internal fun Turn.handOver(request: OpenRequest, service: Service, current: DocumentIndex): HandOverRefusal {
+    if (state.membership.self.zone !in current.regionOf) return HandOverRefusal.NoPlace
     val places = findPlaces(service, current)
         .filter { it.member.name !in request.triedPeers && !state.suspects.isSuspect(it.member.name, nowMs) }
     val free = places.filter { countFree(it, request, service) > 0 && isInTime(it, request, service, current) }
--- a/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/requests/HandOverTest.kt
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/requests/HandOverTest.kt
@@ -12,11 +12,13 @@
 import org.cardamomwharf.decision.EntryEffect
 import org.cardamomwharf.decision.EntryEvent
 import org.cardamomwharf.decision.EntryLimits
+import org.cardamomwharf.decision.adoption.DocumentHead
 import org.cardamomwharf.decision.lookup.lookupViewOf
 import org.cardamomwharf.decision.membership.ServiceLoad
 import org.cardamomwharf.decision.membership.SummaryMember
 import org.cardamomwharf.decision.membership.ZoneSummary
 import org.cardamomwharf.decision.support.BOOKINGS
+import org.cardamomwharf.decision.support.NORTH_A
 import org.cardamomwharf.decision.support.OneEntry
 import org.cardamomwharf.decision.support.READS
 import org.cardamomwharf.decision.support.SOUTH_A
@@ -74,6 +76,14 @@
         (far.name in named) shouldBe false
     }
 
+    test("`an instance whose zone the document leaves out hands nothing to other zones`") {
+        val entry = fullEntry()
+        val whole = sampleDocument()
+        val smaller = whole.copy(regions = whole.regions.map { it.copy(zones = it.zones - NORTH_A) })
+        entry.handle(EntryEvent.DocumentFetched(DocumentHead(DocumentVersion(2), "hash-2"), smaller))
+        entry.arrive(requestOf(20)).filterIsInstance<EntryEffect.HandOver>().shouldBeEmpty()
+    }
+
     test("`a request from a peer is never handed over again`") {
         val entry = fullEntry()
         entry.arrive(handedRequestOf(20, BOOKINGS)).only<EntryEffect.Forward>()
--- a/cardamomwharf-dist/src/test/kotlin/org/cardamomwharf/dist/support/Deployment.kt
+++ b/cardamomwharf-dist/src/test/kotlin/org/cardamomwharf/dist/support/Deployment.kt
@@ -72,8 +72,12 @@
         return whole.copy(policy = policy, services = services)
     }
 
-    fun start(entriesPerZone: Int = 2) {
+    fun startPlatform() {
         running += platform.start(platformAddress)
+    }
+
+    fun start(entriesPerZone: Int = 2) {
+        startPlatform()
         zones.forEach(::startServers)
         environments.submit(document(), null, act()).getOrThrow { IllegalStateException(it.text) }
         environments.promote(
--- a/cardamomwharf-document/src/main/kotlin/org/cardamomwharf/document/DocumentReader.kt
+++ b/cardamomwharf-document/src/main/kotlin/org/cardamomwharf/document/DocumentReader.kt
@@ -54,6 +54,7 @@
     services = sections("services", isRequired = true) { it.readService() },
     clientBlocks = sections("clientBlocks", isRequired = true) { it.readBlock() },
     drains = sections("drains", isRequired = false) { it.readDrain() },
+    stoppedZones = texts("stoppedZones", isRequired = false).map(::ZoneName),
     policy = readPolicy(),
 )
 
--- a/cardamomwharf-document/src/main/kotlin/org/cardamomwharf/document/check/DocumentChecks.kt
+++ b/cardamomwharf-document/src/main/kotlin/org/cardamomwharf/document/check/DocumentChecks.kt
@@ -29,6 +29,10 @@
         findings.reportDuplicates("partners", "name", document.partners.map { it.name.value })
         findings.reportDuplicates("regions", "name", document.regions.map { it.name.value })
         findings.reportDuplicates("services", "name", document.services.map { it.name.value })
+        val stopped = document.stoppedZones
+        stopped.forEachIndexed { index, zone ->
+            if (zone in stopped.take(index)) findings.duplicate("stoppedZones[$index]", zone.value)
+        }
         findings.reportEmpty("regions", document.regions)
         findings.reportEmpty("services", document.services)
     }
--- a/cardamomwharf-document/src/main/kotlin/org/cardamomwharf/document/yaml/YamlSections.kt
+++ b/cardamomwharf-document/src/main/kotlin/org/cardamomwharf/document/yaml/YamlSections.kt
@@ -36,8 +36,8 @@
     }
 
 /** Returns the texts in the list under [key]. */
-public fun YamlFields.texts(key: String): List<String> =
-    items(key, isRequired = true).mapIndexed { index, item ->
+public fun YamlFields.texts(key: String, isRequired: Boolean = true): List<String> =
+    items(key, isRequired).mapIndexed { index, item ->
         findings.mark("${pathOf(key)}[$index]", item)
         (item as? YamlScalar)?.content ?: wrong("$key[$index]", "a text", "")
     }
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/documents/DocumentKeeper.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/documents/DocumentKeeper.kt
@@ -5,6 +5,7 @@
 package org.cardamomwharf.entry.documents
 
 import com.github.michaelbull.result.get
+import org.cardamomwharf.core.CapEpoch
 import org.cardamomwharf.core.DocumentVersion
 import org.cardamomwharf.core.ZoneName
 import org.cardamomwharf.core.document.ClientBlockTable
@@ -69,7 +70,8 @@
         val version = held?.head?.version ?: DocumentVersion.NONE
         val hash = ask.blocksHash ?: held?.head?.hash.orEmpty()
         val contents = if (ask.blocksHash == null) held?.contents else shelf.findContents(hash)
-        return PeerMessage.ContentsReply(version, hash, ask.blocksHash != null, contents)
+        val epoch = held?.head?.capEpoch ?: CapEpoch.FIRST
+        return PeerMessage.ContentsReply(version, hash, ask.blocksHash != null, contents, epoch)
     }
 
     private fun takeDocument(reply: PeerMessage.ContentsReply, askBlocks: BlocksAsker) {
@@ -78,7 +80,7 @@
             miss()
             return
         }
-        val head = DocumentHead(reply.version, reply.hash)
+        val head = DocumentHead(reply.version, reply.hash, reply.capEpoch)
         prepare(head, contents) { blocksHash ->
             waiting = Waiting(head, contents)
             askBlocks(blocksHash)
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/polling/PlatformPollers.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/polling/PlatformPollers.kt
@@ -58,7 +58,7 @@
 
     private fun readHead() {
         val newest = parts.heads.find(settings.environment).get()?.newest ?: return
-        ring.put(EntryEvent.HeadRead(DocumentHead(newest.version, newest.hash)))
+        ring.put(EntryEvent.HeadRead(DocumentHead(newest.version, newest.hash, newest.capEpoch)))
     }
 
     private fun readList() {
--- a/cardamomwharf-peer/src/main/kotlin/org/cardamomwharf/peer/PeerMessage.kt
+++ b/cardamomwharf-peer/src/main/kotlin/org/cardamomwharf/peer/PeerMessage.kt
@@ -12,6 +12,7 @@
 import kotlinx.serialization.cbor.ByteString
 import kotlinx.serialization.cbor.CborLabel
 import org.cardamomwharf.core.AttemptId
+import org.cardamomwharf.core.CapEpoch
 import org.cardamomwharf.core.DocumentVersion
 import org.cardamomwharf.core.Reason
 import org.cardamomwharf.core.ServiceName
@@ -70,6 +71,7 @@
         public val hash: String,
         public val isBlocks: Boolean,
         @ByteString public val contents: ByteArray?,
+        public val capEpoch: CapEpoch = CapEpoch.FIRST,
     ) : PeerMessage
 
     /** Hands a request over. */
--- a/cardamomwharf-platform/src/main/kotlin/org/cardamomwharf/platform/EnvironmentHead.kt
+++ b/cardamomwharf-platform/src/main/kotlin/org/cardamomwharf/platform/EnvironmentHead.kt
@@ -7,9 +7,14 @@
 
 import kotlinx.serialization.Serializable
 import org.cardamomwharf.core.AttemptId
+import org.cardamomwharf.core.CapEpoch
 import org.cardamomwharf.core.DocumentVersion
 
-/** Represents one accepted document of an environment. */
+/**
+ * Represents one accepted document of an environment.
+ *
+ * @param capEpoch grows by one whenever the caps are divided in another way than before.
+ */
 @Serializable
 public data class HeadEntry(
     public val version: DocumentVersion,
@@ -18,6 +23,7 @@
     public val operator: String,
     public val note: String,
     public val acceptedAtEpochSeconds: Long,
+    public val capEpoch: CapEpoch = CapEpoch.FIRST,
 )
 
 /** Represents the head row; the newest entry comes first. */
--- a/cardamomwharf-platform/src/main/kotlin/org/cardamomwharf/platform/EnvironmentHeads.kt
+++ b/cardamomwharf-platform/src/main/kotlin/org/cardamomwharf/platform/EnvironmentHeads.kt
@@ -14,6 +14,7 @@
 import com.github.michaelbull.result.mapError
 import kotlinx.serialization.encodeToString
 import kotlinx.serialization.json.Json
+import org.cardamomwharf.core.CapEpoch
 import org.cardamomwharf.core.DocumentVersion
 
 private const val HEADS = "heads"
@@ -34,18 +35,33 @@
     public fun move(hash: String, change: HeadChange): Result<HeadEntry, RepositoryError> =
         readRow(change.environment).flatMap { row ->
             val current = row?.head?.newest?.version ?: DocumentVersion.NONE
-            if (current == change.expected) write(row, entryOf(hash, change), change) else settleMoved(row, change)
+            if (current == change.expected) {
+                write(
+                    row,
+                    entryOf(hash, change, row?.head?.newest),
+                    change
+                )
+            } else {
+                settleMoved(row, change)
+            }
         }
 
-    private fun entryOf(hash: String, change: HeadChange): HeadEntry = HeadEntry(
+    private fun entryOf(hash: String, change: HeadChange, before: HeadEntry?): HeadEntry = HeadEntry(
         version = DocumentVersion(change.expected.value + 1),
         hash = hash,
         attempt = change.attempt,
         operator = change.operator,
         note = change.note,
         acceptedAtEpochSeconds = change.epochSeconds,
+        capEpoch = epochAfter(before, change.keepsCaps),
     )
 
+    private fun epochAfter(before: HeadEntry?, keepsCaps: Boolean): CapEpoch = when {
+        before == null -> CapEpoch.FIRST
+        keepsCaps -> before.capEpoch
+        else -> before.capEpoch.next()
+    }
+
     private fun write(row: HeadRow?, entry: HeadEntry, change: HeadChange): Result<HeadEntry, RepositoryError> {
         val entries = listOf(entry) + row?.head?.entries.orEmpty().take(LARGEST_HISTORY - 1)
         return writeRow(row, Json.encodeToString(EnvironmentHead(entries)), change).mapBoth(
