Wait for peer sockets on a thread of its own

Traces of every hand-over showed the answer written by the serving instance after about 10 ms and read by the other only after about 510 ms, each time: the selector of the sockets blocks its thread for up to 500 ms, and the connections worked on that same thread. At 15 reads a second about 8 hand-overs were always under way, which is all free slots of the peer, so requests waited in the queue until their deadline.

--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/EntryProcess.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/EntryProcess.kt
@@ -72,7 +72,7 @@
         Incarnation(System.currentTimeMillis()),
         settings.zone,
         settings.addresses.caller,
-        settings.addresses.peer,
+        settings.addresses.advertisedPeer,
     )
     private val loop = DecisionLoop(
         newEntryState(member, settings.membership, settings.limits, clock.nowMs()),
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/settings/EntrySettings.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/settings/EntrySettings.kt
@@ -29,10 +29,15 @@
     public val membership: MembershipSettings = MembershipSettings(),
 )
 
-/** Represents the addresses of an entry process and of the platform. */
+/**
+ * Represents the addresses of an entry process and of the platform.
+ *
+ * @param advertisedPeer where peers reach [peer]; it differs where addresses are translated on the way.
+ */
 public data class EntryAddresses(
     public val caller: SocketAddress,
     public val peer: SocketAddress,
+    public val advertisedPeer: SocketAddress,
     public val admin: SocketAddress,
     public val platform: SocketAddress,
 )
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/settings/EntrySettingsReader.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/settings/EntrySettingsReader.kt
@@ -41,6 +41,7 @@
     addresses = EntryAddresses(
         caller = address("callerAddress", findings),
         peer = address("peerAddress", findings),
+        advertisedPeer = address("advertisedPeerAddress", findings, default = text("peerAddress", default = "")),
         admin = address("adminAddress", findings),
         platform = address("platformAddress", findings),
     ),
@@ -52,8 +53,8 @@
         ?: MembershipSettings(),
 )
 
-private fun YamlFields.address(key: String, findings: YamlFindings): SocketAddress {
-    val text = text(key)
+private fun YamlFields.address(key: String, findings: YamlFindings, default: String? = null): SocketAddress {
+    val text = text(key, default)
     val address = SocketAddress.parse(text)
     if (address == null && text.isNotEmpty()) {
         findings.report(ProblemKind.WRONG_TYPE, pathOf(key), "$text isn't an IP number and port")
--- a/cardamomwharf-peer/src/main/kotlin/org/cardamomwharf/peer/PeerNode.kt
+++ b/cardamomwharf-peer/src/main/kotlin/org/cardamomwharf/peer/PeerNode.kt
@@ -1,5 +1,6 @@
 /*
- * All connections between this instance and its peers, on one thread of their own.
+ * All connections between this instance and its peers. One thread waits for sockets, another does the work: a selector
+ * blocks its thread for half a second at a time, and work on that thread would wait as long.
  */
 package org.cardamomwharf.peer
 
@@ -16,6 +17,7 @@
 import org.cardamomwharf.core.SocketAddress
 import org.cardamomwharf.decision.requests.AttemptResult
 import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.ExecutorService
 import java.util.concurrent.Executors
 
 /** Represents the connections of one instance. */
@@ -24,9 +26,10 @@
     private val clock: Clock,
     private val handler: PeerHandler,
 ) : AutoCloseable {
-    private val executor = Executors.newSingleThreadExecutor { Thread(it, "peers").apply { isDaemon = true } }
+    private val executor = newDaemonThread("peers")
+    private val selecting = newDaemonThread("peers-select")
     private val dispatcher = executor.asCoroutineDispatcher()
-    private val selector = SelectorManager(dispatcher)
+    private val selector = SelectorManager(selecting.asCoroutineDispatcher())
     private val ignoring = CoroutineExceptionHandler { _, _ -> }
     private val scope = CoroutineScope(dispatcher + SupervisorJob() + ignoring)
     private val links = ConcurrentHashMap<SocketAddress, PeerLink>()
@@ -68,9 +71,13 @@
         scope.cancel()
         selector.close()
         executor.shutdownNow()
+        selecting.shutdownNow()
     }
 }
 
+private fun newDaemonThread(name: String): ExecutorService =
+    Executors.newSingleThreadExecutor { Thread(it, name).apply { isDaemon = true } }
+
 /** Returns the connections of an instance that listens at [address]. */
 public fun startPeerNode(
     address: SocketAddress,
--- /dev/null
+++ b/cardamomwharf-standin/src/main/kotlin/org/cardamomwharf/standin/network/WireFault.kt
@@ -0,0 +1,19 @@
+/*
+ * What can go wrong with the connections that a relay carries.
+ */
+package org.cardamomwharf.standin.network
+
+/** Represents the fault of a relay. */
+public enum class WireFault {
+    /** Everything is carried. */
+    NONE,
+
+    /** Nothing is carried; connections stay open and silent for good, also those opened meanwhile. */
+    CUT,
+
+    /** Whatever the far end sends arrives twice. */
+    DUPLICATING,
+
+    /** Of what the far end sends next only the first half arrives, then the connection is closed. */
+    TRUNCATING,
+}
