--- /dev/null
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/servers/LeavingServerTest.kt
@@ -0,0 +1,104 @@
+/*
+ * A backend server that is leaving gets no new work, whichever signal says so and whatever the others say.
+ */
+package org.cardamomwharf.decision.servers
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import org.cardamomwharf.core.Reason
+import org.cardamomwharf.core.RequestId
+import org.cardamomwharf.core.ServerName
+import org.cardamomwharf.decision.EntryEffect
+import org.cardamomwharf.decision.EntryEvent
+import org.cardamomwharf.decision.requests.AttemptResult
+import org.cardamomwharf.decision.support.NORTH_A
+import org.cardamomwharf.decision.support.OneEntry
+import org.cardamomwharf.decision.support.listedOf
+import org.cardamomwharf.decision.support.only
+import org.cardamomwharf.decision.support.readyEntry
+import org.cardamomwharf.decision.support.requestOf
+import org.cardamomwharf.decision.support.serversOf
+
+private val leaving = ServerName("reads-north-a-1")
+private const val REQUESTS = 40L
+
+private fun OneEntry.readList(isLeavingMarked: Boolean) {
+    val servers = serversOf(NORTH_A).map { if (it.name == leaving) it.copy(isLeaving = isLeavingMarked) else it }
+    handle(EntryEvent.ListRead(listOf(listedOf(member)), servers))
+}
+
+private fun OneEntry.hearLoad(isLeaving: Boolean) =
+    handle(EntryEvent.LoadHeard(leaving, LoadReport(inFlight = 0, isLeaving = isLeaving)))
+
+/** Sends a request to the server, and ends it with [result]. */
+private fun OneEntry.meet(result: AttemptResult) {
+    val forwards = (1_000L..1_007L).flatMap { arrive(requestOf(it)).filterIsInstance<EntryEffect.Forward>() }
+    val met = forwards.first { it.server == leaving }
+    handle(EntryEvent.AttemptEnded(met.attempt, result))
+    (forwards - met).forEach { handle(EntryEvent.AttemptEnded(it.attempt, AttemptResult.Answered(null))) }
+    pass(100)
+}
+
+/** Lets all other signals say that all is well, then sends requests and counts those that went to the server. */
+private fun OneEntry.countNewWork(): Int {
+    readList(isLeavingMarked = false)
+    hearLoad(isLeaving = false)
+    live(10_000)
+    effects.clear()
+    for (id in 1..REQUESTS) {
+        val forward = arrive(requestOf(id, deadlineAtMs = nowMs + 60_000)).only<EntryEffect.Forward>()
+        handle(EntryEvent.AttemptEnded(forward.attempt, AttemptResult.Answered(null)))
+        hearLoad(isLeaving = false)
+        pass(20)
+    }
+    return effects.filterIsInstance<EntryEffect.Forward>().count { it.server == leaving }
+}
+
+class LeavingServerTest : FunSpec({
+    test("`a server that isn't leaving gets work`") {
+        (readyEntry().countNewWork() > 0) shouldBe true
+    }
+
+    test("`the instance list alone is enough`") {
+        val entry = readyEntry()
+        entry.readList(isLeavingMarked = true)
+        entry.countNewWork() shouldBe 0
+    }
+
+    test("`the load report alone is enough`") {
+        val entry = readyEntry()
+        entry.hearLoad(isLeaving = true)
+        entry.countNewWork() shouldBe 0
+    }
+
+    test("`the mark in an answer alone is enough`") {
+        val entry = readyEntry()
+        entry.meet(AttemptResult.Answered(null, isServerLeaving = true))
+        entry.countNewWork() shouldBe 0
+    }
+
+    test("`the mark in a refusal alone is enough, and the refused request goes elsewhere`") {
+        val entry = readyEntry()
+        entry.meet(AttemptResult.Refused(Reason.SERVER_REFUSED, retryAfterMs = 0, isServerLeaving = true))
+        val tried = entry.effects.filterIsInstance<EntryEffect.Forward>()
+        val refused = tried.first { it.server == leaving }.request
+        tried.last { it.request == refused }.server shouldBe ServerName("reads-north-a-2")
+        entry.countNewWork() shouldBe 0
+    }
+
+    test("`a server that is no longer listed gets no new work and what it runs is finished`") {
+        val entry = readyEntry()
+        val forwards = (1L..8L).map { entry.arrive(requestOf(it)).only<EntryEffect.Forward>() }
+        val running = forwards.first { it.server == leaving }
+        val others = serversOf(NORTH_A).filter { it.name != leaving }
+        entry.handle(EntryEvent.ListRead(listOf(listedOf(entry.member)), others))
+        (forwards - running).forEach {
+            entry.handle(EntryEvent.AttemptEnded(it.attempt, AttemptResult.Answered(null)))
+        }
+        entry.effects.clear()
+        (11L..14L).forEach { entry.arrive(requestOf(it)).only<EntryEffect.Forward>().server shouldBe others[0].name }
+        entry.handle(EntryEvent.AttemptEnded(running.attempt, AttemptResult.Answered(null)))
+        entry.answerOf(running.request.value)?.reason shouldBe Reason.ANSWERED
+        entry.state.requests.open.containsKey(RequestId(running.request.value)) shouldBe false
+    }
+})
