Test silent, doubled and truncated connections and a region that is cut off, with real processes

Relays stand between entry processes, the platform and backend servers. The stand-in's crossing fault now gives each request the answer to the one before it; it gave the right answer under a wrong attempt, which no caller could notice, so the check of whole answers could not fail.

--- a/cardamomwharf-dist/src/test/kotlin/org/cardamomwharf/dist/support/Deployment.kt
+++ b/cardamomwharf-dist/src/test/kotlin/org/cardamomwharf/dist/support/Deployment.kt
@@ -45,6 +45,7 @@
 import org.cardamomwharf.standin.ServerBehaviour
 import org.cardamomwharf.standin.ServerFaults
 import org.cardamomwharf.standin.ServerStandin
+import org.cardamomwharf.standin.network.WireRelay
 import java.nio.file.Files
 import java.nio.file.Path
 
@@ -53,11 +54,16 @@
 private const val POLL_MS = 100L
 private const val LARGEST_POLLS = 400
 
-class Deployment(private val zones: List<String> = listOf("mazowsze-a")) : AutoCloseable {
+class Deployment(
+    private val zones: List<String> = listOf("mazowsze-a"),
+    private val isRelayed: Boolean = false,
+) : AutoCloseable {
     val caller = startJettyCaller(HttpCallerSettings("test"))
     val platform = PlatformStandin()
     val servers = linkedMapOf<String, ServerStandin>()
     val entries = mutableListOf<EntryProcessHandle>()
+    val serverWires = linkedMapOf<String, WireRelay>()
+    val entryWires = linkedMapOf<String, EntryWires>()
     private val folder: Path = Files.createTempDirectory("wharf-test")
     private val platformAddress = requireNotNull(SocketAddress.parse(PLATFORM))
     private val running = mutableListOf<JettyServer>()
@@ -89,6 +95,9 @@
         awaitReady()
     }
 
+    /** The ways of all entry instances to the platform. */
+    val platformWires: List<WireRelay> get() = entryWires.values.mapNotNull { it.platformRelay }
+
     fun act(): OperatorAct = OperatorAct("tester", AttemptId("test-${attempts++}"), 0)
 
     private fun startServers(zone: String) {
@@ -99,19 +108,30 @@
                 val standin = ServerStandin(ServerBehaviour(name, slots = 8, serviceMs = 5))
                 running += standin.start(requireNotNull(SocketAddress.parse(address)))
                 servers[name] = standin
-                list(PlatformInstance(name, PlatformRole.SERVER, zone, address, service = service))
+                list(PlatformInstance(name, PlatformRole.SERVER, zone, wireTo(name, address), service = service))
             }
         }
     }
 
+    /** Returns where instances reach the server at [address]. */
+    private fun wireTo(server: String, address: String): String {
+        if (!isRelayed) return address
+        val listen = address.replace(":9000", ":9010")
+        serverWires[server] = relay(listen, address)
+        return listen
+    }
+
     fun list(instance: PlatformInstance) {
         platform.fillList(Json.encodeToString(listOf(instance)))
     }
 
     fun addEntry(zone: String): EntryProcessHandle {
         val number = entries.size + 1
-        val entry = EntryProcessHandle("entry-$number", zone, number, folder, PLATFORM)
-        list(PlatformInstance(entry.name, PlatformRole.ENTRY, zone, entry.callerAddress, "${entry.host}:8100"))
+        val host = "127.0.3.$number"
+        val wires = if (isRelayed) relayedWires(host, PLATFORM) else straightWires(host, PLATFORM)
+        val entry = EntryProcessHandle("entry-$number", zone, number, folder, wires)
+        entryWires[entry.name] = wires
+        list(PlatformInstance(entry.name, PlatformRole.ENTRY, zone, entry.callerAddress, wires.advertisedPeer))
         entry.start()
         entries += entry
         return entry
@@ -198,6 +218,8 @@
     override fun close() {
         entries.forEach { it.thaw() }
         entries.forEach { it.kill() }
+        entryWires.values.forEach { it.close() }
+        serverWires.values.forEach { it.close() }
         running.forEach { it.stop() }
         caller.close()
         folder.toFile().deleteRecursively()
--- a/cardamomwharf-dist/src/test/kotlin/org/cardamomwharf/dist/support/EntryProcessHandle.kt
+++ b/cardamomwharf-dist/src/test/kotlin/org/cardamomwharf/dist/support/EntryProcessHandle.kt
@@ -9,7 +9,13 @@
 
 private const val STOP_LIMIT_S = 60L
 
-class EntryProcessHandle(val name: String, val zone: String, number: Int, private val folder: Path, platform: String) {
+class EntryProcessHandle(
+    val name: String,
+    val zone: String,
+    number: Int,
+    private val folder: Path,
+    wires: EntryWires,
+) {
     val host: String = "127.0.3.$number"
     val callerAddress: String = "$host:8000"
     val adminAddress: String = "$host:8200"
@@ -18,8 +24,9 @@
         zone: $zone
         callerAddress: $callerAddress
         peerAddress: $host:8100
+        advertisedPeerAddress: ${wires.advertisedPeer}
         adminAddress: $adminAddress
-        platformAddress: $platform
+        platformAddress: ${wires.platform}
         logFormat: plain
         isClientHeaderTrusted: true
         times:
--- a/cardamomwharf-standin/src/main/kotlin/org/cardamomwharf/standin/Faults.kt
+++ b/cardamomwharf-standin/src/main/kotlin/org/cardamomwharf/standin/Faults.kt
@@ -30,7 +30,7 @@
  * @param isSilent requests are run and never answered.
  * @param isRefusing requests are refused without being run.
  * @param isHealthLying health and load say that all is well.
- * @param isCrossing answers carry the attempt of another request.
+ * @param isCrossing each request gets the answer to the one before it.
  */
 @Serializable
 public data class ServerFaults(
--- a/cardamomwharf-standin/src/main/kotlin/org/cardamomwharf/standin/ServerStandin.kt
+++ b/cardamomwharf-standin/src/main/kotlin/org/cardamomwharf/standin/ServerStandin.kt
@@ -21,6 +21,7 @@
 import org.http4k.core.Request
 import org.http4k.core.Response
 import org.http4k.core.Status
+import java.util.concurrent.atomic.AtomicReference
 
 private const val SILENT_MS = 20_000L
 private const val COLD_FACTOR = 4
@@ -47,6 +48,8 @@
     private val clock = monotonicClock()
     private val startedAtMs = clock.nowMs()
 
+    private val lastRequest = AtomicReference<Request>()
+
     @Volatile
     private var faults = ServerFaults()
 
@@ -97,12 +100,15 @@
         counts.note(request.header(HeaderNames.IDEMPOTENCY_KEY))
         Thread.sleep(serviceMs() + current.delayMs)
         if (current.isSilent) Thread.sleep(SILENT_MS)
-        val attempt = if (current.isCrossing) "another" else request.header(HeaderNames.ATTEMPT).orEmpty()
-        return mark(Response(Status.OK), current)
+        val before = lastRequest.getAndSet(request) ?: request
+        return answerTo(if (current.isCrossing) before else request, current)
+    }
+
+    private fun answerTo(request: Request, current: ServerFaults): Response =
+        mark(Response(Status.OK), current)
             .header("Content-Type", "text/plain")
-            .header(HeaderNames.ATTEMPT, attempt)
+            .header(HeaderNames.ATTEMPT, request.header(HeaderNames.ATTEMPT).orEmpty())
             .body(bodyFor(request))
-    }
 
     private fun mark(response: Response, current: ServerFaults): Response =
         if (current.isLeaving && !current.isHealthLying) response.header(HeaderNames.LEAVING, "true") else response
