Measure caps, drains, misleading reports, retry storms and the added time of an entry instance

New: cases and meters of the policy bench, results as JSON, wharf-load report (table and plot), bin/compare, the round trip of a hand-over as a figure with its bound, capLookUpPercent in the policy. Cause of a change: in the peak requests were refused as cap-reached while at most 72 percent of any partner's cap was used, because a cap was halved between look-ups and hand-overs. Ruled out: that caps were exceeded. A first meter showed up to 20 times the cap; it counted requests that the instance had refused, and now counts what backend servers take. Also: making a recorded answer stood twice and is one function now; type names are imported where they were written out.

--- a/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/Main.kt
+++ b/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/Main.kt
@@ -9,9 +9,13 @@
 import kotlinx.cli.ExperimentalCli
 import kotlinx.cli.Subcommand
 import kotlinx.cli.default
+import kotlinx.serialization.encodeToString
+import kotlinx.serialization.json.Json
 import org.cardamomwharf.bench.paths.measurePaths
 import org.cardamomwharf.bench.policy.printPolicyBench
+import org.cardamomwharf.core.document.Objective
 import org.cardamomwharf.document.readDocument
+import java.nio.file.Files
 import java.nio.file.Path
 import kotlin.system.exitProcess
 
@@ -29,10 +33,13 @@
         .default("examples/wisla/document.yaml")
     private val seed by option(ArgType.Int, "seed", description = "Seed of the run").default(1)
     private val case by option(ArgType.String, "case", description = "Only this case")
+    private val objective by option(ArgType.Choice<Objective>(), "objective", description = "Instead of the document's")
+    private val out by option(ArgType.String, "out", description = "File for the counts in JSON")
 
     override fun execute() {
         val read = readDocument(Path.of(document)).getOrThrow { IllegalArgumentException(it.joinToString("\n")) }
-        printPolicyBench(read, seed.toLong(), case)
+        val counts = printPolicyBench(read.copy(objective = objective ?: read.objective), seed.toLong(), case)
+        out?.let { Files.writeString(Path.of(it), Json.encodeToString(counts)) }
     }
 }
 
--- a/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/paths/FleetSample.kt
+++ b/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/paths/FleetSample.kt
@@ -3,6 +3,7 @@
  */
 package org.cardamomwharf.bench.paths
 
+import org.cardamomwharf.core.CapEpoch
 import org.cardamomwharf.core.DocumentVersion
 import org.cardamomwharf.core.Incarnation
 import org.cardamomwharf.core.InstanceName
@@ -91,13 +92,14 @@
     settledViewHash = 1,
     documentVersion = DocumentVersion(1),
     loads = services.map { ServiceLoad(it, SLOTS, SLOTS, 0) },
+    capEpoch = CapEpoch.FIRST,
 )
 
 /** Returns the summary of a zone. */
 public fun sampleSummary(zone: ZoneName): ZoneSummary {
     val loads = services.map { ServiceLoad(it, SLOTS, SLOTS, 0) }
     val members = (1..SUMMARY_MEMBERS).map { SummaryMember(sampleMember(it, zone), isLeaving = false, loads) }
-    return ZoneSummary(zone, 1, DocumentVersion(1), members, loads)
+    return ZoneSummary(zone, 1, DocumentVersion(1), members, loads, CapEpoch.FIRST)
 }
 
 /** Returns the other zones. */
--- a/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/paths/PathFigures.kt
+++ b/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/paths/PathFigures.kt
@@ -38,7 +38,7 @@
 public fun measurePaths(): List<Figure> {
     val times = runBenchmarks()
     val raw = times.map { (name, us) -> Figure("$name, microseconds", us, null) }
-    return raw + controlFigures(times) + trafficFigures() + lookupFigures(times) + tableFigures()
+    return raw + controlFigures(times) + trafficFigures() + lookupFigures(times) + tableFigures() + measureRoundTrip()
 }
 
 private fun runBenchmarks(): Map<String, Double> {
--- /dev/null
+++ b/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/paths/PeerRoundTrip.kt
@@ -0,0 +1,92 @@
+/*
+ * Measures how long a hand-over takes from one instance to another and back over real sockets on 127.0.0.0/8.
+ */
+package org.cardamomwharf.bench.paths
+
+import org.HdrHistogram.Histogram
+import org.cardamomwharf.core.AttemptId
+import org.cardamomwharf.core.Reason
+import org.cardamomwharf.core.ServiceName
+import org.cardamomwharf.core.SocketAddress
+import org.cardamomwharf.core.monotonicClock
+import org.cardamomwharf.decision.requests.AttemptResult
+import org.cardamomwharf.peer.HandOverLimits
+import org.cardamomwharf.peer.HandedAnswer
+import org.cardamomwharf.peer.HandedRequest
+import org.cardamomwharf.peer.PeerHandler
+import org.cardamomwharf.peer.PeerMessage
+import org.cardamomwharf.peer.PeerReplies
+import org.cardamomwharf.peer.PeerSettings
+import org.cardamomwharf.peer.startPeerNode
+import java.util.concurrent.SynchronousQueue
+import java.util.concurrent.TimeUnit
+
+private const val PORT = 8_100
+private const val WARM_UPS = 500
+private const val TRIPS = 2_000
+private const val BODY_BYTES = 256
+private const val LIMIT_MS = 5_000L
+private const val LARGEST_US = 10_000_000L
+private const val DIGITS = 3
+private const val NS_PER_US = 1_000L
+private const val US_PER_MS = 1_000.0
+private const val MEDIAN = 50.0
+
+/** A hand-over shouldn't add more than the way between two zones and back takes, in milliseconds. */
+private const val ROUND_TRIP_MS = 3.0
+
+/** Returns the figure of the round trip. */
+public fun measureRoundTrip(): Figure {
+    val far = SocketAddress("127.0.6.2", PORT)
+    val waiting = Waiting()
+    val near = startPeerNode(SocketAddress("127.0.6.1", PORT), PeerSettings(), monotonicClock(), waiting)
+    val echo = startPeerNode(far, PeerSettings(), monotonicClock(), Echo())
+    val histogram = Histogram(LARGEST_US, DIGITS)
+    repeat(WARM_UPS + TRIPS) { number ->
+        val startNs = System.nanoTime()
+        near.handOver(far, handOverOf(number))
+        waiting.await()
+        if (number >= WARM_UPS) histogram.recordValue((System.nanoTime() - startNs) / NS_PER_US)
+    }
+    near.close()
+    echo.close()
+    val medianMs = histogram.getValueAtPercentile(MEDIAN) / US_PER_MS
+    return Figure("hand-over and its answer over sockets, median milliseconds", medianMs, ROUND_TRIP_MS)
+}
+
+private fun handOverOf(number: Int): PeerMessage.HandOver {
+    val attempt = AttemptId("attempt-$number")
+    val request = HandedRequest("GET", "/item/$number", emptyList(), ByteArray(0), "print")
+    val limits = HandOverLimits(isIdempotent = true, remainingMs = LIMIT_MS, creditBytes = Long.MAX_VALUE)
+    return PeerMessage.HandOver(attempt, attempt, ServiceName("stan"), request, limits)
+}
+
+private class Waiting : PeerHandler {
+    private val ends = SynchronousQueue<PeerMessage.HandOverEnd>()
+
+    fun await() {
+        checkNotNull(ends.poll(LIMIT_MS, TimeUnit.MILLISECONDS)) { "a hand-over got no answer" }
+    }
+
+    override fun receive(message: PeerMessage, replies: PeerReplies): Unit = Unit
+
+    override fun receiveReply(message: PeerMessage) {
+        if (message is PeerMessage.HandOverEnd) ends.offer(message, LIMIT_MS, TimeUnit.MILLISECONDS)
+    }
+
+    override fun endHandOver(attempt: AttemptId, result: AttemptResult): Unit = Unit
+}
+
+private class Echo : PeerHandler {
+    private val answer = HandedAnswer(status = 200, fields = emptyList(), body = ByteArray(BODY_BYTES))
+
+    override fun receive(message: PeerMessage, replies: PeerReplies) {
+        if (message is PeerMessage.HandOver) {
+            replies.send(PeerMessage.HandOverEnd(message.attempt, Reason.ANSWERED, 0, answer))
+        }
+    }
+
+    override fun receiveReply(message: PeerMessage): Unit = Unit
+
+    override fun endHandOver(attempt: AttemptId, result: AttemptResult): Unit = Unit
+}
--- a/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/policy/Baselines.kt
+++ b/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/policy/Baselines.kt
@@ -1,13 +1,12 @@
 /*
  * The baselines: the nearest zone only, a random zone, and the zone that a lagging report says is least loaded. Each
- * sends straight to a random server of the zone and tries once more when it was shed.
+ * sends straight to a random server of the zone and tries again at once when it was shed.
  */
 package org.cardamomwharf.bench.policy
 
 import org.cardamomwharf.core.ServiceName
 import org.cardamomwharf.core.ZoneName
 
-private const val TRIES = 2
 private const val SHED = "server-refused"
 
 /** Returns the baselines in [world]. */
@@ -26,7 +25,7 @@
     private val choose: (PolicyRequest, List<ZoneName>) -> ZoneName,
 ) : Router {
     override fun route(request: PolicyRequest, onEnd: (PolicyEnd, String) -> Unit) {
-        attempt(request, TRIES, onEnd)
+        attempt(request, world.case.clientTries, onEnd)
     }
 
     private fun attempt(request: PolicyRequest, triesLeft: Int, onEnd: (PolicyEnd, String) -> Unit) {
@@ -36,6 +35,7 @@
         val server = servers[world.time.below(servers.size)]
         val delayMs = world.clientDelayMs(request.zone, zone)
         world.time.plan(delayMs) {
+            world.noteShift(request.zone, server)
             server.take { hasRun -> world.time.plan(delayMs) { end(hasRun, request, triesLeft, onEnd) } }
         }
     }
@@ -76,5 +76,7 @@
 
     private fun measure(): Map<Pair<ServiceName, ZoneName>, Double> =
         world.servers.groupBy { it.place.service to it.place.zone }
-            .mapValues { (_, servers) -> servers.sumOf { it.load } / servers.sumOf { it.place.slots }.toDouble() }
+            .mapValues { (_, servers) ->
+                servers.sumOf { world.reportOf(it) } / servers.sumOf { it.place.slots }.toDouble()
+            }
 }
--- a/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/policy/FakeFleet.kt
+++ b/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/policy/FakeFleet.kt
@@ -46,6 +46,7 @@
     val entries = world.zones.map { FakeEntry(it, world.time.nowMs) }
     private val chains = HashMap<RequestId, Chain>()
     private var nextId = 1L
+    val feeds = FleetFeeds(world, ::deliver)
 
     fun newId(): RequestId = RequestId(nextId++)
 
@@ -63,6 +64,7 @@
             deliver(entry, EntryEvent.DocumentFetched(DocumentHead(DocumentVersion(1), "1"), world.document))
             deliver(entry, EntryEvent.ListRead(listed, servers))
             tick(entry)
+            feeds.pollLoads(entry)
         }
     }
 
@@ -102,7 +104,10 @@
     }
 
     private fun forward(entry: FakeEntry, effect: EntryEffect.Forward) {
-        world.serversByName.getValue(effect.server.value).take { hasRun ->
+        val server = world.serversByName.getValue(effect.server.value)
+        val from = chains[effect.request]?.spec?.clientZone
+        if (from != null) world.noteShift(from, server)
+        server.take { hasRun ->
             val result = if (hasRun) AttemptResult.Answered(answer) else AttemptResult.Refused(Reason.SERVER_REFUSED)
             deliver(entry, EntryEvent.AttemptEnded(effect.attempt, result))
         }
--- a/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/policy/FakeServer.kt
+++ b/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/policy/FakeServer.kt
@@ -38,10 +38,13 @@
     /** Requests that run or wait. */
     public val load: Int get() = running + waiting.size
 
+    /** Whether the next request is taken. */
+    public val hasRoom: Boolean get() = isUp && load < 2 * place.slots
+
     /** Takes a request, or sheds it. */
     public fun take(onEnd: (Boolean) -> Unit) {
         when {
-            !isUp || load >= 2 * place.slots -> onEnd(false)
+            !hasRoom -> onEnd(false)
             running < place.slots -> run(onEnd)
             else -> waiting.addLast(onEnd)
         }
--- a/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/policy/PolicyCase.kt
+++ b/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/policy/PolicyCase.kt
@@ -10,8 +10,10 @@
  *
  * @param loadPercent load of each region in percent of the slots it has itself.
  * @param lost region whose servers and entry instances fail at half time.
- * @param drained region whose zones are drained from the start.
- * @param reportLagMs age of the reports that the least-loaded baseline goes by.
+ * @param drained region whose zones are drained from half time on.
+ * @param isLying half of the servers report no load and the others a full one.
+ * @param clientTries tries that a client makes without waiting.
+ * @param reportLagMs age of the load reports.
  */
 public data class PolicyCase(
     public val name: String,
@@ -20,6 +22,8 @@
     public val drained: RegionName? = null,
     public val isCold: Boolean = false,
     public val isStoreDown: Boolean = false,
+    public val isLying: Boolean = false,
+    public val clientTries: Int = 3,
     public val reportLagMs: Long = 2_000,
 )
 
@@ -36,6 +40,9 @@
         PolicyCase("planned drain", regions.associateWith { LIGHT_PERCENT }, drained = first),
         PolicyCase("cold caches", steady + (first to PEAK_PERCENT), isCold = true),
         PolicyCase("store down", steady, isStoreDown = true),
+        PolicyCase("reports lag by 10 s", steady + (first to PEAK_PERCENT), reportLagMs = LONG_LAG_MS),
+        PolicyCase("reports lie", steady + (first to PEAK_PERCENT), isLying = true),
+        PolicyCase("retry storm", regions.associateWith { DOUBLE_PERCENT }, clientTries = STORM_TRIES),
     )
 }
 
@@ -44,3 +51,5 @@
 private const val PEAK_PERCENT = 150
 private const val DOUBLE_PERCENT = 200
 private const val FIVEFOLD_PERCENT = 500
+private const val LONG_LAG_MS = 10_000L
+private const val STORM_TRIES = 10
--- a/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/policy/PolicyCount.kt
+++ b/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/policy/PolicyCount.kt
@@ -3,7 +3,16 @@
  */
 package org.cardamomwharf.bench.policy
 
-/** Represents the counts of one service in one run. */
+import kotlinx.serialization.Serializable
+
+/**
+ * Represents the counts of one service in one run.
+ *
+ * @param meanFreePercent free slots of the fullest region, mean over time.
+ * @param largestCapPercent fullest second of any partner's cap on shifted requests, over all services.
+ * @param drainMs time from a drain to the last work in the drained region, null without a drain.
+ */
+@Serializable
 public data class PolicyCount(
     public val case: String,
     public val router: String,
@@ -16,4 +25,7 @@
     public val p95Ms: Long,
     public val p99Ms: Long,
     public val meanFreePercent: Double,
+    public val objective: String,
+    public val largestCapPercent: Double,
+    public val drainMs: Long?,
 )
--- a/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/policy/PolicyReport.kt
+++ b/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/policy/PolicyReport.kt
@@ -5,24 +5,39 @@
 
 import org.cardamomwharf.core.document.EnvironmentDocument
 
-private const val ROW = "%-24s %-23s %-10s %8s %8s %7s %7s %7s %7s  %s"
+private const val ROW = "%-24s %-23s %-10s %8s %8s %7s %7s %7s %7s %7s %7s  %s"
 private const val PERCENT = 100
 
-/** Runs all cases of [document] with our routing and all baselines, and prints a row for each service. */
-public fun printPolicyBench(document: EnvironmentDocument, seed: Long, caseName: String?) {
+/** Returns the counts of all cases with our routing and all baselines, and prints a row for each. */
+public fun printPolicyBench(document: EnvironmentDocument, seed: Long, caseName: String?): List<PolicyCount> {
     println("${document.deployment}, objective ${document.objective.name.lowercase()}, seed $seed; times 10x of real")
     println(
-        ROW.format("case", "routing", "service", "offered", "goodput%", "median", "p95", "p99", "free%", "other ends")
+        ROW.format(
+            "case",
+            "routing",
+            "service",
+            "offered",
+            "goodput%",
+            "median",
+            "p95",
+            "p99",
+            "free%",
+            "cap%",
+            "drain",
+            "other ends",
+        ),
     )
-    policyCases(document.regions.map { it.name })
+    return policyCases(document.regions.map { it.name })
         .filter { caseName == null || it.name == caseName }
-        .forEach { printCase(document, it, seed) }
+        .flatMap { printCase(document, it, seed) }
 }
 
-private fun printCase(document: EnvironmentDocument, case: PolicyCase, seed: Long) {
+private fun printCase(document: EnvironmentDocument, case: PolicyCase, seed: Long): List<PolicyCount> {
     val makers: List<(PolicyWorld) -> Router> =
         listOf<(PolicyWorld) -> Router>(::WharfRouter) + (0..2).map { index -> { world -> baselinesOf(world)[index] } }
-    makers.flatMap { runPolicy(document, case, seed, it) }.forEach { println(rowOf(it)) }
+    val counts = makers.flatMap { runPolicy(document, case, seed, it) }
+    counts.forEach { println(rowOf(it)) }
+    return counts
 }
 
 private fun rowOf(count: PolicyCount): String = ROW.format(
@@ -35,5 +50,7 @@
     count.p95Ms,
     count.p99Ms,
     "%.1f".format(count.meanFreePercent),
+    "%.0f".format(count.largestCapPercent),
+    count.drainMs?.toString() ?: "-",
     count.ends.entries.joinToString { "${it.key} ${it.value}" },
 )
--- a/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/policy/PolicyRun.kt
+++ b/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/policy/PolicyRun.kt
@@ -45,10 +45,18 @@
     fun run() {
         router.start()
         world.time.plan(WARM_UP_MS.toDouble()) { startLoad() }
-        world.time.plan(WARM_UP_MS + LOAD_MS / 2.0) { if (world.case.lost != null) world.loseRegion() }
+        world.time.plan(WARM_UP_MS + LOAD_MS / 2.0) { fail() }
         world.time.run(WARM_UP_MS + LOAD_MS + END_MS)
     }
 
+    private fun fail() {
+        if (world.case.lost != null) world.loseRegion()
+        if (world.case.drained != null) {
+            world.startDrain()
+            router.adopt()
+        }
+    }
+
     private fun startLoad() {
         for (service in world.document.services) for (zone in world.zones) arrivals(service, zone)
         sample()
@@ -77,8 +85,12 @@
     }
 
     private fun sample() {
-        tallies.forEach { (service, tally) -> tally.noteFree(leastFree(service)) }
-        if (world.time.nowMs < WARM_UP_MS + LOAD_MS) world.time.plan(SAMPLE_MS) { sample() }
+        if (world.time.nowMs < WARM_UP_MS + LOAD_MS) {
+            tallies.forEach { (service, tally) -> tally.noteFree(leastFree(service)) }
+        }
+        val drained = world.servers.filter { world.regionOf(it.place.zone) == world.case.drained }
+        world.drainMeter.note(drained.any { it.load > 0 }, world.time.nowMs)
+        if (world.time.nowMs < WARM_UP_MS + LOAD_MS + END_MS) world.time.plan(SAMPLE_MS) { sample() }
     }
 
     /** The free slots of the fullest region in percent; requests that wait at a server count as if they ran. */
@@ -110,6 +122,9 @@
             p95Ms = tally.latency.getValueAtPercentile(COUNTED_PERCENTILE),
             p99Ms = tally.latency.getValueAtPercentile(VERY_HIGH),
             meanFreePercent = tally.meanFreePercent,
+            objective = world.document.objective.name.lowercase(),
+            largestCapPercent = world.capMeter.largestPercent,
+            drainMs = world.drainMeter.tookMs,
         )
     }
 
--- a/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/policy/PolicyWorld.kt
+++ b/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/policy/PolicyWorld.kt
@@ -15,11 +15,19 @@
 
 /** Represents what all routers share. */
 public class PolicyWorld(whole: EnvironmentDocument, public val case: PolicyCase, seed: Long) {
-    /** The document, with the drains of the case and its service times scaled. */
-    public val document: EnvironmentDocument = scale(whole, case)
+    /** The document with its service times scaled; it gets the drains of the case at half time. */
+    public var document: EnvironmentDocument = scale(whole)
+        private set
 
     /** The index of the document. */
-    public val index: DocumentIndex = DocumentIndex(document)
+    public var index: DocumentIndex = DocumentIndex(document)
+        private set
+
+    /** Shifted requests against the caps. */
+    public val capMeter: CapMeter = CapMeter(index)
+
+    /** How long a drain took. */
+    public val drainMeter: DrainMeter = DrainMeter()
 
     /** The time. */
     public val time: VirtualTime = VirtualTime(seed)
@@ -62,6 +70,26 @@
     /** Returns true when the region of [zone] is lost. */
     public fun isLost(zone: ZoneName): Boolean = lostRegion == regionOf(zone)
 
+    /** Accepts a document that drains the region of the case. */
+    public fun startDrain() {
+        val zones = document.regions.first { it.name == case.drained }.zones
+        document = document.copy(drains = zones.map { Drain(it) })
+        index = DocumentIndex(document)
+        drainMeter.start(time.nowMs)
+    }
+
+    /** Notes that [server] takes a request of a client near [from], unless it sheds it. */
+    public fun noteShift(from: ZoneName, server: FakeServer) {
+        if (server.hasRoom) capMeter.note(from, server.place.zone, time.nowMs)
+    }
+
+    /** Returns the load that [server] reports. */
+    public fun reportOf(server: FakeServer): Int = when {
+        !case.isLying -> server.load
+        server.place.name.hashCode() % 2 == 0 -> 0
+        else -> server.place.slots
+    }
+
     /** Lets the region of the case fail. */
     public fun loseRegion() {
         lostRegion = case.lost
@@ -69,11 +97,7 @@
     }
 }
 
-private fun scale(whole: EnvironmentDocument, case: PolicyCase): EnvironmentDocument {
-    val zones = whole.regions.firstOrNull { it.name == case.drained }?.zones.orEmpty()
-    return whole.copy(
-        services = whole.services.map { it.copy(expectedServiceMs = it.expectedServiceMs * TIME_SCALE) },
-        drains = zones.map { Drain(it) },
-        clientBlocks = emptyList(),
-    )
-}
+private fun scale(whole: EnvironmentDocument): EnvironmentDocument = whole.copy(
+    services = whole.services.map { it.copy(expectedServiceMs = it.expectedServiceMs * TIME_SCALE) },
+    clientBlocks = emptyList(),
+)
--- a/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/policy/Router.kt
+++ b/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/policy/Router.kt
@@ -29,6 +29,11 @@
         return
     }
 
+    /** Learns of the document that the world has now. */
+    public fun adopt() {
+        return
+    }
+
     /** Routes [request]; [onEnd] is told the end when the client knows it. */
     public fun route(request: PolicyRequest, onEnd: (PolicyEnd, String) -> Unit)
 }
--- a/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/policy/WharfRouter.kt
+++ b/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/policy/WharfRouter.kt
@@ -13,8 +13,6 @@
 import org.cardamomwharf.decision.requests.RequestOrigin
 import org.cardamomwharf.decision.requests.RequestSpec
 
-private const val CLIENT_TRIES = 3
-
 /** Represents the routing of this project. */
 public class WharfRouter(private val world: PolicyWorld) : Router {
     override val name: String = "cardamomwharf"
@@ -26,6 +24,10 @@
         fleet.start()
     }
 
+    override fun adopt() {
+        fleet.feeds.adopt(fleet.entries)
+    }
+
     override fun route(request: PolicyRequest, onEnd: (PolicyEnd, String) -> Unit) {
         send(ClientTry(request, world.time.nowMs + request.deadlineMs, onEnd))
     }
@@ -67,7 +69,7 @@
     }
 
     private fun end(attempt: ClientTry, reason: Reason, offer: Binding?) {
-        val isRepeatable = reason.outcome == Outcome.NOT_RUN && attempt.tries < CLIENT_TRIES
+        val isRepeatable = reason.outcome == Outcome.NOT_RUN && attempt.tries < world.case.clientTries
         attempt.binding = offer
         if (offer != null) attempt.tries--
         when {
--- a/cardamomwharf-core/src/main/kotlin/org/cardamomwharf/core/document/CapTerms.kt
+++ b/cardamomwharf-core/src/main/kotlin/org/cardamomwharf/core/document/CapTerms.kt
@@ -10,8 +10,9 @@
     public val regions: List<Region>,
     public val links: List<Link>,
     public val reservePercent: Int,
+    public val lookUpPercent: Int,
 )
 
 /** Returns the parts of this document that decide how caps are divided. */
 public fun EnvironmentDocument.capTerms(): CapTerms =
-    CapTerms(partners, regions, links, policy.capReservePercent)
+    CapTerms(partners, regions, links, policy.capReservePercent, policy.capLookUpPercent)
--- a/cardamomwharf-core/src/main/kotlin/org/cardamomwharf/core/document/DocumentIndex.kt
+++ b/cardamomwharf-core/src/main/kotlin/org/cardamomwharf/core/document/DocumentIndex.kt
@@ -3,6 +3,7 @@
  */
 package org.cardamomwharf.core.document
 
+import org.cardamomwharf.core.PartnerName
 import org.cardamomwharf.core.RegionName
 import org.cardamomwharf.core.ServiceName
 import org.cardamomwharf.core.ZoneName
@@ -20,7 +21,7 @@
     public val regions: Map<RegionName, Region> = document.regions.associateBy { it.name }
 
     /** Partners by name. */
-    public val partners: Map<org.cardamomwharf.core.PartnerName, Partner> = document.partners.associateBy { it.name }
+    public val partners: Map<PartnerName, Partner> = document.partners.associateBy { it.name }
 
     /** Links by direction. */
     public val links: Map<Pair<RegionName, RegionName>, Link> = document.links.associateBy { it.from to it.to }
--- a/cardamomwharf-core/src/main/kotlin/org/cardamomwharf/core/document/Policy.kt
+++ b/cardamomwharf-core/src/main/kotlin/org/cardamomwharf/core/document/Policy.kt
@@ -9,6 +9,7 @@
  * Represents the tunable values of the decisions.
  *
  * @param capReservePercent part of every cap that stays unused; it covers bursts of [capBurstMs].
+ * @param capLookUpPercent part of a partner's cap for requests that look-ups send; the rest is for hand-overs.
  * @param largestShiftPercent largest change of a region's split in one [shiftIntervalMs].
  * @param shiftStartPercent utilization of the own region above which traffic is shifted.
  * @param shiftStopPercent utilization of the own region below which shifted traffic returns.
@@ -19,6 +20,7 @@
 public data class Policy(
     public val capReservePercent: Int = 10,
     public val capBurstMs: Long = 100,
+    public val capLookUpPercent: Int = 70,
     public val largestShiftPercent: Int = 5,
     public val shiftIntervalMs: Long = 1_000,
     public val shiftStartPercent: Int = 75,
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/caps/CapShares.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/caps/CapShares.kt
@@ -1,7 +1,7 @@
 /*
  * Divides each cap into shares from the document alone. A zone spends its own share only, so no cut between zones can
  * break a cap. A direction of a link is shared by the zones at both ends: those at its start send requests over it,
- * those at its end receive responses over it. Partner caps are halved between hand-overs and look-ups.
+ * those at its end receive responses over it. Partner caps are divided between hand-overs and look-ups.
  */
 package org.cardamomwharf.decision.caps
 
@@ -12,7 +12,6 @@
 import org.cardamomwharf.decision.ownership.CAP_PARTS
 
 private const val PERCENT = 100
-private const val PARTNER_PATHS = 2
 
 /** Returns the units per second that [zone] may spend of each cap, the reserve taken off. */
 public fun computeZoneShares(index: DocumentIndex, zone: ZoneName): Map<CapId, Long> {
@@ -37,7 +36,7 @@
     val own = index.regionOf.getValue(zone).partner
     return index.document.partners.flatMap { partner ->
         val path = if (partner.name == own) PartnerPath.LOOK_UP else PartnerPath.HAND_OVER
-        shareOf(partner, path, countSharing(index, partner, path))
+        shareOf(partner, path, percentOf(path, index), countSharing(index, partner, path))
     }.toMap()
 }
 
@@ -46,12 +45,17 @@
     return index.document.regions.filter { isSharing(it.partner == partner.name) }.sumOf { it.zones.size }
 }
 
-private fun shareOf(partner: Partner, path: PartnerPath, zones: Int): List<Pair<CapId, Long>> {
+private fun percentOf(path: PartnerPath, index: DocumentIndex): Int {
+    val lookUpPercent = index.document.policy.capLookUpPercent
+    return if (path == PartnerPath.LOOK_UP) lookUpPercent else PERCENT - lookUpPercent
+}
+
+private fun shareOf(partner: Partner, path: PartnerPath, percent: Int, zones: Int): List<Pair<CapId, Long>> {
     if (zones == 0) return emptyList()
-    val divisor = PARTNER_PATHS * zones.toLong()
+    val divisor = PERCENT * zones.toLong()
     return listOf(
-        CapId.PartnerRequests(partner.name, path) to partner.inboundRequestsPerSecond / divisor,
-        CapId.PartnerBytes(partner.name, path) to partner.inboundBytesPerSecond / divisor,
+        CapId.PartnerRequests(partner.name, path) to partner.inboundRequestsPerSecond * percent / divisor,
+        CapId.PartnerBytes(partner.name, path) to partner.inboundBytesPerSecond * percent / divisor,
     )
 }
 
--- a/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/requests/HandOverTest.kt
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/requests/HandOverTest.kt
@@ -14,6 +14,7 @@
 import org.cardamomwharf.decision.EntryLimits
 import org.cardamomwharf.decision.adoption.DocumentHead
 import org.cardamomwharf.decision.lookup.lookupViewOf
+import org.cardamomwharf.decision.membership.Member
 import org.cardamomwharf.decision.membership.ServiceLoad
 import org.cardamomwharf.decision.membership.SummaryMember
 import org.cardamomwharf.decision.membership.ZoneSummary
@@ -33,7 +34,7 @@
 private val far = memberOf("s1", SOUTH_A)
 private val farther = memberOf("s2", SOUTH_B)
 
-private fun summaryOf(member: org.cardamomwharf.decision.membership.Member, sequence: Long = 1): ZoneSummary {
+private fun summaryOf(member: Member, sequence: Long = 1): ZoneSummary {
     val loads = listOf(ServiceLoad(READS, 8, 8, 0), ServiceLoad(BOOKINGS, 8, 8, 0))
     val members = listOf(SummaryMember(member, isLeaving = false, loads))
     return ZoneSummary(member.zone, sequence, DocumentVersion(1), members, loads)
--- a/cardamomwharf-dist/src/test/kotlin/org/cardamomwharf/dist/session/WholeSessionTest.kt
+++ b/cardamomwharf-dist/src/test/kotlin/org/cardamomwharf/dist/session/WholeSessionTest.kt
@@ -4,9 +4,11 @@
  */
 package org.cardamomwharf.dist.session
 
+import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.mapBoth
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
+import org.cardamomwharf.cli.CommandError
 import org.cardamomwharf.cli.Report
 import org.cardamomwharf.core.DocumentVersion
 import org.cardamomwharf.core.ZoneName
@@ -34,7 +36,7 @@
         lines += "  " + normal(answer?.body?.decodeToString().orEmpty()).trim().trimEnd('.').trim()
     }
 
-    fun note(what: String, result: com.github.michaelbull.result.Result<Report, org.cardamomwharf.cli.CommandError>) {
+    fun note(what: String, result: Result<Report, CommandError>) {
         lines += "$what -> " + result.mapBoth({ it.text }, { "${it.exitCode}: ${it.text}" })
     }
 
--- a/cardamomwharf-dist/src/test/kotlin/org/cardamomwharf/dist/support/Deployment.kt
+++ b/cardamomwharf-dist/src/test/kotlin/org/cardamomwharf/dist/support/Deployment.kt
@@ -7,6 +7,7 @@
 import io.kotest.matchers.shouldBe
 import kotlinx.serialization.encodeToString
 import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonArray
 import kotlinx.serialization.json.jsonObject
 import kotlinx.serialization.json.jsonPrimitive
 import org.cardamomwharf.cli.Environments
@@ -48,6 +49,7 @@
 import org.cardamomwharf.standin.network.WireRelay
 import java.nio.file.Files
 import java.nio.file.Path
+import java.util.concurrent.CompletableFuture
 
 private const val PLATFORM = "127.0.3.250:7000"
 private const val CALL_LIMIT_MS = 5_000L
@@ -156,7 +158,7 @@
     private fun ownedServers(entry: EntryProcessHandle): List<String> {
         val status = get("http://${entry.adminAddress}/status") ?: return emptyList()
         val servers = Json.parseToJsonElement(status.body.decodeToString()).jsonObject.getValue("servers")
-        return (servers as kotlinx.serialization.json.JsonArray)
+        return (servers as JsonArray)
             .filter { it.jsonObject.getValue("isOwned").jsonPrimitive.content == "true" }
             .map { it.jsonObject.getValue("server").jsonPrimitive.content }
     }
@@ -193,7 +195,7 @@
         val clock = monotonicClock()
         val lookups = LookupCache(caller, clock, plan.entries)
         val run = LoadRun(plan, CallerStandin(caller, lookups, clock, plan.deadlineMs), clock)
-        val result = java.util.concurrent.CompletableFuture.supplyAsync { run.run() }
+        val result = CompletableFuture.supplyAsync { run.run() }
         act()
         return result.get()
     }
--- a/cardamomwharf-document/src/main/kotlin/org/cardamomwharf/document/ServiceReader.kt
+++ b/cardamomwharf-document/src/main/kotlin/org/cardamomwharf/document/ServiceReader.kt
@@ -52,6 +52,7 @@
 private fun YamlFields.readPolicyFields(default: Policy) = Policy(
     capReservePercent = percent("capReservePercent", default.capReservePercent),
     capBurstMs = ms("capBurstMs", default.capBurstMs),
+    capLookUpPercent = percent("capLookUpPercent", default.capLookUpPercent),
     largestShiftPercent = percent("largestShiftPercent", default.largestShiftPercent),
     shiftIntervalMs = ms("shiftIntervalMs", default.shiftIntervalMs),
     shiftStartPercent = percent("shiftStartPercent", default.shiftStartPercent),
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/forwarding/AttemptResults.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/forwarding/AttemptResults.kt
@@ -7,15 +7,15 @@
 import org.cardamomwharf.core.AttemptId
 import org.cardamomwharf.core.HeaderNames
 import org.cardamomwharf.core.Reason
-import org.cardamomwharf.decision.claims.RecordedAnswer
 import org.cardamomwharf.decision.requests.AttemptResult
+import org.cardamomwharf.entry.requests.toRecorded
 import org.cardamomwharf.http.HttpAnswer
 import org.cardamomwharf.http.HttpEnd
 import org.cardamomwharf.http.HttpFailure
-import java.util.Base64
+import org.cardamomwharf.peer.HandedAnswer
+import org.cardamomwharf.peer.HandedField
 
 private const val MS_PER_SECOND = 1_000L
-private const val LARGEST_RECORDED_BYTES = 16_384
 
 /** Returns what [end] means for [attempt]. */
 public fun attemptResultOf(end: HttpEnd, attempt: AttemptId, isIdempotent: Boolean): AttemptResult = when (end) {
@@ -39,19 +39,16 @@
         answer.findHeader(HeaderNames.REFUSED) == "true" ->
             AttemptResult.Refused(Reason.SERVER_REFUSED, retryAfterMs(answer), isLeaving)
         answered != null && answered != attempt.value -> AttemptResult.Lost(Reason.ANSWER_CROSSED)
-        else -> AttemptResult.Answered(if (isIdempotent) null else record(answer), isLeaving)
+        else -> AttemptResult.Answered(if (isIdempotent) null else handedAnswerOf(answer).toRecorded(), isLeaving)
     }
 }
 
 private fun retryAfterMs(answer: HttpAnswer): Long =
     (answer.findHeader(HeaderNames.RETRY_AFTER)?.toLongOrNull() ?: 0) * MS_PER_SECOND
 
-/** Returns the answer as it is recorded; a body that is too large to record is left out. */
-private fun record(answer: HttpAnswer): RecordedAnswer {
-    val body = if (answer.body.size <= LARGEST_RECORDED_BYTES) answer.body else ByteArray(0)
-    return RecordedAnswer(
-        status = answer.status,
-        contentType = answer.findHeader("Content-Type").orEmpty(),
-        bodyBase64 = Base64.getEncoder().encodeToString(body),
-    )
-}
+/** Returns [answer] as it is handed to callers and peers. */
+public fun handedAnswerOf(answer: HttpAnswer): HandedAnswer = HandedAnswer(
+    status = answer.status,
+    fields = answer.headers.map { HandedField(it.name, it.value) },
+    body = answer.body,
+)
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/forwarding/Forwarder.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/forwarding/Forwarder.kt
@@ -7,6 +7,7 @@
 import org.cardamomwharf.core.AttemptId
 import org.cardamomwharf.core.Clock
 import org.cardamomwharf.core.HeaderNames
+import org.cardamomwharf.core.Reason
 import org.cardamomwharf.decision.EntryEffect
 import org.cardamomwharf.decision.EntryEvent
 import org.cardamomwharf.decision.requests.AttemptResult
@@ -18,8 +19,6 @@
 import org.cardamomwharf.http.HttpEnd
 import org.cardamomwharf.http.HttpField
 import org.cardamomwharf.http.HttpFlight
-import org.cardamomwharf.peer.HandedAnswer
-import org.cardamomwharf.peer.HandedField
 import java.util.concurrent.ConcurrentHashMap
 
 /** Represents the clients for kept and for new connections. */
@@ -38,7 +37,7 @@
     public fun forward(effect: EntryEffect.Forward) {
         val request = book.find(effect.request)
         if (request == null) {
-            ring.put(EntryEvent.AttemptEnded(effect.attempt, AttemptResult.NotSent(org.cardamomwharf.core.Reason.BUSY)))
+            ring.put(EntryEvent.AttemptEnded(effect.attempt, AttemptResult.NotSent(Reason.BUSY)))
             return
         }
         val caller = if (effect.isFreshConnection) callers.fresh else callers.kept
@@ -73,15 +72,9 @@
         flights.remove(attempt)
         val result = attemptResultOf(end, attempt, request.spec.isIdempotent)
         if (result is AttemptResult.Answered && end is HttpEnd.Answered) {
-            book.keep(attempt, handedAnswerOf(end))
+            book.keep(attempt, handedAnswerOf(end.answer))
             if (book.find(request.spec.id) == null) book.drop(attempt)
         }
         ring.put(EntryEvent.AttemptEnded(attempt, result))
     }
-
-    private fun handedAnswerOf(end: HttpEnd.Answered): HandedAnswer = HandedAnswer(
-        status = end.answer.status,
-        fields = end.answer.headers.map { HandedField(it.name, it.value) },
-        body = end.answer.body,
-    )
 }
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/peers/EntryPeerHandler.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/peers/EntryPeerHandler.kt
@@ -11,12 +11,11 @@
 import org.cardamomwharf.entry.documents.DocumentKeeper
 import org.cardamomwharf.entry.loop.EventRing
 import org.cardamomwharf.entry.requests.RequestBook
+import org.cardamomwharf.entry.requests.toRecorded
+import org.cardamomwharf.peer.HandedAnswer
 import org.cardamomwharf.peer.PeerHandler
 import org.cardamomwharf.peer.PeerMessage
 import org.cardamomwharf.peer.PeerReplies
-import java.util.Base64
-
-private const val LARGEST_RECORDED_BYTES = 16_384
 
 /** Represents the receiver of messages of an entry process. */
 public class EntryPeerHandler(
@@ -62,14 +61,7 @@
     private fun end(message: PeerMessage.HandOverEnd) {
         val answer = message.answer
         val result = when (message.reason.outcome) {
-            Outcome.RAN ->
-                if (answer == null) {
-                    AttemptResult.Lost(
-                        Reason.ANSWER_TRUNCATED
-                    )
-                } else {
-                    AttemptResult.Answered(record(answer))
-                }
+            Outcome.RAN -> ranResultOf(answer)
             Outcome.NOT_RUN -> AttemptResult.Refused(message.reason, message.retryAfterMs)
             Outcome.UNKNOWN -> AttemptResult.Lost(message.reason)
         }
@@ -77,11 +69,6 @@
         ring.put(EntryEvent.AttemptEnded(message.attempt, result))
     }
 
-    private fun record(answer: org.cardamomwharf.peer.HandedAnswer) = org.cardamomwharf.decision.claims.RecordedAnswer(
-        status = answer.status,
-        contentType = answer.fields.firstOrNull { it.name.equals("Content-Type", ignoreCase = true) }?.value.orEmpty(),
-        bodyBase64 = Base64.getEncoder().encodeToString(
-            if (answer.body.size <= LARGEST_RECORDED_BYTES) answer.body else ByteArray(0),
-        ),
-    )
+    private fun ranResultOf(answer: HandedAnswer?): AttemptResult =
+        if (answer == null) AttemptResult.Lost(Reason.ANSWER_TRUNCATED) else AttemptResult.Answered(answer.toRecorded())
 }
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/requests/CallerResponse.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/requests/CallerResponse.kt
@@ -7,6 +7,7 @@
 import org.cardamomwharf.core.InstanceName
 import org.cardamomwharf.core.Outcome
 import org.cardamomwharf.core.Reason
+import org.cardamomwharf.core.RequestId
 import org.cardamomwharf.decision.EntryEffect
 import org.cardamomwharf.decision.claims.RecordedAnswer
 import org.cardamomwharf.peer.HandedAnswer
@@ -37,7 +38,7 @@
 public fun refusalOf(reason: Reason, entry: InstanceName): Response =
     responseOf(EntryEffect.Answer(NO_REQUEST, reason, retryAfterMs = retryAfterMs(reason)), null, entry)
 
-private val NO_REQUEST = org.cardamomwharf.core.RequestId(0)
+private val NO_REQUEST = RequestId(0)
 
 private fun retryAfterMs(reason: Reason): Long = if (reason.isRepeatable) MS_PER_SECOND else 0
 
--- a/cardamomwharf-load/src/main/kotlin/org/cardamomwharf/load/Main.kt
+++ b/cardamomwharf-load/src/main/kotlin/org/cardamomwharf/load/Main.kt
@@ -16,6 +16,8 @@
 import org.cardamomwharf.http.HttpCaller
 import org.cardamomwharf.http.HttpCallerSettings
 import org.cardamomwharf.http.startJettyCaller
+import org.cardamomwharf.load.compare.CompareCommand
+import org.cardamomwharf.load.report.ReportCommand
 import org.cardamomwharf.logging.LogFormat
 import org.cardamomwharf.logging.configureLogs
 import java.nio.file.Files
@@ -33,7 +35,7 @@
 public fun main(args: Array<String>) {
     configureLogs(LogFormat.PLAIN, Level.WARN)
     val parser = ArgParser("wharf-load")
-    parser.subcommands(RunCommand())
+    parser.subcommands(RunCommand(), CompareCommand(), ReportCommand())
     parser.parse(if (args.isEmpty()) arrayOf("--help") else args)
 }
 
--- /dev/null
+++ b/cardamomwharf-load/src/main/kotlin/org/cardamomwharf/load/report/ReportCommand.kt
@@ -0,0 +1,58 @@
+/*
+ * The subcommand that turns result files into a table and a plot.
+ */
+package org.cardamomwharf.load.report
+
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.combine
+import com.github.michaelbull.result.map
+import com.github.michaelbull.result.mapBoth
+import kotlinx.cli.ArgType
+import kotlinx.cli.ExperimentalCli
+import kotlinx.cli.Subcommand
+import kotlinx.cli.default
+import kotlinx.cli.required
+import java.nio.file.Files
+import java.nio.file.Path
+import kotlin.system.exitProcess
+
+private const val EXIT_INVALID = 3
+
+/** Represents the subcommand `report`. */
+@OptIn(ExperimentalCli::class)
+public class ReportCommand : Subcommand(
+    "report",
+    "Write a table and a plot. Example: wharf-load report --inputs latency.json,headroom.json --out report",
+) {
+    private val inputs by option(ArgType.String, "inputs", description = "Results of bench policy, by comma").required()
+    private val out by option(ArgType.String, "out", description = "Folder for the report").default("report")
+    private val title by option(ArgType.String, "title", description = "Title of the plot")
+        .default("Latency and headroom")
+
+    override fun execute() {
+        val rows = inputs.split(',').map { readReportRows(Path.of(it)) }.combine().map { it.flatten() }
+        exitProcess(finish(rows))
+    }
+
+    private fun finish(rows: Result<List<ReportRow>, ReportError>): Int = rows.mapBoth(
+        success = { write(it) },
+        failure = { error ->
+            System.err.println(textOf(error))
+            EXIT_INVALID
+        },
+    )
+
+    private fun write(rows: List<ReportRow>): Int {
+        val folder = Path.of(out)
+        Files.createDirectories(folder)
+        Files.writeString(folder.resolve("report.md"), tableOf(rows))
+        writeTradePlot(rows, title, folder.resolve("trade.png"))
+        println("Wrote ${rows.size} rows to $folder.")
+        return 0
+    }
+
+    private fun textOf(error: ReportError): String = when (error) {
+        is ReportError.File -> "${error.path}: can't be read"
+        is ReportError.Contents -> "${error.path}: ${error.detail}"
+    }
+}
