Decode client blocks one by one

Cause: all 440,000 blocks of a document were decoded into objects before their table was built, which asks for more heap than the 128 MB that control may take, next to everything else. Ruled out: the table itself (4.8 MB). Each block is one number while the table is built; a test keeps blocks of every size whole.

--- a/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/paths/PathFigures.kt
+++ b/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/paths/PathFigures.kt
@@ -4,6 +4,8 @@
  */
 package org.cardamomwharf.bench.paths
 
+import kotlinx.serialization.encodeToString
+import kotlinx.serialization.json.Json
 import org.cardamomwharf.core.document.ClientBlockTable
 import org.cardamomwharf.decision.EntryEffect
 import org.cardamomwharf.decision.EntryEvent
@@ -11,6 +13,7 @@
 import org.cardamomwharf.decision.step
 import org.cardamomwharf.peer.PeerMessage
 import org.cardamomwharf.peer.encodeMessage
+import org.cardamomwharf.platform.decodeBlocks
 import org.openjdk.jmh.results.RunResult
 import org.openjdk.jmh.runner.Runner
 import org.openjdk.jmh.runner.options.OptionsBuilder
@@ -105,15 +108,15 @@
 }
 
 private fun tableFigures(): List<Figure> {
-    val blocks = sampleBlocks(BLOCKS)
+    val contents = Json.encodeToString(sampleBlocks(BLOCKS)).toByteArray()
     val before = usedBytes()
     val startNs = System.nanoTime()
-    val table = ClientBlockTable.of(blocks)
+    val table = ClientBlockTable.of(decodeBlocks(contents))
     val tookMs = (System.nanoTime() - startNs) / NS_PER_MS
     val bytes = usedBytes() - before
     check(table.size == BLOCKS) { "blocks were lost" }
     return listOf(
-        Figure("building the table of $BLOCKS blocks, milliseconds", tookMs, APPLY_MS),
+        Figure("decoding $BLOCKS blocks and building their table, milliseconds", tookMs, APPLY_MS),
         Figure("table of $BLOCKS blocks, MB", bytes / BYTES_PER_KB / BYTES_PER_KB, TABLE_MB),
     )
 }
--- a/cardamomwharf-core/src/main/kotlin/org/cardamomwharf/core/document/ClientBlockTable.kt
+++ b/cardamomwharf-core/src/main/kotlin/org/cardamomwharf/core/document/ClientBlockTable.kt
@@ -30,17 +30,19 @@
 
     public companion object {
         /** Returns the table of [blocks]; blocks that can't be parsed are left out, the checker reports them. */
-        public fun of(blocks: List<ClientBlock>): ClientBlockTable {
-            val zones = blocks.map { it.zone }.distinct()
-            val indexOfZone = zones.withIndex().associate { it.value to it.index }
-            val ranges = blocks
-                .mapNotNull { block -> parseCidr(block.cidr)?.let { it to indexOfZone.getValue(block.zone) } }
-                .sortedBy { it.first.first }
+        public fun of(blocks: Sequence<ClientBlock>): ClientBlockTable {
+            val zones = LinkedHashMap<ZoneName, Int>()
+            val packed = PackedBlocks()
+            for (block in blocks) {
+                val zone = zones.getOrPut(block.zone) { zones.size }
+                parseCidr(block.cidr)?.let { packed.add(it, zone) }
+            }
+            packed.sort()
             return ClientBlockTable(
-                firsts = LongArray(ranges.size) { ranges[it].first.first },
-                lasts = LongArray(ranges.size) { ranges[it].first.last },
-                zoneIndexes = ShortArray(ranges.size) { ranges[it].second.toShort() },
-                zones = zones,
+                firsts = LongArray(packed.size) { packed.firstOf(it) },
+                lasts = LongArray(packed.size) { packed.lastOf(it) },
+                zoneIndexes = ShortArray(packed.size) { packed.zoneOf(it).toShort() },
+                zones = zones.keys.toList(),
             )
         }
     }
--- a/cardamomwharf-core/src/test/kotlin/org/cardamomwharf/core/document/ClientBlockTableTest.kt
+++ b/cardamomwharf-core/src/test/kotlin/org/cardamomwharf/core/document/ClientBlockTableTest.kt
@@ -6,10 +6,23 @@
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
 import org.cardamomwharf.core.ZoneName
+import kotlin.random.Random
+
+private const val ADDRESS_BITS = 32
+private const val OCTET_BITS = 8
+private const val OCTET_MASK = 0xFFL
+
+/** Returns the address [number] as text. */
+private fun addressOf(number: Long): String =
+    (ADDRESS_BITS / OCTET_BITS - 1 downTo 0)
+        .joinToString(".") { ((number shr (it * OCTET_BITS)) and OCTET_MASK).toString() }
+
+/** Returns a block of each size; none overlaps another: the upper half, the upper half of the rest, and so on. */
+private fun cidrOf(bits: Int): String = "${addressOf(1L shl (ADDRESS_BITS - bits))}/$bits"
 
 class ClientBlockTableTest : FunSpec({
     val table = ClientBlockTable.of(
-        listOf(
+        sequenceOf(
             ClientBlock("10.2.0.0/16", ZoneName("b")),
             ClientBlock("10.1.0.0/24", ZoneName("a")),
             ClientBlock("255.255.255.255/32", ZoneName("c")),
@@ -25,6 +38,18 @@
         table.findZone("255.255.255.255") shouldBe ZoneName("c")
     }
 
+    test("`blocks of every size are kept whole, in whatever order they come`") {
+        val zones = (1..32).map { ClientBlock(cidrOf(it), ZoneName("zone-$it")) }
+        val sizes = ClientBlockTable.of(zones.shuffled(Random(7)).asSequence())
+        sizes.size shouldBe zones.size
+        for (bits in 1..32) {
+            val range = requireNotNull(parseCidr(cidrOf(bits)))
+            sizes.findZone(addressOf(range.first)) shouldBe ZoneName("zone-$bits")
+            sizes.findZone(addressOf(range.last)) shouldBe ZoneName("zone-$bits")
+        }
+        sizes.findZone("0.0.0.0") shouldBe null
+    }
+
     test("`what isn't an address is in no block`") {
         listOf(
             "",
--- a/cardamomwharf-platform/src/main/kotlin/org/cardamomwharf/platform/DocumentArchive.kt
+++ b/cardamomwharf-platform/src/main/kotlin/org/cardamomwharf/platform/DocumentArchive.kt
@@ -27,7 +27,7 @@
     /** Returns the document under [hash] with its client blocks. */
     public fun readWhole(hash: String): Result<EnvironmentDocument, RepositoryError> =
         readDocument(hash).flatMap { stored ->
-            readBlocks(stored.blocksHash).map { stored.document.copy(clientBlocks = decodeBlocks(it)) }
+            readBlocks(stored.blocksHash).map { stored.document.copy(clientBlocks = decodeBlocks(it).toList()) }
         }
 
     /** Stores [document] and returns the hash that names it. */
--- a/cardamomwharf-platform/src/main/kotlin/org/cardamomwharf/platform/StoredDocument.kt
+++ b/cardamomwharf-platform/src/main/kotlin/org/cardamomwharf/platform/StoredDocument.kt
@@ -4,9 +4,12 @@
  */
 package org.cardamomwharf.platform
 
+import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.encodeToString
+import kotlinx.serialization.json.DecodeSequenceMode
 import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.decodeToSequence
 import org.cardamomwharf.core.document.ClientBlock
 import org.cardamomwharf.core.document.EnvironmentDocument
 import org.cardamomwharf.core.sha256Hex
@@ -28,8 +31,10 @@
 /** Returns the document in [contents]. */
 public fun decodeDocument(contents: ByteArray): StoredDocument = Json.decodeFromString(contents.decodeToString())
 
-/** Returns the client blocks in [contents]. */
-public fun decodeBlocks(contents: ByteArray): List<ClientBlock> = Json.decodeFromString(contents.decodeToString())
+/** Returns the client blocks in [contents], decoded one by one, so that they need not be held all at once. */
+@OptIn(ExperimentalSerializationApi::class)
+public fun decodeBlocks(contents: ByteArray): Sequence<ClientBlock> =
+    Json.decodeToSequence(contents.inputStream(), DecodeSequenceMode.ARRAY_WRAPPED)
 
 private fun nameOf(json: String): NamedContents {
     val bytes = json.toByteArray()
