--- a/cardamomwharf-dist/src/test/kotlin/org/cardamomwharf/dist/failures/ProcessFailureTest.kt
+++ b/cardamomwharf-dist/src/test/kotlin/org/cardamomwharf/dist/failures/ProcessFailureTest.kt
@@ -10,17 +10,13 @@
 import io.kotest.matchers.shouldBe
 import org.cardamomwharf.core.DocumentVersion
 import org.cardamomwharf.dist.support.Deployment
+import org.cardamomwharf.dist.support.endsOf
 import org.cardamomwharf.dist.support.eventually
-import org.cardamomwharf.load.LoadResult
+import org.cardamomwharf.dist.support.ranOf
+import org.cardamomwharf.dist.support.requestsOf
 import org.cardamomwharf.standin.PlatformFaults
 import org.cardamomwharf.standin.ServerFaults
 
-private fun LoadResult.ranOf(service: String): Long = services.first { it.service == service }.ran
-
-private fun LoadResult.requestsOf(service: String): Long = services.first { it.service == service }.requests
-
-private fun LoadResult.endsOf(service: String): Map<String, Long> = services.first { it.service == service }.ends
-
 class ProcessFailureTest : FunSpec({
     test("`instances that are replaced one by one cut off no request`") {
         Deployment().use { deployment ->
--- a/cardamomwharf-dist/src/test/kotlin/org/cardamomwharf/dist/failures/WireFailureTest.kt
+++ b/cardamomwharf-dist/src/test/kotlin/org/cardamomwharf/dist/failures/WireFailureTest.kt
@@ -9,17 +9,14 @@
 import io.kotest.matchers.longs.shouldBeGreaterThan
 import io.kotest.matchers.shouldBe
 import org.cardamomwharf.dist.support.Deployment
-import org.cardamomwharf.load.LoadResult
+import org.cardamomwharf.dist.support.ranOf
+import org.cardamomwharf.dist.support.requestsOf
 import org.cardamomwharf.standin.ServerFaults
 import org.cardamomwharf.standin.network.WireFault
 
 private const val ROUNDS = 8
 private const val ROUND_MS = 500L
 
-private fun LoadResult.ranOf(service: String): Long = services.first { it.service == service }.ran
-
-private fun LoadResult.requestsOf(service: String): Long = services.first { it.service == service }.requests
-
 class WireFailureTest : FunSpec({
     test("`servers that answer the request before never bring a caller a wrong answer`") {
         Deployment().use { deployment ->
