Let a late operator try once more in the test of racing changes

Cause: with the comparison of the version in force loosened on a copy, the test stayed green in one run, since all operators read before any wrote and the table service refused the rest. An operator who comes late now must be told of the conflict too. With the same breakage it was red; without, green. Breakages of the epoch and of zones left out were red as well.

--- a/cardamomwharf-dist/src/test/kotlin/org/cardamomwharf/dist/operators/CapChangeTest.kt
+++ b/cardamomwharf-dist/src/test/kotlin/org/cardamomwharf/dist/operators/CapChangeTest.kt
@@ -72,6 +72,8 @@
             val ends = racing.map { it.get() }
             ends.count { it.isOk } shouldBe 1
             ends.mapNotNull { it.getError() }.all { it is CommandError.Conflict } shouldBe true
+            val late = deployment.environments.promote(tried.first(), DocumentVersion(1), deployment.act())
+            (late.getError() is CommandError.Conflict) shouldBe true
             deployment.newest().version shouldBe DocumentVersion(2)
             deployment.newest().capEpoch.value shouldBe 2
         }
