--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/Heartbeats.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/Heartbeats.kt
@@ -3,7 +3,7 @@
  */
 package org.cardamomwharf.decision
 
-import org.cardamomwharf.decision.caps.leftFor
+import org.cardamomwharf.decision.caps.reportedEpoch
 import org.cardamomwharf.decision.membership.Heartbeat
 import org.cardamomwharf.decision.membership.ResidualSlots
 import org.cardamomwharf.decision.membership.hashView
@@ -30,7 +30,7 @@
         documentVersion = state.adoption.version,
         loads = loads,
         residuals = listResiduals(),
-        capEpoch = state.capTransition.leftFor(nowMs),
+        capEpoch = state.capTransition.reportedEpoch(nowMs),
     )
     state = state.copy(
         heartbeats = state.heartbeats.copy(sequence = sequence, sentAtMs = nowMs, viewHash = viewHash, loads = loads),
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/Shares.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/Shares.kt
@@ -11,7 +11,7 @@
 import org.cardamomwharf.decision.caps.advance
 import org.cardamomwharf.decision.caps.computeZoneShares
 import org.cardamomwharf.decision.caps.hear
-import org.cardamomwharf.decision.caps.leftFor
+import org.cardamomwharf.decision.caps.reportedEpoch
 import org.cardamomwharf.decision.claims.expire
 import org.cardamomwharf.decision.membership.Membership
 import org.cardamomwharf.decision.membership.ServiceLoad
@@ -84,7 +84,7 @@
         isOwnZone && known.none { it.member.name == listed.name }
     }
     if (silent.isNotEmpty()) return CapEpoch.NONE
-    val own = state.capTransition.leftFor(nowMs)
+    val own = state.capTransition.reportedEpoch(nowMs)
     return known.minOfOrNull { it.heartbeat.capEpoch }?.let { minOf(it, own) } ?: own
 }
 
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/caps/CapTransition.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/caps/CapTransition.kt
@@ -52,29 +52,29 @@
  * no share at all.
  */
 public fun CapTransition.adopt(next: EpochShares, documentZones: Set<ZoneName>, nowMs: Long): CapTransition {
-    if (next.epoch <= newest) return copy(zones = documentZones).settle()
+    if (next.epoch <= newest) return copy(zones = documentZones).dropUnusedEpochs()
     val missed = EpochShares(CapEpoch(next.epoch.value - 1), emptyMap())
     val between = if (next.epoch > newest.next()) listOf(missed) else emptyList()
     return copy(
         epochs = (epochs + between + next).toPersistentList(),
         zones = documentZones,
         adoptedAtMs = nowMs,
-    ).settle()
+    ).dropUnusedEpochs()
 }
 
 /** Returns the transition after [zone] told that it spends by [epoch] or newer ones only. */
 public fun CapTransition.hear(zone: ZoneName, epoch: CapEpoch): CapTransition =
-    if (epoch <= heardOf(zone)) this else copy(heard = heard.put(zone, epoch)).settle()
+    if (epoch <= heardOf(zone)) this else copy(heard = heard.put(zone, epoch)).dropUnusedEpochs()
 
-/** Returns the epoch that this instance has left all older ones for; loans of older ones have ended by then. */
-public fun CapTransition.leftFor(nowMs: Long): CapEpoch = when {
+/** Returns the oldest epoch that this instance may still spend by; loans of older ones have ended. */
+public fun CapTransition.reportedEpoch(nowMs: Long): CapEpoch = when {
     epochs.isEmpty() -> CapEpoch.NONE
     nowMs - adoptedAtMs >= LOAN_MS -> newest
     else -> epochs.first().epoch
 }
 
 /** Drops the epochs that no zone uses any more. */
-private fun CapTransition.settle(): CapTransition {
+private fun CapTransition.dropUnusedEpochs(): CapTransition {
     if (epochs.size < 2) return this
     val oldest = zones.minOfOrNull { heardOf(it) } ?: newest
     val isUsed = { at: Int -> at + 1 >= epochs.size || epochs[at + 1].epoch > oldest }
--- a/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/caps/CapTransitionTest.kt
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/caps/CapTransitionTest.kt
@@ -104,7 +104,7 @@
         val isCut = nowMs < zone.cutUntilMs
         val isBehind = zone.documentAt < documents.lastIndex
         if (!isCut && isBehind && random.nextInt(6) == 0) adoptNewer(zone, documents.lastIndex)
-        hear(zone, zone.name to zone.transition.leftFor(nowMs))
+        hear(zone, zone.name to zone.transition.reportedEpoch(nowMs))
         if (!isCut) tell(zone)
     }
 
@@ -120,7 +120,7 @@
     }
 
     private fun tell(from: SpendingZone) {
-        val told = from.name to from.transition.leftFor(nowMs)
+        val told = from.name to from.transition.reportedEpoch(nowMs)
         zones.filter { it !== from }.forEach { mail += Triple(nowMs + random.nextLong(1, 4_000), it, told) }
     }
 
