Keep load reports off the connections of requests, and trust no unnamed answer of a naming server

The load reports of backend servers were asked for over the same client as reads, so they shared its connections. A report that came twice met the next read on its connection; its answer names no attempt, and an answer without a name was trusted. The trace (a wrong answer is now kept with its fields): path /item/1 got `{"inFlight":0,"isLeaving":false}`.

Change: reports have connections of their own; once a server has named an attempt, an answer or refusal of it without a name is an answer-crossed; refusals are compared too, before they count as not run (a doubled refusal could have ended a read that ran as not run).

Found on the way: answers of attempts that the decisions didn't relay, the addresses of handed-over attempts that a peer refused, and flights that ended before they were noted stayed in memory for good. Answers are now kept by request and go with it, attempts at peers end with their end. Answers carried two Date fields; now one.

--- /dev/null
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/AnswerTrust.kt
@@ -0,0 +1,32 @@
+/*
+ * Decides whether an answer is taken for the answer to its attempt. A backend server that has named an attempt once has
+ * to name one in each answer; an answer without a name may belong to another request on the same connection.
+ */
+package org.cardamomwharf.decision.requests
+
+import org.cardamomwharf.core.Reason
+import org.cardamomwharf.decision.Turn
+import org.cardamomwharf.decision.servers.ServerState
+import org.cardamomwharf.decision.servers.change
+
+/** Returns [result], or a lost answer where [target] names its attempts and this answer doesn't. */
+internal fun Turn.distrustUnnamed(target: Target, result: AttemptResult): AttemptResult {
+    val server = (target as? Target.Server)?.let { state.servers.servers[it.name] }
+    if (server != null && result.isNamedAnswer) noteNaming(server)
+    val isDistrusted = server != null && server.isNaming && result.isAnswer && !result.isNamedAnswer
+    return if (isDistrusted) AttemptResult.Lost(Reason.ANSWER_CROSSED) else result
+}
+
+private fun Turn.noteNaming(server: ServerState) {
+    state = state.copy(servers = state.servers.change(server.name) { it.copy(isNaming = true) })
+}
+
+private val AttemptResult.isAnswer: Boolean
+    get() = this is AttemptResult.Answered || this is AttemptResult.Refused
+
+private val AttemptResult.isNamedAnswer: Boolean
+    get() = when (this) {
+        is AttemptResult.Answered -> isNamed
+        is AttemptResult.Refused -> isNamed
+        is AttemptResult.NotSent, is AttemptResult.Lost -> false
+    }
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/AttemptEnding.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/AttemptEnding.kt
@@ -16,6 +16,10 @@
 
 internal fun Turn.endAttempt(attempt: AttemptId, result: AttemptResult) {
     val running = state.requests.attempts[attempt] ?: return
+    endRunning(attempt, running, distrustUnnamed(running.target, result))
+}
+
+private fun Turn.endRunning(attempt: AttemptId, running: RunningAttempt, result: AttemptResult) {
     changeRequests { it.copy(attempts = it.attempts.remove(attempt)) }
     state = state.copy(held = state.held.remove(attempt))
     noteServer(running.target, result)
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/AttemptResult.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/AttemptResult.kt
@@ -15,23 +15,30 @@
      * The whole answer arrived.
      *
      * @param recorded the answer to keep under the key of a non-idempotent request.
+     * @param isNamed whether the answer named the attempt that it belongs to.
      */
     @Serializable
     public data class Answered(
         public val recorded: RecordedAnswer? = null,
         public val isServerLeaving: Boolean = false,
+        public val isNamed: Boolean = false,
     ) : AttemptResult
 
     /** No byte was sent. */
     @Serializable
     public data class NotSent(public val reason: Reason) : AttemptResult
 
-    /** The backend server or the peer said that it did not run the request. */
+    /**
+     * The backend server or the peer said that it did not run the request.
+     *
+     * @param isNamed whether the refusal named the attempt that it belongs to.
+     */
     @Serializable
     public data class Refused(
         public val reason: Reason,
         public val retryAfterMs: Long = 0,
         public val isServerLeaving: Boolean = false,
+        public val isNamed: Boolean = false,
     ) : AttemptResult
 
     /** Bytes were sent and no whole answer arrived. */
--- /dev/null
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/requests/AnswerTrustTest.kt
@@ -0,0 +1,48 @@
+/*
+ * Answers that name no attempt, from backend servers that name theirs.
+ */
+package org.cardamomwharf.decision.requests
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.shouldBe
+import org.cardamomwharf.core.Reason
+import org.cardamomwharf.decision.EntryEffect
+import org.cardamomwharf.decision.EntryEvent
+import org.cardamomwharf.decision.support.OneEntry
+import org.cardamomwharf.decision.support.only
+import org.cardamomwharf.decision.support.readyEntry
+import org.cardamomwharf.decision.support.requestOf
+
+private const val REQUESTS = 8L
+
+/** Lets all servers answer once, so that each has named an attempt or none has. */
+private fun OneEntry.serveAll(isNamed: Boolean) {
+    (1..REQUESTS).map { arrive(requestOf(it)).only<EntryEffect.Forward>() }
+        .forEach { handle(EntryEvent.AttemptEnded(it.attempt, AttemptResult.Answered(isNamed = isNamed))) }
+    effects.clear()
+}
+
+class AnswerTrustTest : FunSpec({
+    val unnamedAnswers = listOf(AttemptResult.Answered(), AttemptResult.Refused(Reason.SERVER_REFUSED))
+
+    test("`an answer without a name from a server that names its attempts reaches no caller`") {
+        unnamedAnswers.forEach { unnamed ->
+            val entry = readyEntry()
+            entry.serveAll(isNamed = true)
+            val first = entry.arrive(requestOf(20)).only<EntryEffect.Forward>()
+            val second = entry.handle(EntryEvent.AttemptEnded(first.attempt, unnamed)).only<EntryEffect.Forward>()
+            entry.answers().shouldBeEmpty()
+            val end = entry.handle(EntryEvent.AttemptEnded(second.attempt, unnamed)).only<EntryEffect.Answer>()
+            end.reason shouldBe Reason.ANSWER_CROSSED
+        }
+    }
+
+    test("`servers that never name an attempt are taken at their word`") {
+        val entry = readyEntry()
+        entry.serveAll(isNamed = false)
+        val forward = entry.arrive(requestOf(20)).only<EntryEffect.Forward>()
+        val effects = entry.handle(EntryEvent.AttemptEnded(forward.attempt, AttemptResult.Answered()))
+        effects.only<EntryEffect.Answer>().reason shouldBe Reason.ANSWERED
+    }
+})
--- a/cardamomwharf-dist/src/test/kotlin/org/cardamomwharf/dist/support/Deployment.kt
+++ b/cardamomwharf-dist/src/test/kotlin/org/cardamomwharf/dist/support/Deployment.kt
@@ -202,6 +202,7 @@
 
     /** Checks what must hold after any load: whole answers, and no key that ran twice. */
     fun checkInvariants(result: LoadResult) {
+        result.wrongAnswers shouldBe emptyList()
         result.services.sumOf { it.wrongAnswers } shouldBe 0
         val runs = servers.values.flatMap { it.counts.countKeys().entries }.groupBy({ it.key }, { it.value })
         runs.filterValues { it.sum() > 1 } shouldBe emptyMap()
--- a/cardamomwharf-dist/src/test/kotlin/org/cardamomwharf/dist/support/EntryProcessHandle.kt
+++ b/cardamomwharf-dist/src/test/kotlin/org/cardamomwharf/dist/support/EntryProcessHandle.kt
@@ -32,7 +32,7 @@
         times:
           headPollMs: 300
           listPollMs: 300
-          loadPollMs: 300
+          loadPollMs: 20
           platformLimitMs: 700
         membership:
           heartbeatIntervalMs: 200
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/EntryProcess.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/EntryProcess.kt
@@ -21,6 +21,8 @@
 import org.cardamomwharf.entry.metrics.EntryMetrics
 import org.cardamomwharf.entry.peers.EntryPeerHandler
 import org.cardamomwharf.entry.peers.HandOverDesk
+import org.cardamomwharf.entry.peers.HandOverResults
+import org.cardamomwharf.entry.peers.HandedAttempts
 import org.cardamomwharf.entry.peers.LoanBook
 import org.cardamomwharf.entry.peers.PeerSender
 import org.cardamomwharf.entry.polling.PlatformPollers
@@ -66,6 +68,7 @@
     private val callers = ServerCallers(
         kept = startJettyCaller(HttpCallerSettings("servers")),
         fresh = startJettyCaller(HttpCallerSettings("servers-new", isReusing = false)),
+        reports = startJettyCaller(HttpCallerSettings("servers-reports")),
     )
     private val member = Member(
         settings.name,
@@ -82,15 +85,17 @@
     )
     private val claims = ClaimWorkers(ClaimKeeper(ClaimTable(tables)), ring)
     private val loans = LoanBook()
+    private val handed = HandedAttempts()
     private val forwarder = Forwarder(callers, book, ring, clock)
     private val node: PeerNode = startPeers()
-    private val peers = PeerSender(node, book, ring, clock, metrics)
+    private val peers = PeerSender(node, book, handed, ring, clock, metrics)
     private val admin = startAdmin()
     private var callerServer: JettyServer? = null
 
     private fun startPeers(): PeerNode {
         val desk = HandOverDesk(book, ring, clock)
-        val handler = EntryPeerHandler(ring, book, desk, keeper, loans) { peers.askBlocks(it) }
+        val handler =
+            EntryPeerHandler(ring, HandOverResults(ring, book, handed), desk, keeper, loans) { peers.askBlocks(it) }
         return startPeerNode(settings.addresses.peer, PeerSettings(), clock, handler)
     }
 
@@ -106,7 +111,7 @@
         loop.start(EffectRouter(EffectParts(book, forwarder, peers, claims, keeper, loans), metrics))
         val list =
             httpInstanceList(platformCaller, settings.addresses.platform, settings.times.platformLimitMs)
-        PlatformPollers(settings, PolledParts(EnvironmentHeads(tables), list, callers.kept), loop, ring).start()
+        PlatformPollers(settings, PolledParts(EnvironmentHeads(tables), list, callers.reports), loop, ring).start()
         callerServer = startCallerServer()
         log.info("${settings.name.value} listens on ${settings.addresses.caller} in ${settings.zone.value}.")
     }
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/forwarding/AttemptResults.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/forwarding/AttemptResults.kt
@@ -34,12 +34,14 @@
 
 private fun judge(answer: HttpAnswer, attempt: AttemptId, isIdempotent: Boolean): AttemptResult {
     val isLeaving = answer.findHeader(HeaderNames.LEAVING) == "true"
-    val answered = answer.findHeader(HeaderNames.ATTEMPT)
+    val named = answer.findHeader(HeaderNames.ATTEMPT)
+    val isNamed = named != null
     return when {
+        isNamed && named != attempt.value -> AttemptResult.Lost(Reason.ANSWER_CROSSED)
         answer.findHeader(HeaderNames.REFUSED) == "true" ->
-            AttemptResult.Refused(Reason.SERVER_REFUSED, retryAfterMs(answer), isLeaving)
-        answered != null && answered != attempt.value -> AttemptResult.Lost(Reason.ANSWER_CROSSED)
-        else -> AttemptResult.Answered(if (isIdempotent) null else handedAnswerOf(answer).toRecorded(), isLeaving)
+            AttemptResult.Refused(Reason.SERVER_REFUSED, retryAfterMs(answer), isLeaving, isNamed)
+        isIdempotent -> AttemptResult.Answered(null, isLeaving, isNamed)
+        else -> AttemptResult.Answered(handedAnswerOf(answer).toRecorded(), isLeaving, isNamed)
     }
 }
 
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/forwarding/Forwarder.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/forwarding/Forwarder.kt
@@ -19,10 +19,21 @@
 import org.cardamomwharf.http.HttpEnd
 import org.cardamomwharf.http.HttpField
 import org.cardamomwharf.http.HttpFlight
+import java.util.concurrent.CompletableFuture
 import java.util.concurrent.ConcurrentHashMap
 
-/** Represents the clients for kept and for new connections. */
-public class ServerCallers(public val kept: HttpCaller, public val fresh: HttpCaller)
+/**
+ * Represents the clients for backend servers.
+ *
+ * @param kept shares its connections among requests.
+ * @param fresh opens a connection for each request.
+ * @param reports asks for load reports; their answers name no attempt and must never share a connection with requests.
+ */
+public class ServerCallers(
+    public val kept: HttpCaller,
+    public val fresh: HttpCaller,
+    public val reports: HttpCaller,
+)
 
 /** Represents the sender of requests to backend servers. */
 public class Forwarder(
@@ -31,7 +42,7 @@
     private val ring: EventRing,
     private val clock: Clock,
 ) {
-    private val flights = ConcurrentHashMap<AttemptId, HttpFlight>()
+    private val flights = ConcurrentHashMap<AttemptId, CompletableFuture<HttpFlight>>()
 
     /** Starts the attempt of [effect]. */
     public fun forward(effect: EntryEffect.Forward) {
@@ -41,15 +52,15 @@
             return
         }
         val caller = if (effect.isFreshConnection) callers.fresh else callers.kept
-        val flight = caller.start(callOf(effect, request)) { end(effect.attempt, request, it) }
+        val flight = CompletableFuture<HttpFlight>()
         flights[effect.attempt] = flight
-        if (book.find(effect.request) == null) flights.remove(effect.attempt)
+        flight.complete(caller.start(callOf(effect, request)) { end(effect.attempt, request, it) })
     }
 
     /** Stops the attempt; returns false when it doesn't run here. */
     public fun cancel(attempt: AttemptId): Boolean {
         val flight = flights.remove(attempt)
-        flight?.cancel()
+        flight?.thenAccept { it.cancel() }
         return flight != null
     }
 
@@ -72,8 +83,7 @@
         flights.remove(attempt)
         val result = attemptResultOf(end, attempt, request.spec.isIdempotent)
         if (result is AttemptResult.Answered && end is HttpEnd.Answered) {
-            book.keep(attempt, handedAnswerOf(end.answer))
-            if (book.find(request.spec.id) == null) book.drop(attempt)
+            book.keep(request.spec.id, attempt, handedAnswerOf(end.answer))
         }
         ring.put(EntryEvent.AttemptEnded(attempt, result))
     }
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/loop/EffectRouter.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/loop/EffectRouter.kt
@@ -61,7 +61,6 @@
 
     private fun answer(effect: EntryEffect.Answer) {
         parts.book.find(effect.request)?.let { metrics.countAnswer(it.spec.service, effect.reason) }
-        effect.attempt?.let { parts.peers.forget(it) }
         parts.book.finish(effect)
     }
 }
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/peers/EntryPeerHandler.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/peers/EntryPeerHandler.kt
@@ -4,15 +4,10 @@
 package org.cardamomwharf.entry.peers
 
 import org.cardamomwharf.core.AttemptId
-import org.cardamomwharf.core.Outcome
-import org.cardamomwharf.core.Reason
 import org.cardamomwharf.decision.EntryEvent
 import org.cardamomwharf.decision.requests.AttemptResult
 import org.cardamomwharf.entry.documents.DocumentKeeper
 import org.cardamomwharf.entry.loop.EventRing
-import org.cardamomwharf.entry.requests.RequestBook
-import org.cardamomwharf.entry.requests.toRecorded
-import org.cardamomwharf.peer.HandedAnswer
 import org.cardamomwharf.peer.PeerHandler
 import org.cardamomwharf.peer.PeerMessage
 import org.cardamomwharf.peer.PeerReplies
@@ -20,7 +15,7 @@
 /** Represents the receiver of messages of an entry process. */
 public class EntryPeerHandler(
     private val ring: EventRing,
-    private val book: RequestBook,
+    private val results: HandOverResults,
     private val desk: HandOverDesk,
     private val keeper: DocumentKeeper,
     private val loans: LoanBook,
@@ -49,26 +44,12 @@
             is PeerMessage.LoanReply -> ring.put(EntryEvent.LoanAnswered(message.grant))
             is PeerMessage.ContentsReply -> keeper.receive(message, askBlocks)
             is PeerMessage.HandOverHeld -> ring.put(EntryEvent.CreditAsked(message.attempt, message.missingBytes))
-            is PeerMessage.HandOverEnd -> end(message)
+            is PeerMessage.HandOverEnd -> results.take(message)
             else -> Unit
         }
     }
 
     override fun endHandOver(attempt: AttemptId, result: AttemptResult) {
-        ring.put(EntryEvent.AttemptEnded(attempt, result))
+        results.take(attempt, result)
     }
-
-    private fun end(message: PeerMessage.HandOverEnd) {
-        val answer = message.answer
-        val result = when (message.reason.outcome) {
-            Outcome.RAN -> ranResultOf(answer)
-            Outcome.NOT_RUN -> AttemptResult.Refused(message.reason, message.retryAfterMs)
-            Outcome.UNKNOWN -> AttemptResult.Lost(message.reason)
-        }
-        if (answer != null) book.keep(message.attempt, answer)
-        ring.put(EntryEvent.AttemptEnded(message.attempt, result))
-    }
-
-    private fun ranResultOf(answer: HandedAnswer?): AttemptResult =
-        if (answer == null) AttemptResult.Lost(Reason.ANSWER_TRUNCATED) else AttemptResult.Answered(answer.toRecorded())
 }
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/peers/PeerSender.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/peers/PeerSender.kt
@@ -17,18 +17,16 @@
 import org.cardamomwharf.peer.HandOverLimits
 import org.cardamomwharf.peer.PeerMessage
 import org.cardamomwharf.peer.PeerNode
-import java.util.concurrent.ConcurrentHashMap
 
 /** Represents the sender of messages to peers. */
 public class PeerSender(
     private val node: PeerNode,
     private val book: RequestBook,
+    private val attempts: HandedAttempts,
     private val ring: EventRing,
     private val clock: Clock,
     private val metrics: EntryMetrics,
 ) {
-    private val attempts = ConcurrentHashMap<AttemptId, SocketAddress>()
-
     /** The peer that the document was last asked from. */
     @Volatile
     private var documentSource: SocketAddress? = null
@@ -67,7 +65,7 @@
             creditBytes = effect.creditBytes,
             clientZone = request.spec.clientZone,
         )
-        attempts[effect.attempt] = effect.address
+        attempts.add(effect.attempt, HandedAttempt(effect.request, effect.address))
         val message =
             PeerMessage.HandOver(effect.attempt, effect.claimAttempt, request.spec.service, request.handed, limits)
         node.handOver(effect.address, message)
@@ -75,16 +73,11 @@
 
     /** Lets the peer send the whole answer. */
     public fun grantCredit(attempt: AttemptId) {
-        attempts[attempt]?.let { send(it, PeerMessage.Credit(attempt)) }
+        attempts.find(attempt)?.let { send(it.address, PeerMessage.Credit(attempt)) }
     }
 
     /** Stops a request that was handed over. */
     public fun cancel(attempt: AttemptId) {
-        attempts.remove(attempt)?.let { send(it, PeerMessage.Cancel(attempt)) }
-    }
-
-    /** Forgets an attempt that has ended. */
-    public fun forget(attempt: AttemptId) {
-        attempts.remove(attempt)
+        attempts.end(attempt)?.let { send(it.address, PeerMessage.Cancel(attempt)) }
     }
 }
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/requests/RequestBook.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/requests/RequestBook.kt
@@ -30,11 +30,14 @@
 public class RequestBook {
     private val nextId = AtomicLong()
     private val requests = ConcurrentHashMap<RequestId, BookedRequest>()
-    private val answers = ConcurrentHashMap<AttemptId, HandedAnswer>()
+    private val answers = ConcurrentHashMap<RequestId, KeptAnswer>()
 
     /** The number of open requests. */
     public val size: Int get() = requests.size
 
+    /** The number of answers that are kept for open requests. */
+    public val keptAnswers: Int get() = answers.size
+
     /** Returns a number that no other request of this process has. */
     public fun newId(): RequestId = RequestId(nextId.incrementAndGet())
 
@@ -51,19 +54,20 @@
         requests.remove(id)
     }
 
-    /** Keeps the answer of an attempt until its request is answered. */
-    public fun keep(attempt: AttemptId, answer: HandedAnswer) {
-        answers[attempt] = answer
-    }
-
-    /** Drops the answer of an attempt that nobody waits for. */
-    public fun drop(attempt: AttemptId) {
-        answers.remove(attempt)
+    /** Keeps the answer of an [attempt] until its [request] has its final answer; a closed request keeps nothing. */
+    public fun keep(request: RequestId, attempt: AttemptId, answer: HandedAnswer) {
+        answers[request] = KeptAnswer(attempt, answer)
+        if (find(request) == null) answers.remove(request)
     }
 
     /** Gives the request of [answer] its final answer. */
     public fun finish(answer: EntryEffect.Answer) {
-        val ran = answer.attempt?.let { answers.remove(it) }
-        requests.remove(answer.request)?.receiver?.receive(answer, ran)
+        val request = requests.remove(answer.request)
+        val kept = answers.remove(answer.request)
+        val ran = kept?.takeIf { it.attempt == answer.attempt }?.answer
+        request?.receiver?.receive(answer, ran)
     }
+
+    /** An answer of one attempt; the next attempt of the same request replaces it. */
+    private class KeptAnswer(val attempt: AttemptId, val answer: HandedAnswer)
 }
--- /dev/null
+++ b/cardamomwharf-entry/src/test/kotlin/org/cardamomwharf/entry/forwarding/AttemptResultsTest.kt
@@ -0,0 +1,35 @@
+/*
+ * What answers of backend servers mean for the attempt that they meet.
+ */
+package org.cardamomwharf.entry.forwarding
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import org.cardamomwharf.core.AttemptId
+import org.cardamomwharf.core.HeaderNames
+import org.cardamomwharf.core.Reason
+import org.cardamomwharf.decision.requests.AttemptResult
+import org.cardamomwharf.http.HttpAnswer
+import org.cardamomwharf.http.HttpEnd
+import org.cardamomwharf.http.HttpField
+
+private val own = AttemptId("own")
+
+private fun resultOf(vararg fields: Pair<String, String>): AttemptResult {
+    val answer = HttpAnswer(200, fields.map { (name, value) -> HttpField(name, value) }, ByteArray(0))
+    return attemptResultOf(HttpEnd.Answered(answer), own, isIdempotent = true)
+}
+
+class AttemptResultsTest : FunSpec({
+    test("`a refusal of another attempt says nothing about this one`") {
+        resultOf(HeaderNames.REFUSED to "true", HeaderNames.ATTEMPT to "other") shouldBe
+            AttemptResult.Lost(Reason.ANSWER_CROSSED)
+    }
+
+    test("`answers and refusals tell whether they name their attempt`") {
+        resultOf(HeaderNames.ATTEMPT to "own") shouldBe AttemptResult.Answered(isNamed = true)
+        resultOf() shouldBe AttemptResult.Answered(isNamed = false)
+        resultOf(HeaderNames.REFUSED to "true", HeaderNames.ATTEMPT to "own") shouldBe
+            AttemptResult.Refused(Reason.SERVER_REFUSED, isNamed = true)
+    }
+})
--- a/cardamomwharf-http/src/main/kotlin/org/cardamomwharf/http/JettyServer.kt
+++ b/cardamomwharf-http/src/main/kotlin/org/cardamomwharf/http/JettyServer.kt
@@ -108,6 +108,7 @@
     private fun write(answer: Response, response: JettyResponse, callback: Callback) {
         val payload = answer.body.payload
         response.status = answer.status.code
+        if (answer.header(HttpHeader.DATE.asString()) != null) response.headers.remove(HttpHeader.DATE)
         answer.headers
             .filter { !it.first.equals(HttpHeader.CONTENT_LENGTH.asString(), ignoreCase = true) }
             .forEach { (name, value) -> response.headers.add(name, value.orEmpty()) }
--- a/cardamomwharf-load/src/main/kotlin/org/cardamomwharf/load/CallerStandin.kt
+++ b/cardamomwharf-load/src/main/kotlin/org/cardamomwharf/load/CallerStandin.kt
@@ -32,13 +32,13 @@
  * Represents how a request ended.
  *
  * @param outcome `ran`, `not-run`, `unknown`, or `unreached` when no instance answered.
- * @param isWhole false when an answer was not the answer to this request.
+ * @param wrong the answer, when it was not the answer to this request.
  */
 public data class CallerEnd(
     public val outcome: String,
     public val reason: String,
     public val tries: Int,
-    public val isWhole: Boolean,
+    public val wrong: WrongAnswer? = null,
 )
 
 /** Represents a caller. */
@@ -52,7 +52,7 @@
     public fun run(task: CallerTask): CallerEnd {
         val endAtMs = clock.nowMs() + deadlineMs
         val addresses = lookups.find(task.service, task.client)
-        var end = CallerEnd(UNREACHED, UNREACHED, 0, isWhole = true)
+        var end = CallerEnd(UNREACHED, UNREACHED, 0)
         var binding: String? = null
         var next = 0
         while (end.tries < LARGEST_TRIES && addresses.isNotEmpty() && clock.nowMs() < endAtMs) {
@@ -97,16 +97,17 @@
     private fun judge(answer: HttpAnswer?, task: CallerTask, tries: Int): CallerEnd {
         val outcome = answer?.findHeader(HeaderNames.OUTCOME)
         return when {
-            answer == null -> CallerEnd(UNREACHED, UNREACHED, tries, isWhole = true)
-            outcome == null -> CallerEnd(BROKEN, "connection", tries, isWhole = true)
-            else -> CallerEnd(outcome, answer.findHeader(HeaderNames.REASON).orEmpty(), tries, isWhole(answer, task))
+            answer == null -> CallerEnd(UNREACHED, UNREACHED, tries)
+            outcome == null -> CallerEnd(BROKEN, "connection", tries)
+            else -> CallerEnd(outcome, answer.findHeader(HeaderNames.REASON).orEmpty(), tries, findWrong(answer, task))
         }
     }
 
     /** An answer that ran must be of this request: backend servers repeat the path in their answer. */
-    private fun isWhole(answer: HttpAnswer, task: CallerTask): Boolean {
-        if (answer.findHeader(HeaderNames.OUTCOME) != Outcome.RAN.code) return true
-        return answer.body.decodeToString().contains(" ${pathOf(task)}\n")
+    private fun findWrong(answer: HttpAnswer, task: CallerTask): WrongAnswer? {
+        val isRan = answer.findHeader(HeaderNames.OUTCOME) == Outcome.RAN.code
+        val isOwn = answer.body.decodeToString().contains(" ${pathOf(task)}\n")
+        return if (isRan && !isOwn) wrongAnswerOf(task.service, pathOf(task), answer) else null
     }
 
     private fun pathOf(task: CallerTask): String = "/item/${task.number}"
--- a/cardamomwharf-load/src/main/kotlin/org/cardamomwharf/load/LoadResult.kt
+++ b/cardamomwharf-load/src/main/kotlin/org/cardamomwharf/load/LoadResult.kt
@@ -11,12 +11,13 @@
 private const val HIGH = 95.0
 private const val VERY_HIGH = 99.0
 
-/** Represents the counts of a load run. */
+/** Represents the counts of a load run, and a few of its [wrongAnswers] for finding their cause. */
 @Serializable
 public data class LoadResult(
     public val durationMs: Long,
     public val services: List<ServiceResult>,
     public val keysRunTwice: Int = 0,
+    public val wrongAnswers: List<WrongAnswer> = emptyList(),
 )
 
 /** Represents the counts of one service; [ends] are counted by outcome and reason. */
@@ -61,5 +62,6 @@
             "${service.wrongAnswers} wrong answers, latency median ${latency.median} ms, p95 ${latency.p95} ms, " +
             "p99 ${latency.p99} ms\n" + service.ends.entries.joinToString("\n") { "    ${it.key}: ${it.value}" }
     }
-    return lines.joinToString("\n") + "\nKeys that ran twice: $keysRunTwice"
+    val wrong = wrongAnswers.map { "    wrong: ${it.service} ${it.path} got ${it.status} ${it.fields}\n${it.body}" }
+    return (lines + wrong).joinToString("\n") + "\nKeys that ran twice: $keysRunTwice"
 }
--- a/cardamomwharf-load/src/main/kotlin/org/cardamomwharf/load/LoadRun.kt
+++ b/cardamomwharf-load/src/main/kotlin/org/cardamomwharf/load/LoadRun.kt
@@ -6,6 +6,7 @@
 
 import org.HdrHistogram.ConcurrentHistogram
 import org.cardamomwharf.core.Clock
+import java.util.concurrent.ArrayBlockingQueue
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.Executors
 import java.util.concurrent.TimeUnit
@@ -15,6 +16,7 @@
 private const val LARGEST_LATENCY_MS = 120_000L
 private const val DIGITS = 3
 private const val MS_PER_SECOND = 1_000L
+private const val LARGEST_SAMPLES = 5
 private const val END_MARGIN_MS = 5_000L
 
 /** Represents a load run that is under way. */
@@ -35,7 +37,11 @@
         pacers.forEach { it.join() }
         pool.shutdown()
         pool.awaitTermination(plan.deadlineMs + END_MARGIN_MS, TimeUnit.MILLISECONDS)
-        return LoadResult(plan.durationMs, plan.services.map { resultOf(it) })
+        return LoadResult(
+            durationMs = plan.durationMs,
+            services = plan.services.map { resultOf(it) },
+            wrongAnswers = tallies.values.flatMap { it.samples() },
+        )
     }
 
     private fun pace(service: ServiceLoadPlan, startMs: Long) {
@@ -61,23 +67,31 @@
     private class Tally {
         private val latency = ConcurrentHistogram(LARGEST_LATENCY_MS, DIGITS)
         private val ends = ConcurrentHashMap<String, LongAdder>()
-        private val broken = LongAdder()
+        private val wrong = LongAdder()
+        private val wrongSamples = ArrayBlockingQueue<WrongAnswer>(LARGEST_SAMPLES)
         private val tries = LongAdder()
 
         fun note(end: CallerEnd, tookMs: Long) {
             latency.recordValue(tookMs.coerceIn(0, LARGEST_LATENCY_MS))
             ends.computeIfAbsent("${end.outcome} ${end.reason}") { LongAdder() }.increment()
             tries.add(end.tries.toLong())
-            if (!end.isWhole) broken.increment()
+            end.wrong?.let(::noteWrong)
+        }
+
+        private fun noteWrong(answer: WrongAnswer) {
+            wrong.increment()
+            wrongSamples.offer(answer)
         }
 
+        fun samples(): List<WrongAnswer> = wrongSamples.toList()
+
         fun result(service: ServiceLoadPlan): ServiceResult = ServiceResult(
             service = service.service,
             kind = service.kind.name.lowercase(),
             requests = latency.totalCount,
             tries = tries.sum(),
             ends = ends.mapValues { it.value.sum() }.toSortedMap(),
-            wrongAnswers = broken.sum(),
+            wrongAnswers = wrong.sum(),
             latencyMs = LatencyResult.of(latency),
         )
     }
--- a/cardamomwharf-standin/src/main/kotlin/org/cardamomwharf/standin/ServerStandin.kt
+++ b/cardamomwharf-standin/src/main/kotlin/org/cardamomwharf/standin/ServerStandin.kt
@@ -84,15 +84,16 @@
         val current = faults
         val taken = counts.enter()
         try {
-            if (current.isRefusing || taken > behaviour.slots * SHED_FACTOR) return refuse(current)
+            if (current.isRefusing || taken > behaviour.slots * SHED_FACTOR) return refuse(request, current)
             return run(request, current)
         } finally {
             counts.leave()
         }
     }
 
-    private fun refuse(current: ServerFaults): Response =
+    private fun refuse(request: Request, current: ServerFaults): Response =
         mark(Response(Status.SERVICE_UNAVAILABLE), current)
+            .header(HeaderNames.ATTEMPT, request.header(HeaderNames.ATTEMPT).orEmpty())
             .header(HeaderNames.REFUSED, "true")
             .header(HeaderNames.RETRY_AFTER, "1")
 
