Even out regions by smoothed use under the objective headroom

Cause: the objectives latency and headroom hardly differed. The rule went by the slots free at one moment, which with a dozen slots says little, and moved whole steps back and forth. The bench had no case in which they should differ, and its measure took the fullest region at each moment, which chance decides.

Change: use is smoothed, the change follows from the gap, clients return slowly while regions are even (decision 0007). New bench case "one region busier" and a second measure of headroom: the region that is fullest on the whole.

--- a/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/policy/PolicyCase.kt
+++ b/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/policy/PolicyCase.kt
@@ -33,6 +33,7 @@
     val first = regions.first()
     return listOf(
         PolicyCase("steady", steady),
+        PolicyCase("one region busier", regions.associateWith { LIGHT_PERCENT } + (first to BUSY_PERCENT)),
         PolicyCase("one region at 1.5x peak", steady + (first to PEAK_PERCENT)),
         PolicyCase("all at 2x of capacity", regions.associateWith { DOUBLE_PERCENT }),
         PolicyCase("all at 5x of capacity", regions.associateWith { FIVEFOLD_PERCENT }),
@@ -48,6 +49,7 @@
 
 private const val LIGHT_PERCENT = 40
 private const val STEADY_PERCENT = 60
+private const val BUSY_PERCENT = 90
 private const val PEAK_PERCENT = 150
 private const val DOUBLE_PERCENT = 200
 private const val FIVEFOLD_PERCENT = 500
--- a/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/policy/PolicyCount.kt
+++ b/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/policy/PolicyCount.kt
@@ -8,7 +8,8 @@
 /**
  * Represents the counts of one service in one run.
  *
- * @param meanFreePercent free slots of the fullest region, mean over time.
+ * @param meanFreePercent free slots of the region that is fullest at each moment, mean over time.
+ * @param fullestRegionFreePercent free slots of the region that is fullest on the whole, mean over time.
  * @param largestCapPercent fullest second of any partner's cap on shifted requests, over all services.
  * @param drainMs time from a drain to the last work in the drained region, null without a drain.
  */
@@ -25,6 +26,7 @@
     public val p95Ms: Long,
     public val p99Ms: Long,
     public val meanFreePercent: Double,
+    public val fullestRegionFreePercent: Double,
     public val objective: String,
     public val largestCapPercent: Double,
     public val drainMs: Long?,
--- a/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/policy/PolicyReport.kt
+++ b/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/policy/PolicyReport.kt
@@ -5,7 +5,7 @@
 
 import org.cardamomwharf.core.document.EnvironmentDocument
 
-private const val ROW = "%-24s %-23s %-10s %8s %8s %7s %7s %7s %7s %7s %7s  %s"
+private const val ROW = "%-24s %-23s %-10s %8s %8s %7s %7s %7s %7s %7s %7s %7s  %s"
 private const val PERCENT = 100
 
 /** Returns the counts of all cases with our routing and all baselines, and prints a row for each. */
@@ -22,6 +22,7 @@
             "p95",
             "p99",
             "free%",
+            "region%",
             "cap%",
             "drain",
             "other ends",
@@ -50,6 +51,7 @@
     count.p95Ms,
     count.p99Ms,
     "%.1f".format(count.meanFreePercent),
+    "%.1f".format(count.fullestRegionFreePercent),
     "%.0f".format(count.largestCapPercent),
     count.drainMs?.toString() ?: "-",
     count.ends.entries.joinToString { "${it.key} ${it.value}" },
--- a/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/policy/PolicyRun.kt
+++ b/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/policy/PolicyRun.kt
@@ -4,6 +4,7 @@
 package org.cardamomwharf.bench.policy
 
 import org.HdrHistogram.Histogram
+import org.cardamomwharf.core.RegionName
 import org.cardamomwharf.core.ServiceName
 import org.cardamomwharf.core.ZoneName
 import org.cardamomwharf.core.document.EnvironmentDocument
@@ -86,19 +87,19 @@
 
     private fun sample() {
         if (world.time.nowMs < WARM_UP_MS + LOAD_MS) {
-            tallies.forEach { (service, tally) -> tally.noteFree(leastFree(service)) }
+            tallies.forEach { (service, tally) -> tally.headroom.note(findFree(service)) }
         }
         val drained = world.servers.filter { world.regionOf(it.place.zone) == world.case.drained }
         world.drainMeter.note(drained.any { it.load > 0 }, world.time.nowMs)
         if (world.time.nowMs < WARM_UP_MS + LOAD_MS + END_MS) world.time.plan(SAMPLE_MS) { sample() }
     }
 
-    /** The free slots of the fullest region in percent; requests that wait at a server count as if they ran. */
-    private fun leastFree(service: ServiceName): Int =
+    /** The free slots of each region in percent; requests that wait at a server count as if they ran. */
+    private fun findFree(service: ServiceName): Map<RegionName, Int> =
         world.servers
             .filter { it.place.service == service && it.isUp && !isDrained(it) }
             .groupBy { world.regionOf(it.place.zone) }
-            .minOf { (_, servers) -> freePercent(servers) }
+            .mapValues { (_, servers) -> freePercent(servers) }
 
     private fun isDrained(server: FakeServer): Boolean =
         world.index.isDrained(server.place.service, server.place.zone, 0)
@@ -121,7 +122,8 @@
             medianMs = tally.latency.getValueAtPercentile(MEDIAN),
             p95Ms = tally.latency.getValueAtPercentile(COUNTED_PERCENTILE),
             p99Ms = tally.latency.getValueAtPercentile(VERY_HIGH),
-            meanFreePercent = tally.meanFreePercent,
+            meanFreePercent = tally.headroom.meanLeastPercent,
+            fullestRegionFreePercent = tally.headroom.fullestRegionPercent,
             objective = world.document.objective.name.lowercase(),
             largestCapPercent = world.capMeter.largestPercent,
             drainMs = world.drainMeter.tookMs,
@@ -133,14 +135,7 @@
         val ends = HashMap<String, Long>()
         var offered = 0L
         var inTime = 0L
-        private var freeSum = 0.0
-        private var samples = 0
-        val meanFreePercent: Double get() = freeSum / samples.coerceAtLeast(1)
-
-        fun noteFree(percent: Int) {
-            freeSum += percent
-            samples++
-        }
+        val headroom = HeadroomMeter()
 
         fun note(end: PolicyEnd, reason: String, tookMs: Long) {
             if (end == PolicyEnd.RAN) {
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/HandingOver.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/HandingOver.kt
@@ -14,7 +14,6 @@
 import org.cardamomwharf.decision.caps.LoanRequest
 import org.cardamomwharf.decision.caps.PartnerPath
 import org.cardamomwharf.decision.membership.findLivePeers
-import org.cardamomwharf.decision.shift.SlotUse
 import org.cardamomwharf.decision.shift.shiftRuleOf
 
 /** Bytes that are charged for the heads of a request and its answer. */
@@ -88,8 +87,7 @@
         compareBy<Place> { it.member.zone != state.membership.self.zone }
             .thenBy { !isOwnRegion(it) }
             .thenByDescending { place ->
-                val use = SlotUse(countFree(place, request, service), place.load.totalSlots)
-                rule.prefer(use, weights[place.region.name] ?: 1)
+                rule.prefer(countFree(place, request, service), weights[place.region.name] ?: 1)
             }
             .thenByDescending { countFree(it, request, service) }
             .thenBy { it.member.name.value },
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/shift/ShiftPlan.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/shift/ShiftPlan.kt
@@ -13,7 +13,6 @@
 import org.cardamomwharf.core.document.Service
 
 private const val PERMILLE_PER_PERCENT = 10
-private const val WHOLE_PERMILLE = 1_000
 private const val DEFAULT_WEIGHT = 1
 
 /**
@@ -37,9 +36,14 @@
     }
 }
 
-/** Represents the splits of all services for clients of the own region. */
+/**
+ * Represents the splits of all services for clients of the own region.
+ *
+ * @param uses smoothed use by region for each service.
+ */
 public data class ShiftPlan(
     public val splits: PersistentMap<ServiceName, RegionSplit> = persistentMapOf(),
+    public val uses: PersistentMap<ServiceName, Map<RegionName, RegionUse>> = persistentMapOf(),
     public val plannedAtMs: Long = 0,
 )
 
@@ -59,48 +63,58 @@
 /** Returns the plan after one step, or the same plan before the interval has passed. */
 public fun ShiftPlan.advance(input: ShiftInput): ShiftPlan {
     if (input.nowMs - plannedAtMs < input.index.document.policy.shiftIntervalMs) return this
-    val next = input.index.document.services.associate { service ->
+    val services = input.index.document.services
+    val smoothed = services.associate { it.name to smoothUses(it.name, input) }
+    val next = services.associate { service ->
         val current = splits[service.name] ?: RegionSplit()
-        service.name to current.advance(service, input)
+        service.name to current.advance(service, smoothed.getValue(service.name), input)
+    }
+    return ShiftPlan(next.toPersistentMap(), smoothed.toPersistentMap(), input.nowMs)
+}
+
+/** Returns the use of the regions that were measured now; what was known of others is dropped. */
+private fun ShiftPlan.smoothUses(service: ServiceName, input: ShiftInput): Map<RegionName, RegionUse> {
+    val before = uses[service].orEmpty()
+    return input.uses[service].orEmpty().mapValues { (region, slots) ->
+        val measured = slots.toRegionUse()
+        before[region]?.smooth(measured) ?: measured
     }
-    return ShiftPlan(next.toPersistentMap(), input.nowMs)
 }
 
-private fun RegionSplit.advance(service: Service, input: ShiftInput): RegionSplit {
-    val uses = input.uses[service.name].orEmpty()
+private fun RegionSplit.advance(
+    service: Service,
+    uses: Map<RegionName, RegionUse>,
+    input: ShiftInput,
+): RegionSplit {
     val own = uses[input.home]
     val others = uses.filterKeys { it != input.home }
     if (own == null || others.isEmpty()) return this
     val step = input.index.document.policy.largestShiftPercent * PERMILLE_PER_PERCENT
-    val permille = when (direct(service, own, others, input)) {
-        ShiftDirection.GROW -> (shiftedPermille + step).coerceAtMost(WHOLE_PERMILLE)
-        ShiftDirection.HOLD -> shiftedPermille
-        ShiftDirection.SHRINK -> (shiftedPermille - step).coerceAtLeast(0)
-    }
-    return divide(service, permille, others, input)
+    val wanted = choose(service, own, others, input).coerceIn(shiftedPermille - step, shiftedPermille + step)
+    return divide(service, wanted.coerceIn(0, WHOLE_PERMILLE), others, input)
 }
 
-private fun direct(
+private fun RegionSplit.choose(
     service: Service,
-    own: SlotUse,
-    others: Map<RegionName, SlotUse>,
+    own: RegionUse,
+    others: Map<RegionName, RegionUse>,
     input: ShiftInput,
-): ShiftDirection {
-    if (service.name in input.drainedAtHome) return ShiftDirection.GROW
+): Int {
+    if (service.name in input.drainedAtHome) return WHOLE_PERMILLE
     val rule = shiftRuleOf(input.index.document.objective)
-    val othersUse = others.values.reduce(SlotUse::plus)
-    return rule.direct(own.usedPercent, othersUse.usedPercent, input.index.document.policy)
+    return rule.choose(shiftedPermille, own, others.values.sum(), input.index.document.policy)
 }
 
 private fun RegionSplit.divide(
     service: Service,
     permille: Int,
-    others: Map<RegionName, SlotUse>,
+    others: Map<RegionName, RegionUse>,
     input: ShiftInput,
 ): RegionSplit {
     val rule = shiftRuleOf(input.index.document.objective)
     val weights = service.regionWeights.associate { it.region to it.weight }
-    val preferences = others.mapValues { (region, use) -> rule.prefer(use, weights[region] ?: DEFAULT_WEIGHT) }
+    val preferences =
+        others.mapValues { (region, use) -> rule.prefer(use.freeSlots, weights[region] ?: DEFAULT_WEIGHT) }
     val sum = preferences.values.sum()
     if (sum <= 0.0) return this
     val targets = preferences.entries
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/shift/SlotUse.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/shift/SlotUse.kt
@@ -15,15 +15,8 @@
 
 /** Represents the slots of one service in one place. */
 public data class SlotUse(public val free: Int, public val total: Int) {
-    /** The used part of the slots in percent; 100 when there are none. */
-    public val usedPercent: Int get() = if (total <= 0) PERCENT else (total - free) * PERCENT / total
-
     /** Returns the sum of two places. */
     public operator fun plus(other: SlotUse): SlotUse = SlotUse(free + other.free, total + other.total)
-
-    private companion object {
-        const val PERCENT = 100
-    }
 }
 
 /** Returns the slot use of [service] in each zone that was heard lately, the own zone included. */
