Delete old claim rows by their age

Cause: claim rows were never deleted, so the table grew by a row for each booking, and callers weren't told how long a key counts.

Retention is a checked value of the policy, told to callers; deleted rows are counted.

Ruled out: tables for periods (clocks that differ would let a key run twice), each instance for its own rows (instances are replaced), listing rows (worked out to 18 KB/s at 150 bookings a second).

Seen: tests of the duty in virtual time and of the deletion against the stand-in green; breakages of the zone's duty and of the pauses red. A check that leaving instances skip the duty was taken out again: its breakage changed nothing, as the list of live instances leaves them out. Not seen with real processes.

--- a/cardamomwharf-core/src/main/kotlin/org/cardamomwharf/core/document/Policy.kt
+++ b/cardamomwharf-core/src/main/kotlin/org/cardamomwharf/core/document/Policy.kt
@@ -15,6 +15,8 @@
  * @param shiftStopPercent utilization of the own region below which shifted traffic returns.
  * @param largestWaitPercent longest wait for a slot, in percent of the time that a request takes.
  * @param reservedSlotsPercent slots of a pool held back for services of the largest weight.
+ * @param keyTtlMs life of a key that is bound to one instance while the table service is down.
+ * @param claimRetentionMinutes time for which a key of a non-idempotent request is remembered after its last change.
  */
 @Serializable
 public data class Policy(
@@ -32,6 +34,7 @@
     public val maxAttempts: Int = 3,
     public val retryBudgetPercent: Int = 10,
     public val keyTtlMs: Long = 600_000,
+    public val claimRetentionMinutes: Int = 1_440,
     public val boundBookingsWhenStoreDown: Boolean = true,
     public val lookupCandidates: Int = 4,
     public val leaveGraceMs: Long = 5_000,
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/EntryEffect.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/EntryEffect.kt
@@ -82,6 +82,10 @@
         public val answer: RecordedAnswer,
     ) : OnClaim
 
+    /** Delete up to [limit] claim rows that weren't written for this long, and answer with `ClaimsExpired`. */
+    @Serializable
+    public data class ExpireClaims(public val unwrittenForSeconds: Long, public val limit: Int) : EntryEffect
+
     /** Send the request to a backend server of the own zone. */
     @Serializable
     public data class Forward(
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/EntryEvent.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/EntryEvent.kt
@@ -79,6 +79,10 @@
     @Serializable
     public data class ClaimAnswered(public val request: RequestId, public val reply: ClaimReply) : EntryEvent
 
+    /** The table service deleted [rows] old claim rows; null when it gave no answer. */
+    @Serializable
+    public data class ClaimsExpired(public val rows: Int?) : EntryEvent
+
     /** An attempt ended. */
     @Serializable
     public data class AttemptEnded(public val attempt: AttemptId, public val result: AttemptResult) : EntryEvent
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/EntryMachine.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/EntryMachine.kt
@@ -6,6 +6,8 @@
 
 import org.cardamomwharf.decision.caps.borrow
 import org.cardamomwharf.decision.caps.lend
+import org.cardamomwharf.decision.claims.expireClaims
+import org.cardamomwharf.decision.claims.noteExpired
 import org.cardamomwharf.decision.membership.applyList
 import org.cardamomwharf.decision.membership.changesOwnership
 import org.cardamomwharf.decision.membership.hear
@@ -54,7 +56,7 @@
     is EntryEvent.LoanAsked -> answerLoan(event)
     is EntryEvent.LoanAnswered -> state = state.copy(ledger = state.ledger.borrow(event.grant, nowMs))
     is EntryEvent.RequestArrived -> admit(event.spec)
-    is EntryEvent.ClaimAnswered -> settleClaim(event.request, event.reply)
+    is EntryEvent.ClaimAnswered, is EntryEvent.ClaimsExpired -> hearStore(event)
     is EntryEvent.AttemptEnded -> endAttempt(event.attempt, event.result)
     is EntryEvent.CreditAsked -> hold(event.attempt, event.missingBytes)
     is EntryEvent.CallerGone -> forgetCaller(event.request)
@@ -65,6 +67,7 @@
     state = state.copy(epochSeconds = event.epochSeconds)
     expireDeadlines()
     readDueClaims()
+    expireClaims()
     payHeldAnswers()
     if (nowMs - state.ownershipAtMs >= OWNERSHIP_INTERVAL_MS) advanceOwnership()
     advanceShifts()
@@ -105,6 +108,14 @@
     followPeers()
 }
 
+private fun Turn.hearStore(event: EntryEvent) {
+    when (event) {
+        is EntryEvent.ClaimAnswered -> settleClaim(event.request, event.reply)
+        is EntryEvent.ClaimsExpired -> noteExpired(event.rows)
+        else -> Unit
+    }
+}
+
 private fun Turn.hearLoad(event: EntryEvent.LoadHeard) {
     val next = state.servers.change(event.server) { it.hear(event.report, nowMs) }
     state = state.copy(servers = next)
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/EntryState.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/EntryState.kt
@@ -14,6 +14,7 @@
 import org.cardamomwharf.decision.caps.CapLedger
 import org.cardamomwharf.decision.caps.CapTransition
 import org.cardamomwharf.decision.claims.BoundKeys
+import org.cardamomwharf.decision.claims.ClaimExpiry
 import org.cardamomwharf.decision.claims.StoreHealth
 import org.cardamomwharf.decision.membership.Member
 import org.cardamomwharf.decision.membership.Membership
@@ -68,6 +69,7 @@
     public val budget: RetryBudget = RetryBudget(),
     public val store: StoreHealth = StoreHealth(),
     public val boundKeys: BoundKeys = BoundKeys(),
+    public val claimExpiry: ClaimExpiry = ClaimExpiry(),
     public val requests: RequestTable = RequestTable(),
     public val held: PersistentMap<AttemptId, HeldAnswer> = persistentMapOf(),
     public val loanAskedAtMs: PersistentMap<CapId, Long> = persistentMapOf(),
--- /dev/null
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/claims/ClaimExpiry.kt
@@ -0,0 +1,48 @@
+/*
+ * Has old claim rows deleted. The table service deletes them by their age, in bounded numbers, so a call costs little
+ * and may be repeated. One instance makes the calls: each hour another zone has the duty, and in it one live instance,
+ * picked without agreement. Two that think alike do no harm.
+ */
+package org.cardamomwharf.decision.claims
+
+import org.cardamomwharf.core.rendezvousOwner
+import org.cardamomwharf.decision.EntryEffect
+import org.cardamomwharf.decision.Turn
+import org.cardamomwharf.decision.membership.listLive
+
+/** Rows that one call deletes at most. */
+public const val LARGEST_EXPIRED_ROWS: Int = 1_000
+
+private const val DUTY = "claim-expiry"
+private const val SECONDS_PER_HOUR = 3_600L
+private const val SECONDS_PER_MINUTE = 60L
+private const val MORE_PAUSE_MS = 1_000L
+private const val IDLE_PAUSE_MS = 60_000L
+
+/** Represents when old claim rows are deleted next. */
+public data class ClaimExpiry(public val nextAtMs: Long = 0)
+
+/** Asks for the next deletion when it is due and this instance has the duty. */
+internal fun Turn.expireClaims() {
+    if (nowMs < state.claimExpiry.nextAtMs || !hasDuty()) return
+    state = state.copy(claimExpiry = ClaimExpiry(nowMs + IDLE_PAUSE_MS))
+    add(EntryEffect.ExpireClaims(policy.claimRetentionMinutes * SECONDS_PER_MINUTE, LARGEST_EXPIRED_ROWS))
+}
+
+/** Plans the next deletion after [rows] were deleted; null when the table service gave no answer. */
+internal fun Turn.noteExpired(rows: Int?) {
+    val pauseMs = if (rows == LARGEST_EXPIRED_ROWS) MORE_PAUSE_MS else IDLE_PAUSE_MS
+    state = state.copy(claimExpiry = ClaimExpiry(nowMs + pauseMs))
+}
+
+private fun Turn.hasDuty(): Boolean {
+    val current = index
+    val hour = state.epochSeconds / SECONDS_PER_HOUR
+    if (current == null || hour == 0L || state.store.isDown(nowMs)) return false
+    val zones = current.regionOf.keys - current.document.stoppedZones.toSet()
+    val zone = rendezvousOwner("$DUTY/$hour", zones) { it.value }
+    val isOwnZone = zone == state.membership.self.zone
+    return isOwnZone && findOwner() == state.membership.self.name
+}
+
+private fun Turn.findOwner() = rendezvousOwner(DUTY, state.membership.listLive(nowMs)) { it.value }
--- /dev/null
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/claims/ClaimExpiryTest.kt
@@ -0,0 +1,80 @@
+/*
+ * The duty to have old claim rows deleted.
+ */
+package org.cardamomwharf.decision.claims
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.collections.shouldHaveSize
+import io.kotest.matchers.shouldBe
+import org.cardamomwharf.decision.EntryEffect
+import org.cardamomwharf.decision.EntryEvent
+import org.cardamomwharf.decision.support.NORTH_A
+import org.cardamomwharf.decision.support.NORTH_B
+import org.cardamomwharf.decision.support.OneEntry
+import org.cardamomwharf.decision.support.SOUTH_A
+import org.cardamomwharf.decision.support.SOUTH_B
+import org.cardamomwharf.decision.support.listedOf
+import org.cardamomwharf.decision.support.memberOf
+import org.cardamomwharf.decision.support.only
+import org.cardamomwharf.decision.support.sampleDocument
+import org.cardamomwharf.decision.support.serversOf
+
+private const val HOUR_SECONDS = 3_600L
+
+/** Returns instances that are alone in their zones, all zones together. */
+private fun startZones(): List<OneEntry> = listOf(NORTH_A, NORTH_B, SOUTH_A, SOUTH_B).map { zone ->
+    OneEntry(memberOf("e-${zone.value}", zone)).apply {
+        adopt(sampleDocument())
+        handle(EntryEvent.ListRead(listOf(listedOf(member)), serversOf(zone)))
+        live(4_000)
+    }
+}
+
+private fun OneEntry.passHour(hour: Long): List<EntryEffect.ExpireClaims> {
+    nowMs += 100
+    return handle(EntryEvent.Tick(hour * HOUR_SECONDS)).filterIsInstance<EntryEffect.ExpireClaims>()
+}
+
+/** Returns an instance and an hour in which it has the duty, after its first call. */
+private fun startDuty(): Pair<OneEntry, Long> {
+    val entry = startZones().first()
+    val hour = (1L..100L).first { entry.passHour(it).isNotEmpty() }
+    return entry to hour
+}
+
+class ClaimExpiryTest : FunSpec({
+    test("`each hour one zone has the duty, and every zone has it at some time`") {
+        val entries = startZones()
+        val callers = (1L..40L).map { hour ->
+            entries.forEach { it.live(60_000) }
+            entries.filter { it.passHour(hour).isNotEmpty() }
+        }
+        callers.forEach { it shouldHaveSize 1 }
+        callers.flatten().distinct() shouldHaveSize entries.size
+    }
+
+    test("`rows are deleted by the retention of the document, on and on while many are old`") {
+        val (entry, hour) = startDuty()
+        entry.handle(EntryEvent.ClaimsExpired(LARGEST_EXPIRED_ROWS))
+        entry.passHour(hour).shouldBeEmpty()
+        entry.live(1_000)
+        val call = entry.handle(EntryEvent.Tick(hour * HOUR_SECONDS)).only<EntryEffect.ExpireClaims>()
+        call.unwrittenForSeconds shouldBe 24 * HOUR_SECONDS
+        entry.handle(EntryEvent.ClaimsExpired(LARGEST_EXPIRED_ROWS - 1))
+        entry.live(1_000)
+        entry.passHour(hour).shouldBeEmpty()
+    }
+
+    test("`without an answer the call is made again after a minute, and a leaving instance makes none`") {
+        val (entry, hour) = startDuty()
+        entry.handle(EntryEvent.ClaimsExpired(null))
+        entry.live(30_000)
+        entry.passHour(hour).shouldBeEmpty()
+        entry.live(30_000)
+        entry.passHour(hour) shouldHaveSize 1
+        entry.handle(EntryEvent.LeaveAsked)
+        entry.live(60_000)
+        entry.passHour(hour).shouldBeEmpty()
+    }
+})
--- a/cardamomwharf-document/src/main/kotlin/org/cardamomwharf/document/ServiceReader.kt
+++ b/cardamomwharf-document/src/main/kotlin/org/cardamomwharf/document/ServiceReader.kt
@@ -14,6 +14,8 @@
 import org.cardamomwharf.document.yaml.section
 import org.cardamomwharf.document.yaml.sections
 
+private const val LEAST_RETENTION_MINUTES = 60L
+private const val LARGEST_RETENTION_MINUTES = 525_600L
 private const val LARGEST_COUNT = 100_000L
 private const val LARGEST_WEIGHT = 1_000L
 private const val LARGEST_MS = 3_600_000L
@@ -68,6 +70,11 @@
     maxAttempts = whole("maxAttempts", 1..LARGEST_ATTEMPTS, default.maxAttempts.toLong()).toInt(),
     retryBudgetPercent = percent("retryBudgetPercent", default.retryBudgetPercent),
     keyTtlMs = ms("keyTtlMs", default.keyTtlMs),
+    claimRetentionMinutes = whole(
+        "claimRetentionMinutes",
+        LEAST_RETENTION_MINUTES..LARGEST_RETENTION_MINUTES,
+        default.claimRetentionMinutes.toLong(),
+    ).toInt(),
     boundBookingsWhenStoreDown = flag("boundBookingsWhenStoreDown", default.boundBookingsWhenStoreDown),
     lookupCandidates = whole("lookupCandidates", 1..LARGEST_CANDIDATES, default.lookupCandidates.toLong()).toInt(),
     leaveGraceMs = ms("leaveGraceMs", default.leaveGraceMs),
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/EntryProcess.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/EntryProcess.kt
@@ -9,7 +9,9 @@
 import org.cardamomwharf.decision.membership.Member
 import org.cardamomwharf.decision.newEntryState
 import org.cardamomwharf.entry.admin.AdminApi
+import org.cardamomwharf.entry.claims.ClaimExpirer
 import org.cardamomwharf.entry.claims.ClaimKeeper
+import org.cardamomwharf.entry.claims.ClaimThreads
 import org.cardamomwharf.entry.claims.ClaimWorkers
 import org.cardamomwharf.entry.documents.DocumentKeeper
 import org.cardamomwharf.entry.forwarding.Forwarder
@@ -84,6 +86,7 @@
         settings.times,
     )
     private val claims = ClaimWorkers(ClaimKeeper(ClaimTable(tables)), ring)
+    private val expirer = ClaimExpirer(ClaimTable(tables), ring, metrics)
     private val loans = LoanBook()
     private val handed = HandedAttempts()
     private val forwarder = Forwarder(callers, book, ring, clock)
@@ -108,7 +111,10 @@
     internal fun start() {
         keeper.start()
         claims.start()
-        loop.start(EffectRouter(EffectParts(book, forwarder, peers, claims, keeper, loans), metrics))
+        expirer.start()
+        loop.start(
+            EffectRouter(EffectParts(book, forwarder, peers, ClaimThreads(claims, expirer), keeper, loans), metrics)
+        )
         val list =
             httpInstanceList(platformCaller, settings.addresses.platform, settings.times.platformLimitMs)
         PlatformPollers(settings, PolledParts(EnvironmentHeads(tables), list, callers.reports), loop, ring).start()
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/loop/EffectRouter.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/loop/EffectRouter.kt
@@ -4,7 +4,7 @@
 package org.cardamomwharf.entry.loop
 
 import org.cardamomwharf.decision.EntryEffect
-import org.cardamomwharf.entry.claims.ClaimWorkers
+import org.cardamomwharf.entry.claims.ClaimThreads
 import org.cardamomwharf.entry.documents.DocumentKeeper
 import org.cardamomwharf.entry.forwarding.Forwarder
 import org.cardamomwharf.entry.metrics.EntryMetrics
@@ -18,7 +18,7 @@
     public val book: RequestBook,
     public val forwarder: Forwarder,
     public val peers: PeerSender,
-    public val claims: ClaimWorkers,
+    public val claims: ClaimThreads,
     public val documents: DocumentKeeper,
     public val loans: LoanBook,
 )
@@ -27,7 +27,8 @@
 public class EffectRouter(private val parts: EffectParts, private val metrics: EntryMetrics) : EffectRunner {
     override fun run(effect: EntryEffect) {
         when (effect) {
-            is EntryEffect.OnClaim -> parts.claims.take(effect)
+            is EntryEffect.OnClaim -> parts.claims.workers.take(effect)
+            is EntryEffect.ExpireClaims -> parts.claims.expirer.take(effect)
             is EntryEffect.Forward -> parts.forwarder.forward(effect)
             is EntryEffect.HandOver -> parts.peers.handOver(effect)
             is EntryEffect.GrantCredit -> parts.peers.grantCredit(effect.attempt)
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/metrics/EntryMetrics.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/metrics/EntryMetrics.kt
@@ -25,6 +25,7 @@
     private val retries = counter("wharf_retries_total", "Further tries of requests.", "service", "reason")
     private val lookups = counter("wharf_lookups_total", "Look-ups answered.", "service")
     private val drops = counter("wharf_peer_drops_total", "Messages to peers that found no room.")
+    private val expired = counter("wharf_claims_expired_total", "Claim rows that were deleted for their age.")
     private val latency = Histogram.builder()
         .name("wharf_request_seconds").help("Time until the final answer.").labelNames("service").register(registry)
     private val free = gauge("wharf_slots_free", "Free slots of owned backend servers.", "service")
@@ -59,6 +60,11 @@
         drops.inc()
     }
 
+    /** Counts claim rows that were deleted for their age. */
+    public fun countExpired(rows: Int) {
+        expired.inc(rows.toDouble())
+    }
+
     /** Notes the time until a final answer. */
     public fun observe(service: ServiceName, tookMs: Long) {
         latency.labelValues(service.value).observe(tookMs / MS_PER_SECOND)
--- a/cardamomwharf-platform/src/main/kotlin/org/cardamomwharf/platform/ClaimTable.kt
+++ b/cardamomwharf-platform/src/main/kotlin/org/cardamomwharf/platform/ClaimTable.kt
@@ -17,6 +17,10 @@
     public fun insert(key: String, value: String): Result<TableWrite, PlatformError> =
         tables.insert(CLAIMS, key, value)
 
+    /** Deletes up to [limit] rows that weren't written for [unwrittenForSeconds], and returns how many. */
+    public fun expire(unwrittenForSeconds: Long, limit: Int): Result<Int, PlatformError> =
+        tables.expire(CLAIMS, unwrittenForSeconds, limit)
+
     /** Replaces the row if it still has [version]. */
     public fun replace(key: String, value: String, version: String): Result<TableWrite, PlatformError> =
         tables.replace(CLAIMS, key, value, version)
--- a/cardamomwharf-platform/src/main/kotlin/org/cardamomwharf/platform/HttpPlatform.kt
+++ b/cardamomwharf-platform/src/main/kotlin/org/cardamomwharf/platform/HttpPlatform.kt
@@ -1,6 +1,7 @@
 /*
- * The platform over HTTP. Tables: GET and PUT /tables/{table}/{key} with If-None-Match or If-Match; objects: GET and
- * PUT /objects/{name}; instance list: GET /instances.
+ * The platform over HTTP. Tables: GET and PUT /tables/{table}/{key} with If-None-Match or If-Match, and
+ * DELETE /tables/{table}?unwrittenForSeconds=..&limit=.. for old rows; objects: GET and PUT /objects/{name}; instance
+ * list: GET /instances.
  */
 package org.cardamomwharf.platform
 
@@ -92,6 +93,14 @@
         version: String,
     ): Result<TableWrite, PlatformError> = write(table, key, value, HttpField("If-Match", version))
 
+    override fun expire(table: String, unwrittenForSeconds: Long, limit: Int): Result<Int, PlatformError> {
+        val query = "unwrittenForSeconds=$unwrittenForSeconds&limit=$limit"
+        return calls.send("DELETE", "/tables/${encode(table)}?$query").flatMap { answer ->
+            val count = if (answer.status == StatusCode.OK) answer.body.decodeToString().toIntOrNull() else null
+            if (count == null) Err(PlatformError.Rejected(answer.status)) else Ok(count)
+        }
+    }
+
     private fun write(
         table: String,
         key: String,
--- a/cardamomwharf-platform/src/main/kotlin/org/cardamomwharf/platform/TableService.kt
+++ b/cardamomwharf-platform/src/main/kotlin/org/cardamomwharf/platform/TableService.kt
@@ -38,6 +38,12 @@
     /** Inserts the row unless it exists. */
     public fun insert(table: String, key: String, value: String): Result<TableWrite, PlatformError>
 
+    /**
+     * Deletes up to [limit] rows of [table] that weren't written for [unwrittenForSeconds], and returns how many. After
+     * a lost answer the call may be made again.
+     */
+    public fun expire(table: String, unwrittenForSeconds: Long, limit: Int): Result<Int, PlatformError>
+
     /** Replaces the row if it still has [version]. */
     public fun replace(table: String, key: String, value: String, version: String): Result<TableWrite, PlatformError>
 }
--- a/cardamomwharf-standin/src/main/kotlin/org/cardamomwharf/standin/PlatformStandin.kt
+++ b/cardamomwharf-standin/src/main/kotlin/org/cardamomwharf/standin/PlatformStandin.kt
@@ -5,8 +5,10 @@
 
 import kotlinx.serialization.encodeToString
 import kotlinx.serialization.json.Json
+import org.cardamomwharf.core.Clock
 import org.cardamomwharf.core.SocketAddress
 import org.cardamomwharf.core.StatusCode
+import org.cardamomwharf.core.monotonicClock
 import org.cardamomwharf.http.HttpServerSettings
 import org.cardamomwharf.http.JettyServer
 import org.cardamomwharf.http.Route
@@ -26,8 +28,8 @@
 private const val LOST_ANSWER_MS = 30_000L
 
 /** Represents the stand-in with all that it stores. */
-public class PlatformStandin {
-    private val store = StandinStore()
+public class PlatformStandin(clock: Clock = monotonicClock()) {
+    private val store = StandinStore(clock)
     private val instances = ConcurrentHashMap<String, PlatformInstance>()
 
     /** Reads since the start. */
@@ -46,6 +48,7 @@
     public val handler: HttpHandler = routesOf(
         Route(Method.GET, "/tables/", faulty(store::readRow)),
         Route(Method.PUT, "/tables/", faulty(store::writeRow)),
+        Route(Method.DELETE, "/tables/", faulty(store::expireRows)),
         Route(Method.GET, "/objects/", faulty(store::readObject)),
         Route(Method.PUT, "/objects/", faulty(store::writeObject)),
         Route(Method.GET, "/instances", faulty { jsonResponse(StatusCode.OK, staleList ?: listJson()) }),
@@ -74,7 +77,7 @@
     private fun faulty(inner: HttpHandler): HttpHandler = { request ->
         val current = faults
         if (current.delayMs > 0) Thread.sleep(current.delayMs)
-        val isWrite = request.method == Method.PUT
+        val isWrite = request.method == Method.PUT || request.method == Method.DELETE
         (if (isWrite) writes else reads).incrementAndGet()
         when {
             current.isDown -> Response(Status.SERVICE_UNAVAILABLE)
--- a/cardamomwharf-standin/src/main/kotlin/org/cardamomwharf/standin/StandinStore.kt
+++ b/cardamomwharf-standin/src/main/kotlin/org/cardamomwharf/standin/StandinStore.kt
@@ -3,6 +3,7 @@
  */
 package org.cardamomwharf.standin
 
+import org.cardamomwharf.core.Clock
 import org.http4k.core.Body
 import org.http4k.core.Request
 import org.http4k.core.Response
@@ -11,7 +12,9 @@
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicLong
 
-internal class StandinStore {
+private const val MS_PER_SECOND = 1_000L
+
+internal class StandinStore(private val clock: Clock) {
     private val rows = ConcurrentHashMap<String, StoredRow>()
     private val objects = ConcurrentHashMap<String, ByteArray>()
     private val versions = AtomicLong()
@@ -28,13 +31,26 @@
         }
     }
 
+    /** Deletes rows of one table by the time since they were written. */
+    fun expireRows(request: Request): Response = synchronized(rows) {
+        val seconds = request.query("unwrittenForSeconds")?.toLongOrNull()
+        val limit = request.query("limit")?.toIntOrNull()
+        if (seconds == null || limit == null) return Response(Status.BAD_REQUEST)
+        val writtenUntilMs = clock.nowMs() - seconds * MS_PER_SECOND
+        val old = rows.entries
+            .filter { it.key.startsWith("${request.uri.path}/") && it.value.writtenAtMs <= writtenUntilMs }
+            .take(limit)
+        old.forEach { rows.remove(it.key) }
+        Response(Status.OK).body(old.size.toString())
+    }
+
     private fun isAllowed(request: Request, current: StoredRow?): Boolean {
         val wanted = request.header("If-Match")
         return if (wanted == null) current == null else current?.version == wanted
     }
 
     private fun replaceRow(request: Request): Response {
-        val row = StoredRow(request.bodyString(), "v${versions.incrementAndGet()}")
+        val row = StoredRow(request.bodyString(), "v${versions.incrementAndGet()}", clock.nowMs())
         rows[request.uri.path] = row
         return Response(Status.OK).header("ETag", row.version)
     }
@@ -52,5 +68,5 @@
         return Response(Status.OK)
     }
 
-    private data class StoredRow(val value: String, val version: String)
+    private data class StoredRow(val value: String, val version: String, val writtenAtMs: Long)
 }
--- /dev/null
+++ b/cardamomwharf-standin/src/test/kotlin/org/cardamomwharf/standin/ClaimRowsTest.kt
@@ -0,0 +1,53 @@
+/*
+ * Claim rows over the platform's protocol: kept while they are young, deleted by the time since their last change.
+ */
+package org.cardamomwharf.standin
+
+import com.github.michaelbull.result.get
+import com.github.michaelbull.result.getError
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import org.cardamomwharf.core.Clock
+import org.cardamomwharf.core.SocketAddress
+import org.cardamomwharf.http.HttpCallerSettings
+import org.cardamomwharf.http.startJettyCaller
+import org.cardamomwharf.platform.ClaimTable
+import org.cardamomwharf.platform.PlatformError
+import org.cardamomwharf.platform.httpTableService
+
+private const val LIMIT_MS = 5_000L
+private const val DAY_SECONDS = 86_400L
+
+private class SetClock(var now: Long = 0) : Clock {
+    override fun nowMs(): Long = now
+}
+
+class ClaimRowsTest : FunSpec({
+    val clock = SetClock()
+    val platform = PlatformStandin(clock)
+    val server = platform.start(SocketAddress("127.0.5.1", 0))
+    val caller = startJettyCaller(HttpCallerSettings("test"))
+    val claims = ClaimTable(httpTableService(caller, SocketAddress("127.0.5.1", server.port), LIMIT_MS))
+    afterSpec {
+        caller.close()
+        server.stop()
+    }
+
+    test("`only rows that weren't written for long are deleted, and no more than asked for`") {
+        listOf("a", "b", "c").forEach { claims.insert(it, "claimed").get() }
+        clock.now = (DAY_SECONDS - 1) * 1_000
+        claims.replace("c", "done", claims.read("c").get()?.version.orEmpty())
+        claims.expire(DAY_SECONDS, limit = 10).get() shouldBe 0
+        clock.now = DAY_SECONDS * 1_000
+        claims.expire(DAY_SECONDS, limit = 1).get() shouldBe 1
+        claims.expire(DAY_SECONDS, limit = 10).get() shouldBe 1
+        claims.read("c").get()?.value shouldBe "done"
+        listOf("a", "b").forEach { claims.read(it).get() shouldBe null }
+    }
+
+    test("`while the service is down nothing is deleted, and that is said`") {
+        platform.changeFaults(PlatformFaults(isDown = true))
+        claims.expire(DAY_SECONDS, limit = 10).getError() shouldBe PlatformError.Rejected(503)
+        platform.changeFaults(PlatformFaults())
+    }
+})
