Take documents of 440,000 client blocks, keep them compressed, and end drains

Causes, all found by submitting a document of the full size for the first time: the YAML library stops at 3,145,728 characters, and wharf ended with a stack trace; with 256 MB wharf ran out of memory; each entry instance kept 18.7 MB of plain blocks for its peers. Reading on: wharf drain took any zone name, drained nothing and said so nowhere, and a drain had no end.

Drains have an end, and are checked against the document before they are promoted. The golden session now holds the counters of refused heads and bodies, and a drain that fits nothing.

--- a/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/paths/PathFigures.kt
+++ b/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/paths/PathFigures.kt
@@ -4,8 +4,6 @@
  */
 package org.cardamomwharf.bench.paths
 
-import kotlinx.serialization.encodeToString
-import kotlinx.serialization.json.Json
 import org.cardamomwharf.core.document.ClientBlockTable
 import org.cardamomwharf.decision.EntryEffect
 import org.cardamomwharf.decision.EntryEvent
@@ -14,6 +12,7 @@
 import org.cardamomwharf.peer.PeerMessage
 import org.cardamomwharf.peer.encodeMessage
 import org.cardamomwharf.platform.decodeBlocks
+import org.cardamomwharf.platform.encodeBlocks
 import org.openjdk.jmh.results.RunResult
 import org.openjdk.jmh.runner.Runner
 import org.openjdk.jmh.runner.options.OptionsBuilder
@@ -108,7 +107,7 @@
 }
 
 private fun tableFigures(): List<Figure> {
-    val contents = Json.encodeToString(sampleBlocks(BLOCKS)).toByteArray()
+    val contents = sampleDocument().copy(clientBlocks = sampleBlocks(BLOCKS)).encodeBlocks().contents
     val before = usedBytes()
     val startNs = System.nanoTime()
     val table = ClientBlockTable.of(decodeBlocks(contents))
@@ -117,6 +116,7 @@
     check(table.size == BLOCKS) { "blocks were lost" }
     return listOf(
         Figure("decoding $BLOCKS blocks and building their table, milliseconds", tookMs, APPLY_MS),
+        Figure("$BLOCKS blocks as stored and kept for peers, MB", contents.size / BYTES_PER_KB / BYTES_PER_KB, null),
         Figure("table of $BLOCKS blocks, MB", bytes / BYTES_PER_KB / BYTES_PER_KB, TABLE_MB),
     )
 }
--- a/cardamomwharf-cli/src/main/kotlin/org/cardamomwharf/cli/CommandError.kt
+++ b/cardamomwharf-cli/src/main/kotlin/org/cardamomwharf/cli/CommandError.kt
@@ -3,6 +3,7 @@
  */
 package org.cardamomwharf.cli
 
+import org.cardamomwharf.core.document.DrainFault
 import org.cardamomwharf.document.yaml.Problem
 import org.cardamomwharf.platform.HeadEntry
 import org.cardamomwharf.platform.PlatformError
@@ -51,6 +52,19 @@
             }
     }
 
+    /** The drains that were asked for don't fit the document in force. */
+    public data class DrainsInvalid(public val faults: List<DrainFault>) : CommandError {
+        override val exitCode: ExitCode get() = ExitCode.INVALID
+        override val text: String
+            get() = "Nothing was changed: " + faults.joinToString { textOf(it) } + "."
+
+        private fun textOf(fault: DrainFault): String = when (fault) {
+            is DrainFault.UnknownZone -> "no zone named ${fault.zone.value}"
+            is DrainFault.UnknownService -> "no service named ${fault.service.value}"
+            is DrainFault.EndsBeforeStart -> "a drain must end after its start"
+        }
+    }
+
     /** The document leaves zones out whose instances may still spend caps. */
     public data class ZonesNotStopped(public val zones: List<String>) : CommandError {
         override val exitCode: ExitCode get() = ExitCode.INVALID
--- a/cardamomwharf-cli/src/main/kotlin/org/cardamomwharf/cli/Commands.kt
+++ b/cardamomwharf-cli/src/main/kotlin/org/cardamomwharf/cli/Commands.kt
@@ -62,9 +62,10 @@
     private val zone by option(ArgType.String, "zone", description = "Zone to drain").required()
     private val service by option(ArgType.String, "service", description = "Only this service")
     private val startsAt by option(ArgType.Int, "starts-at", description = "Start, seconds since 1970").default(0)
+    private val endsAt by option(ArgType.Int, "ends-at", description = "End, seconds since 1970").default(0)
 
     override fun run(): Result<Report, CommandError> {
-        val drain = Drain(ZoneName(zone), service?.let(::ServiceName), startsAt.toLong())
+        val drain = Drain(ZoneName(zone), service?.let(::ServiceName), startsAt.toLong(), endsAt.toLong())
         return environments().changeDrains("drain $zone", act()) { drains -> (drains - drain) + drain }
     }
 }
--- a/cardamomwharf-cli/src/main/kotlin/org/cardamomwharf/cli/Environments.kt
+++ b/cardamomwharf-cli/src/main/kotlin/org/cardamomwharf/cli/Environments.kt
@@ -15,6 +15,7 @@
 import org.cardamomwharf.core.DocumentVersion
 import org.cardamomwharf.core.document.Drain
 import org.cardamomwharf.core.document.EnvironmentDocument
+import org.cardamomwharf.core.document.findDrainFaults
 import org.cardamomwharf.platform.DocumentArchive
 import org.cardamomwharf.platform.EnvironmentHeads
 import org.cardamomwharf.platform.EnvironmentName
@@ -74,9 +75,13 @@
     ): Result<Report, CommandError> =
         findNewest(EnvironmentName.PRODUCTION).flatMap { newest ->
             archive.readWhole(newest.hash)
-                .flatMap { archive.store(it.copy(drains = change(it.drains))) }
-                .flatMap { move(it, EnvironmentName.PRODUCTION, newest.version, act, note) }
                 .mapError(::commandErrorOf)
+                .flatMap { checkDrains(it.copy(drains = change(it.drains))) }
+                .flatMap { document ->
+                    archive.store(document)
+                        .flatMap { move(it, EnvironmentName.PRODUCTION, newest.version, act, note) }
+                        .mapError(::commandErrorOf)
+                }
                 .map { reportOf("In force soon", it) }
         }
 
@@ -140,3 +145,8 @@
         const val SHORT_HASH = 12
     }
 }
+
+private fun checkDrains(document: EnvironmentDocument): Result<EnvironmentDocument, CommandError> {
+    val faults = document.findDrainFaults()
+    return if (faults.isEmpty()) Ok(document) else Err(CommandError.DrainsInvalid(faults))
+}
--- a/cardamomwharf-core/src/main/kotlin/org/cardamomwharf/core/Hashing.kt
+++ b/cardamomwharf-core/src/main/kotlin/org/cardamomwharf/core/Hashing.kt
@@ -4,6 +4,9 @@
 package org.cardamomwharf.core
 
 import com.dynatrace.hash4j.hashing.Hashing
+import java.io.InputStream
+import java.io.OutputStream
+import java.security.DigestInputStream
 import java.security.MessageDigest
 import java.util.HexFormat
 
@@ -19,3 +22,10 @@
 /** Returns the SHA-256 of these bytes as lower-case hexadecimal digits. */
 public fun ByteArray.sha256Hex(): String =
     HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(this))
+
+/** Returns the SHA-256 of all that this stream still gives, as lower-case hexadecimal digits. */
+public fun InputStream.sha256Hex(): String {
+    val digest = MessageDigest.getInstance("SHA-256")
+    DigestInputStream(this, digest).transferTo(OutputStream.nullOutputStream())
+    return HexFormat.of().formatHex(digest.digest())
+}
--- a/cardamomwharf-core/src/main/kotlin/org/cardamomwharf/core/document/DocumentIndex.kt
+++ b/cardamomwharf-core/src/main/kotlin/org/cardamomwharf/core/document/DocumentIndex.kt
@@ -44,6 +44,6 @@
     /** Returns true when [zone] gets no new work of [service] at [epochSeconds]. */
     public fun isDrained(service: ServiceName, zone: ZoneName, epochSeconds: Long): Boolean =
         document.drains.any { drain ->
-            drain.zone == zone && (drain.service ?: service) == service && drain.startsAtEpochSeconds <= epochSeconds
+            drain.zone == zone && (drain.service ?: service) == service && drain.isActive(epochSeconds)
         }
 }
--- a/cardamomwharf-core/src/main/kotlin/org/cardamomwharf/core/document/EnvironmentDocument.kt
+++ b/cardamomwharf-core/src/main/kotlin/org/cardamomwharf/core/document/EnvironmentDocument.kt
@@ -119,10 +119,18 @@
  * Represents a planned drain: the zone gets no new work of the service, or of any service when none is named.
  *
  * @param startsAtEpochSeconds wall-clock start, 0 for at once.
+ * @param endsAtEpochSeconds wall-clock end, 0 for none.
  */
 @Serializable
 public data class Drain(
     public val zone: ZoneName,
     public val service: ServiceName? = null,
     public val startsAtEpochSeconds: Long = 0,
-)
+    public val endsAtEpochSeconds: Long = 0,
+) {
+    /** Returns true while the drain is in force. */
+    public fun isActive(epochSeconds: Long): Boolean {
+        val isEnded = endsAtEpochSeconds in 1..epochSeconds
+        return startsAtEpochSeconds <= epochSeconds && !isEnded
+    }
+}
--- a/cardamomwharf-dist/src/test/kotlin/org/cardamomwharf/dist/session/WholeSessionTest.kt
+++ b/cardamomwharf-dist/src/test/kotlin/org/cardamomwharf/dist/session/WholeSessionTest.kt
@@ -53,6 +53,12 @@
     override fun toString(): String = lines.joinToString("\n") + "\n"
 }
 
+/** Returns the counters of requests that were refused before a decision. */
+private fun countedRefusals(deployment: Deployment, adminAddress: String): List<String> =
+    deployment.get("http://$adminAddress/metrics")?.body?.decodeToString().orEmpty().lines()
+        .filter { it.startsWith("wharf_refusals_total{") }
+        .sorted()
+
 class WholeSessionTest : FunSpec({
     test("`a whole session is the same as its golden file`") {
         val transcript = Transcript()
@@ -88,9 +94,13 @@
             transcript.note("body truncated -> " + callRaw(entry.host, 8_000, shortBody))
             val body = "x".repeat(1_100_000)
             transcript.note("body too large", deployment.post("$run/zapis/book", body, client, key("k2")))
+            transcript.note("refusals counted -> " + countedRefusals(deployment, entry.adminAddress))
 
             val late = deployment.environments.promote(DocumentVersion(1), DocumentVersion.NONE, deployment.act())
             transcript.note("promotion that lost the race", late)
+            val typing = Drain(ZoneName("mazowsze"), startsAtEpochSeconds = 20, endsAtEpochSeconds = 10)
+            val wrong = deployment.environments.changeDrains("drain", deployment.act()) { it + typing }
+            transcript.note("drain that fits no zone", wrong)
             val drain = Drain(ZoneName("mazowsze-a"))
             transcript.note("drain", deployment.environments.changeDrains("drain", deployment.act()) { it + drain })
             eventually("the drain is in force") { deployment.entries.all { deployment.version(it) == 2 } }
--- a/cardamomwharf-document/src/main/kotlin/org/cardamomwharf/document/DocumentReader.kt
+++ b/cardamomwharf-document/src/main/kotlin/org/cardamomwharf/document/DocumentReader.kt
@@ -90,5 +90,6 @@
         zone = ZoneName(text("zone")),
         service = if (service.isEmpty()) null else ServiceName(service),
         startsAtEpochSeconds = whole("startsAtEpochSeconds", 0..Long.MAX_VALUE, default = 0),
+        endsAtEpochSeconds = whole("endsAtEpochSeconds", 0..Long.MAX_VALUE, default = 0),
     )
 }
--- a/cardamomwharf-document/src/main/kotlin/org/cardamomwharf/document/check/DocumentChecks.kt
+++ b/cardamomwharf-document/src/main/kotlin/org/cardamomwharf/document/check/DocumentChecks.kt
@@ -4,8 +4,10 @@
  */
 package org.cardamomwharf.document.check
 
+import org.cardamomwharf.core.document.DrainFault
 import org.cardamomwharf.core.document.EnvironmentDocument
 import org.cardamomwharf.core.document.Service
+import org.cardamomwharf.core.document.findDrainFaults
 import org.cardamomwharf.document.yaml.ProblemKind
 import org.cardamomwharf.document.yaml.YamlFindings
 
@@ -99,16 +101,13 @@
     }
 
     fun checkDrains() {
-        val services = document.services.map { it.name }.toSet()
-        document.drains.forEachIndexed { index, drain ->
-            if (drain.zone !in zones) findings.unknown("drains[$index].zone", "zone", drain.zone.value)
-            val service = drain.service
-            if (service != null && service !in services) {
-                findings.unknown(
-                    "drains[$index].service",
-                    "service",
-                    service.value
-                )
+        document.findDrainFaults().forEach { fault ->
+            val path = "drains[${fault.index}]"
+            when (fault) {
+                is DrainFault.UnknownZone -> findings.unknown("$path.zone", "zone", fault.zone.value)
+                is DrainFault.UnknownService -> findings.unknown("$path.service", "service", fault.service.value)
+                is DrainFault.EndsBeforeStart ->
+                    findings.report(ProblemKind.IMPOSSIBLE, "$path.endsAtEpochSeconds", "must be after the start")
             }
         }
     }
--- a/cardamomwharf-document/src/main/kotlin/org/cardamomwharf/document/yaml/YamlFile.kt
+++ b/cardamomwharf-document/src/main/kotlin/org/cardamomwharf/document/yaml/YamlFile.kt
@@ -4,6 +4,7 @@
 package org.cardamomwharf.document.yaml
 
 import com.charleskorn.kaml.Yaml
+import com.charleskorn.kaml.YamlConfiguration
 import com.charleskorn.kaml.YamlException
 import com.charleskorn.kaml.YamlMap
 import com.github.michaelbull.result.Err
@@ -13,8 +14,21 @@
 import java.nio.file.Files
 import java.nio.file.Path
 
+/** The largest file; 440,000 client blocks take about a third of it. */
+public const val LARGEST_YAML_CHARACTERS: Int = 67_108_864
+
+private val yaml = Yaml(configuration = YamlConfiguration(codePointLimit = LARGEST_YAML_CHARACTERS))
+
 /** Returns what [read] makes of the YAML text [text], or every problem of it. */
 public fun <T> readYaml(text: String, read: (YamlFields, YamlFindings) -> T): Result<T, List<Problem>> =
+    if (text.length > LARGEST_YAML_CHARACTERS) {
+        val detail = "${text.length} characters, at most $LARGEST_YAML_CHARACTERS are allowed"
+        Err(listOf(Problem(ProblemKind.OUT_OF_RANGE, Place.START, "", detail)))
+    } else {
+        readChecked(text, read)
+    }
+
+private fun <T> readChecked(text: String, read: (YamlFields, YamlFindings) -> T): Result<T, List<Problem>> =
     try {
         readNode(text, read)
     } catch (e: YamlException) {
@@ -23,7 +37,7 @@
     }
 
 private fun <T> readNode(text: String, read: (YamlFields, YamlFindings) -> T): Result<T, List<Problem>> {
-    val node = Yaml.default.parseToYamlNode(text)
+    val node = yaml.parseToYamlNode(text)
     if (node !is YamlMap) return Err(listOf(Problem(ProblemKind.WRONG_TYPE, Place.START, "", "must be a mapping")))
     val findings = YamlFindings()
     val fields = YamlFields(node, "", findings)
--- a/cardamomwharf-document/src/test/kotlin/org/cardamomwharf/document/DocumentReaderTest.kt
+++ b/cardamomwharf-document/src/test/kotlin/org/cardamomwharf/document/DocumentReaderTest.kt
@@ -10,6 +10,7 @@
 import io.kotest.matchers.collections.shouldContainExactlyInAnyOrder
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.shouldNotBe
+import org.cardamomwharf.document.yaml.LARGEST_YAML_CHARACTERS
 import org.cardamomwharf.document.yaml.Place
 import org.cardamomwharf.document.yaml.ProblemKind
 import java.nio.file.Files
@@ -53,6 +54,14 @@
         kinds shouldContain (ProblemKind.DUPLICATE to "clientBlocks[1].cidr")
     }
 
+    test("`a document of many client blocks is read, and one that is too large is refused with its size`") {
+        val blocks = (0 until 70_000).joinToString("") { number ->
+            "  - cidr: 10.${number / 256 / 256}.${number / 256 % 256}.${number % 256}/32\n    zone: mazowsze-a\n"
+        }
+        parseDocument(example("wisla") + blocks).get()?.clientBlocks?.size shouldBe 70_006
+        kindsOf(" ".repeat(LARGEST_YAML_CHARACTERS + 1)) shouldBe listOf(ProblemKind.OUT_OF_RANGE to "")
+    }
+
     test("`weights, thresholds and reserves that can't hold are reported`") {
         val policy = "policy:\n  shiftStopPercent: 90\n  capReservePercent: 5\n"
         val kinds = kindsOf(example("wisla") + policy)
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/documents/DocumentKeeper.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/documents/DocumentKeeper.kt
@@ -17,6 +17,7 @@
 import org.cardamomwharf.peer.PeerMessage
 import org.cardamomwharf.platform.DocumentArchive
 import org.cardamomwharf.platform.decodeDocument
+import org.cardamomwharf.platform.hashOfBlocks
 import java.util.concurrent.ConcurrentHashMap
 
 private val log = PartLog("documents")
@@ -91,7 +92,7 @@
         val wanted = waiting
         val contents = reply.contents
         waiting = null
-        if (wanted == null || contents == null || contents.sha256Hex() != reply.hash) {
+        if (wanted == null || contents == null || hashOfBlocks(contents) != reply.hash) {
             miss()
             return
         }
--- a/cardamomwharf-platform/src/main/kotlin/org/cardamomwharf/platform/DocumentArchive.kt
+++ b/cardamomwharf-platform/src/main/kotlin/org/cardamomwharf/platform/DocumentArchive.kt
@@ -19,10 +19,18 @@
         readContents(hash).map(::decodeDocument)
 
     /** Returns the contents of the document under [hash]. */
-    public fun readContents(hash: String): Result<ByteArray, RepositoryError> = readNamed("documents-$hash", hash)
+    public fun readContents(hash: String): Result<ByteArray, RepositoryError> = readNamed(
+        "documents-$hash",
+        hash,
+        ByteArray::sha256Hex
+    )
 
     /** Returns the contents of the client blocks under [hash]. */
-    public fun readBlocks(hash: String): Result<ByteArray, RepositoryError> = readNamed("blocks-$hash", hash)
+    public fun readBlocks(hash: String): Result<ByteArray, RepositoryError> = readNamed(
+        "blocks-$hash",
+        hash,
+        ::hashOfBlocks
+    )
 
     /** Returns the document under [hash] with its client blocks. */
     public fun readWhole(hash: String): Result<EnvironmentDocument, RepositoryError> =
@@ -39,10 +47,14 @@
             .map { encoded.hash }
     }
 
-    private fun readNamed(name: String, hash: String): Result<ByteArray, RepositoryError> =
+    private fun readNamed(
+        name: String,
+        hash: String,
+        hashOf: (ByteArray) -> String?,
+    ): Result<ByteArray, RepositoryError> =
         objects.read(name)
             .mapError { RepositoryError.Platform(it) }
-            .flatMap { if (it?.sha256Hex() == hash) Ok(it) else Err(RepositoryError.Damaged(hash)) }
+            .flatMap { if (it != null && hashOf(it) == hash) Ok(it) else Err(RepositoryError.Damaged(hash)) }
 
     private fun write(name: String, contents: ByteArray): Result<Unit, RepositoryError> =
         objects.write(name, contents).mapError { RepositoryError.Platform(it) }
