--- a/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/policy/PolicyCount.kt
+++ b/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/policy/PolicyCount.kt
@@ -11,6 +11,7 @@
  * @param meanFreePercent free slots of the region that is fullest at each moment, mean over time.
  * @param fullestRegionFreePercent free slots of the region that is fullest on the whole, mean over time.
  * @param largestCapPercent fullest second of any partner's cap on shifted requests, over all services.
+ * @param leastLinkFreePercent free part of the fullest link in its fullest second, over all services.
  * @param drainMs time from a drain to the last work in the drained region, null without a drain.
  */
 @Serializable
@@ -29,5 +30,6 @@
     public val fullestRegionFreePercent: Double,
     public val objective: String,
     public val largestCapPercent: Double,
+    public val leastLinkFreePercent: Double,
     public val drainMs: Long?,
 )
--- a/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/policy/PolicyRun.kt
+++ b/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/policy/PolicyRun.kt
@@ -126,6 +126,7 @@
             fullestRegionFreePercent = tally.headroom.fullestRegionPercent,
             objective = world.document.objective.name.lowercase(),
             largestCapPercent = world.capMeter.largestPercent,
+            leastLinkFreePercent = world.linkMeter.leastFreePercent,
             drainMs = world.drainMeter.tookMs,
         )
     }
--- a/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/policy/PolicyWorld.kt
+++ b/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/policy/PolicyWorld.kt
@@ -26,6 +26,9 @@
     /** Shifted requests against the caps. */
     public val capMeter: CapMeter = CapMeter(index)
 
+    /** Shifted bytes against the links. */
+    public val linkMeter: LinkMeter = LinkMeter(index)
+
     /** How long a drain took. */
     public val drainMeter: DrainMeter = DrainMeter()
 
@@ -80,7 +83,10 @@
 
     /** Notes that [server] takes a request of a client near [from], unless it sheds it. */
     public fun noteShift(from: ZoneName, server: FakeServer) {
-        if (server.hasRoom) capMeter.note(from, server.place.zone, time.nowMs)
+        if (!server.hasRoom) return
+        val service = index.services.getValue(server.place.service)
+        capMeter.note(from, server.place.zone, time.nowMs)
+        linkMeter.note(regionOf(from), regionOf(server.place.zone), service, time.nowMs)
     }
 
     /** Returns the load that [server] reports. */
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/claims/ClaimExpiry.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/claims/ClaimExpiry.kt
@@ -16,6 +16,7 @@
 private const val DUTY = "claim-expiry"
 private const val SECONDS_PER_HOUR = 3_600L
 private const val SECONDS_PER_MINUTE = 60L
+private const val DUTY_PAUSE_MS = 1_000L
 private const val MORE_PAUSE_MS = 1_000L
 private const val IDLE_PAUSE_MS = 60_000L
 
@@ -24,8 +25,10 @@
 
 /** Asks for the next deletion when it is due and this instance has the duty. */
 internal fun Turn.expireClaims() {
-    if (nowMs < state.claimExpiry.nextAtMs || !hasDuty()) return
-    state = state.copy(claimExpiry = ClaimExpiry(nowMs + IDLE_PAUSE_MS))
+    if (nowMs < state.claimExpiry.nextAtMs) return
+    val isOnDuty = hasDuty()
+    state = state.copy(claimExpiry = ClaimExpiry(nowMs + if (isOnDuty) IDLE_PAUSE_MS else DUTY_PAUSE_MS))
+    if (!isOnDuty) return
     add(EntryEffect.ExpireClaims(policy.claimRetentionMinutes * SECONDS_PER_MINUTE, LARGEST_EXPIRED_ROWS))
 }
 
