--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/AnswerTrust.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/AnswerTrust.kt
@@ -13,12 +13,12 @@
 internal fun Turn.distrustUnnamed(target: Target, result: AttemptResult): AttemptResult {
     val server = (target as? Target.Server)?.let { state.servers.servers[it.name] }
     if (server != null && result.isNamedAnswer) noteNaming(server)
-    val isDistrusted = server != null && server.isNaming && result.isAnswer && !result.isNamedAnswer
+    val isDistrusted = server != null && server.namesAttempts && result.isAnswer && !result.isNamedAnswer
     return if (isDistrusted) AttemptResult.Lost(Reason.ANSWER_CROSSED) else result
 }
 
 private fun Turn.noteNaming(server: ServerState) {
-    state = state.copy(servers = state.servers.change(server.name) { it.copy(isNaming = true) })
+    state = state.copy(servers = state.servers.change(server.name) { it.copy(namesAttempts = true) })
 }
 
 private val AttemptResult.isAnswer: Boolean
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/servers/ServerTable.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/servers/ServerTable.kt
@@ -37,7 +37,7 @@
  * @param residual slots that other instances still use after the server changed its owner.
  * @param warmFromMs time at which the server began to take work from its owner.
  * @param closedUntilMs time until which it gets nothing after a failure or refusal.
- * @param isNaming whether an answer of it ever named its attempt; from then on all of them have to.
+ * @param namesAttempts whether an answer of it ever named its attempt; from then on all of them have to.
  */
 public data class ServerState(
     public val listed: ListedServer,
@@ -49,7 +49,7 @@
     public val isLeaving: Boolean = false,
     public val report: LoadReport? = null,
     public val reportAtMs: Long = 0,
-    public val isNaming: Boolean = false,
+    public val namesAttempts: Boolean = false,
 ) {
     /** The name of the server. */
     public val name: ServerName get() = listed.name
