--- a/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/paths/PathFigures.kt
+++ b/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/paths/PathFigures.kt
@@ -11,8 +11,8 @@
 import org.cardamomwharf.decision.step
 import org.cardamomwharf.peer.PeerMessage
 import org.cardamomwharf.peer.encodeMessage
-import org.cardamomwharf.platform.decodeBlocks
-import org.cardamomwharf.platform.encodeBlocks
+import org.cardamomwharf.repository.decodeBlocks
+import org.cardamomwharf.repository.encodeBlocks
 import org.openjdk.jmh.results.RunResult
 import org.openjdk.jmh.runner.Runner
 import org.openjdk.jmh.runner.options.OptionsBuilder
--- a/cardamomwharf-cli/src/main/kotlin/org/cardamomwharf/cli/CommandError.kt
+++ b/cardamomwharf-cli/src/main/kotlin/org/cardamomwharf/cli/CommandError.kt
@@ -5,9 +5,9 @@
 
 import org.cardamomwharf.core.document.DrainFault
 import org.cardamomwharf.document.yaml.Problem
-import org.cardamomwharf.platform.HeadEntry
-import org.cardamomwharf.platform.PlatformError
-import org.cardamomwharf.platform.RepositoryError
+import org.cardamomwharf.repository.HeadEntry
+import org.cardamomwharf.repository.PlatformError
+import org.cardamomwharf.repository.RepositoryError
 
 /** Represents why a command failed. */
 public sealed interface CommandError {
--- a/cardamomwharf-cli/src/main/kotlin/org/cardamomwharf/cli/Commands.kt
+++ b/cardamomwharf-cli/src/main/kotlin/org/cardamomwharf/cli/Commands.kt
@@ -20,7 +20,7 @@
 import org.cardamomwharf.core.ZoneName
 import org.cardamomwharf.core.document.Drain
 import org.cardamomwharf.document.readDocument
-import org.cardamomwharf.platform.EnvironmentName
+import org.cardamomwharf.repository.EnvironmentName
 import java.nio.file.Path
 
 @OptIn(ExperimentalCli::class)
--- a/cardamomwharf-cli/src/main/kotlin/org/cardamomwharf/cli/DocumentChange.kt
+++ b/cardamomwharf-cli/src/main/kotlin/org/cardamomwharf/cli/DocumentChange.kt
@@ -8,8 +8,8 @@
 import com.github.michaelbull.result.get
 import com.github.michaelbull.result.map
 import org.cardamomwharf.core.document.capTerms
-import org.cardamomwharf.platform.DocumentArchive
-import org.cardamomwharf.platform.RepositoryError
+import org.cardamomwharf.repository.DocumentArchive
+import org.cardamomwharf.repository.RepositoryError
 
 /** Returns true when both documents divide the caps alike; false when one of them can't be read. */
 internal fun DocumentArchive.haveSameCaps(hash: String, nextHash: String): Boolean {
--- a/cardamomwharf-cli/src/main/kotlin/org/cardamomwharf/cli/Environments.kt
+++ b/cardamomwharf-cli/src/main/kotlin/org/cardamomwharf/cli/Environments.kt
@@ -16,12 +16,12 @@
 import org.cardamomwharf.core.document.Drain
 import org.cardamomwharf.core.document.EnvironmentDocument
 import org.cardamomwharf.core.document.findDrainFaults
-import org.cardamomwharf.platform.DocumentArchive
-import org.cardamomwharf.platform.EnvironmentHeads
-import org.cardamomwharf.platform.EnvironmentName
-import org.cardamomwharf.platform.HeadChange
-import org.cardamomwharf.platform.HeadEntry
-import org.cardamomwharf.platform.RepositoryError
+import org.cardamomwharf.repository.DocumentArchive
+import org.cardamomwharf.repository.EnvironmentHeads
+import org.cardamomwharf.repository.EnvironmentName
+import org.cardamomwharf.repository.HeadChange
+import org.cardamomwharf.repository.HeadEntry
+import org.cardamomwharf.repository.RepositoryError
 
 /** Represents who changes an environment, and under which attempt. */
 public data class OperatorAct(
--- a/cardamomwharf-cli/src/main/kotlin/org/cardamomwharf/cli/WharfCommand.kt
+++ b/cardamomwharf-cli/src/main/kotlin/org/cardamomwharf/cli/WharfCommand.kt
@@ -14,10 +14,10 @@
 import org.cardamomwharf.http.HttpCaller
 import org.cardamomwharf.http.HttpCallerSettings
 import org.cardamomwharf.http.startJettyCaller
-import org.cardamomwharf.platform.DocumentArchive
-import org.cardamomwharf.platform.EnvironmentHeads
-import org.cardamomwharf.platform.httpObjectStore
-import org.cardamomwharf.platform.httpTableService
+import org.cardamomwharf.repository.DocumentArchive
+import org.cardamomwharf.repository.EnvironmentHeads
+import org.cardamomwharf.repository.httpObjectStore
+import org.cardamomwharf.repository.httpTableService
 import java.util.UUID
 import kotlin.system.exitProcess
 
--- a/cardamomwharf-dist/src/test/kotlin/org/cardamomwharf/dist/operators/CapChangeTest.kt
+++ b/cardamomwharf-dist/src/test/kotlin/org/cardamomwharf/dist/operators/CapChangeTest.kt
@@ -17,8 +17,8 @@
 import org.cardamomwharf.core.document.Drain
 import org.cardamomwharf.core.document.EnvironmentDocument
 import org.cardamomwharf.dist.support.Deployment
-import org.cardamomwharf.platform.EnvironmentName
-import org.cardamomwharf.platform.HeadEntry
+import org.cardamomwharf.repository.EnvironmentName
+import org.cardamomwharf.repository.HeadEntry
 import java.util.concurrent.CompletableFuture
 
 private val droppedZone = ZoneName("pomorze-b")
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/EntryProcess.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/EntryProcess.kt
@@ -42,12 +42,12 @@
 import org.cardamomwharf.peer.PeerNode
 import org.cardamomwharf.peer.PeerSettings
 import org.cardamomwharf.peer.startPeerNode
-import org.cardamomwharf.platform.ClaimTable
-import org.cardamomwharf.platform.DocumentArchive
-import org.cardamomwharf.platform.EnvironmentHeads
-import org.cardamomwharf.platform.httpInstanceList
-import org.cardamomwharf.platform.httpObjectStore
-import org.cardamomwharf.platform.httpTableService
+import org.cardamomwharf.repository.ClaimTable
+import org.cardamomwharf.repository.DocumentArchive
+import org.cardamomwharf.repository.EnvironmentHeads
+import org.cardamomwharf.repository.httpInstanceList
+import org.cardamomwharf.repository.httpObjectStore
+import org.cardamomwharf.repository.httpTableService
 
 private const val CALLER_THREADS = 512
 private const val ADMIN_THREADS = 16
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/claims/ClaimExpirer.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/claims/ClaimExpirer.kt
@@ -8,7 +8,7 @@
 import org.cardamomwharf.decision.EntryEvent
 import org.cardamomwharf.entry.loop.EventRing
 import org.cardamomwharf.entry.metrics.EntryMetrics
-import org.cardamomwharf.platform.ClaimTable
+import org.cardamomwharf.repository.ClaimTable
 import java.util.concurrent.ArrayBlockingQueue
 
 /** Represents the thread that deletes old claim rows. */
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/claims/ClaimKeeper.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/claims/ClaimKeeper.kt
@@ -13,9 +13,9 @@
 import org.cardamomwharf.decision.claims.ClaimReply
 import org.cardamomwharf.decision.claims.ClaimRow
 import org.cardamomwharf.decision.claims.ClaimState
-import org.cardamomwharf.platform.ClaimTable
-import org.cardamomwharf.platform.PlatformError
-import org.cardamomwharf.platform.TableWrite
+import org.cardamomwharf.repository.ClaimTable
+import org.cardamomwharf.repository.PlatformError
+import org.cardamomwharf.repository.TableWrite
 import java.util.Base64
 
 /** Represents the calls about claims. */
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/claims/ClaimReplies.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/claims/ClaimReplies.kt
@@ -9,9 +9,9 @@
 import kotlinx.serialization.json.Json
 import org.cardamomwharf.decision.claims.ClaimReply
 import org.cardamomwharf.decision.claims.ClaimRow
-import org.cardamomwharf.platform.PlatformError
-import org.cardamomwharf.platform.TableRow
-import org.cardamomwharf.platform.TableWrite
+import org.cardamomwharf.repository.PlatformError
+import org.cardamomwharf.repository.TableRow
+import org.cardamomwharf.repository.TableWrite
 
 internal fun replyOfWrite(written: Result<TableWrite, PlatformError>): ClaimReply = written.mapBoth(
     success = { write ->
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/documents/BlockShelf.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/documents/BlockShelf.kt
@@ -5,8 +5,8 @@
 
 import com.github.michaelbull.result.get
 import org.cardamomwharf.core.document.ClientBlockTable
-import org.cardamomwharf.platform.DocumentArchive
-import org.cardamomwharf.platform.decodeBlocks
+import org.cardamomwharf.repository.DocumentArchive
+import org.cardamomwharf.repository.decodeBlocks
 
 internal class BlockShelf(private val archive: DocumentArchive) {
     @Volatile
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/documents/DocumentKeeper.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/documents/DocumentKeeper.kt
@@ -15,9 +15,9 @@
 import org.cardamomwharf.entry.loop.EventRing
 import org.cardamomwharf.logging.PartLog
 import org.cardamomwharf.peer.PeerMessage
-import org.cardamomwharf.platform.DocumentArchive
-import org.cardamomwharf.platform.decodeDocument
-import org.cardamomwharf.platform.hashOfBlocks
+import org.cardamomwharf.repository.DocumentArchive
+import org.cardamomwharf.repository.decodeDocument
+import org.cardamomwharf.repository.hashOfBlocks
 import java.util.concurrent.ConcurrentHashMap
 
 private val log = PartLog("documents")
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/polling/PlatformPollers.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/polling/PlatformPollers.kt
@@ -27,10 +27,10 @@
 import org.cardamomwharf.http.HttpCall
 import org.cardamomwharf.http.HttpCaller
 import org.cardamomwharf.http.HttpEnd
-import org.cardamomwharf.platform.EnvironmentHeads
-import org.cardamomwharf.platform.InstanceList
-import org.cardamomwharf.platform.PlatformInstance
-import org.cardamomwharf.platform.PlatformRole
+import org.cardamomwharf.repository.EnvironmentHeads
+import org.cardamomwharf.repository.InstanceList
+import org.cardamomwharf.repository.PlatformInstance
+import org.cardamomwharf.repository.PlatformRole
 
 private const val LOAD_PATH = "/wharf/load"
 private val json = Json { ignoreUnknownKeys = true }
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/settings/EntrySettings.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/settings/EntrySettings.kt
@@ -10,7 +10,7 @@
 import org.cardamomwharf.decision.EntryLimits
 import org.cardamomwharf.decision.membership.MembershipSettings
 import org.cardamomwharf.logging.LogFormat
-import org.cardamomwharf.platform.EnvironmentName
+import org.cardamomwharf.repository.EnvironmentName
 
 /**
  * Represents the settings of an entry process.
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/settings/EntrySettingsReader.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/settings/EntrySettingsReader.kt
@@ -19,7 +19,7 @@
 import org.cardamomwharf.document.yaml.readYaml
 import org.cardamomwharf.document.yaml.section
 import org.cardamomwharf.logging.LogFormat
-import org.cardamomwharf.platform.EnvironmentName
+import org.cardamomwharf.repository.EnvironmentName
 import java.nio.file.Path
 
 private const val LARGEST_MS = 3_600_000L
--- /dev/null
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/course/RequestTrace.kt
@@ -0,0 +1,38 @@
+/*
+ * What happened to a request, for logs and metrics.
+ */
+package org.cardamomwharf.forward.course
+
+import org.cardamomwharf.steering.requests.Placement
+
+/**
+ * Represents the course of a request that has ended.
+ *
+ * @param outcome code of what the caller was told.
+ * @param status status that the caller got; 0 when it left before.
+ */
+public data class RequestTrace(
+    public val requestId: String,
+    public val route: String,
+    public val service: String,
+    public val desiredVersion: Long,
+    public val outcome: String,
+    public val status: Int,
+    public val tookMs: Long,
+    public val leftMs: Long,
+    public val tries: List<TryTrace>,
+)
+
+/** Represents one try with what decided it. */
+public data class TryTrace(
+    public val placement: Placement.Send,
+    public val end: String,
+    public val detail: String,
+    public val tookMs: Long,
+)
+
+/** Takes the traces of requests; never blocks. */
+public fun interface TraceSink {
+    /** Takes the [trace] of a request that has ended. */
+    public fun take(trace: RequestTrace)
+}
--- /dev/null
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/ServerAnswer.kt
@@ -0,0 +1,51 @@
+/*
+ * A whole answer of a backend server, and what may end a call to one.
+ */
+package org.cardamomwharf.forward.server
+
+import org.eclipse.jetty.http.HttpFields
+import org.cardamomwharf.steering.servers.LoadReport
+
+/** Represents a whole answer. */
+public class ServerAnswer(
+    public val status: Int,
+    public val fields: HttpFields,
+    public val body: ByteArray,
+    public val report: LoadReport?,
+)
+
+/** Represents the end of a call to a backend server. */
+public sealed interface CallEnd {
+    /** The whole answer arrived. */
+    public class Answered(public val answer: ServerAnswer) : CallEnd
+
+    /** No byte of the request left this process. */
+    public data class NotSent(public val cause: CallFailure) : CallEnd
+
+    /** The request may have arrived, and no whole answer of it came back. */
+    public data class Lost(public val cause: CallFailure) : CallEnd
+}
+
+/** Represents why a call failed. */
+public enum class CallFailure(public val code: String) {
+    /** No connection could be made in time. */
+    CONNECT("connect"),
+
+    /** The connection was reset. */
+    RESET("reset"),
+
+    /** The connection ended before the whole answer had arrived. */
+    TRUNCATED("truncated"),
+
+    /** What arrived was no answer in the protocol. */
+    MALFORMED("malformed"),
+
+    /** The answer was encoded, belonged to another request, or had no signature. */
+    FOREIGN("foreign"),
+
+    /** The answer was larger than this process keeps. */
+    TOO_LARGE("too-large"),
+
+    /** This process gave the call up. */
+    CANCELLED("cancelled"),
+}
--- /dev/null
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/ServerCall.kt
@@ -0,0 +1,50 @@
+/*
+ * One request to a backend server.
+ */
+package org.cardamomwharf.forward.server
+
+import org.cardamomwharf.core.ServerName
+import org.cardamomwharf.core.SocketAddress
+import org.eclipse.jetty.http.HttpFields
+import java.nio.ByteBuffer
+import java.util.concurrent.atomic.AtomicBoolean
+
+/**
+ * Represents a call.
+ *
+ * @param requestId the id that the answer has to repeat.
+ * @param onEnd is told the end once, on a thread of the pool.
+ */
+public class ServerCall(
+    public val server: ServerName,
+    public val address: SocketAddress,
+    public val requestId: String,
+    public val method: String,
+    public val target: String,
+    public val fields: HttpFields,
+    public val body: ByteBuffer?,
+    private val onEnd: (CallEnd) -> Unit,
+) {
+    private val isEnded = AtomicBoolean(false)
+
+    @Volatile
+    private var connection: ServerConnection? = null
+
+    /** True when the call has ended. */
+    public val hasEnded: Boolean get() = isEnded.get()
+
+    /** Gives the call up and closes its connection. */
+    public fun cancel() {
+        val current = connection
+        end(if (current == null) CallEnd.NotSent(CallFailure.CANCELLED) else CallEnd.Lost(CallFailure.CANCELLED))
+        current?.discard()
+    }
+
+    internal fun attach(next: ServerConnection) {
+        connection = next
+    }
+
+    internal fun end(end: CallEnd) {
+        if (isEnded.compareAndSet(false, true)) onEnd(end)
+    }
+}
--- /dev/null
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/ServerPool.kt
@@ -0,0 +1,171 @@
+/*
+ * The connections to backend servers. Idle connections are used again, the latest first, so that the others run into
+ * their time-out and are closed.
+ */
+package org.cardamomwharf.forward.server
+
+import org.cardamomwharf.core.Clock
+import org.cardamomwharf.core.ServerName
+import org.cardamomwharf.core.SocketAddress
+import org.cardamomwharf.http.keepAlive
+import org.eclipse.jetty.io.ClientConnector
+import org.eclipse.jetty.io.Connection
+import org.eclipse.jetty.io.EndPoint
+import org.eclipse.jetty.util.Promise
+import java.net.InetSocketAddress
+import java.nio.channels.SelectableChannel
+import java.nio.channels.SocketChannel
+import java.time.Duration
+import java.util.concurrent.Executor
+import java.util.concurrent.atomic.AtomicInteger
+
+/**
+ * Represents the limits of the pool.
+ *
+ * @param connectMs time for a new connection; longer than any way there and back, shorter than most targets.
+ * @param idleMs time for which a connection is kept when the backend server names none.
+ * @param largestAnswerBytes size of the largest answer that is carried.
+ */
+public data class ServerPoolSettings(
+    public val connectMs: Long = 400,
+    public val idleMs: Long = 4_000,
+    public val largestHeadBytes: Int = 16_384,
+    public val largestAnswerBytes: Int = 2_097_152,
+)
+
+/** Represents one life of a backend server at one address. */
+internal data class ServerKey(val server: ServerName, val address: SocketAddress)
+
+/** Represents the pool. */
+public class ServerPool internal constructor(
+    private val settings: ServerPoolSettings,
+    private val executor: Executor,
+    private val clock: Clock,
+) : AutoCloseable {
+    private val idle = HashMap<ServerKey, ArrayDeque<ServerConnection>>()
+    private val open = AtomicInteger()
+
+    /** Connections that were opened since the start. */
+    public val opened: AtomicInteger = AtomicInteger()
+    private val connector = KeptAliveConnector().apply {
+        selectors = 1
+        executor = this@ServerPool.executor
+        connectTimeout = Duration.ofMillis(settings.connectMs)
+        idleTimeout = Duration.ZERO
+        isTCPNoDelay = true
+    }
+
+    /** Connections that are open now. */
+    public val openConnections: Int get() = open.get()
+
+    internal fun start() {
+        connector.start()
+    }
+
+    /** Starts [call]. */
+    public fun send(call: ServerCall) {
+        val key = ServerKey(call.server, call.address)
+        while (true) {
+            val kept = takeIdle(key) ?: break
+            if (kept.isQuiet() && kept.send(call)) return
+            kept.discard()
+        }
+        connect(key, call)
+    }
+
+    private fun takeIdle(key: ServerKey): ServerConnection? {
+        synchronized(idle) { return takeIdleOf(key) }
+    }
+
+    private fun takeIdleOf(key: ServerKey): ServerConnection? {
+        val kept = idle[key] ?: return null
+        val nowMs = clock.nowMs()
+        while (true) {
+            val connection = kept.removeLastOrNull() ?: return null
+            if (nowMs - connection.idleSinceMs < connection.keptForMs) return connection
+            connection.close()
+        }
+    }
+
+    private fun connect(key: ServerKey, call: ServerCall) {
+        val context = HashMap<String, Any>()
+        context[OPENING] = Opening(this, key, call)
+        context[ClientConnector.CONNECTION_PROMISE_CONTEXT_KEY] = Promise.from<Any>(
+            { },
+            { call.end(CallEnd.NotSent(CallFailure.CONNECT)) },
+        )
+        connector.connect(InetSocketAddress(key.address.host, key.address.port), context)
+    }
+
+    private fun newConnection(endPoint: EndPoint, opening: Opening): ServerConnection =
+        ServerConnection(endPoint, executor, settings, this, opening.key, opening.call)
+
+    internal fun onOpen(connection: ServerConnection, call: ServerCall) {
+        open.incrementAndGet()
+        opened.incrementAndGet()
+        if (call.hasEnded) {
+            onIdle(connection)
+        } else if (!connection.send(call)) {
+            call.end(CallEnd.NotSent(CallFailure.RESET))
+        }
+    }
+
+    internal fun onIdle(connection: ServerConnection) {
+        connection.idleSinceMs = clock.nowMs()
+        synchronized(idle) { idle.getOrPut(connection.key) { ArrayDeque() }.addLast(connection) }
+    }
+
+    internal fun onGone(connection: ServerConnection) {
+        synchronized(idle) {
+            val kept = idle[connection.key] ?: return
+            kept.remove(connection)
+            if (kept.isEmpty()) idle.remove(connection.key)
+        }
+    }
+
+    internal fun onClosed() {
+        open.decrementAndGet()
+    }
+
+    /** Closes idle connections whose time is over; due about once a second. */
+    public fun closeExpired() {
+        val nowMs = clock.nowMs()
+        val expired = synchronized(idle) {
+            idle.values.flatMap { kept -> kept.filter { nowMs - it.idleSinceMs >= it.keptForMs } }
+        }
+        expired.forEach { it.discard() }
+    }
+
+    /** Closes all idle connections to [server], which may no longer answer on them. */
+    public fun closeIdle(server: ServerName) {
+        val kept = synchronized(idle) { idle.filterKeys { it.server == server }.values.flatten() }
+        kept.forEach { it.discard() }
+    }
+
+    override fun close() {
+        connector.stop()
+    }
+
+    private class Opening(val pool: ServerPool, val key: ServerKey, val call: ServerCall)
+
+    /** Opens connections whose silent loss the system notices by itself. */
+    private class KeptAliveConnector : ClientConnector() {
+        override fun configure(selectable: SelectableChannel) {
+            super.configure(selectable)
+            (selectable as? SocketChannel)?.let(::keepAlive)
+        }
+
+        override fun newConnection(endPoint: EndPoint, context: MutableMap<String, Any>): Connection {
+            val opening = context[OPENING] as Opening
+            return opening.pool.newConnection(endPoint, opening)
+        }
+    }
+
+    private companion object {
+        const val OPENING = "org.cardamomwharf.opening"
+    }
+}
+
+/** Returns a started pool. */
+public fun startServerPool(settings: ServerPoolSettings, executor: Executor, clock: Clock): ServerPool =
+    ServerPool(settings, executor, clock).also { it.start() }
--- /dev/null
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/GatewayProcess.kt
@@ -0,0 +1,206 @@
+/*
+ * Puts the parts of a gateway process together, and ends it so that no request is cut off.
+ */
+package org.cardamomwharf.gateway
+
+import com.github.michaelbull.result.getOrElse
+import kotlinx.serialization.json.put
+import org.cardamomwharf.core.Incarnation
+import org.cardamomwharf.core.SocketAddress
+import org.cardamomwharf.core.monotonicClock
+import org.cardamomwharf.forward.course.CourseTools
+import org.cardamomwharf.forward.course.GuardedSteering
+import org.cardamomwharf.forward.course.forwardingHandler
+import org.cardamomwharf.forward.front.FrontHandler
+import org.cardamomwharf.forward.front.FrontListener
+import org.cardamomwharf.forward.front.FrontServer
+import org.cardamomwharf.forward.front.FrontSettings
+import org.cardamomwharf.forward.front.startFrontServer
+import org.cardamomwharf.forward.server.ServerPool
+import org.cardamomwharf.forward.server.ServerPoolSettings
+import org.cardamomwharf.forward.server.startServerPool
+import org.cardamomwharf.gateway.directory.directoryHandler
+import org.cardamomwharf.gateway.directory.readyHandler
+import org.cardamomwharf.gateway.logs.DecisionLog
+import org.cardamomwharf.gateway.metrics.GatewayMetrics
+import org.cardamomwharf.gateway.peers.PeerHeartbeats
+import org.cardamomwharf.gateway.settings.GatewaySettings
+import org.cardamomwharf.gateway.store.StateWatch
+import org.cardamomwharf.http.HttpCallerSettings
+import org.cardamomwharf.http.startJettyCaller
+import org.cardamomwharf.platform.platformStore
+import org.cardamomwharf.steering.Steering
+import org.cardamomwharf.steering.belief.DeploymentStore
+import org.cardamomwharf.steering.instances.InstanceBook
+import org.cardamomwharf.steering.instances.InstanceRecord
+import org.eclipse.jetty.util.thread.QueuedThreadPool
+import java.util.concurrent.TimeUnit
+
+private const val CALLERS = "callers"
+private const val READY = "ready"
+private const val DIRECTORY = "directory"
+private const val METRICS = "metrics"
+
+/** Silence after which an instance counts as gone; below the users' seven seconds with the way of the news. */
+private const val SILENCE_MS = 4_000L
+
+/** Pause between adjustments of what is lent, and looks at idle connections. */
+private const val TICK_MS = 200L
+
+/** Part of the time to stop for which new requests are still taken; callers keep addresses for some seconds. */
+private const val TAKING_SHARE = 0.5
+
+/** Part of the time to stop after which the process ends whatever is open. */
+private const val ENDING_SHARE = 0.9
+
+private const val LOOK_MS = 20L
+
+/** Pause before the instances are read or registered again after a failure. */
+private const val REGISTER_RETRY_MS = 500L
+
+/** Represents a running gateway process. */
+internal class GatewayProcess(private val settings: GatewaySettings) {
+    private val clock = monotonicClock()
+    private val log = DecisionLog(clock)
+    private val metrics = GatewayMetrics()
+    private val place = settings.toPlace()
+    private val terms = settings.toTerms()
+    private val steering = GuardedSteering(Steering(place, terms), clock)
+    private val own = InstanceRecord(
+        settings.instance,
+        settings.zone,
+        settings.addresses.caller,
+        SocketAddress(settings.addresses.host, settings.peerPort),
+    )
+    private val book = InstanceBook(own, Incarnation(System.currentTimeMillis()), SILENCE_MS)
+    private val heartbeats = PeerHeartbeats(own, place, book, clock, ::shareBudgets)
+    private val store = openStore()
+    private val watch = StateWatch(store, steering, clock, log, terms.restoreGraceMs, ::limitCallers)
+    private lateinit var front: FrontServer
+    private lateinit var pool: ServerPool
+    private lateinit var tools: CourseTools
+
+    fun start() {
+        val forward = FrontHandler { request, response, callback -> handler.handle(request, response, callback) }
+        front = startFrontServer(
+            FrontSettings(),
+            listOf(
+                FrontListener(CALLERS, settings.addresses.caller, isWatched = true, forward),
+                FrontListener(READY, settings.addresses.ready, isWatched = false, readyHandler(::isReady)),
+                FrontListener(
+                    DIRECTORY,
+                    settings.addresses.directory,
+                    isWatched = false,
+                    directoryHandler(place) { synchronized(book) { book.serving(clock.nowMs()) } },
+                ),
+                FrontListener(
+                    METRICS,
+                    SocketAddress(settings.addresses.host, settings.metricsPort),
+                    isWatched = false,
+                    metrics.handler(::refresh),
+                ),
+            ),
+        )
+        watch.start()
+        heartbeats.start()
+        Thread(::meetInstances, "register").apply { isDaemon = true }.start()
+        scheduleTick()
+        log.event("start") {
+            put("instance", settings.instance.value)
+            put("zone", settings.zone.value)
+        }
+    }
+
+    private val handler: FrontHandler by lazy {
+        pool = startServerPool(ServerPoolSettings(), front.executor, clock)
+        tools = CourseTools(steering, pool, front.scheduler, clock) { trace ->
+            log.take(trace)
+            metrics.take(trace)
+        }
+        forwardingHandler(tools)
+    }
+
+    private fun openStore(): DeploymentStore {
+        val caller = startJettyCaller(HttpCallerSettings("store", largestConnections = 8, largestThreads = 6))
+        return platformStore(caller, settings.addresses.store) { table, key ->
+            metrics.countUnreadable(table)
+            log.event("unreadable-row") {
+                put("table", table)
+                put("key", key)
+            }
+        }
+    }
+
+    private fun isReady(): Boolean = !isStopping && watch.isKnown
+
+    @Volatile
+    private var isStopping = false
+
+    private fun shareBudgets() {
+        val live = synchronized(book) { book.running(clock.nowMs()) }.mapTo(HashSet()) { it.name }
+        steering.decide { decisions, _ -> decisions.shareWith(live) }
+    }
+
+    private fun limitCallers(idleMs: Long) {
+        front.limitIdle(CALLERS, idleMs)
+    }
+
+    private fun scheduleTick() {
+        front.scheduler.schedule(
+            {
+                steering.decide { decisions, nowMs -> decisions.tick(nowMs) }
+                watch.expire()
+                if (::pool.isInitialized) pool.closeExpired()
+                scheduleTick()
+            },
+            TICK_MS,
+            TimeUnit.MILLISECONDS,
+        )
+    }
+
+    /** Reads which instances registered, and registers this one when it isn't listed as it is. */
+    private fun meetInstances() {
+        while (true) {
+            val reading = store.instances.read().getOrElse { null }
+            if (reading != null) {
+                heartbeats.introduce(reading.entries.mapNotNull { it.value })
+                val isListed = reading.entries.any { it.value == own }
+                if (isListed || store.register(own).isOk) return
+            }
+            Thread.sleep(REGISTER_RETRY_MS)
+        }
+    }
+
+    private fun refresh(set: (String, Double) -> Unit) {
+        set("requests_under_way", if (::tools.isInitialized) tools.requestsUnderWay.toDouble() else 0.0)
+        set("connections_to_servers", if (::pool.isInitialized) pool.openConnections.toDouble() else 0.0)
+        set("connections_opened", if (::pool.isInitialized) pool.opened.get().toDouble() else 0.0)
+        set("desired_version", steering.decide { decisions, _ -> decisions.desired?.version?.value ?: 0 }.toDouble())
+        set("instances", synchronized(book) { book.running(clock.nowMs()) }.size.toDouble())
+    }
+
+    /** Ends the process: tells everybody, takes requests for a while, and finishes what is under way. */
+    fun stop() {
+        val startedAtMs = clock.nowMs()
+        log.event("stop") { put("underWay", underWay()) }
+        isStopping = true
+        handler
+        tools.isStopping = true
+        heartbeats.announceLeaving()
+        waitUntil(startedAtMs + (settings.bounds.stopMs * TAKING_SHARE).toLong()) { false }
+        front.closeListener(CALLERS)
+        front.closeIdle(CALLERS)
+        waitUntil(startedAtMs + (settings.bounds.stopMs * ENDING_SHARE).toLong()) { underWay() == 0 }
+        Thread.sleep(LOOK_MS)
+        log.event("stopped") {
+            put("underWay", underWay())
+            put("tookMs", clock.nowMs() - startedAtMs)
+        }
+    }
+
+    private fun underWay(): Int = if (::tools.isInitialized) tools.requestsUnderWay else 0
+
+    private fun waitUntil(endMs: Long, isDone: () -> Boolean) {
+        while (!isDone() && clock.nowMs() < endMs) Thread.sleep(LOOK_MS)
+    }
+}
--- /dev/null
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/Main.kt
@@ -0,0 +1,54 @@
+/*
+ * The command line of the gateway daemon.
+ */
+package org.cardamomwharf.gateway
+
+import com.github.michaelbull.result.onFailure
+import com.github.michaelbull.result.onSuccess
+import kotlinx.cli.ArgParser
+import kotlinx.cli.ArgType
+import kotlinx.cli.default
+import org.cardamomwharf.document.yaml.Problem
+import org.cardamomwharf.gateway.settings.GatewaySettings
+import org.cardamomwharf.gateway.settings.readGatewaySettings
+import org.cardamomwharf.logging.configureDecisionLines
+import java.nio.file.Path
+import java.util.concurrent.CountDownLatch
+import kotlin.system.exitProcess
+
+private const val EXIT_USAGE = 2
+private const val EXIT_SETTINGS = 3
+
+/** Starts the daemon, or prints every problem of its settings. */
+public fun main(args: Array<String>) {
+    val parser = ArgParser("wharf-gateway")
+    val file by parser.option(ArgType.String, "settings", description = "Settings file in YAML")
+    val variable by parser.option(
+        ArgType.String,
+        "settings-variable",
+        description = "Environment variable that holds the path of the settings file",
+    )
+    val isCheck by parser.option(ArgType.Boolean, "check", description = "Only check the settings").default(false)
+    parser.parse(args)
+    val path = file ?: variable?.let { System.getenv(it) }
+    if (path == null) {
+        System.err.println("wharf-gateway: give --settings or --settings-variable")
+        exitProcess(EXIT_USAGE)
+    }
+    readGatewaySettings(Path.of(path))
+        .onFailure { printProblems(path, it) }
+        .onSuccess { if (!isCheck) serve(it) }
+}
+
+private fun printProblems(file: String, problems: List<Problem>) {
+    problems.forEach { System.err.println("$file:$it") }
+    exitProcess(EXIT_SETTINGS)
+}
+
+private fun serve(settings: GatewaySettings) {
+    configureDecisionLines()
+    val process = GatewayProcess(settings)
+    process.start()
+    Runtime.getRuntime().addShutdownHook(Thread({ process.stop() }, "stop"))
+    CountDownLatch(1).await()
+}
--- /dev/null
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/directory/DirectoryHandler.kt
@@ -0,0 +1,53 @@
+/*
+ * Answers callers that ask which instances to use, and the platform's question whether this instance is ready.
+ */
+package org.cardamomwharf.gateway.directory
+
+import kotlinx.serialization.json.add
+import kotlinx.serialization.json.buildJsonObject
+import kotlinx.serialization.json.put
+import kotlinx.serialization.json.putJsonArray
+import org.cardamomwharf.core.RegionName
+import org.cardamomwharf.core.StatusCode
+import org.cardamomwharf.core.ZoneName
+import org.cardamomwharf.forward.front.FrontHandler
+import org.cardamomwharf.steering.Place
+import org.cardamomwharf.steering.instances.InstanceRecord
+import org.cardamomwharf.steering.instances.chooseInstances
+import org.eclipse.jetty.http.HttpHeader
+import org.eclipse.jetty.server.Request
+import org.eclipse.jetty.server.Response
+import org.eclipse.jetty.util.Callback
+import java.nio.ByteBuffer
+
+/** Time for which callers keep an answer; short, so that they leave an instance that stops before it ends. */
+private const val KEPT_S = 1
+
+/** Largest number of addresses that a caller takes. */
+private const val LARGEST_ADDRESSES = 64
+
+/** Returns the handler for the directory. */
+internal fun directoryHandler(place: Place, serving: () -> List<InstanceRecord>): FrontHandler =
+    FrontHandler { request, response, callback ->
+        val query = Request.extractQueryParameters(request)
+        val zone = query.getValue("zone")?.let { ZoneName(it) }
+        val region = query.getValue("region")?.let { RegionName(it) }
+        val chosen = chooseInstances(serving(), place.regions, zone, region).take(LARGEST_ADDRESSES)
+        val body = buildJsonObject {
+            putJsonArray("addresses") { chosen.forEach { add(it.callerAddress.toString()) } }
+            put("ttl_s", KEPT_S)
+        }
+        response.headers.put(HttpHeader.CONTENT_TYPE, "application/json")
+        write(StatusCode.OK, body.toString(), response, callback)
+    }
+
+/** Returns the handler for the question whether this instance is ready. */
+internal fun readyHandler(isReady: () -> Boolean): FrontHandler = FrontHandler { _, response, callback ->
+    val status = if (isReady()) StatusCode.OK else StatusCode.UNAVAILABLE
+    write(status, if (status == StatusCode.OK) "ready\n" else "not ready\n", response, callback)
+}
+
+private fun write(status: Int, text: String, response: Response, callback: Callback) {
+    response.status = status
+    response.write(true, ByteBuffer.wrap(text.toByteArray()), callback)
+}
--- /dev/null
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/metrics/GatewayMetrics.kt
@@ -0,0 +1,50 @@
+/*
+ * The metrics of a gateway process: a counter for each outcome, refusal and repeat with its reason, and latencies.
+ */
+package org.cardamomwharf.gateway.metrics
+
+import io.prometheus.metrics.core.metrics.Counter
+import io.prometheus.metrics.core.metrics.Gauge
+import io.prometheus.metrics.core.metrics.Histogram
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter
+import io.prometheus.metrics.model.registry.PrometheusRegistry
+import org.cardamomwharf.forward.course.RequestTrace
+import org.cardamomwharf.forward.course.TraceSink
+import org.cardamomwharf.forward.front.FrontHandler
+import java.io.ByteArrayOutputStream
+import java.nio.ByteBuffer
+
+private const val MS_PER_SECOND = 1_000.0
+
+/** Represents the metrics of one process. */
+internal class GatewayMetrics : TraceSink {
+    private val registry = PrometheusRegistry()
+    private val answers = Counter.builder().name("wharf_answers_total").help("Final answers.")
+        .labelNames("service", "outcome", "status").register(registry)
+    private val repeats = Counter.builder().name("wharf_repeats_total").help("Tries that were followed by another.")
+        .labelNames("service", "reason").register(registry)
+    private val unreadable = Counter.builder().name("wharf_unreadable_rows_total").help("Rows that can't be read.")
+        .labelNames("table").register(registry)
+    private val latency = Histogram.builder().name("wharf_request_seconds").help("Time until the final answer.")
+        .labelNames("service").classicOnly().register(registry)
+    private val state = Gauge.builder().name("wharf_state").help("Numbers of what this process knows and holds.")
+        .labelNames("what").register(registry)
+
+    override fun take(trace: RequestTrace) {
+        answers.labelValues(trace.service, trace.outcome, trace.status.toString()).inc()
+        trace.tries.dropLast(1).forEach { repeats.labelValues(trace.service, it.end).inc() }
+        latency.labelValues(trace.service).observe(trace.tookMs / MS_PER_SECOND)
+    }
+
+    fun countUnreadable(table: String) {
+        unreadable.labelValues(table).inc()
+    }
+
+    /** Returns the handler that shows all metrics, after [refresh] has set the gauges. */
+    fun handler(refresh: ((String, Double) -> Unit) -> Unit): FrontHandler = FrontHandler { _, response, callback ->
+        refresh { what, value -> state.labelValues(what).set(value) }
+        val bytes = ByteArrayOutputStream()
+        PrometheusTextFormatWriter(false).write(bytes, registry.scrape())
+        response.write(true, ByteBuffer.wrap(bytes.toByteArray()), callback)
+    }
+}
--- /dev/null
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/PeerHeartbeats.kt
@@ -0,0 +1,161 @@
+/*
+ * Sends heartbeats between instances as datagrams. Each goes to a few instances with what is known of others, more often
+ * inside the region than across.
+ */
+package org.cardamomwharf.gateway.peers
+
+import io.ktor.network.selector.SelectorManager
+import io.ktor.network.sockets.BoundDatagramSocket
+import io.ktor.network.sockets.Datagram
+import io.ktor.network.sockets.InetSocketAddress
+import io.ktor.network.sockets.aSocket
+import io.ktor.utils.io.core.buildPacket
+import io.ktor.utils.io.core.writeFully
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import kotlinx.io.readByteArray
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.cbor.Cbor
+import kotlinx.serialization.decodeFromByteArray
+import kotlinx.serialization.encodeToByteArray
+import org.cardamomwharf.core.Clock
+import org.cardamomwharf.core.Incarnation
+import org.cardamomwharf.core.InstanceName
+import org.cardamomwharf.core.SocketAddress
+import org.cardamomwharf.core.ZoneName
+import org.cardamomwharf.steering.Place
+import org.cardamomwharf.steering.instances.Heartbeat
+import org.cardamomwharf.steering.instances.InstanceBook
+import org.cardamomwharf.steering.instances.InstanceRecord
+import java.util.concurrent.Executors
+
+/** Time between heartbeats; several fit into the silence after which an instance counts as gone. */
+private const val BEAT_MS = 500L
+
+/** Every which beat goes to another region too; their bytes cost more. */
+private const val FAR_EVERY = 2
+
+/** Instances told about in one datagram, so that it stays small in large deployments. */
+private const val LARGEST_TOLD = 24
+
+@Serializable
+internal data class WireHeartbeat(
+    val name: String,
+    val zone: String,
+    val caller: String,
+    val peer: String,
+    val incarnation: Long,
+    val count: Long,
+    val isLeaving: Boolean,
+)
+
+@Serializable
+internal data class WireHeartbeats(val beats: List<WireHeartbeat>)
+
+/** Represents the heartbeats of this process. */
+@OptIn(ExperimentalSerializationApi::class)
+internal class PeerHeartbeats(
+    private val own: InstanceRecord,
+    private val place: Place,
+    private val book: InstanceBook,
+    private val clock: Clock,
+    private val onBeat: () -> Unit,
+) {
+    private val cbor = Cbor { ignoreUnknownKeys = true }
+    private val dispatcher = Executors.newSingleThreadExecutor { Thread(it, "peers").apply { isDaemon = true } }
+        .asCoroutineDispatcher()
+
+    @Volatile
+    private var contacts: List<InstanceRecord> = emptyList()
+
+    @Volatile
+    private var socket: BoundDatagramSocket? = null
+
+    fun start() {
+        CoroutineScope(dispatcher).launch {
+            val address = InetSocketAddress(own.peerAddress.host, own.peerAddress.port)
+            val bound = aSocket(SelectorManager(dispatcher)).udp().bind(address)
+            socket = bound
+            launch { receive(bound) }
+            var number = 0
+            while (true) {
+                beat(bound, number++)
+                delay(BEAT_MS)
+            }
+        }
+    }
+
+    /** Adds instances that the store lists. */
+    fun introduce(records: Collection<InstanceRecord>) {
+        contacts = records.filter { it.name != own.name }
+    }
+
+    /** Tells all instances that this one is stopping. */
+    fun announceLeaving() {
+        val bound = socket ?: return
+        synchronized(book) {
+            book.leave()
+            book.beat()
+        }
+        runBlocking(Dispatchers.Unconfined) { peers().forEach { send(bound, it) } }
+    }
+
+    private suspend fun beat(bound: BoundDatagramSocket, number: Int) {
+        synchronized(book) { book.beat() }
+        onBeat()
+        val (near, far) = peers().partition { place.regions[it.zone] == place.region }
+        near.randomOrNull()?.let { send(bound, it) }
+        if (number % FAR_EVERY == 0) far.randomOrNull()?.let { send(bound, it) }
+    }
+
+    private fun peers(): List<InstanceRecord> {
+        val running = synchronized(book) { book.running(clock.nowMs()) }
+        return (contacts + running).associateBy { it.name }.values.filter { it.name != own.name }
+    }
+
+    private suspend fun send(bound: BoundDatagramSocket, peer: InstanceRecord) {
+        val known = synchronized(book) { book.heartbeats(clock.nowMs()) }
+        val (mine, others) = known.partition { it.record.name == own.name }
+        val told = mine + others.shuffled().take(LARGEST_TOLD)
+        val bytes = cbor.encodeToByteArray(WireHeartbeats(told.map { it.toWire() }))
+        val target = InetSocketAddress(peer.peerAddress.host, peer.peerAddress.port)
+        bound.send(Datagram(buildPacket { writeFully(bytes) }, target))
+    }
+
+    private suspend fun receive(bound: BoundDatagramSocket) {
+        while (true) {
+            val bytes = bound.receive().packet.readByteArray()
+            val heard = decode(bytes) ?: continue
+            synchronized(book) { heard.forEach { book.hear(it, clock.nowMs()) } }
+        }
+    }
+
+    private fun decode(bytes: ByteArray): List<Heartbeat>? = try {
+        cbor.decodeFromByteArray<WireHeartbeats>(bytes).beats.mapNotNull { it.toHeartbeat() }
+    } catch (@Suppress("SwallowedException") e: SerializationException) {
+        null
+    }
+
+    private fun Heartbeat.toWire() = WireHeartbeat(
+        record.name.value,
+        record.zone.value,
+        record.callerAddress.toString(),
+        record.peerAddress.toString(),
+        incarnation.value,
+        count,
+        isLeaving,
+    )
+
+    private fun WireHeartbeat.toHeartbeat(): Heartbeat? {
+        val callerAddress = SocketAddress.parse(caller) ?: return null
+        val peerAddress = SocketAddress.parse(peer) ?: return null
+        val record = InstanceRecord(InstanceName(name), ZoneName(zone), callerAddress, peerAddress)
+        return Heartbeat(record, Incarnation(incarnation), count, isLeaving)
+    }
+}
--- /dev/null
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/settings/GatewaySettingsReader.kt
@@ -0,0 +1,85 @@
+/*
+ * Reads the settings of a gateway process from YAML and gives either the settings or every problem of them.
+ */
+package org.cardamomwharf.gateway.settings
+
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.flatMap
+import org.cardamomwharf.core.InstanceName
+import org.cardamomwharf.core.RegionName
+import org.cardamomwharf.core.SocketAddress
+import org.cardamomwharf.core.ZoneName
+import org.cardamomwharf.document.yaml.Problem
+import org.cardamomwharf.document.yaml.ProblemKind
+import org.cardamomwharf.document.yaml.YamlFields
+import org.cardamomwharf.document.yaml.YamlFindings
+import org.cardamomwharf.document.yaml.readText
+import org.cardamomwharf.document.yaml.readYaml
+import org.cardamomwharf.document.yaml.section
+import org.cardamomwharf.document.yaml.sections
+import org.cardamomwharf.document.yaml.texts
+import java.nio.file.Path
+
+private const val MS_PER_SECOND = 1_000
+private const val LARGEST_SECONDS = 3_600.0
+private const val LARGEST_ALLOWANCE = 1_000_000L
+private const val LARGEST_RATIO = 10.0
+private val nowhere = SocketAddress("0.0.0.0", 1)
+
+/** Returns the settings in [file], or every problem of them. */
+public fun readGatewaySettings(file: Path): Result<GatewaySettings, List<Problem>> =
+    readText(file).flatMap(::parseGatewaySettings)
+
+/** Returns the settings in the YAML [text], or every problem of them. */
+public fun parseGatewaySettings(text: String): Result<GatewaySettings, List<Problem>> =
+    readYaml(text) { fields, findings -> fields.readSettings(findings) }
+
+private fun YamlFields.readSettings(findings: YamlFindings): GatewaySettings {
+    val ports = readPorts(findings)
+    return GatewaySettings(
+        instance = InstanceName(text("instance")),
+        zone = ZoneName(text("zone")),
+        zones = sections("zones", isRequired = true) { ZoneName(it.text("name")) to RegionName(it.text("region")) }
+            .toMap(),
+        addresses = section("addresses", isRequired = true) { it.readAddresses(findings) }
+            ?: GatewayAddresses(nowhere, nowhere, nowhere, nowhere, ""),
+        peerPort = ports.first,
+        metricsPort = ports.last,
+        bounds = section("bounds", isRequired = true) { it.readBounds() } ?: GatewayBounds(0, 0.0, 0, 0, 0.0),
+    )
+}
+
+/** Returns the ports that are free for traffic between instances; heartbeats take the first, metrics the last. */
+private fun YamlFields.readPorts(findings: YamlFindings): IntRange {
+    val ports = texts("internalPorts").map { it.toIntOrNull() ?: 0 }
+    if (ports.size == 2 && ports.all { it > 0 } && ports[0] < ports[1]) return ports[0]..ports[1]
+    findings.report(ProblemKind.WRONG_TYPE, pathOf("internalPorts"), "must be two rising port numbers")
+    return 1..2
+}
+
+private fun YamlFields.readAddresses(findings: YamlFindings) = GatewayAddresses(
+    caller = address("caller", findings),
+    ready = address("ready", findings),
+    directory = address("directory", findings),
+    store = address("store", findings),
+    host = text("host"),
+)
+
+private fun YamlFields.address(key: String, findings: YamlFindings): SocketAddress {
+    val text = text(key)
+    val address = SocketAddress.parse(text)
+    if (address == null && text.isNotEmpty()) {
+        findings.report(ProblemKind.WRONG_TYPE, pathOf(key), "$text isn't an IP number and port")
+    }
+    return address ?: nowhere
+}
+
+private fun YamlFields.readBounds() = GatewayBounds(
+    stopMs = ms("stopS"),
+    retryRatio = decimal("retryRatio", LARGEST_RATIO),
+    retryAllowance = whole("retryAllowance", 0..LARGEST_ALLOWANCE).toInt(),
+    retryWindowMs = ms("retryWindowS"),
+    largestShift = decimal("largestShift", 1.0),
+)
+
+private fun YamlFields.ms(key: String): Long = (decimal(key, LARGEST_SECONDS) * MS_PER_SECOND).toLong()
--- a/cardamomwharf-http/src/main/kotlin/org/cardamomwharf/http/JettyCaller.kt
+++ b/cardamomwharf-http/src/main/kotlin/org/cardamomwharf/http/JettyCaller.kt
@@ -9,9 +9,13 @@
 import org.eclipse.jetty.client.HttpClient
 import org.eclipse.jetty.client.Request
 import org.eclipse.jetty.client.Result
+import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP
 import org.eclipse.jetty.http.HttpHeader
 import org.eclipse.jetty.http.HttpMethod
+import org.eclipse.jetty.io.ClientConnector
 import org.eclipse.jetty.util.thread.QueuedThreadPool
+import java.nio.channels.SelectableChannel
+import java.nio.channels.SocketChannel
 import java.util.concurrent.CancellationException
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.TimeoutException
@@ -21,7 +25,7 @@
 public fun startJettyCaller(settings: HttpCallerSettings): HttpCaller {
     val threads = QueuedThreadPool(settings.largestThreads)
     threads.name = settings.name
-    val client = HttpClient().apply {
+    val client = HttpClient(HttpClientTransportOverHTTP(KeptAliveConnector())).apply {
         executor = threads
         connectTimeout = settings.connectMs
         idleTimeout = settings.idleMs
@@ -35,6 +39,18 @@
     return JettyCaller(client, settings.isReusing)
 }
 
+/** Opens connections whose silent loss the system notices by itself. */
+private class KeptAliveConnector : ClientConnector() {
+    init {
+        selectors = 1
+    }
+
+    override fun configure(selectable: SelectableChannel) {
+        super.configure(selectable)
+        (selectable as? SocketChannel)?.let(::keepAlive)
+    }
+}
+
 private class JettyCaller(private val client: HttpClient, private val isReusing: Boolean) : HttpCaller {
     override fun start(call: HttpCall, onEnd: (HttpEnd) -> Unit): HttpFlight {
         val isSent = AtomicBoolean(false)
--- a/cardamomwharf-platform/src/main/kotlin/org/cardamomwharf/platform/ClaimTable.kt
+++ b/cardamomwharf-repository/src/main/kotlin/org/cardamomwharf/repository/ClaimTable.kt
@@ -2,7 +2,7 @@
  * The rows that make non-idempotent requests run at most once, kept in the table service as plain text that this module
  * doesn't look into.
  */
-package org.cardamomwharf.platform
+package org.cardamomwharf.repository
 
 import com.github.michaelbull.result.Result
 
--- a/cardamomwharf-platform/src/main/kotlin/org/cardamomwharf/platform/DocumentArchive.kt
+++ b/cardamomwharf-repository/src/main/kotlin/org/cardamomwharf/repository/DocumentArchive.kt
@@ -1,7 +1,7 @@
 /*
  * Reads and stores the contents of documents under the name of their hash.
  */
-package org.cardamomwharf.platform
+package org.cardamomwharf.repository
 
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
--- a/cardamomwharf-platform/src/main/kotlin/org/cardamomwharf/platform/EnvironmentHead.kt
+++ b/cardamomwharf-repository/src/main/kotlin/org/cardamomwharf/repository/EnvironmentHead.kt
@@ -3,7 +3,7 @@
  * compare-and-set. Each entry carries the attempt that made it, so that a lost answer is settled by reading back, even
  * when another operator has moved the head since.
  */
-package org.cardamomwharf.platform
+package org.cardamomwharf.repository
 
 import kotlinx.serialization.Serializable
 import org.cardamomwharf.core.AttemptId
--- a/cardamomwharf-platform/src/main/kotlin/org/cardamomwharf/platform/EnvironmentHeads.kt
+++ b/cardamomwharf-repository/src/main/kotlin/org/cardamomwharf/repository/EnvironmentHeads.kt
@@ -2,7 +2,7 @@
  * Reads and moves the heads of environments. Every change is one compare-and-set; who loses a race is told who won, and
  * nothing ever goes back to an older version: an older document becomes a new version.
  */
-package org.cardamomwharf.platform
+package org.cardamomwharf.repository
 
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
--- a/cardamomwharf-platform/src/main/kotlin/org/cardamomwharf/platform/HeadChange.kt
+++ b/cardamomwharf-repository/src/main/kotlin/org/cardamomwharf/repository/HeadChange.kt
@@ -1,7 +1,7 @@
 /*
  * A wish to move the head of an environment. The same attempt may be tried again; it takes effect once.
  */
-package org.cardamomwharf.platform
+package org.cardamomwharf.repository
 
 import org.cardamomwharf.core.AttemptId
 import org.cardamomwharf.core.DocumentVersion
--- a/cardamomwharf-platform/src/main/kotlin/org/cardamomwharf/platform/HttpPlatform.kt
+++ b/cardamomwharf-repository/src/main/kotlin/org/cardamomwharf/repository/HttpPlatform.kt
@@ -3,7 +3,7 @@
  * DELETE /tables/{table}?unwrittenForSeconds=..&limit=.. for old rows; objects: GET and PUT /objects/{name}; instance
  * list: GET /instances.
  */
-package org.cardamomwharf.platform
+package org.cardamomwharf.repository
 
 import com.github.michaelbull.result.Err
 import com.github.michaelbull.result.Ok
--- a/cardamomwharf-platform/src/main/kotlin/org/cardamomwharf/platform/InstanceList.kt
+++ b/cardamomwharf-repository/src/main/kotlin/org/cardamomwharf/repository/InstanceList.kt
@@ -1,7 +1,7 @@
 /*
  * The platform's list of live and leaving instances as the system uses it. The list lags.
  */
-package org.cardamomwharf.platform
+package org.cardamomwharf.repository
 
 import com.github.michaelbull.result.Result
 import kotlinx.serialization.Serializable
--- a/cardamomwharf-platform/src/main/kotlin/org/cardamomwharf/platform/ObjectStore.kt
+++ b/cardamomwharf-repository/src/main/kotlin/org/cardamomwharf/repository/ObjectStore.kt
@@ -1,7 +1,7 @@
 /*
  * The platform's object store as the system uses it: immutable contents under the name of their hash.
  */
-package org.cardamomwharf.platform
+package org.cardamomwharf.repository
 
 import com.github.michaelbull.result.Result
 
--- a/cardamomwharf-platform/src/main/kotlin/org/cardamomwharf/platform/RepositoryError.kt
+++ b/cardamomwharf-repository/src/main/kotlin/org/cardamomwharf/repository/RepositoryError.kt
@@ -1,7 +1,7 @@
 /*
  * Failures of reading and changing the documents of an environment.
  */
-package org.cardamomwharf.platform
+package org.cardamomwharf.repository
 
 import org.cardamomwharf.core.AttemptId
 
--- a/cardamomwharf-platform/src/main/kotlin/org/cardamomwharf/platform/StoredDocument.kt
+++ b/cardamomwharf-repository/src/main/kotlin/org/cardamomwharf/repository/StoredDocument.kt
@@ -3,7 +3,7 @@
  * blocks alone, so that entry instances fetch a few kilobytes for them and not the whole block table. Blocks are
  * compressed, as each entry instance keeps them for its peers.
  */
-package org.cardamomwharf.platform
+package org.cardamomwharf.repository
 
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.Serializable
--- a/cardamomwharf-platform/src/main/kotlin/org/cardamomwharf/platform/TableService.kt
+++ b/cardamomwharf-repository/src/main/kotlin/org/cardamomwharf/repository/TableService.kt
@@ -2,7 +2,7 @@
  * The platform's transactional table service as the system uses it: single rows, written only under a condition. Its
  * answers can be lost after the write took effect, so every write carries an attempt that a later read finds again.
  */
-package org.cardamomwharf.platform
+package org.cardamomwharf.repository
 
 import com.github.michaelbull.result.Result
 
--- a/cardamomwharf-platform/src/test/kotlin/org/cardamomwharf/platform/ClientBlockContentsTest.kt
+++ b/cardamomwharf-repository/src/test/kotlin/org/cardamomwharf/repository/ClientBlockContentsTest.kt
@@ -1,7 +1,7 @@
 /*
  * Client blocks as they are stored: compressed, and named by a hash that shows damage.
  */
-package org.cardamomwharf.platform
+package org.cardamomwharf.repository
 
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
--- a/cardamomwharf-standin/src/main/kotlin/org/cardamomwharf/standin/PlatformStandin.kt
+++ b/cardamomwharf-standin/src/main/kotlin/org/cardamomwharf/standin/PlatformStandin.kt
@@ -15,7 +15,7 @@
 import org.cardamomwharf.http.jsonResponse
 import org.cardamomwharf.http.routesOf
 import org.cardamomwharf.http.startJettyServer
-import org.cardamomwharf.platform.PlatformInstance
+import org.cardamomwharf.repository.PlatformInstance
 import org.http4k.core.HttpHandler
 import org.http4k.core.Method
 import org.http4k.core.Request
--- a/cardamomwharf-standin/src/test/kotlin/org/cardamomwharf/standin/ClaimRowsTest.kt
+++ b/cardamomwharf-standin/src/test/kotlin/org/cardamomwharf/standin/ClaimRowsTest.kt
@@ -11,9 +11,9 @@
 import org.cardamomwharf.core.SocketAddress
 import org.cardamomwharf.http.HttpCallerSettings
 import org.cardamomwharf.http.startJettyCaller
-import org.cardamomwharf.platform.ClaimTable
-import org.cardamomwharf.platform.PlatformError
-import org.cardamomwharf.platform.httpTableService
+import org.cardamomwharf.repository.ClaimTable
+import org.cardamomwharf.repository.PlatformError
+import org.cardamomwharf.repository.httpTableService
 
 private const val LIMIT_MS = 5_000L
 private const val DAY_SECONDS = 86_400L
--- /dev/null
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/SteeringTerms.kt
@@ -0,0 +1,35 @@
+/*
+ * The limits and weights of the decisions in one place. The operators' own figures come with the settings and with the
+ * desired state.
+ */
+package org.cardamomwharf.steering
+
+import org.cardamomwharf.steering.limits.RetryTerms
+
+/** Represents the limits and weights of the decisions. */
+public data class SteeringTerms(
+    /** The shared budget of repeats, from the settings. */
+    public val retry: RetryTerms,
+    /** Largest change of the share of a region's requests that run elsewhere, in two seconds; from the settings. */
+    public val largestShift: Double = 0.15,
+    /** Time for which entries that lapsed during an outage of the store are kept; the users name two seconds. */
+    public val restoreGraceMs: Long = 2_000,
+    /** Weight of a new observation in moving averages; ten observations make up most of the value. */
+    public val smoothing: Double = 0.1,
+    /** Time after which a load report says little; a few service times. */
+    public val reportAgeMs: Double = 600.0,
+    /** Price of a request to another zone of the region, as time; its bytes cost about 0.03 of a request. */
+    public val zonePenaltyMs: Double = 8.0,
+    /** Price of a request to another region, as time; its bytes cost about 0.06 of a request. */
+    public val regionPenaltyMs: Double = 40.0,
+    /** Share of the target latency that a request may wait even when its work alone takes longer than the target. */
+    public val leastWaitShare: Double = 0.3,
+    /** First time for which a backend server that failed is avoided; doubles with each failure in a row. */
+    public val firstAvoidMs: Long = 400,
+    /** Longest time for which a backend server that failed is avoided; below the recovery bound of the settings. */
+    public val longestAvoidMs: Long = 3_200,
+    /** Part of the cold rate that is used, so that instances with different views stay below the bound together. */
+    public val coldUsableShare: Double = 0.9,
+    /** Shortest delay that a refused caller is told; a fifth of the usual target latency. */
+    public val shortestRetryAfterMs: Long = 60,
+)
--- /dev/null
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/belief/TableBelief.kt
@@ -0,0 +1,101 @@
+/*
+ * What a process believes of one table of the store. Every entry carries the version of the transaction that wrote it,
+ * and nothing older replaces anything newer. While the store is away nothing is forgotten: entries whose removal is seen
+ * right after an outage stay for a grace period, because their owners may only have failed to renew them.
+ */
+package org.cardamomwharf.steering.belief
+
+/** Represents an entry of a table; [value] is null when it was removed or can't be used. */
+public data class TableEntry<T>(public val key: String, public val version: Long, public val value: T?)
+
+/**
+ * Represents entries read from the store.
+ *
+ * @param version newest version of the store when they were read.
+ * @param isWhole true when the entries are the whole table, so that every key that is absent has been removed.
+ */
+public data class TableReading<T>(
+    public val entries: List<TableEntry<T>>,
+    public val version: Long,
+    public val isWhole: Boolean,
+)
+
+/** Represents a change of what is believed. */
+public data class TableChange<T>(public val key: String, public val version: Long, public val before: T?, public val after: T?)
+
+/**
+ * Represents the believed contents of a table.
+ *
+ * @param restoreGraceMs time after an outage for which removed entries are kept.
+ */
+public class TableBelief<T>(private val restoreGraceMs: Long) {
+    private val entries = HashMap<String, TableEntry<T>>()
+    private val removalsDueAtMs = HashMap<String, Long>()
+    private var restoredAtMs: Long? = null
+
+    /** Newest version of the store that was seen; 0 before the first reading. */
+    public var version: Long = 0
+        private set
+
+    /** Returns the believed value of [key], or null. */
+    public fun find(key: String): T? = entries[key]?.value
+
+    /** Returns all values that are believed to exist, by key. */
+    public fun values(): Map<String, T> = entries.mapNotNull { (key, entry) -> entry.value?.let { key to it } }.toMap()
+
+    /** Notes that the store answers again after an outage. */
+    public fun noteRestored(nowMs: Long) {
+        restoredAtMs = nowMs
+    }
+
+    /** Takes [reading] over and returns what changed. A reading older than this belief changes nothing. */
+    public fun apply(reading: TableReading<T>, nowMs: Long): List<TableChange<T>> {
+        if (reading.isWhole && reading.version < version) return emptyList()
+        val changes = reading.entries.mapNotNull { applyEntry(it, nowMs) }.toMutableList()
+        if (reading.isWhole) {
+            val present = reading.entries.mapTo(HashSet()) { it.key }
+            val absent = entries.values.filter { it.key !in present && it.version <= reading.version }
+            absent.mapNotNullTo(changes) { applyEntry(TableEntry(it.key, reading.version, null), nowMs) }
+        }
+        version = maxOf(version, reading.version)
+        return changes
+    }
+
+    /** Removes the entries whose grace period is over and returns what changed. */
+    public fun expire(nowMs: Long): List<TableChange<T>> {
+        val due = removalsDueAtMs.filterValues { it <= nowMs }.keys.toList()
+        return due.mapNotNull { key ->
+            removalsDueAtMs.remove(key)
+            val entry = entries[key] ?: return@mapNotNull null
+            entries[key] = entry.copy(value = null)
+            TableChange(key, entry.version, entry.value, null)
+        }
+    }
+
+    private fun applyEntry(next: TableEntry<T>, nowMs: Long): TableChange<T>? {
+        val known = entries[next.key]
+        if (known != null && known.version > next.version) return null
+        if (next.value == null && known?.value != null && isInGrace(nowMs)) {
+            entries[next.key] = known.copy(version = next.version)
+            removalsDueAtMs.putIfAbsent(next.key, checkNotNull(restoredAtMs) + restoreGraceMs)
+            return null
+        }
+        if (next.value != null) removalsDueAtMs.remove(next.key)
+        entries[next.key] = next
+        if (next.value == null) forgetOldTombstones()
+        return if (known?.value == next.value) null else TableChange(next.key, next.version, known?.value, next.value)
+    }
+
+    private fun isInGrace(nowMs: Long): Boolean = restoredAtMs?.let { nowMs < it + restoreGraceMs } ?: false
+
+    private fun forgetOldTombstones() {
+        if (entries.size <= LARGEST_ENTRIES) return
+        entries.values.filter { it.value == null }.sortedBy { it.version }
+            .take(entries.size - LARGEST_ENTRIES).forEach { entries.remove(it.key) }
+    }
+
+    private companion object {
+        /** Entries kept, removed ones included; far above the backend servers of one deployment. */
+        const val LARGEST_ENTRIES = 20_000
+    }
+}
--- /dev/null
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/instances/InstanceBook.kt
@@ -0,0 +1,79 @@
+/*
+ * The instances of the system. Each counts up a heartbeat of its own and passes on what it heard of others, so that an
+ * instance whose heartbeat stands still in every message is taken as gone. An instance that stops says so.
+ */
+package org.cardamomwharf.steering.instances
+
+import org.cardamomwharf.core.Incarnation
+import org.cardamomwharf.core.InstanceName
+import org.cardamomwharf.core.SocketAddress
+import org.cardamomwharf.core.ZoneName
+
+/**
+ * Represents how an instance can be reached.
+ *
+ * @param callerAddress where callers send requests.
+ * @param peerAddress where other instances send heartbeats.
+ */
+public data class InstanceRecord(
+    public val name: InstanceName,
+    public val zone: ZoneName,
+    public val callerAddress: SocketAddress,
+    public val peerAddress: SocketAddress,
+)
+
+/** Represents one instance's state as told by a heartbeat. */
+public data class Heartbeat(
+    public val record: InstanceRecord,
+    public val incarnation: Incarnation,
+    public val count: Long,
+    public val isLeaving: Boolean,
+)
+
+/** Represents the known instances, this one included. */
+public class InstanceBook(own: InstanceRecord, incarnation: Incarnation, private val silenceMs: Long) {
+    private val known = HashMap<InstanceName, Seen>()
+    private val ownName = own.name
+
+    init {
+        known[ownName] = Seen(Heartbeat(own, incarnation, 0, isLeaving = false), Long.MAX_VALUE)
+    }
+
+    /** Counts the own heartbeat up. */
+    public fun beat() {
+        val own = known.getValue(ownName)
+        known[ownName] = own.copy(heartbeat = own.heartbeat.copy(count = own.heartbeat.count + 1))
+    }
+
+    /** Notes that this instance is stopping. */
+    public fun leave() {
+        val own = known.getValue(ownName)
+        known[ownName] = own.copy(heartbeat = own.heartbeat.copy(isLeaving = true))
+    }
+
+    /** Notes [heard] as told by any instance; what is older than what is known changes nothing. */
+    public fun hear(heard: Heartbeat, nowMs: Long) {
+        val name = heard.record.name
+        if (name == ownName) return
+        val before = known[name]?.heartbeat
+        val isNews = before == null || heard.incarnation > before.incarnation ||
+            (heard.incarnation == before.incarnation && heard.count > before.count)
+        if (isNews) known[name] = Seen(heard, nowMs)
+    }
+
+    /** Returns the heartbeats to pass on. */
+    public fun heartbeats(nowMs: Long): List<Heartbeat> = known.values.filter { isHeard(it, nowMs) }.map { it.heartbeat }
+
+    /** Returns the instances that take requests. */
+    public fun serving(nowMs: Long): List<InstanceRecord> =
+        known.values.filter { isHeard(it, nowMs) && !it.heartbeat.isLeaving }.map { it.heartbeat.record }
+
+    /** Returns the instances that run, stopping ones included. */
+    public fun running(nowMs: Long): List<InstanceRecord> =
+        known.values.filter { isHeard(it, nowMs) }.map { it.heartbeat.record }
+
+    private fun isHeard(seen: Seen, nowMs: Long): Boolean =
+        seen.heardAtMs == Long.MAX_VALUE || nowMs - seen.heardAtMs <= silenceMs
+
+    private data class Seen(val heartbeat: Heartbeat, val heardAtMs: Long)
+}
--- /dev/null
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/limits/RetryBudget.kt
@@ -0,0 +1,39 @@
+/*
+ * All instances share one budget for sending requests a second time. Each takes its part: a ratio of the requests that
+ * it received itself, and an equal part of the fixed allowance.
+ */
+package org.cardamomwharf.steering.limits
+
+/**
+ * Represents the terms of the shared budget.
+ *
+ * @param ratio repeats allowed for each request of the window.
+ * @param allowance repeats allowed in each window besides, for all instances together.
+ * @param usableShare part of the budget that is used, so that instances with different views stay within it together.
+ */
+public data class RetryTerms(
+    public val ratio: Double,
+    public val allowance: Int,
+    public val windowMs: Long,
+    public val usableShare: Double = 0.7,
+)
+
+/** Represents the part of one instance in the budget of one service. */
+public class RetryBudget(private val terms: RetryTerms) {
+    private val requests = SlidingCount(terms.windowMs)
+    private val repeats = SlidingCount(terms.windowMs)
+
+    /** Counts a request that arrived for the service. */
+    public fun noteRequest(nowMs: Long) {
+        requests.add(nowMs)
+    }
+
+    /** Takes one repeat and returns true, or returns false when none is left with [instances] sharing the budget. */
+    public fun take(nowMs: Long, instances: Int): Boolean {
+        val granted = terms.usableShare *
+            (terms.ratio * requests.total(nowMs) + terms.allowance.toDouble() / instances.coerceAtLeast(1))
+        if (repeats.total(nowMs) + 1 > granted) return false
+        repeats.add(nowMs)
+        return true
+    }
+}
--- /dev/null
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/Placer.kt
@@ -0,0 +1,215 @@
+/*
+ * Chooses the backend server of a request by the finish that is predicted for each: the way there, the wait for a slot,
+ * and the work, which is short where the key is known. All instances rank the servers of a region alike for a key, so
+ * that its requests meet. What would finish too late everywhere is refused at once.
+ */
+package org.cardamomwharf.steering.placement
+
+import org.cardamomwharf.core.InstanceName
+import org.cardamomwharf.core.ServerName
+import org.cardamomwharf.core.ServiceName
+import org.cardamomwharf.core.hashOf
+import org.cardamomwharf.core.unitPositionOf
+import org.cardamomwharf.steering.Distance
+import org.cardamomwharf.steering.Place
+import org.cardamomwharf.steering.SteeringTerms
+import org.cardamomwharf.steering.desired.DesiredState
+import org.cardamomwharf.steering.desired.Route
+import org.cardamomwharf.steering.limits.coldPartPerSecond
+import org.cardamomwharf.steering.requests.AttemptEnd
+import org.cardamomwharf.steering.requests.Placement
+import org.cardamomwharf.steering.requests.RefusalReason
+import org.cardamomwharf.steering.requests.RequestSpec
+import org.cardamomwharf.steering.servers.KnownServer
+import org.cardamomwharf.steering.servers.ServerBook
+
+/** Multiple of the cold time after which a server that owes answers and gives none is left alone. */
+private const val SILENCE_FACTOR = 2.5
+
+/** Shortest silence that counts. */
+private const val LEAST_SILENCE_MS = 700L
+
+internal class Placer(
+    private val place: Place,
+    private val terms: SteeringTerms,
+    private val servers: ServerBook,
+) {
+    private val estimates = HashMap<String, WorkEstimates>()
+    private val lendings = HashMap<ServiceName, RegionLending>()
+    private val travel = TravelTimes()
+
+    fun choose(
+        spec: RequestSpec,
+        excluded: Set<ServerName>,
+        desired: DesiredState?,
+        instances: Set<InstanceName>,
+        nowMs: Long,
+    ): Placement {
+        val work = estimatesOf(spec.route)
+        val open = servers.serversOf(spec.service).filter { isUsable(it, spec, excluded, work, nowMs) }
+        if (open.isEmpty()) return refuse(spec, RefusalReason.NO_SERVER, work.coldMs)
+        val ready = open.filter { !it.isCold(nowMs) || isColdOpen(it, desired, instances, nowMs) }
+        if (ready.isEmpty()) return refuse(spec, RefusalReason.COLD, work.coldMs)
+        val choices = candidatesOf(spec, ready)
+        val firstChoices = choices.groupBy { it.region }.map { (_, group) -> group.maxBy { affinityOf(spec, it) } }
+        val best = choices.map { rate(spec, it, it in firstChoices, work, nowMs) }.minBy { it.costMs }
+        return if (best.waitMs > longestWaitMs(spec, best)) {
+            refuse(spec, RefusalReason.OVERLOAD, best.waitMs)
+        } else {
+            Placement.Send(
+                best.server.record.name,
+                best.server.record.address,
+                best.warmth,
+                best.travelMs + best.waitMs + best.workMs,
+                best.server.estimateLoad(nowMs),
+            )
+        }
+    }
+
+    fun noteSent(send: Placement.Send, desired: DesiredState?, instances: Set<InstanceName>, nowMs: Long) {
+        val server = servers.find(send.server) ?: return
+        server.noteSent(nowMs)
+        if (server.isCold(nowMs)) server.coldAllowance.noteSent(nowMs, coldRate(server, desired, instances))
+    }
+
+    fun noteEnd(spec: RequestSpec, send: Placement.Send, end: AttemptEnd, tookMs: Long, nowMs: Long) {
+        val server = servers.find(send.server) ?: return
+        server.noteEnded()
+        when (end) {
+            AttemptEnd.ANSWERED -> learn(spec, send, server, tookMs, nowMs)
+            AttemptEnd.FAILED, AttemptEnd.SHED -> server.noteAnswer(isGood = false, nowMs)
+            AttemptEnd.MISDIRECTED, AttemptEnd.NOT_SENT, AttemptEnd.LOST -> server.noteFailure(nowMs)
+            AttemptEnd.TIMED_OUT, AttemptEnd.CALLER_GONE -> Unit
+        }
+    }
+
+    fun adjustLending(nowMs: Long) {
+        lendings.forEach { (service, lending) ->
+            val (own, other) = servers.serversOf(service).filter { servers.isOpen(it) && it.isTrusted(nowMs) }
+                .partition { it.distance != Distance.OTHER_REGION }
+            lending.adjust(useOf(own, nowMs), useOf(other, nowMs), nowMs)
+        }
+    }
+
+    /** Returns the delay for a refused caller: the wait that is expected, spread so that callers don't return at once. */
+    fun retryAfterMs(id: String, waitMs: Double): Long =
+        ((terms.shortestRetryAfterMs + waitMs / 2) * (1 + unitPositionOf(id))).toLong()
+
+    private fun isUsable(
+        server: KnownServer,
+        spec: RequestSpec,
+        excluded: Set<ServerName>,
+        work: WorkEstimates,
+        nowMs: Long,
+    ): Boolean {
+        val allowed = spec.route.allowedRegions
+        val silenceMs = maxOf(LEAST_SILENCE_MS, (SILENCE_FACTOR * work.coldMs * server.slowness).toLong())
+        return servers.isOpen(server) &&
+            server.record.name !in excluded &&
+            (allowed.isEmpty() || server.region in allowed) &&
+            server.isTrusted(nowMs) &&
+            server.silentForMs(nowMs) < silenceMs
+    }
+
+    private fun isColdOpen(
+        server: KnownServer,
+        desired: DesiredState?,
+        instances: Set<InstanceName>,
+        nowMs: Long,
+    ): Boolean = server.coldAllowance.isOpen(nowMs, coldRate(server, desired, instances))
+
+    private fun coldRate(server: KnownServer, desired: DesiredState?, instances: Set<InstanceName>): Double {
+        val bearable = desired?.services?.get(server.record.service)?.coldPerSecond ?: 0.0
+        return coldPartPerSecond(place.instance, server.record.name, instances, bearable * terms.coldUsableShare)
+    }
+
+    /** Returns the servers of the own region, or those of others when this request is lent or the region has none. */
+    private fun candidatesOf(spec: RequestSpec, ready: List<KnownServer>): List<KnownServer> {
+        val (own, other) = ready.partition { it.distance != Distance.OTHER_REGION }
+        if (own.isEmpty()) return other
+        if (other.isEmpty()) return own
+        return if (lendingOf(spec.service).isNextLent()) other else own
+    }
+
+    private fun lendingOf(service: ServiceName): RegionLending =
+        lendings.getOrPut(service) { RegionLending(terms.largestShift, firstShareOf(service)) }
+
+    /** Returns the share that the region lacks slots for, when zones get equal shares of the requests. */
+    private fun firstShareOf(service: ServiceName): Double {
+        val open = servers.serversOf(service).filter { servers.isOpen(it) }
+        val ownSlots = open.filter { it.distance != Distance.OTHER_REGION }.sumOf { it.slots }
+        val ownZones = place.regions.count { it.value == place.region }
+        if (open.isEmpty() || ownZones == 0) return 0.0
+        val slotShare = ownSlots.toDouble() / open.sumOf { it.slots }
+        val requestShare = ownZones.toDouble() / place.regions.size
+        return 1.0 - SPARE_FACTOR * slotShare / requestShare
+    }
+
+    private fun useOf(group: List<KnownServer>, nowMs: Long): Double =
+        if (group.isEmpty()) 1.0 else group.sumOf { it.estimateLoad(nowMs) } / group.sumOf { it.slots }
+
+    private fun rate(
+        spec: RequestSpec,
+        server: KnownServer,
+        isFirstChoice: Boolean,
+        work: WorkEstimates,
+        nowMs: Long,
+    ): Rating {
+        val warmth = when {
+            spec.affinityKey != null && spec.affinityKey in server.warmKeys -> Warmth.KNOWN
+            isFirstChoice -> Warmth.FIRST_CHOICE
+            else -> Warmth.OTHER
+        }
+        val workMs = work.expectMs(warmth) * server.slowness
+        val ahead = (server.estimateLoad(nowMs) + 1 - server.slots).coerceAtLeast(0.0)
+        val waitMs = ahead / server.slots * (work.warmMs + work.coldMs) / 2 * server.slowness
+        val travelMs = travel.of(server.distance)
+        val penaltyMs = when (server.distance) {
+            Distance.SAME_ZONE -> 0.0
+            Distance.SAME_REGION -> terms.zonePenaltyMs
+            Distance.OTHER_REGION -> terms.regionPenaltyMs
+        }
+        val failureMs = server.failureShare * spec.route.targetLatencyMs
+        return Rating(server, warmth, travelMs, waitMs, workMs, travelMs + waitMs + workMs + penaltyMs + failureMs)
+    }
+
+    private fun longestWaitMs(spec: RequestSpec, best: Rating): Double {
+        val targetMs = spec.route.targetLatencyMs.toDouble()
+        return maxOf(targetMs * terms.leastWaitShare, targetMs - best.workMs - best.travelMs)
+    }
+
+    private fun learn(spec: RequestSpec, send: Placement.Send, server: KnownServer, tookMs: Long, nowMs: Long) {
+        server.noteAnswer(isGood = true, nowMs)
+        val work = estimatesOf(spec.route)
+        val workMs = (tookMs - travel.of(server.distance)).coerceAtLeast(1.0)
+        val isUncrowded = send.load < server.slots
+        if (isUncrowded) {
+            val usualMs = if (work.isWarm(workMs / server.slowness)) work.warmMs else work.coldMs
+            server.noteSpeed(workMs / usualMs)
+            if (!server.isCold(nowMs)) work.learn(send.warmth, workMs / server.slowness)
+        }
+        spec.affinityKey?.let { server.warmKeys.note(it) }
+    }
+
+    private fun affinityOf(spec: RequestSpec, server: KnownServer): Long =
+        hashOf("${spec.service.value}/${spec.affinityKey ?: spec.id}/${server.record.name.value}")
+
+    private fun refuse(spec: RequestSpec, reason: RefusalReason, waitMs: Double): Placement.Refuse =
+        Placement.Refuse(reason, retryAfterMs(spec.id, waitMs))
+
+    private fun estimatesOf(route: Route): WorkEstimates = estimates.getOrPut(route.name) { WorkEstimates(route, terms) }
+
+    private class Rating(
+        val server: KnownServer,
+        val warmth: Warmth,
+        val travelMs: Double,
+        val waitMs: Double,
+        val workMs: Double,
+        val costMs: Double,
+    )
+
+    private companion object {
+        /** Slots that a region may have per request, as a multiple of the mean, before nothing is lent at first. */
+        const val SPARE_FACTOR = 1.5
+    }
+}
--- /dev/null
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/servers/ServerBook.kt
@@ -0,0 +1,92 @@
+/*
+ * All backend servers that this instance knows, and which of them may get requests.
+ */
+package org.cardamomwharf.steering.servers
+
+import org.cardamomwharf.core.ServerName
+import org.cardamomwharf.core.ServiceName
+import org.cardamomwharf.core.ZoneName
+import org.cardamomwharf.steering.Place
+import org.cardamomwharf.steering.SteeringTerms
+import org.cardamomwharf.steering.belief.TableChange
+import org.cardamomwharf.steering.desired.ServiceTerms
+
+/** Represents the known backend servers. */
+public class ServerBook(private val place: Place, private val terms: SteeringTerms) {
+    private val byName = HashMap<ServerName, KnownServer>()
+    private val byService = HashMap<ServiceName, MutableList<KnownServer>>()
+    private var evacuated: Set<ZoneName> = emptySet()
+    private val leaving = HashSet<ServerName>()
+
+    /** Returns the server named [name], or null. */
+    public fun find(name: ServerName): KnownServer? = byName[name]
+
+    /** Returns all servers of [service], leaving ones included. */
+    public fun serversOf(service: ServiceName): List<KnownServer> = byService[service].orEmpty()
+
+    /** Returns true when [server] may get new requests as far as the store and the operators say. */
+    public fun isOpen(server: KnownServer): Boolean =
+        !server.record.isDraining && server.record.name !in leaving && server.record.zone !in evacuated
+
+    /** Takes changes of the store over. */
+    public fun apply(changes: List<TableChange<ServerRecord>>, coldStartMs: (ServiceName) -> Long, nowMs: Long) {
+        changes.forEach { change ->
+            val after = change.after
+            when {
+                after == null -> change.before?.let { remove(it.name) }
+                change.before == null -> add(after, coldStartMs(after.service), nowMs)
+                else -> replace(after, coldStartMs(after.service), nowMs)
+            }
+        }
+    }
+
+    /** Notes that the server [name] said itself that it is leaving. */
+    public fun noteLeaving(name: ServerName) {
+        if (name in byName) leaving.add(name)
+    }
+
+    /** Sets the zones whose servers get nothing; servers of a zone that is taken back count as cold. */
+    public fun evacuate(zones: Set<ZoneName>, services: Map<ServiceName, ServiceTerms>, nowMs: Long) {
+        val restored = evacuated - zones
+        evacuated = zones
+        byName.values.filter { it.record.zone in restored }.forEach { server ->
+            server.coldUntilMs = nowMs + (services[server.record.service]?.coldStartMs ?: 0)
+            server.warmKeys.clear()
+        }
+    }
+
+    private fun add(record: ServerRecord, coldStartMs: Long, nowMs: Long) {
+        val known = byName[record.name]
+        if (known != null) return replace(record, coldStartMs, nowMs)
+        val region = place.regions[record.zone]
+        val server = KnownServer(record, place.distanceTo(record.zone), region, terms)
+        server.coldUntilMs = nowMs + record.coldRemainingMs
+        byName[record.name] = server
+        byService.getOrPut(record.service) { ArrayList() }.add(server)
+    }
+
+    private fun replace(record: ServerRecord, coldStartMs: Long, nowMs: Long) {
+        val server = byName[record.name]
+        if (server == null || isElsewhere(server.record, record)) {
+            remove(record.name)
+            return add(record, coldStartMs, nowMs)
+        }
+        if (server.record.startedAtUnixMs != record.startedAtUnixMs) {
+            leaving.remove(record.name)
+            server.restart()
+            server.coldUntilMs = nowMs + maxOf(record.coldRemainingMs, coldStartMs)
+        } else if (record.coldRemainingMs != server.record.coldRemainingMs) {
+            server.coldUntilMs = maxOf(server.coldUntilMs, nowMs + record.coldRemainingMs)
+        }
+        server.record = record
+    }
+
+    private fun isElsewhere(before: ServerRecord, after: ServerRecord): Boolean =
+        before.service != after.service || before.zone != after.zone || before.address != after.address
+
+    private fun remove(name: ServerName) {
+        leaving.remove(name)
+        val server = byName.remove(name) ?: return
+        byService[server.record.service]?.remove(server)
+    }
+}
