--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/ServerPool.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/ServerPool.kt
@@ -11,6 +11,7 @@
 import org.eclipse.jetty.io.ClientConnector
 import org.eclipse.jetty.io.Connection
 import org.eclipse.jetty.io.EndPoint
+import org.eclipse.jetty.io.Transport
 import org.eclipse.jetty.util.Promise
 import java.net.InetSocketAddress
 import java.nio.channels.SelectableChannel
@@ -89,6 +90,7 @@
 
     private fun connect(key: ServerKey, call: ServerCall) {
         val context = HashMap<String, Any>()
+        context[Transport::class.java.name] = Transport.TCP_IP
         context[OPENING] = Opening(this, key, call)
         context[ClientConnector.CONNECTION_PROMISE_CONTEXT_KEY] = Promise.from<Any>(
             { },
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/Main.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/Main.kt
@@ -3,12 +3,14 @@
  */
 package org.cardamomwharf.gateway
 
+import com.github.michaelbull.result.getOrElse
 import com.github.michaelbull.result.onFailure
 import com.github.michaelbull.result.onSuccess
 import kotlinx.cli.ArgParser
 import kotlinx.cli.ArgType
 import kotlinx.cli.default
 import org.cardamomwharf.document.yaml.Problem
+import org.cardamomwharf.document.yaml.readText
 import org.cardamomwharf.gateway.settings.GatewaySettings
 import org.cardamomwharf.gateway.settings.readGatewaySettings
 import org.cardamomwharf.logging.configureDecisionLines
@@ -41,7 +43,11 @@
 }
 
 private fun printProblems(file: String, problems: List<Problem>) {
-    problems.forEach { System.err.println("$file:$it") }
+    val lines = readText(Path.of(file)).getOrElse { "" }.lines()
+    problems.forEach { problem ->
+        System.err.println("$file:$problem")
+        lines.getOrNull(problem.place.line - 1)?.let { System.err.println("    $it") }
+    }
     exitProcess(EXIT_SETTINGS)
 }
 
