--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/course/RequestCourse.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/course/RequestCourse.kt
@@ -39,6 +39,7 @@
     private var call: ServerCall? = null
     private var sentAtMs = 0L
     private var timer: Scheduler.Task? = null
+    private var mayHaveRun = false
     private var isOver = false
 
     /** Starts the first try. */
@@ -118,7 +119,8 @@
             val report = (end as? CallEnd.Answered)?.answer?.report
             tools.steering.decide { steering, now ->
                 report?.let { steering.noteReport(tried.last().server, it, now) }
-                steering.settle(spec, tried, attemptEnd, nowMs - sentAtMs, now)
+                steering.settle(spec, tried, attemptEnd, mayHaveRun, nowMs - sentAtMs, now)
+                    .also { mayHaveRun = mayHaveRun || !attemptEnd.isRunExcluded }
             }
         }
         follow(next, (end as? CallEnd.Answered)?.answer)
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/GatewayProcess.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/GatewayProcess.kt
@@ -25,6 +25,7 @@
 import org.cardamomwharf.gateway.metrics.GatewayMetrics
 import org.cardamomwharf.gateway.peers.PeerHeartbeats
 import org.cardamomwharf.gateway.settings.GatewaySettings
+import org.cardamomwharf.gateway.settings.readGatewaySettings
 import org.cardamomwharf.gateway.store.StateWatch
 import org.cardamomwharf.http.HttpCallerSettings
 import org.cardamomwharf.http.startJettyCaller
@@ -34,6 +35,7 @@
 import org.cardamomwharf.steering.instances.InstanceBook
 import org.cardamomwharf.steering.instances.InstanceRecord
 import org.eclipse.jetty.util.thread.QueuedThreadPool
+import java.nio.file.Path
 import java.util.concurrent.TimeUnit
 
 private const val CALLERS = "callers"
@@ -179,6 +181,15 @@
         set("instances", synchronized(book) { book.running(clock.nowMs()) }.size.toDouble())
     }
 
+    /** Reads the settings in [file] again and says what would change; they hold from the next start. */
+    fun reload(file: Path) {
+        val next = readGatewaySettings(file)
+        log.event("reload") {
+            put("valid", next.isOk)
+            put("changed", next.getOrElse { null }?.let { it != settings })
+        }
+    }
+
     /** Ends the process: tells everybody, takes requests for a while, and finishes what is under way. */
     fun stop() {
         val startedAtMs = clock.nowMs()
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/Main.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/Main.kt
@@ -11,15 +11,18 @@
 import kotlinx.cli.default
 import org.cardamomwharf.document.yaml.Problem
 import org.cardamomwharf.document.yaml.readText
+import org.cardamomwharf.gateway.selftest.runSelfTest
 import org.cardamomwharf.gateway.settings.GatewaySettings
 import org.cardamomwharf.gateway.settings.readGatewaySettings
 import org.cardamomwharf.logging.configureDecisionLines
+import sun.misc.Signal
 import java.nio.file.Path
 import java.util.concurrent.CountDownLatch
 import kotlin.system.exitProcess
 
 private const val EXIT_USAGE = 2
 private const val EXIT_SETTINGS = 3
+private const val EXIT_SELF_TEST = 4
 
 /** Starts the daemon, or prints every problem of its settings. */
 public fun main(args: Array<String>) {
@@ -31,7 +34,10 @@
         description = "Environment variable that holds the path of the settings file",
     )
     val isCheck by parser.option(ArgType.Boolean, "check", description = "Only check the settings").default(false)
+    val isSelfTest by parser.option(ArgType.Boolean, "self-test", description = "Serve a few requests on loopback")
+        .default(false)
     parser.parse(args)
+    if (isSelfTest) selfTest()
     val path = file ?: variable?.let { System.getenv(it) }
     if (path == null) {
         System.err.println("wharf-gateway: give --settings or --settings-variable")
@@ -39,7 +45,12 @@
     }
     readGatewaySettings(Path.of(path))
         .onFailure { printProblems(path, it) }
-        .onSuccess { if (!isCheck) serve(it) }
+        .onSuccess { if (!isCheck) serve(it, Path.of(path)) }
+}
+
+private fun selfTest(): Nothing {
+    configureDecisionLines()
+    exitProcess(if (runSelfTest()) 0 else EXIT_SELF_TEST)
 }
 
 private fun printProblems(file: String, problems: List<Problem>) {
@@ -51,10 +62,11 @@
     exitProcess(EXIT_SETTINGS)
 }
 
-private fun serve(settings: GatewaySettings) {
+private fun serve(settings: GatewaySettings, settingsFile: Path) {
     configureDecisionLines()
     val process = GatewayProcess(settings)
     process.start()
     Runtime.getRuntime().addShutdownHook(Thread({ process.stop() }, "stop"))
+    Signal.handle(Signal("HUP")) { process.reload(settingsFile) }
     CountDownLatch(1).await()
 }
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/Steering.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/Steering.kt
@@ -88,12 +88,14 @@
      * Decides what follows the end of a try.
      *
      * @param tried the backend servers that the request was sent to, the latest last.
+     * @param mayHaveRun true when the request may have run in an earlier try.
      * @param tookMs time from the decision to send until the end.
      */
     public fun settle(
         spec: RequestSpec,
         tried: List<Placement.Send>,
         end: AttemptEnd,
+        mayHaveRun: Boolean,
         tookMs: Long,
         nowMs: Long,
     ): NextStep {
@@ -104,8 +106,9 @@
             AttemptEnd.FAILED -> tryAgain(spec, tried, end, nowMs) ?: NextStep.PassOn
             AttemptEnd.LOST -> tryAgain(spec, tried, end, nowMs) ?: NextStep.ReportUnknown
             AttemptEnd.SHED, AttemptEnd.MISDIRECTED ->
-                tryAgain(spec, tried, end, nowMs) ?: refuse(spec, RefusalReason.SHED)
-            AttemptEnd.NOT_SENT -> tryAgain(spec, tried, end, nowMs) ?: refuse(spec, RefusalReason.UNREACHABLE)
+                tryAgain(spec, tried, end, nowMs) ?: giveUp(spec, RefusalReason.SHED, mayHaveRun)
+            AttemptEnd.NOT_SENT ->
+                tryAgain(spec, tried, end, nowMs) ?: giveUp(spec, RefusalReason.UNREACHABLE, mayHaveRun)
         }
     }
 
@@ -119,8 +122,9 @@
         placer.adjustLending(nowMs)
     }
 
-    private fun refuse(spec: RequestSpec, reason: RefusalReason): NextStep.Refuse =
-        NextStep.Refuse(reason, placer.retryAfterMs(spec.id, 0.0))
+    /** Returns a refusal only when no earlier try may have run the request. */
+    private fun giveUp(spec: RequestSpec, reason: RefusalReason, mayHaveRun: Boolean): NextStep =
+        if (mayHaveRun) NextStep.ReportUnknown else NextStep.Refuse(reason, placer.retryAfterMs(spec.id, 0.0))
 
     private fun tryAgain(
         spec: RequestSpec,
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/Placer.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/Placer.kt
@@ -50,9 +50,8 @@
         if (open.isEmpty()) return refuse(spec, RefusalReason.NO_SERVER, work.coldMs)
         val ready = open.filter { !it.isCold(nowMs) || isColdOpen(it, desired, instances, nowMs) }
         if (ready.isEmpty()) return refuse(spec, RefusalReason.COLD, work.coldMs)
-        val choices = candidatesOf(spec, ready)
-        val firstChoices = choices.groupBy { it.region }.map { (_, group) -> group.maxBy { affinityOf(spec, it) } }
-        val best = choices.map { rate(spec, it, it in firstChoices, work, nowMs) }.minBy { it.costMs }
+        val firstChoices = ready.groupBy { it.region }.map { (_, group) -> group.maxBy { affinityOf(spec, it) } }
+        val best = bestOf(spec, ready.map { rate(spec, it, it in firstChoices, work, nowMs) })
         return if (best.waitMs > longestWaitMs(spec, best)) {
             refuse(spec, RefusalReason.OVERLOAD, best.waitMs)
         } else {
@@ -84,11 +83,7 @@
     }
 
     fun adjustLending(nowMs: Long) {
-        lendings.forEach { (service, lending) ->
-            val (own, other) = servers.serversOf(service).filter { servers.isOpen(it) && it.isTrusted(nowMs) }
-                .partition { it.distance != Distance.OTHER_REGION }
-            lending.adjust(useOf(own, nowMs), useOf(other, nowMs), nowMs)
-        }
+        lendings.values.forEach { it.adjust(nowMs) }
     }
 
     /** Returns the delay for a refused caller: the wait that is expected, spread so that callers don't return at once. */
@@ -123,12 +118,17 @@
         return coldPartPerSecond(place.instance, server.record.name, instances, bearable * terms.coldUsableShare)
     }
 
-    /** Returns the servers of the own region, or those of others when this request is lent or the region has none. */
-    private fun candidatesOf(spec: RequestSpec, ready: List<KnownServer>): List<KnownServer> {
-        val (own, other) = ready.partition { it.distance != Distance.OTHER_REGION }
-        if (own.isEmpty()) return other
-        if (other.isEmpty()) return own
-        return if (lendingOf(spec.service).isNextLent()) other else own
+    /** Returns the best of the own region, or of another when this request is lent or the own region has none. */
+    private fun bestOf(spec: RequestSpec, ratings: List<Rating>): Rating {
+        val (own, other) = ratings.partition { it.server.distance != Distance.OTHER_REGION }
+        val bestOwn = own.minByOrNull { it.costMs }
+        val bestOther = other.minByOrNull { it.costMs }
+        return when {
+            bestOwn == null -> checkNotNull(bestOther)
+            bestOther == null -> bestOwn
+            lendingOf(spec.service).decide(gains = bestOther.costMs < bestOwn.costMs) -> bestOther
+            else -> bestOwn
+        }
     }
 
     private fun lendingOf(service: ServiceName): RegionLending =
@@ -142,12 +142,9 @@
         if (open.isEmpty() || ownZones == 0) return 0.0
         val slotShare = ownSlots.toDouble() / open.sumOf { it.slots }
         val requestShare = ownZones.toDouble() / place.regions.size
-        return 1.0 - SPARE_FACTOR * slotShare / requestShare
+        return 1.0 - slotShare / requestShare
     }
 
-    private fun useOf(group: List<KnownServer>, nowMs: Long): Double =
-        if (group.isEmpty()) 1.0 else group.sumOf { it.estimateLoad(nowMs) } / group.sumOf { it.slots }
-
     private fun rate(
         spec: RequestSpec,
         server: KnownServer,
@@ -170,7 +167,9 @@
             Distance.OTHER_REGION -> terms.regionPenaltyMs
         }
         val failureMs = server.failureShare * spec.route.targetLatencyMs
-        return Rating(server, warmth, travelMs, waitMs, workMs, travelMs + waitMs + workMs + penaltyMs + failureMs)
+        val unprovenMs = if (server.isUnproven && spec.route.isIdempotent) work.coldMs else 0.0
+        val costMs = travelMs + waitMs + workMs + penaltyMs + failureMs - unprovenMs
+        return Rating(server, warmth, travelMs, waitMs, workMs, costMs)
     }
 
     private fun longestWaitMs(spec: RequestSpec, best: Rating): Double {
@@ -207,9 +206,4 @@
         val workMs: Double,
         val costMs: Double,
     )
-
-    private companion object {
-        /** Slots that a region may have per request, as a multiple of the mean, before nothing is lent at first. */
-        const val SPARE_FACTOR = 1.5
-    }
 }
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/RegionLending.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/RegionLending.kt
@@ -1,47 +1,45 @@
 /*
- * Lends work to other regions. The share of a service's requests that leaves the region follows the use of the slots on
- * both sides and moves slowly, so that the regions of a deployment don't swing against each other. Only when the region
- * has nothing left to serve with does all work leave at once.
+ * Lends work to other regions. The share of a service's requests that leaves the region follows how many of them would
+ * finish sooner elsewhere, and moves slowly, so that the regions of a deployment don't swing against each other. Within
+ * the share, the requests that gain most by leaving are the ones that leave.
  */
 package org.cardamomwharf.steering.placement
 
-/** Use of the region's slots above which more is lent, when others have room. */
-private const val HIGH_USE = 0.9
-
-/** Use of the region's slots below which less is lent. */
-private const val LOW_USE = 0.6
-
-/** Difference of use that makes lending worth its way. */
-private const val LEAST_DIFFERENCE = 0.2
+/** Weight of one request in the average of requests that gain by leaving; about two seconds of one instance's requests. */
+private const val SMOOTHING = 0.03
 
 /** Part of the allowed shift that is used; arrivals of single instances vary around it. */
-private const val USABLE_SHIFT = 0.5
+private const val USABLE_SHIFT = 0.6
 
+/** Window in which the users measure shifts. */
 private const val SHIFT_WINDOW_MS = 2_000.0
 
+/** Requests that may leave beyond the share at a moment. */
+private const val LARGEST_CREDIT = 3.0
+
 /** Represents the lending of one service at this instance. */
 public class RegionLending(private val largestShift: Double, initialShare: Double) {
     /** Share of the requests that is lent. */
     public var share: Double = initialShare.coerceIn(0.0, 1.0)
         private set
-    private var credit = 0.5
+    private var wanted = share
+    private var credit = 1.0
     private var adjustedAtMs: Long? = null
 
-    /** Moves the share after the use of the slots, where 1 means that all slots are in use. */
-    public fun adjust(ownUse: Double, otherUse: Double, nowMs: Long) {
+    /** Returns true when the next request is lent, given whether it [gains] by leaving. */
+    public fun decide(gains: Boolean): Boolean {
+        wanted += SMOOTHING * ((if (gains) 1.0 else 0.0) - wanted)
+        credit = (credit + share).coerceAtMost(LARGEST_CREDIT)
+        val isLent = credit >= 1.0 && (gains || credit >= LARGEST_CREDIT)
+        if (isLent) credit -= 1.0
+        return isLent
+    }
+
+    /** Moves the share towards what is wanted. */
+    public fun adjust(nowMs: Long) {
         val elapsedMs = nowMs - (adjustedAtMs ?: nowMs)
         adjustedAtMs = nowMs
         val step = largestShift * USABLE_SHIFT * elapsedMs / SHIFT_WINDOW_MS
-        if (ownUse > HIGH_USE && otherUse < ownUse - LEAST_DIFFERENCE) share += step
-        if (ownUse < LOW_USE) share -= step
-        share = share.coerceIn(0.0, 1.0)
-    }
-
-    /** Returns true when the next request is lent. */
-    public fun isNextLent(): Boolean {
-        credit += share
-        if (credit < 1.0) return false
-        credit -= 1.0
-        return true
+        share += (wanted - share).coerceIn(-step, step)
     }
 }
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/servers/KnownServer.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/servers/KnownServer.kt
@@ -55,6 +55,14 @@
     private var waitingSinceMs = Long.MAX_VALUE
     private var reportedSlots: Int? = null
 
+    /** True for a server that joined others at work, until this instance has sent it a request. */
+    public var isUnproven: Boolean = false
+        internal set
+
+    /** True when this instance has sent the server a request. */
+    public var isUsed: Boolean = false
+        private set
+
     /** Slots of the server, at least one. */
     public val slots: Int get() = (reportedSlots ?: record.slots).coerceAtLeast(1)
 
@@ -79,6 +87,8 @@
     public fun noteSent(nowMs: Long) {
         if (inFlight == 0) waitingSinceMs = nowMs
         inFlight++
+        isUnproven = false
+        isUsed = true
     }
 
     /** Notes that a request ended there, however it did. */
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/servers/ServerBook.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/servers/ServerBook.kt
@@ -6,6 +6,7 @@
 import org.cardamomwharf.core.ServerName
 import org.cardamomwharf.core.ServiceName
 import org.cardamomwharf.core.ZoneName
+import org.cardamomwharf.steering.Distance
 import org.cardamomwharf.steering.Place
 import org.cardamomwharf.steering.SteeringTerms
 import org.cardamomwharf.steering.belief.TableChange
@@ -61,8 +62,10 @@
         val region = place.regions[record.zone]
         val server = KnownServer(record, place.distanceTo(record.zone), region, terms)
         server.coldUntilMs = nowMs + record.coldRemainingMs
+        val peers = byService.getOrPut(record.service) { ArrayList() }
+        server.isUnproven = server.distance != Distance.OTHER_REGION && peers.any { it.isUsed }
         byName[record.name] = server
-        byService.getOrPut(record.service) { ArrayList() }.add(server)
+        peers.add(server)
     }
 
     private fun replace(record: ServerRecord, coldStartMs: Long, nowMs: Long) {
--- /dev/null
+++ b/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/instances/InstanceBookTest.kt
@@ -0,0 +1,52 @@
+/*
+ * Which instances are named to callers.
+ */
+package org.cardamomwharf.steering.instances
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import org.cardamomwharf.core.Incarnation
+import org.cardamomwharf.core.InstanceName
+import org.cardamomwharf.core.RegionName
+import org.cardamomwharf.core.SocketAddress
+import org.cardamomwharf.core.ZoneName
+
+class InstanceBookTest : FunSpec({
+    fun record(name: String, zone: String = "z1") =
+        InstanceRecord(InstanceName(name), ZoneName(zone), SocketAddress("10.0.0.1", 80), SocketAddress("10.0.0.1", 90))
+
+    fun heartbeat(name: String, incarnation: Long, count: Long, isLeaving: Boolean = false) =
+        Heartbeat(record(name), Incarnation(incarnation), count, isLeaving)
+
+    fun book() = InstanceBook(record("own"), Incarnation(1), silenceMs = 4_000)
+    fun InstanceBook.names(nowMs: Long) = serving(nowMs).map { it.name.value }.sorted()
+
+    test("`an instance whose heartbeat stands still is gone, however often it is told`") {
+        val book = book()
+        book.hear(heartbeat("b", 1, 7), 0)
+        book.names(3_000) shouldBe listOf("b", "own")
+        book.hear(heartbeat("b", 1, 7), 3_500)
+        book.names(4_100) shouldBe listOf("own")
+    }
+
+    test("`an instance that leaves is not named, and its next life is`") {
+        val book = book()
+        book.hear(heartbeat("b", 1, 7), 0)
+        book.hear(heartbeat("b", 1, 8, isLeaving = true), 100)
+        book.names(200) shouldBe listOf("own")
+        book.hear(heartbeat("b", 1, 7), 300)
+        book.names(400) shouldBe listOf("own")
+        book.hear(heartbeat("b", 2, 1), 500)
+        book.names(600) shouldBe listOf("b", "own")
+    }
+
+    test("`callers get their zone, then their region, then anything`") {
+        val regions = mapOf(ZoneName("z1") to RegionName("r"), ZoneName("z2") to RegionName("r"))
+        val all = listOf(record("a"), record("b"), record("c", "z2"))
+        fun chosen(serving: List<InstanceRecord>, zone: String) =
+            chooseInstances(serving, regions, ZoneName(zone), RegionName("r")).map { it.name.value }
+        chosen(all, "z1") shouldBe listOf("a", "b")
+        chosen(all, "z2") shouldBe listOf("a", "b", "c")
+        chooseInstances(all, regions, ZoneName("z9"), RegionName("s")).size shouldBe 3
+    }
+})
--- /dev/null
+++ b/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/requests/RepeatTest.kt
@@ -0,0 +1,56 @@
+/*
+ * What may be tried again, and what a caller is told in the end.
+ */
+package org.cardamomwharf.steering.requests
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.shouldNotBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import org.cardamomwharf.steering.support.BOOKINGS
+import org.cardamomwharf.steering.support.send
+import org.cardamomwharf.steering.support.serverOf
+import org.cardamomwharf.steering.support.specOf
+import org.cardamomwharf.steering.support.steeringOf
+
+class RepeatTest : FunSpec({
+    fun twoServers() = steeringOf(serverOf("s1"), serverOf("s2"))
+
+    test("`a booking whose answer got lost is never sent again`") {
+        val steering = twoServers()
+        val spec = specOf(1, BOOKINGS)
+        val sent = steering.send(spec)
+        steering.settle(spec, listOf(sent), AttemptEnd.LOST, false, 50, 50) shouldBe NextStep.ReportUnknown
+    }
+
+    test("`a booking that a server refused goes to another server`") {
+        val steering = twoServers()
+        val spec = specOf(1, BOOKINGS)
+        val sent = steering.send(spec)
+        val next = steering.settle(spec, listOf(sent), AttemptEnd.SHED, false, 5, 5)
+        next.shouldBeInstanceOf<NextStep.TryAgain>().placement.server shouldNotBe sent.server
+    }
+
+    test("`a read that may have run is never refused as not run`") {
+        val steering = twoServers()
+        val spec = specOf(1)
+        val first = steering.send(spec)
+        val next = steering.settle(spec, listOf(first), AttemptEnd.LOST, false, 5, 5)
+        val second = next.shouldBeInstanceOf<NextStep.TryAgain>().placement
+        steering.settle(spec, listOf(first, second), AttemptEnd.SHED, true, 5, 10) shouldBe NextStep.ReportUnknown
+    }
+
+    test("`a request is sent to no more servers than its route allows`") {
+        val steering = steeringOf(serverOf("s1"), serverOf("s2"), serverOf("s3"))
+        val spec = specOf(1)
+        val first = steering.send(spec)
+        val next = steering.settle(spec, listOf(first), AttemptEnd.SHED, false, 5, 5)
+        val second = next.shouldBeInstanceOf<NextStep.TryAgain>().placement
+        steering.settle(spec, listOf(first, second), AttemptEnd.SHED, false, 5, 10)
+            .shouldBeInstanceOf<NextStep.Refuse>()
+    }
+
+    test("`without a desired state or servers a request is refused at once`") {
+        steeringOf().place(specOf(1), 0).shouldBeInstanceOf<Placement.Refuse>().reason shouldBe RefusalReason.NO_SERVER
+    }
+})
