Start before listening, keep buffers on the heap, tell resets from ends, learn from time-outs

Requests that could not finish in time waited for a slot and then timed out. Ruled out: a leak of connections.

--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/front/FrontServer.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/front/FrontServer.kt
@@ -6,6 +6,7 @@
 import org.cardamomwharf.core.SocketAddress
 import org.eclipse.jetty.http.HttpCompliance
 import org.eclipse.jetty.http.UriCompliance
+import org.eclipse.jetty.io.ArrayByteBufferPool
 import org.eclipse.jetty.io.ByteBufferPool
 import org.eclipse.jetty.io.ManagedSelector
 import org.eclipse.jetty.io.SocketChannelEndPoint
@@ -18,16 +19,22 @@
 import org.eclipse.jetty.server.ServerConnector
 import org.eclipse.jetty.util.Callback
 import org.eclipse.jetty.util.thread.QueuedThreadPool
+import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler
 import org.eclipse.jetty.util.thread.Scheduler
 import java.nio.channels.SelectionKey
 import java.nio.channels.SocketChannel
 import java.util.concurrent.Executor
 
+/** Sizes of pooled buffers are multiples of this. */
+private const val BUFFER_STEP_BYTES = 4_096
+private const val LARGEST_POOLED_BYTES = 65_536
+private const val BUFFERS_PER_SIZE = 64
+private const val LARGEST_POOL_BYTES = 4_194_304L
+
 /** Represents one listening address and what answers there. */
 public data class FrontListener(
     public val name: String,
     public val address: SocketAddress,
-    public val isWatched: Boolean,
     public val handler: FrontHandler,
 )
 
@@ -50,17 +57,24 @@
     public val largestThreads: Int = 12,
 )
 
-/** Represents the running server. */
+/** Represents the server and its listeners. */
 public class FrontServer internal constructor(
     private val server: Server,
     private val threads: QueuedThreadPool,
-    private val connectors: Map<String, ServerConnector>,
+    settings: FrontSettings,
+    listeners: List<FrontListener>,
 ) {
-    /** Runs tasks of the server and of the connections to backend servers. */
-    public val executor: Executor get() = threads
+    private val connectors = listeners.associate { it.name to connectorOf(server, settings, it) }
+
+    init {
+        connectors.values.forEach { server.addConnector(it) }
+        server.handler = ListenerHandler(listeners.associate { it.name to it.handler })
+    }
 
-    /** The scheduler of the server. */
-    public val scheduler: Scheduler get() = connectors.values.first().scheduler
+    /** Starts to take connections. */
+    public fun start() {
+        server.start()
+    }
 
     /** Returns the port of the listener [name]. */
     public fun portOf(name: String): Int = connectors.getValue(name).localPort
@@ -87,27 +101,42 @@
     public fun stop() {
         server.stopTimeout = 0
         server.stop()
+        threads.stop()
     }
 }
 
-/** Returns a started server with [listeners]. */
-public fun startFrontServer(settings: FrontSettings, listeners: List<FrontListener>): FrontServer {
-    val threads = QueuedThreadPool(settings.largestThreads, 2)
-    threads.name = "front"
-    threads.reservedThreads = 0
-    val server = Server(threads, null, ByteBufferPool.NonPooling())
-    val connectors = listeners.associate { it.name to connectorOf(server, settings, it) }
-    connectors.values.forEach { server.addConnector(it) }
-    server.handler = ListenerHandler(listeners.associate { it.name to it.handler })
-    server.start()
-    return FrontServer(server, threads, connectors)
+/** Represents the threads and the timer that the server shares with the connections to backend servers. */
+public class FrontThreads internal constructor(internal val pool: QueuedThreadPool, public val scheduler: Scheduler) {
+    /** Runs tasks. */
+    public val executor: Executor get() = pool
 }
 
+/** Returns started threads. */
+public fun startFrontThreads(settings: FrontSettings): FrontThreads {
+    val pool = QueuedThreadPool(settings.largestThreads, 2)
+    pool.name = "front"
+    pool.reservedThreads = 0
+    val scheduler = ScheduledExecutorScheduler("front-timer", true)
+    pool.start()
+    scheduler.start()
+    return FrontThreads(pool, scheduler)
+}
+
+/** Returns a server with [listeners] that takes no connections yet. */
+public fun frontServerOf(settings: FrontSettings, threads: FrontThreads, listeners: List<FrontListener>): FrontServer =
+    FrontServer(Server(threads.pool, threads.scheduler, heapBuffers()), threads.pool, settings, listeners)
+
+/** Returns a small pool of buffers on the heap; buffers outside it would be freed only by full collections. */
+private fun heapBuffers(): ByteBufferPool =
+    ArrayByteBufferPool(0, BUFFER_STEP_BYTES, LARGEST_POOLED_BYTES, BUFFERS_PER_SIZE, LARGEST_POOL_BYTES, 0)
+
 private fun connectorOf(server: Server, settings: FrontSettings, listener: FrontListener): ServerConnector {
     val configuration = HttpConfiguration().apply {
         requestHeaderSize = settings.headBytes
         sendServerVersion = false
         sendDateHeader = false
+        isUseInputDirectByteBuffers = false
+        isUseOutputDirectByteBuffers = false
         httpCompliance = HttpCompliance.RFC9110
         uriCompliance = UriCompliance.UNSAFE
     }
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/ServerPool.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/ServerPool.kt
@@ -11,10 +11,12 @@
 import org.eclipse.jetty.io.ClientConnector
 import org.eclipse.jetty.io.Connection
 import org.eclipse.jetty.io.EndPoint
+import org.eclipse.jetty.io.ManagedSelector
 import org.eclipse.jetty.io.Transport
 import org.eclipse.jetty.util.Promise
 import java.net.InetSocketAddress
 import java.nio.channels.SelectableChannel
+import java.nio.channels.SelectionKey
 import java.nio.channels.SocketChannel
 import java.time.Duration
 import java.util.concurrent.Executor
@@ -157,6 +159,12 @@
             (selectable as? SocketChannel)?.let(::keepAlive)
         }
 
+        override fun newEndPoint(
+            selectable: SelectableChannel,
+            selector: ManagedSelector,
+            selectionKey: SelectionKey,
+        ): EndPoint = StrictEndPoint(selectable as SocketChannel, selector, selectionKey, scheduler)
+
         override fun newConnection(endPoint: EndPoint, context: MutableMap<String, Any>): Connection {
             val opening = context[OPENING] as Opening
             return opening.pool.newConnection(endPoint, opening)
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/GatewayProcess.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/GatewayProcess.kt
@@ -11,12 +11,11 @@
 import org.cardamomwharf.forward.course.CourseTools
 import org.cardamomwharf.forward.course.GuardedSteering
 import org.cardamomwharf.forward.course.forwardingHandler
-import org.cardamomwharf.forward.front.FrontHandler
 import org.cardamomwharf.forward.front.FrontListener
 import org.cardamomwharf.forward.front.FrontServer
 import org.cardamomwharf.forward.front.FrontSettings
-import org.cardamomwharf.forward.front.startFrontServer
-import org.cardamomwharf.forward.server.ServerPool
+import org.cardamomwharf.forward.front.frontServerOf
+import org.cardamomwharf.forward.front.startFrontThreads
 import org.cardamomwharf.forward.server.ServerPoolSettings
 import org.cardamomwharf.forward.server.startServerPool
 import org.cardamomwharf.gateway.directory.directoryHandler
@@ -34,7 +33,6 @@
 import org.cardamomwharf.steering.belief.DeploymentStore
 import org.cardamomwharf.steering.instances.InstanceBook
 import org.cardamomwharf.steering.instances.InstanceRecord
-import org.eclipse.jetty.util.thread.QueuedThreadPool
 import java.nio.file.Path
 import java.util.concurrent.TimeUnit
 
@@ -78,48 +76,39 @@
     private val heartbeats = PeerHeartbeats(own, place, book, clock, ::shareBudgets)
     private val store = openStore()
     private val watch = StateWatch(store, steering, clock, log, terms.restoreGraceMs, ::limitCallers)
-    private lateinit var front: FrontServer
-    private lateinit var pool: ServerPool
-    private lateinit var tools: CourseTools
+    private val frontSettings = FrontSettings()
+    private val threads = startFrontThreads(frontSettings)
+    private val pool = startServerPool(ServerPoolSettings(), threads.executor, clock)
+    private val tools = CourseTools(steering, pool, threads.scheduler, clock) { trace ->
+        log.take(trace)
+        metrics.take(trace)
+    }
+    private val front = frontServerOf(frontSettings, threads, listeners())
+
+    @Volatile
+    private var isStopping = false
 
     fun start() {
-        val forward = FrontHandler { request, response, callback -> handler.handle(request, response, callback) }
-        front = startFrontServer(
-            FrontSettings(),
-            listOf(
-                FrontListener(CALLERS, settings.addresses.caller, isWatched = true, forward),
-                FrontListener(READY, settings.addresses.ready, isWatched = false, readyHandler(::isReady)),
-                FrontListener(
-                    DIRECTORY,
-                    settings.addresses.directory,
-                    isWatched = false,
-                    directoryHandler(place) { synchronized(book) { book.serving(clock.nowMs()) } },
-                ),
-                FrontListener(
-                    METRICS,
-                    SocketAddress(settings.addresses.host, settings.metricsPort),
-                    isWatched = false,
-                    metrics.handler(::refresh),
-                ),
-            ),
-        )
         watch.start()
         heartbeats.start()
         Thread(::meetInstances, "register").apply { isDaemon = true }.start()
         scheduleTick()
+        front.start()
         log.event("start") {
             put("instance", settings.instance.value)
             put("zone", settings.zone.value)
         }
     }
 
-    private val handler: FrontHandler by lazy {
-        pool = startServerPool(ServerPoolSettings(), front.executor, clock)
-        tools = CourseTools(steering, pool, front.scheduler, clock) { trace ->
-            log.take(trace)
-            metrics.take(trace)
-        }
-        forwardingHandler(tools)
+    private fun listeners(): List<FrontListener> {
+        val metricsAddress = SocketAddress(settings.addresses.host, settings.metricsPort)
+        val directory = directoryHandler(place) { synchronized(book) { book.serving(clock.nowMs()) } }
+        return listOf(
+            FrontListener(CALLERS, settings.addresses.caller, forwardingHandler(tools)),
+            FrontListener(READY, settings.addresses.ready, readyHandler(::isReady)),
+            FrontListener(DIRECTORY, settings.addresses.directory, directory),
+            FrontListener(METRICS, metricsAddress, metrics.handler(::refresh)),
+        )
     }
 
     private fun openStore(): DeploymentStore {
@@ -135,9 +124,6 @@
 
     private fun isReady(): Boolean = !isStopping && watch.isKnown
 
-    @Volatile
-    private var isStopping = false
-
     private fun shareBudgets() {
         val live = synchronized(book) { book.running(clock.nowMs()) }.mapTo(HashSet()) { it.name }
         steering.decide { decisions, _ -> decisions.shareWith(live) }
@@ -148,11 +134,11 @@
     }
 
     private fun scheduleTick() {
-        front.scheduler.schedule(
+        threads.scheduler.schedule(
             {
                 steering.decide { decisions, nowMs -> decisions.tick(nowMs) }
                 watch.expire()
-                if (::pool.isInitialized) pool.closeExpired()
+                pool.closeExpired()
                 scheduleTick()
             },
             TICK_MS,
@@ -174,9 +160,9 @@
     }
 
     private fun refresh(set: (String, Double) -> Unit) {
-        set("requests_under_way", if (::tools.isInitialized) tools.requestsUnderWay.toDouble() else 0.0)
-        set("connections_to_servers", if (::pool.isInitialized) pool.openConnections.toDouble() else 0.0)
-        set("connections_opened", if (::pool.isInitialized) pool.opened.get().toDouble() else 0.0)
+        set("requests_under_way", tools.requestsUnderWay.toDouble())
+        set("connections_to_servers", pool.openConnections.toDouble())
+        set("connections_opened", pool.opened.get().toDouble())
         set("desired_version", steering.decide { decisions, _ -> decisions.desired?.version?.value ?: 0 }.toDouble())
         set("instances", synchronized(book) { book.running(clock.nowMs()) }.size.toDouble())
     }
@@ -195,7 +181,6 @@
         val startedAtMs = clock.nowMs()
         log.event("stop") { put("underWay", underWay()) }
         isStopping = true
-        handler
         tools.isStopping = true
         heartbeats.announceLeaving()
         waitUntil(startedAtMs + (settings.bounds.stopMs * TAKING_SHARE).toLong()) { false }
@@ -209,7 +194,7 @@
         }
     }
 
-    private fun underWay(): Int = if (::tools.isInitialized) tools.requestsUnderWay else 0
+    private fun underWay(): Int = tools.requestsUnderWay
 
     private fun waitUntil(endMs: Long, isDone: () -> Boolean) {
         while (!isDone() && clock.nowMs() < endMs) Thread.sleep(LOOK_MS)
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/SteeringTerms.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/SteeringTerms.kt
@@ -22,8 +22,12 @@
     public val zonePenaltyMs: Double = 8.0,
     /** Price of a request to another region, as time; its bytes cost about 0.06 of a request. */
     public val regionPenaltyMs: Double = 40.0,
-    /** Share of the target latency that a request may wait even when its work alone takes longer than the target. */
-    public val leastWaitShare: Double = 0.3,
+    /** Time in which most of what failures cost a backend server is forgotten; a few avoided times. */
+    public val failureFadeMs: Double = 4_000.0,
+    /** Time in which most of a backend server's slowness is forgotten; shorter than slow spells, which last seconds. */
+    public val slownessFadeMs: Double = 4_000.0,
+    /** Least factor that a request without an answer counts for as slowness. */
+    public val timeoutSlowness: Double = 2.0,
     /** First time for which a backend server that failed is avoided; doubles with each failure in a row. */
     public val firstAvoidMs: Long = 400,
     /** Longest time for which a backend server that failed is avoided; below the recovery bound of the settings. */
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/Placer.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/Placer.kt
@@ -78,7 +78,8 @@
             AttemptEnd.ANSWERED -> learn(spec, send, server, tookMs, nowMs)
             AttemptEnd.FAILED, AttemptEnd.SHED -> server.noteAnswer(isGood = false, nowMs)
             AttemptEnd.MISDIRECTED, AttemptEnd.NOT_SENT, AttemptEnd.LOST -> server.noteFailure(nowMs)
-            AttemptEnd.TIMED_OUT, AttemptEnd.CALLER_GONE -> Unit
+            AttemptEnd.TIMED_OUT -> learnTimeout(send, server, tookMs, nowMs)
+            AttemptEnd.CALLER_GONE -> Unit
         }
     }
 
@@ -98,7 +99,7 @@
         nowMs: Long,
     ): Boolean {
         val allowed = spec.route.allowedRegions
-        val silenceMs = maxOf(LEAST_SILENCE_MS, (SILENCE_FACTOR * work.coldMs * server.slowness).toLong())
+        val silenceMs = maxOf(LEAST_SILENCE_MS, (SILENCE_FACTOR * work.coldMs * server.slowness(nowMs)).toLong())
         return servers.isOpen(server) &&
             server.record.name !in excluded &&
             (allowed.isEmpty() || server.region in allowed) &&
@@ -157,39 +158,47 @@
             isFirstChoice -> Warmth.FIRST_CHOICE
             else -> Warmth.OTHER
         }
-        val workMs = work.expectMs(warmth) * server.slowness
+        val slowness = server.slowness(nowMs)
+        val workMs = work.expectMs(warmth) * slowness
         val ahead = (server.estimateLoad(nowMs) + 1 - server.slots).coerceAtLeast(0.0)
-        val waitMs = ahead / server.slots * (work.warmMs + work.coldMs) / 2 * server.slowness
+        val waitMs = ahead / server.slots * (work.warmMs + work.coldMs) / 2 * slowness
         val travelMs = travel.of(server.distance)
         val penaltyMs = when (server.distance) {
             Distance.SAME_ZONE -> 0.0
             Distance.SAME_REGION -> terms.zonePenaltyMs
             Distance.OTHER_REGION -> terms.regionPenaltyMs
         }
-        val failureMs = server.failureShare * spec.route.targetLatencyMs
+        val failureMs = server.failureShare(nowMs) * spec.route.targetLatencyMs
         val unprovenMs = if (server.isUnproven && spec.route.isIdempotent) work.coldMs else 0.0
         val costMs = travelMs + waitMs + workMs + penaltyMs + failureMs - unprovenMs
         return Rating(server, warmth, travelMs, waitMs, workMs, costMs)
     }
 
-    private fun longestWaitMs(spec: RequestSpec, best: Rating): Double {
-        val targetMs = spec.route.targetLatencyMs.toDouble()
-        return maxOf(targetMs * terms.leastWaitShare, targetMs - best.workMs - best.travelMs)
-    }
+    /** Returns the wait that still lets a request finish in time; one that can't needs a free slot. */
+    private fun longestWaitMs(spec: RequestSpec, best: Rating): Double =
+        (spec.route.targetLatencyMs - best.workMs - best.travelMs).coerceAtLeast(0.0)
 
     private fun learn(spec: RequestSpec, send: Placement.Send, server: KnownServer, tookMs: Long, nowMs: Long) {
         server.noteAnswer(isGood = true, nowMs)
         val work = estimatesOf(spec.route)
+        val slowness = server.slowness(nowMs)
         val workMs = (tookMs - travel.of(server.distance)).coerceAtLeast(1.0)
-        val isUncrowded = send.load < server.slots
-        if (isUncrowded) {
-            val usualMs = if (work.isWarm(workMs / server.slowness)) work.warmMs else work.coldMs
-            server.noteSpeed(workMs / usualMs)
-            if (!server.isCold(nowMs)) work.learn(send.warmth, workMs / server.slowness)
+        if (send.load < server.slots) {
+            val usualMs = if (work.isWarm(workMs / slowness)) work.warmMs else work.coldMs
+            server.noteSpeed(workMs / usualMs, nowMs)
+            if (!server.isCold(nowMs)) work.learn(send.warmth, workMs / slowness)
+        } else if (tookMs > send.predictedMs) {
+            server.noteSpeed(slowness * tookMs / send.predictedMs, nowMs)
         }
         spec.affinityKey?.let { server.warmKeys.note(it) }
     }
 
+    private fun learnTimeout(send: Placement.Send, server: KnownServer, tookMs: Long, nowMs: Long) {
+        server.noteTimeout(nowMs)
+        val factor = maxOf(terms.timeoutSlowness, tookMs / send.predictedMs)
+        server.noteSpeed(server.slowness(nowMs) * factor, nowMs)
+    }
+
     private fun affinityOf(spec: RequestSpec, server: KnownServer): Long =
         hashOf("${spec.service.value}/${spec.affinityKey ?: spec.id}/${server.record.name.value}")
 
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/servers/KnownServer.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/servers/KnownServer.kt
@@ -35,19 +35,14 @@
     public var avoidedUntilMs: Long = Long.MIN_VALUE
         private set
 
-    /** Share of recent requests that the server failed or refused. */
-    public var failureShare: Double = 0.0
-        private set
-
-    /** Time that requests take there, as a multiple of the usual time. */
-    public var slowness: Double = 1.0
-        private set
-
     /** Keys that the server is believed to have handled recently. */
     public val warmKeys: WarmKeys = WarmKeys()
 
     internal val coldAllowance = ColdAllowance()
+    private val failures = FadingAverage(0.0, terms.failureFadeMs)
+    private val speed = FadingAverage(1.0, terms.slownessFadeMs)
     private var report: LoadReport? = null
+    private var usualOfOthers = 0.0
     private var reportAtMs = Long.MIN_VALUE
     private var ownAtReport = 0
     private var failuresInRow = 0
@@ -70,9 +65,16 @@
     public fun estimateLoad(nowMs: Long): Double {
         val known = report ?: return inFlight.toDouble()
         val ofOthers = (known.total - ownAtReport).coerceAtLeast(0)
-        return inFlight + ofOthers * exp(-(nowMs - reportAtMs) / terms.reportAgeMs)
+        val fresh = exp(-(nowMs - reportAtMs) / terms.reportAgeMs)
+        return inFlight + usualOfOthers + (ofOthers - usualOfOthers) * fresh
     }
 
+    /** Returns the share of recent requests that the server failed, refused or left unanswered. */
+    public fun failureShare(nowMs: Long): Double = failures.valueAt(nowMs)
+
+    /** Returns the time that requests take there, as a multiple of the usual time. */
+    public fun slowness(nowMs: Long): Double = speed.valueAt(nowMs)
+
     /** Returns true when the server may get a request for what it did before. */
     public fun isTrusted(nowMs: Long): Boolean = nowMs >= avoidedUntilMs && (failuresInRow == 0 || inFlight == 0)
 
@@ -102,24 +104,31 @@
         reportAtMs = nowMs
         ownAtReport = inFlight
         if (next.slots > 0) reportedSlots = next.slots
+        val ofOthers = (next.total - inFlight).coerceAtLeast(0)
+        usualOfOthers += terms.smoothing * (ofOthers - usualOfOthers)
     }
 
     /** Notes an answer of the server, good or bad. */
     public fun noteAnswer(isGood: Boolean, nowMs: Long) {
         lastAnswerAtMs = nowMs
         if (isGood) failuresInRow = 0
-        failureShare += terms.smoothing * ((if (isGood) 0.0 else 1.0) - failureShare)
+        failures.note(if (isGood) 0.0 else 1.0, terms.smoothing, nowMs)
+    }
+
+    /** Notes that the server left a request unanswered until its time was over. */
+    public fun noteTimeout(nowMs: Long) {
+        failures.note(1.0, terms.smoothing, nowMs)
     }
 
     /** Notes that a request took [factor] times the usual time. */
-    public fun noteSpeed(factor: Double) {
-        slowness = (slowness + terms.smoothing * (factor - slowness)).coerceIn(LEAST_SLOWNESS, LARGEST_SLOWNESS)
+    public fun noteSpeed(factor: Double, nowMs: Long) {
+        speed.note(factor.coerceIn(LEAST_SLOWNESS, LARGEST_SLOWNESS), terms.smoothing, nowMs)
     }
 
     /** Notes that the server could not be reached or broke a connection off. */
     public fun noteFailure(nowMs: Long) {
         failuresInRow++
-        failureShare += terms.smoothing * (1 - failureShare)
+        failures.note(1.0, terms.smoothing, nowMs)
         val doublings = (failuresInRow - 1).coerceAtMost(LARGEST_DOUBLINGS)
         avoidedUntilMs = nowMs + (terms.firstAvoidMs shl doublings).coerceAtMost(terms.longestAvoidMs)
     }
@@ -130,8 +139,9 @@
         report = null
         reportedSlots = null
         failuresInRow = 0
-        failureShare = 0.0
-        slowness = 1.0
+        failures.reset()
+        speed.reset()
+        usualOfOthers = 0.0
         avoidedUntilMs = Long.MIN_VALUE
     }
 
