--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/course/Replies.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/course/Replies.kt
@@ -14,7 +14,13 @@
 
 private const val MS_PER_SECOND = 1_000.0
 private val connectionFields = setOf(
-    "connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade",
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
     "content-length",
 )
 
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/ServerAnswer.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/ServerAnswer.kt
@@ -3,8 +3,8 @@
  */
 package org.cardamomwharf.forward.server
 
-import org.eclipse.jetty.http.HttpFields
 import org.cardamomwharf.steering.servers.LoadReport
+import org.eclipse.jetty.http.HttpFields
 
 /** Represents a whole answer. */
 public class ServerAnswer(
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/GatewayProcess.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/GatewayProcess.kt
@@ -12,7 +12,6 @@
 import org.cardamomwharf.forward.course.GuardedSteering
 import org.cardamomwharf.forward.course.forwardingHandler
 import org.cardamomwharf.forward.front.FrontListener
-import org.cardamomwharf.forward.front.FrontServer
 import org.cardamomwharf.forward.front.FrontSettings
 import org.cardamomwharf.forward.front.frontServerOf
 import org.cardamomwharf.forward.front.startFrontThreads
@@ -60,6 +59,10 @@
 
 private const val LOOK_MS = 20L
 
+/** Ticks between log lines about the state of the process: five seconds. */
+private const val TICKS_PER_STATE = 25
+private const val BYTES_PER_KB = 1_024
+
 /** Pause before the instances are read or registered again after a failure. */
 private const val REGISTER_RETRY_MS = 500L
 
@@ -93,6 +96,7 @@
 
     @Volatile
     private var isStopping = false
+    private var ticks = 0
 
     fun start() {
         watch.start()
@@ -148,6 +152,7 @@
                 steering.decide { decisions, nowMs -> decisions.tick(nowMs) }
                 watch.expire()
                 pool.closeExpired()
+                if (++ticks % TICKS_PER_STATE == 0) logState()
                 scheduleTick()
             },
             TICK_MS,
@@ -155,6 +160,15 @@
         )
     }
 
+    private fun logState() = log.event("state") {
+        val runtime = Runtime.getRuntime()
+        put("heapUsedKb", (runtime.totalMemory() - runtime.freeMemory()) / BYTES_PER_KB)
+        put("underWay", underWay())
+        put("connections", pool.openConnections)
+        put("opened", pool.opened.get())
+        put("instances", synchronized(book) { book.running(clock.nowMs()) }.size)
+    }
+
     /** Reads which instances registered, and registers this one when it isn't listed as it is. */
     private fun meetInstances() {
         while (true) {
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/selftest/SelfTest.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/selftest/SelfTest.kt
@@ -48,7 +48,13 @@
     val process = GatewayProcess(settingsOf(ports))
     process.start()
     val caller = startJettyCaller(HttpCallerSettings("self-test"))
-    val answered = (1..TRIES).asSequence().map { isServed(caller, ports[0], it) }.filter { it }.take(WANTED_ANSWERS).count()
+    val answered = (1..TRIES).asSequence().map {
+        isServed(
+            caller,
+            ports[0],
+            it
+        )
+    }.filter { it }.take(WANTED_ANSWERS).count()
     caller.call(HttpCall("GET", "http://$HOST:${ports[2]}/resolve?name=a&region=r&zone=z", limitMs = CALL_MS))
     caller.call(HttpCall("GET", "http://$HOST:${ports[1]}/readyz", limitMs = CALL_MS))
     caller.call(HttpCall("GET", "http://$HOST:${ports[6]}/metrics", limitMs = CALL_MS))
@@ -106,7 +112,13 @@
     ),
     peerPort = ports[3],
     metricsPort = ports[6],
-    bounds = GatewayBounds(SELF_TEST_STOP_MS, retryRatio = 0.2, retryAllowance = 10, retryWindowMs = 10_000, largestShift = 0.15),
+    bounds = GatewayBounds(
+        SELF_TEST_STOP_MS,
+        retryRatio = 0.2,
+        retryAllowance = 10,
+        retryWindowMs = 10_000,
+        largestShift = 0.15
+    ),
 )
 
 private fun freePorts(count: Int): List<Int> {
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/store/TableWatcher.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/store/TableWatcher.kt
@@ -16,8 +16,8 @@
 import org.cardamomwharf.steering.belief.TableReading
 import kotlin.random.Random
 
-/** Longest wait for a change; below the history that the store keeps. */
-private const val WAIT_MS = 10_000L
+/** Longest wait for a change; a silent connection is noticed after it, within the users' stable window of some seconds. */
+private const val WAIT_MS = 2_500L
 
 /** Pause between two answers with changes, so that changes in quick succession share a call. */
 private const val PAUSE_MS = 150L
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/belief/DeploymentStore.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/belief/DeploymentStore.kt
@@ -3,8 +3,8 @@
  */
 package org.cardamomwharf.steering.belief
 
-import kotlinx.serialization.Serializable
 import com.github.michaelbull.result.Result
+import kotlinx.serialization.Serializable
 import org.cardamomwharf.core.ZoneName
 import org.cardamomwharf.steering.desired.DesiredState
 import org.cardamomwharf.steering.instances.InstanceRecord
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/belief/TableBelief.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/belief/TableBelief.kt
@@ -25,7 +25,12 @@
 )
 
 /** Represents a change of what is believed. */
-public data class TableChange<T>(public val key: String, public val version: Long, public val before: T?, public val after: T?)
+public data class TableChange<T>(
+    public val key: String,
+    public val version: Long,
+    public val before: T?,
+    public val after: T?
+)
 
 /**
  * Represents the believed contents of a table.
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/instances/InstanceBook.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/instances/InstanceBook.kt
@@ -62,7 +62,9 @@
     }
 
     /** Returns the heartbeats to pass on. */
-    public fun heartbeats(nowMs: Long): List<Heartbeat> = known.values.filter { isHeard(it, nowMs) }.map { it.heartbeat }
+    public fun heartbeats(
+        nowMs: Long
+    ): List<Heartbeat> = known.values.filter { isHeard(it, nowMs) }.map { it.heartbeat }
 
     /** Returns the instances that take requests. */
     public fun serving(nowMs: Long): List<InstanceRecord> =
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/Placer.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/Placer.kt
@@ -205,7 +205,9 @@
     private fun refuse(spec: RequestSpec, reason: RefusalReason, waitMs: Double): Placement.Refuse =
         Placement.Refuse(reason, retryAfterMs(spec.id, waitMs))
 
-    private fun estimatesOf(route: Route): WorkEstimates = estimates.getOrPut(route.name) { WorkEstimates(route, terms) }
+    private fun estimatesOf(route: Route): WorkEstimates = estimates.getOrPut(
+        route.name
+    ) { WorkEstimates(route, terms) }
 
     private class Rating(
         val server: KnownServer,
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/servers/FadingAverage.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/servers/FadingAverage.kt
@@ -16,7 +16,9 @@
     private var notedAtMs = 0L
 
     /** Returns the average at [nowMs]. */
-    public fun valueAt(nowMs: Long): Double = usual + (value - usual) * exp(-(nowMs - notedAtMs).coerceAtLeast(0) / fadeMs)
+    public fun valueAt(
+        nowMs: Long
+    ): Double = usual + (value - usual) * exp(-(nowMs - notedAtMs).coerceAtLeast(0) / fadeMs)
 
     /** Notes [observed] with [weight]. */
     public fun note(observed: Double, weight: Double, nowMs: Long) {
--- a/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/placement/PatternTest.kt
+++ b/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/placement/PatternTest.kt
@@ -53,7 +53,12 @@
     test("`a burst onto cold servers keeps to their rate`") {
         val steering = steeringOf()
         steering.add(serverOf("s1").copy(coldRemainingMs = 3_000))
-        val sent = (0L until 1_000L step 10).count { steering.place(specOf(it.toInt(), nowMs = it), it) is Placement.Send }
+        val sent = (0L until 1_000L step 10).count {
+            steering.place(
+                specOf(it.toInt(), nowMs = it),
+                it
+            ) is Placement.Send
+        }
         sent shouldBeLessThanOrEqual 10
     }
 
@@ -100,7 +105,9 @@
     }
 
     test("`a split route keeps its weights in every short run of requests`") {
-        val split = WeightedSplit(listOf(WeightedService(ServiceName("x"), 90.0), WeightedService(ServiceName("y"), 10.0)))
+        val split = WeightedSplit(
+            listOf(WeightedService(ServiceName("x"), 90.0), WeightedService(ServiceName("y"), 10.0))
+        )
         val chosen = (1..300).map { split.next().value }
         chosen.windowed(20).all { run -> run.count { it == "y" } in 1..3 } shouldBe true
     }
