--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/front/FrontServer.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/front/FrontServer.kt
@@ -135,6 +135,7 @@
         requestHeaderSize = settings.headBytes
         sendServerVersion = false
         sendDateHeader = false
+        headerCacheSize = 0 // The cache takes about 50 KB for each connection.
         isUseInputDirectByteBuffers = false
         isUseOutputDirectByteBuffers = false
         httpCompliance = HttpCompliance.RFC9110
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/front/WatchedEndPoint.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/front/WatchedEndPoint.kt
@@ -39,7 +39,7 @@
     /** Ends watching; has to come before the answer is completed. */
     fun unwatch() {
         synchronized(lock) { onGone = null }
-        fillInterest.onFail(UnwatchedException)
+        fillInterest.onFail(Unwatched)
     }
 
     override fun fill(buffer: ByteBuffer): Int {
@@ -62,7 +62,7 @@
             override fun succeeded() = readEarly()
 
             override fun failed(cause: Throwable) {
-                if (cause !== UnwatchedException) report()
+                if (cause !== Unwatched) report()
             }
         }
         tryFillInterested(callback)
@@ -91,10 +91,9 @@
         synchronized(lock) { onGone.also { onGone = null } }?.invoke()
     }
 
-    private object UnwatchedException : IOException("the answer is ready") {
-        private fun readResolve(): Any = UnwatchedException
-
-        override fun fillInStackTrace(): Throwable = this
+    /** Carries no suppressed exceptions, which would pile up in a single instance. */
+    private object Unwatched : Throwable("the answer is ready", null, false, false) {
+        private fun readResolve(): Any = Unwatched
     }
 
     private companion object {
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/ServerConnection.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/ServerConnection.kt
@@ -28,10 +28,10 @@
     private val settings: ServerPoolSettings,
     private val owner: ServerPool,
     val key: ServerKey,
-    private val firstCall: ServerCall,
+    private var firstCall: ServerCall?,
 ) : AbstractConnection(endPoint, executor) {
     private val reader = AnswerReader(settings.largestAnswerBytes)
-    private val parser = HttpParser(reader, settings.largestHeadBytes)
+    private val parser = HttpParser(reader, settings.largestHeadBytes).apply { headerCacheSize = 0 }
     private val input: ByteBuffer = BufferUtil.allocate(INPUT_BYTES)
     private var call: ServerCall? = null
     private var skipped = 0
@@ -49,7 +49,9 @@
     override fun onOpen() {
         super.onOpen()
         fillInterested()
-        owner.onOpen(this, firstCall)
+        val call = firstCall
+        firstCall = null
+        owner.onOpen(this, checkNotNull(call))
     }
 
     /** Returns false when the far end has closed the connection or has sent something. */
