Read a table again while the reading is older than what is known

The watcher ignored the old reading, but went on waiting for changes after a version that an empty answer had brought, so a change between both was never seen.

--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/store/TableWatcher.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/store/TableWatcher.kt
@@ -77,12 +77,19 @@
 
     private fun take(reading: TableReading<T>) {
         if (failures > 0) noteRestored()
+        isWholeDue = synchronized(belief) { belief.isStale(reading) }
         publish(synchronized(belief) { belief.apply(reading, clock.nowMs()) })
-        isWholeDue = false
         isKnown = true
+        if (isWholeDue) noteStale(reading)
         if (reading.entries.isNotEmpty()) Thread.sleep(PAUSE_MS)
     }
 
+    private fun noteStale(reading: TableReading<T>) = log.event("store-stale") {
+        put("table", name)
+        put("version", reading.version)
+        put("known", version)
+    }
+
     private fun noteRestored() {
         log.event("store-restored") {
             put("table", name)
--- /dev/null
+++ b/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/store/TableWatcherTest.kt
@@ -0,0 +1,76 @@
+/*
+ * Following a table of a store that loses its history, answers with old readings or is away.
+ */
+package org.cardamomwharf.gateway.store
+
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import org.cardamomwharf.core.monotonicClock
+import org.cardamomwharf.gateway.WatchTools
+import org.cardamomwharf.gateway.logs.DecisionLog
+import org.cardamomwharf.steering.belief.StoreError
+import org.cardamomwharf.steering.belief.StoreTable
+import org.cardamomwharf.steering.belief.TableEntry
+import org.cardamomwharf.steering.belief.TableReading
+import java.util.concurrent.BlockingQueue
+import java.util.concurrent.LinkedBlockingQueue
+import java.util.concurrent.TimeUnit
+
+private const val LIMIT_S = 30L
+
+/** Answers reads and waits from two scripts; a script that has run out keeps the caller waiting. */
+private class ScriptedTable(
+    reads: List<Result<TableReading<String>, StoreError>>,
+    waits: List<Result<TableReading<String>, StoreError>>,
+) : StoreTable<String> {
+    private val reads = LinkedBlockingQueue(reads)
+    private val waits = LinkedBlockingQueue(waits)
+
+    override fun read(): Result<TableReading<String>, StoreError> = reads.take()
+
+    override fun follow(afterVersion: Long, waitMs: Long): Result<TableReading<String>, StoreError> = waits.take()
+}
+
+class TableWatcherTest : FunSpec({
+    val clock = monotonicClock()
+
+    fun whole(version: Long, value: String) =
+        Ok(TableReading(listOf(TableEntry("a", version, value)), version, isWhole = true))
+
+    fun watch(table: StoreTable<String>, onAway: () -> Unit = {}): BlockingQueue<String> {
+        val seen = LinkedBlockingQueue<String>()
+        val tools = WatchTools(clock, DecisionLog(clock))
+        val watcher = TableWatcher("test", table, tools, 0, { changes -> changes.forEach { seen.add("${it.after}") } }) {
+            onAway()
+        }
+        watcher.start()
+        return seen
+    }
+
+    fun BlockingQueue<String>.next() = poll(LIMIT_S, TimeUnit.SECONDS)
+
+    test("`a table is read again until the reading isn't older than what is known`") {
+        val quiet = Ok(TableReading(emptyList<TableEntry<String>>(), 9, isWhole = false))
+        val table = ScriptedTable(
+            reads = listOf(whole(1, "first"), whole(4, "old"), whole(5, "old"), whole(10, "newest")),
+            waits = listOf(quiet, Err(StoreError.HISTORY_GONE)),
+        )
+        val seen = watch(table)
+        seen.next() shouldBe "first"
+        seen.next() shouldBe "newest"
+    }
+
+    test("`while the store is away another instance is asked, and the table is read when it is back`") {
+        val asked = LinkedBlockingQueue<Unit>()
+        val table = ScriptedTable(
+            reads = listOf(Err(StoreError.TIMEOUT), Err(StoreError.REFUSED), whole(3, "back")),
+            waits = emptyList(),
+        )
+        val seen = watch(table) { asked.add(Unit) }
+        seen.next() shouldBe "back"
+        asked.size shouldBe 2
+    }
+})
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/belief/TableBelief.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/belief/TableBelief.kt
@@ -57,9 +57,12 @@
         restoredAtMs = nowMs
     }
 
-    /** Takes [reading] over and returns what changed. A reading older than this belief changes nothing. */
+    /** Returns true when [reading] is the whole table as of a moment before what is known; it has to be read again. */
+    public fun isStale(reading: TableReading<T>): Boolean = reading.isWhole && reading.version < version
+
+    /** Takes [reading] over and returns what changed. A stale reading changes nothing. */
     public fun apply(reading: TableReading<T>, nowMs: Long): List<TableChange<T>> {
-        if (reading.isWhole && reading.version < version) return emptyList()
+        if (isStale(reading)) return emptyList()
         val changes = reading.entries.mapNotNull { applyEntry(it, nowMs) }.toMutableList()
         if (reading.isWhole) {
             val present = reading.entries.mapTo(HashSet()) { it.key }
