--- /dev/null
+++ b/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/settings/GatewaySettingsTest.kt
@@ -0,0 +1,53 @@
+/*
+ * The settings of a gateway, as the template gives them and with faults.
+ */
+package org.cardamomwharf.gateway.settings
+
+import com.github.michaelbull.result.getError
+import com.github.michaelbull.result.getOrElse
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldContain
+import io.kotest.matchers.nulls.shouldNotBeNull
+import io.kotest.matchers.shouldBe
+import org.cardamomwharf.core.RegionName
+import org.cardamomwharf.core.ZoneName
+
+private val GOOD = """
+    instance: "front-a-1"
+    zone: "a"
+    zones:
+      - { name: "a", region: "north" }
+      - { name: "b", region: "south" }
+    addresses:
+      caller: "10.1.0.18:8381"
+      ready: "10.1.0.18:8388"
+      directory: "10.1.0.18:8383"
+      store: "10.200.1.7:8384"
+      host: "10.1.0.18"
+    internalPorts: [7200, 7215]
+    bounds:
+      stopS: 6
+      retryRatio: 0.2
+      retryAllowance: 64
+      retryWindowS: 10
+      largestShift: 0.15
+""".trimIndent()
+
+class GatewaySettingsTest : FunSpec({
+    test("`good settings are read whole`") {
+        val settings = parseGatewaySettings(GOOD).getOrElse { null }.shouldNotBeNull()
+        settings.zones shouldBe mapOf(ZoneName("a") to RegionName("north"), ZoneName("b") to RegionName("south"))
+        settings.peerPort shouldBe 7_200
+        settings.metricsPort shouldBe 7_215
+        settings.bounds.stopMs shouldBe 6_000
+    }
+
+    test("`every fault is named with its field`") {
+        val text = GOOD.replace("10.200.1.7:8384", "nowhere").replace("[7200, 7215]", "[7215, 7200]")
+            .replace("retryRatio: 0.2", "retryRatio: -1")
+        val paths = parseGatewaySettings(text).getError().shouldNotBeNull().map { it.path }
+        paths shouldContain "addresses.store"
+        paths shouldContain "internalPorts"
+        paths shouldContain "bounds.retryRatio"
+    }
+})
--- a/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/store/TableWatcherTest.kt
+++ b/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/store/TableWatcherTest.kt
@@ -43,9 +43,10 @@
     fun watch(table: StoreTable<String>, onAway: () -> Unit = {}): BlockingQueue<String> {
         val seen = LinkedBlockingQueue<String>()
         val tools = WatchTools(clock, DecisionLog(clock))
-        val watcher = TableWatcher("test", table, tools, 0, { changes -> changes.forEach { seen.add("${it.after}") } }) {
-            onAway()
-        }
+        val watcher =
+            TableWatcher("test", table, tools, 0, { changes -> changes.forEach { seen.add("${it.after}") } }) {
+                onAway()
+            }
         watcher.start()
         return seen
     }
