--- a/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/store/TableWatcherTest.kt
+++ b/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/store/TableWatcherTest.kt
@@ -13,6 +13,7 @@
 import org.cardamomwharf.gateway.logs.DecisionLog
 import org.cardamomwharf.steering.belief.StoreError
 import org.cardamomwharf.steering.belief.StoreTable
+import org.cardamomwharf.steering.belief.TableChange
 import org.cardamomwharf.steering.belief.TableEntry
 import org.cardamomwharf.steering.belief.TableReading
 import java.util.concurrent.BlockingQueue
@@ -43,11 +44,8 @@
     fun watch(table: StoreTable<String>, onAway: () -> Unit = {}): BlockingQueue<String> {
         val seen = LinkedBlockingQueue<String>()
         val tools = WatchTools(clock, DecisionLog(clock))
-        val watcher =
-            TableWatcher("test", table, tools, 0, { changes -> changes.forEach { seen.add("${it.after}") } }) {
-                onAway()
-            }
-        watcher.start()
+        val onChange: (List<TableChange<String>>) -> Unit = { changes -> changes.forEach { seen.add("${it.after}") } }
+        TableWatcher("test", table, tools, 0, onChange, onAway).start()
         return seen
     }
 
