--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/course/AttemptEnds.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/course/AttemptEnds.kt
@@ -4,8 +4,8 @@
 package org.cardamomwharf.forward.course
 
 import org.cardamomwharf.core.StatusCode
-import org.cardamomwharf.forward.FieldNames
 import org.cardamomwharf.forward.server.CallEnd
+import org.cardamomwharf.platform.FieldNames
 import org.cardamomwharf.steering.requests.AttemptEnd
 
 private const val REQUEST_TIMEOUT = 408
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/course/ForwardingHandler.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/course/ForwardingHandler.kt
@@ -6,9 +6,9 @@
 import org.cardamomwharf.core.Clock
 import org.cardamomwharf.core.ServiceName
 import org.cardamomwharf.core.StatusCode
-import org.cardamomwharf.forward.FieldNames
 import org.cardamomwharf.forward.front.FrontHandler
 import org.cardamomwharf.forward.server.ServerPool
+import org.cardamomwharf.platform.FieldNames
 import org.cardamomwharf.steering.Steering
 import org.cardamomwharf.steering.desired.DesiredState
 import org.cardamomwharf.steering.desired.Route
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/course/Replies.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/course/Replies.kt
@@ -3,8 +3,8 @@
  */
 package org.cardamomwharf.forward.course
 
-import org.cardamomwharf.forward.FieldNames
 import org.cardamomwharf.forward.server.ServerAnswer
+import org.cardamomwharf.platform.FieldNames
 import org.eclipse.jetty.http.HttpFields
 import org.eclipse.jetty.http.HttpHeader
 import org.eclipse.jetty.server.Response
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/course/RequestCourse.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/course/RequestCourse.kt
@@ -5,12 +5,12 @@
 package org.cardamomwharf.forward.course
 
 import org.cardamomwharf.core.StatusCode
-import org.cardamomwharf.forward.FieldNames
 import org.cardamomwharf.forward.front.WatchedEndPoint
 import org.cardamomwharf.forward.server.CallEnd
 import org.cardamomwharf.forward.server.ServerAnswer
 import org.cardamomwharf.forward.server.ServerCall
 import org.cardamomwharf.forward.server.ServerRequest
+import org.cardamomwharf.platform.FieldNames
 import org.cardamomwharf.steering.requests.AttemptEnd
 import org.cardamomwharf.steering.requests.AttemptReport
 import org.cardamomwharf.steering.requests.NextStep
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/AnswerJudge.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/AnswerJudge.kt
@@ -4,15 +4,14 @@
  */
 package org.cardamomwharf.forward.server
 
-import org.cardamomwharf.forward.FieldNames
-import org.cardamomwharf.steering.servers.LoadReport
+import org.cardamomwharf.platform.FieldNames
+import org.cardamomwharf.platform.decodeLoadReport
 import org.eclipse.jetty.http.HttpFields
 import org.eclipse.jetty.http.HttpHeader
 import org.eclipse.jetty.http.HttpVersion
 
 private const val SMALLEST_FINAL_STATUS = 200
 private const val LARGEST_SUCCESS = 299
-private const val REPORT_PARTS = 3
 private const val MS_PER_SECOND = 1_000L
 
 /** Part of the time that a backend server names for which a connection is used; it may count from earlier. */
@@ -38,7 +37,7 @@
 
 /** Returns the answer that was read. */
 internal fun AnswerReader.toAnswer(): ServerAnswer =
-    ServerAnswer(status, fields.asImmutable(), body.toByteArray(), loadReportOf(fields))
+    ServerAnswer(status, fields.asImmutable(), body.toByteArray(), decodeLoadReport(fields.get(FieldNames.SERVER_LOAD)))
 
 /** Returns the end of a call to which [answer] came; a success has to be ours, signed and plain. */
 internal fun judge(answer: ServerAnswer, id: String): CallEnd {
@@ -55,8 +54,3 @@
     val seconds = keepAlive.find(value)?.groupValues?.get(1)?.toLongOrNull()
     return seconds?.let { (it * MS_PER_SECOND * KEPT_SHARE).toLong() }
 }
-
-private fun loadReportOf(fields: HttpFields): LoadReport? {
-    val parts = fields.get(FieldNames.SERVER_LOAD)?.split(',')?.mapNotNull { it.trim().toIntOrNull() }
-    return if (parts?.size == REPORT_PARTS) LoadReport(parts[0], parts[1], parts[2]) else null
-}
--- a/cardamomwharf-forward/src/test/kotlin/org/cardamomwharf/forward/server/ServerPoolTest.kt
+++ b/cardamomwharf-forward/src/test/kotlin/org/cardamomwharf/forward/server/ServerPoolTest.kt
@@ -9,10 +9,10 @@
 import org.cardamomwharf.core.ServerName
 import org.cardamomwharf.core.SocketAddress
 import org.cardamomwharf.core.monotonicClock
-import org.cardamomwharf.forward.FieldNames
 import org.cardamomwharf.forward.support.ScriptedServer
 import org.cardamomwharf.forward.support.answerText
 import org.cardamomwharf.forward.support.idOf
+import org.cardamomwharf.platform.FieldNames
 import org.eclipse.jetty.http.HttpFields
 import org.eclipse.jetty.util.thread.QueuedThreadPool
 import java.util.concurrent.CompletableFuture
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/directory/DirectoryHandler.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/directory/DirectoryHandler.kt
@@ -3,14 +3,10 @@
  */
 package org.cardamomwharf.gateway.directory
 
-import kotlinx.serialization.json.add
-import kotlinx.serialization.json.buildJsonObject
-import kotlinx.serialization.json.put
-import kotlinx.serialization.json.putJsonArray
-import org.cardamomwharf.core.RegionName
 import org.cardamomwharf.core.StatusCode
-import org.cardamomwharf.core.ZoneName
 import org.cardamomwharf.forward.front.FrontHandler
+import org.cardamomwharf.platform.decodeCallerPlace
+import org.cardamomwharf.platform.encodeDirectoryAnswer
 import org.cardamomwharf.steering.Place
 import org.cardamomwharf.steering.instances.InstanceRecord
 import org.cardamomwharf.steering.instances.chooseInstances
@@ -30,15 +26,11 @@
 internal fun directoryHandler(place: Place, serving: () -> List<InstanceRecord>): FrontHandler =
     FrontHandler { request, response, callback ->
         val query = Request.extractQueryParameters(request)
-        val zone = query.getValue("zone")?.let { ZoneName(it) }
-        val region = query.getValue("region")?.let { RegionName(it) }
-        val chosen = chooseInstances(serving(), place.regions, zone, region).take(LARGEST_ADDRESSES)
-        val body = buildJsonObject {
-            putJsonArray("addresses") { chosen.forEach { add(it.callerAddress.toString()) } }
-            put("ttl_s", KEPT_S)
-        }
+        val asked = decodeCallerPlace(query::getValue)
+        val chosen = chooseInstances(serving(), place.regions, asked.zone, asked.region).take(LARGEST_ADDRESSES)
+        val body = encodeDirectoryAnswer(chosen.map { it.callerAddress }, KEPT_S)
         response.headers.put(HttpHeader.CONTENT_TYPE, "application/json")
-        write(StatusCode.OK, body.toString(), response, callback)
+        write(StatusCode.OK, body, response, callback)
     }
 
 /** Returns the handler for the question whether this instance is ready. */
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/selftest/SelfTest.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/selftest/SelfTest.kt
@@ -9,7 +9,6 @@
 import org.cardamomwharf.core.SocketAddress
 import org.cardamomwharf.core.StatusCode
 import org.cardamomwharf.core.ZoneName
-import org.cardamomwharf.forward.FieldNames
 import org.cardamomwharf.gateway.GatewayProcess
 import org.cardamomwharf.gateway.settings.GatewayAddresses
 import org.cardamomwharf.gateway.settings.GatewayBounds
@@ -26,6 +25,7 @@
 import org.cardamomwharf.http.routesOf
 import org.cardamomwharf.http.startJettyCaller
 import org.cardamomwharf.http.startJettyServer
+import org.cardamomwharf.platform.FieldNames
 import org.http4k.core.Request
 import org.http4k.core.Response
 import org.http4k.core.Status
