--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/belief/TableBelief.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/belief/TableBelief.kt
@@ -40,7 +40,7 @@
 public class TableBelief<T>(private val restoreGraceMs: Long) {
     private val entries = HashMap<String, TableEntry<T>>()
     private val removalsDueAtMs = HashMap<String, Long>()
-    private var restoredAtMs: Long? = null
+    private var graceUntilMs = Long.MIN_VALUE
 
     /** Newest version of the store that was seen; 0 before the first reading. */
     public var version: Long = 0
@@ -54,7 +54,7 @@
 
     /** Notes that the store answers again after an outage. */
     public fun noteRestored(nowMs: Long) {
-        restoredAtMs = nowMs
+        graceUntilMs = nowMs + restoreGraceMs
     }
 
     /** Returns true when [reading] is the whole table as of a moment before what is known; it has to be read again. */
@@ -88,14 +88,14 @@
         val known = entries[next.key]
         return when {
             known != null && known.version > next.version -> null
-            next.value == null && known?.value != null && isInGrace(nowMs) -> postpone(known, next)
+            next.value == null && known?.value != null && nowMs < graceUntilMs -> postpone(known, next)
             else -> replace(known, next)
         }
     }
 
     private fun postpone(known: TableEntry<T>, removal: TableEntry<T>): TableChange<T>? {
         entries[known.key] = known.copy(version = removal.version)
-        removalsDueAtMs.putIfAbsent(known.key, checkNotNull(restoredAtMs) + restoreGraceMs)
+        removalsDueAtMs.putIfAbsent(known.key, graceUntilMs)
         return null
     }
 
@@ -105,8 +105,6 @@
         return if (known?.value == next.value) null else TableChange(next.key, next.version, known?.value, next.value)
     }
 
-    private fun isInGrace(nowMs: Long): Boolean = restoredAtMs?.let { nowMs < it + restoreGraceMs } ?: false
-
     private fun forgetOldTombstones() {
         if (entries.size <= LARGEST_ENTRIES) return
         entries.values.filter { it.value == null }.sortedBy { it.version }
