--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/front/FrontServer.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/front/FrontServer.kt
@@ -47,8 +47,8 @@
 /**
  * Represents the limits of the server.
  *
- * @param headBytes largest head of a request until the desired state names one.
- * @param idleMs time after which an unused connection is closed, until the desired state names one.
+ * @param headBytes largest head of a request until the configuration names one.
+ * @param idleMs time after which an unused connection is closed, until the configuration names one.
  */
 public data class FrontSettings(
     public val headBytes: Int = 16_384,
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/SteeringTerms.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/SteeringTerms.kt
@@ -1,6 +1,6 @@
 /*
  * The limits and weights of the decisions in one place. The operators' own figures come with the settings and with the
- * desired state.
+ * configuration.
  */
 package org.cardamomwharf.steering
 
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/requests/RequestSpec.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/requests/RequestSpec.kt
@@ -41,7 +41,7 @@
 
 /** Represents why a request is refused without having run. */
 public enum class RefusalReason(public val code: String) {
-    /** No desired state is known yet. */
+    /** No configuration is known yet. */
     NO_STATE("no-state"),
 
     /** No backend server of the service may get requests. */
--- a/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/requests/RepeatTest.kt
+++ b/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/requests/RepeatTest.kt
@@ -52,7 +52,7 @@
             .shouldBeInstanceOf<NextStep.Refuse>()
     }
 
-    test("`without a desired state or servers a request is refused at once`") {
+    test("`without a configuration or servers a request is refused at once`") {
         steeringOf().place(specOf(1), 0).shouldBeInstanceOf<Placement.Refuse>().reason shouldBe RefusalReason.NO_SERVER
     }
 })
