Spend less processor time on starts and on idle instances, and let heartbeats bear hundreds of instances

A phase measurement of one start put 430 of 1,410 ms on log4j-core, which looks for plugins, and per thread times put half of an idle second on Ktor's datagram socket, its dispatchers and its selector.

Instances now report to the first two of their zone, and its follower tells the zone and other zones.

Ruled out: compile thresholds (scaling by 4 and by 12 and the interpreter alone cost more for requests and saved nothing when idle).

--- a/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/Main.kt
+++ b/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/Main.kt
@@ -13,6 +13,8 @@
 import kotlinx.serialization.json.Json
 import org.cardamomwharf.bench.paths.measurePaths
 import org.cardamomwharf.bench.policy.printPolicyBench
+import org.cardamomwharf.bench.process.FleetShape
+import org.cardamomwharf.bench.process.measureProcesses
 import org.cardamomwharf.core.document.Objective
 import org.cardamomwharf.document.readDocument
 import java.nio.file.Files
@@ -23,7 +25,7 @@
 @OptIn(ExperimentalCli::class)
 public fun main(args: Array<String>) {
     val parser = ArgParser("bench")
-    parser.subcommands(PolicyCommand(), CheckCommand())
+    parser.subcommands(PolicyCommand(), CheckCommand(), ProcessCommand())
     parser.parse(if (args.isEmpty()) arrayOf("--help") else args)
 }
 
@@ -52,4 +54,18 @@
     }
 }
 
+@OptIn(ExperimentalCli::class)
+private class ProcessCommand : Subcommand("process", "Measure the processor time of gateway processes.") {
+    private val instances by option(ArgType.Int, "instances", description = "Processes").default(FleetShape().instances)
+    private val servers by option(ArgType.Int, "servers", description = "Backend servers").default(FleetShape().servers)
+    private val deploy by option(ArgType.String, "deploy", description = "Deploy file with the command")
+        .default("deploy/system.toml")
+    private val folder by option(ArgType.String, "folder", description = "Folder for logs")
+        .default("target/process-cost")
+
+    override fun execute() {
+        measureProcesses(FleetShape(instances, servers), Path.of(deploy), Path.of(folder)).forEach { println(it) }
+    }
+}
+
 private const val EXIT_ABOVE_BOUND = 11
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/Main.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/Main.kt
@@ -9,6 +9,7 @@
 import kotlinx.cli.ArgParser
 import kotlinx.cli.ArgType
 import kotlinx.cli.default
+import org.apache.logging.log4j.LogManager
 import org.cardamomwharf.document.yaml.Problem
 import org.cardamomwharf.document.yaml.readText
 import org.cardamomwharf.gateway.selftest.runSelfTest
@@ -66,7 +67,7 @@
     configureDecisionLines()
     val process = GatewayProcess(settings)
     process.start()
-    Runtime.getRuntime().addShutdownHook(Thread({ process.stop() }, "stop"))
+    Runtime.getRuntime().addShutdownHook(Thread({ process.stop().also { LogManager.shutdown() } }, "stop"))
     Signal.handle(Signal("HUP")) { process.reload(settingsFile) }
     CountDownLatch(1).await()
 }
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/HeartbeatMessage.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/HeartbeatCodec.kt
@@ -1,5 +1,6 @@
 /*
- * The datagrams that carry heartbeats.
+ * The datagrams that carry heartbeats. Counts stand in two lists of their own, because most of what is told are counts
+ * and a list of numbers is read much faster than a list of objects.
  */
 package org.cardamomwharf.gateway.peers
 
@@ -14,34 +15,44 @@
 import org.cardamomwharf.core.ZoneName
 import org.cardamomwharf.steering.belief.StoreNews
 import org.cardamomwharf.steering.instances.Heartbeat
+import org.cardamomwharf.steering.instances.HeartbeatCount
+import org.cardamomwharf.steering.instances.HeartbeatMessage
 import org.cardamomwharf.steering.instances.InstanceRecord
 
 @OptIn(ExperimentalSerializationApi::class)
 private val cbor = Cbor { ignoreUnknownKeys = true }
 
-/**
- * Represents a datagram.
- *
- * @param beats heartbeats of the sender and of others.
- * @param news what the sender says about the store, when it follows it.
- * @param sender name of the sender; empty without news.
- */
-internal data class HeartbeatMessage(
-    val beats: List<Heartbeat>,
-    val news: StoreNews? = null,
-    val sender: String = "",
-)
+/** Separates names; it can't occur in them. */
+private const val NAME_SEPARATOR = '\n'
+
+/** Numbers of each instance in the list of numbers: incarnation, count, and 1 for one that is leaving. */
+private const val NUMBERS_EACH = 3
+private const val COUNT_OFFSET = 1
+private const val LEAVING_OFFSET = 2
 
 /** Returns the bytes of a datagram with [message]. */
 @OptIn(ExperimentalSerializationApi::class)
-internal fun encodeHeartbeats(message: HeartbeatMessage): ByteArray =
-    cbor.encodeToByteArray(WireMessage(message.beats.map { it.toWire() }, message.news, message.sender))
+internal fun encodeHeartbeats(message: HeartbeatMessage): ByteArray {
+    val numbers = LongArray(message.counts.size * NUMBERS_EACH)
+    message.counts.forEachIndexed { index, counted ->
+        val at = index * NUMBERS_EACH
+        numbers[at] = counted.incarnation.value
+        numbers[at + COUNT_OFFSET] = counted.count
+        numbers[at + LEAVING_OFFSET] = if (counted.isLeaving) 1 else 0
+    }
+    val names = message.counts.joinToString(NAME_SEPARATOR.toString()) { it.name.value }
+    return cbor.encodeToByteArray(
+        WireMessage(message.sender.toWire(), message.introduced.map { it.toWire() }, names, numbers, message.news),
+    )
+}
 
 /** Returns the message in a datagram; null when it isn't one of ours, since anybody may send to the port. */
 @OptIn(ExperimentalSerializationApi::class)
 internal fun decodeHeartbeats(bytes: ByteArray): HeartbeatMessage? = try {
-    cbor.decodeFromByteArray<WireMessage>(bytes)
-        .let { wire -> HeartbeatMessage(wire.beats.mapNotNull { it.toHeartbeat() }, wire.news, wire.sender) }
+    val wire = cbor.decodeFromByteArray<WireMessage>(bytes)
+    wire.sender.toHeartbeat()?.let { sender ->
+        HeartbeatMessage(sender, wire.introduced.mapNotNull { it.toHeartbeat() }, wire.counts(), wire.news)
+    }
 } catch (@Suppress("SwallowedException") e: IllegalArgumentException) {
     null
 }
@@ -58,11 +69,24 @@
 )
 
 @Serializable
-private data class WireMessage(
-    val beats: List<WireHeartbeat>,
+private class WireMessage(
+    val sender: WireHeartbeat,
+    val introduced: List<WireHeartbeat> = emptyList(),
+    val names: String = "",
+    val numbers: LongArray = LongArray(0),
     val news: StoreNews? = null,
-    val sender: String = "",
-)
+) {
+    fun counts(): List<HeartbeatCount> {
+        if (names.isEmpty()) return emptyList()
+        val split = names.split(NAME_SEPARATOR)
+        if (numbers.size != split.size * NUMBERS_EACH) return emptyList()
+        return split.mapIndexed { index, name ->
+            val at = index * NUMBERS_EACH
+            val isLeaving = numbers[at + LEAVING_OFFSET] != 0L
+            HeartbeatCount(InstanceName(name), Incarnation(numbers[at]), numbers[at + COUNT_OFFSET], isLeaving)
+        }
+    }
+}
 
 private fun Heartbeat.toWire() = WireHeartbeat(
     record.name.value,
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/PeerRoster.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/PeerRoster.kt
@@ -24,7 +24,9 @@
 
     /** Takes the instances that the store lists. */
     fun introduce(records: Collection<InstanceRecord>) {
-        listed = records.filter { it.name != own.name }
+        val others = records.filter { it.name != own.name }
+        listed = others
+        synchronized(book) { book.introduce(others) }
     }
 
     /** Returns the instances that run, this one included. */
--- a/cardamomwharf-logging/src/main/kotlin/org/cardamomwharf/logging/DecisionLines.kt
+++ b/cardamomwharf-logging/src/main/kotlin/org/cardamomwharf/logging/DecisionLines.kt
@@ -1,29 +1,117 @@
 /*
  * Sets logs up for processes whose log is read by programs: each message is a line of its own on standard output. A
  * bounded queue lies between the threads and the output; when it is full, lines are dropped and nobody waits.
+ *
+ * The back end of Log4j is our own: that of log4j-core takes a third of the processor time of a start, because it looks
+ * for plugins, and every test of a level in a library costs several calls there.
  */
 package org.cardamomwharf.logging
 
 import org.apache.logging.log4j.Level
-import org.apache.logging.log4j.core.config.Configurator
-import org.apache.logging.log4j.core.config.builder.api.ConfigurationBuilderFactory
+import org.apache.logging.log4j.Marker
+import org.apache.logging.log4j.message.Message
+import org.apache.logging.log4j.message.MessageFactory
+import org.apache.logging.log4j.message.ParameterizedNoReferenceMessageFactory
+import org.apache.logging.log4j.simple.SimpleLogger
+import org.apache.logging.log4j.spi.ExtendedLogger
+import org.apache.logging.log4j.spi.LoggerContext
+import org.apache.logging.log4j.spi.LoggerContextFactory
+import org.apache.logging.log4j.spi.Provider
+import org.apache.logging.log4j.util.PropertiesUtil
+import java.net.URI
+import java.util.Properties
+import java.util.concurrent.ConcurrentHashMap
 
-/** Lines that wait for the output; a second of the largest allowed rate. */
-private const val QUEUED_LINES = 512
+/** Log4j's system property that names the class of the back end. */
+private const val PROVIDER_PROPERTY = "log4j.provider"
+
+/** Version of Log4j's interface to back ends. */
+private const val PROVIDER_VERSION = "2.6.0"
+private const val PROVIDER_PRIORITY = 20
+private const val LIBRARY_PREFIX = "org.eclipse.jetty"
+
+/** Time for which the end of the process waits for lines that are still queued. */
+private const val LAST_LINES_MS = 500L
 
 /** Makes all later log lines go to standard output as they are, without ever blocking. */
 public fun configureDecisionLines() {
-    val builder = ConfigurationBuilderFactory.newConfigurationBuilder()
-    builder.setShutdownHook("disable")
-    val layout = builder.newLayout("PatternLayout").addAttribute("pattern", "%msg%n")
-    builder.add(builder.newAppender("stdout", "Console").addAttribute("target", "SYSTEM_OUT").add(layout))
-    builder.add(
-        builder.newAppender("queue", "Async")
-            .addAttribute("blocking", false)
-            .addAttribute("bufferSize", QUEUED_LINES)
-            .addComponent(builder.newAppenderRef("stdout")),
-    )
-    builder.add(builder.newRootLogger(Level.INFO).add(builder.newAppenderRef("queue")))
-    builder.add(builder.newLogger("org.eclipse.jetty", Level.WARN))
-    Configurator.reconfigure(builder.build())
+    System.setProperty(PROVIDER_PROPERTY, DecisionLineProvider::class.java.name)
+}
+
+/** Gives Log4j the back end; Log4j makes it by its name. */
+public class DecisionLineProvider :
+    Provider(PROVIDER_PRIORITY, PROVIDER_VERSION, DecisionLineContextFactory::class.java)
+
+/** Gives Log4j the only context of the process. */
+public class DecisionLineContextFactory : LoggerContextFactory {
+    private val writer = startLineWriter(System.out)
+    private val context = DecisionLineContext(writer)
+
+    override fun getContext(
+        fqcn: String?,
+        loader: ClassLoader?,
+        externalContext: Any?,
+        currentContext: Boolean,
+    ): LoggerContext = context
+
+    override fun getContext(
+        fqcn: String?,
+        loader: ClassLoader?,
+        externalContext: Any?,
+        currentContext: Boolean,
+        configLocation: URI?,
+        name: String?,
+    ): LoggerContext = context
+
+    /** Waits until the lines that are queued have been written. */
+    override fun shutdown(fqcn: String?, loader: ClassLoader?, currentContext: Boolean, allContexts: Boolean) {
+        writer.drain(LAST_LINES_MS)
+    }
+
+    override fun removeContext(context: LoggerContext): Unit = Unit
+
+    override fun isClassLoaderDependent(): Boolean = false
+}
+
+/** Holds the loggers by name. */
+internal class DecisionLineContext(private val writer: LineWriter) : LoggerContext {
+    private val loggers = ConcurrentHashMap<String, ExtendedLogger>()
+
+    override fun getExternalContext(): Any? = null
+
+    override fun getLogger(name: String): ExtendedLogger =
+        loggers.computeIfAbsent(name) { LineLogger(it, writer) }
+
+    override fun getLogger(name: String, messageFactory: MessageFactory?): ExtendedLogger = getLogger(name)
+
+    override fun hasLogger(name: String): Boolean = loggers.containsKey(name)
+
+    override fun hasLogger(name: String, messageFactory: MessageFactory?): Boolean = hasLogger(name)
+
+    override fun hasLogger(name: String, messageFactoryClass: Class<out MessageFactory>?): Boolean = hasLogger(name)
+}
+
+/** Hands formatted messages to the writer. */
+private class LineLogger(name: String, private val writer: LineWriter) : SimpleLogger(
+    name,
+    if (name.startsWith(LIBRARY_PREFIX)) Level.WARN else Level.INFO,
+    false,
+    false,
+    false,
+    false,
+    null,
+    ParameterizedNoReferenceMessageFactory.INSTANCE,
+    PropertiesUtil(Properties()),
+    System.out,
+) {
+    override fun logMessage(
+        fqcn: String?,
+        level: Level?,
+        marker: Marker?,
+        message: Message,
+        throwable: Throwable?,
+    ) {
+        val cause = throwable ?: message.throwable
+        writer.offer(if (cause == null) message.formattedMessage else "${message.formattedMessage}: $cause")
+    }
 }
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/instances/InstanceBook.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/instances/InstanceBook.kt
@@ -30,12 +30,21 @@
     public val isLeaving: Boolean,
 )
 
+/** Represents how far an instance has counted its heartbeats, without how it can be reached. */
+public data class HeartbeatCount(
+    public val name: InstanceName,
+    public val incarnation: Incarnation,
+    public val count: Long,
+    public val isLeaving: Boolean,
+)
+
 /** Multiple of the silence after which an instance is forgotten; no other passes its heartbeats on by then. */
 private const val FORGET_FACTOR = 3
 
 /** Represents the known instances, this one included. */
 public class InstanceBook(own: InstanceRecord, incarnation: Incarnation, private val silenceMs: Long) {
     private val known = HashMap<InstanceName, Seen>()
+    private val introduced = HashMap<InstanceName, InstanceRecord>()
     private val ownName = own.name
 
     init {
@@ -64,6 +73,20 @@
         if (isNews) known[name] = Seen(heard, nowMs)
     }
 
+    /** Takes how other instances can be reached, so that counts of their heartbeats are understood. */
+    public fun introduce(records: Collection<InstanceRecord>) {
+        records.forEach { introduced.putIfAbsent(it.name, it) }
+    }
+
+    /** Notes [counted] as told by any instance; says nothing about an instance that nobody introduced. */
+    public fun hear(counted: HeartbeatCount, nowMs: Long) {
+        val record = known[counted.name]?.heartbeat?.record ?: introduced[counted.name] ?: return
+        hear(Heartbeat(record, counted.incarnation, counted.count, counted.isLeaving), nowMs)
+    }
+
+    /** The own heartbeat. */
+    public val own: Heartbeat get() = known.getValue(ownName).heartbeat
+
     /** Returns the heartbeats to pass on. */
     public fun heartbeats(
         nowMs: Long
--- /dev/null
+++ b/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/instances/FleetHeartbeatTest.kt
@@ -0,0 +1,144 @@
+/*
+ * Heartbeats of fleets in virtual time: datagrams take a while, and some are lost.
+ */
+package org.cardamomwharf.steering.instances
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.collections.shouldBeEmpty
+import io.kotest.matchers.comparables.shouldBeLessThan
+import org.cardamomwharf.core.Incarnation
+import org.cardamomwharf.core.InstanceName
+import org.cardamomwharf.core.RegionName
+import org.cardamomwharf.core.SocketAddress
+import org.cardamomwharf.core.ZoneName
+import org.cardamomwharf.core.rendezvousTop
+import org.cardamomwharf.steering.Place
+import org.cardamomwharf.steering.belief.ContentVersions
+import org.cardamomwharf.steering.belief.StoreNews
+import kotlin.random.Random
+
+private const val SILENCE_MS = 4_000L
+private const val BEAT_MS = 500L
+private const val STEP_MS = 50L
+private const val LOSS = 0.05
+private const val WARM_UP_MS = 6_000L
+
+/** The users' bound for instances that ended: the shortest stable window with three seconds. */
+private const val GONE_BOUND_MS = 6_000L
+private val regions = (0 until 9).associate { ZoneName("z$it") to RegionName("r${it / 3}") }
+
+class FleetHeartbeatTest : FunSpec({
+    for (size in listOf(12, 95, 300)) {
+        test("`no running instance of $size is taken as gone`") {
+            val fleet = Fleet(size, Random(size))
+            fleet.runUntil(WARM_UP_MS)
+            val missing = ArrayList<String>()
+            fleet.runUntil(WARM_UP_MS * 3) { missing += fleet.missing() }
+            missing.shouldBeEmpty()
+        }
+
+        test("`instances that end are gone in all of $size, also the ones that others report to`") {
+            val fleet = Fleet(size, Random(size))
+            fleet.runUntil(WARM_UP_MS)
+            val ended = fleet.firstOf(ZoneName("z0"), 2) + fleet.firstOf(ZoneName("z4"), 1)
+            fleet.end(ended)
+            val missing = ArrayList<String>()
+            fleet.runUntil(WARM_UP_MS + GONE_BOUND_MS) { missing += fleet.missing() }
+            fleet.runUntil(WARM_UP_MS * 3) {
+                missing += fleet.missing()
+                fleet.believing(ended).shouldBeEmpty()
+            }
+            missing.shouldBeEmpty()
+        }
+    }
+
+    test("`messages between zones grow with the zones, not with the pairs of instances`") {
+        val perInstance = listOf(95, 300).map { size ->
+            val fleet = Fleet(size, Random(size))
+            fleet.runUntil(WARM_UP_MS)
+            val before = fleet.betweenZones
+            fleet.runUntil(WARM_UP_MS * 2)
+            (fleet.betweenZones - before).toDouble() / size
+        }
+        perInstance[1] shouldBeLessThan perInstance[0]
+    }
+})
+
+private class Member(val record: InstanceRecord, random: Random, val phaseMs: Long) {
+    val book = InstanceBook(record, Incarnation(1), SILENCE_MS)
+    val choice = ReaderChoice(record)
+    val exchange = HeartbeatExchange(Place(record.name, record.zone, regions), book, ReaderChoice(record), random)
+    var beats = 0
+}
+
+private class Datagram(val dueMs: Long, val to: InstanceName, val message: HeartbeatMessage)
+
+/** A fleet of [size] instances over nine zones that all start at once and know each other from the store. */
+private class Fleet(size: Int, private val random: Random) {
+    private val members = (0 until size).associate { number ->
+        val address = SocketAddress("10.0.${number / 200}.${number % 200 + 1}", 80)
+        val record = InstanceRecord(InstanceName("front-$number"), ZoneName("z${number % 9}"), address, address)
+        record.name to Member(record, random, random.nextLong(BEAT_MS / STEP_MS) * STEP_MS)
+    }.toMutableMap()
+    private val listed = members.values.map { it.record }
+    private var onTheWay = ArrayList<Datagram>()
+    private var nowMs = 0L
+
+    /** Messages that were sent to another zone. */
+    var betweenZones = 0
+        private set
+
+    init {
+        members.values.forEach { it.book.introduce(listed) }
+    }
+
+    fun runUntil(endMs: Long, check: () -> Unit = {}) {
+        while (nowMs < endMs) {
+            deliver()
+            members.values.forEach { if (nowMs % BEAT_MS == it.phaseMs) beat(it) }
+            nowMs += STEP_MS
+            if (nowMs % BEAT_MS == 0L) check()
+        }
+    }
+
+    fun end(names: List<InstanceName>) {
+        names.forEach { members.remove(it) }
+    }
+
+    fun firstOf(zone: ZoneName, count: Int): List<InstanceName> =
+        rendezvousTop(zone.value, listed.filter { it.zone == zone }, count) { it.name.value }.map { it.name }
+
+    /** Returns the pairs of running instances of which the first doesn't count the second as running. */
+    fun missing(): List<String> = members.values.flatMap { member ->
+        val running = member.book.running(nowMs).mapTo(HashSet()) { it.name }
+        members.keys.filter { it !in running }.map { "${member.record.name.value} lacks ${it.value} at $nowMs" }
+    }
+
+    /** Returns the instances that count one of [names] as running. */
+    fun believing(names: List<InstanceName>): List<String> = members.values.flatMap { member ->
+        member.book.running(nowMs).filter { it.name in names }
+            .map { "${member.record.name.value} believes ${it.name.value} at $nowMs" }
+    }
+
+    private fun beat(member: Member) {
+        val others = listed.filter { it.name != member.record.name }
+        val isReader = member.choice.isReader(member.book.running(nowMs), nowMs)
+        val news = if (isReader) StoreNews(ContentVersions(1, 1), 0, isFailing = false) else null
+        member.exchange.beat(member.beats++, others, news, nowMs).forEach { send(member, it) }
+    }
+
+    private fun send(from: Member, sent: HeartbeatSend) = sent.to.forEach { to ->
+        if (to.zone != from.record.zone) betweenZones++
+        if (random.nextDouble() >= LOSS) onTheWay.add(Datagram(nowMs + STEP_MS, to.name, sent.message))
+    }
+
+    private fun deliver() {
+        val (due, later) = onTheWay.partition { it.dueMs <= nowMs }
+        onTheWay = ArrayList(later)
+        due.forEach { datagram ->
+            val member = members[datagram.to] ?: return@forEach
+            member.exchange.receive(datagram.message, nowMs)
+            datagram.message.news?.let { member.choice.hear(datagram.message.sender.record, it, nowMs) }
+        }
+    }
+}
