Keep requests that are late anyway at the first choices of their key

LoadPatternTest with 14 small instances a zone shows a collapse at 120 requests a second and zone, about half of the warm capacity: 0.15 in time, 60 percent of the work cold. A request that its first choice could not finish in time went to any server that was believed at most half busy. An instance that sends a server less than a request every two seconds believes that of most, so keys went everywhere, servers forgot them, and all work took the cold time.

Now only the first three servers of a key are rated in each region, and a late request goes to the first choice with room, or to the next one when that is nearly idle.

--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/SteeringTerms.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/SteeringTerms.kt
@@ -28,6 +28,8 @@
      * comes from LoadPatternTest.
      */
     public val spreadPenaltyShare: Double = 0.5,
+    /** Servers that may take a request for a key. */
+    public val choices: PlacementChoices = PlacementChoices(),
     /** Time in which most of what failures cost a backend server is forgotten; a few avoided times. */
     public val failureFadeMs: Double = 4_000.0,
     /** Time in which most of a backend server's slowness is forgotten; shorter than slow spells, which last seconds. */
@@ -43,3 +45,20 @@
     /** Shortest delay that a refused caller is told; a fifth of the usual target latency. */
     public val shortestRetryAfterMs: Long = 60,
 )
+
+/**
+ * Represents how many servers, in the order of a key, may take its requests. The figures come from LoadPatternTest: where
+ * instances know little of the loads, each server that takes a key of another one forgets one of its own, until all work
+ * takes the time of unknown keys.
+ *
+ * @param ownRegion servers of the own region.
+ * @param otherRegion servers of each other region; the first knows the key, the next ones take its overflow.
+ * @param whenLate servers of the own region that take a request which is late anyway, when they have room.
+ * @param nextRoomShare share of the slots of a server other than the first choice that may be in use then.
+ */
+public data class PlacementChoices(
+    public val ownRegion: Int = 3,
+    public val otherRegion: Int = 3,
+    public val whenLate: Int = 2,
+    public val nextRoomShare: Double = 0.25,
+)
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/Candidates.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/Candidates.kt
@@ -20,9 +20,6 @@
 /** Shortest silence that counts. */
 private const val LEAST_SILENCE_MS = 700L
 
-/** Servers of each other region that are rated for a key; the first knows the key, the next ones take its overflow. */
-private const val OTHER_REGION_CHOICES = 3
-
 internal class Candidates(
     private val servers: ServerBook,
     private val routes: ActiveRoutes,
@@ -46,17 +43,29 @@
     }
 
     /**
-     * Returns those of [ready] that are worth rating, by region, in the order of the key: all of the own region, and
-     * the first choices of others, which alone are likely to know the key. Without servers in the own region all count.
+     * Returns those of [ready] that are worth rating, by region, in the order of the key: the first choices, which alone
+     * are likely to know the key. Without servers in the own region, all others count.
      */
     fun ordered(spec: RequestSpec, ready: List<KnownServer>): Collection<List<KnownServer>> {
         val keyHash = hashOf("${spec.service.value}/${spec.affinityKey ?: spec.id}")
-        val byRegion = ready.groupBy { it.region }
-            .mapValues { (_, group) -> group.sortedByDescending { combineHashes(keyHash, it.nameHash) } }
         val hasOwn = ready.any { it.distance != Distance.OTHER_REGION }
-        return byRegion.values.map { group ->
-            if (hasOwn && group.first().distance == Distance.OTHER_REGION) group.take(OTHER_REGION_CHOICES) else group
+        return ready.groupBy { it.region }.values.map { group ->
+            val isOther = group.first().distance == Distance.OTHER_REGION
+            firstChoices(group, keyHash, if (isOther && hasOwn) terms.choices.otherRegion else terms.choices.ownRegion)
+        }
+    }
+
+    /** Returns the [count] servers of [group] that come first in the order of the key. */
+    private fun firstChoices(group: List<KnownServer>, keyHash: Long, count: Int): List<KnownServer> {
+        val ranks = LongArray(group.size) { combineHashes(keyHash, group[it].nameHash) }
+        val indices = group.indices.toMutableList()
+        val chosen = ArrayList<KnownServer>()
+        while (chosen.size < count && indices.isNotEmpty()) {
+            val best = indices.maxBy { ranks[it] }
+            indices.remove(best)
+            chosen.add(group[best])
         }
+        return chosen
     }
 
     private fun isUsable(server: KnownServer, spec: RequestSpec, work: WorkEstimates, nowMs: Long): Boolean {
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/Placer.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/Placer.kt
@@ -91,14 +91,21 @@
 
     /**
      * Returns the server of the own region that takes a request which the cheapest one can't finish in time, or null.
-     * Only one that is at most half busy does: on a busier one the request would displace a key and take the time of
-     * several others, which LoadPatternTest shows to cost more than it brings.
+     * Only a first choice for the key that has room does, and the next choice when it is nearly idle: elsewhere the
+     * request would displace another key and take the time of several others, which LoadPatternTest shows to cost more
+     * than it brings.
      */
     private fun spareOf(ratings: List<Rating>, nowMs: Long): Rating? = ratings
-        .filter { it.server.distance != Distance.OTHER_REGION }
-        .filter { it.server.load.estimate(nowMs) <= it.server.slots * SPARE_SHARE }
+        .filter { it.server.distance != Distance.OTHER_REGION && it.place < terms.choices.whenLate }
+        .filter { hasRoom(it, nowMs) }
         .minByOrNull { it.costMs }
 
+    private fun hasRoom(rating: Rating, nowMs: Long): Boolean {
+        val slots = rating.server.slots
+        val room = if (rating.place == 0) slots * SPARE_SHARE else maxOf(1.0, slots * terms.choices.nextRoomShare)
+        return rating.server.load.estimate(nowMs) <= room
+    }
+
     private fun refuse(spec: RequestSpec, reason: RefusalReason, waitMs: Double): Placement.Refuse =
         Placement.Refuse(reason, retryAfterMs(spec.id, waitMs))
 }
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/ServerRater.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/ServerRater.kt
@@ -14,10 +14,12 @@
 /**
  * Represents the prediction for one backend server.
  *
+ * @param place place of the server in the order that its region has for the key; 0 is the first.
  * @param costMs the predicted time with what distance and failures add; the least is the best.
  */
 internal class Rating(
     val server: KnownServer,
+    val place: Int,
     val warmth: Warmth,
     val travelMs: Double,
     val waitMs: Double,
@@ -54,7 +56,7 @@
             terms.spreadPenaltyShare * minOf(place, LARGEST_SPREAD) * work.savedMs +
             server.trust.failureShare(nowMs) * spec.route.targetLatencyMs -
             if (server.isUnproven && spec.route.isIdempotent) work.coldMs else 0.0
-        return Rating(server, warmth, travelMs, waitMs, workMs, travelMs + waitMs + workMs + extraMs)
+        return Rating(server, place, warmth, travelMs, waitMs, workMs, travelMs + waitMs + workMs + extraMs)
     }
 
     /** Returns true when a request finishes in time at a server; one that can't anyway needs a free slot there. */
--- a/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/placement/LoadPatternTest.kt
+++ b/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/placement/LoadPatternTest.kt
@@ -6,6 +6,7 @@
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.doubles.shouldBeGreaterThan
 import io.kotest.matchers.doubles.shouldBeLessThan
+import org.cardamomwharf.steering.PlacementChoices
 import org.cardamomwharf.steering.support.LoadOutcome
 import org.cardamomwharf.steering.support.LoadWorld
 import org.cardamomwharf.steering.support.TERMS
@@ -16,6 +17,19 @@
 private const val WARM_UP_S = 10
 private val SEEDS = 1..3
 
+private val ZONE_NAMES = listOf("a1", "a2", "b1", "b2", "c1", "c2")
+
+/** The placement of before, which let every server of the own region take a request that is late anyway. */
+private val everyServer = PlacementChoices(ownRegion = Int.MAX_VALUE, whenLate = Int.MAX_VALUE, nextRoomShare = 0.5)
+
+private fun sumOf(one: LoadOutcome, other: LoadOutcome) = LoadOutcome(
+    one.requests + other.requests,
+    one.inTime + other.inTime,
+    one.cold + other.cold,
+    one.refused + other.refused,
+    one.served + other.served,
+)
+
 class LoadPatternTest : FunSpec({
     val uneven = listOf(
         ZoneServers("a1", 3, slots = 8, remembered = 38),
@@ -27,19 +41,38 @@
     )
 
     fun loads(perSecond: Double, keys: Int) =
-        listOf("a1", "a2", "b1", "b2", "c1", "c2").map { ZoneLoad(it, perSecond, keys) }
+        ZONE_NAMES.map { ZoneLoad(it, perSecond, keys) }
 
     fun total(spreadPenalty: Double, perSecond: Double): LoadOutcome = SEEDS.map { seed ->
         val terms = TERMS.copy(spreadPenaltyShare = spreadPenalty)
         LoadWorld(terms, uneven, loads(perSecond, keys = 64), seed).play(SECONDS, WARM_UP_S)
-    }.reduce { one, other ->
-        LoadOutcome(
-            one.requests + other.requests,
-            one.inTime + other.inTime,
-            one.cold + other.cold,
-            one.refused + other.refused,
-            one.served + other.served,
-        )
+    }.reduce(::sumOf)
+
+    /** Many small instances, each of which sends a server less than a request every two seconds. */
+    fun many(choices: PlacementChoices, perSecond: Double): LoadOutcome = SEEDS.map { seed ->
+        val servers = ZONE_NAMES.map { ZoneServers(it, 8, slots = 4, remembered = 16) }
+        val terms = TERMS.copy(choices = choices)
+        LoadWorld(terms, servers, loads(perSecond, keys = 200), seed, instancesPerZone = 14).play(SECONDS, WARM_UP_S)
+    }.reduce(::sumOf)
+
+    test("`many small instances that know little of loads keep keys at their servers above half of the warm capacity`") {
+        val before = many(everyServer, perSecond = 120.0)
+        val after = many(TERMS.choices, perSecond = 120.0)
+        before.inTimeShare shouldBeLessThan 0.3
+        after.inTimeShare shouldBeGreaterThan 0.8
+        after.refused.toDouble() shouldBeLessThan before.refused / 4.0
+    }
+
+    test("`many small instances lose nothing at moderate load by keeping keys at their servers`") {
+        val before = many(everyServer, perSecond = 80.0)
+        val after = many(TERMS.choices, perSecond = 80.0)
+        after.inTimeShare shouldBeGreaterThan before.inTimeShare - 0.01
+    }
+
+    test("`near full load a request that is late anyway doesn't displace keys of other servers`") {
+        val before = LoadWorld(TERMS.copy(choices = everyServer), uneven, loads(120.0, keys = 64), 1).play(SECONDS, WARM_UP_S)
+        val after = LoadWorld(TERMS, uneven, loads(120.0, keys = 64), 1).play(SECONDS, WARM_UP_S)
+        after.inTimeShare shouldBeGreaterThan before.inTimeShare
     }
 
     test("`near full load, servers that remember few keys serve far more in time when overflow has a price`") {
--- a/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/support/LoadWorld.kt
+++ b/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/support/LoadWorld.kt
@@ -40,11 +40,12 @@
     servers: List<ZoneServers>,
     private val loads: List<ZoneLoad>,
     seed: Int,
+    private val instancesPerZone: Int = 2,
 ) {
     private val random = Random(seed)
     private val machines = servers.flatMap { zone -> (1..zone.count).map { ServerModel("${zone.zone}-s$it", zone) } }
         .associateBy { it.name }
-    private val instances = loads.flatMap { load -> (1..INSTANCES_PER_ZONE).map { load.zone to "${load.zone}-i$it" } }
+    private val instances = loads.flatMap { load -> (1..instancesPerZone).map { load.zone to "${load.zone}-i$it" } }
     private val deciders = instances.associate { (zone, name) -> name to decider(zone, name, terms) }
     private val events = PriorityQueue<Event>(compareBy { it.atMs })
     private var countFromMs = Long.MAX_VALUE
@@ -86,7 +87,7 @@
     private fun arrive(load: ZoneLoad, nowMs: Long) {
         val region = ZONES.getValue(ZoneName(load.zone)).value
         val key = "$region${random.nextInt(load.keys)}"
-        val decider = deciders.getValue("${load.zone}-i${1 + random.nextInt(INSTANCES_PER_ZONE)}")
+        val decider = deciders.getValue("${load.zone}-i${1 + random.nextInt(instancesPerZone)}")
         val spec = specOf(random.nextInt(), key = key, nowMs = nowMs)
         if (nowMs >= countFromMs) requests++
         when (val placement = decider.place(spec, nowMs)) {
@@ -166,7 +167,6 @@
     }
 
     private companion object {
-        const val INSTANCES_PER_ZONE = 2
         const val MS_PER_S = 1_000L
         const val WARM_MS = 144.0
         const val COLD_MS = 480.0
