Take nothing but whole messages of ours from the ports between instances

Cause: a property test of the datagrams' codec, seen red twice: random bytes ended the receiving thread with an IllegalStateException of the CBOR library, and with that caught they filled the heap, since the library reserves memory for a list as long as the bytes claim. Messages now stand in a frame with a mark and a checksum, heartbeats and the state that instances ask each other for alike. Ruled out: catching more kinds of exceptions.

--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/HeartbeatCodec.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/HeartbeatCodec.kt
@@ -41,20 +41,24 @@
         numbers[at + LEAVING_OFFSET] = if (counted.isLeaving) 1 else 0
     }
     val names = message.counts.joinToString(NAME_SEPARATOR.toString()) { it.name.value }
-    return cbor.encodeToByteArray(
-        WireMessage(message.sender.toWire(), message.introduced.map { it.toWire() }, names, numbers, message.news),
+    val wire = WireMessage(
+        message.sender.toWire(),
+        message.introduced.map { it.toWire() },
+        names,
+        numbers,
+        message.news,
     )
+    return frame(cbor.encodeToByteArray(wire))
 }
 
 /** Returns the message in a datagram; null when it isn't one of ours, since anybody may send to the port. */
 @OptIn(ExperimentalSerializationApi::class)
-internal fun decodeHeartbeats(bytes: ByteArray): HeartbeatMessage? = try {
-    val wire = cbor.decodeFromByteArray<WireMessage>(bytes)
-    wire.sender.toHeartbeat()?.let { sender ->
+internal fun decodeHeartbeats(bytes: ByteArray): HeartbeatMessage? {
+    val payload = unframe(bytes) ?: return null
+    val wire = cbor.decodeFromByteArray<WireMessage>(payload)
+    return wire.sender.toHeartbeat()?.let { sender ->
         HeartbeatMessage(sender, wire.introduced.mapNotNull { it.toHeartbeat() }, wire.counts(), wire.news)
     }
-} catch (@Suppress("SwallowedException") e: IllegalArgumentException) {
-    null
 }
 
 @Serializable
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/PeerHeartbeats.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/PeerHeartbeats.kt
@@ -62,6 +62,8 @@
     @Volatile
     private var isFailing = false
 
+    private var isReadingGarbage = false
+
     fun start() {
         channel.bind(InetSocketAddress(own.peerAddress.host, own.peerAddress.port))
         launch("peers", ::sendBeats)
@@ -144,8 +146,15 @@
         false
     }
 
+    /** Logs the first of several datagrams in a row that aren't messages. */
+    private fun noteUnreadable(size: Int) {
+        if (!isReadingGarbage) log.event("heartbeat-unreadable") { put("bytes", size) }
+        isReadingGarbage = true
+    }
+
     private fun take(bytes: ByteArray) {
-        val message = decodeHeartbeats(bytes) ?: return
+        val message = decodeHeartbeats(bytes) ?: return noteUnreadable(bytes.size)
+        isReadingGarbage = false
         synchronized(book) { exchange.receive(message, clock.nowMs()) }
         message.news?.let { news.take(message.sender.record, it) }
     }
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/PeerState.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/PeerState.kt
@@ -7,7 +7,6 @@
 
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.Serializable
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.cbor.Cbor
 import kotlinx.serialization.decodeFromByteArray
 import kotlinx.serialization.encodeToByteArray
@@ -57,7 +56,7 @@
             query.getValue(SERVERS)?.toLongOrNull() ?: -1,
         )
         response.status = StatusCode.OK
-        response.write(true, ByteBuffer.wrap(cbor.encodeToByteArray(snapshot(known))), callback)
+        response.write(true, ByteBuffer.wrap(frame(cbor.encodeToByteArray(snapshot(known)))), callback)
     }
 
 /** Asks the instance at [peer] for what it knows beyond [known]; returns null when it doesn't answer usefully. */
@@ -66,9 +65,5 @@
     val url = "http://$peer/state?$ORDERS=${known.orders}&$SERVERS=${known.servers}"
     val end = caller.call(HttpCall("GET", url, limitMs = CALL_LIMIT_MS))
     val answer = (end as? HttpEnd.Answered)?.answer?.takeIf { it.status == StatusCode.OK } ?: return null
-    return try {
-        cbor.decodeFromByteArray<PeerState>(answer.body)
-    } catch (@Suppress("SwallowedException") e: SerializationException) {
-        null
-    }
+    return unframe(answer.body)?.let { cbor.decodeFromByteArray<PeerState>(it) }
 }
--- /dev/null
+++ b/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/peers/HeartbeatCodecTest.kt
@@ -0,0 +1,63 @@
+/*
+ * Datagrams with heartbeats survive the way, and what isn't one harms nobody.
+ */
+package org.cardamomwharf.gateway.peers
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.comparables.shouldBeLessThan
+import io.kotest.matchers.shouldBe
+import io.kotest.property.Arb
+import io.kotest.property.arbitrary.byte
+import io.kotest.property.arbitrary.byteArray
+import io.kotest.property.arbitrary.int
+import io.kotest.property.checkAll
+import org.cardamomwharf.core.Incarnation
+import org.cardamomwharf.core.InstanceName
+import org.cardamomwharf.core.SocketAddress
+import org.cardamomwharf.core.ZoneName
+import org.cardamomwharf.steering.belief.ContentVersions
+import org.cardamomwharf.steering.belief.StoreNews
+import org.cardamomwharf.steering.instances.Heartbeat
+import org.cardamomwharf.steering.instances.HeartbeatCount
+import org.cardamomwharf.steering.instances.HeartbeatMessage
+import org.cardamomwharf.steering.instances.InstanceRecord
+
+private const val LARGEST_DATAGRAM_BYTES = 65_507
+
+class HeartbeatCodecTest : FunSpec({
+    fun beat(name: String) = Heartbeat(
+        InstanceRecord(InstanceName(name), ZoneName("z"), SocketAddress("10.0.0.1", 80), SocketAddress("10.0.0.1", 90)),
+        Incarnation(1_700_000_000_000),
+        7,
+        isLeaving = false,
+    )
+
+    fun counts(size: Int) = (1..size).map {
+        HeartbeatCount(InstanceName("front-zone-$it"), Incarnation(1_700_000_000_000 + it), it.toLong(), it % 2 == 0)
+    }
+
+    test("`a message with all its parts is read as it was written`") {
+        val news = StoreNews(ContentVersions(3, 4), 250, isFailing = true)
+        val message = HeartbeatMessage(beat("a"), listOf(beat("b"), beat("c")), counts(95), news)
+        decodeHeartbeats(encodeHeartbeats(message)) shouldBe message
+    }
+
+    test("`a message that tells nothing of others is read as it was written`") {
+        decodeHeartbeats(encodeHeartbeats(HeartbeatMessage(beat("a")))) shouldBe HeartbeatMessage(beat("a"))
+    }
+
+    test("`the largest message fits into a datagram`") {
+        val message = HeartbeatMessage(beat("a"), List(16) { beat("b$it") }, counts(600))
+        encodeHeartbeats(message).size shouldBeLessThan LARGEST_DATAGRAM_BYTES
+    }
+
+    test("`bytes of strangers and cut datagrams are never taken for a message`") {
+        checkAll(2_000, Arb.byteArray(Arb.int(0..200), Arb.byte())) { decodeHeartbeats(it) shouldBe null }
+        val whole = encodeHeartbeats(HeartbeatMessage(beat("a"), counts = counts(3)))
+        whole.indices.forEach { decodeHeartbeats(whole.copyOf(it)) shouldBe null }
+        whole.indices.forEach { index ->
+            val damaged = whole.copyOf().also { it[index] = (it[index] + 1).toByte() }
+            decodeHeartbeats(damaged) shouldBe null
+        }
+    }
+})
