Close connections of callers when an entry instance leaves, and make a test of deadlines independent of speed

The golden session asked with a deadline of 3 ms, which passes before the decision on a slow machine; it asks a service expected to take 30 s with 10 s instead, so only the rule decides.

--- a/cardamomwharf-dist/src/test/kotlin/org/cardamomwharf/dist/session/WholeSessionTest.kt
+++ b/cardamomwharf-dist/src/test/kotlin/org/cardamomwharf/dist/session/WholeSessionTest.kt
@@ -14,6 +14,7 @@
 import org.cardamomwharf.core.ZoneName
 import org.cardamomwharf.core.document.Drain
 import org.cardamomwharf.dist.support.Deployment
+import org.cardamomwharf.dist.support.SLOW_SERVICE
 import org.cardamomwharf.dist.support.callRaw
 import org.cardamomwharf.dist.support.eventually
 import org.cardamomwharf.http.HttpAnswer
@@ -85,7 +86,7 @@
             transcript.note("bad deadline", deployment.get("$run/stan/x", client, deadline))
             transcript.note(
                 "short deadline",
-                deployment.get("$run/stan/x", client, HttpField("Wharf-Deadline-Ms", "3"))
+                deployment.get("$run/$SLOW_SERVICE/x", client, HttpField("Wharf-Deadline-Ms", "10000"))
             )
             val largeHead = "GET /run/stan/x HTTP/1.1\r\nHost: x\r\nX-Large: ${"x".repeat(9_000)}\r\n\r\n"
             transcript.note("head too large -> " + callRaw(entry.host, 8_000, largeHead))
--- a/cardamomwharf-dist/src/test/kotlin/org/cardamomwharf/dist/support/Deployment.kt
+++ b/cardamomwharf-dist/src/test/kotlin/org/cardamomwharf/dist/support/Deployment.kt
@@ -54,8 +54,12 @@
 private const val PLATFORM = "127.0.3.250:7000"
 private const val CALL_LIMIT_MS = 5_000L
 private const val POLL_MS = 100L
+private const val SLOW_MS = 30_000L
 private const val LARGEST_POLLS = 400
 
+/** A service that no server offers here and whose requests are expected to take long. */
+const val SLOW_SERVICE: String = "katalog"
+
 class Deployment(
     private val zones: List<String> = listOf("mazowsze-a"),
     private val isRelayed: Boolean = false,
@@ -77,6 +81,7 @@
         val text = Files.readString(Path.of("../examples/wisla/document.yaml"))
         val whole = parseDocument(text).getOrThrow { IllegalStateException(it.toString()) }
         val services = whole.services.map { it.copy(cacheTtlMs = 500) }
+            .map { if (it.name.value == SLOW_SERVICE) it.copy(expectedServiceMs = SLOW_MS) else it }
         return whole.copy(policy = policy, services = services)
     }
 
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/EntryProcess.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/EntryProcess.kt
@@ -132,6 +132,7 @@
     public fun stop() {
         log.info("${settings.name.value} is leaving.")
         ring.put(EntryEvent.LeaveAsked)
+        callerServer?.leave()
         val isDone = loop.awaitExit(settings.times.exitLimitMs)
         awaitSettled()
         callerServer?.stop()
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/GatewayProcess.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/GatewayProcess.kt
@@ -7,9 +7,6 @@
 import com.github.michaelbull.result.Ok
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.getOrElse
-import java.io.IOException
-import java.nio.file.Path
-import java.util.concurrent.TimeUnit
 import kotlinx.serialization.json.put
 import org.cardamomwharf.core.Incarnation
 import org.cardamomwharf.core.SocketAddress
@@ -49,6 +46,9 @@
 import org.cardamomwharf.steering.desired.CallerLimits
 import org.cardamomwharf.steering.instances.InstanceBook
 import org.cardamomwharf.steering.instances.InstanceRecord
+import java.io.IOException
+import java.nio.file.Path
+import java.util.concurrent.TimeUnit
 
 private const val CALLERS = "callers"
 private const val READY = "ready"
--- a/cardamomwharf-http/src/main/kotlin/org/cardamomwharf/http/JettyServer.kt
+++ b/cardamomwharf-http/src/main/kotlin/org/cardamomwharf/http/JettyServer.kt
@@ -32,10 +32,19 @@
 private const val STOP_MS = 1_000L
 
 /** Represents a running HTTP server. */
-public class JettyServer internal constructor(private val server: Server, private val connector: ServerConnector) {
+public class JettyServer internal constructor(
+    private val server: Server,
+    private val connector: ServerConnector,
+    private val bridge: BridgeHandler,
+) {
     /** The port that the server listens on. */
     public val port: Int get() = connector.localPort
 
+    /** Closes each connection after its next answer, so that callers leave before the server stops. */
+    public fun leave() {
+        bridge.isLeaving = true
+    }
+
     /** Stops the server; requests that are still open are cut off after a second. */
     public fun stop() {
         server.stopTimeout = STOP_MS
@@ -68,18 +77,22 @@
     }
     server.addConnector(connector)
     server.addBean(ConnectionLimit(LARGEST_CONNECTIONS, server))
-    server.handler = BridgeHandler(settings, onRefusal, handler)
+    val bridge = BridgeHandler(settings, onRefusal, handler)
+    server.handler = bridge
     server.errorHandler = RefusingErrorHandler(onRefusal)
     server.start()
-    return JettyServer(server, connector)
+    return JettyServer(server, connector, bridge)
 }
 
 /** Turns Jetty's requests into http4k's and back. */
-private class BridgeHandler(
+internal class BridgeHandler(
     private val settings: HttpServerSettings,
     private val onRefusal: (Reason) -> Unit,
     private val handler: HttpHandler,
 ) : Handler.Abstract() {
+    @Volatile
+    var isLeaving: Boolean = false
+
     override fun handle(request: JettyRequest, response: JettyResponse, callback: Callback): Boolean {
         val body = Content.Source.asInputStream(request).readBody(settings.largestBodyBytes, request.length)
         val answer = when (body) {
@@ -112,6 +125,7 @@
         answer.headers
             .filter { !it.first.equals(HttpHeader.CONTENT_LENGTH.asString(), ignoreCase = true) }
             .forEach { (name, value) -> response.headers.add(name, value.orEmpty()) }
+        if (isLeaving) response.headers.put(HttpHeader.CONNECTION, "close")
         response.headers.put(HttpHeader.CONTENT_LENGTH, payload.remaining().toLong())
         response.write(true, payload.slice(), callback)
     }
