--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/GatewayProcess.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/GatewayProcess.kt
@@ -112,7 +112,7 @@
         relay.start(watch)
         watch.start()
         heartbeats.start()
-        Registration(store, own, roster).start()
+        Registration(store, own, roster, log).start()
         scheduleTick()
         front.start()
         log.event("start") {
@@ -184,11 +184,13 @@
     }
 
     private fun tick() {
-        steering.decide { decisions, nowMs -> decisions.tick(nowMs) }
-        watch.expire()
-        pool.closeExpired()
-        if (++ticks % TICKS_PER_STATE == 0) {
-            log.event("state") { state.read().forEach { (name, value) -> put(name, value) } }
+        attempt("tick", log) {
+            steering.decide { decisions, nowMs -> decisions.tick(nowMs) }
+            watch.expire()
+            pool.closeExpired()
+            if (++ticks % TICKS_PER_STATE == 0) {
+                log.event("state") { state.read().forEach { (name, value) -> put(name, value) } }
+            }
         }
         scheduleTick()
     }
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/PeerHeartbeats.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/PeerHeartbeats.kt
@@ -4,6 +4,7 @@
 package org.cardamomwharf.gateway.peers
 
 import org.cardamomwharf.gateway.WatchTools
+import org.cardamomwharf.gateway.startDuty
 import org.cardamomwharf.steering.Place
 import org.cardamomwharf.steering.belief.StoreNews
 import org.cardamomwharf.steering.instances.HeartbeatExchange
@@ -38,18 +39,21 @@
     private val place: Place,
     private val book: InstanceBook,
     private val roster: PeerRoster,
-    tools: WatchTools,
+    private val tools: WatchTools,
     private val news: HeartbeatNews,
 ) {
     private val clock = tools.clock
     private val exchange = HeartbeatExchange(place, book, ReaderChoice(own))
     private val changes = ArrayBlockingQueue<Unit>(1)
     private val datagrams = PeerDatagrams(own.peerAddress, tools.log)
+    private var number = 0
+    private var nextAtMs = 0L
 
     fun start() {
         datagrams.open()
-        launch("peers", ::sendBeats)
-        launch("peers-receive", ::receive)
+        nextAtMs = clock.nowMs()
+        startDuty("peers", tools.log, ::sendNext)
+        startDuty("peers-receive", tools.log, ::receive)
     }
 
     /** Tells the zone and other zones soon that something changed in the store. */
@@ -68,22 +72,16 @@
         return near.randomOrNull()?.takeIf { Random.nextInt(NEAR_OF) > 0 } ?: far.randomOrNull() ?: near.randomOrNull()
     }
 
-    private fun launch(name: String, run: () -> Unit) {
-        Thread(run, name).apply { isDaemon = true }.start()
-    }
-
-    private fun sendBeats() {
-        var number = 0
-        var nextAtMs = clock.nowMs()
-        while (true) {
-            val waitMs = nextAtMs - clock.nowMs()
-            if (waitMs > 0 && changes.poll(waitMs, TimeUnit.MILLISECONDS) != null) {
-                news.toTell()?.let { tell(it) }
-            } else {
-                nextAtMs = clock.nowMs() + BEAT_MS
-                beat(number++)
-            }
+    /** Waits for the next beat or a change before it, and sends it. */
+    private fun sendNext(): Boolean {
+        val waitMs = nextAtMs - clock.nowMs()
+        if (waitMs > 0 && changes.poll(waitMs, TimeUnit.MILLISECONDS) != null) {
+            news.toTell()?.let { tell(it) }
+        } else {
+            nextAtMs = clock.nowMs() + BEAT_MS
+            beat(number++)
         }
+        return true
     }
 
     private fun beat(number: Int) {
@@ -98,11 +96,10 @@
         datagrams.send(synchronized(book) { exchange.change(others, told, clock.nowMs()) })
     }
 
-    private fun receive() {
-        while (true) {
-            val message = datagrams.receive() ?: continue
-            synchronized(book) { exchange.receive(message, clock.nowMs()) }
-            message.news?.let { news.take(message.sender.record, it) }
-        }
+    private fun receive(): Boolean {
+        val message = datagrams.receive() ?: return true
+        synchronized(book) { exchange.receive(message, clock.nowMs()) }
+        message.news?.let { news.take(message.sender.record, it) }
+        return true
     }
 }
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/Registration.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/Registration.kt
@@ -4,6 +4,8 @@
 package org.cardamomwharf.gateway.peers
 
 import com.github.michaelbull.result.getOrElse
+import org.cardamomwharf.gateway.logs.DecisionLog
+import org.cardamomwharf.gateway.startDuty
 import org.cardamomwharf.steering.belief.DeploymentStore
 import org.cardamomwharf.steering.instances.InstanceRecord
 
@@ -14,13 +16,14 @@
     private val store: DeploymentStore,
     private val own: InstanceRecord,
     private val roster: PeerRoster,
+    private val log: DecisionLog,
 ) {
     fun start() {
-        Thread(::run, "register").apply { isDaemon = true }.start()
-    }
-
-    private fun run() {
-        while (!isDone()) Thread.sleep(RETRY_MS)
+        startDuty("register", log) {
+            val isDue = !isDone()
+            if (isDue) Thread.sleep(RETRY_MS)
+            isDue
+        }
     }
 
     /** Reads which instances registered, and registers this one when it isn't listed as it is. */
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/store/StoreRelay.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/store/StoreRelay.kt
@@ -8,6 +8,7 @@
 import org.cardamomwharf.gateway.peers.HeartbeatNews
 import org.cardamomwharf.gateway.peers.KnownVersions
 import org.cardamomwharf.gateway.peers.PeerState
+import org.cardamomwharf.gateway.startDuty
 import org.cardamomwharf.steering.belief.StoreNews
 import org.cardamomwharf.steering.instances.InstanceRecord
 import org.cardamomwharf.steering.instances.ReaderChoice
@@ -45,7 +46,7 @@
     /** Starts to ask others for what [watch] doesn't know. */
     fun start(watch: StateWatch) {
         this.watch = watch
-        Thread(::run, "relay").apply { isDaemon = true }.start()
+        startDuty("relay", tools.log, ::askAhead)
     }
 
     override fun isReader(): Boolean {
@@ -66,12 +67,11 @@
 
     override fun onBeat() = onBeat.invoke()
 
-    private fun run() {
-        while (true) {
-            wake.poll(LOOK_MS, TimeUnit.MILLISECONDS)
-            val ahead = synchronized(choice) { choice.aheadOf(watch.content, tools.clock.nowMs()) }
-            for (peer in ahead.take(MOST_ASKED)) if (ask(peer)) break
-        }
+    private fun askAhead(): Boolean {
+        wake.poll(LOOK_MS, TimeUnit.MILLISECONDS)
+        val ahead = synchronized(choice) { choice.aheadOf(watch.content, tools.clock.nowMs()) }
+        ahead.take(MOST_ASKED).any { ask(it) }
+        return true
     }
 
     /** Returns true when [peer] told something. */
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/store/TableWatcher.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/store/TableWatcher.kt
@@ -9,6 +9,7 @@
 import com.github.michaelbull.result.onSuccess
 import kotlinx.serialization.json.put
 import org.cardamomwharf.gateway.WatchTools
+import org.cardamomwharf.gateway.startDuty
 import org.cardamomwharf.steering.belief.StoreError
 import org.cardamomwharf.steering.belief.StoreTable
 import org.cardamomwharf.steering.belief.TableChange
@@ -58,12 +59,9 @@
     fun silentForMs(nowMs: Long): Long = if (answeredAtMs == Long.MIN_VALUE) Long.MAX_VALUE else nowMs - answeredAtMs
 
     fun start() {
-        Thread(::run, "watch-$name").apply { isDaemon = true }.start()
-    }
-
-    private fun run() {
-        while (true) {
+        startDuty("watch-$name", log) {
             if (known.isKnown && !duty.isReader()) Thread.sleep(DUTY_LOOK_MS) else readOnce()
+            true
         }
     }
 
--- /dev/null
+++ b/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/DutyTest.kt
@@ -0,0 +1,27 @@
+/*
+ * A duty goes on after a step that fails, and ends when a step says so.
+ */
+package org.cardamomwharf.gateway
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import org.cardamomwharf.core.monotonicClock
+import org.cardamomwharf.gateway.logs.DecisionLog
+import java.util.concurrent.ArrayBlockingQueue
+import java.util.concurrent.TimeUnit
+
+private const val LIMIT_S = 20L
+private const val STEPS = 4
+
+class DutyTest : FunSpec({
+    test("`a step that fails unexpectedly does not end its duty`") {
+        val steps = ArrayBlockingQueue<Int>(STEPS + 1)
+        var number = 0
+        startDuty("test", DecisionLog(monotonicClock())) {
+            steps.add(number)
+            check(number++ != 1) { "the second step fails" }
+            number < STEPS
+        }
+        List(STEPS) { steps.poll(LIMIT_S, TimeUnit.SECONDS) } shouldBe (0 until STEPS).toList()
+    }
+})
--- a/cardamomwharf-http/src/test/kotlin/org/cardamomwharf/http/LeavingServerTest.kt
+++ b/cardamomwharf-http/src/test/kotlin/org/cardamomwharf/http/LeavingConnectionTest.kt
@@ -16,9 +16,10 @@
 private const val LIMIT_MS = 20_000
 private const val REQUEST = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 
-class LeavingServerTest : FunSpec({
+class LeavingConnectionTest : FunSpec({
     test("`a connection in use is closed after the next answer once the server leaves`") {
-        val server = startJettyServer(HttpServerSettings(SocketAddress(HOST, 0))) { Response(Status.OK).body("whole\n") }
+        val settings = HttpServerSettings(SocketAddress(HOST, 0))
+        val server = startJettyServer(settings) { Response(Status.OK).body("whole\n") }
         Socket(HOST, server.port).use { socket ->
             socket.soTimeout = LIMIT_MS
             val reader = socket.getInputStream().bufferedReader()
