End answers whose framing outgrows them, and bound what all answers hold while they are read

The parser bounds lines, fields and trailers, our reader the body; the extension of a chunk had no bound. A server that sends one without end kept a thread busy, one of twelve, until the request was given up, which is after its route's time: a few such servers stop an instance. Seen red: EndlessAnswerTest, 'a chunk's extension' (no end in 20 s); the other five places of bytes without end ended before too. Now bytes around the body may be eight for each of its own and two heads beside, enough for chunks of one byte. Bodies being read hold 16 MB together at most; before, forty of 2 MB filled the heap of 96 MB; the request that finds no room ends as lost with the reason no-room.

--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/AnswerReader.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/AnswerReader.kt
@@ -1,5 +1,6 @@
 /*
- * Collects one answer from the parser.
+ * Collects one answer from the parser, within bounds for its body, for what stands around the body, and for all answers
+ * that are collected at the same time. The parser itself bounds lines and fields, not the extensions of chunks.
  */
 package org.cardamomwharf.forward.server
 
@@ -10,8 +11,16 @@
 import org.eclipse.jetty.http.HttpVersion
 import java.io.ByteArrayOutputStream
 import java.nio.ByteBuffer
+import java.util.concurrent.atomic.AtomicLong
 
-internal class AnswerReader(private val largestBytes: Int) : HttpParser.ResponseHandler {
+/** Bytes around each byte of a body that is sent in chunks of one byte, rounded up. */
+private const val FRAMING_PER_BYTE = 8
+
+internal class AnswerReader(
+    private val settings: ServerPoolSettings,
+    private val heldBytes: AtomicLong,
+) : HttpParser.ResponseHandler {
+    private var readBytes = 0L
     var status = 0
         private set
     var fields: HttpFields.Mutable = HttpFields.build()
@@ -25,7 +34,17 @@
     var body = ByteArrayOutputStream()
         private set
 
+    /** Notes that [count] bytes of the answer have been parsed. */
+    fun noteRead(count: Int) {
+        readBytes += count
+        val framingBytes = readBytes - body.size()
+        val isFramed = framingBytes <= 2L * settings.largestHeadBytes + FRAMING_PER_BYTE * body.size()
+        if (!isWhole && !isFramed && failure == null) failure = CallFailure.TOO_LARGE
+    }
+
     fun reset() {
+        readBytes = 0
+        heldBytes.addAndGet(-body.size().toLong())
         status = 0
         fields = HttpFields.build()
         failure = null
@@ -45,14 +64,22 @@
     override fun headerComplete(): Boolean = false
 
     override fun content(buffer: ByteBuffer): Boolean {
-        if (body.size() + buffer.remaining() > largestBytes) {
-            failure = CallFailure.TOO_LARGE
-            return true
+        val count = buffer.remaining()
+        when {
+            body.size() + count > settings.largestAnswerBytes -> failure = CallFailure.TOO_LARGE
+            heldBytes.addAndGet(count.toLong()) > settings.largestHeldBytes -> {
+                heldBytes.addAndGet(-count.toLong())
+                failure = CallFailure.NO_ROOM
+            }
+            else -> take(buffer)
         }
+        return failure != null
+    }
+
+    private fun take(buffer: ByteBuffer) {
         val bytes = ByteArray(buffer.remaining())
         buffer.get(bytes)
         body.writeBytes(bytes)
-        return false
     }
 
     override fun contentComplete(): Boolean = false
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/ServerAnswer.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/ServerAnswer.kt
@@ -46,6 +46,9 @@
     /** The answer was larger than this process keeps. */
     TOO_LARGE("too-large"),
 
+    /** The answers that are being read took all the memory for them. */
+    NO_ROOM("no-room"),
+
     /** This process gave the call up. */
     CANCELLED("cancelled"),
 }
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/ServerConnection.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/ServerConnection.kt
@@ -24,7 +24,7 @@
 ) : AbstractConnection(endPoint, executor) {
     val key: ServerKey = opening.key
     private var firstCall: ServerCall? = opening.call
-    private val reader = AnswerReader(settings.largestAnswerBytes)
+    private val reader = AnswerReader(settings, owner.heldBytes)
     private val parser = HttpParser(reader, settings.largestHeadBytes).apply { headerCacheSize = 0 }
     private val input: ByteBuffer = BufferUtil.allocate(INPUT_BYTES)
     private var call: ServerCall? = null
@@ -111,7 +111,9 @@
 
     private fun parse(): ReadResult? {
         val id = call?.request?.id
+        val count = input.remaining()
         parser.parseNext(input)
+        reader.noteRead(count)
         while (reader.isSkippable(id) && skipped < LARGEST_SKIPPED) {
             skipped++
             reader.reset()
@@ -154,7 +156,11 @@
     override fun onClose(cause: Throwable?) {
         super.onClose(cause)
         owner.onClosed()
-        synchronized(this) { call.also { call = null } }?.end(CallEnd.Lost(CallFailure.RESET))
+        val ended = synchronized(this) {
+            reader.reset()
+            call.also { call = null }
+        }
+        ended?.end(CallEnd.Lost(CallFailure.RESET))
     }
 
     /** What a look at the input led to. */
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/ServerPool.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/ServerPool.kt
@@ -21,6 +21,7 @@
 import java.time.Duration
 import java.util.concurrent.Executor
 import java.util.concurrent.atomic.AtomicInteger
+import java.util.concurrent.atomic.AtomicLong
 
 /**
  * Represents the limits of the pool.
@@ -28,12 +29,14 @@
  * @param connectMs time for a new connection; longer than any way there and back, shorter than most targets.
  * @param idleMs time for which a connection is kept when the backend server names none.
  * @param largestAnswerBytes size of the largest answer that is carried.
+ * @param largestHeldBytes size of all answers together that are being read; they grow to twice this in a heap of 96 MB.
  */
 public data class ServerPoolSettings(
     public val connectMs: Long = 400,
     public val idleMs: Long = 4_000,
     public val largestHeadBytes: Int = 16_384,
     public val largestAnswerBytes: Int = 2_097_152,
+    public val largestHeldBytes: Long = 16_777_216,
 )
 
 /** Represents one life of a backend server at one address. */
@@ -52,6 +55,9 @@
     private val idle = IdleConnections()
     private val open = AtomicInteger()
 
+    /** Bytes of the bodies that are being read. */
+    internal val heldBytes: AtomicLong = AtomicLong()
+
     /** Connections that were opened since the start. */
     public val opened: AtomicInteger = AtomicInteger()
     private val connector = KeptAliveConnector().apply {
