--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/AnswerReader.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/AnswerReader.kt
@@ -1,6 +1,6 @@
 /*
- * Collects one answer from the parser, within bounds for its body, for what stands around the body, and for all answers
- * that are collected at the same time. The parser itself bounds lines and fields, not the extensions of chunks.
+ * Collects one answer from the parser, within a bound for what stands around the body. The parser itself bounds lines
+ * and fields, not the extensions of chunks.
  */
 package org.cardamomwharf.forward.server
 
@@ -9,7 +9,6 @@
 import org.eclipse.jetty.http.HttpFields
 import org.eclipse.jetty.http.HttpParser
 import org.eclipse.jetty.http.HttpVersion
-import java.io.ByteArrayOutputStream
 import java.nio.ByteBuffer
 import java.util.concurrent.atomic.AtomicLong
 
@@ -18,7 +17,7 @@
 
 internal class AnswerReader(
     private val settings: ServerPoolSettings,
-    private val heldBytes: AtomicLong,
+    heldBytes: AtomicLong,
 ) : HttpParser.ResponseHandler {
     private var readBytes = 0L
     var status = 0
@@ -31,25 +30,23 @@
         private set
     var version: HttpVersion = HttpVersion.HTTP_1_1
         private set
-    var body = ByteArrayOutputStream()
-        private set
+    val body = AnswerBody(settings, heldBytes)
 
     /** Notes that [count] bytes of the answer have been parsed. */
     fun noteRead(count: Int) {
         readBytes += count
-        val framingBytes = readBytes - body.size()
-        val isFramed = framingBytes <= 2L * settings.largestHeadBytes + FRAMING_PER_BYTE * body.size()
+        val framingBytes = readBytes - body.size
+        val isFramed = framingBytes <= 2L * settings.largestHeadBytes + FRAMING_PER_BYTE * body.size
         if (!isWhole && !isFramed && failure == null) failure = CallFailure.TOO_LARGE
     }
 
     fun reset() {
         readBytes = 0
-        heldBytes.addAndGet(-body.size().toLong())
         status = 0
         fields = HttpFields.build()
         failure = null
         isWhole = false
-        body = ByteArrayOutputStream()
+        body.clear()
     }
 
     override fun startResponse(version: HttpVersion, status: Int, reason: String?) {
@@ -64,24 +61,10 @@
     override fun headerComplete(): Boolean = false
 
     override fun content(buffer: ByteBuffer): Boolean {
-        val count = buffer.remaining()
-        when {
-            body.size() + count > settings.largestAnswerBytes -> failure = CallFailure.TOO_LARGE
-            heldBytes.addAndGet(count.toLong()) > settings.largestHeldBytes -> {
-                heldBytes.addAndGet(-count.toLong())
-                failure = CallFailure.NO_ROOM
-            }
-            else -> take(buffer)
-        }
+        failure = body.take(buffer)
         return failure != null
     }
 
-    private fun take(buffer: ByteBuffer) {
-        val bytes = ByteArray(buffer.remaining())
-        buffer.get(bytes)
-        body.writeBytes(bytes)
-    }
-
     override fun contentComplete(): Boolean = false
 
     override fun messageComplete(): Boolean {
--- a/cardamomwharf-forward/src/test/kotlin/org/cardamomwharf/forward/server/EndlessAnswerTest.kt
+++ b/cardamomwharf-forward/src/test/kotlin/org/cardamomwharf/forward/server/EndlessAnswerTest.kt
@@ -1,6 +1,6 @@
 /*
- * Bytes without end from a backend server, in each part of an answer: the request is lost soon, its connection is closed
- * and what is held of answers stays bounded. No answer comes, and nobody gives the request up meanwhile.
+ * Bytes without end from a backend server, in each part of an answer: the request is lost soon, its connection is
+ * closed, and what is held of answers stays bounded.
  */
 package org.cardamomwharf.forward.server
 
@@ -33,7 +33,8 @@
 private val lost = CallEnd.Lost(CallFailure.TOO_LARGE)
 
 private val cases = mapOf(
-    "a chunk's extension" to EndlessCase("${HEAD}Transfer-Encoding: chunked\r\n\r\n1;x=", "x".repeat(PIECE_BYTES), lost),
+    "a chunk's extension" to
+        EndlessCase("${HEAD}Transfer-Encoding: chunked\r\n\r\n1;x=", "x".repeat(PIECE_BYTES), lost),
     "chunks of one byte" to EndlessCase("${HEAD}Transfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n".repeat(1_000), lost),
     "a body without a length" to EndlessCase("$HEAD\r\n", "x".repeat(PIECE_BYTES), lost),
     "a line of the head" to
