--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/GatewayProcess.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/GatewayProcess.kt
@@ -20,9 +20,11 @@
 import org.cardamomwharf.forward.front.startFrontThreads
 import org.cardamomwharf.forward.server.ServerPoolSettings
 import org.cardamomwharf.forward.server.startServerPool
+import org.cardamomwharf.gateway.directory.DirectoryWatch
 import org.cardamomwharf.gateway.directory.directoryHandler
 import org.cardamomwharf.gateway.directory.readyHandler
 import org.cardamomwharf.gateway.logs.DecisionLog
+import org.cardamomwharf.gateway.logs.LendingLog
 import org.cardamomwharf.gateway.metrics.GatewayMetrics
 import org.cardamomwharf.gateway.metrics.ProcessState
 import org.cardamomwharf.gateway.peers.KnownVersions
@@ -65,6 +67,9 @@
 /** Ticks between log lines about the state of the process: five seconds. */
 private const val TICKS_PER_STATE = 25
 
+/** Ticks between log lines about lending: one second, half the window in which the users measure shifts. */
+private const val TICKS_PER_LENDING = 5
+
 /** Represents a running gateway process. */
 internal class GatewayProcess(private val settings: GatewaySettings) {
     private val clock = monotonicClock()
@@ -103,6 +108,7 @@
         log.take(trace)
         metrics.take(trace)
     }
+    private val lendingLog = LendingLog(steering, log)
     private val state = ProcessState(tools, pool, steering, book, clock)
     private val front = frontServerOf(frontSettings, threads, listeners())
     private var ticks = 0
@@ -141,7 +147,8 @@
 
     private fun listeners(): List<FrontListener> {
         val metricsAddress = SocketAddress(settings.addresses.host, settings.metricsPort)
-        val directory = directoryHandler(place) { synchronized(book) { book.serving(clock.nowMs()) } }
+        val directoryWatch = DirectoryWatch(log, metrics)
+        val directory = directoryHandler(place, directoryWatch) { synchronized(book) { book.serving(clock.nowMs()) } }
         return listOf(
             FrontListener(CALLERS, settings.addresses.caller, forwardingHandler(tools)),
             FrontListener(READY, settings.addresses.ready, readyHandler { !tools.isStopping && watch.isKnown }),
@@ -188,7 +195,8 @@
             steering.decide { decisions, nowMs -> decisions.tick(nowMs) }
             watch.expire()
             pool.closeExpired()
-            if (++ticks % TICKS_PER_STATE == 0) {
+            if (++ticks % TICKS_PER_LENDING == 0) lendingLog.write()
+            if (ticks % TICKS_PER_STATE == 0) {
                 log.event("state") { state.read().forEach { (name, value) -> put(name, value) } }
             }
         }
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/directory/DirectoryHandler.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/directory/DirectoryHandler.kt
@@ -23,11 +23,17 @@
 private const val LARGEST_ADDRESSES = 64
 
 /** Returns the handler for the directory. */
-internal fun directoryHandler(place: Place, serving: () -> List<InstanceRecord>): FrontHandler =
+internal fun directoryHandler(
+    place: Place,
+    watch: DirectoryWatch,
+    serving: () -> List<InstanceRecord>,
+): FrontHandler =
     FrontHandler { request, response, callback ->
         val query = Request.extractQueryParameters(request)
         val asked = decodeCallerPlace(query::getValue)
-        val chosen = chooseInstances(serving(), place.regions, asked.zone, asked.region).take(LARGEST_ADDRESSES)
+        val choice = chooseInstances(serving(), place.regions, asked.zone, asked.region)
+        watch.note(asked.zone?.takeIf { it in place.regions }, choice)
+        val chosen = choice.instances.take(LARGEST_ADDRESSES)
         val body = encodeDirectoryAnswer(chosen.map { it.callerAddress }, KEPT_S)
         response.headers.put(HttpHeader.CONTENT_TYPE, "application/json")
         write(StatusCode.OK, body, response, callback)
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/logs/DecisionLog.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/logs/DecisionLog.kt
@@ -66,6 +66,8 @@
         put("warmth", attempt.placement.warmth.name)
         put("predictedMs", attempt.placement.predictedMs.toLong())
         put("load", attempt.placement.load.toLong())
+        put("region", attempt.placement.region?.value)
+        put("choice", attempt.placement.choice.code)
         put("end", attempt.end)
         put("detail", attempt.detail)
         put("tookMs", attempt.tookMs)
--- /dev/null
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/logs/LendingLog.kt
@@ -0,0 +1,28 @@
+/*
+ * Writes what is lent to other regions, one line a second for each service that got requests. The lines of all
+ * instances of a region together show how fast the regions change in which its requests run, and why.
+ */
+package org.cardamomwharf.gateway.logs
+
+import kotlinx.serialization.json.put
+import kotlinx.serialization.json.putJsonObject
+import org.cardamomwharf.forward.course.GuardedSteering
+
+internal class LendingLog(private val steering: GuardedSteering, private val log: DecisionLog) {
+    /** Writes the tries since the last call. */
+    fun write() {
+        val reports = steering.decide { decisions, _ ->
+            decisions.lendings.reports().also { decisions.lendings.clearCounts() }
+        }
+        reports.filter { it.sends.isNotEmpty() }.forEach { report ->
+            log.event("lending") {
+                put("service", report.service.value)
+                put("share", report.share)
+                put("wanted", report.wanted)
+                putJsonObject("sends") {
+                    report.sends.forEach { (to, count) -> put("${to.region?.value}/${to.choice.code}", count) }
+                }
+            }
+        }
+    }
+}
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/metrics/GatewayMetrics.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/metrics/GatewayMetrics.kt
@@ -11,6 +11,7 @@
 import org.cardamomwharf.forward.course.RequestTrace
 import org.cardamomwharf.forward.course.TraceSink
 import org.cardamomwharf.forward.front.FrontHandler
+import org.cardamomwharf.steering.instances.DirectoryScope
 import java.io.ByteArrayOutputStream
 import java.nio.ByteBuffer
 
@@ -23,6 +24,10 @@
         .labelNames("service", "outcome", "status").register(registry)
     private val repeats = Counter.builder().name("wharf_repeats_total").help("Tries that were followed by another.")
         .labelNames("service", "reason").register(registry)
+    private val sends = Counter.builder().name("wharf_sends_total").help("Tries by the region that they went to.")
+        .labelNames("service", "region", "choice").register(registry)
+    private val directoryAnswers = Counter.builder().name("wharf_directory_answers_total")
+        .help("Answers of the directory by how far the named instances are.").labelNames("scope").register(registry)
     private val unreadable = Counter.builder().name("wharf_unreadable_rows_total").help("Rows that can't be read.")
         .labelNames("table").register(registry)
     private val latency = Histogram.builder().name("wharf_request_seconds").help("Time until the final answer.")
@@ -33,9 +38,17 @@
     override fun take(trace: RequestTrace) {
         answers.labelValues(trace.service, trace.outcome, trace.status.toString()).inc()
         trace.tries.dropLast(1).forEach { repeats.labelValues(trace.service, it.end).inc() }
+        trace.tries.forEach {
+            val placement = it.placement
+            sends.labelValues(trace.service, placement.region?.value.orEmpty(), placement.choice.code).inc()
+        }
         latency.labelValues(trace.service).observe(trace.tookMs / MS_PER_SECOND)
     }
 
+    fun countDirectoryAnswer(scope: DirectoryScope) {
+        directoryAnswers.labelValues(scope.code).inc()
+    }
+
     fun countUnreadable(table: String) {
         unreadable.labelValues(table).inc()
     }
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/Steering.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/Steering.kt
@@ -35,12 +35,10 @@
 
     /** The time to zones and back. */
     public val travel: TravelTimes = TravelTimes()
-    private val placer = Placer(
-        terms,
-        Candidates(servers, routes, sharers, terms),
-        Lendings(place, servers, terms.largestShift),
-        travel,
-    )
+
+    /** What is lent to other regions. */
+    public val lendings: Lendings = Lendings(place, servers, terms.largestShift)
+    private val placer = Placer(terms, Candidates(servers, routes, sharers, terms), lendings, travel)
 
     /** Takes changes of the backend servers over. */
     public fun applyServers(changes: List<TableChange<ServerRecord>>, nowMs: Long) {
@@ -61,7 +59,7 @@
     public fun place(spec: RequestSpec, nowMs: Long): Placement {
         budgets.of(spec.service).noteRequest(nowMs)
         val placement = placer.choose(spec, emptySet(), nowMs)
-        if (placement is Placement.Send) placer.noteSent(placement, nowMs)
+        if (placement is Placement.Send) placer.noteSent(spec, placement, nowMs)
         return placement
     }
 
@@ -88,7 +86,7 @@
 
     /** Adjusts what is lent to other regions; due a few times a second. */
     public fun tick(nowMs: Long) {
-        placer.adjustLending(nowMs)
+        lendings.adjust(nowMs)
     }
 
     /** Returns what the caller is told; a refusal only when no try may have run the request. */
@@ -116,7 +114,7 @@
         val isInTime = next != null && nowMs + next.predictedMs <= spec.endsAtMs
         val isAllowed = isInTime && (end == AttemptEnd.NOT_SENT || budgets.of(spec.service).take(nowMs, sharers.count))
         return if (next != null && isAllowed) {
-            placer.noteSent(next, nowMs)
+            placer.noteSent(spec, next, nowMs)
             NextStep.TryAgain(next)
         } else {
             null
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/instances/Directory.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/instances/Directory.kt
@@ -10,16 +10,35 @@
 /** Addresses below which a caller gets more distant ones too, so that one loss leaves it another. */
 private const val LEAST_ADDRESSES = 2
 
+/** Represents how far from a caller the instances are that it is named. */
+public enum class DirectoryScope(public val code: String) {
+    /** Those of its zone. */
+    ZONE("zone"),
+
+    /** Those of its region, since its zone has too few. */
+    REGION("region"),
+
+    /** All, since its region has none. */
+    ALL("all"),
+}
+
+/** Represents the [instances] that a caller is named. */
+public data class DirectoryChoice(public val scope: DirectoryScope, public val instances: List<InstanceRecord>)
+
 /** Returns the instances for a caller in [zone] and [region] from those that are [serving]. */
 public fun chooseInstances(
     serving: List<InstanceRecord>,
     regions: Map<ZoneName, RegionName>,
     zone: ZoneName?,
     region: RegionName?,
-): List<InstanceRecord> {
+): DirectoryChoice {
     val ofZone = serving.filter { it.zone == zone }
-    if (ofZone.size >= LEAST_ADDRESSES) return ofZone
+    if (ofZone.size >= LEAST_ADDRESSES) return DirectoryChoice(DirectoryScope.ZONE, ofZone)
     val home = region ?: regions[zone]
     val ofRegion = serving.filter { home != null && regions[it.zone] == home }
-    return ofRegion.ifEmpty { serving }
+    return if (ofRegion.isEmpty()) {
+        DirectoryChoice(DirectoryScope.ALL, serving)
+    } else {
+        DirectoryChoice(DirectoryScope.REGION, ofRegion)
+    }
 }
--- /dev/null
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/LendingReport.kt
@@ -0,0 +1,26 @@
+/*
+ * What an instance lends to other regions, for logs: enough to tell whether the regions in which requests run changed
+ * because of the lending, because the own region had no server to offer, or because other callers came.
+ */
+package org.cardamomwharf.steering.placement
+
+import org.cardamomwharf.core.RegionName
+import org.cardamomwharf.core.ServiceName
+import org.cardamomwharf.steering.requests.RegionChoice
+
+/** Represents a region with the reason for choosing it. */
+public data class RegionReason(public val region: RegionName?, public val choice: RegionChoice)
+
+/**
+ * Represents the lending of one service.
+ *
+ * @param share share of the requests that is lent.
+ * @param wanted share that gains by leaving; the lent share moves towards it.
+ * @param sends tries since the counts were cleared.
+ */
+public data class LendingReport(
+    public val service: ServiceName,
+    public val share: Double,
+    public val wanted: Double,
+    public val sends: Map<RegionReason, Int>,
+)
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/Lendings.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/Lendings.kt
@@ -6,22 +6,41 @@
 import org.cardamomwharf.core.ServiceName
 import org.cardamomwharf.steering.Distance
 import org.cardamomwharf.steering.Place
+import org.cardamomwharf.steering.requests.Placement
 import org.cardamomwharf.steering.servers.ServerBook
 
-internal class Lendings(
+/** Represents the lending of all services at this instance. */
+public class Lendings(
     private val place: Place,
     private val servers: ServerBook,
     private val largestShift: Double,
 ) {
     private val byService = HashMap<ServiceName, RegionLending>()
+    private val sends = HashMap<ServiceName, MutableMap<RegionReason, Int>>()
 
-    fun of(service: ServiceName): RegionLending =
+    internal fun of(service: ServiceName): RegionLending =
         byService.getOrPut(service) { RegionLending(largestShift, firstShareOf(service)) }
 
-    fun adjust(nowMs: Long) {
+    /** Moves what is lent towards what gains by it. */
+    public fun adjust(nowMs: Long) {
         byService.values.forEach { it.adjust(nowMs) }
     }
 
+    /** Counts a try of a request for [service]. */
+    public fun noteSent(service: ServiceName, send: Placement.Send) {
+        sends.getOrPut(service) { HashMap() }.merge(RegionReason(send.region, send.choice), 1, Int::plus)
+    }
+
+    /** Returns the lending of each service, with the tries since the counts were cleared. */
+    public fun reports(): List<LendingReport> = byService.map { (service, lending) ->
+        LendingReport(service, lending.share, lending.wanted, sends[service].orEmpty().toMap())
+    }
+
+    /** Clears the counts of tries. */
+    public fun clearCounts() {
+        sends.clear()
+    }
+
     /** Returns the share that the region lacks slots for, when zones get equal shares of the requests. */
     private fun firstShareOf(service: ServiceName): Double {
         val open = servers.serversOf(service).filter { servers.isOpen(it) }
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/Placer.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/Placer.kt
@@ -11,6 +11,7 @@
 import org.cardamomwharf.steering.requests.AttemptReport
 import org.cardamomwharf.steering.requests.Placement
 import org.cardamomwharf.steering.requests.RefusalReason
+import org.cardamomwharf.steering.requests.RegionChoice
 import org.cardamomwharf.steering.requests.RequestSpec
 import org.cardamomwharf.steering.servers.KnownServer
 
@@ -34,7 +35,8 @@
         }
     }
 
-    fun noteSent(send: Placement.Send, nowMs: Long) {
+    fun noteSent(spec: RequestSpec, send: Placement.Send, nowMs: Long) {
+        lendings.noteSent(spec.service, send)
         candidates.find(send.server)?.let { candidates.noteSent(it, nowMs) }
     }
 
@@ -42,10 +44,6 @@
         candidates.find(send.server)?.let { estimates.learn(spec, send, report, it, nowMs) }
     }
 
-    fun adjustLending(nowMs: Long) {
-        lendings.adjust(nowMs)
-    }
-
     /** Returns the delay for a refused caller: the expected wait, spread so that callers don't return all at once. */
     fun retryAfterMs(id: String, waitMs: Double): Long =
         ((terms.shortestRetryAfterMs + waitMs / 2) * (1 + unitPositionOf(id))).toLong()
@@ -58,11 +56,21 @@
     ): Placement {
         val ratings = candidates.ordered(spec, ready).flatMap { rateGroup(spec, work, it, nowMs) }
         val cheapest = bestOf(spec, ratings)
+        val hasHome = ratings.any { it.server.distance != Distance.OTHER_REGION }
         val best = if (rater.isInTime(spec, cheapest)) cheapest else spareOf(ratings, nowMs)
         if (best == null) return refuse(spec, RefusalReason.OVERLOAD, cheapest.times.waitMs)
         val record = best.server.record
         val load = best.server.load.estimate(nowMs)
-        return Placement.Send(record.name, record.address, best.warmth, best.times.totalMs, load)
+        val choice = choiceOf(best.server, hasHome)
+        return Placement.Send(
+            record.name,
+            record.address,
+            best.warmth,
+            best.times.totalMs,
+            load,
+            best.server.region,
+            choice,
+        )
     }
 
     private fun rateGroup(
@@ -100,3 +108,9 @@
     private fun refuse(spec: RequestSpec, reason: RefusalReason, waitMs: Double): Placement.Refuse =
         Placement.Refuse(reason, retryAfterMs(spec.id, waitMs))
 }
+
+private fun choiceOf(server: KnownServer, hasHome: Boolean): RegionChoice = when {
+    server.distance != Distance.OTHER_REGION -> RegionChoice.HOME
+    hasHome -> RegionChoice.LENT
+    else -> RegionChoice.NO_HOME_SERVER
+}
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/RegionLending.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/RegionLending.kt
@@ -22,7 +22,10 @@
     /** Share of the requests that is lent. */
     public var share: Double = initialShare.coerceIn(0.0, 1.0)
         private set
-    private var wanted = share
+
+    /** Share of the requests that gains by leaving. */
+    public var wanted: Double = share
+        private set
     private var credit = 1.0
     private var adjustedAtMs: Long? = null
 
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/requests/RequestSpec.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/requests/RequestSpec.kt
@@ -3,6 +3,7 @@
  */
 package org.cardamomwharf.steering.requests
 
+import org.cardamomwharf.core.RegionName
 import org.cardamomwharf.core.ServerName
 import org.cardamomwharf.core.ServiceName
 import org.cardamomwharf.core.SocketAddress
@@ -26,19 +27,38 @@
 
 /** Represents where a request goes, or why it goes nowhere. */
 public sealed interface Placement {
-    /** The request goes to [server]. */
+    /**
+     * The request goes to [server].
+     *
+     * @param region region of the server, or null when its zone isn't listed.
+     * @param choice why this region was chosen.
+     */
     public data class Send(
         public val server: ServerName,
         public val address: SocketAddress,
         public val warmth: Warmth,
         public val predictedMs: Double,
         public val load: Double,
+        public val region: RegionName?,
+        public val choice: RegionChoice,
     ) : Placement
 
     /** The request is refused; it may come back after [retryAfterMs]. */
     public data class Refuse(public val reason: RefusalReason, public val retryAfterMs: Long) : Placement
 }
 
+/** Represents why a request is sent to the region that it is sent to. */
+public enum class RegionChoice(public val code: String) {
+    /** The region of the instance serves it. */
+    HOME("home"),
+
+    /** It belongs to the share that is lent to another region. */
+    LENT("lent"),
+
+    /** No backend server of the instance's region can take it. */
+    NO_HOME_SERVER("no-home-server"),
+}
+
 /** Represents why a request is refused without having run. */
 public enum class RefusalReason(public val code: String) {
     /** No configuration is known yet. */
--- a/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/instances/InstanceBookTest.kt
+++ b/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/instances/InstanceBookTest.kt
@@ -64,9 +64,9 @@
         val regions = mapOf(ZoneName("z1") to RegionName("r"), ZoneName("z2") to RegionName("r"))
         val all = listOf(record("a"), record("b"), record("c", "z2"))
         fun chosen(serving: List<InstanceRecord>, zone: String) =
-            chooseInstances(serving, regions, ZoneName(zone), RegionName("r")).map { it.name.value }
+            chooseInstances(serving, regions, ZoneName(zone), RegionName("r")).instances.map { it.name.value }
         chosen(all, "z1") shouldBe listOf("a", "b")
         chosen(all, "z2") shouldBe listOf("a", "b", "c")
-        chooseInstances(all, regions, ZoneName("z9"), RegionName("s")).size shouldBe 3
+        chooseInstances(all, regions, ZoneName("z9"), RegionName("s")).instances.size shouldBe 3
     }
 })
