--- /dev/null
+++ b/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/placement/RegionShiftTest.kt
@@ -0,0 +1,48 @@
+/*
+ * How fast the regions change in which requests run, while nothing fails and only the load changes.
+ */
+package org.cardamomwharf.steering.placement
+
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.doubles.shouldBeLessThan
+import org.cardamomwharf.steering.support.LoadWorld
+import org.cardamomwharf.steering.support.TERMS
+import org.cardamomwharf.steering.support.ZoneLoad
+import org.cardamomwharf.steering.support.ZoneServers
+
+private const val SECONDS = 28
+private const val SETTLED_MS = 8_000L
+private const val INSTANCES_PER_ZONE = 11
+private const val KEYS = 200
+private const val BURST_FACTOR = 1.7
+private val BURST_MS = 20_000L until 23_000L
+private val SEEDS = 1..3
+
+/** True when tests listed in KNOWN-RED.txt are played too. */
+private val isKnownRedPlayed = System.getProperty("known.red") == "true"
+
+class RegionShiftTest : FunSpec({
+    val uneven = listOf("a1" to 16, "a2" to 16, "b1" to 4, "b2" to 4, "c1" to 14, "c2" to 14)
+        .map { (zone, count) -> ZoneServers(zone, count, slots = 4, remembered = 16) }
+
+    fun largestShift(perSecond: Double, seed: Int): Double {
+        val loads = uneven.map { zone ->
+            ZoneLoad(zone.zone, perSecond, KEYS) { atMs -> if (atMs in BURST_MS) BURST_FACTOR else 1.0 }
+        }
+        val world = LoadWorld(TERMS, uneven, loads, seed, INSTANCES_PER_ZONE)
+        world.play(SECONDS, countFromS = 10)
+        return world.placements.largestShift(SETTLED_MS).share
+    }
+
+    // Guards against many small instances moving more of a region's requests to other regions within two seconds than
+    // the operators allow, each a few requests at a time.
+    test("`a burst that many small instances refuse in part moves no more of a region's requests than allowed`")
+        .config(enabled = isKnownRedPlayed) {
+        SEEDS.maxOf { largestShift(perSecond = 180.0, it) } shouldBeLessThan TERMS.largestShift
+    }
+
+    test("`a burst below the capacity of all regions moves no more of a region's requests than allowed`")
+        .config(enabled = isKnownRedPlayed) {
+        SEEDS.maxOf { largestShift(perSecond = 120.0, it) } shouldBeLessThan TERMS.largestShift
+    }
+})
--- a/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/support/LoadWorld.kt
+++ b/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/support/LoadWorld.kt
@@ -26,8 +26,17 @@
 /** Represents the servers of a zone. */
 internal data class ZoneServers(val zone: String, val count: Int, val slots: Int, val remembered: Int)
 
-/** Represents the requests that arrive in a zone, each for one of [keys] keys that only its region uses. */
-internal data class ZoneLoad(val zone: String, val perSecond: Double, val keys: Int)
+/**
+ * Represents the requests that arrive in a zone, each for one of [keys] keys that only its region uses.
+ *
+ * @param factorAt what the rate is multiplied by at a time.
+ */
+internal data class ZoneLoad(
+    val zone: String,
+    val perSecond: Double,
+    val keys: Int,
+    val factorAt: (Long) -> Double = { 1.0 },
+)
 
 /** Represents what became of the requests after the first seconds. */
 internal data class LoadOutcome(val requests: Int, val inTime: Int, val cold: Int, val refused: Int, val served: Int) {
@@ -55,6 +64,9 @@
     private var refused = 0
     private var served = 0
 
+    /** Where requests of each region ran. */
+    val placements = RegionPlacements()
+
     /** Plays [seconds] and counts the requests that arrive from [countFromS] on. */
     fun play(seconds: Int, countFromS: Int): LoadOutcome {
         countFromMs = countFromS * MS_PER_S
@@ -75,7 +87,7 @@
     }
 
     private fun scheduleArrival(load: ZoneLoad, afterMs: Double) {
-        val atMs = afterMs - ln(1 - random.nextDouble()) * MS_PER_S / load.perSecond
+        val atMs = afterMs - ln(1 - random.nextDouble()) * MS_PER_S / (load.perSecond * load.factorAt(afterMs.toLong()))
         events.add(
             Event(atMs.toLong()) {
                 arrive(load, atMs.toLong())
@@ -98,7 +110,10 @@
 
     private fun send(decider: Steering, spec: RequestSpec, placement: Placement.Send, nowMs: Long) {
         val machine = machines.getValue(placement.server.value)
-        val isFar = ZONES[ZoneName(machine.place.zone)]?.value != spec.affinityKey?.take(1)
+        val home = checkNotNull(spec.affinityKey).take(1)
+        val region = ZONES.getValue(ZoneName(machine.place.zone)).value
+        placements.note(nowMs, home, region)
+        val isFar = region != home
         val wayMs = if (isFar) FAR_WAY_MS else 1L
         events.add(
             Event(nowMs + wayMs) {
