Lend a share of what is sent, not of what arrives

Cause: a limit was kept on one quantity and measured on another. Each instance lent a slowly moving share of the requests that arrived; a request that the own region refused counted too, so in a burst the lent part of what ran rose at once, and the requests that each instance may lend at once added up over 66 instances. Now only tries count, and only requests that can be served in time say how much is wanted. What leaves because the own region has no server isn't counted as lent (PatternTest; that the count would stop lending was seen by reading, the test was not played without it).

--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/LendingReport.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/LendingReport.kt
@@ -14,8 +14,8 @@
 /**
  * Represents the lending of one service.
  *
- * @param share share of the requests that is lent.
- * @param wanted share that gains by leaving; the lent share moves towards it.
+ * @param share share of the tries that are lent.
+ * @param wanted share of the requests that gain by leaving; the lent share moves towards it.
  * @param sends tries since the counts were cleared.
  */
 public data class LendingReport(
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/Lendings.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/Lendings.kt
@@ -7,6 +7,7 @@
 import org.cardamomwharf.steering.Distance
 import org.cardamomwharf.steering.Place
 import org.cardamomwharf.steering.requests.Placement
+import org.cardamomwharf.steering.requests.RegionChoice
 import org.cardamomwharf.steering.servers.ServerBook
 
 /** Represents the lending of all services at this instance. */
@@ -28,6 +29,8 @@
 
     /** Counts a try of a request for [service]. */
     public fun noteSent(service: ServiceName, send: Placement.Send) {
+        // What leaves for want of a server isn't lent; counted, it would keep the region from lending afterwards.
+        if (send.choice != RegionChoice.NO_HOME_SERVER) of(service).noteSent(isLent = send.choice == RegionChoice.LENT)
         sends.getOrPut(service) { HashMap() }.merge(RegionReason(send.region, send.choice), 1, Int::plus)
     }
 
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/Placer.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/Placer.kt
@@ -89,11 +89,19 @@
         return when {
             bestOwn == null -> checkNotNull(bestOther)
             bestOther == null -> bestOwn
-            lendings.of(spec.service).decide(gains = bestOther.costMs < bestOwn.costMs) -> bestOther
+            isLent(spec, bestOwn, bestOther) -> bestOther
             else -> bestOwn
         }
     }
 
+    /** Returns true when the request goes to [other] instead of [own]. */
+    private fun isLent(spec: RequestSpec, own: Rating, other: Rating): Boolean {
+        val gains = other.costMs < own.costMs
+        val lending = lendings.of(spec.service)
+        if (rater.isInTime(spec, if (gains) other else own)) lending.noteGain(gains)
+        return lending.isDue(gains)
+    }
+
     /**
      * Returns the server of the own region that takes a request which the cheapest one can't finish in time, or null.
      * Only a first choice for the key that has room does, and the next choice when it is nearly idle: elsewhere the
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/RegionLending.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/RegionLending.kt
@@ -2,6 +2,8 @@
  * Lends work to other regions. The share of a service's requests that leaves the region follows how many of them would
  * finish sooner elsewhere, and moves slowly, so that the regions of a deployment don't swing against each other. Within
  * the share, the requests that gain most by leaving are the ones that leave.
+ *
+ * It is a share of what is sent. A share of what arrives would rise with each request that the own region refuses.
  */
 package org.cardamomwharf.steering.placement
 
@@ -14,28 +16,38 @@
 /** Window in which the users measure shifts. */
 private const val SHIFT_WINDOW_MS = 2_000.0
 
-/** Requests that may leave beyond the share at a moment. */
+/** Requests that may leave at a moment after none left; RegionShiftTest holds the sum of many instances. */
 private const val LARGEST_CREDIT = 3.0
 
+/** Credit at the start, so that instances that start together don't lend their first requests all at once. */
+private const val FIRST_CREDIT = 0.5
+
 /** Represents the lending of one service at this instance. */
 public class RegionLending(private val largestShift: Double, initialShare: Double) {
-    /** Share of the requests that is lent. */
+    /** Share of the tries that are lent. */
     public var share: Double = initialShare.coerceIn(0.0, 1.0)
         private set
 
-    /** Share of the requests that gains by leaving. */
+    /** Share of the requests that gain by leaving, of those that can be served in time. */
     public var wanted: Double = share
         private set
-    private var credit = 1.0
+    private var credit = FIRST_CREDIT
     private var adjustedAtMs: Long? = null
 
-    /** Returns true when the next request is lent, given whether it [gains] by leaving. */
-    public fun decide(gains: Boolean): Boolean {
+    /** Notes whether a request that can be served in time [gains] by leaving. */
+    public fun noteGain(gains: Boolean) {
         wanted += SMOOTHING * ((if (gains) 1.0 else 0.0) - wanted)
-        credit = (credit + share).coerceAtMost(LARGEST_CREDIT)
-        val isLent = credit >= 1.0 && (gains || credit >= LARGEST_CREDIT)
-        if (isLent) credit -= 1.0
-        return isLent
+    }
+
+    /** Returns true when the next request is lent if it is sent, given whether it [gains] by leaving. */
+    public fun isDue(gains: Boolean): Boolean {
+        val next = credit + share
+        return next >= 1.0 && (gains || next >= LARGEST_CREDIT)
+    }
+
+    /** Notes a try that [isLent] or stays. */
+    public fun noteSent(isLent: Boolean) {
+        credit = (credit + share).coerceAtMost(LARGEST_CREDIT) - (if (isLent) 1.0 else 0.0)
     }
 
     /** Moves the share towards what is wanted. */
--- a/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/placement/PatternTest.kt
+++ b/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/placement/PatternTest.kt
@@ -104,6 +104,21 @@
         shares.zipWithNext { before, after -> kotlin.math.abs(after - before) }.max() shouldBeLessThan 0.15
     }
 
+    test("`a region that had no server for a while lends as before when it has servers again`") {
+        val far = (1..5).map { serverOf("far$it", ZoneName("b1"), slots = 8) }
+        val steering = steeringOf(serverOf("near", slots = 8), *far.toTypedArray())
+        fun sendAndEnd(id: Int): ServerName {
+            val spec = specOf(id, nowMs = id * 100L)
+            val sent = steering.send(spec)
+            steering.settle(spec, listOf(sent), AttemptReport(AttemptEnd.ANSWERED, false, 80), id * 100L + 80)
+            return sent.server
+        }
+        steering.evacuate(setOf(HOME), 0)
+        (1..50).forEach { sendAndEnd(it) }
+        steering.evacuate(emptySet(), 5_000)
+        (100..120).map { sendAndEnd(it) }.count { it.value.startsWith("far") } shouldBeGreaterThan 5
+    }
+
     test("`a server that joins gets a request soon`") {
         val steering = steeringOf(serverOf("s1"), serverOf("s2"))
         (1..3).forEach { steering.send(specOf(it)) }
--- a/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/placement/RegionShiftTest.kt
+++ b/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/placement/RegionShiftTest.kt
@@ -18,9 +18,6 @@
 private val BURST_MS = 20_000L until 23_000L
 private val SEEDS = 1..3
 
-/** True when tests listed in KNOWN-RED.txt are played too. */
-private val isKnownRedPlayed = System.getProperty("known.red") == "true"
-
 class RegionShiftTest : FunSpec({
     val uneven = listOf("a1" to 16, "a2" to 16, "b1" to 4, "b2" to 4, "c1" to 14, "c2" to 14)
         .map { (zone, count) -> ZoneServers(zone, count, slots = 4, remembered = 16) }
@@ -36,13 +33,11 @@
 
     // Guards against many small instances moving more of a region's requests to other regions within two seconds than
     // the operators allow, each a few requests at a time.
-    test("`a burst that many small instances refuse in part moves no more of a region's requests than allowed`")
-        .config(enabled = isKnownRedPlayed) {
+    test("`a burst that many small instances refuse in part moves no more of a region's requests than allowed`") {
         SEEDS.maxOf { largestShift(perSecond = 180.0, it) } shouldBeLessThan TERMS.largestShift
     }
 
-    test("`a burst below the capacity of all regions moves no more of a region's requests than allowed`")
-        .config(enabled = isKnownRedPlayed) {
+    test("`a burst below the capacity of all regions moves no more of a region's requests than allowed`") {
         SEEDS.maxOf { largestShift(perSecond = 120.0, it) } shouldBeLessThan TERMS.largestShift
     }
 })
