Test lending after a time without servers of the own region with requests before it

The test was green without the guard, since the lending began with the outage; with ten requests before, it was seen red without the guard (0 lent, more than 5 asked) and passes with it.

--- a/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/placement/PatternTest.kt
+++ b/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/placement/PatternTest.kt
@@ -113,9 +113,10 @@
             steering.settle(spec, listOf(sent), AttemptReport(AttemptEnd.ANSWERED, false, 80), id * 100L + 80)
             return sent.server
         }
-        steering.evacuate(setOf(HOME), 0)
-        (1..50).forEach { sendAndEnd(it) }
-        steering.evacuate(emptySet(), 5_000)
+        (1..10).forEach { sendAndEnd(it) }
+        steering.evacuate(setOf(HOME), 1_050)
+        (11..60).forEach { sendAndEnd(it) }
+        steering.evacuate(emptySet(), 6_050)
         (100..120).map { sendAndEnd(it) }.count { it.value.startsWith("far") } shouldBeGreaterThan 5
     }
 
