--- a/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/paths/ControlBenchmark.kt
+++ b/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/paths/ControlBenchmark.kt
@@ -50,7 +50,7 @@
     public fun hear(): EntryStep {
         sequence++
         val number = 1 + (sequence % peers).toInt()
-        val next = step(state, EntryEvent.HeartbeatHeard(sampleHeartbeat(number, sequence)), SAMPLE_NOW_MS)
+        val next = step(state, EntryEvent.HeartbeatReceived(sampleHeartbeat(number, sequence)), SAMPLE_NOW_MS)
         state = next.state
         return next
     }
--- a/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/paths/FleetSample.kt
+++ b/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/paths/FleetSample.kt
@@ -116,7 +116,7 @@
     }
     val first = listOf(
         EntryEvent.DocumentFetched(DocumentHead(DocumentVersion(1), "1"), sampleDocument()),
-        EntryEvent.ListRead(listed, servers),
+        EntryEvent.PlatformListRead(listed, servers),
     )
     var state = newEntryState(self, MembershipSettings(), EntryLimits(), startMs)
     first.forEach { state = step(state, it, startMs).state }
@@ -124,9 +124,9 @@
         val nowMs = startMs + number * STEP_MS
         for (peer in 1..peers) {
             val heartbeat = sampleHeartbeat(peer, number.toLong())
-            state = hear(state, EntryEvent.HeartbeatHeard(heartbeat), nowMs)
+            state = hear(state, EntryEvent.HeartbeatReceived(heartbeat), nowMs)
         }
-        otherZones().forEach { state = hear(state, EntryEvent.SummaryHeard(sampleSummary(it), true), nowMs) }
+        otherZones().forEach { state = hear(state, EntryEvent.SummaryReceived(sampleSummary(it), true), nowMs) }
         state = hear(state, EntryEvent.Tick(0), nowMs)
     }
     return state
--- a/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/policy/FakeFleet.kt
+++ b/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/policy/FakeFleet.kt
@@ -62,7 +62,7 @@
         }
         for (entry in entries) {
             deliver(entry, EntryEvent.DocumentFetched(DocumentHead(DocumentVersion(1), "1"), world.document))
-            deliver(entry, EntryEvent.ListRead(listed, servers))
+            deliver(entry, EntryEvent.PlatformListRead(listed, servers))
             tick(entry)
             feeds.pollLoads(entry)
         }
@@ -89,7 +89,7 @@
             is EntryEffect.Answer -> chains.remove(effect.request)?.onAnswer?.invoke(effect)
             is EntryEffect.SendSummary -> effect.addresses.forEach { to ->
                 val target = entries.first { it.member.name == to.name }
-                val event = EntryEvent.SummaryHeard(effect.summary, isPassedOn = false)
+                val event = EntryEvent.SummaryReceived(effect.summary, isRelayed = false)
                 world.time.plan(world.delayMs(entry.member.zone, target.member.zone)) { deliver(target, event) }
             }
             else -> Unit
@@ -100,7 +100,7 @@
         if (effect is EntryEffect.ReleaseClaim || effect is EntryEffect.RecordAnswer) return
         val delayMs = 2 * world.delayMs(entry.member.zone, world.zones.first()) + 1
         val reply = if (world.case.isStoreDown) ClaimReply.Unavailable else ClaimReply.Written
-        world.time.plan(delayMs) { deliver(entry, EntryEvent.ClaimAnswered(effect.request, reply)) }
+        world.time.plan(delayMs) { deliver(entry, EntryEvent.ClaimReplyReceived(effect.request, reply)) }
     }
 
     private fun forward(entry: FakeEntry, effect: EntryEffect.Forward) {
--- a/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/policy/FleetFeeds.kt
+++ b/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/policy/FleetFeeds.kt
@@ -37,7 +37,7 @@
         for (server in world.servers.filter { it.place.zone == entry.member.zone }) {
             val report = LoadReport(world.reportOf(server), isLeaving = false)
             world.time.plan(world.case.reportLagMs.toDouble()) {
-                deliver(entry, EntryEvent.LoadHeard(ServerName(server.place.name), report))
+                deliver(entry, EntryEvent.LoadReported(ServerName(server.place.name), report))
             }
         }
         world.time.plan(LOAD_POLL_MS) { pollLoads(entry) }
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/EntryEffect.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/EntryEffect.kt
@@ -36,7 +36,7 @@
         public val attempt: AttemptId
     }
 
-    /** Insert the claim row unless it exists, and answer with `ClaimAnswered`. */
+    /** Insert the claim row unless it exists, and answer with `ClaimReplyReceived`. */
     @Serializable
     public data class InsertClaim(
         override val request: RequestId,
@@ -45,7 +45,7 @@
         public val fingerprint: String,
     ) : OnClaim
 
-    /** Read the claim row, and answer with `ClaimAnswered`. */
+    /** Read the claim row, and answer with `ClaimReplyReceived`. */
     @Serializable
     public data class ReadClaim(
         override val request: RequestId,
@@ -53,7 +53,7 @@
         override val attempt: AttemptId,
     ) : OnClaim
 
-    /** Replace a released claim row, and answer with `ClaimAnswered`. */
+    /** Replace a released claim row, and answer with `ClaimReplyReceived`. */
     @Serializable
     public data class ReplaceClaim(
         override val request: RequestId,
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/EntryEvent.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/EntryEvent.kt
@@ -4,6 +4,7 @@
  */
 package org.cardamomwharf.decision
 
+import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import org.cardamomwharf.core.AttemptId
 import org.cardamomwharf.core.InstanceName
@@ -42,34 +43,45 @@
 
     /** A document could not be fetched. */
     @Serializable
-    public data object DocumentMissed : EntryEvent
+    @SerialName("org.cardamomwharf.decision.EntryEvent.DocumentMissed")
+    public data object DocumentFetchFailed : EntryEvent
 
     /** The platform's list was read. */
     @Serializable
-    public data class ListRead(
+    @SerialName("org.cardamomwharf.decision.EntryEvent.ListRead")
+    public data class PlatformListRead(
         public val instances: List<ListedInstance>,
         public val servers: List<ListedServer>,
     ) : EntryEvent
 
     /** A heartbeat arrived. */
     @Serializable
-    public data class HeartbeatHeard(public val heartbeat: Heartbeat) : EntryEvent
+    @SerialName("org.cardamomwharf.decision.EntryEvent.HeartbeatHeard")
+    public data class HeartbeatReceived(public val heartbeat: Heartbeat) : EntryEvent
 
     /** A summary arrived, from its zone or passed on by a peer of the own zone. */
     @Serializable
-    public data class SummaryHeard(public val summary: ZoneSummary, public val isPassedOn: Boolean) : EntryEvent
+    @SerialName("org.cardamomwharf.decision.EntryEvent.SummaryHeard")
+    public data class SummaryReceived(
+        public val summary: ZoneSummary,
+        @SerialName("isPassedOn")
+        public val isRelayed: Boolean,
+    ) : EntryEvent
 
     /** A backend server reported its load. */
     @Serializable
-    public data class LoadHeard(public val server: ServerName, public val report: LoadReport) : EntryEvent
+    @SerialName("org.cardamomwharf.decision.EntryEvent.LoadHeard")
+    public data class LoadReported(public val server: ServerName, public val report: LoadReport) : EntryEvent
 
     /** A peer asks for a loan. */
     @Serializable
-    public data class LoanAsked(public val request: LoanRequest) : EntryEvent
+    @SerialName("org.cardamomwharf.decision.EntryEvent.LoanAsked")
+    public data class LoanRequested(public val request: LoanRequest) : EntryEvent
 
     /** A peer answered a request for a loan. */
     @Serializable
-    public data class LoanAnswered(public val grant: LoanGrant) : EntryEvent
+    @SerialName("org.cardamomwharf.decision.EntryEvent.LoanAnswered")
+    public data class LoanReplyReceived(public val grant: LoanGrant) : EntryEvent
 
     /** A request arrived whole. */
     @Serializable
@@ -77,7 +89,8 @@
 
     /** The table service answered about the claim of a request. */
     @Serializable
-    public data class ClaimAnswered(public val request: RequestId, public val reply: ClaimReply) : EntryEvent
+    @SerialName("org.cardamomwharf.decision.EntryEvent.ClaimAnswered")
+    public data class ClaimReplyReceived(public val request: RequestId, public val reply: ClaimReply) : EntryEvent
 
     /** The table service deleted [rows] old claim rows; null when it gave no answer. */
     @Serializable
@@ -89,17 +102,21 @@
 
     /** A peer holds an answer that is [missingBytes] larger than the credit it was given. */
     @Serializable
-    public data class CreditAsked(public val attempt: AttemptId, public val missingBytes: Long) : EntryEvent
+    @SerialName("org.cardamomwharf.decision.EntryEvent.CreditAsked")
+    public data class CreditRequested(public val attempt: AttemptId, public val missingBytes: Long) : EntryEvent
 
     /** The caller of a request closed its connection. */
     @Serializable
-    public data class CallerGone(public val request: RequestId) : EntryEvent
+    @SerialName("org.cardamomwharf.decision.EntryEvent.CallerGone")
+    public data class CallerDisconnected(public val request: RequestId) : EntryEvent
 
     /** The connection to a peer was closed by it. */
     @Serializable
-    public data class PeerClosed(public val peer: InstanceName) : EntryEvent
+    @SerialName("org.cardamomwharf.decision.EntryEvent.PeerClosed")
+    public data class PeerDisconnected(public val peer: InstanceName) : EntryEvent
 
     /** The instance was asked to leave. */
     @Serializable
-    public data object LeaveAsked : EntryEvent
+    @SerialName("org.cardamomwharf.decision.EntryEvent.LeaveAsked")
+    public data object LeaveRequested : EntryEvent
 }
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/EntryMachine.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/EntryMachine.kt
@@ -49,18 +49,18 @@
 
 private fun Turn.handle(event: EntryEvent): Unit = when (event) {
     is EntryEvent.Tick -> tick(event)
-    is EntryEvent.HeadRead, is EntryEvent.DocumentFetched, is EntryEvent.DocumentMissed -> follow(event)
-    is EntryEvent.ListRead -> readList(event)
-    is EntryEvent.HeartbeatHeard, is EntryEvent.SummaryHeard, is EntryEvent.PeerClosed -> listen(event)
-    is EntryEvent.LoadHeard -> hearLoad(event)
-    is EntryEvent.LoanAsked -> answerLoan(event)
-    is EntryEvent.LoanAnswered -> state = state.copy(ledger = state.ledger.borrow(event.grant, nowMs))
+    is EntryEvent.HeadRead, is EntryEvent.DocumentFetched, is EntryEvent.DocumentFetchFailed -> follow(event)
+    is EntryEvent.PlatformListRead -> readList(event)
+    is EntryEvent.HeartbeatReceived, is EntryEvent.SummaryReceived, is EntryEvent.PeerDisconnected -> listen(event)
+    is EntryEvent.LoadReported -> hearLoad(event)
+    is EntryEvent.LoanRequested -> answerLoan(event)
+    is EntryEvent.LoanReplyReceived -> state = state.copy(ledger = state.ledger.borrow(event.grant, nowMs))
     is EntryEvent.RequestArrived -> admit(event.spec)
-    is EntryEvent.ClaimAnswered, is EntryEvent.ClaimsExpired -> hearStore(event)
+    is EntryEvent.ClaimReplyReceived, is EntryEvent.ClaimsExpired -> hearStore(event)
     is EntryEvent.AttemptEnded -> endAttempt(event.attempt, event.result)
-    is EntryEvent.CreditAsked -> hold(event.attempt, event.missingBytes)
-    is EntryEvent.CallerGone -> forgetCaller(event.request)
-    is EntryEvent.LeaveAsked -> leave()
+    is EntryEvent.CreditRequested -> hold(event.attempt, event.missingBytes)
+    is EntryEvent.CallerDisconnected -> forgetCaller(event.request)
+    is EntryEvent.LeaveRequested -> leave()
 }
 
 private fun Turn.tick(event: EntryEvent.Tick) {
@@ -77,7 +77,7 @@
     exitWhenDone()
 }
 
-private fun Turn.readList(event: EntryEvent.ListRead) {
+private fun Turn.readList(event: EntryEvent.PlatformListRead) {
     val zone = state.membership.self.zone
     state = state.copy(
         membership = state.membership.applyList(event.instances, nowMs),
@@ -90,7 +90,7 @@
 private fun Turn.listen(event: EntryEvent) {
     val membership = state.membership
     when (event) {
-        is EntryEvent.HeartbeatHeard -> {
+        is EntryEvent.HeartbeatReceived -> {
             val known = membership.peers[event.heartbeat.sender.name]?.heartbeat
             state = state.copy(
                 membership = membership.hear(event.heartbeat, nowMs),
@@ -98,11 +98,11 @@
             )
             if (known == null || event.heartbeat.changesOwnership(known)) advanceOwnership()
         }
-        is EntryEvent.SummaryHeard -> {
+        is EntryEvent.SummaryReceived -> {
             state = state.copy(membership = membership.hear(event.summary, nowMs))
-            if (event.isPassedOn) notePassedOn(event.summary) else passOn(event.summary)
+            if (event.isRelayed) notePassedOn(event.summary) else passOn(event.summary)
         }
-        is EntryEvent.PeerClosed -> state = state.copy(membership = membership.closePeer(event.peer, nowMs))
+        is EntryEvent.PeerDisconnected -> state = state.copy(membership = membership.closePeer(event.peer, nowMs))
         else -> Unit
     }
     followPeers()
@@ -110,19 +110,19 @@
 
 private fun Turn.hearStore(event: EntryEvent) {
     when (event) {
-        is EntryEvent.ClaimAnswered -> settleClaim(event.request, event.reply)
+        is EntryEvent.ClaimReplyReceived -> settleClaim(event.request, event.reply)
         is EntryEvent.ClaimsExpired -> noteExpired(event.rows)
         else -> Unit
     }
 }
 
-private fun Turn.hearLoad(event: EntryEvent.LoadHeard) {
+private fun Turn.hearLoad(event: EntryEvent.LoadReported) {
     val next = state.servers.change(event.server) { it.hear(event.report, nowMs) }
     state = state.copy(servers = next)
     wakeWaiting()
 }
 
-private fun Turn.answerLoan(event: EntryEvent.LoanAsked) {
+private fun Turn.answerLoan(event: EntryEvent.LoanRequested) {
     val lent = state.ledger.lend(event.request, state.membership.self.name, nowMs)
     state = state.copy(ledger = lent.ledger)
     add(EntryEffect.AnswerLoan(event.request.borrower, lent.grant))
--- a/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/caps/CapTransitionTest.kt
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/caps/CapTransitionTest.kt
@@ -131,7 +131,7 @@
     }
 }
 
-private fun told(zone: ZoneName, epoch: Long, sequence: Long) = EntryEvent.SummaryHeard(
+private fun told(zone: ZoneName, epoch: Long, sequence: Long) = EntryEvent.SummaryReceived(
     ZoneSummary(zone, sequence, DocumentVersion(epoch), emptyList(), emptyList(), CapEpoch(epoch)),
     isPassedOn = true,
 )
--- a/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/claims/ClaimExpiryTest.kt
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/claims/ClaimExpiryTest.kt
@@ -25,7 +25,7 @@
 private fun startZones(): List<OneEntry> = listOf(NORTH_A, NORTH_B, SOUTH_A, SOUTH_B).map { zone ->
     OneEntry(memberOf("e-${zone.value}", zone)).apply {
         adopt(sampleDocument())
-        handle(EntryEvent.ListRead(listOf(listedOf(member)), serversOf(zone)))
+        handle(EntryEvent.PlatformListRead(listOf(listedOf(member)), serversOf(zone)))
         live(4_000)
     }
 }
@@ -74,7 +74,7 @@
         entry.passHour(hour).shouldBeEmpty()
         entry.live(30_000)
         entry.passHour(hour) shouldHaveSize 1
-        entry.handle(EntryEvent.LeaveAsked)
+        entry.handle(EntryEvent.LeaveRequested)
         entry.live(60_000)
         entry.passHour(hour).shouldBeEmpty()
     }
--- a/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/claims/ClaimTest.kt
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/claims/ClaimTest.kt
@@ -24,7 +24,7 @@
     val recorded = RecordedAnswer(201, "text/plain", "")
 
     fun OneEntry.reply(id: Long, reply: ClaimReply): List<EntryEffect> =
-        handle(EntryEvent.ClaimAnswered(RequestId(id), reply))
+        handle(EntryEvent.ClaimReplyReceived(RequestId(id), reply))
 
     fun rowOf(attempt: AttemptId, state: ClaimState, fingerprint: String = "print", answer: RecordedAnswer? = null) =
         ClaimReply.Exists(ClaimRow(attempt, fingerprint, state, answer), "v1")
--- a/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/documents/AdoptionTest.kt
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/documents/AdoptionTest.kt
@@ -48,14 +48,14 @@
 
     test("`with the store out of reach a document is fetched from a peer that has it`") {
         val entry = OneEntry()
-        val fetch = entry.handle(EntryEvent.HeartbeatHeard(heartbeatWith(3))).only<EntryEffect.FetchFromPeer>()
+        val fetch = entry.handle(EntryEvent.HeartbeatReceived(heartbeatWith(3))).only<EntryEffect.FetchFromPeer>()
         fetch.peer shouldBe memberOf("e2").name
     }
 
     test("`a fetch that failed is made again`") {
         val entry = OneEntry()
         entry.handle(EntryEvent.HeadRead(headOf(2)))
-        entry.handle(EntryEvent.DocumentMissed)
+        entry.handle(EntryEvent.DocumentFetchFailed)
         entry.handle(EntryEvent.HeadRead(headOf(2))).only<EntryEffect.FetchDocument>()
     }
 
@@ -68,7 +68,7 @@
                 when (step % 3) {
                     0 -> entry.adopt(sampleDocument(), step.toLong())
                     1 -> entry.handle(EntryEvent.HeadRead(headOf(step.toLong())))
-                    else -> entry.handle(EntryEvent.DocumentMissed)
+                    else -> entry.handle(EntryEvent.DocumentFetchFailed)
                 }
                 entry.state.adoption.version.value shouldBeGreaterThanOrEqual version
                 version = entry.state.adoption.version.value
--- a/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/ownership/OwnershipTest.kt
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/ownership/OwnershipTest.kt
@@ -37,7 +37,7 @@
         names.map { entries.getValue(it) }.forEach {
             it.nowMs = nowMs
             it.adopt(sampleDocument())
-            it.handle(EntryEvent.ListRead(listed, serversOf(NORTH_A)))
+            it.handle(EntryEvent.PlatformListRead(listed, serversOf(NORTH_A)))
         }
     }
 
@@ -61,7 +61,7 @@
         entry.handle(event).filterIsInstance<EntryEffect.SendHeartbeat>().forEach { sent ->
             sent.addresses.forEach { address ->
                 val atMs = nowMs + random.nextLong(1, 400)
-                mail += Triple(atMs, address.name, EntryEvent.HeartbeatHeard(sent.heartbeat))
+                mail += Triple(atMs, address.name, EntryEvent.HeartbeatReceived(sent.heartbeat))
             }
         }
     }
@@ -105,7 +105,7 @@
         (living.sumOf { it.state.ownership.capParts.size } < CAP_PARTS) shouldBe true
         living.forEach { entry ->
             val listed = left.map { listedOf(zone.entries.getValue(it).member) }
-            entry.handle(EntryEvent.ListRead(listed, serversOf(NORTH_A)))
+            entry.handle(EntryEvent.PlatformListRead(listed, serversOf(NORTH_A)))
         }
         repeat(50) { zone.step(left) }
         living.sumOf { it.state.ownership.capParts.size } shouldBe CAP_PARTS
--- a/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/requests/HandOverTest.kt
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/requests/HandOverTest.kt
@@ -46,7 +46,7 @@
     limits: EntryLimits = EntryLimits(),
 ): OneEntry {
     val entry = readyEntry(document, limits)
-    listOf(far, farther).forEach { entry.handle(EntryEvent.SummaryHeard(summaryOf(it), isPassedOn = false)) }
+    listOf(far, farther).forEach { entry.handle(EntryEvent.SummaryReceived(summaryOf(it), isRelayed = false)) }
     (1L..8L).forEach { entry.arrive(requestOf(it)) }
     entry.effects.clear()
     return entry
@@ -95,7 +95,7 @@
     test("`an answer larger than its credit is charged before it travels`") {
         val entry = fullEntry(sampleDocument(linkBytesPerSecond = 1_000_000))
         val handOver = entry.arrive(requestOf(20)).only<EntryEffect.HandOver>()
-        entry.handle(EntryEvent.CreditAsked(handOver.attempt, missingBytes = 60_000)).shouldBeEmpty()
+        entry.handle(EntryEvent.CreditRequested(handOver.attempt, missingBytes = 60_000)).shouldBeEmpty()
         val granted = (1..100).firstOrNull { entry.pass(20).any { it is EntryEffect.GrantCredit } }
         val zoneBytesPerSecond = 1_000_000 * 90 / 100 / 4
         val shortestMs = (60_000 - zoneBytesPerSecond / 10) * 1_000 / zoneBytesPerSecond
--- a/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/requests/RetryTest.kt
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/requests/RetryTest.kt
@@ -23,7 +23,7 @@
 class RetryTest : FunSpec({
     fun OneEntry.book(id: Long): EntryEffect.Forward {
         arrive(requestOf(id, BOOKINGS))
-        return handle(EntryEvent.ClaimAnswered(RequestId(id), ClaimReply.Written)).only()
+        return handle(EntryEvent.ClaimReplyReceived(RequestId(id), ClaimReply.Written)).only()
     }
 
     test("`a read whose answer got lost is tried at another server`") {
--- a/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/servers/LeavingServerTest.kt
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/servers/LeavingServerTest.kt
@@ -24,11 +24,11 @@
 
 private fun OneEntry.readList(isLeavingMarked: Boolean) {
     val servers = serversOf(NORTH_A).map { if (it.name == leaving) it.copy(isLeaving = isLeavingMarked) else it }
-    handle(EntryEvent.ListRead(listOf(listedOf(member)), servers))
+    handle(EntryEvent.PlatformListRead(listOf(listedOf(member)), servers))
 }
 
 private fun OneEntry.hearLoad(isLeaving: Boolean) =
-    handle(EntryEvent.LoadHeard(leaving, LoadReport(inFlight = 0, isLeaving = isLeaving)))
+    handle(EntryEvent.LoadReported(leaving, LoadReport(inFlight = 0, isLeaving = isLeaving)))
 
 /** Sends a request to the server, and ends it with [result]. */
 private fun OneEntry.meet(result: AttemptResult) {
@@ -91,7 +91,7 @@
         val forwards = (1L..8L).map { entry.arrive(requestOf(it)).only<EntryEffect.Forward>() }
         val running = forwards.first { it.server == leaving }
         val others = serversOf(NORTH_A).filter { it.name != leaving }
-        entry.handle(EntryEvent.ListRead(listOf(listedOf(entry.member)), others))
+        entry.handle(EntryEvent.PlatformListRead(listOf(listedOf(entry.member)), others))
         (forwards - running).forEach {
             entry.handle(EntryEvent.AttemptEnded(it.attempt, AttemptResult.Answered(null)))
         }
--- a/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/servers/SlotUseTest.kt
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/servers/SlotUseTest.kt
@@ -40,7 +40,7 @@
     test("`a server that is new gets one slot more for each part of the slow start`") {
         val entry = readyEntry(sampleDocument(slots = SLOTS, policy = Policy(slowStartMs = SLOW_START_MS)))
         val added = serversOf(NORTH_A).first().copy(name = fresh, address = SocketAddress("127.0.2.9", 9_000))
-        entry.handle(EntryEvent.ListRead(listOf(listedOf(entry.member)), serversOf(NORTH_A) + added))
+        entry.handle(EntryEvent.PlatformListRead(listOf(listedOf(entry.member)), serversOf(NORTH_A) + added))
         val slots = (1..SLOTS).map { entry.view(fresh).also { entry.live(SLOW_START_MS / SLOTS) } }
         slots shouldBe listOf(1, 1, 2, 3)
         entry.view(fresh) shouldBe SLOTS
@@ -54,7 +54,7 @@
     test("`a report that claims no load doesn't let more in than there are slots`") {
         val entry = readyEntry(sampleDocument(slots = SLOTS))
         (1L..40L).forEach {
-            entry.handle(EntryEvent.LoadHeard(first, LoadReport(inFlight = 0, isLeaving = false)))
+            entry.handle(EntryEvent.LoadReported(first, LoadReport(inFlight = 0, isLeaving = false)))
             entry.arrive(requestOf(it))
         }
         entry.load() shouldBe SLOTS
@@ -62,13 +62,13 @@
 
     test("`a report that claims full load leaves one slot, so that it can be proved wrong`") {
         val entry = readyEntry(sampleDocument(slots = SLOTS))
-        entry.handle(EntryEvent.LoadHeard(first, LoadReport(inFlight = 1_000, isLeaving = false)))
+        entry.handle(EntryEvent.LoadReported(first, LoadReport(inFlight = 1_000, isLeaving = false)))
         entry.view(first) shouldBe 1
     }
 
     test("`a report that is no longer renewed is forgotten`") {
         val entry = readyEntry(sampleDocument(slots = SLOTS))
-        entry.handle(EntryEvent.LoadHeard(first, LoadReport(inFlight = 3, isLeaving = false)))
+        entry.handle(EntryEvent.LoadReported(first, LoadReport(inFlight = 3, isLeaving = false)))
         entry.view(first) shouldBe 1
         entry.live(Policy().measurementMaxAgeMs)
         entry.view(first) shouldBe SLOTS
--- a/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/session/BookingWorld.kt
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/session/BookingWorld.kt
@@ -82,7 +82,7 @@
         val entry = entries.getValue(name)
         entry.nowMs = nowMs
         entry.adopt(sampleDocument())
-        entry.handle(EntryEvent.ListRead(entries.values.map { listedOf(it.member) }, serversOf(NORTH_A)))
+        entry.handle(EntryEvent.PlatformListRead(entries.values.map { listedOf(it.member) }, serversOf(NORTH_A)))
     }
 
     /** Plans [count] bookings over [spanMs]; each key is tried up to three times, through any instances. */
@@ -149,7 +149,7 @@
             is EntryEffect.HandOver -> handOver(name, life, entry, effect)
             is EntryEffect.Answer -> answer(effect)
             is EntryEffect.SendHeartbeat -> effect.addresses.forEach { to ->
-                plan(random.nextLong(1, 100)) { deliver(to.name, EntryEvent.HeartbeatHeard(effect.heartbeat)) }
+                plan(random.nextLong(1, 100)) { deliver(to.name, EntryEvent.HeartbeatReceived(effect.heartbeat)) }
             }
             else -> Unit
         }
@@ -160,7 +160,7 @@
         val isLost = hits(rates.storeLost)
         val arriveMs = random.nextLong(1, 300)
         val reply = { answer: ClaimReply ->
-            plan(random.nextLong(1, 100)) { deliver(name, EntryEvent.ClaimAnswered(effect.request, answer), life) }
+            plan(random.nextLong(1, 100)) { deliver(name, EntryEvent.ClaimReplyReceived(effect.request, answer), life) }
         }
         when {
             isDown -> reply(ClaimReply.Unavailable)
--- a/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/session/GoldenSessions.kt
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/session/GoldenSessions.kt
@@ -37,7 +37,7 @@
     fun start(): Script = apply {
         say(EntryEvent.HeadRead(DocumentHead(DocumentVersion(1), "hash-1")))
         say(EntryEvent.DocumentFetched(DocumentHead(DocumentVersion(1), "hash-1"), sampleDocument()))
-        say(EntryEvent.ListRead(listOf(listedOf(memberOf("e1"))), serversOf(NORTH_A)))
+        say(EntryEvent.PlatformListRead(listOf(listedOf(memberOf("e1"))), serversOf(NORTH_A)))
         repeat(8) { tick() }
     }
 
@@ -46,21 +46,21 @@
         end(1, 1, AttemptResult.Lost(Reason.CONNECTION_LOST))
         end(1, 2, AttemptResult.Answered())
         say(EntryEvent.RequestArrived(requestOf(2, BOOKINGS, nowMs + 2_000)))
-        say(EntryEvent.ClaimAnswered(RequestId(2), ClaimReply.Lost))
-        say(EntryEvent.ClaimAnswered(RequestId(2), ClaimReply.Absent))
-        say(EntryEvent.ClaimAnswered(RequestId(2), ClaimReply.Written))
+        say(EntryEvent.ClaimReplyReceived(RequestId(2), ClaimReply.Lost))
+        say(EntryEvent.ClaimReplyReceived(RequestId(2), ClaimReply.Absent))
+        say(EntryEvent.ClaimReplyReceived(RequestId(2), ClaimReply.Written))
         end(2, 1, AttemptResult.Refused(Reason.SERVER_REFUSED, 1_000, isServerLeaving = true))
         end(2, 2, answered)
-        say(EntryEvent.LoadHeard(serversOf(NORTH_A).first().name, LoadReport(1, isLeaving = true)))
+        say(EntryEvent.LoadReported(serversOf(NORTH_A).first().name, LoadReport(1, isLeaving = true)))
         tick()
     }
 
     fun outage(): Script = apply {
         say(EntryEvent.RequestArrived(requestOf(1, BOOKINGS, nowMs + 2_000)))
-        say(EntryEvent.ClaimAnswered(RequestId(1), ClaimReply.Unavailable))
+        say(EntryEvent.ClaimReplyReceived(RequestId(1), ClaimReply.Unavailable))
         val binding = Binding(memberOf("e1").incarnation, nowMs)
         say(EntryEvent.RequestArrived(requestOf(2, BOOKINGS, nowMs + 2_000, key = "key-1", binding = binding)))
-        say(EntryEvent.ClaimAnswered(RequestId(2), ClaimReply.Unavailable))
+        say(EntryEvent.ClaimReplyReceived(RequestId(2), ClaimReply.Unavailable))
         end(2, 1, answered)
         say(EntryEvent.RequestArrived(requestOf(3, BOOKINGS, nowMs + 2_000, key = "key-1", binding = binding)))
         tick()
@@ -68,7 +68,7 @@
 
     fun leave(): Script = apply {
         say(EntryEvent.RequestArrived(requestOf(3, deadlineAtMs = nowMs + 20_000)))
-        say(EntryEvent.LeaveAsked)
+        say(EntryEvent.LeaveRequested)
         repeat(11) { tick() }
         say(EntryEvent.RequestArrived(requestOf(4, deadlineAtMs = nowMs + 1_000)))
         end(3, 1, AttemptResult.Answered())
--- a/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/support/OneEntry.kt
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/support/OneEntry.kt
@@ -111,7 +111,7 @@
 ): OneEntry {
     val entry = OneEntry(limits = limits)
     entry.adopt(document)
-    entry.handle(EntryEvent.ListRead(listOf(listedOf(entry.member)), serversOf(NORTH_A)))
+    entry.handle(EntryEvent.PlatformListRead(listOf(listedOf(entry.member)), serversOf(NORTH_A)))
     entry.live(4_000)
     entry.effects.clear()
     return entry
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/EntryProcess.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/EntryProcess.kt
@@ -131,7 +131,7 @@
     /** Leaves gracefully: finishes what is open, writes the claims that are not settled, and stops all parts. */
     public fun stop() {
         log.info("${settings.name.value} is leaving.")
-        ring.put(EntryEvent.LeaveAsked)
+        ring.put(EntryEvent.LeaveRequested)
         callerServer?.leave()
         val isDone = loop.awaitExit(settings.times.exitLimitMs)
         awaitSettled()
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/admin/AdminApi.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/admin/AdminApi.kt
@@ -71,7 +71,7 @@
     }
 
     private fun leave(): Response {
-        ring.put(EntryEvent.LeaveAsked)
+        ring.put(EntryEvent.LeaveRequested)
         return Response(Status.OK).body("leaving\n")
     }
 }
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/claims/ClaimWorkers.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/claims/ClaimWorkers.kt
@@ -65,7 +65,7 @@
     }
 
     private fun report(request: RequestId, reply: ClaimReply) {
-        ring.put(EntryEvent.ClaimAnswered(request, reply))
+        ring.put(EntryEvent.ClaimReplyReceived(request, reply))
     }
 
     private fun settle(settlement: Settlement) {
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/documents/DocumentKeeper.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/documents/DocumentKeeper.kt
@@ -112,7 +112,7 @@
     }
 
     private fun miss() {
-        ring.put(EntryEvent.DocumentMissed)
+        ring.put(EntryEvent.DocumentFetchFailed)
     }
 
     private class Held(val head: DocumentHead, val contents: ByteArray, val table: ClientBlockTable)
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/peers/EntryPeerHandler.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/peers/EntryPeerHandler.kt
@@ -23,8 +23,8 @@
 ) : PeerHandler {
     override fun receive(message: PeerMessage, replies: PeerReplies) {
         when (message) {
-            is PeerMessage.Beat -> ring.put(EntryEvent.HeartbeatHeard(message.heartbeat))
-            is PeerMessage.Summary -> ring.put(EntryEvent.SummaryHeard(message.summary, message.isPassedOn))
+            is PeerMessage.Beat -> ring.put(EntryEvent.HeartbeatReceived(message.heartbeat))
+            is PeerMessage.Summary -> ring.put(EntryEvent.SummaryReceived(message.summary, message.isPassedOn))
             is PeerMessage.LoanAsk -> askLoan(message, replies)
             is PeerMessage.ContentsAsk -> replies.send(keeper.answer(message))
             is PeerMessage.HandOver -> desk.take(message, replies)
@@ -36,14 +36,14 @@
 
     private fun askLoan(message: PeerMessage.LoanAsk, replies: PeerReplies) {
         loans.remember(message.request, replies)
-        ring.put(EntryEvent.LoanAsked(message.request))
+        ring.put(EntryEvent.LoanRequested(message.request))
     }
 
     override fun receiveReply(message: PeerMessage) {
         when (message) {
-            is PeerMessage.LoanReply -> ring.put(EntryEvent.LoanAnswered(message.grant))
+            is PeerMessage.LoanReply -> ring.put(EntryEvent.LoanReplyReceived(message.grant))
             is PeerMessage.ContentsReply -> keeper.receive(message, askBlocks)
-            is PeerMessage.HandOverHeld -> ring.put(EntryEvent.CreditAsked(message.attempt, message.missingBytes))
+            is PeerMessage.HandOverHeld -> ring.put(EntryEvent.CreditRequested(message.attempt, message.missingBytes))
             is PeerMessage.HandOverEnd -> results.take(message)
             else -> Unit
         }
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/peers/HandOverDesk.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/peers/HandOverDesk.kt
@@ -46,7 +46,7 @@
     /** Stops a request that was taken over. */
     public fun cancel(attempt: AttemptId) {
         held.remove(attempt)
-        running[attempt]?.let { ring.put(EntryEvent.CallerGone(it)) }
+        running[attempt]?.let { ring.put(EntryEvent.CallerDisconnected(it)) }
     }
 
     /** Sends an answer that was held back. */
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/polling/PlatformPollers.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/polling/PlatformPollers.kt
@@ -63,7 +63,7 @@
 
     private fun readList() {
         parts.list.read().onSuccess { instances ->
-            ring.put(EntryEvent.ListRead(instances.mapNotNull(::entryOf), instances.mapNotNull(::serverOf)))
+            ring.put(EntryEvent.PlatformListRead(instances.mapNotNull(::entryOf), instances.mapNotNull(::serverOf)))
         }
     }
 
@@ -108,7 +108,7 @@
         if (answer.status != StatusCode.OK) return
         try {
             val load = json.decodeFromString<LoadReport>(answer.body.decodeToString())
-            ring.put(EntryEvent.LoadHeard(server, load))
+            ring.put(EntryEvent.LoadReported(server, load))
         } catch (@Suppress("SwallowedException") e: SerializationException) {
             return
         }
