--- a/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/policy/FakeFleet.kt
+++ b/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/policy/FakeFleet.kt
@@ -50,7 +50,7 @@
 
     fun newId(): RequestId = RequestId(nextId++)
 
-    fun submit(entry: FakeEntry, spec: RequestSpec, onAnswer: (EntryEffect.Answer) -> Unit) {
+    fun submit(entry: FakeEntry, spec: RequestSpec, onAnswer: (EntryEffect.Respond) -> Unit) {
         chains[spec.id] = Chain(spec, onAnswer)
         deliver(entry, EntryEvent.RequestArrived(spec))
     }
@@ -83,10 +83,10 @@
 
     private fun perform(entry: FakeEntry, effect: EntryEffect) {
         when (effect) {
-            is EntryEffect.OnClaim -> callStore(entry, effect)
+            is EntryEffect.ClaimEffect -> callStore(entry, effect)
             is EntryEffect.Forward -> forward(entry, effect)
             is EntryEffect.HandOver -> handOver(entry, effect)
-            is EntryEffect.Answer -> chains.remove(effect.request)?.onAnswer?.invoke(effect)
+            is EntryEffect.Respond -> chains.remove(effect.request)?.onAnswer?.invoke(effect)
             is EntryEffect.SendSummary -> effect.addresses.forEach { to ->
                 val target = entries.first { it.member.name == to.name }
                 val event = EntryEvent.SummaryReceived(effect.summary, isRelayed = false)
@@ -96,8 +96,8 @@
         }
     }
 
-    private fun callStore(entry: FakeEntry, effect: EntryEffect.OnClaim) {
-        if (effect is EntryEffect.ReleaseClaim || effect is EntryEffect.RecordAnswer) return
+    private fun callStore(entry: FakeEntry, effect: EntryEffect.ClaimEffect) {
+        if (effect is EntryEffect.ReleaseClaim || effect is EntryEffect.RecordResponse) return
         val delayMs = 2 * world.delayMs(entry.member.zone, world.zones.first()) + 1
         val reply = if (world.case.isStoreDown) ClaimReply.Unavailable else ClaimReply.Written
         world.time.plan(delayMs) { deliver(entry, EntryEvent.ClaimReplyReceived(effect.request, reply)) }
@@ -108,7 +108,7 @@
         val from = chains[effect.request]?.spec?.clientZone
         if (from != null) world.noteShift(from, server)
         server.take { hasRun ->
-            val result = if (hasRun) AttemptResult.Answered(answer) else AttemptResult.Refused(Reason.SERVER_REFUSED)
+            val result = if (hasRun) AttemptResult.Completed(answer) else AttemptResult.Refused(Reason.SERVER_REFUSED)
             deliver(entry, EntryEvent.AttemptEnded(effect.attempt, result))
         }
     }
@@ -130,11 +130,11 @@
         }
     }
 
-    private fun resultOf(answered: EntryEffect.Answer): AttemptResult = when (answered.reason.outcome) {
-        Outcome.RAN -> AttemptResult.Answered(answer)
+    private fun resultOf(answered: EntryEffect.Respond): AttemptResult = when (answered.reason.outcome) {
+        Outcome.RAN -> AttemptResult.Completed(answer)
         Outcome.NOT_RUN -> AttemptResult.Refused(answered.reason)
         Outcome.UNKNOWN -> AttemptResult.Lost(answered.reason)
     }
 
-    private class Chain(val spec: RequestSpec, val onAnswer: (EntryEffect.Answer) -> Unit)
+    private class Chain(val spec: RequestSpec, val onAnswer: (EntryEffect.Respond) -> Unit)
 }
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/DocumentFollowing.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/DocumentFollowing.kt
@@ -30,7 +30,7 @@
     val isAdopted = next !== state.adoption
     state = state.copy(adoption = next)
     if (!isAdopted) return
-    add(EntryEffect.Adopted(event.head))
+    add(EntryEffect.DocumentAdopted(event.head))
     adoptCaps(event.head.capEpoch)
     advanceOwnership()
     wakeWaiting()
@@ -49,5 +49,5 @@
         .flatMap { zone -> zone.summary.members.map { it.member } }
     val source = (near + far).minByOrNull { it.name.value } ?: return
     state = state.copy(adoption = state.adoption.startFetch(newest, nowMs))
-    add(EntryEffect.FetchFromPeer(source.name, source.peerAddress))
+    add(EntryEffect.FetchDocumentFromPeer(source.name, source.peerAddress))
 }
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/EntryEffect.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/EntryEffect.kt
@@ -3,6 +3,7 @@
  */
 package org.cardamomwharf.decision
 
+import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import org.cardamomwharf.core.AttemptId
 import org.cardamomwharf.core.InstanceName
@@ -25,7 +26,7 @@
 public sealed interface EntryEffect {
     /** Represents an effect on one claim row. */
     @Serializable
-    public sealed interface OnClaim : EntryEffect {
+    public sealed interface ClaimEffect : EntryEffect {
         /** The request that the claim belongs to. */
         public val request: RequestId
 
@@ -43,7 +44,7 @@
         override val claim: ClaimName,
         override val attempt: AttemptId,
         public val fingerprint: String,
-    ) : OnClaim
+    ) : ClaimEffect
 
     /** Read the claim row, and answer with `ClaimReplyReceived`. */
     @Serializable
@@ -51,7 +52,7 @@
         override val request: RequestId,
         override val claim: ClaimName,
         override val attempt: AttemptId,
-    ) : OnClaim
+    ) : ClaimEffect
 
     /** Replace a released claim row, and answer with `ClaimReplyReceived`. */
     @Serializable
@@ -61,7 +62,7 @@
         override val attempt: AttemptId,
         public val fingerprint: String,
         public val rowVersion: String,
-    ) : OnClaim
+    ) : ClaimEffect
 
     /** Mark the claim row as released, if it is absent or names [attempt]; nothing ran. */
     @Serializable
@@ -70,17 +71,18 @@
         override val claim: ClaimName,
         override val attempt: AttemptId,
         public val fingerprint: String,
-    ) : OnClaim
+    ) : ClaimEffect
 
     /** Record the answer in the claim row. */
     @Serializable
-    public data class RecordAnswer(
+    @SerialName("org.cardamomwharf.decision.EntryEffect.RecordAnswer")
+    public data class RecordResponse(
         override val request: RequestId,
         override val claim: ClaimName,
         override val attempt: AttemptId,
         public val fingerprint: String,
         public val answer: RecordedAnswer,
-    ) : OnClaim
+    ) : ClaimEffect
 
     /** Delete up to [limit] claim rows that weren't written for this long, and answer with `ClaimsExpired`. */
     @Serializable
@@ -127,7 +129,8 @@
      * @param offer the binding that the caller may use for this key while the table service is down.
      */
     @Serializable
-    public data class Answer(
+    @SerialName("org.cardamomwharf.decision.EntryEffect.Answer")
+    public data class Respond(
         public val request: RequestId,
         public val reason: Reason,
         public val retryAfterMs: Long = 0,
@@ -146,11 +149,13 @@
 
     /** Fetch a newer document from a peer. */
     @Serializable
-    public data class FetchFromPeer(public val peer: InstanceName, public val address: SocketAddress) : EntryEffect
+    @SerialName("org.cardamomwharf.decision.EntryEffect.FetchFromPeer")
+    public data class FetchDocumentFromPeer(public val peer: InstanceName, public val address: SocketAddress) : EntryEffect
 
     /** The document [head] is in force from now on. */
     @Serializable
-    public data class Adopted(public val head: DocumentHead) : EntryEffect
+    @SerialName("org.cardamomwharf.decision.EntryEffect.Adopted")
+    public data class DocumentAdopted(public val head: DocumentHead) : EntryEffect
 
     /** Send a heartbeat to all instances of the own zone. */
     @Serializable
@@ -169,18 +174,21 @@
 
     /** Pass a summary of another zone on to the instances of the own zone. */
     @Serializable
-    public data class PassOnSummary(
+    @SerialName("org.cardamomwharf.decision.EntryEffect.PassOnSummary")
+    public data class RelaySummary(
         public val summary: ZoneSummary,
         public val addresses: List<PeerAddress>,
     ) : EntryEffect
 
     /** Ask a peer for a loan. */
     @Serializable
-    public data class AskLoan(public val peer: PeerAddress, public val loan: LoanRequest) : EntryEffect
+    @SerialName("org.cardamomwharf.decision.EntryEffect.AskLoan")
+    public data class RequestLoan(public val peer: PeerAddress, public val loan: LoanRequest) : EntryEffect
 
     /** Answer a peer's request for a loan. */
     @Serializable
-    public data class AnswerLoan(public val borrower: InstanceName, public val grant: LoanGrant) : EntryEffect
+    @SerialName("org.cardamomwharf.decision.EntryEffect.AnswerLoan")
+    public data class ReplyToLoanRequest(public val borrower: InstanceName, public val grant: LoanGrant) : EntryEffect
 
     /** Nothing is left to finish; the process may end. */
     @Serializable
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/EntryMachine.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/EntryMachine.kt
@@ -125,5 +125,5 @@
 private fun Turn.answerLoan(event: EntryEvent.LoanRequested) {
     val lent = state.ledger.lend(event.request, state.membership.self.name, nowMs)
     state = state.copy(ledger = lent.ledger)
-    add(EntryEffect.AnswerLoan(event.request.borrower, lent.grant))
+    add(EntryEffect.ReplyToLoanRequest(event.request.borrower, lent.grant))
 }
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/Summaries.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/Summaries.kt
@@ -63,7 +63,7 @@
 internal fun Turn.passOn(summary: ZoneSummary) {
     if (summary.zone == state.membership.self.zone || !isPassDue(summary.zone)) return
     state = state.copy(passedOnAtMs = state.passedOnAtMs.put(summary.zone, nowMs))
-    add(EntryEffect.PassOnSummary(summary, findZoneAddresses()))
+    add(EntryEffect.RelaySummary(summary, findZoneAddresses()))
 }
 
 /** Notes that another delegate passed a summary on. */
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/Admission.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/Admission.kt
@@ -87,7 +87,7 @@
 }
 
 private fun Turn.refuse(spec: RequestSpec, reason: Reason) {
-    add(EntryEffect.Answer(spec.id, reason, retryAfterMs = retryAfterMs(reason)))
+    add(EntryEffect.Respond(spec.id, reason, retryAfterMs = retryAfterMs(reason)))
 }
 
 internal fun Turn.newAttemptId(spec: RequestSpec, number: Int): AttemptId {
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/AnswerTrust.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/AnswerTrust.kt
@@ -22,11 +22,11 @@
 }
 
 private val AttemptResult.isAnswer: Boolean
-    get() = this is AttemptResult.Answered || this is AttemptResult.Refused
+    get() = this is AttemptResult.Completed || this is AttemptResult.Refused
 
 private val AttemptResult.isNamedAnswer: Boolean
     get() = when (this) {
-        is AttemptResult.Answered -> isNamed
+        is AttemptResult.Completed -> isNamed
         is AttemptResult.Refused -> isNamed
         is AttemptResult.NotSent, is AttemptResult.Lost -> false
     }
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/AttemptEnding.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/AttemptEnding.kt
@@ -24,7 +24,7 @@
     state = state.copy(held = state.held.remove(attempt))
     noteServer(running.target, result)
     notePeer(running.target, result)
-    if (running.target is Target.Server && result is AttemptResult.Answered) {
+    if (running.target is Target.Server && result is AttemptResult.Completed) {
         val tookMs = nowMs - running.startedAtMs
         state = state.copy(serviceTimes = state.serviceTimes.note(running.service, tookMs))
     }
@@ -40,7 +40,7 @@
     val next = state.servers.change(target.name) { server ->
         val released = server.release()
         when (result) {
-            is AttemptResult.Answered ->
+            is AttemptResult.Completed ->
                 released.succeed(nowMs).copy(isLeaving = server.isLeaving || result.isServerLeaving)
             is AttemptResult.Refused ->
                 released.refuse(result.retryAfterMs, nowMs)
@@ -68,7 +68,7 @@
 private fun Turn.goOn(request: OpenRequest, target: Target, attempt: AttemptId, result: AttemptResult) {
     val tried = exclude(request, target)
     when (result) {
-        is AttemptResult.Answered -> end(request, Reason.ANSWERED, attempt, result.recorded)
+        is AttemptResult.Completed -> end(request, Reason.ANSWERED, attempt, result.recorded)
         is AttemptResult.NotSent -> tryAgain(tried, result.reason)
         is AttemptResult.Refused -> tryAgain(tried, result.reason)
         is AttemptResult.Lost -> {
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/AttemptResult.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/AttemptResult.kt
@@ -4,6 +4,7 @@
  */
 package org.cardamomwharf.decision.requests
 
+import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import org.cardamomwharf.core.Reason
 import org.cardamomwharf.decision.claims.RecordedAnswer
@@ -18,7 +19,8 @@
      * @param isNamed whether the answer named the attempt that it belongs to.
      */
     @Serializable
-    public data class Answered(
+    @SerialName("org.cardamomwharf.decision.requests.AttemptResult.Answered")
+    public data class Completed(
         public val recorded: RecordedAnswer? = null,
         public val isServerLeaving: Boolean = false,
         public val isNamed: Boolean = false,
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/HandingOver.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/HandingOver.kt
@@ -128,6 +128,6 @@
         val units = charge.amount * LOAN_SECONDS_OF_CHARGE
         val loan = LoanRequest(state.membership.self.name, charge.cap, units, askedAtMs = nowMs)
         state = state.copy(loanAskedAtMs = asked)
-        add(EntryEffect.AskLoan(PeerAddress(lender.name, lender.peerAddress), loan))
+        add(EntryEffect.RequestLoan(PeerAddress(lender.name, lender.peerAddress), loan))
     }
 }
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/RequestEnding.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/RequestEnding.kt
@@ -29,7 +29,7 @@
     changeRequests { it.close(request.spec.id) }
     settleKey(request, reason, recorded)
     add(
-        EntryEffect.Answer(
+        EntryEffect.Respond(
             request = request.spec.id,
             reason = reason,
             retryAfterMs = retryAfterMs(reason),
@@ -60,7 +60,7 @@
     request.spec.fingerprint,
 )
 
-private fun recordOf(request: OpenRequest, answer: RecordedAnswer) = EntryEffect.RecordAnswer(
+private fun recordOf(request: OpenRequest, answer: RecordedAnswer) = EntryEffect.RecordResponse(
     request.spec.id,
     request.claimName,
     request.claimAttempt,
--- a/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/caps/CapTransitionTest.kt
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/caps/CapTransitionTest.kt
@@ -133,7 +133,7 @@
 
 private fun told(zone: ZoneName, epoch: Long, sequence: Long) = EntryEvent.SummaryReceived(
     ZoneSummary(zone, sequence, DocumentVersion(epoch), emptyList(), emptyList(), CapEpoch(epoch)),
-    isPassedOn = true,
+    isRelayed = true,
 )
 
 private fun headOf(epoch: Long) = DocumentHead(DocumentVersion(epoch), "hash-$epoch", CapEpoch(epoch))
--- a/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/claims/ClaimTest.kt
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/claims/ClaimTest.kt
@@ -68,7 +68,7 @@
             entry.pass(600).only<EntryEffect.ReadClaim>()
         }
         val effects = entry.reply(1, held)
-        effects.only<EntryEffect.Answer>().reason shouldBe Reason.KEY_IN_PROGRESS
+        effects.only<EntryEffect.Respond>().reason shouldBe Reason.KEY_IN_PROGRESS
         effects.filterIsInstance<EntryEffect.ReleaseClaim>().shouldBeEmpty()
     }
 
@@ -76,9 +76,9 @@
         val entry = readyEntry()
         entry.arrive(requestOf(1, BOOKINGS))
         val done = rowOf(AttemptId("other"), ClaimState.DONE, answer = recorded)
-        entry.reply(1, done).only<EntryEffect.Answer>().recorded shouldBe recorded
+        entry.reply(1, done).only<EntryEffect.Respond>().recorded shouldBe recorded
         entry.arrive(requestOf(2, BOOKINGS).copy(fingerprint = "another"))
-        entry.reply(2, done).only<EntryEffect.Answer>().reason shouldBe Reason.KEY_REUSED
+        entry.reply(2, done).only<EntryEffect.Respond>().reason shouldBe Reason.KEY_REUSED
     }
 
     test("`a released key may be claimed again`") {
@@ -92,7 +92,7 @@
         val entry = readyEntry()
         entry.arrive(requestOf(1, BOOKINGS))
         val effects = entry.reply(1, ClaimReply.Unavailable)
-        val answer = effects.only<EntryEffect.Answer>()
+        val answer = effects.only<EntryEffect.Respond>()
         answer.reason shouldBe Reason.STORE_UNAVAILABLE
         answer.offer?.incarnation shouldBe entry.member.incarnation
         effects.only<EntryEffect.ReleaseClaim>()
@@ -103,20 +103,20 @@
         val binding = Binding(entry.member.incarnation, entry.nowMs)
         entry.arrive(requestOf(1, BOOKINGS, key = "k", binding = binding))
         val forward = entry.reply(1, ClaimReply.Unavailable).only<EntryEffect.Forward>()
-        entry.arrive(requestOf(2, BOOKINGS, key = "k", binding = binding)).only<EntryEffect.Answer>().reason shouldBe
+        entry.arrive(requestOf(2, BOOKINGS, key = "k", binding = binding)).only<EntryEffect.Respond>().reason shouldBe
             Reason.KEY_IN_PROGRESS
-        entry.handle(EntryEvent.AttemptEnded(forward.attempt, AttemptResult.Answered(recorded)))
-        entry.arrive(requestOf(3, BOOKINGS, key = "k", binding = binding)).only<EntryEffect.Answer>().recorded shouldBe
+        entry.handle(EntryEvent.AttemptEnded(forward.attempt, AttemptResult.Completed(recorded)))
+        entry.arrive(requestOf(3, BOOKINGS, key = "k", binding = binding)).only<EntryEffect.Respond>().recorded shouldBe
             recorded
     }
 
     test("`a binding to another incarnation is refused, and an expired one is unknown`") {
         val entry = readyEntry()
         val other = Binding(Incarnation(8), entry.nowMs)
-        entry.arrive(requestOf(1, BOOKINGS, binding = other)).only<EntryEffect.Answer>().reason shouldBe
+        entry.arrive(requestOf(1, BOOKINGS, binding = other)).only<EntryEffect.Respond>().reason shouldBe
             Reason.BINDING_ELSEWHERE
         val old = Binding(entry.member.incarnation, entry.nowMs - 600_000)
-        entry.arrive(requestOf(2, BOOKINGS, binding = old)).only<EntryEffect.Answer>().reason shouldBe
+        entry.arrive(requestOf(2, BOOKINGS, binding = old)).only<EntryEffect.Respond>().reason shouldBe
             Reason.BINDING_EXPIRED
     }
 
@@ -126,18 +126,18 @@
             entry.arrive(requestOf(it, BOOKINGS))
             entry.reply(it, ClaimReply.Unavailable)
         }
-        entry.arrive(requestOf(4, BOOKINGS)).only<EntryEffect.Answer>().reason shouldBe Reason.STORE_UNAVAILABLE
+        entry.arrive(requestOf(4, BOOKINGS)).only<EntryEffect.Respond>().reason shouldBe Reason.STORE_UNAVAILABLE
         entry.nowMs += 1_000
         entry.arrive(requestOf(5, BOOKINGS)).only<EntryEffect.InsertClaim>()
-        entry.arrive(requestOf(6, BOOKINGS)).only<EntryEffect.Answer>().reason shouldBe Reason.STORE_UNAVAILABLE
+        entry.arrive(requestOf(6, BOOKINGS)).only<EntryEffect.Respond>().reason shouldBe Reason.STORE_UNAVAILABLE
     }
 
     test("`an answer is recorded once the booking ran`") {
         val entry = readyEntry()
         entry.arrive(requestOf(1, BOOKINGS))
         val forward = entry.reply(1, ClaimReply.Written).only<EntryEffect.Forward>()
-        val effects = entry.handle(EntryEvent.AttemptEnded(forward.attempt, AttemptResult.Answered(recorded)))
-        effects.only<EntryEffect.RecordAnswer>().answer shouldBe recorded
-        effects.filterIsInstance<EntryEffect.Answer>() shouldHaveSize 1
+        val effects = entry.handle(EntryEvent.AttemptEnded(forward.attempt, AttemptResult.Completed(recorded)))
+        effects.only<EntryEffect.RecordResponse>().answer shouldBe recorded
+        effects.filterIsInstance<EntryEffect.Respond>() shouldHaveSize 1
     }
 })
--- a/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/documents/AdoptionTest.kt
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/documents/AdoptionTest.kt
@@ -40,7 +40,7 @@
         val entry = OneEntry()
         entry.handle(EntryEvent.HeadRead(headOf(2))).only<EntryEffect.FetchDocument>().head shouldBe headOf(2)
         entry.handle(EntryEvent.HeadRead(headOf(2))).shouldBeEmpty()
-        entry.adopt(sampleDocument(), version = 2).only<EntryEffect.Adopted>()
+        entry.adopt(sampleDocument(), version = 2).only<EntryEffect.DocumentAdopted>()
         entry.handle(EntryEvent.HeadRead(headOf(1))).shouldBeEmpty()
         entry.adopt(sampleDocument(), version = 1).shouldBeEmpty()
         entry.state.adoption.version shouldBe DocumentVersion(2)
@@ -48,7 +48,7 @@
 
     test("`with the store out of reach a document is fetched from a peer that has it`") {
         val entry = OneEntry()
-        val fetch = entry.handle(EntryEvent.HeartbeatReceived(heartbeatWith(3))).only<EntryEffect.FetchFromPeer>()
+        val fetch = entry.handle(EntryEvent.HeartbeatReceived(heartbeatWith(3))).only<EntryEffect.FetchDocumentFromPeer>()
         fetch.peer shouldBe memberOf("e2").name
     }
 
--- a/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/requests/AdmissionTest.kt
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/requests/AdmissionTest.kt
@@ -23,7 +23,7 @@
 class AdmissionTest : FunSpec({
     test("`an instance without a document refuses as not run and says when to come back`") {
         val entry = OneEntry()
-        val answer = entry.arrive(requestOf(1)).only<EntryEffect.Answer>()
+        val answer = entry.arrive(requestOf(1)).only<EntryEffect.Respond>()
         answer.reason shouldBe Reason.NO_DOCUMENT
         answer.reason.outcome shouldBe Outcome.NOT_RUN
         answer.retryAfterMs shouldBe 1_000
@@ -32,11 +32,11 @@
     test("`an unknown service, a missing key and a deadline that can't be met are refused`") {
         val entry = readyEntry()
         val unknown = requestOf(1).copy(service = ServiceName("nowhere"))
-        entry.arrive(unknown).only<EntryEffect.Answer>().reason shouldBe Reason.UNKNOWN_SERVICE
+        entry.arrive(unknown).only<EntryEffect.Respond>().reason shouldBe Reason.UNKNOWN_SERVICE
         val keyless = requestOf(2, BOOKINGS, key = null)
-        entry.arrive(keyless).only<EntryEffect.Answer>().reason shouldBe Reason.KEY_MISSING
+        entry.arrive(keyless).only<EntryEffect.Respond>().reason shouldBe Reason.KEY_MISSING
         val late = requestOf(3, deadlineAtMs = entry.nowMs + 5)
-        entry.arrive(late).only<EntryEffect.Answer>().reason shouldBe Reason.DEADLINE_TOO_SHORT
+        entry.arrive(late).only<EntryEffect.Respond>().reason shouldBe Reason.DEADLINE_TOO_SHORT
     }
 
     test("`a read is sent at once to a server with a free slot`") {
@@ -50,7 +50,7 @@
         (1L..8L).forEach { entry.arrive(requestOf(it)).only<EntryEffect.Forward>() }
         entry.arrive(requestOf(9)).shouldBeEmpty()
         val hurried = requestOf(10, deadlineAtMs = entry.nowMs + 11)
-        entry.arrive(hurried).only<EntryEffect.Answer>().reason shouldBe Reason.NO_SLOT
+        entry.arrive(hurried).only<EntryEffect.Respond>().reason shouldBe Reason.NO_SLOT
     }
 
     test("`a slot that becomes free goes to the request that has waited longest`") {
@@ -58,14 +58,14 @@
         val first = (1L..8L).map { entry.arrive(requestOf(it)).only<EntryEffect.Forward>() }.first()
         entry.arrive(requestOf(9))
         entry.arrive(requestOf(10))
-        val effects = entry.handle(EntryEvent.AttemptEnded(first.attempt, AttemptResult.Answered()))
+        val effects = entry.handle(EntryEvent.AttemptEnded(first.attempt, AttemptResult.Completed()))
         effects.only<EntryEffect.Forward>().request.value shouldBe 9
     }
 
     test("`reads can't take the last fifth of the open requests, bookings can`") {
         val entry = readyEntry(sampleDocument(slots = 50), EntryLimits(largestOpenRequests = 10))
         (1L..8L).forEach { entry.arrive(requestOf(it)).only<EntryEffect.Forward>() }
-        entry.arrive(requestOf(9)).only<EntryEffect.Answer>().reason shouldBe Reason.BUSY
+        entry.arrive(requestOf(9)).only<EntryEffect.Respond>().reason shouldBe Reason.BUSY
         entry.arrive(requestOf(10, BOOKINGS)).only<EntryEffect.InsertClaim>()
     }
 
@@ -84,7 +84,7 @@
         val forward = entry.arrive(requestOf(1, deadlineAtMs = entry.nowMs + 100)).only<EntryEffect.Forward>()
         val effects = entry.pass(100)
         effects.only<EntryEffect.Cancel>().attempt shouldBe forward.attempt
-        effects.only<EntryEffect.Answer>().reason shouldBe Reason.DEADLINE_PASSED_RUNNING
+        effects.only<EntryEffect.Respond>().reason shouldBe Reason.DEADLINE_PASSED_RUNNING
     }
 
     test("`an instance that was paused beyond its lease owns nothing until it has joined again`") {
--- a/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/requests/AnswerTrustTest.kt
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/requests/AnswerTrustTest.kt
@@ -19,12 +19,12 @@
 /** Lets all servers answer once, so that each has named an attempt or none has. */
 private fun OneEntry.serveAll(isNamed: Boolean) {
     (1..REQUESTS).map { arrive(requestOf(it)).only<EntryEffect.Forward>() }
-        .forEach { handle(EntryEvent.AttemptEnded(it.attempt, AttemptResult.Answered(isNamed = isNamed))) }
+        .forEach { handle(EntryEvent.AttemptEnded(it.attempt, AttemptResult.Completed(isNamed = isNamed))) }
     effects.clear()
 }
 
 class AnswerTrustTest : FunSpec({
-    val unnamedAnswers = listOf(AttemptResult.Answered(), AttemptResult.Refused(Reason.SERVER_REFUSED))
+    val unnamedAnswers = listOf(AttemptResult.Completed(), AttemptResult.Refused(Reason.SERVER_REFUSED))
 
     test("`an answer without a name from a server that names its attempts reaches no caller`") {
         unnamedAnswers.forEach { unnamed ->
@@ -33,7 +33,7 @@
             val first = entry.arrive(requestOf(20)).only<EntryEffect.Forward>()
             val second = entry.handle(EntryEvent.AttemptEnded(first.attempt, unnamed)).only<EntryEffect.Forward>()
             entry.answers().shouldBeEmpty()
-            val end = entry.handle(EntryEvent.AttemptEnded(second.attempt, unnamed)).only<EntryEffect.Answer>()
+            val end = entry.handle(EntryEvent.AttemptEnded(second.attempt, unnamed)).only<EntryEffect.Respond>()
             end.reason shouldBe Reason.ANSWER_CROSSED
         }
     }
@@ -42,7 +42,7 @@
         val entry = readyEntry()
         entry.serveAll(isNamed = false)
         val forward = entry.arrive(requestOf(20)).only<EntryEffect.Forward>()
-        val effects = entry.handle(EntryEvent.AttemptEnded(forward.attempt, AttemptResult.Answered()))
-        effects.only<EntryEffect.Answer>().reason shouldBe Reason.ANSWERED
+        val effects = entry.handle(EntryEvent.AttemptEnded(forward.attempt, AttemptResult.Completed()))
+        effects.only<EntryEffect.Respond>().reason shouldBe Reason.ANSWERED
     }
 })
--- a/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/requests/HandOverTest.kt
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/requests/HandOverTest.kt
@@ -63,7 +63,7 @@
         val entry = fullEntry(sampleDocument(linkBytesPerSecond = 100), EntryLimits(largestWaiting = 0))
         val effects = entry.arrive(requestOf(20))
         effects.filterIsInstance<EntryEffect.HandOver>().shouldBeEmpty()
-        effects.only<EntryEffect.Answer>().reason shouldBe Reason.CAP_REACHED
+        effects.only<EntryEffect.Respond>().reason shouldBe Reason.CAP_REACHED
     }
 
     test("`an instance that can't be reached gets no more requests and is left out of look-ups`") {
@@ -88,7 +88,7 @@
     test("`a request from a peer is never handed over again`") {
         val entry = fullEntry()
         entry.arrive(handedRequestOf(20, BOOKINGS)).only<EntryEffect.Forward>()
-        entry.arrive(handedRequestOf(21, READS)).only<EntryEffect.Answer>().reason shouldBe
+        entry.arrive(handedRequestOf(21, READS)).only<EntryEffect.Respond>().reason shouldBe
             Reason.NO_SLOT
     }
 
--- a/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/requests/RetryTest.kt
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/requests/RetryTest.kt
@@ -40,7 +40,7 @@
         val lost = AttemptResult.Lost(Reason.CONNECTION_LOST)
         val second = entry.handle(EntryEvent.AttemptEnded(first.attempt, lost)).only<EntryEffect.Forward>()
         val refused = AttemptResult.NotSent(Reason.SERVER_UNREACHABLE)
-        val end = entry.handle(EntryEvent.AttemptEnded(second.attempt, refused)).only<EntryEffect.Answer>()
+        val end = entry.handle(EntryEvent.AttemptEnded(second.attempt, refused)).only<EntryEffect.Respond>()
         end.reason.outcome shouldBe Outcome.UNKNOWN
     }
 
@@ -51,7 +51,7 @@
         val effects =
             entry.handle(EntryEvent.AttemptEnded(forward.attempt, AttemptResult.Lost(Reason.CONNECTION_LOST)))
         effects.filterIsInstance<EntryEffect.Forward>().shouldBeEmpty()
-        effects.only<EntryEffect.Answer>().reason.outcome shouldBe Outcome.UNKNOWN
+        effects.only<EntryEffect.Respond>().reason.outcome shouldBe Outcome.UNKNOWN
         effects.filterIsInstance<EntryEffect.ReleaseClaim>().shouldBeEmpty()
     }
 
@@ -62,7 +62,7 @@
         val second = entry.handle(EntryEvent.AttemptEnded(first.attempt, refused)).only<EntryEffect.Forward>()
         second.server shouldNotBe first.server
         val effects = entry.handle(EntryEvent.AttemptEnded(second.attempt, refused))
-        effects.only<EntryEffect.Answer>().reason.outcome shouldBe Outcome.NOT_RUN
+        effects.only<EntryEffect.Respond>().reason.outcome shouldBe Outcome.NOT_RUN
         effects.filterIsInstance<EntryEffect.ReleaseClaim>() shouldHaveSize 1
     }
 
@@ -87,8 +87,8 @@
         val entry = readyEntry()
         val forward = entry.arrive(requestOf(1, deadlineAtMs = entry.nowMs + 100)).only<EntryEffect.Forward>()
         entry.pass(100)
-        val effects = entry.handle(EntryEvent.AttemptEnded(forward.attempt, AttemptResult.Answered()))
-        effects.filterIsInstance<EntryEffect.Answer>().shouldBeEmpty()
+        val effects = entry.handle(EntryEvent.AttemptEnded(forward.attempt, AttemptResult.Completed()))
+        effects.filterIsInstance<EntryEffect.Respond>().shouldBeEmpty()
         entry.state.requests.attempts.size shouldBe 0
         entry.state.servers.servers.getValue(forward.server).inFlight shouldBe 0
     }
--- a/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/servers/LeavingServerTest.kt
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/servers/LeavingServerTest.kt
@@ -35,7 +35,7 @@
     val forwards = (1_000L..1_007L).flatMap { arrive(requestOf(it)).filterIsInstance<EntryEffect.Forward>() }
     val met = forwards.first { it.server == leaving }
     handle(EntryEvent.AttemptEnded(met.attempt, result))
-    (forwards - met).forEach { handle(EntryEvent.AttemptEnded(it.attempt, AttemptResult.Answered(null))) }
+    (forwards - met).forEach { handle(EntryEvent.AttemptEnded(it.attempt, AttemptResult.Completed(null))) }
     pass(100)
 }
 
@@ -47,7 +47,7 @@
     effects.clear()
     for (id in 1..REQUESTS) {
         val forward = arrive(requestOf(id, deadlineAtMs = nowMs + 60_000)).only<EntryEffect.Forward>()
-        handle(EntryEvent.AttemptEnded(forward.attempt, AttemptResult.Answered(null)))
+        handle(EntryEvent.AttemptEnded(forward.attempt, AttemptResult.Completed(null)))
         hearLoad(isLeaving = false)
         pass(20)
     }
@@ -73,7 +73,7 @@
 
     test("`the mark in an answer alone is enough`") {
         val entry = readyEntry()
-        entry.meet(AttemptResult.Answered(null, isServerLeaving = true))
+        entry.meet(AttemptResult.Completed(null, isServerLeaving = true))
         entry.countNewWork() shouldBe 0
     }
 
@@ -93,11 +93,11 @@
         val others = serversOf(NORTH_A).filter { it.name != leaving }
         entry.handle(EntryEvent.PlatformListRead(listOf(listedOf(entry.member)), others))
         (forwards - running).forEach {
-            entry.handle(EntryEvent.AttemptEnded(it.attempt, AttemptResult.Answered(null)))
+            entry.handle(EntryEvent.AttemptEnded(it.attempt, AttemptResult.Completed(null)))
         }
         entry.effects.clear()
         (11L..14L).forEach { entry.arrive(requestOf(it)).only<EntryEffect.Forward>().server shouldBe others[0].name }
-        entry.handle(EntryEvent.AttemptEnded(running.attempt, AttemptResult.Answered(null)))
+        entry.handle(EntryEvent.AttemptEnded(running.attempt, AttemptResult.Completed(null)))
         entry.answerOf(running.request.value)?.reason shouldBe Reason.ANSWERED
         entry.state.requests.open.containsKey(RequestId(running.request.value)) shouldBe false
     }
--- a/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/servers/SlotUseTest.kt
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/servers/SlotUseTest.kt
@@ -30,7 +30,7 @@
     val ids = (nowMs * 100 until nowMs * 100 + 20)
     val sent = ids.flatMap { arrive(requestOf(it, deadlineAtMs = nowMs + 60_000)) }
         .filterIsInstance<EntryEffect.Forward>()
-    sent.forEach { handle(EntryEvent.AttemptEnded(it.attempt, AttemptResult.Answered(null))) }
+    sent.forEach { handle(EntryEvent.AttemptEnded(it.attempt, AttemptResult.Completed(null))) }
     return sent.count { it.server == server }
 }
 
--- a/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/session/BookingWorld.kt
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/session/BookingWorld.kt
@@ -144,10 +144,10 @@
     private fun perform(name: InstanceName, entry: OneEntry, effect: EntryEffect) {
         val life = entry.member.incarnation.value
         when (effect) {
-            is EntryEffect.OnClaim -> callStore(name, life, effect)
+            is EntryEffect.ClaimEffect -> callStore(name, life, effect)
             is EntryEffect.Forward -> forward(name, life, effect)
             is EntryEffect.HandOver -> handOver(name, life, entry, effect)
-            is EntryEffect.Answer -> answer(effect)
+            is EntryEffect.Respond -> answer(effect)
             is EntryEffect.SendHeartbeat -> effect.addresses.forEach { to ->
                 plan(random.nextLong(1, 100)) { deliver(to.name, EntryEvent.HeartbeatReceived(effect.heartbeat)) }
             }
@@ -155,7 +155,7 @@
         }
     }
 
-    private fun callStore(name: InstanceName, life: Long, effect: EntryEffect.OnClaim) {
+    private fun callStore(name: InstanceName, life: Long, effect: EntryEffect.ClaimEffect) {
         val isDown = isStoreOut || hits(rates.storeDown)
         val isLost = hits(rates.storeLost)
         val arriveMs = random.nextLong(1, 300)
@@ -172,7 +172,7 @@
         }
     }
 
-    private fun write(effect: EntryEffect.OnClaim): ClaimReply {
+    private fun write(effect: EntryEffect.ClaimEffect): ClaimReply {
         val key = effect.claim.key
         val row = rows[key]
         return when (effect) {
@@ -186,17 +186,17 @@
                     put(key, effect, ClaimState.CLAIMED)
                 }
             is EntryEffect.ReleaseClaim -> settle(key, row, effect, ClaimState.RELEASED)
-            is EntryEffect.RecordAnswer -> settle(key, row, effect, ClaimState.DONE)
+            is EntryEffect.RecordResponse -> settle(key, row, effect, ClaimState.DONE)
         }
     }
 
-    private fun settle(key: String, row: ClaimRow?, effect: EntryEffect.OnClaim, state: ClaimState): ClaimReply {
+    private fun settle(key: String, row: ClaimRow?, effect: EntryEffect.ClaimEffect, state: ClaimState): ClaimReply {
         val isOurs = row == null || row.attempt == effect.attempt && row.state == ClaimState.CLAIMED
         return if (isOurs) put(key, effect, state) else ClaimReply.Written
     }
 
-    private fun put(key: String, effect: EntryEffect.OnClaim, state: ClaimState): ClaimReply {
-        val answer = (effect as? EntryEffect.RecordAnswer)?.answer
+    private fun put(key: String, effect: EntryEffect.ClaimEffect, state: ClaimState): ClaimReply {
+        val answer = (effect as? EntryEffect.RecordResponse)?.answer
         rows[key] = ClaimRow(effect.attempt, "print", state, answer)
         return ClaimReply.Written
     }
@@ -212,9 +212,9 @@
             roll < refusedBelow -> AttemptResult.Refused(Reason.SERVER_REFUSED)
             roll < unreachableBelow -> AttemptResult.NotSent(Reason.SERVER_UNREACHABLE)
             roll < lostBelow -> AttemptResult.Lost(Reason.CONNECTION_LOST)
-            else -> AttemptResult.Answered(RecordedAnswer(200, "text/plain", ""))
+            else -> AttemptResult.Completed(RecordedAnswer(200, "text/plain", ""))
         }
-        val hasRun = result is AttemptResult.Answered || result is AttemptResult.Lost && random.nextBoolean()
+        val hasRun = result is AttemptResult.Completed || result is AttemptResult.Lost && random.nextBoolean()
         if (hasRun) plan(random.nextLong(1, 40)) { noteRun(effect.request) }
         plan(random.nextLong(41, 400)) { deliver(name, EntryEvent.AttemptEnded(effect.attempt, result), life) }
     }
@@ -251,7 +251,7 @@
         deliver(effect.peer, EntryEvent.RequestArrived(handed))
     }
 
-    private fun answer(effect: EntryEffect.Answer) {
+    private fun answer(effect: EntryEffect.Respond) {
         val from = handedOver[effect.request]
         if (from == null) {
             answered[effect.request] = effect.reason
@@ -259,7 +259,7 @@
             return
         }
         val result = when (effect.reason.outcome) {
-            Outcome.RAN -> AttemptResult.Answered(RecordedAnswer(200, "text/plain", ""))
+            Outcome.RAN -> AttemptResult.Completed(RecordedAnswer(200, "text/plain", ""))
             Outcome.NOT_RUN -> AttemptResult.Refused(effect.reason)
             Outcome.UNKNOWN -> AttemptResult.Lost(effect.reason)
         }
--- a/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/session/GoldenSessions.kt
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/session/GoldenSessions.kt
@@ -23,7 +23,7 @@
 import org.cardamomwharf.decision.support.sampleDocument
 import org.cardamomwharf.decision.support.serversOf
 
-private val answered = AttemptResult.Answered(RecordedAnswer(200, "text/plain", "aGVsbG8="))
+private val answered = AttemptResult.Completed(RecordedAnswer(200, "text/plain", "aGVsbG8="))
 
 val goldenSessions: Map<String, () -> List<TimedEvent>> = mapOf(
     "whole-life" to { Script().start().work().leave().events },
@@ -44,7 +44,7 @@
     fun work(): Script = apply {
         say(EntryEvent.RequestArrived(requestOf(1, deadlineAtMs = nowMs + 1_000)))
         end(1, 1, AttemptResult.Lost(Reason.CONNECTION_LOST))
-        end(1, 2, AttemptResult.Answered())
+        end(1, 2, AttemptResult.Completed())
         say(EntryEvent.RequestArrived(requestOf(2, BOOKINGS, nowMs + 2_000)))
         say(EntryEvent.ClaimReplyReceived(RequestId(2), ClaimReply.Lost))
         say(EntryEvent.ClaimReplyReceived(RequestId(2), ClaimReply.Absent))
@@ -71,7 +71,7 @@
         say(EntryEvent.LeaveRequested)
         repeat(11) { tick() }
         say(EntryEvent.RequestArrived(requestOf(4, deadlineAtMs = nowMs + 1_000)))
-        end(3, 1, AttemptResult.Answered())
+        end(3, 1, AttemptResult.Completed())
         tick()
     }
 
--- a/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/support/OneEntry.kt
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/support/OneEntry.kt
@@ -99,9 +99,9 @@
 
     fun arrive(spec: RequestSpec): List<EntryEffect> = handle(EntryEvent.RequestArrived(spec))
 
-    fun answers(): List<EntryEffect.Answer> = effects.filterIsInstance<EntryEffect.Answer>()
+    fun answers(): List<EntryEffect.Respond> = effects.filterIsInstance<EntryEffect.Respond>()
 
-    fun answerOf(id: Long): EntryEffect.Answer? = answers().firstOrNull { it.request == RequestId(id) }
+    fun answerOf(id: Long): EntryEffect.Respond? = answers().firstOrNull { it.request == RequestId(id) }
 }
 
 /** Returns an instance that is alone in its zone, has a document and owns all servers of the zone. */
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/claims/ClaimKeeper.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/claims/ClaimKeeper.kt
@@ -39,7 +39,7 @@
      * Writes the final state of a claim, if the row is absent or still names the attempt; returns false when the call
      * has to be made again.
      */
-    public fun settle(effect: EntryEffect.OnClaim, row: ClaimRow): Boolean {
+    public fun settle(effect: EntryEffect.ClaimEffect, row: ClaimRow): Boolean {
         val name = nameOf(effect.claim)
         val json = Json.encodeToString(row)
         return when (val current = replyOfRead(table.read(name))) {
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/claims/ClaimWorkers.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/claims/ClaimWorkers.kt
@@ -24,7 +24,7 @@
 
 /** Represents the threads that make calls about claims. */
 public class ClaimWorkers(private val keeper: ClaimKeeper, private val ring: EventRing) {
-    private val calls = ArrayBlockingQueue<EntryEffect.OnClaim>(WORKERS * RING_CAPACITY)
+    private val calls = ArrayBlockingQueue<EntryEffect.ClaimEffect>(WORKERS * RING_CAPACITY)
     private val settlements = ArrayBlockingQueue<Settlement>(SETTLE_CAPACITY)
     private val open = AtomicInteger()
 
@@ -38,7 +38,7 @@
     }
 
     /** Takes [effect]. */
-    public fun take(effect: EntryEffect.OnClaim) {
+    public fun take(effect: EntryEffect.ClaimEffect) {
         val row = finalRowOf(effect)
         if (row != null) {
             open.incrementAndGet()
@@ -48,18 +48,18 @@
         }
     }
 
-    private fun finalRowOf(effect: EntryEffect.OnClaim): ClaimRow? = when (effect) {
+    private fun finalRowOf(effect: EntryEffect.ClaimEffect): ClaimRow? = when (effect) {
         is EntryEffect.ReleaseClaim -> ClaimRow(effect.attempt, effect.fingerprint, ClaimState.RELEASED)
-        is EntryEffect.RecordAnswer -> ClaimRow(effect.attempt, effect.fingerprint, ClaimState.DONE, effect.answer)
+        is EntryEffect.RecordResponse -> ClaimRow(effect.attempt, effect.fingerprint, ClaimState.DONE, effect.answer)
         else -> null
     }
 
-    private fun call(effect: EntryEffect.OnClaim) {
+    private fun call(effect: EntryEffect.ClaimEffect) {
         val reply = when (effect) {
             is EntryEffect.InsertClaim -> keeper.insert(effect)
             is EntryEffect.ReadClaim -> keeper.read(effect)
             is EntryEffect.ReplaceClaim -> keeper.replace(effect)
-            is EntryEffect.ReleaseClaim, is EntryEffect.RecordAnswer -> ClaimReply.Lost
+            is EntryEffect.ReleaseClaim, is EntryEffect.RecordResponse -> ClaimReply.Lost
         }
         report(effect.request, reply)
     }
@@ -86,7 +86,7 @@
     }
 
     private data class Settlement(
-        val effect: EntryEffect.OnClaim,
+        val effect: EntryEffect.ClaimEffect,
         val row: ClaimRow,
         val tries: Int = 0,
     )
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/forwarding/AttemptResults.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/forwarding/AttemptResults.kt
@@ -40,8 +40,8 @@
         isNamed && named != attempt.value -> AttemptResult.Lost(Reason.ANSWER_CROSSED)
         answer.findHeader(HeaderNames.REFUSED) == "true" ->
             AttemptResult.Refused(Reason.SERVER_REFUSED, retryAfterMs(answer), isLeaving, isNamed)
-        isIdempotent -> AttemptResult.Answered(null, isLeaving, isNamed)
-        else -> AttemptResult.Answered(handedAnswerOf(answer).toRecorded(), isLeaving, isNamed)
+        isIdempotent -> AttemptResult.Completed(null, isLeaving, isNamed)
+        else -> AttemptResult.Completed(handedAnswerOf(answer).toRecorded(), isLeaving, isNamed)
     }
 }
 
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/forwarding/Forwarder.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/forwarding/Forwarder.kt
@@ -82,7 +82,7 @@
     private fun end(attempt: AttemptId, request: BookedRequest, end: HttpEnd) {
         flights.remove(attempt)
         val result = attemptResultOf(end, attempt, request.spec.isIdempotent)
-        if (result is AttemptResult.Answered && end is HttpEnd.Answered) {
+        if (result is AttemptResult.Completed && end is HttpEnd.Answered) {
             book.keep(request.spec.id, attempt, handedAnswerOf(end.answer))
         }
         ring.put(EntryEvent.AttemptEnded(attempt, result))
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/loop/DecisionLoop.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/loop/DecisionLoop.kt
@@ -81,7 +81,7 @@
     }
 
     private fun needsPublishing(effects: List<EntryEffect>): Boolean =
-        effects.any { it is EntryEffect.Adopted || it is EntryEffect.SendHeartbeat && it.heartbeat.isLeaving }
+        effects.any { it is EntryEffect.DocumentAdopted || it is EntryEffect.SendHeartbeat && it.heartbeat.isLeaving }
 
     private fun publish() {
         val nowMs = clock.nowMs()
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/loop/EffectRouter.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/loop/EffectRouter.kt
@@ -27,17 +27,17 @@
 public class EffectRouter(private val parts: EffectParts, private val metrics: EntryMetrics) : EffectRunner {
     override fun run(effect: EntryEffect) {
         when (effect) {
-            is EntryEffect.OnClaim -> parts.claims.workers.take(effect)
+            is EntryEffect.ClaimEffect -> parts.claims.workers.take(effect)
             is EntryEffect.ExpireClaims -> parts.claims.expirer.take(effect)
             is EntryEffect.Forward -> parts.forwarder.forward(effect)
             is EntryEffect.HandOver -> parts.peers.handOver(effect)
             is EntryEffect.GrantCredit -> parts.peers.grantCredit(effect.attempt)
             is EntryEffect.Cancel -> cancel(effect)
-            is EntryEffect.Answer -> answer(effect)
+            is EntryEffect.Respond -> answer(effect)
             is EntryEffect.CountRetry -> metrics.countRetry(effect.service, effect.reason)
             is EntryEffect.FetchDocument -> parts.documents.fetch(effect.head)
-            is EntryEffect.FetchFromPeer -> parts.peers.askDocument(effect.address)
-            is EntryEffect.Adopted -> parts.documents.putInForce(effect.head)
+            is EntryEffect.FetchDocumentFromPeer -> parts.peers.askDocument(effect.address)
+            is EntryEffect.DocumentAdopted -> parts.documents.putInForce(effect.head)
             else -> tell(effect)
         }
     }
@@ -48,10 +48,10 @@
                 parts.peers.sendAll(effect.addresses, PeerMessage.Beat(effect.heartbeat))
             is EntryEffect.SendSummary ->
                 parts.peers.sendAll(effect.addresses, PeerMessage.Summary(effect.summary, isPassedOn = false))
-            is EntryEffect.PassOnSummary ->
+            is EntryEffect.RelaySummary ->
                 parts.peers.sendAll(effect.addresses, PeerMessage.Summary(effect.summary, isPassedOn = true))
-            is EntryEffect.AskLoan -> parts.peers.send(effect.peer.address, PeerMessage.LoanAsk(effect.loan))
-            is EntryEffect.AnswerLoan -> parts.loans.answer(effect.borrower, effect.grant)
+            is EntryEffect.RequestLoan -> parts.peers.send(effect.peer.address, PeerMessage.LoanAsk(effect.loan))
+            is EntryEffect.ReplyToLoanRequest -> parts.loans.answer(effect.borrower, effect.grant)
             else -> Unit
         }
     }
@@ -60,7 +60,7 @@
         if (!parts.forwarder.cancel(effect.attempt)) parts.peers.cancel(effect.attempt)
     }
 
-    private fun answer(effect: EntryEffect.Answer) {
+    private fun answer(effect: EntryEffect.Respond) {
         parts.book.find(effect.request)?.let { metrics.countAnswer(it.spec.service, effect.reason) }
         parts.book.finish(effect)
     }
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/peers/HandOverDesk.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/peers/HandOverDesk.kt
@@ -68,7 +68,7 @@
 
     private fun finish(
         message: PeerMessage.HandOver,
-        answer: EntryEffect.Answer,
+        answer: EntryEffect.Respond,
         ran: HandedAnswer?,
         replies: PeerReplies,
     ) {
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/peers/HandOverResults.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/peers/HandOverResults.kt
@@ -40,5 +40,5 @@
     }
 
     private fun ranResultOf(answer: HandedAnswer?): AttemptResult =
-        if (answer == null) AttemptResult.Lost(Reason.ANSWER_TRUNCATED) else AttemptResult.Answered(answer.toRecorded())
+        if (answer == null) AttemptResult.Lost(Reason.ANSWER_TRUNCATED) else AttemptResult.Completed(answer.toRecorded())
 }
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/requests/CallerResponse.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/requests/CallerResponse.kt
@@ -20,7 +20,7 @@
 private const val MS_PER_SECOND = 1_000L
 
 /** Returns the HTTP answer for [answer] of the instance [entry]. */
-public fun responseOf(answer: EntryEffect.Answer, ran: HandedAnswer?, entry: InstanceName): Response {
+public fun responseOf(answer: EntryEffect.Respond, ran: HandedAnswer?, entry: InstanceName): Response {
     val recorded = answer.recorded
     val bare = when {
         ran != null -> relay(ran)
@@ -36,7 +36,7 @@
 
 /** Returns the HTTP answer for a request that was refused before it was decided about. */
 public fun refusalOf(reason: Reason, entry: InstanceName): Response =
-    responseOf(EntryEffect.Answer(NO_REQUEST, reason, retryAfterMs = retryAfterMs(reason)), null, entry)
+    responseOf(EntryEffect.Respond(NO_REQUEST, reason, retryAfterMs = retryAfterMs(reason)), null, entry)
 
 private val NO_REQUEST = RequestId(0)
 
@@ -54,13 +54,13 @@
 
 private fun bodyOf(bytes: ByteArray): Body = Body(ByteBuffer.wrap(bytes))
 
-private fun withRetryAfter(response: Response, answer: EntryEffect.Answer): Response {
+private fun withRetryAfter(response: Response, answer: EntryEffect.Respond): Response {
     if (answer.reason.outcome != Outcome.NOT_RUN || answer.retryAfterMs <= 0) return response
     val seconds = (answer.retryAfterMs + MS_PER_SECOND - 1) / MS_PER_SECOND
     return response.header(HeaderNames.RETRY_AFTER, seconds.toString())
 }
 
-private fun withOffer(response: Response, answer: EntryEffect.Answer): Response {
+private fun withOffer(response: Response, answer: EntryEffect.Respond): Response {
     val offer = answer.offer ?: return response
     return response.header(HeaderNames.BINDING, offer.toString())
 }
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/requests/RequestBook.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/requests/RequestBook.kt
@@ -16,7 +16,7 @@
 /** Represents the receiver of a final answer; it is called once and must not block. */
 public fun interface AnswerReceiver {
     /** Takes the final answer; [ran] is present when the request ran now. */
-    public fun receive(answer: EntryEffect.Answer, ran: HandedAnswer?)
+    public fun receive(answer: EntryEffect.Respond, ran: HandedAnswer?)
 }
 
 /** Represents an open request with all that is sent to a backend server. */
@@ -61,7 +61,7 @@
     }
 
     /** Gives the request of [answer] its final answer. */
-    public fun finish(answer: EntryEffect.Answer) {
+    public fun finish(answer: EntryEffect.Respond) {
         val request = requests.remove(answer.request)
         val kept = answers.remove(answer.request)
         val ran = kept?.takeIf { it.attempt == answer.attempt }?.answer
--- a/cardamomwharf-entry/src/test/kotlin/org/cardamomwharf/entry/forwarding/AttemptResultsTest.kt
+++ b/cardamomwharf-entry/src/test/kotlin/org/cardamomwharf/entry/forwarding/AttemptResultsTest.kt
@@ -27,8 +27,8 @@
     }
 
     test("`answers and refusals tell whether they name their attempt`") {
-        resultOf(HeaderNames.ATTEMPT to "own") shouldBe AttemptResult.Answered(isNamed = true)
-        resultOf() shouldBe AttemptResult.Answered(isNamed = false)
+        resultOf(HeaderNames.ATTEMPT to "own") shouldBe AttemptResult.Completed(isNamed = true)
+        resultOf() shouldBe AttemptResult.Completed(isNamed = false)
         resultOf(HeaderNames.REFUSED to "true", HeaderNames.ATTEMPT to "own") shouldBe
             AttemptResult.Refused(Reason.SERVER_REFUSED, isNamed = true)
     }
--- a/cardamomwharf-entry/src/test/kotlin/org/cardamomwharf/entry/requests/KeptAnswersTest.kt
+++ b/cardamomwharf-entry/src/test/kotlin/org/cardamomwharf/entry/requests/KeptAnswersTest.kt
@@ -45,7 +45,7 @@
         val received = mutableListOf<HandedAnswer?>()
         book.add(bookedRequest { received += it })
         book.keep(id, first, answer)
-        book.finish(EntryEffect.Answer(id, Reason.ANSWER_CROSSED))
+        book.finish(EntryEffect.Respond(id, Reason.ANSWER_CROSSED))
         received shouldBe listOf(null)
         book.keptAnswers shouldBe 0
     }
@@ -55,7 +55,7 @@
         val received = mutableListOf<HandedAnswer?>()
         book.add(bookedRequest { received += it })
         book.keep(id, first, answer)
-        book.finish(EntryEffect.Answer(id, Reason.ANSWERED, attempt = second))
+        book.finish(EntryEffect.Respond(id, Reason.ANSWERED, attempt = second))
         received shouldBe listOf(null)
         book.keep(id, second, answer)
         book.keptAnswers shouldBe 0
@@ -70,7 +70,7 @@
         val end = PeerMessage.HandOverEnd(first, Reason.ANSWERED, 0, answer)
         results.take(end)
         book.keptAnswers shouldBe 1
-        book.finish(EntryEffect.Answer(id, Reason.ANSWERED, attempt = first))
+        book.finish(EntryEffect.Respond(id, Reason.ANSWERED, attempt = first))
         results.take(end)
         book.keptAnswers shouldBe 0
         attempts.size shouldBe 0
