--- a/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/policy/FakeFleet.kt
+++ b/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/policy/FakeFleet.kt
@@ -19,7 +19,7 @@
 import org.cardamomwharf.decision.EntryLimits
 import org.cardamomwharf.decision.adoption.DocumentHead
 import org.cardamomwharf.decision.claims.ClaimReply
-import org.cardamomwharf.decision.claims.RecordedAnswer
+import org.cardamomwharf.decision.claims.RecordedResponse
 import org.cardamomwharf.decision.membership.ListedInstance
 import org.cardamomwharf.decision.membership.Member
 import org.cardamomwharf.decision.membership.MembershipSettings
@@ -33,7 +33,7 @@
 private const val TICK_MS = 50.0
 private const val LARGEST_OPEN = 5_000
 private val nowhere = SocketAddress("127.0.0.1", 1)
-private val answer = RecordedAnswer(StatusCode.OK, "", "")
+private val answer = RecordedResponse(StatusCode.OK, "", "")
 
 /** Represents one entry instance. */
 internal class FakeEntry(zone: ZoneName, nowMs: Long) {
--- a/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/policy/WharfRouter.kt
+++ b/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/policy/WharfRouter.kt
@@ -65,7 +65,9 @@
             binding = attempt.binding,
             fingerprint = "print",
         )
-        fleet.submit(entry, spec) { answer -> world.time.plan(delayMs) { end(attempt, answer.reason, answer.offer) } }
+        fleet.submit(entry, spec) { answer ->
+            world.time.plan(delayMs) { end(attempt, answer.reason, answer.offeredBinding) }
+        }
     }
 
     private fun end(attempt: ClientTry, reason: Reason, offer: Binding?) {
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/EntryEffect.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/EntryEffect.kt
@@ -17,7 +17,7 @@
 import org.cardamomwharf.decision.caps.LoanGrant
 import org.cardamomwharf.decision.caps.LoanRequest
 import org.cardamomwharf.decision.claims.Binding
-import org.cardamomwharf.decision.claims.RecordedAnswer
+import org.cardamomwharf.decision.claims.RecordedResponse
 import org.cardamomwharf.decision.membership.Heartbeat
 import org.cardamomwharf.decision.membership.ZoneSummary
 
@@ -81,7 +81,8 @@
         override val claim: ClaimName,
         override val attempt: AttemptId,
         public val fingerprint: String,
-        public val answer: RecordedAnswer,
+        @SerialName("answer")
+        public val response: RecordedResponse,
     ) : ClaimEffect
 
     /** Delete up to [limit] claim rows that weren't written for this long, and answer with `ClaimsExpired`. */
@@ -126,7 +127,7 @@
      *
      * @param attempt the attempt whose answer is relayed, for requests that ran now.
      * @param recorded the answer that was recorded under the key before.
-     * @param offer the binding that the caller may use for this key while the table service is down.
+     * @param offeredBinding the binding that the caller may use for this key while the table service is down.
      */
     @Serializable
     @SerialName("org.cardamomwharf.decision.EntryEffect.Answer")
@@ -135,8 +136,9 @@
         public val reason: Reason,
         public val retryAfterMs: Long = 0,
         public val attempt: AttemptId? = null,
-        public val recorded: RecordedAnswer? = null,
-        public val offer: Binding? = null,
+        public val recorded: RecordedResponse? = null,
+        @SerialName("offer")
+        public val offeredBinding: Binding? = null,
     ) : EntryEffect
 
     /** Count a further try of a request. */
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/claims/BoundKeys.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/claims/BoundKeys.kt
@@ -27,11 +27,11 @@
     }
 }
 
-/** Represents a key that this incarnation runs or ran; [answer] is null while the outcome isn't known. */
+/** Represents a key that this incarnation runs or ran; [response] is null while the outcome isn't known. */
 public data class BoundKey(
     public val fingerprint: String,
     public val expiresAtMs: Long,
-    public val answer: RecordedAnswer? = null,
+    public val response: RecordedResponse? = null,
 )
 
 /** Represents the keys bound to this incarnation. */
@@ -46,7 +46,7 @@
     public data class Run(public val keys: BoundKeys) : BoundDecision
 
     /** The request ends without another run. */
-    public data class End(public val reason: Reason, public val answer: RecordedAnswer? = null) : BoundDecision
+    public data class End(public val reason: Reason, public val response: RecordedResponse? = null) : BoundDecision
 }
 
 /** Returns what [key] may do at the incarnation [own]; a key whose binding has run out may have run before. */
@@ -62,7 +62,7 @@
     return when {
         binding.incarnation != own -> BoundDecision.End(Reason.BINDING_ELSEWHERE)
         times.nowMs >= expiresAtMs || binding.issuedAtMs > times.nowMs -> BoundDecision.End(Reason.BINDING_EXPIRED)
-        known != null -> BoundDecision.End(reasonOf(known, fingerprint), known.answer)
+        known != null -> BoundDecision.End(reasonOf(known, fingerprint), known.response)
         keys.size >= LARGEST_BOUND_KEYS -> BoundDecision.End(Reason.BUSY)
         else -> BoundDecision.Run(BoundKeys(keys.put(key, BoundKey(fingerprint, expiresAtMs))))
     }
@@ -73,14 +73,14 @@
 
 private fun reasonOf(known: BoundKey, fingerprint: String): Reason = when {
     known.fingerprint != fingerprint -> Reason.KEY_REUSED
-    known.answer == null -> Reason.KEY_IN_PROGRESS
+    known.response == null -> Reason.KEY_IN_PROGRESS
     else -> Reason.RECORDED_ANSWER
 }
 
-/** Returns these keys with the answer of [key]. */
-public fun BoundKeys.record(key: String, answer: RecordedAnswer): BoundKeys {
+/** Returns these keys with the response of [key]. */
+public fun BoundKeys.record(key: String, response: RecordedResponse): BoundKeys {
     val known = keys[key] ?: return this
-    return BoundKeys(keys.put(key, known.copy(answer = answer)))
+    return BoundKeys(keys.put(key, known.copy(response = response)))
 }
 
 /** Returns these keys without [key]; only for a key that did not run. */
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/claims/ClaimDecision.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/claims/ClaimDecision.kt
@@ -26,8 +26,8 @@
     /** A released row must be replaced. */
     public data class Replace(public val rowVersion: String) : ClaimDecision
 
-    /** The request ends; [answer] is the recorded answer where there is one. */
-    public data class End(public val reason: Reason, public val answer: RecordedAnswer? = null) : ClaimDecision
+    /** The request ends; [response] is the recorded answer where there is one. */
+    public data class End(public val reason: Reason, public val response: RecordedResponse? = null) : ClaimDecision
 
     /** The table service is down; the claim neither holds nor is held. */
     public data object StoreDown : ClaimDecision
@@ -58,7 +58,7 @@
     return when {
         row.attempt == attempt && row.state == ClaimState.CLAIMED -> ClaimDecision.Proceed
         row.fingerprint != fingerprint -> ClaimDecision.End(Reason.KEY_REUSED)
-        row.state == ClaimState.DONE -> ClaimDecision.End(Reason.RECORDED_ANSWER, row.answer)
+        row.state == ClaimState.DONE -> ClaimDecision.End(Reason.RECORDED_ANSWER, row.response)
         row.state == ClaimState.RELEASED -> ClaimDecision.Replace(reply.rowVersion)
         calls < LARGEST_CLAIM_CALLS -> ClaimDecision.ReadLater(calls * READ_AGAIN_MS)
         else -> ClaimDecision.End(Reason.KEY_IN_PROGRESS)
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/claims/ClaimRow.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/claims/ClaimRow.kt
@@ -4,6 +4,7 @@
  */
 package org.cardamomwharf.decision.claims
 
+import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import org.cardamomwharf.core.AttemptId
 
@@ -22,7 +23,7 @@
 
 /** Represents the answer of a backend server that is kept for callers that repeat a key. */
 @Serializable
-public data class RecordedAnswer(
+public data class RecordedResponse(
     public val status: Int,
     public val contentType: String,
     public val bodyBase64: String,
@@ -38,7 +39,8 @@
     public val attempt: AttemptId,
     public val fingerprint: String,
     public val state: ClaimState,
-    public val answer: RecordedAnswer? = null,
+    @SerialName("answer")
+    public val response: RecordedResponse? = null,
 )
 
 /** Represents what the table service answered about a claim. */
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/AnswerTrust.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/AnswerTrust.kt
@@ -26,7 +26,7 @@
 
 private val AttemptResult.isNamedAnswer: Boolean
     get() = when (this) {
-        is AttemptResult.Completed -> isNamed
-        is AttemptResult.Refused -> isNamed
+        is AttemptResult.Completed -> hasAttemptId
+        is AttemptResult.Refused -> hasAttemptId
         is AttemptResult.NotSent, is AttemptResult.Lost -> false
     }
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/AttemptResult.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/AttemptResult.kt
@@ -7,7 +7,7 @@
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import org.cardamomwharf.core.Reason
-import org.cardamomwharf.decision.claims.RecordedAnswer
+import org.cardamomwharf.decision.claims.RecordedResponse
 
 /** Represents the end of one attempt. */
 @Serializable
@@ -16,14 +16,15 @@
      * The whole answer arrived.
      *
      * @param recorded the answer to keep under the key of a non-idempotent request.
-     * @param isNamed whether the answer named the attempt that it belongs to.
+     * @param hasAttemptId whether the answer names the attempt that it belongs to.
      */
     @Serializable
     @SerialName("org.cardamomwharf.decision.requests.AttemptResult.Answered")
     public data class Completed(
-        public val recorded: RecordedAnswer? = null,
+        public val recorded: RecordedResponse? = null,
         public val isServerLeaving: Boolean = false,
-        public val isNamed: Boolean = false,
+        @SerialName("isNamed")
+        public val hasAttemptId: Boolean = false,
     ) : AttemptResult
 
     /** No byte was sent. */
@@ -33,14 +34,15 @@
     /**
      * The backend server or the peer said that it did not run the request.
      *
-     * @param isNamed whether the refusal named the attempt that it belongs to.
+     * @param hasAttemptId whether the refusal names the attempt that it belongs to.
      */
     @Serializable
     public data class Refused(
         public val reason: Reason,
         public val retryAfterMs: Long = 0,
         public val isServerLeaving: Boolean = false,
-        public val isNamed: Boolean = false,
+        @SerialName("isNamed")
+        public val hasAttemptId: Boolean = false,
     ) : AttemptResult
 
     /** Bytes were sent and no whole answer arrived. */
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/Claiming.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/Claiming.kt
@@ -42,7 +42,7 @@
             true
         }
         is BoundDecision.End -> {
-            end(request, decision.reason, recorded = decision.answer)
+            end(request, decision.reason, recorded = decision.response)
             false
         }
     }
@@ -77,7 +77,7 @@
 
 /** A row of another attempt decides, so the key that was only just bound here must not be remembered as running. */
 private fun Turn.endAtClaim(request: OpenRequest, decision: ClaimDecision.End) {
-    end(request.copy(isClaimTouched = false), decision.reason, recorded = decision.answer)
+    end(request.copy(isClaimTouched = false), decision.reason, recorded = decision.response)
 }
 
 /** Reads the claims again whose pause is over. */
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/RequestEnding.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/RequestEnding.kt
@@ -9,7 +9,7 @@
 import org.cardamomwharf.decision.EntryEffect
 import org.cardamomwharf.decision.Turn
 import org.cardamomwharf.decision.claims.Binding
-import org.cardamomwharf.decision.claims.RecordedAnswer
+import org.cardamomwharf.decision.claims.RecordedResponse
 import org.cardamomwharf.decision.claims.forget
 import org.cardamomwharf.decision.claims.record
 
@@ -23,7 +23,7 @@
     request: OpenRequest,
     wantedReason: Reason,
     attempt: AttemptId? = null,
-    recorded: RecordedAnswer? = null,
+    recorded: RecordedResponse? = null,
 ) {
     val reason = if (wantedReason.outcome == Outcome.NOT_RUN) request.lastLoss ?: wantedReason else wantedReason
     changeRequests { it.close(request.spec.id) }
@@ -35,12 +35,12 @@
             retryAfterMs = retryAfterMs(reason),
             attempt = attempt,
             recorded = if (reason == Reason.RECORDED_ANSWER) recorded else null,
-            offer = offerFor(reason),
+            offeredBinding = offerFor(reason),
         ),
     )
 }
 
-private fun Turn.settleKey(request: OpenRequest, reason: Reason, recorded: RecordedAnswer?) {
+private fun Turn.settleKey(request: OpenRequest, reason: Reason, recorded: RecordedResponse?) {
     val boundKey = request.spec.boundKey
     if (reason.outcome == Outcome.NOT_RUN) {
         if (request.isBound) state = state.copy(boundKeys = state.boundKeys.forget(boundKey))
@@ -60,12 +60,12 @@
     request.spec.fingerprint,
 )
 
-private fun recordOf(request: OpenRequest, answer: RecordedAnswer) = EntryEffect.RecordResponse(
+private fun recordOf(request: OpenRequest, response: RecordedResponse) = EntryEffect.RecordResponse(
     request.spec.id,
     request.claimName,
     request.claimAttempt,
     request.spec.fingerprint,
-    answer,
+    response,
 )
 
 private fun Turn.offerFor(reason: Reason): Binding? {
--- a/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/claims/ClaimTest.kt
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/claims/ClaimTest.kt
@@ -21,12 +21,12 @@
 import org.cardamomwharf.decision.support.requestOf
 
 class ClaimTest : FunSpec({
-    val recorded = RecordedAnswer(201, "text/plain", "")
+    val recorded = RecordedResponse(201, "text/plain", "")
 
     fun OneEntry.reply(id: Long, reply: ClaimReply): List<EntryEffect> =
         handle(EntryEvent.ClaimReplyReceived(RequestId(id), reply))
 
-    fun rowOf(attempt: AttemptId, state: ClaimState, fingerprint: String = "print", answer: RecordedAnswer? = null) =
+    fun rowOf(attempt: AttemptId, state: ClaimState, fingerprint: String = "print", answer: RecordedResponse? = null) =
         ClaimReply.Exists(ClaimRow(attempt, fingerprint, state, answer), "v1")
 
     test("`a booking is sent only after its claim was written`") {
@@ -94,7 +94,7 @@
         val effects = entry.reply(1, ClaimReply.Unavailable)
         val answer = effects.only<EntryEffect.Respond>()
         answer.reason shouldBe Reason.STORE_UNAVAILABLE
-        answer.offer?.incarnation shouldBe entry.member.incarnation
+        answer.offeredBinding?.incarnation shouldBe entry.member.incarnation
         effects.only<EntryEffect.ReleaseClaim>()
     }
 
@@ -137,7 +137,7 @@
         entry.arrive(requestOf(1, BOOKINGS))
         val forward = entry.reply(1, ClaimReply.Written).only<EntryEffect.Forward>()
         val effects = entry.handle(EntryEvent.AttemptEnded(forward.attempt, AttemptResult.Completed(recorded)))
-        effects.only<EntryEffect.RecordResponse>().answer shouldBe recorded
+        effects.only<EntryEffect.RecordResponse>().response shouldBe recorded
         effects.filterIsInstance<EntryEffect.Respond>() shouldHaveSize 1
     }
 })
--- a/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/requests/AnswerTrustTest.kt
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/requests/AnswerTrustTest.kt
@@ -17,9 +17,9 @@
 private const val REQUESTS = 8L
 
 /** Lets all servers answer once, so that each has named an attempt or none has. */
-private fun OneEntry.serveAll(isNamed: Boolean) {
+private fun OneEntry.serveAll(hasAttemptId: Boolean) {
     (1..REQUESTS).map { arrive(requestOf(it)).only<EntryEffect.Forward>() }
-        .forEach { handle(EntryEvent.AttemptEnded(it.attempt, AttemptResult.Completed(isNamed = isNamed))) }
+        .forEach { handle(EntryEvent.AttemptEnded(it.attempt, AttemptResult.Completed(hasAttemptId = hasAttemptId))) }
     effects.clear()
 }
 
@@ -29,7 +29,7 @@
     test("`an answer without a name from a server that names its attempts reaches no caller`") {
         unnamedAnswers.forEach { unnamed ->
             val entry = readyEntry()
-            entry.serveAll(isNamed = true)
+            entry.serveAll(hasAttemptId = true)
             val first = entry.arrive(requestOf(20)).only<EntryEffect.Forward>()
             val second = entry.handle(EntryEvent.AttemptEnded(first.attempt, unnamed)).only<EntryEffect.Forward>()
             entry.answers().shouldBeEmpty()
@@ -40,7 +40,7 @@
 
     test("`servers that never name an attempt are taken at their word`") {
         val entry = readyEntry()
-        entry.serveAll(isNamed = false)
+        entry.serveAll(hasAttemptId = false)
         val forward = entry.arrive(requestOf(20)).only<EntryEffect.Forward>()
         val effects = entry.handle(EntryEvent.AttemptEnded(forward.attempt, AttemptResult.Completed()))
         effects.only<EntryEffect.Respond>().reason shouldBe Reason.ANSWERED
--- a/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/session/BookingWorld.kt
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/session/BookingWorld.kt
@@ -15,7 +15,7 @@
 import org.cardamomwharf.decision.claims.ClaimReply
 import org.cardamomwharf.decision.claims.ClaimRow
 import org.cardamomwharf.decision.claims.ClaimState
-import org.cardamomwharf.decision.claims.RecordedAnswer
+import org.cardamomwharf.decision.claims.RecordedResponse
 import org.cardamomwharf.decision.requests.AttemptResult
 import org.cardamomwharf.decision.requests.RequestOrigin
 import org.cardamomwharf.decision.requests.RequestSpec
@@ -196,7 +196,7 @@
     }
 
     private fun put(key: String, effect: EntryEffect.ClaimEffect, state: ClaimState): ClaimReply {
-        val answer = (effect as? EntryEffect.RecordResponse)?.answer
+        val answer = (effect as? EntryEffect.RecordResponse)?.response
         rows[key] = ClaimRow(effect.attempt, "print", state, answer)
         return ClaimReply.Written
     }
@@ -212,7 +212,7 @@
             roll < refusedBelow -> AttemptResult.Refused(Reason.SERVER_REFUSED)
             roll < unreachableBelow -> AttemptResult.NotSent(Reason.SERVER_UNREACHABLE)
             roll < lostBelow -> AttemptResult.Lost(Reason.CONNECTION_LOST)
-            else -> AttemptResult.Completed(RecordedAnswer(200, "text/plain", ""))
+            else -> AttemptResult.Completed(RecordedResponse(200, "text/plain", ""))
         }
         val hasRun = result is AttemptResult.Completed || result is AttemptResult.Lost && random.nextBoolean()
         if (hasRun) plan(random.nextLong(1, 40)) { noteRun(effect.request) }
@@ -259,7 +259,7 @@
             return
         }
         val result = when (effect.reason.outcome) {
-            Outcome.RAN -> AttemptResult.Completed(RecordedAnswer(200, "text/plain", ""))
+            Outcome.RAN -> AttemptResult.Completed(RecordedResponse(200, "text/plain", ""))
             Outcome.NOT_RUN -> AttemptResult.Refused(effect.reason)
             Outcome.UNKNOWN -> AttemptResult.Lost(effect.reason)
         }
--- a/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/session/GoldenSessions.kt
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/session/GoldenSessions.kt
@@ -11,7 +11,7 @@
 import org.cardamomwharf.decision.adoption.DocumentHead
 import org.cardamomwharf.decision.claims.Binding
 import org.cardamomwharf.decision.claims.ClaimReply
-import org.cardamomwharf.decision.claims.RecordedAnswer
+import org.cardamomwharf.decision.claims.RecordedResponse
 import org.cardamomwharf.decision.requests.AttemptResult
 import org.cardamomwharf.decision.servers.LoadReport
 import org.cardamomwharf.decision.support.BOOKINGS
@@ -23,7 +23,7 @@
 import org.cardamomwharf.decision.support.sampleDocument
 import org.cardamomwharf.decision.support.serversOf
 
-private val answered = AttemptResult.Completed(RecordedAnswer(200, "text/plain", "aGVsbG8="))
+private val answered = AttemptResult.Completed(RecordedResponse(200, "text/plain", "aGVsbG8="))
 
 val goldenSessions: Map<String, () -> List<TimedEvent>> = mapOf(
     "whole-life" to { Script().start().work().leave().events },
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/claims/ClaimWorkers.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/claims/ClaimWorkers.kt
@@ -50,7 +50,7 @@
 
     private fun finalRowOf(effect: EntryEffect.ClaimEffect): ClaimRow? = when (effect) {
         is EntryEffect.ReleaseClaim -> ClaimRow(effect.attempt, effect.fingerprint, ClaimState.RELEASED)
-        is EntryEffect.RecordResponse -> ClaimRow(effect.attempt, effect.fingerprint, ClaimState.DONE, effect.answer)
+        is EntryEffect.RecordResponse -> ClaimRow(effect.attempt, effect.fingerprint, ClaimState.DONE, effect.response)
         else -> null
     }
 
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/requests/CallerResponse.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/requests/CallerResponse.kt
@@ -9,7 +9,7 @@
 import org.cardamomwharf.core.Reason
 import org.cardamomwharf.core.RequestId
 import org.cardamomwharf.decision.EntryEffect
-import org.cardamomwharf.decision.claims.RecordedAnswer
+import org.cardamomwharf.decision.claims.RecordedResponse
 import org.cardamomwharf.peer.HandedAnswer
 import org.http4k.core.Body
 import org.http4k.core.Response
@@ -47,7 +47,7 @@
         built.header(field.name, field.value)
     }
 
-private fun replay(recorded: RecordedAnswer): Response =
+private fun replay(recorded: RecordedResponse): Response =
     Response(Status(recorded.status, ""))
         .header("Content-Type", recorded.contentType)
         .body(bodyOf(Base64.getDecoder().decode(recorded.bodyBase64)))
@@ -61,6 +61,6 @@
 }
 
 private fun withOffer(response: Response, answer: EntryEffect.Respond): Response {
-    val offer = answer.offer ?: return response
+    val offer = answer.offeredBinding ?: return response
     return response.header(HeaderNames.BINDING, offer.toString())
 }
--- a/cardamomwharf-entry/src/test/kotlin/org/cardamomwharf/entry/forwarding/AttemptResultsTest.kt
+++ b/cardamomwharf-entry/src/test/kotlin/org/cardamomwharf/entry/forwarding/AttemptResultsTest.kt
@@ -27,9 +27,9 @@
     }
 
     test("`answers and refusals tell whether they name their attempt`") {
-        resultOf(HeaderNames.ATTEMPT to "own") shouldBe AttemptResult.Completed(isNamed = true)
-        resultOf() shouldBe AttemptResult.Completed(isNamed = false)
+        resultOf(HeaderNames.ATTEMPT to "own") shouldBe AttemptResult.Completed(hasAttemptId = true)
+        resultOf() shouldBe AttemptResult.Completed(hasAttemptId = false)
         resultOf(HeaderNames.REFUSED to "true", HeaderNames.ATTEMPT to "own") shouldBe
-            AttemptResult.Refused(Reason.SERVER_REFUSED, isNamed = true)
+            AttemptResult.Refused(Reason.SERVER_REFUSED, hasAttemptId = true)
     }
 })
