--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/EntryEffect.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/EntryEffect.kt
@@ -152,7 +152,10 @@
     /** Fetch a newer document from a peer. */
     @Serializable
     @SerialName("org.cardamomwharf.decision.EntryEffect.FetchFromPeer")
-    public data class FetchDocumentFromPeer(public val peer: InstanceName, public val address: SocketAddress) : EntryEffect
+    public data class FetchDocumentFromPeer(
+        public val peer: InstanceName,
+        public val address: SocketAddress,
+    ) : EntryEffect
 
     /** The document [head] is in force from now on. */
     @Serializable
--- a/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/documents/AdoptionTest.kt
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/documents/AdoptionTest.kt
@@ -48,7 +48,8 @@
 
     test("`with the store out of reach a document is fetched from a peer that has it`") {
         val entry = OneEntry()
-        val fetch = entry.handle(EntryEvent.HeartbeatReceived(heartbeatWith(3))).only<EntryEffect.FetchDocumentFromPeer>()
+        val fetch = entry.handle(EntryEvent.HeartbeatReceived(heartbeatWith(3)))
+            .only<EntryEffect.FetchDocumentFromPeer>()
         fetch.peer shouldBe memberOf("e2").name
     }
 
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/peers/HandOverResults.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/peers/HandOverResults.kt
@@ -40,5 +40,9 @@
     }
 
     private fun ranResultOf(answer: HandedAnswer?): AttemptResult =
-        if (answer == null) AttemptResult.Lost(Reason.ANSWER_TRUNCATED) else AttemptResult.Completed(answer.toRecorded())
+        if (answer == null) {
+            AttemptResult.Lost(Reason.ANSWER_TRUNCATED)
+        } else {
+            AttemptResult.Completed(answer.toRecorded())
+        }
 }
