--- a/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/process/ProcessCost.kt
+++ b/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/process/ProcessCost.kt
@@ -9,12 +9,12 @@
 import org.cardamomwharf.core.SocketAddress
 import org.cardamomwharf.core.StatusCode
 import org.cardamomwharf.http.HttpCall
-import org.cardamomwharf.http.HttpCaller
-import org.cardamomwharf.http.HttpCallerSettings
-import org.cardamomwharf.http.HttpEnd
+import org.cardamomwharf.http.HttpClient
+import org.cardamomwharf.http.HttpClientSettings
 import org.cardamomwharf.http.HttpField
+import org.cardamomwharf.http.HttpResult
 import org.cardamomwharf.http.call
-import org.cardamomwharf.http.startJettyCaller
+import org.cardamomwharf.http.startJettyHttpClient
 import org.cardamomwharf.platform.FieldNames
 import org.cardamomwharf.platform.standin.BackendStandin
 import org.cardamomwharf.platform.standin.StoreStandin
@@ -73,7 +73,7 @@
 }
 
 private class Measurement(private val gateways: List<MeasuredGateway>) : AutoCloseable {
-    private val caller: HttpCaller = startJettyCaller(HttpCallerSettings("bench", largestConnections = 64))
+    private val caller: HttpClient = startJettyHttpClient(HttpClientSettings("bench", maxConnections = 64))
     private val senders = Executors.newFixedThreadPool(gateways.size)
     private val sent = AtomicInteger()
 
@@ -118,8 +118,8 @@
     }
 
     private fun statusOf(url: String, headers: List<HttpField>): Int? {
-        val end = caller.call(HttpCall("GET", url, headers, limitMs = CALL_MS))
-        return (end as? HttpEnd.Answered)?.answer?.status
+        val end = caller.call(HttpCall("GET", url, headers, timeoutMs = CALL_MS))
+        return (end as? HttpResult.Completed)?.response?.status
     }
 
     override fun close() {
--- a/cardamomwharf-cli/src/main/kotlin/org/cardamomwharf/cli/EntryQueries.kt
+++ b/cardamomwharf-cli/src/main/kotlin/org/cardamomwharf/cli/EntryQueries.kt
@@ -18,14 +18,14 @@
 import kotlinx.serialization.json.jsonPrimitive
 import org.cardamomwharf.core.StatusCode
 import org.cardamomwharf.http.HttpCall
-import org.cardamomwharf.http.HttpCaller
-import org.cardamomwharf.http.HttpEnd
+import org.cardamomwharf.http.HttpClient
+import org.cardamomwharf.http.HttpResult
 import org.cardamomwharf.http.call
 
 private const val LIMIT_MS = 3_000L
 
 /** Represents the questions to entry instances. */
-public class EntryQueries(private val caller: HttpCaller) {
+public class EntryQueries(private val caller: HttpClient) {
     /** Returns the state of the instances with the admin addresses [addresses]. */
     public fun status(addresses: List<String>): Result<Report, CommandError> {
         val answers = addresses.map { it to ask("http://$it/status").get() }
@@ -43,11 +43,11 @@
             .map { Report(explainLines(it.jsonObject), it) }
 
     private fun ask(url: String): Result<JsonElement, CommandError> {
-        val end = caller.call(HttpCall("GET", url, limitMs = LIMIT_MS))
+        val end = caller.call(HttpCall("GET", url, timeoutMs = LIMIT_MS))
         return when {
-            end !is HttpEnd.Answered -> Err(CommandError.Unreachable(url))
-            end.answer.status != StatusCode.OK -> Err(CommandError.Missing("such service or client block"))
-            else -> Ok(Json.parseToJsonElement(end.answer.body.decodeToString()))
+            end !is HttpResult.Completed -> Err(CommandError.Unreachable(url))
+            end.response.status != StatusCode.OK -> Err(CommandError.Missing("such service or client block"))
+            else -> Ok(Json.parseToJsonElement(end.response.body.decodeToString()))
         }
     }
 }
--- a/cardamomwharf-cli/src/main/kotlin/org/cardamomwharf/cli/WharfCommand.kt
+++ b/cardamomwharf-cli/src/main/kotlin/org/cardamomwharf/cli/WharfCommand.kt
@@ -11,9 +11,9 @@
 import kotlinx.cli.required
 import org.cardamomwharf.core.AttemptId
 import org.cardamomwharf.core.SocketAddress
-import org.cardamomwharf.http.HttpCaller
-import org.cardamomwharf.http.HttpCallerSettings
-import org.cardamomwharf.http.startJettyCaller
+import org.cardamomwharf.http.HttpClient
+import org.cardamomwharf.http.HttpClientSettings
+import org.cardamomwharf.http.startJettyHttpClient
 import org.cardamomwharf.repository.DocumentArchive
 import org.cardamomwharf.repository.EnvironmentHeads
 import org.cardamomwharf.repository.httpObjectStore
@@ -35,7 +35,7 @@
         exitProcess(printResult(run(), isJson).number)
     }
 
-    protected fun <T> useCaller(use: (HttpCaller) -> T): T = startJettyCaller(HttpCallerSettings("wharf")).use(use)
+    protected fun <T> useCaller(use: (HttpClient) -> T): T = startJettyHttpClient(HttpClientSettings("wharf")).use(use)
 }
 
 /** Represents a subcommand that reads or changes an environment. */
@@ -57,7 +57,7 @@
             System.err.println("$platform isn't an address")
             exitProcess(ExitCode.USAGE.number)
         }
-        val caller = startJettyCaller(HttpCallerSettings("platform"))
+        val caller = startJettyHttpClient(HttpClientSettings("platform"))
         val heads = EnvironmentHeads(httpTableService(caller, address, PLATFORM_LIMIT_MS))
         return Environments(heads, DocumentArchive(httpObjectStore(caller, address, PLATFORM_LIMIT_MS)))
     }
--- a/cardamomwharf-dist/src/test/kotlin/org/cardamomwharf/dist/session/WholeSessionTest.kt
+++ b/cardamomwharf-dist/src/test/kotlin/org/cardamomwharf/dist/session/WholeSessionTest.kt
@@ -17,8 +17,8 @@
 import org.cardamomwharf.dist.support.SLOW_SERVICE
 import org.cardamomwharf.dist.support.callRaw
 import org.cardamomwharf.dist.support.eventually
-import org.cardamomwharf.http.HttpAnswer
 import org.cardamomwharf.http.HttpField
+import org.cardamomwharf.http.HttpResponse
 import java.nio.file.Files
 import java.nio.file.Path
 
@@ -28,7 +28,7 @@
 private class Transcript {
     private val lines = mutableListOf<String>()
 
-    fun note(what: String, answer: HttpAnswer?) {
+    fun note(what: String, answer: HttpResponse?) {
         lines += "$what -> ${answer?.status}"
         answer?.headers
             ?.filter { it.name.startsWith("Wharf-") || it.name == "Retry-After" }
--- a/cardamomwharf-dist/src/test/kotlin/org/cardamomwharf/dist/support/Deployment.kt
+++ b/cardamomwharf-dist/src/test/kotlin/org/cardamomwharf/dist/support/Deployment.kt
@@ -19,14 +19,14 @@
 import org.cardamomwharf.core.document.Policy
 import org.cardamomwharf.core.monotonicClock
 import org.cardamomwharf.document.parseDocument
-import org.cardamomwharf.http.HttpAnswer
 import org.cardamomwharf.http.HttpCall
-import org.cardamomwharf.http.HttpCallerSettings
-import org.cardamomwharf.http.HttpEnd
+import org.cardamomwharf.http.HttpClientSettings
 import org.cardamomwharf.http.HttpField
+import org.cardamomwharf.http.HttpResponse
+import org.cardamomwharf.http.HttpResult
 import org.cardamomwharf.http.JettyServer
 import org.cardamomwharf.http.call
-import org.cardamomwharf.http.startJettyCaller
+import org.cardamomwharf.http.startJettyHttpClient
 import org.cardamomwharf.load.CallerStandin
 import org.cardamomwharf.load.LoadPlan
 import org.cardamomwharf.load.LoadResult
@@ -64,7 +64,7 @@
     private val zones: List<String> = listOf("mazowsze-a"),
     private val isRelayed: Boolean = false,
 ) : AutoCloseable {
-    val caller = startJettyCaller(HttpCallerSettings("test"))
+    val caller = startJettyHttpClient(HttpClientSettings("test"))
     val platform = PlatformStandin()
     val servers = linkedMapOf<String, ServerStandin>()
     val entries = mutableListOf<EntryProcessHandle>()
@@ -174,14 +174,14 @@
             .jsonObject.getValue("documentVersion").jsonPrimitive.content.toInt()
     }
 
-    fun get(url: String, vararg fields: HttpField): HttpAnswer? = send("GET", url, "", fields.toList())
+    fun get(url: String, vararg fields: HttpField): HttpResponse? = send("GET", url, "", fields.toList())
 
-    fun post(url: String, body: String, vararg fields: HttpField): HttpAnswer? =
+    fun post(url: String, body: String, vararg fields: HttpField): HttpResponse? =
         send("POST", url, body, fields.toList())
 
-    private fun send(method: String, url: String, body: String, fields: List<HttpField>): HttpAnswer? {
+    private fun send(method: String, url: String, body: String, fields: List<HttpField>): HttpResponse? {
         val end = caller.call(HttpCall(method, url, fields, body.toByteArray(), CALL_LIMIT_MS))
-        return (end as? HttpEnd.Answered)?.answer
+        return (end as? HttpResult.Completed)?.response
     }
 
     /** Starts a load of reads and bookings on a thread of its own; the result comes when it has ended. */
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/EntryProcess.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/EntryProcess.kt
@@ -33,10 +33,10 @@
 import org.cardamomwharf.entry.requests.CallerTools
 import org.cardamomwharf.entry.requests.RequestBook
 import org.cardamomwharf.entry.settings.EntrySettings
-import org.cardamomwharf.http.HttpCallerSettings
+import org.cardamomwharf.http.HttpClientSettings
 import org.cardamomwharf.http.HttpServerSettings
 import org.cardamomwharf.http.JettyServer
-import org.cardamomwharf.http.startJettyCaller
+import org.cardamomwharf.http.startJettyHttpClient
 import org.cardamomwharf.http.startJettyServer
 import org.cardamomwharf.logging.PartLog
 import org.cardamomwharf.peer.PeerNode
@@ -61,16 +61,16 @@
     private val ring = EventRing()
     private val metrics = EntryMetrics()
     private val book = RequestBook()
-    private val platformCaller = startJettyCaller(HttpCallerSettings("platform"))
+    private val platformCaller = startJettyHttpClient(HttpClientSettings("platform"))
     private val tables =
         httpTableService(platformCaller, settings.addresses.platform, settings.times.platformLimitMs)
     private val objects =
         httpObjectStore(platformCaller, settings.addresses.platform, settings.times.platformLimitMs)
     private val keeper = DocumentKeeper(DocumentArchive(objects), ring)
     private val callers = ServerCallers(
-        kept = startJettyCaller(HttpCallerSettings("servers")),
-        fresh = startJettyCaller(HttpCallerSettings("servers-new", isReusing = false)),
-        reports = startJettyCaller(HttpCallerSettings("servers-reports")),
+        kept = startJettyHttpClient(HttpClientSettings("servers")),
+        fresh = startJettyHttpClient(HttpClientSettings("servers-new", isConnectionReused = false)),
+        reports = startJettyHttpClient(HttpClientSettings("servers-reports")),
     )
     private val member = Member(
         settings.name,
@@ -104,7 +104,7 @@
 
     private fun startAdmin(): JettyServer {
         val api = AdminApi(loop, ring, keeper, metrics, clock)
-        val server = HttpServerSettings(settings.addresses.admin, largestThreads = ADMIN_THREADS)
+        val server = HttpServerSettings(settings.addresses.admin, maxThreads = ADMIN_THREADS)
         return startJettyServer(server, handler = api.handler)
     }
 
@@ -124,7 +124,7 @@
 
     private fun startCallerServer(): JettyServer {
         val api = CallerApi(settings, loop, ring, book, keeper, CallerTools(clock, metrics))
-        val server = HttpServerSettings(settings.addresses.caller, largestThreads = CALLER_THREADS)
+        val server = HttpServerSettings(settings.addresses.caller, maxThreads = CALLER_THREADS)
         return startJettyServer(server, onRefusal = metrics::countRefusal, handler = api.handler)
     }
 
@@ -132,7 +132,7 @@
     public fun stop() {
         log.info("${settings.name.value} is leaving.")
         ring.put(EntryEvent.LeaveRequested)
-        callerServer?.leave()
+        callerServer?.disableKeepAlive()
         val isDone = loop.awaitExit(settings.times.exitLimitMs)
         awaitSettled()
         callerServer?.stop()
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/admin/AdminApi.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/admin/AdminApi.kt
@@ -15,7 +15,7 @@
 import org.cardamomwharf.entry.metrics.EntryMetrics
 import org.cardamomwharf.http.Route
 import org.cardamomwharf.http.jsonResponse
-import org.cardamomwharf.http.routesOf
+import org.cardamomwharf.http.routeRequests
 import org.http4k.core.HttpHandler
 import org.http4k.core.Method
 import org.http4k.core.Request
@@ -33,7 +33,7 @@
     private val clock: Clock,
 ) {
     /** Answers the calls of operators. */
-    public val handler: HttpHandler = routesOf(
+    public val handler: HttpHandler = routeRequests(
         Route(Method.GET, "/health") { health() },
         Route(Method.GET, "/ready") { ready() },
         Route(Method.GET, "/metrics") { Response(Status.OK).body(metrics.write(loop.snapshot, clock.nowMs())) },
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/forwarding/AttemptResults.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/forwarding/AttemptResults.kt
@@ -9,19 +9,19 @@
 import org.cardamomwharf.core.Reason
 import org.cardamomwharf.decision.requests.AttemptResult
 import org.cardamomwharf.entry.requests.toRecorded
-import org.cardamomwharf.http.HttpAnswer
-import org.cardamomwharf.http.HttpEnd
 import org.cardamomwharf.http.HttpFailure
+import org.cardamomwharf.http.HttpResponse
+import org.cardamomwharf.http.HttpResult
 import org.cardamomwharf.peer.HandedAnswer
 import org.cardamomwharf.peer.HandedField
 
 private const val MS_PER_SECOND = 1_000L
 
 /** Returns what [end] means for [attempt]. */
-public fun attemptResultOf(end: HttpEnd, attempt: AttemptId, isIdempotent: Boolean): AttemptResult = when (end) {
-    is HttpEnd.NotSent -> AttemptResult.NotSent(Reason.SERVER_UNREACHABLE)
-    is HttpEnd.Lost -> AttemptResult.Lost(reasonOf(end.failure))
-    is HttpEnd.Answered -> judge(end.answer, attempt, isIdempotent)
+public fun attemptResultOf(end: HttpResult, attempt: AttemptId, isIdempotent: Boolean): AttemptResult = when (end) {
+    is HttpResult.NotSent -> AttemptResult.NotSent(Reason.SERVER_UNREACHABLE)
+    is HttpResult.Lost -> AttemptResult.Lost(reasonOf(end.failure))
+    is HttpResult.Completed -> judge(end.response, attempt, isIdempotent)
 }
 
 private fun reasonOf(failure: HttpFailure): Reason = when (failure) {
@@ -32,7 +32,7 @@
     HttpFailure.CONNECT, HttpFailure.CLOSED -> Reason.CONNECTION_LOST
 }
 
-private fun judge(answer: HttpAnswer, attempt: AttemptId, isIdempotent: Boolean): AttemptResult {
+private fun judge(answer: HttpResponse, attempt: AttemptId, isIdempotent: Boolean): AttemptResult {
     val isLeaving = answer.findHeader(HeaderNames.LEAVING) == "true"
     val named = answer.findHeader(HeaderNames.ATTEMPT)
     val isNamed = named != null
@@ -45,11 +45,11 @@
     }
 }
 
-private fun retryAfterMs(answer: HttpAnswer): Long =
+private fun retryAfterMs(answer: HttpResponse): Long =
     (answer.findHeader(HeaderNames.RETRY_AFTER)?.toLongOrNull() ?: 0) * MS_PER_SECOND
 
 /** Returns [answer] as it is handed to callers and peers. */
-public fun handedAnswerOf(answer: HttpAnswer): HandedAnswer = HandedAnswer(
+public fun handedAnswerOf(answer: HttpResponse): HandedAnswer = HandedAnswer(
     status = answer.status,
     fields = answer.headers.map { HandedField(it.name, it.value) },
     body = answer.body,
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/forwarding/Forwarder.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/forwarding/Forwarder.kt
@@ -15,10 +15,10 @@
 import org.cardamomwharf.entry.requests.BookedRequest
 import org.cardamomwharf.entry.requests.RequestBook
 import org.cardamomwharf.http.HttpCall
-import org.cardamomwharf.http.HttpCaller
-import org.cardamomwharf.http.HttpEnd
+import org.cardamomwharf.http.HttpClient
 import org.cardamomwharf.http.HttpField
-import org.cardamomwharf.http.HttpFlight
+import org.cardamomwharf.http.HttpResult
+import org.cardamomwharf.http.PendingCall
 import java.util.concurrent.CompletableFuture
 import java.util.concurrent.ConcurrentHashMap
 
@@ -30,9 +30,9 @@
  * @param reports asks for load reports; their answers name no attempt and must never share a connection with requests.
  */
 public class ServerCallers(
-    public val kept: HttpCaller,
-    public val fresh: HttpCaller,
-    public val reports: HttpCaller,
+    public val kept: HttpClient,
+    public val fresh: HttpClient,
+    public val reports: HttpClient,
 )
 
 /** Represents the sender of requests to backend servers. */
@@ -42,7 +42,7 @@
     private val ring: EventRing,
     private val clock: Clock,
 ) {
-    private val flights = ConcurrentHashMap<AttemptId, CompletableFuture<HttpFlight>>()
+    private val flights = ConcurrentHashMap<AttemptId, CompletableFuture<PendingCall>>()
 
     /** Starts the attempt of [effect]. */
     public fun forward(effect: EntryEffect.Forward) {
@@ -52,7 +52,7 @@
             return
         }
         val caller = if (effect.isFreshConnection) callers.fresh else callers.kept
-        val flight = CompletableFuture<HttpFlight>()
+        val flight = CompletableFuture<PendingCall>()
         flights[effect.attempt] = flight
         flight.complete(caller.start(callOf(effect, request)) { end(effect.attempt, request, it) })
     }
@@ -75,15 +75,15 @@
             url = "http://${effect.address}${request.handed.pathAndQuery}",
             headers = request.handed.fields.map { HttpField(it.name, it.value) } + own,
             body = request.handed.body,
-            limitMs = remainingMs,
+            timeoutMs = remainingMs,
         )
     }
 
-    private fun end(attempt: AttemptId, request: BookedRequest, end: HttpEnd) {
+    private fun end(attempt: AttemptId, request: BookedRequest, end: HttpResult) {
         flights.remove(attempt)
         val result = attemptResultOf(end, attempt, request.spec.isIdempotent)
-        if (result is AttemptResult.Completed && end is HttpEnd.Answered) {
-            book.keep(request.spec.id, attempt, handedAnswerOf(end.answer))
+        if (result is AttemptResult.Completed && end is HttpResult.Completed) {
+            book.keep(request.spec.id, attempt, handedAnswerOf(end.response))
         }
         ring.put(EntryEvent.AttemptEnded(attempt, result))
     }
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/polling/PlatformPollers.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/polling/PlatformPollers.kt
@@ -23,10 +23,10 @@
 import org.cardamomwharf.entry.loop.DecisionLoop
 import org.cardamomwharf.entry.loop.EventRing
 import org.cardamomwharf.entry.settings.EntrySettings
-import org.cardamomwharf.http.HttpAnswer
 import org.cardamomwharf.http.HttpCall
-import org.cardamomwharf.http.HttpCaller
-import org.cardamomwharf.http.HttpEnd
+import org.cardamomwharf.http.HttpClient
+import org.cardamomwharf.http.HttpResponse
+import org.cardamomwharf.http.HttpResult
 import org.cardamomwharf.repository.EnvironmentHeads
 import org.cardamomwharf.repository.InstanceList
 import org.cardamomwharf.repository.PlatformInstance
@@ -39,7 +39,7 @@
 public class PolledParts(
     public val heads: EnvironmentHeads,
     public val list: InstanceList,
-    public val servers: HttpCaller,
+    public val servers: HttpClient,
 )
 
 /** Represents the pollers of an entry process. */
@@ -99,12 +99,12 @@
 
     private fun readLoad(server: ServerState) {
         val url = "http://${server.listed.address}$LOAD_PATH"
-        parts.servers.start(HttpCall("GET", url, limitMs = settings.times.loadPollMs)) { end ->
-            if (end is HttpEnd.Answered) report(server.name, end.answer)
+        parts.servers.start(HttpCall("GET", url, timeoutMs = settings.times.loadPollMs)) { end ->
+            if (end is HttpResult.Completed) report(server.name, end.response)
         }
     }
 
-    private fun report(server: ServerName, answer: HttpAnswer) {
+    private fun report(server: ServerName, answer: HttpResponse) {
         if (answer.status != StatusCode.OK) return
         try {
             val load = json.decodeFromString<LoadReport>(answer.body.decodeToString())
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/requests/CallerApi.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/requests/CallerApi.kt
@@ -25,7 +25,7 @@
 import org.cardamomwharf.entry.settings.EntrySettings
 import org.cardamomwharf.http.Route
 import org.cardamomwharf.http.jsonResponse
-import org.cardamomwharf.http.routesOf
+import org.cardamomwharf.http.routeRequests
 import org.http4k.core.HttpHandler
 import org.http4k.core.Method
 import org.http4k.core.Request
@@ -47,7 +47,7 @@
     private val tools: CallerTools,
 ) {
     /** Answers look-ups and requests. */
-    public val handler: HttpHandler = routesOf(
+    public val handler: HttpHandler = routeRequests(
         Route(Method.GET, "/lookup", ::lookUp),
         Route(null, RUN_PREFIX, ::run),
     )
--- a/cardamomwharf-entry/src/test/kotlin/org/cardamomwharf/entry/forwarding/AttemptResultsTest.kt
+++ b/cardamomwharf-entry/src/test/kotlin/org/cardamomwharf/entry/forwarding/AttemptResultsTest.kt
@@ -9,15 +9,15 @@
 import org.cardamomwharf.core.HeaderNames
 import org.cardamomwharf.core.Reason
 import org.cardamomwharf.decision.requests.AttemptResult
-import org.cardamomwharf.http.HttpAnswer
-import org.cardamomwharf.http.HttpEnd
 import org.cardamomwharf.http.HttpField
+import org.cardamomwharf.http.HttpResponse
+import org.cardamomwharf.http.HttpResult
 
 private val own = AttemptId("own")
 
 private fun resultOf(vararg fields: Pair<String, String>): AttemptResult {
-    val answer = HttpAnswer(200, fields.map { (name, value) -> HttpField(name, value) }, ByteArray(0))
-    return attemptResultOf(HttpEnd.Answered(answer), own, isIdempotent = true)
+    val answer = HttpResponse(200, fields.map { (name, value) -> HttpField(name, value) }, ByteArray(0))
+    return attemptResultOf(HttpResult.Completed(answer), own, isIdempotent = true)
 }
 
 class AttemptResultsTest : FunSpec({
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/ServerPool.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/ServerPool.kt
@@ -6,8 +6,8 @@
 import org.cardamomwharf.core.Clock
 import org.cardamomwharf.core.ServerName
 import org.cardamomwharf.core.SocketAddress
-import org.cardamomwharf.http.keepAlive
-import org.cardamomwharf.http.noTls
+import org.cardamomwharf.http.emptySslContextFactory
+import org.cardamomwharf.http.enableTcpKeepAlive
 import org.eclipse.jetty.io.ClientConnector
 import org.eclipse.jetty.io.Connection
 import org.eclipse.jetty.io.EndPoint
@@ -62,7 +62,7 @@
     public val opened: AtomicInteger = AtomicInteger()
     private val connector = KeptAliveConnector().apply {
         selectors = 1
-        sslContextFactory = noTls()
+        sslContextFactory = emptySslContextFactory()
         executor = this@ServerPool.executor
         connectTimeout = Duration.ofMillis(settings.connectMs)
         idleTimeout = Duration.ZERO
@@ -140,7 +140,7 @@
     private class KeptAliveConnector : ClientConnector() {
         override fun configure(selectable: SelectableChannel) {
             super.configure(selectable)
-            (selectable as? SocketChannel)?.let(::keepAlive)
+            (selectable as? SocketChannel)?.let(::enableTcpKeepAlive)
         }
 
         override fun newEndPoint(
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/GatewayProcess.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/GatewayProcess.kt
@@ -40,8 +40,8 @@
 import org.cardamomwharf.gateway.store.StateListener
 import org.cardamomwharf.gateway.store.StateWatch
 import org.cardamomwharf.gateway.store.StoreRelay
-import org.cardamomwharf.http.HttpCallerSettings
-import org.cardamomwharf.http.startJettyCaller
+import org.cardamomwharf.http.HttpClientSettings
+import org.cardamomwharf.http.startJettyHttpClient
 import org.cardamomwharf.platform.platformStore
 import org.cardamomwharf.steering.Steering
 import org.cardamomwharf.steering.belief.DeploymentStore
@@ -86,7 +86,7 @@
         SocketAddress(settings.addresses.host, settings.peerPort),
     )
     private val book = InstanceBook(own, Incarnation(System.currentTimeMillis()), SILENCE_MS)
-    private val caller = startJettyCaller(HttpCallerSettings("store", largestConnections = 8, largestThreads = 6))
+    private val caller = startJettyHttpClient(HttpClientSettings("store", maxConnections = 8, maxThreads = 6))
     private val relay: StoreRelay = StoreRelay(own, peerDirectory(), watchTools, ::shareBudgets)
     private val roster = PeerRoster(own, book, clock)
     private val heartbeats: PeerHeartbeats = PeerHeartbeats(own, place, book, roster, watchTools, relay)
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/PeerState.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/PeerState.kt
@@ -14,8 +14,8 @@
 import org.cardamomwharf.core.StatusCode
 import org.cardamomwharf.forward.front.FrontHandler
 import org.cardamomwharf.http.HttpCall
-import org.cardamomwharf.http.HttpCaller
-import org.cardamomwharf.http.HttpEnd
+import org.cardamomwharf.http.HttpClient
+import org.cardamomwharf.http.HttpResult
 import org.cardamomwharf.http.call
 import org.cardamomwharf.steering.belief.OperatorOrder
 import org.cardamomwharf.steering.belief.TableReading
@@ -61,9 +61,9 @@
 
 /** Asks the instance at [peer] for what it knows beyond [known]; returns null when it doesn't answer usefully. */
 @OptIn(ExperimentalSerializationApi::class)
-internal fun askPeerState(caller: HttpCaller, peer: SocketAddress, known: KnownVersions): PeerState? {
+internal fun askPeerState(caller: HttpClient, peer: SocketAddress, known: KnownVersions): PeerState? {
     val url = "http://$peer/state?$ORDERS=${known.orders}&$SERVERS=${known.servers}"
-    val end = caller.call(HttpCall("GET", url, limitMs = CALL_LIMIT_MS))
-    val answer = (end as? HttpEnd.Answered)?.answer?.takeIf { it.status == StatusCode.OK } ?: return null
+    val end = caller.call(HttpCall("GET", url, timeoutMs = CALL_LIMIT_MS))
+    val answer = (end as? HttpResult.Completed)?.response?.takeIf { it.status == StatusCode.OK } ?: return null
     return unframe(answer.body)?.let { cbor.decodeFromByteArray<PeerState>(it) }
 }
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/selftest/SelfTest.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/selftest/SelfTest.kt
@@ -15,12 +15,12 @@
 import org.cardamomwharf.gateway.settings.GatewaySettings
 import org.cardamomwharf.gateway.settings.parseGatewaySettings
 import org.cardamomwharf.http.HttpCall
-import org.cardamomwharf.http.HttpCaller
-import org.cardamomwharf.http.HttpCallerSettings
-import org.cardamomwharf.http.HttpEnd
+import org.cardamomwharf.http.HttpClient
+import org.cardamomwharf.http.HttpClientSettings
 import org.cardamomwharf.http.HttpField
+import org.cardamomwharf.http.HttpResult
 import org.cardamomwharf.http.call
-import org.cardamomwharf.http.startJettyCaller
+import org.cardamomwharf.http.startJettyHttpClient
 import org.cardamomwharf.platform.FieldNames
 import org.cardamomwharf.platform.standin.BackendStandin
 import org.cardamomwharf.platform.standin.StoreStandin
@@ -52,7 +52,7 @@
     store.start(SocketAddress(HOST, ports.store))
     val process = GatewayProcess(settingsOf(ports))
     if (process.start().isErr) return false
-    val caller = startJettyCaller(HttpCallerSettings("self-test"))
+    val caller = startJettyHttpClient(HttpClientSettings("self-test"))
     val answered = (1..TRIES).asSequence()
         .filter { isServed(caller, ports.caller, it) }
         .take(WANTED_ANSWERS)
@@ -61,17 +61,17 @@
         "${ports.directory}/resolve?name=a&region=r&zone=z",
         "${ports.ready}/readyz",
         "${ports.metrics}/metrics",
-    ).forEach { caller.call(HttpCall("GET", "http://$HOST:$it", limitMs = CALL_MS)) }
+    ).forEach { caller.call(HttpCall("GET", "http://$HOST:$it", timeoutMs = CALL_MS)) }
     process.stop()
     return answered == WANTED_ANSWERS
 }
 
-private fun isServed(caller: HttpCaller, port: Int, number: Int): Boolean {
+private fun isServed(caller: HttpClient, port: Int, number: Int): Boolean {
     val headers = listOf(HttpField(FieldNames.REQUEST_ID, "self-$number"), HttpField(FieldNames.AFFINITY_KEY, "k"))
     val body = if (number % 2 == 0) ByteArray(0) else "body".toByteArray()
     val method = if (body.isEmpty()) "GET" else "POST"
     val end = caller.call(HttpCall(method, "http://$HOST:$port/p/$number", headers, body, CALL_MS))
-    val isServed = (end as? HttpEnd.Answered)?.answer?.status == StatusCode.OK
+    val isServed = (end as? HttpResult.Completed)?.response?.status == StatusCode.OK
     if (!isServed) Thread.sleep(PAUSE_MS)
     return isServed
 }
--- a/cardamomwharf-http/src/main/kotlin/org/cardamomwharf/http/BlockingCalls.kt
+++ b/cardamomwharf-http/src/main/kotlin/org/cardamomwharf/http/BlockingCalls.kt
@@ -11,15 +11,15 @@
 private const val MARGIN_MS = 1_000L
 
 /** Returns the end of [call]. */
-public fun HttpCaller.call(call: HttpCall): HttpEnd {
-    val end = CompletableFuture<HttpEnd>()
+public fun HttpClient.call(call: HttpCall): HttpResult {
+    val end = CompletableFuture<HttpResult>()
     val flight = start(call) { end.complete(it) }
     return try {
-        end.get(call.limitMs + MARGIN_MS, TimeUnit.MILLISECONDS)
+        end.get(call.timeoutMs + MARGIN_MS, TimeUnit.MILLISECONDS)
     } catch (@Suppress("SwallowedException") e: TimeoutException) {
         flight.cancel()
-        HttpEnd.Lost(HttpFailure.TIMEOUT)
+        HttpResult.Lost(HttpFailure.TIMEOUT)
     } catch (@Suppress("SwallowedException") e: ExecutionException) {
-        HttpEnd.Lost(HttpFailure.CLOSED)
+        HttpResult.Lost(HttpFailure.CLOSED)
     }
 }
--- a/cardamomwharf-http/src/main/kotlin/org/cardamomwharf/http/BodyRead.kt
+++ b/cardamomwharf-http/src/main/kotlin/org/cardamomwharf/http/BodyReadResult.kt
@@ -7,25 +7,25 @@
 import java.io.InputStream
 
 /** Represents what reading a body gave. */
-public sealed interface BodyRead {
+public sealed interface BodyReadResult {
     /** The whole body. */
-    public class Whole(public val bytes: ByteArray) : BodyRead
+    public class Complete(public val bytes: ByteArray) : BodyReadResult
 
     /** The body is larger than allowed. */
-    public data object TooLarge : BodyRead
+    public data object TooLarge : BodyReadResult
 
     /** The body ended before its announced size. */
-    public data object Truncated : BodyRead
+    public data object Truncated : BodyReadResult
 }
 
 /** Returns the whole body of this stream, or why it can't be had. */
-public fun InputStream.readBody(largestBytes: Int, announcedBytes: Long): BodyRead {
-    if (announcedBytes > largestBytes) return BodyRead.TooLarge
-    val bytes = readOrNull(largestBytes + 1)
+public fun InputStream.readBody(maxBytes: Int, announcedBytes: Long): BodyReadResult {
+    if (announcedBytes > maxBytes) return BodyReadResult.TooLarge
+    val bytes = readOrNull(maxBytes + 1)
     return when {
-        bytes == null || announcedBytes >= 0 && bytes.size < announcedBytes -> BodyRead.Truncated
-        bytes.size > largestBytes -> BodyRead.TooLarge
-        else -> BodyRead.Whole(bytes)
+        bytes == null || announcedBytes >= 0 && bytes.size < announcedBytes -> BodyReadResult.Truncated
+        bytes.size > maxBytes -> BodyReadResult.TooLarge
+        else -> BodyReadResult.Complete(bytes)
     }
 }
 
--- a/cardamomwharf-http/src/main/kotlin/org/cardamomwharf/http/NoTls.kt
+++ b/cardamomwharf-http/src/main/kotlin/org/cardamomwharf/http/EmptySslContextFactory.kt
@@ -7,6 +7,6 @@
 import org.eclipse.jetty.util.ssl.SslContextFactory
 
 /** Returns a factory that loads nothing, for connectors that never use TLS. */
-public fun noTls(): SslContextFactory.Client = object : SslContextFactory.Client() {
+public fun emptySslContextFactory(): SslContextFactory.Client = object : SslContextFactory.Client() {
     override fun doStart() = Unit
 }
--- a/cardamomwharf-http/src/main/kotlin/org/cardamomwharf/http/HttpExchange.kt
+++ b/cardamomwharf-http/src/main/kotlin/org/cardamomwharf/http/HttpExchange.kt
@@ -12,8 +12,8 @@
     public val url: String,
     public val headers: List<HttpField> = emptyList(),
     public val body: ByteArray = ByteArray(0),
-    public val limitMs: Long,
-    public val largestAnswerBytes: Int = 4_194_304,
+    public val timeoutMs: Long,
+    public val maxResponseBytes: Int = 4_194_304,
 )
 
 /** Represents a header field. */
@@ -21,7 +21,7 @@
 public data class HttpField(public val name: String, public val value: String)
 
 /** Represents a whole answer. */
-public class HttpAnswer(
+public class HttpResponse(
     public val status: Int,
     public val headers: List<HttpField>,
     public val body: ByteArray,
@@ -33,28 +33,28 @@
 }
 
 /** Represents the end of a call. */
-public sealed interface HttpEnd {
+public sealed interface HttpResult {
     /** The whole answer arrived. */
-    public class Answered(public val answer: HttpAnswer) : HttpEnd
+    public class Completed(public val response: HttpResponse) : HttpResult
 
     /** No byte of the request was sent. */
-    public data class NotSent(public val failure: HttpFailure) : HttpEnd
+    public data class NotSent(public val failure: HttpFailure) : HttpResult
 
     /** The request may have been sent, and no whole answer arrived. */
-    public data class Lost(public val failure: HttpFailure) : HttpEnd
+    public data class Lost(public val failure: HttpFailure) : HttpResult
 }
 
 /** Represents why a call failed. */
 public enum class HttpFailure { CONNECT, TIMEOUT, CLOSED, TRUNCATED, TOO_LARGE, CANCELLED }
 
 /** Represents a call that is under way. */
-public interface HttpFlight {
+public interface PendingCall {
     /** Stops the call and closes its connection; its end is reported as lost or not sent. */
     public fun cancel()
 }
 
 /** Represents a client for calls to other processes. */
-public interface HttpCaller : AutoCloseable {
-    /** Starts [call]; [onEnd] is told its end once, on a thread of the client. */
-    public fun start(call: HttpCall, onEnd: (HttpEnd) -> Unit): HttpFlight
+public interface HttpClient : AutoCloseable {
+    /** Starts [call]; [onResult] is told its end once, on a thread of the client. */
+    public fun start(call: HttpCall, onResult: (HttpResult) -> Unit): PendingCall
 }
--- a/cardamomwharf-http/src/main/kotlin/org/cardamomwharf/http/HttpServerSettings.kt
+++ b/cardamomwharf-http/src/main/kotlin/org/cardamomwharf/http/HttpServerSettings.kt
@@ -8,13 +8,13 @@
 /**
  * Represents where a server listens and what it takes.
  *
- * @param largestHeadBytes request line and header fields together.
+ * @param maxHeadBytes request line and header fields together.
  */
 public data class HttpServerSettings(
     public val address: SocketAddress,
-    public val largestHeadBytes: Int = 8_192,
-    public val largestBodyBytes: Int = 1_048_576,
-    public val idleMs: Long = 30_000,
-    public val largestThreads: Int = 200,
-    public val acceptQueue: Int = 1_024,
+    public val maxHeadBytes: Int = 8_192,
+    public val maxBodyBytes: Int = 1_048_576,
+    public val idleTimeoutMs: Long = 30_000,
+    public val maxThreads: Int = 200,
+    public val acceptQueueSize: Int = 1_024,
 )
--- a/cardamomwharf-http/src/main/kotlin/org/cardamomwharf/http/JettyCaller.kt
+++ b/cardamomwharf-http/src/main/kotlin/org/cardamomwharf/http/JettyHttpClient.kt
@@ -6,7 +6,6 @@
 
 import org.eclipse.jetty.client.BufferingResponseListener
 import org.eclipse.jetty.client.BytesRequestContent
-import org.eclipse.jetty.client.HttpClient
 import org.eclipse.jetty.client.Request
 import org.eclipse.jetty.client.Result
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP
@@ -20,54 +19,55 @@
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.TimeoutException
 import java.util.concurrent.atomic.AtomicBoolean
+import org.eclipse.jetty.client.HttpClient as JettyClient
 
 /** Returns a started client. */
-public fun startJettyCaller(settings: HttpCallerSettings): HttpCaller {
-    val threads = QueuedThreadPool(settings.largestThreads)
+public fun startJettyHttpClient(settings: HttpClientSettings): HttpClient {
+    val threads = QueuedThreadPool(settings.maxThreads)
     threads.name = settings.name
-    val client = HttpClient(HttpClientTransportOverHTTP(KeptAliveConnector())).apply {
+    val client = JettyClient(HttpClientTransportOverHTTP(KeepAliveConnector())).apply {
         executor = threads
-        connectTimeout = settings.connectMs
-        idleTimeout = settings.idleMs
-        maxConnectionsPerDestination = settings.largestConnections
+        connectTimeout = settings.connectTimeoutMs
+        idleTimeout = settings.idleTimeoutMs
+        maxConnectionsPerDestination = settings.maxConnections
         isFollowRedirects = false
         userAgentField = null
     }
     client.start()
     client.contentDecoderFactories.clear()
     client.protocolHandlers.clear()
-    return JettyCaller(client, settings.isReusing)
+    return JettyHttpClient(client, settings.isConnectionReused)
 }
 
 /** Opens connections whose silent loss the system notices by itself. */
-private class KeptAliveConnector : ClientConnector() {
+private class KeepAliveConnector : ClientConnector() {
     init {
         selectors = 1
-        sslContextFactory = noTls()
+        sslContextFactory = emptySslContextFactory()
     }
 
     override fun configure(selectable: SelectableChannel) {
         super.configure(selectable)
-        (selectable as? SocketChannel)?.let(::keepAlive)
+        (selectable as? SocketChannel)?.let(::enableTcpKeepAlive)
     }
 }
 
-private class JettyCaller(private val client: HttpClient, private val isReusing: Boolean) : HttpCaller {
-    override fun start(call: HttpCall, onEnd: (HttpEnd) -> Unit): HttpFlight {
+private class JettyHttpClient(private val client: JettyClient, private val isConnectionReused: Boolean) : HttpClient {
+    override fun start(call: HttpCall, onResult: (HttpResult) -> Unit): PendingCall {
         val isSent = AtomicBoolean(false)
         val request = client.newRequest(call.url)
             .method(HttpMethod.fromString(call.method) ?: HttpMethod.GET)
-            .timeout(call.limitMs.coerceAtLeast(1), TimeUnit.MILLISECONDS)
+            .timeout(call.timeoutMs.coerceAtLeast(1), TimeUnit.MILLISECONDS)
             .onRequestBegin { isSent.set(true) }
         addFields(request, call)
-        request.send(EndListener(call.largestAnswerBytes, isSent, onEnd))
-        return CancellableFlight(request)
+        request.send(ResultListener(call.maxResponseBytes, isSent, onResult))
+        return JettyPendingCall(request)
     }
 
     private fun addFields(request: Request, call: HttpCall) {
         request.headers { fields ->
             call.headers.forEach { fields.add(it.name, it.value) }
-            if (!isReusing) fields.put(HttpHeader.CONNECTION, "close")
+            if (!isConnectionReused) fields.put(HttpHeader.CONNECTION, "close")
         }
         if (call.body.isNotEmpty()) request.body(BytesRequestContent(call.body))
     }
@@ -77,31 +77,31 @@
     }
 }
 
-private class CancellableFlight(private val request: Request) : HttpFlight {
+private class JettyPendingCall(private val request: Request) : PendingCall {
     override fun cancel() {
         request.abort(CancellationException("cancelled"))
     }
 }
 
-private class EndListener(
-    largestBytes: Int,
+private class ResultListener(
+    maxBytes: Int,
     private val isSent: AtomicBoolean,
-    private val onEnd: (HttpEnd) -> Unit,
-) : BufferingResponseListener(largestBytes) {
+    private val onResult: (HttpResult) -> Unit,
+) : BufferingResponseListener(maxBytes) {
     override fun onComplete(result: Result) {
-        onEnd(if (result.isFailed) failed(result) else answered(result))
+        onResult(if (result.isFailed) failed(result) else answered(result))
     }
 
-    private fun answered(result: Result): HttpEnd {
+    private fun answered(result: Result): HttpResult {
         val headers = result.response.headers.map { HttpField(it.name, it.value.orEmpty()) }
-        return HttpEnd.Answered(HttpAnswer(result.response.status, headers, content ?: ByteArray(0)))
+        return HttpResult.Completed(HttpResponse(result.response.status, headers, content ?: ByteArray(0)))
     }
 
-    private fun failed(result: Result): HttpEnd {
+    private fun failed(result: Result): HttpResult {
         val cause = failureOf(result.requestFailure ?: result.responseFailure)
         val isBegun = result.response != null && result.response.status > 0
         val failure = if (cause == HttpFailure.CLOSED && isBegun) HttpFailure.TRUNCATED else cause
-        return if (isSent.get()) HttpEnd.Lost(failure) else HttpEnd.NotSent(failure)
+        return if (isSent.get()) HttpResult.Lost(failure) else HttpResult.NotSent(failure)
     }
 
     private fun failureOf(cause: Throwable?): HttpFailure = when (cause) {
--- a/cardamomwharf-http/src/main/kotlin/org/cardamomwharf/http/JettyServer.kt
+++ b/cardamomwharf-http/src/main/kotlin/org/cardamomwharf/http/JettyServer.kt
@@ -35,14 +35,14 @@
 public class JettyServer internal constructor(
     private val server: Server,
     private val connector: ServerConnector,
-    private val bridge: BridgeHandler,
+    private val bridge: Http4kBridge,
 ) {
     /** The port that the server listens on. */
     public val port: Int get() = connector.localPort
 
     /** Closes each connection after its next answer, so that callers leave before the server stops. */
-    public fun leave() {
-        bridge.isLeaving = true
+    public fun disableKeepAlive() {
+        bridge.isKeepAliveDisabled = true
     }
 
     /** Stops the server; requests that are still open are cut off after a second. */
@@ -62,43 +62,43 @@
     onRefusal: (Reason) -> Unit = {},
     handler: HttpHandler,
 ): JettyServer {
-    val threads = QueuedThreadPool(settings.largestThreads)
+    val threads = QueuedThreadPool(settings.maxThreads)
     threads.name = "http-${settings.address.port}"
     val server = Server(threads)
     val configuration = HttpConfiguration().apply {
-        requestHeaderSize = settings.largestHeadBytes
+        requestHeaderSize = settings.maxHeadBytes
         sendServerVersion = false
     }
     val connector = ServerConnector(server, HttpConnectionFactory(configuration)).apply {
         host = settings.address.host
         port = settings.address.port
-        idleTimeout = settings.idleMs
-        acceptQueueSize = settings.acceptQueue
+        idleTimeout = settings.idleTimeoutMs
+        acceptQueueSize = settings.acceptQueueSize
     }
     server.addConnector(connector)
     server.addBean(ConnectionLimit(LARGEST_CONNECTIONS, server))
-    val bridge = BridgeHandler(settings, onRefusal, handler)
+    val bridge = Http4kBridge(settings, onRefusal, handler)
     server.handler = bridge
-    server.errorHandler = RefusingErrorHandler(onRefusal)
+    server.errorHandler = RefusalErrorHandler(onRefusal)
     server.start()
     return JettyServer(server, connector, bridge)
 }
 
 /** Turns Jetty's requests into http4k's and back. */
-internal class BridgeHandler(
+internal class Http4kBridge(
     private val settings: HttpServerSettings,
     private val onRefusal: (Reason) -> Unit,
     private val handler: HttpHandler,
 ) : Handler.Abstract() {
     @Volatile
-    var isLeaving: Boolean = false
+    var isKeepAliveDisabled: Boolean = false
 
     override fun handle(request: JettyRequest, response: JettyResponse, callback: Callback): Boolean {
-        val body = Content.Source.asInputStream(request).readBody(settings.largestBodyBytes, request.length)
+        val body = Content.Source.asInputStream(request).readBody(settings.maxBodyBytes, request.length)
         val answer = when (body) {
-            is BodyRead.Whole -> handler(toHttp4k(request, body.bytes))
-            is BodyRead.TooLarge -> refuse(Reason.BODY_TOO_LARGE)
-            is BodyRead.Truncated -> refuse(Reason.BODY_TRUNCATED)
+            is BodyReadResult.Complete -> handler(toHttp4k(request, body.bytes))
+            is BodyReadResult.TooLarge -> refuse(Reason.BODY_TOO_LARGE)
+            is BodyReadResult.Truncated -> refuse(Reason.BODY_TRUNCATED)
         }
         write(answer, response, callback)
         return true
@@ -125,7 +125,7 @@
         answer.headers
             .filter { !it.first.equals(HttpHeader.CONTENT_LENGTH.asString(), ignoreCase = true) }
             .forEach { (name, value) -> response.headers.add(name, value.orEmpty()) }
-        if (isLeaving) response.headers.put(HttpHeader.CONNECTION, "close")
+        if (isKeepAliveDisabled) response.headers.put(HttpHeader.CONNECTION, "close")
         response.headers.put(HttpHeader.CONTENT_LENGTH, payload.remaining().toLong())
         response.write(true, payload.slice(), callback)
     }
--- a/cardamomwharf-http/src/main/kotlin/org/cardamomwharf/http/RefusingErrorHandler.kt
+++ b/cardamomwharf-http/src/main/kotlin/org/cardamomwharf/http/RefusalErrorHandler.kt
@@ -14,7 +14,7 @@
 import org.eclipse.jetty.util.Callback
 import java.nio.ByteBuffer
 
-internal class RefusingErrorHandler(private val onRefusal: (Reason) -> Unit) : ErrorHandler() {
+internal class RefusalErrorHandler(private val onRefusal: (Reason) -> Unit) : ErrorHandler() {
     override fun badMessageError(status: Int, reason: String?, fields: HttpFields.Mutable): ByteBuffer {
         val refusal = note(status)
         fields.put(HeaderNames.OUTCOME, refusal.outcome.code)
--- a/cardamomwharf-http/src/main/kotlin/org/cardamomwharf/http/Route.kt
+++ b/cardamomwharf-http/src/main/kotlin/org/cardamomwharf/http/Route.kt
@@ -17,7 +17,7 @@
 )
 
 /** Returns a handler that uses the first route that fits, or answers 404. */
-public fun routesOf(vararg routes: Route): HttpHandler = { request ->
+public fun routeRequests(vararg routes: Route): HttpHandler = { request ->
     val route = routes.firstOrNull { it.fits(request) }
     route?.handler?.invoke(request) ?: Response(Status.NOT_FOUND).body("no such path\n")
 }
--- a/cardamomwharf-http/src/main/kotlin/org/cardamomwharf/http/KeepAlive.kt
+++ b/cardamomwharf-http/src/main/kotlin/org/cardamomwharf/http/TcpKeepAlive.kt
@@ -17,7 +17,7 @@
 private const val PROBES = 2
 
 /** Makes the system probe [channel] while it is idle. */
-public fun keepAlive(channel: SocketChannel) {
+public fun enableTcpKeepAlive(channel: SocketChannel) {
     channel.setOption(StandardSocketOptions.SO_KEEPALIVE, true)
     channel.setOption(ExtendedSocketOptions.TCP_KEEPIDLE, PROBE_AFTER_S)
     channel.setOption(ExtendedSocketOptions.TCP_KEEPINTERVAL, PROBE_GAP_S)
--- a/cardamomwharf-http/src/test/kotlin/org/cardamomwharf/http/LeavingConnectionTest.kt
+++ b/cardamomwharf-http/src/test/kotlin/org/cardamomwharf/http/LeavingConnectionTest.kt
@@ -28,7 +28,7 @@
                 return generateSequence { reader.readLine() }.takeWhile { it != "whole" }.joinToString()
             }
             answer() shouldNotContain "close"
-            server.leave()
+            server.disableKeepAlive()
             answer() shouldContain "Connection: close"
             reader.read() shouldBe -1
         }
--- a/cardamomwharf-load/src/main/kotlin/org/cardamomwharf/load/CallerStandin.kt
+++ b/cardamomwharf-load/src/main/kotlin/org/cardamomwharf/load/CallerStandin.kt
@@ -8,11 +8,11 @@
 import org.cardamomwharf.core.Clock
 import org.cardamomwharf.core.HeaderNames
 import org.cardamomwharf.core.Outcome
-import org.cardamomwharf.http.HttpAnswer
 import org.cardamomwharf.http.HttpCall
-import org.cardamomwharf.http.HttpCaller
-import org.cardamomwharf.http.HttpEnd
+import org.cardamomwharf.http.HttpClient
 import org.cardamomwharf.http.HttpField
+import org.cardamomwharf.http.HttpResponse
+import org.cardamomwharf.http.HttpResult
 import org.cardamomwharf.http.call
 
 private const val LARGEST_TRIES = 3
@@ -43,7 +43,7 @@
 
 /** Represents a caller. */
 public class CallerStandin(
-    private val caller: HttpCaller,
+    private val caller: HttpClient,
     private val lookups: LookupCache,
     private val clock: Clock,
     private val deadlineMs: Long,
@@ -72,7 +72,7 @@
         else -> false
     }
 
-    private fun send(address: String, task: CallerTask, binding: String?, remainingMs: Long): HttpAnswer? {
+    private fun send(address: String, task: CallerTask, binding: String?, remainingMs: Long): HttpResponse? {
         val isBooking = task.kind == RequestKind.BOOKING
         val fields = listOfNotNull(
             HttpField(HeaderNames.DEADLINE_MS, remainingMs.coerceAtLeast(1).toString()),
@@ -85,16 +85,16 @@
             url = "http://$address/run/${task.service}${pathOf(task)}",
             headers = fields,
             body = if (isBooking) "booking ${task.key}".toByteArray() else ByteArray(0),
-            limitMs = remainingMs.coerceAtLeast(1),
+            timeoutMs = remainingMs.coerceAtLeast(1),
         )
         return when (val end = caller.call(call)) {
-            is HttpEnd.Answered -> end.answer
-            is HttpEnd.NotSent -> null
-            is HttpEnd.Lost -> brokenAnswer
+            is HttpResult.Completed -> end.response
+            is HttpResult.NotSent -> null
+            is HttpResult.Lost -> brokenAnswer
         }
     }
 
-    private fun judge(answer: HttpAnswer?, task: CallerTask, tries: Int): CallerEnd {
+    private fun judge(answer: HttpResponse?, task: CallerTask, tries: Int): CallerEnd {
         val outcome = answer?.findHeader(HeaderNames.OUTCOME)
         return when {
             answer == null -> CallerEnd(UNREACHED, UNREACHED, tries)
@@ -104,7 +104,7 @@
     }
 
     /** An answer that ran must be of this request: backend servers repeat the path in their answer. */
-    private fun findWrong(answer: HttpAnswer, task: CallerTask): WrongAnswer? {
+    private fun findWrong(answer: HttpResponse, task: CallerTask): WrongAnswer? {
         val isRan = answer.findHeader(HeaderNames.OUTCOME) == Outcome.RAN.code
         val isOwn = answer.body.decodeToString().contains(" ${pathOf(task)}\n")
         return if (isRan && !isOwn) wrongAnswerOf(task.service, pathOf(task), answer) else null
@@ -113,6 +113,6 @@
     private fun pathOf(task: CallerTask): String = "/item/${task.number}"
 
     private companion object {
-        val brokenAnswer = HttpAnswer(0, emptyList(), ByteArray(0))
+        val brokenAnswer = HttpResponse(0, emptyList(), ByteArray(0))
     }
 }
--- a/cardamomwharf-load/src/main/kotlin/org/cardamomwharf/load/LookupCache.kt
+++ b/cardamomwharf-load/src/main/kotlin/org/cardamomwharf/load/LookupCache.kt
@@ -11,8 +11,8 @@
 import org.cardamomwharf.core.SocketAddress
 import org.cardamomwharf.core.StatusCode
 import org.cardamomwharf.http.HttpCall
-import org.cardamomwharf.http.HttpCaller
-import org.cardamomwharf.http.HttpEnd
+import org.cardamomwharf.http.HttpClient
+import org.cardamomwharf.http.HttpResult
 import org.cardamomwharf.http.call
 import java.util.concurrent.ConcurrentHashMap
 
@@ -37,7 +37,7 @@
 
 /** Represents the look-ups of all clients of a load run. */
 public class LookupCache(
-    private val caller: HttpCaller,
+    private val caller: HttpClient,
     private val clock: Clock,
     private val entries: List<String>,
 ) {
@@ -56,9 +56,9 @@
 
     private fun ask(entry: String, service: String, client: String): Kept? {
         val url = "http://$entry/lookup?service=$service&client=$client"
-        val end = caller.call(HttpCall("GET", url, limitMs = LOOKUP_LIMIT_MS))
-        if (end !is HttpEnd.Answered || end.answer.status != StatusCode.OK) return null
-        return parse(end.answer.body.decodeToString())
+        val end = caller.call(HttpCall("GET", url, timeoutMs = LOOKUP_LIMIT_MS))
+        if (end !is HttpResult.Completed || end.response.status != StatusCode.OK) return null
+        return parse(end.response.body.decodeToString())
     }
 
     private fun parse(text: String): Kept? =
--- a/cardamomwharf-load/src/main/kotlin/org/cardamomwharf/load/Main.kt
+++ b/cardamomwharf-load/src/main/kotlin/org/cardamomwharf/load/Main.kt
@@ -13,9 +13,9 @@
 import kotlinx.serialization.json.Json
 import org.apache.logging.log4j.Level
 import org.cardamomwharf.core.monotonicClock
-import org.cardamomwharf.http.HttpCaller
-import org.cardamomwharf.http.HttpCallerSettings
-import org.cardamomwharf.http.startJettyCaller
+import org.cardamomwharf.http.HttpClient
+import org.cardamomwharf.http.HttpClientSettings
+import org.cardamomwharf.http.startJettyHttpClient
 import org.cardamomwharf.load.compare.CompareCommand
 import org.cardamomwharf.load.report.ReportCommand
 import org.cardamomwharf.logging.LogFormat
@@ -58,7 +58,7 @@
         .default(false)
 
     override fun execute() {
-        val caller = startJettyCaller(HttpCallerSettings("load"))
+        val caller = startJettyHttpClient(HttpClientSettings("load"))
         val result = caller.use { runPlan(it, plan()) }
         println(result.toText())
         out?.let { Files.writeString(Path.of(it), Json.encodeToString(result)) }
@@ -74,7 +74,7 @@
         seed = seed.toLong(),
     )
 
-    private fun runPlan(caller: HttpCaller, plan: LoadPlan): LoadResult {
+    private fun runPlan(caller: HttpClient, plan: LoadPlan): LoadResult {
         val clock = monotonicClock()
         val standin = CallerStandin(caller, LookupCache(caller, clock, plan.entries), clock, plan.deadlineMs)
         val result = LoadRun(plan, standin, clock).run()
--- a/cardamomwharf-load/src/main/kotlin/org/cardamomwharf/load/WrongAnswer.kt
+++ b/cardamomwharf-load/src/main/kotlin/org/cardamomwharf/load/WrongAnswer.kt
@@ -4,7 +4,7 @@
 package org.cardamomwharf.load
 
 import kotlinx.serialization.Serializable
-import org.cardamomwharf.http.HttpAnswer
+import org.cardamomwharf.http.HttpResponse
 
 private const val LARGEST_SHOWN_CHARACTERS = 600
 
@@ -19,7 +19,7 @@
 )
 
 /** Returns [answer], which the request for [path] of [service] got, as a wrong one. */
-public fun wrongAnswerOf(service: String, path: String, answer: HttpAnswer): WrongAnswer = WrongAnswer(
+public fun wrongAnswerOf(service: String, path: String, answer: HttpResponse): WrongAnswer = WrongAnswer(
     service = service,
     path = path,
     status = answer.status,
--- a/cardamomwharf-load/src/main/kotlin/org/cardamomwharf/load/compare/CompareCommand.kt
+++ b/cardamomwharf-load/src/main/kotlin/org/cardamomwharf/load/compare/CompareCommand.kt
@@ -8,8 +8,8 @@
 import kotlinx.cli.Subcommand
 import kotlinx.cli.default
 import kotlinx.cli.required
-import org.cardamomwharf.http.HttpCallerSettings
-import org.cardamomwharf.http.startJettyCaller
+import org.cardamomwharf.http.HttpClientSettings
+import org.cardamomwharf.http.startJettyHttpClient
 import kotlin.system.exitProcess
 
 private const val DEFAULT_RATE = 200
@@ -39,7 +39,7 @@
             warmUpPairs = pairs,
             pairs = pairs,
         )
-        val found = startJettyCaller(HttpCallerSettings("compare")).use { compareWays(it, plan) }
+        val found = startJettyHttpClient(HttpClientSettings("compare")).use { compareWays(it, plan) }
         println("direct:  " + textOf(found.direct))
         println("entry:   " + textOf(found.entry))
         println("median through the entry instance: %.2f times the direct one".format(found.medianRatio))
--- a/cardamomwharf-load/src/main/kotlin/org/cardamomwharf/load/compare/PathComparison.kt
+++ b/cardamomwharf-load/src/main/kotlin/org/cardamomwharf/load/compare/PathComparison.kt
@@ -7,11 +7,11 @@
 import org.HdrHistogram.Histogram
 import org.cardamomwharf.core.HeaderNames
 import org.cardamomwharf.core.Outcome
-import org.cardamomwharf.http.HttpAnswer
 import org.cardamomwharf.http.HttpCall
-import org.cardamomwharf.http.HttpCaller
-import org.cardamomwharf.http.HttpEnd
+import org.cardamomwharf.http.HttpClient
 import org.cardamomwharf.http.HttpField
+import org.cardamomwharf.http.HttpResponse
+import org.cardamomwharf.http.HttpResult
 import org.cardamomwharf.http.call
 
 private const val LARGEST_US = 60_000_000L
@@ -43,7 +43,7 @@
 }
 
 /** Returns the times of both ways. */
-public fun compareWays(caller: HttpCaller, plan: ComparisonPlan): Comparison {
+public fun compareWays(caller: HttpClient, plan: ComparisonPlan): Comparison {
     val direct = Way { caller.call(callOf(plan.directUrl, plan)) }
     val entry = Way { caller.call(callOf(plan.entryUrl, plan)) }
     val gapUs = US_PER_S / plan.pairsPerSecond
@@ -59,9 +59,9 @@
 }
 
 private fun callOf(url: String, plan: ComparisonPlan) =
-    HttpCall("GET", url, listOf(HttpField("Wharf-Client", plan.client)), limitMs = LIMIT_MS)
+    HttpCall("GET", url, listOf(HttpField("Wharf-Client", plan.client)), timeoutMs = LIMIT_MS)
 
-private class Way(private val send: () -> HttpEnd) {
+private class Way(private val send: () -> HttpResult) {
     private val histogram = Histogram(LARGEST_US, DIGITS)
     private var failures = 0
 
@@ -70,10 +70,10 @@
         val end = send()
         val tookUs = (System.nanoTime() - startNs) / NS_PER_US
         if (!isCounted) return
-        if (end is HttpEnd.Answered && isRan(end.answer)) histogram.recordValue(tookUs) else failures++
+        if (end is HttpResult.Completed && isRan(end.response)) histogram.recordValue(tookUs) else failures++
     }
 
-    private fun isRan(answer: HttpAnswer): Boolean =
+    private fun isRan(answer: HttpResponse): Boolean =
         (answer.findHeader(HeaderNames.OUTCOME) ?: Outcome.RAN.code) == Outcome.RAN.code
 
     fun times(): WayTimes =
--- a/cardamomwharf-repository/src/main/kotlin/org/cardamomwharf/repository/HttpPlatform.kt
+++ b/cardamomwharf-repository/src/main/kotlin/org/cardamomwharf/repository/HttpPlatform.kt
@@ -13,31 +13,31 @@
 import kotlinx.serialization.json.Json
 import org.cardamomwharf.core.SocketAddress
 import org.cardamomwharf.core.StatusCode
-import org.cardamomwharf.http.HttpAnswer
 import org.cardamomwharf.http.HttpCall
-import org.cardamomwharf.http.HttpCaller
-import org.cardamomwharf.http.HttpEnd
+import org.cardamomwharf.http.HttpClient
 import org.cardamomwharf.http.HttpField
+import org.cardamomwharf.http.HttpResponse
+import org.cardamomwharf.http.HttpResult
 import org.cardamomwharf.http.call
 import java.net.URLEncoder
 
 private const val ANY_VERSION = "*"
 
 /** Returns the table service at [address]; each call takes at most [limitMs]. */
-public fun httpTableService(caller: HttpCaller, address: SocketAddress, limitMs: Long): TableService =
+public fun httpTableService(caller: HttpClient, address: SocketAddress, limitMs: Long): TableService =
     HttpTableService(PlatformCalls(caller, address, limitMs))
 
 /** Returns the object store at [address]; each call takes at most [limitMs]. */
-public fun httpObjectStore(caller: HttpCaller, address: SocketAddress, limitMs: Long): ObjectStore =
+public fun httpObjectStore(caller: HttpClient, address: SocketAddress, limitMs: Long): ObjectStore =
     HttpObjectStore(PlatformCalls(caller, address, limitMs))
 
 /** Returns the instance list at [address]; each call takes at most [limitMs]. */
-public fun httpInstanceList(caller: HttpCaller, address: SocketAddress, limitMs: Long): InstanceList {
+public fun httpInstanceList(caller: HttpClient, address: SocketAddress, limitMs: Long): InstanceList {
     val calls = PlatformCalls(caller, address, limitMs)
     return InstanceList { calls.send("GET", "/instances").flatMap(::parseInstances) }
 }
 
-private fun parseInstances(answer: HttpAnswer): Result<List<PlatformInstance>, PlatformError> =
+private fun parseInstances(answer: HttpResponse): Result<List<PlatformInstance>, PlatformError> =
     if (answer.status != StatusCode.OK) {
         Err(PlatformError.Rejected(answer.status))
     } else {
@@ -50,7 +50,7 @@
 
 /** Sends calls and turns their ends into platform errors. */
 private class PlatformCalls(
-    private val caller: HttpCaller,
+    private val caller: HttpClient,
     private val address: SocketAddress,
     private val limitMs: Long,
 ) {
@@ -59,12 +59,12 @@
         path: String,
         body: ByteArray = ByteArray(0),
         headers: List<HttpField> = emptyList(),
-    ): Result<HttpAnswer, PlatformError> {
+    ): Result<HttpResponse, PlatformError> {
         val url = "http://$address$path"
         return when (val end = caller.call(HttpCall(method, url, headers, body, limitMs, LARGEST_ANSWER_BYTES))) {
-            is HttpEnd.Answered -> Ok(end.answer)
-            is HttpEnd.NotSent -> Err(PlatformError.Unreachable)
-            is HttpEnd.Lost -> Err(PlatformError.Lost)
+            is HttpResult.Completed -> Ok(end.response)
+            is HttpResult.NotSent -> Err(PlatformError.Unreachable)
+            is HttpResult.Lost -> Err(PlatformError.Lost)
         }
     }
 
@@ -116,12 +116,12 @@
             }
         }
 
-    private fun rowOrNull(answer: HttpAnswer): TableRow? =
+    private fun rowOrNull(answer: HttpResponse): TableRow? =
         if (versionOf(answer).isEmpty()) null else rowOf(answer)
 
-    private fun rowOf(answer: HttpAnswer): TableRow = TableRow(answer.body.decodeToString(), versionOf(answer))
+    private fun rowOf(answer: HttpResponse): TableRow = TableRow(answer.body.decodeToString(), versionOf(answer))
 
-    private fun versionOf(answer: HttpAnswer): String = answer.findHeader("ETag").orEmpty()
+    private fun versionOf(answer: HttpResponse): String = answer.findHeader("ETag").orEmpty()
 
     private fun pathOf(table: String, key: String): String = "/tables/${encode(table)}/${encode(key)}"
 }
--- a/cardamomwharf-soak/src/main/kotlin/org/cardamomwharf/soak/SoakCallers.kt
+++ b/cardamomwharf-soak/src/main/kotlin/org/cardamomwharf/soak/SoakCallers.kt
@@ -5,12 +5,12 @@
 package org.cardamomwharf.soak
 
 import org.cardamomwharf.http.HttpCall
-import org.cardamomwharf.http.HttpCaller
-import org.cardamomwharf.http.HttpCallerSettings
-import org.cardamomwharf.http.HttpEnd
+import org.cardamomwharf.http.HttpClient
+import org.cardamomwharf.http.HttpClientSettings
 import org.cardamomwharf.http.HttpFailure
+import org.cardamomwharf.http.HttpResult
 import org.cardamomwharf.http.call
-import org.cardamomwharf.http.startJettyCaller
+import org.cardamomwharf.http.startJettyHttpClient
 import org.cardamomwharf.platform.FieldNames
 import org.cardamomwharf.platform.standin.BackendStandin
 import kotlin.random.Random
@@ -47,7 +47,7 @@
     private fun callOn(number: Int) {
         val random = Random(seed * CALLERS + number)
         val isStubborn = number % 2 == 0
-        val caller = startJettyCaller(HttpCallerSettings("caller-$number", largestThreads = 4))
+        val caller = startJettyHttpClient(HttpClientSettings("caller-$number", maxThreads = 4))
         var instance = world.gateways[number % world.gateways.size]
         var askedAtMs = 0L
         var count = 0
@@ -63,21 +63,21 @@
         caller.close()
     }
 
-    private fun choose(caller: HttpCaller, random: Random): GatewayHandle? {
+    private fun choose(caller: HttpClient, random: Random): GatewayHandle? {
         val asked = world.gateways.random(random)
         val url = "http://${asked.directoryAddress}/resolve?name=$HOST&region=a&zone=a1"
-        val end = caller.call(HttpCall("GET", url, limitMs = ASK_EVERY_MS))
-        val text = (end as? HttpEnd.Answered)?.answer?.body?.decodeToString().orEmpty()
+        val end = caller.call(HttpCall("GET", url, timeoutMs = ASK_EVERY_MS))
+        val text = (end as? HttpResult.Completed)?.response?.body?.decodeToString().orEmpty()
         return world.gateways.filter { "\"${it.callerAddress}\"" in text }.randomOrNull(random)
     }
 
-    private fun callOnce(caller: HttpCaller, to: GatewayHandle, id: String, random: Random): CallRecord {
+    private fun callOnce(caller: HttpClient, to: GatewayHandle, id: String, random: Random): CallRecord {
         val isBooking = random.nextInt(BOOKINGS_OF) == 0
         val service = if (isBooking) "bookings" else "reads"
         val body = if (isBooking) "set ${random.nextInt()}".toByteArray() else ByteArray(0)
         val startedAtMs = world.clock.nowMs()
         val end = caller.call(callOf(to, "/$service/$id", SoakCall(id, "${random.nextInt(KEYS)}", body)))
-        val answer = (end as? HttpEnd.Answered)?.answer
+        val answer = (end as? HttpResult.Completed)?.response
         val isOwn = answer != null && answer.findHeader(FieldNames.REQUEST_ID) == id &&
             answer.findHeader(FieldNames.SIGNATURE) == BackendStandin.signatureOf(id) &&
             answer.body.decodeToString() == BackendStandin.bodyOf(id, service)
@@ -90,7 +90,7 @@
             endedAtMs = world.clock.nowMs(),
             status = answer?.status ?: 0,
             isOwnWholeAnswer = isOwn,
-            isCut = end is HttpEnd.Lost && end.failure != HttpFailure.TIMEOUT,
+            isCut = end is HttpResult.Lost && end.failure != HttpFailure.TIMEOUT,
         ).also { record.calls.add(it) }
     }
 }
--- a/cardamomwharf-soak/src/main/kotlin/org/cardamomwharf/soak/VersionProbe.kt
+++ b/cardamomwharf-soak/src/main/kotlin/org/cardamomwharf/soak/VersionProbe.kt
@@ -4,10 +4,10 @@
  */
 package org.cardamomwharf.soak
 
-import org.cardamomwharf.http.HttpCallerSettings
-import org.cardamomwharf.http.HttpEnd
+import org.cardamomwharf.http.HttpClientSettings
+import org.cardamomwharf.http.HttpResult
 import org.cardamomwharf.http.call
-import org.cardamomwharf.http.startJettyCaller
+import org.cardamomwharf.http.startJettyHttpClient
 
 private const val PROBE_PAUSE_MS = 100L
 private const val OK = 200
@@ -24,7 +24,7 @@
     private val record: SoakRecord,
     private val gateway: GatewayHandle,
 ) {
-    private val caller = startJettyCaller(HttpCallerSettings("probe-${gateway.name}", largestThreads = 4))
+    private val caller = startJettyHttpClient(HttpClientSettings("probe-${gateway.name}", maxThreads = 4))
     private var incarnation = 0
     private var seen = 0
     private var newest = 0
@@ -49,7 +49,7 @@
         newest = probed
         val sentAtMs = world.clock.nowMs()
         val end = caller.call(callOf(gateway, "/v$probed/", SoakCall("p-${gateway.name}-${count++}", "p")))
-        val status = (end as? HttpEnd.Answered)?.answer?.status ?: 0
+        val status = (end as? HttpResult.Completed)?.response?.status ?: 0
         if (gateway.incarnation.get() == life) judge(probed, status, sentAtMs)
     }
 
--- a/cardamomwharf-standin/src/main/kotlin/org/cardamomwharf/standin/PlatformStandin.kt
+++ b/cardamomwharf-standin/src/main/kotlin/org/cardamomwharf/standin/PlatformStandin.kt
@@ -13,7 +13,7 @@
 import org.cardamomwharf.http.JettyServer
 import org.cardamomwharf.http.Route
 import org.cardamomwharf.http.jsonResponse
-import org.cardamomwharf.http.routesOf
+import org.cardamomwharf.http.routeRequests
 import org.cardamomwharf.http.startJettyServer
 import org.cardamomwharf.repository.PlatformInstance
 import org.http4k.core.HttpHandler
@@ -45,7 +45,7 @@
     private var staleList: String? = null
 
     /** Answers calls of the platform's protocol and the admin calls of the stand-in. */
-    public val handler: HttpHandler = routesOf(
+    public val handler: HttpHandler = routeRequests(
         Route(Method.GET, "/tables/", faulty(store::readRow)),
         Route(Method.PUT, "/tables/", faulty(store::writeRow)),
         Route(Method.DELETE, "/tables/", faulty(store::expireRows)),
@@ -60,7 +60,7 @@
 
     /** Returns a started server of this stand-in at [address]. */
     public fun start(address: SocketAddress): JettyServer =
-        startJettyServer(HttpServerSettings(address, largestBodyBytes = LARGEST_OBJECT_BYTES), handler = handler)
+        startJettyServer(HttpServerSettings(address, maxBodyBytes = LARGEST_OBJECT_BYTES), handler = handler)
 
     /** Adds the instances in [listJson] to the list. */
     public fun fillList(listJson: String) {
--- a/cardamomwharf-standin/src/main/kotlin/org/cardamomwharf/standin/ServerStandin.kt
+++ b/cardamomwharf-standin/src/main/kotlin/org/cardamomwharf/standin/ServerStandin.kt
@@ -14,7 +14,7 @@
 import org.cardamomwharf.http.JettyServer
 import org.cardamomwharf.http.Route
 import org.cardamomwharf.http.jsonResponse
-import org.cardamomwharf.http.routesOf
+import org.cardamomwharf.http.routeRequests
 import org.cardamomwharf.http.startJettyServer
 import org.http4k.core.HttpHandler
 import org.http4k.core.Method
@@ -54,7 +54,7 @@
     private var faults = ServerFaults()
 
     /** Answers requests, and the admin calls of the stand-in. */
-    public val handler: HttpHandler = routesOf(
+    public val handler: HttpHandler = routeRequests(
         Route(Method.GET, "/wharf/load") { loadResponse() },
         Route(Method.GET, "/wharf/health") { Response(Status.OK).body("well\n") },
         Route(Method.GET, "/wharf/runs") { jsonResponse(StatusCode.OK, Json.encodeToString(counts.countKeys())) },
--- a/cardamomwharf-standin/src/test/kotlin/org/cardamomwharf/standin/ClaimRowsTest.kt
+++ b/cardamomwharf-standin/src/test/kotlin/org/cardamomwharf/standin/ClaimRowsTest.kt
@@ -9,8 +9,8 @@
 import io.kotest.matchers.shouldBe
 import org.cardamomwharf.core.Clock
 import org.cardamomwharf.core.SocketAddress
-import org.cardamomwharf.http.HttpCallerSettings
-import org.cardamomwharf.http.startJettyCaller
+import org.cardamomwharf.http.HttpClientSettings
+import org.cardamomwharf.http.startJettyHttpClient
 import org.cardamomwharf.repository.ClaimTable
 import org.cardamomwharf.repository.PlatformError
 import org.cardamomwharf.repository.httpTableService
@@ -26,7 +26,7 @@
     val clock = SetClock()
     val platform = PlatformStandin(clock)
     val server = platform.start(SocketAddress("127.0.5.1", 0))
-    val caller = startJettyCaller(HttpCallerSettings("test"))
+    val caller = startJettyHttpClient(HttpClientSettings("test"))
     val claims = ClaimTable(httpTableService(caller, SocketAddress("127.0.5.1", server.port), LIMIT_MS))
     afterSpec {
         caller.close()
