--- a/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/paths/LookupBenchmark.kt
+++ b/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/paths/LookupBenchmark.kt
@@ -38,7 +38,7 @@
     @Setup
     public fun prepare() {
         view = requireNotNull(lookupViewOf(sampleState(PEERS), SAMPLE_NOW_MS))
-        table = ClientBlockTable.of(sampleBlocks(blocks).asSequence())
+        table = ClientBlockTable.build(sampleBlocks(blocks).asSequence())
     }
 
     /** Answers one look-up. */
--- a/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/paths/PathFigures.kt
+++ b/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/paths/PathFigures.kt
@@ -110,7 +110,7 @@
     val contents = sampleDocument().copy(clientBlocks = sampleBlocks(BLOCKS)).encodeBlocks().contents
     val before = usedBytes()
     val startNs = System.nanoTime()
-    val table = ClientBlockTable.of(decodeBlocks(contents))
+    val table = ClientBlockTable.build(decodeBlocks(contents))
     val tookMs = (System.nanoTime() - startNs) / NS_PER_MS
     val bytes = usedBytes() - before
     check(table.size == BLOCKS) { "blocks were lost" }
--- a/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/policy/CapMeter.kt
+++ b/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/policy/CapMeter.kt
@@ -20,8 +20,8 @@
 
     /** Notes a request that goes from one zone to another. */
     public fun note(from: ZoneName, to: ZoneName, nowMs: Long) {
-        val partner = index.regionOf.getValue(to).partner
-        if (index.regionOf.getValue(from).partner == partner) return
+        val partner = index.regionByZone.getValue(to).partner
+        if (index.regionByZone.getValue(from).partner == partner) return
         val window = recent.getOrPut(partner) { ArrayDeque() }
         window.addLast(nowMs)
         while (window.first() <= nowMs - WINDOW_MS) window.removeFirst()
--- a/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/policy/PolicyWorld.kt
+++ b/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/policy/PolicyWorld.kt
@@ -68,7 +68,7 @@
     public fun clientDelayMs(from: ZoneName, to: ZoneName): Double = document.delays.toClientsMs + delayMs(from, to)
 
     /** Returns the region of [zone]. */
-    public fun regionOf(zone: ZoneName): RegionName = index.regionOf.getValue(zone).name
+    public fun regionOf(zone: ZoneName): RegionName = index.regionByZone.getValue(zone).name
 
     /** Returns true when the region of [zone] is lost. */
     public fun isLost(zone: ZoneName): Boolean = lostRegion == regionOf(zone)
--- a/cardamomwharf-cli/src/main/kotlin/org/cardamomwharf/cli/CommandError.kt
+++ b/cardamomwharf-cli/src/main/kotlin/org/cardamomwharf/cli/CommandError.kt
@@ -3,7 +3,7 @@
  */
 package org.cardamomwharf.cli
 
-import org.cardamomwharf.core.document.DrainFault
+import org.cardamomwharf.core.document.DrainProblem
 import org.cardamomwharf.document.yaml.Problem
 import org.cardamomwharf.repository.HeadEntry
 import org.cardamomwharf.repository.PlatformError
@@ -53,15 +53,15 @@
     }
 
     /** The drains that were asked for don't fit the document in force. */
-    public data class DrainsInvalid(public val faults: List<DrainFault>) : CommandError {
+    public data class DrainsInvalid(public val faults: List<DrainProblem>) : CommandError {
         override val exitCode: ExitCode get() = ExitCode.INVALID
         override val text: String
             get() = "Nothing was changed: " + faults.joinToString { textOf(it) } + "."
 
-        private fun textOf(fault: DrainFault): String = when (fault) {
-            is DrainFault.UnknownZone -> "no zone named ${fault.zone.value}"
-            is DrainFault.UnknownService -> "no service named ${fault.service.value}"
-            is DrainFault.EndsBeforeStart -> "a drain must end after its start"
+        private fun textOf(fault: DrainProblem): String = when (fault) {
+            is DrainProblem.UnknownZone -> "no zone named ${fault.zone.value}"
+            is DrainProblem.UnknownService -> "no service named ${fault.service.value}"
+            is DrainProblem.EndsBeforeStart -> "a drain must end after its start"
         }
     }
 
@@ -88,7 +88,7 @@
 internal fun commandErrorOf(error: RepositoryError): CommandError = when (error) {
     is RepositoryError.Conflict -> CommandError.Conflict(error.winner)
     is RepositoryError.Platform -> CommandError.Platform(error.cause)
-    is RepositoryError.Unsettled -> CommandError.Unsettled(error.attempt.value)
+    is RepositoryError.OutcomeUnknown -> CommandError.Unsettled(error.attempt.value)
     is RepositoryError.Missing -> CommandError.Missing("document in ${error.environment.value}")
-    is RepositoryError.Damaged -> CommandError.Missing("intact document under ${error.hash}")
+    is RepositoryError.HashMismatch -> CommandError.Missing("intact document under ${error.hash}")
 }
--- a/cardamomwharf-cli/src/main/kotlin/org/cardamomwharf/cli/Environments.kt
+++ b/cardamomwharf-cli/src/main/kotlin/org/cardamomwharf/cli/Environments.kt
@@ -15,7 +15,7 @@
 import org.cardamomwharf.core.DocumentVersion
 import org.cardamomwharf.core.document.Drain
 import org.cardamomwharf.core.document.EnvironmentDocument
-import org.cardamomwharf.core.document.findDrainFaults
+import org.cardamomwharf.core.document.findDrainProblems
 import org.cardamomwharf.repository.DocumentArchive
 import org.cardamomwharf.repository.EnvironmentHeads
 import org.cardamomwharf.repository.EnvironmentName
@@ -74,7 +74,7 @@
         change: (List<Drain>) -> List<Drain>,
     ): Result<Report, CommandError> =
         findNewest(EnvironmentName.PRODUCTION).flatMap { newest ->
-            archive.readWhole(newest.hash)
+            archive.readWithBlocks(newest.hash)
                 .mapError(::commandErrorOf)
                 .flatMap { checkDrains(it.copy(drains = change(it.drains))) }
                 .flatMap { document ->
@@ -101,7 +101,7 @@
         version: DocumentVersion?,
     ): Result<EnvironmentDocument, CommandError> =
         (if (version == null) findNewest(environment) else findEntry(environment, version))
-            .flatMap { archive.readWhole(it.hash).mapError(::commandErrorOf) }
+            .flatMap { archive.readWithBlocks(it.hash).mapError(::commandErrorOf) }
 
     private fun move(
         hash: String,
@@ -120,7 +120,7 @@
                 operator = act.operator,
                 note = note,
                 epochSeconds = act.epochSeconds,
-                keepsCaps = before != null && archive.haveSameCaps(before.hash, hash),
+                hasSameCaps = before != null && archive.haveSameCaps(before.hash, hash),
             )
             heads.move(hash, change)
         }
@@ -147,6 +147,6 @@
 }
 
 private fun checkDrains(document: EnvironmentDocument): Result<EnvironmentDocument, CommandError> {
-    val faults = document.findDrainFaults()
+    val faults = document.findDrainProblems()
     return if (faults.isEmpty()) Ok(document) else Err(CommandError.DrainsInvalid(faults))
 }
--- a/cardamomwharf-core/src/main/kotlin/org/cardamomwharf/core/Hashing.kt
+++ b/cardamomwharf-core/src/main/kotlin/org/cardamomwharf/core/Hashing.kt
@@ -22,7 +22,7 @@
 private val UNIT = 1.0 / (1L shl POSITION_BITS)
 
 /** Returns a 64-bit hash of [text], the same on every machine. */
-public fun hashOf(text: String): Long = Hashing.xxh3_64().hashCharsToLong(text)
+public fun hash64(text: String): Long = Hashing.xxh3_64().hashCharsToLong(text)
 
 /** Returns a hash of the pair of the hashes [first] and [second], the same on every machine. */
 public fun combineHashes(first: Long, second: Long): Long {
@@ -33,7 +33,7 @@
 }
 
 /** Returns a number in `[0, 1)` that depends on [text] alone. */
-public fun unitPositionOf(text: String): Double = (hashOf(text) ushr (Long.SIZE_BITS - POSITION_BITS)) * UNIT
+public fun hashToUnitInterval(text: String): Double = (hash64(text) ushr (Long.SIZE_BITS - POSITION_BITS)) * UNIT
 
 /** Returns the SHA-256 of these bytes as lower-case hexadecimal digits. */
 public fun ByteArray.sha256Hex(): String =
--- a/cardamomwharf-core/src/main/kotlin/org/cardamomwharf/core/Reason.kt
+++ b/cardamomwharf-core/src/main/kotlin/org/cardamomwharf/core/Reason.kt
@@ -10,13 +10,13 @@
  * @param code the word that callers, logs and counters show.
  * @param outcome what happened to the request.
  * @param status the HTTP status of the answer.
- * @param isRepeatable true when the same request may succeed a little later or at another instance.
+ * @param isRetryable true when the same request may succeed a little later or at another instance.
  */
 public enum class Reason(
     public val code: String,
     public val outcome: Outcome,
     public val status: Int,
-    public val isRepeatable: Boolean = false,
+    public val isRetryable: Boolean = false,
 ) {
     ANSWERED("answered", Outcome.RAN, StatusCode.OK),
     RECORDED_ANSWER("recorded-answer", Outcome.RAN, StatusCode.OK),
@@ -33,22 +33,22 @@
     BINDING_ELSEWHERE("binding-elsewhere", Outcome.NOT_RUN, StatusCode.MISDIRECTED),
     BINDING_DISABLED("binding-disabled", Outcome.NOT_RUN, StatusCode.CONFLICT),
 
-    NO_DOCUMENT("no-document", Outcome.NOT_RUN, StatusCode.UNAVAILABLE, isRepeatable = true),
-    LEAVING("leaving", Outcome.NOT_RUN, StatusCode.UNAVAILABLE, isRepeatable = true),
-    BUSY("busy", Outcome.NOT_RUN, StatusCode.UNAVAILABLE, isRepeatable = true),
-    RING_FULL("ring-full", Outcome.NOT_RUN, StatusCode.UNAVAILABLE, isRepeatable = true),
-    NO_SERVER("no-server", Outcome.NOT_RUN, StatusCode.UNAVAILABLE, isRepeatable = true),
-    NO_SLOT("no-slot", Outcome.NOT_RUN, StatusCode.UNAVAILABLE, isRepeatable = true),
-    CAP_REACHED("cap-reached", Outcome.NOT_RUN, StatusCode.UNAVAILABLE, isRepeatable = true),
-    DRAINED("drained", Outcome.NOT_RUN, StatusCode.UNAVAILABLE, isRepeatable = true),
+    NO_DOCUMENT("no-document", Outcome.NOT_RUN, StatusCode.UNAVAILABLE, isRetryable = true),
+    LEAVING("leaving", Outcome.NOT_RUN, StatusCode.UNAVAILABLE, isRetryable = true),
+    BUSY("busy", Outcome.NOT_RUN, StatusCode.UNAVAILABLE, isRetryable = true),
+    RING_FULL("ring-full", Outcome.NOT_RUN, StatusCode.UNAVAILABLE, isRetryable = true),
+    NO_SERVER("no-server", Outcome.NOT_RUN, StatusCode.UNAVAILABLE, isRetryable = true),
+    NO_SLOT("no-slot", Outcome.NOT_RUN, StatusCode.UNAVAILABLE, isRetryable = true),
+    CAP_REACHED("cap-reached", Outcome.NOT_RUN, StatusCode.UNAVAILABLE, isRetryable = true),
+    DRAINED("drained", Outcome.NOT_RUN, StatusCode.UNAVAILABLE, isRetryable = true),
     DEADLINE_TOO_SHORT("deadline-too-short", Outcome.NOT_RUN, StatusCode.GATEWAY_TIMEOUT),
     DEADLINE_PASSED("deadline-passed", Outcome.NOT_RUN, StatusCode.GATEWAY_TIMEOUT),
     CALLER_GONE("caller-gone", Outcome.NOT_RUN, StatusCode.CALLER_CLOSED),
-    STORE_UNAVAILABLE("store-unavailable", Outcome.NOT_RUN, StatusCode.UNAVAILABLE, isRepeatable = true),
-    SERVER_REFUSED("server-refused", Outcome.NOT_RUN, StatusCode.UNAVAILABLE, isRepeatable = true),
-    SERVER_UNREACHABLE("server-unreachable", Outcome.NOT_RUN, StatusCode.UNAVAILABLE, isRepeatable = true),
-    PEER_UNREACHABLE("peer-unreachable", Outcome.NOT_RUN, StatusCode.UNAVAILABLE, isRepeatable = true),
-    RETRY_BUDGET_EMPTY("retry-budget-empty", Outcome.NOT_RUN, StatusCode.UNAVAILABLE, isRepeatable = true),
+    STORE_UNAVAILABLE("store-unavailable", Outcome.NOT_RUN, StatusCode.UNAVAILABLE, isRetryable = true),
+    SERVER_REFUSED("server-refused", Outcome.NOT_RUN, StatusCode.UNAVAILABLE, isRetryable = true),
+    SERVER_UNREACHABLE("server-unreachable", Outcome.NOT_RUN, StatusCode.UNAVAILABLE, isRetryable = true),
+    PEER_UNREACHABLE("peer-unreachable", Outcome.NOT_RUN, StatusCode.UNAVAILABLE, isRetryable = true),
+    RETRY_BUDGET_EMPTY("retry-budget-empty", Outcome.NOT_RUN, StatusCode.UNAVAILABLE, isRetryable = true),
 
     KEY_IN_PROGRESS("key-in-progress", Outcome.UNKNOWN, StatusCode.CONFLICT),
     BINDING_EXPIRED("binding-expired", Outcome.UNKNOWN, StatusCode.CONFLICT),
--- a/cardamomwharf-core/src/main/kotlin/org/cardamomwharf/core/Rendezvous.kt
+++ b/cardamomwharf-core/src/main/kotlin/org/cardamomwharf/core/Rendezvous.kt
@@ -8,11 +8,11 @@
 
 /** Returns the member that owns [resource], or null when [members] is empty. */
 public fun <T> rendezvousOwner(resource: String, members: Collection<T>, key: (T) -> String): T? =
-    members.maxByOrNull { hashOf(resource + "/" + key(it)) }
+    members.maxByOrNull { hash64(resource + "/" + key(it)) }
 
 /** Returns up to [count] members for [resource], the first choice first. */
 public fun <T> rendezvousTop(resource: String, members: Collection<T>, count: Int, key: (T) -> String): List<T> =
-    members.sortedByDescending { hashOf(resource + "/" + key(it)) }.take(count)
+    members.sortedByDescending { hash64(resource + "/" + key(it)) }.take(count)
 
 /**
  * Returns a rank for weighted rendezvous selection; members sorted by descending rank are spread by weight.
@@ -21,6 +21,6 @@
  */
 public fun weightedRank(resource: String, member: String, weight: Double): Double {
     if (weight <= 0.0) return Double.NEGATIVE_INFINITY
-    val position = unitPositionOf("$resource/$member")
+    val position = hashToUnitInterval("$resource/$member")
     return weight / -ln(position.coerceAtLeast(Double.MIN_VALUE))
 }
--- a/cardamomwharf-core/src/main/kotlin/org/cardamomwharf/core/document/CapTerms.kt
+++ b/cardamomwharf-core/src/main/kotlin/org/cardamomwharf/core/document/CapParameters.kt
@@ -5,7 +5,7 @@
 package org.cardamomwharf.core.document
 
 /** Represents the parts of a document that decide how caps are divided. */
-public data class CapTerms(
+public data class CapParameters(
     public val partners: List<Partner>,
     public val regions: List<Region>,
     public val links: List<Link>,
@@ -14,5 +14,5 @@
 )
 
 /** Returns the parts of this document that decide how caps are divided. */
-public fun EnvironmentDocument.capTerms(): CapTerms =
-    CapTerms(partners, regions, links, policy.capReservePercent, policy.capLookUpPercent)
+public fun EnvironmentDocument.capParameters(): CapParameters =
+    CapParameters(partners, regions, links, policy.capReservePercent, policy.capLookUpPercent)
--- a/cardamomwharf-core/src/main/kotlin/org/cardamomwharf/core/document/ClientBlockTable.kt
+++ b/cardamomwharf-core/src/main/kotlin/org/cardamomwharf/core/document/ClientBlockTable.kt
@@ -30,7 +30,7 @@
 
     public companion object {
         /** Returns the table of [blocks]; blocks that can't be parsed are left out, the checker reports them. */
-        public fun of(blocks: Sequence<ClientBlock>): ClientBlockTable {
+        public fun build(blocks: Sequence<ClientBlock>): ClientBlockTable {
             val zones = LinkedHashMap<ZoneName, Int>()
             val packed = PackedBlocks()
             for (block in blocks) {
--- a/cardamomwharf-core/src/main/kotlin/org/cardamomwharf/core/document/DocumentIndex.kt
+++ b/cardamomwharf-core/src/main/kotlin/org/cardamomwharf/core/document/DocumentIndex.kt
@@ -14,7 +14,7 @@
     public val services: Map<ServiceName, Service> = document.services.associateBy { it.name }
 
     /** The region of each zone. */
-    public val regionOf: Map<ZoneName, Region> =
+    public val regionByZone: Map<ZoneName, Region> =
         document.regions.flatMap { region -> region.zones.map { it to region } }.toMap()
 
     /** Regions by name. */
@@ -39,7 +39,7 @@
         findPool(service, zone)?.let { it.upstreams * it.slotsPerUpstream } ?: 0
 
     /** Returns true when [service] has the largest weight of the document. */
-    public fun isHeaviest(service: Service): Boolean = service.weight == largestWeight
+    public fun hasLargestWeight(service: Service): Boolean = service.weight == largestWeight
 
     /** Returns true when [zone] gets no new work of [service] at [epochSeconds]. */
     public fun isDrained(service: ServiceName, zone: ZoneName, epochSeconds: Long): Boolean =
--- a/cardamomwharf-core/src/main/kotlin/org/cardamomwharf/core/document/DrainFault.kt
+++ b/cardamomwharf-core/src/main/kotlin/org/cardamomwharf/core/document/DrainProblem.kt
@@ -8,29 +8,29 @@
 import org.cardamomwharf.core.ZoneName
 
 /** Represents a fault of the drain at [index]. */
-public sealed interface DrainFault {
+public sealed interface DrainProblem {
     /** The position of the drain in the document. */
     public val index: Int
 
     /** There is no such zone. */
-    public data class UnknownZone(override val index: Int, public val zone: ZoneName) : DrainFault
+    public data class UnknownZone(override val index: Int, public val zone: ZoneName) : DrainProblem
 
     /** There is no such service. */
-    public data class UnknownService(override val index: Int, public val service: ServiceName) : DrainFault
+    public data class UnknownService(override val index: Int, public val service: ServiceName) : DrainProblem
 
     /** The drain would end before it starts. */
-    public data class EndsBeforeStart(override val index: Int) : DrainFault
+    public data class EndsBeforeStart(override val index: Int) : DrainProblem
 }
 
 /** Returns all faults of the drains of this document. */
-public fun EnvironmentDocument.findDrainFaults(): List<DrainFault> {
+public fun EnvironmentDocument.findDrainProblems(): List<DrainProblem> {
     val zones = regions.flatMap { it.zones }.toSet()
     val names = services.map { it.name }.toSet()
     return drains.flatMapIndexed { index, drain ->
         listOfNotNull(
-            DrainFault.UnknownZone(index, drain.zone).takeIf { drain.zone !in zones },
-            drain.service?.takeIf { it !in names }?.let { DrainFault.UnknownService(index, it) },
-            DrainFault.EndsBeforeStart(index).takeIf { drain.endsBeforeStart },
+            DrainProblem.UnknownZone(index, drain.zone).takeIf { drain.zone !in zones },
+            drain.service?.takeIf { it !in names }?.let { DrainProblem.UnknownService(index, it) },
+            DrainProblem.EndsBeforeStart(index).takeIf { drain.endsBeforeStart },
         )
     }
 }
--- a/cardamomwharf-core/src/test/kotlin/org/cardamomwharf/core/document/ClientBlockTableTest.kt
+++ b/cardamomwharf-core/src/test/kotlin/org/cardamomwharf/core/document/ClientBlockTableTest.kt
@@ -21,7 +21,7 @@
 private fun cidrOf(bits: Int): String = "${addressOf(1L shl (ADDRESS_BITS - bits))}/$bits"
 
 class ClientBlockTableTest : FunSpec({
-    val table = ClientBlockTable.of(
+    val table = ClientBlockTable.build(
         sequenceOf(
             ClientBlock("10.2.0.0/16", ZoneName("b")),
             ClientBlock("10.1.0.0/24", ZoneName("a")),
@@ -40,7 +40,7 @@
 
     test("`blocks of every size are kept whole, in whatever order they come`") {
         val zones = (1..32).map { ClientBlock(cidrOf(it), ZoneName("zone-$it")) }
-        val sizes = ClientBlockTable.of(zones.shuffled(Random(7)).asSequence())
+        val sizes = ClientBlockTable.build(zones.shuffled(Random(7)).asSequence())
         sizes.size shouldBe zones.size
         for (bits in 1..32) {
             val range = requireNotNull(parseCidr(cidrOf(bits)))
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/Shares.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/Shares.kt
@@ -92,14 +92,14 @@
 internal fun Turn.adoptCaps(epoch: CapEpoch) {
     val current = index ?: return
     val shares = EpochShares(epoch, computeZoneShares(current, state.membership.self.zone))
-    val zones = current.regionOf.keys - current.document.stoppedZones.toSet()
+    val zones = current.regionByZone.keys - current.document.stoppedZones.toSet()
     state = state.copy(capTransition = state.capTransition.adopt(shares, zones, nowMs))
 }
 
 internal fun Turn.advanceShifts() {
     if (nowMs - state.shifts.plannedAtMs < policy.shiftIntervalMs) return
     val current = index
-    val home = current?.regionOf?.get(state.membership.self.zone)
+    val home = current?.regionByZone?.get(state.membership.self.zone)
     if (current == null || home == null) return
     val loads = state.computeLoads(nowMs)
     val uses = current.document.services.associate { service ->
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/caps/CapShares.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/caps/CapShares.kt
@@ -15,7 +15,7 @@
 
 /** Returns the units per second that [zone] may spend of each cap, the reserve taken off. */
 public fun computeZoneShares(index: DocumentIndex, zone: ZoneName): Map<CapId, Long> {
-    val region = index.regionOf[zone] ?: return emptyMap()
+    val region = index.regionByZone[zone] ?: return emptyMap()
     val usable = PERCENT - index.document.policy.capReservePercent
     val whole = linkShares(index, region.name) + partnerShares(index, zone)
     return whole.mapValues { (_, perSecond) -> perSecond * usable / PERCENT }
@@ -33,7 +33,7 @@
         }
 
 private fun partnerShares(index: DocumentIndex, zone: ZoneName): Map<CapId, Long> {
-    val own = index.regionOf.getValue(zone).partner
+    val own = index.regionByZone.getValue(zone).partner
     return index.document.partners.flatMap { partner ->
         val path = if (partner.name == own) PartnerPath.LOOK_UP else PartnerPath.HAND_OVER
         shareOf(partner, path, percentOf(path, index), countSharing(index, partner, path))
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/claims/ClaimExpiry.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/claims/ClaimExpiry.kt
@@ -42,7 +42,7 @@
     val current = index
     val hour = state.epochSeconds / SECONDS_PER_HOUR
     if (current == null || hour == 0L || state.store.isDown(nowMs)) return false
-    val zones = current.regionOf.keys - current.document.stoppedZones.toSet()
+    val zones = current.regionByZone.keys - current.document.stoppedZones.toSet()
     val zone = rendezvousOwner("$DUTY/$hour", zones) { it.value }
     val isOwnZone = zone == state.membership.self.zone
     return isOwnZone && findOwner() == state.membership.self.name
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/lookup/LookupRanking.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/lookup/LookupRanking.kt
@@ -10,7 +10,7 @@
 import org.cardamomwharf.core.ZoneName
 import org.cardamomwharf.core.document.Objective
 import org.cardamomwharf.core.document.Service
-import org.cardamomwharf.core.unitPositionOf
+import org.cardamomwharf.core.hashToUnitInterval
 import org.cardamomwharf.core.weightedRank
 
 private const val DEFAULT_WEIGHT = 1
@@ -35,7 +35,7 @@
 
 /** Returns all candidates in the order of the ranking. */
 public fun LookupView.placeAll(service: Service, clientZone: ZoneName, address: String): List<Placement> {
-    val clientRegion = index.regionOf[clientZone]?.name ?: home
+    val clientRegion = index.regionByZone[clientZone]?.name ?: home
     val target = findTarget(service, clientRegion, address)
     val place = ClientPlace(clientZone, clientRegion, target, address, findFullZones(service))
     val weights = service.regionWeights.associate { it.region to it.weight }
@@ -61,12 +61,12 @@
 private fun LookupView.findTarget(service: Service, clientRegion: RegionName, address: String): RegionName {
     val split = splits[service.name]
     if (clientRegion != home || split == null) return clientRegion
-    return split.pick(unitPositionOf("${service.name.value}/$address"), clientRegion)
+    return split.pick(hashToUnitInterval("${service.name.value}/$address"), clientRegion)
 }
 
 private fun LookupView.place(candidate: LookupCandidate, service: Service, client: ClientPlace): Placement? {
     val member = candidate.member
-    val region = index.regionOf[member.zone]?.name ?: return null
+    val region = index.regionByZone[member.zone]?.name ?: return null
     val free = candidate.loads.filter { it.service == service.name }.sumOf { it.freeSlots }
     val tier = tierOf(member.zone, region, service, client)
     val rank = weightedRank("${service.name.value}/${client.address}", member.name.value, weight = free + 1.0)
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/lookup/LookupViews.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/lookup/LookupViews.kt
@@ -11,7 +11,7 @@
 /** Returns the view of look-ups at [nowMs], or null before a document is in force. */
 public fun lookupViewOf(state: EntryState, nowMs: Long): LookupView? {
     val index = state.adoption.index
-    val home = index?.regionOf?.get(state.membership.self.zone)?.name
+    val home = index?.regionByZone?.get(state.membership.self.zone)?.name
     if (index == null || home == null) return null
     val drained = index.document.services.flatMap { service ->
         service.pools
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/membership/Membership.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/membership/Membership.kt
@@ -10,7 +10,7 @@
 import kotlinx.collections.immutable.toPersistentMap
 import org.cardamomwharf.core.InstanceName
 import org.cardamomwharf.core.ZoneName
-import org.cardamomwharf.core.hashOf
+import org.cardamomwharf.core.hash64
 
 /** Represents what is known of another instance of the own zone. */
 public data class PeerState(public val heartbeat: Heartbeat, public val heardAtMs: Long) {
@@ -39,7 +39,7 @@
 )
 
 /** Returns a hash of a set of members that peers compare. */
-public fun hashView(names: List<InstanceName>): Long = hashOf(names.joinToString(",") { it.value })
+public fun hashView(names: List<InstanceName>): Long = hash64(names.joinToString(",") { it.value })
 
 /** Returns the membership of an instance that knows nobody yet. */
 public fun newMembership(self: Member, settings: MembershipSettings, nowMs: Long): Membership =
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/Admission.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/Admission.kt
@@ -64,12 +64,12 @@
 
 /** Returns true when the request may use what is held back for the heaviest services. */
 internal fun Turn.isHeavy(spec: RequestSpec, service: Service): Boolean =
-    !spec.isIdempotent && index?.isHeaviest(service) == true
+    !spec.isIdempotent && index?.hasLargestWeight(service) == true
 
 /** Charges a request that look-up sent here from another partner's region to this zone's share. */
 private fun Turn.chargeArrival(spec: RequestSpec, service: Service, current: DocumentIndex): Boolean {
-    val payer = spec.clientZone?.let { current.regionOf[it] }?.partner
-    val partner = current.regionOf[state.membership.self.zone]?.partner
+    val payer = spec.clientZone?.let { current.regionByZone[it] }?.partner
+    val partner = current.regionByZone[state.membership.self.zone]?.partner
     val isShifted = spec.origin == RequestOrigin.CALLER && payer != partner
     if (!isShifted || payer == null || partner == null) return true
     val bytes = spec.requestBytes + service.expectedResponseBytes
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/HandingOver.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/HandingOver.kt
@@ -34,7 +34,7 @@
 }
 
 internal fun Turn.handOver(request: OpenRequest, service: Service, current: DocumentIndex): HandOverRefusal {
-    if (state.membership.self.zone !in current.regionOf) return HandOverRefusal.NoPlace
+    if (state.membership.self.zone !in current.regionByZone) return HandOverRefusal.NoPlace
     val places = findPlaces(service, current)
         .filter { it.member.name !in request.triedPeers && !state.suspects.isSuspect(it.member.name, nowMs) }
     val free = places.filter { countFree(it, request, service) > 0 && isInTime(it, request, service, current) }
@@ -100,7 +100,7 @@
     service: Service,
     current: DocumentIndex,
 ): List<Charge> {
-    val own = current.regionOf[state.membership.self.zone]
+    val own = current.regionByZone[state.membership.self.zone]
     if (own == null || own == place.region) return emptyList()
     val sentBytes = request.spec.requestBytes + HEAD_BYTES
     val receivedBytes = service.expectedResponseBytes + HEAD_BYTES
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/Holding.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/Holding.kt
@@ -43,8 +43,8 @@
 }
 
 private fun Turn.chargesForAnswer(peer: Target.Peer, bytes: Long): List<Charge> {
-    val own = index?.regionOf?.get(state.membership.self.zone)
-    val other = findZone(peer)?.let { index?.regionOf?.get(it) }
+    val own = index?.regionByZone?.get(state.membership.self.zone)
+    val other = findZone(peer)?.let { index?.regionByZone?.get(it) }
     if (own == null || other == null || own == other) return emptyList()
     val link = Charge(CapId.LinkBytes(other.name, own.name), bytes)
     val partner = Charge(CapId.PartnerBytes(other.partner, PartnerPath.HAND_OVER), bytes)
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/Place.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/Place.kt
@@ -16,7 +16,7 @@
 internal data class Place(val member: Member, val region: Region, val load: ServiceLoad)
 
 internal fun Turn.isOwnRegion(place: Place): Boolean =
-    index?.regionOf?.get(state.membership.self.zone) == place.region
+    index?.regionByZone?.get(state.membership.self.zone) == place.region
 
 internal fun Turn.findPlaces(service: Service, current: DocumentIndex): List<Place> {
     val near = state.membership.findLivePeers(nowMs).map { it.member to it.heartbeat.loads }
@@ -33,7 +33,7 @@
     service: Service,
     current: DocumentIndex,
 ): Place? {
-    val region = current.regionOf[member.zone]
+    val region = current.regionByZone[member.zone]
     val load = loads.firstOrNull { it.service == service.name }
     val isDrained = current.isDrained(service.name, member.zone, state.epochSeconds)
     return if (region == null || load == null || isDrained) null else Place(member, region, load)
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/RequestEnding.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/RequestEnding.kt
@@ -74,7 +74,7 @@
 }
 
 internal fun Turn.retryAfterMs(reason: Reason): Long = when {
-    !reason.isRepeatable -> 0
+    !reason.isRetryable -> 0
     reason == Reason.STORE_UNAVAILABLE -> state.store.retryAfterMs(nowMs)
     else -> DEFAULT_RETRY_AFTER_MS
 }
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/shift/SlotUse.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/shift/SlotUse.kt
@@ -34,7 +34,7 @@
 /** Returns the slot use of each region from that of its zones. */
 public fun sumByRegion(index: DocumentIndex, zones: Map<ZoneName, SlotUse>): Map<RegionName, SlotUse> =
     zones.entries
-        .mapNotNull { (zone, use) -> index.regionOf[zone]?.let { it.name to use } }
+        .mapNotNull { (zone, use) -> index.regionByZone[zone]?.let { it.name to use } }
         .groupBy({ it.first }, { it.second })
         .mapValues { (_, uses) -> uses.reduce(SlotUse::plus) }
 
--- a/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/caps/CapTransitionTest.kt
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/caps/CapTransitionTest.kt
@@ -48,7 +48,7 @@
     fun adopt(document: EnvironmentDocument, at: Int, nowMs: Long) {
         val index = DocumentIndex(document)
         val shares = EpochShares(CapEpoch(at + 1L), computeZoneShares(index, name))
-        transition = transition.adopt(shares, index.regionOf.keys - document.stoppedZones.toSet(), nowMs)
+        transition = transition.adopt(shares, index.regionByZone.keys - document.stoppedZones.toSet(), nowMs)
         documentAt = at
     }
 
--- a/cardamomwharf-document/src/main/kotlin/org/cardamomwharf/document/DocumentReader.kt
+++ b/cardamomwharf-document/src/main/kotlin/org/cardamomwharf/document/DocumentReader.kt
@@ -20,12 +20,12 @@
 import org.cardamomwharf.document.check.checkDocument
 import org.cardamomwharf.document.yaml.Problem
 import org.cardamomwharf.document.yaml.YamlFields
-import org.cardamomwharf.document.yaml.choice
+import org.cardamomwharf.document.yaml.enumValue
 import org.cardamomwharf.document.yaml.readText
 import org.cardamomwharf.document.yaml.readYaml
 import org.cardamomwharf.document.yaml.section
 import org.cardamomwharf.document.yaml.sections
-import org.cardamomwharf.document.yaml.texts
+import org.cardamomwharf.document.yaml.textList
 import java.nio.file.Path
 
 private const val LARGEST_DELAY_MS = 10_000.0
@@ -38,15 +38,15 @@
 
 /** Returns the document in the YAML [text], or every problem of it. */
 public fun parseDocument(text: String): Result<EnvironmentDocument, List<Problem>> =
-    readYaml(text) { fields, findings ->
+    readYaml(text) { fields, problems ->
         val document = fields.readWhole()
-        checkDocument(document, findings)
+        checkDocument(document, problems)
         document
     }
 
 private fun YamlFields.readWhole(): EnvironmentDocument = EnvironmentDocument(
     deployment = text("deployment"),
-    objective = choice("objective", Objective.entries),
+    objective = enumValue("objective", Objective.entries),
     partners = sections("partners", isRequired = true) { it.readPartner() },
     regions = sections("regions", isRequired = true) { it.readRegion() },
     delays = section("delays", isRequired = true) { it.readDelays() } ?: Delays(0.0, 0.0, 0.0),
@@ -54,20 +54,20 @@
     services = sections("services", isRequired = true) { it.readService() },
     clientBlocks = sections("clientBlocks", isRequired = true) { it.readBlock() },
     drains = sections("drains", isRequired = false) { it.readDrain() },
-    stoppedZones = texts("stoppedZones", isRequired = false).map(::ZoneName),
+    stoppedZones = textList("stoppedZones", isRequired = false).map(::ZoneName),
     policy = readPolicy(),
 )
 
 private fun YamlFields.readPartner() = Partner(
     name = PartnerName(text("name")),
-    inboundRequestsPerSecond = whole("inboundRequestsPerSecond", 0..LARGEST_REQUESTS_PER_SECOND),
-    inboundBytesPerSecond = whole("inboundBytesPerSecond", 0..LARGEST_BYTES_PER_SECOND),
+    inboundRequestsPerSecond = integer("inboundRequestsPerSecond", 0..LARGEST_REQUESTS_PER_SECOND),
+    inboundBytesPerSecond = integer("inboundBytesPerSecond", 0..LARGEST_BYTES_PER_SECOND),
 )
 
 private fun YamlFields.readRegion() = Region(
     name = RegionName(text("name")),
     partner = PartnerName(text("partner")),
-    zones = texts("zones").map(::ZoneName),
+    zones = textList("zones").map(::ZoneName),
 )
 
 private fun YamlFields.readDelays() = Delays(
@@ -79,7 +79,7 @@
 private fun YamlFields.readLink() = Link(
     from = RegionName(text("from")),
     to = RegionName(text("to")),
-    capBytesPerSecond = whole("capBytesPerSecond", 1..LARGEST_BYTES_PER_SECOND),
+    capBytesPerSecond = integer("capBytesPerSecond", 1..LARGEST_BYTES_PER_SECOND),
 )
 
 private fun YamlFields.readBlock() = ClientBlock(cidr = text("cidr"), zone = ZoneName(text("zone")))
@@ -89,7 +89,7 @@
     return Drain(
         zone = ZoneName(text("zone")),
         service = if (service.isEmpty()) null else ServiceName(service),
-        startsAtEpochSeconds = whole("startsAtEpochSeconds", 0..Long.MAX_VALUE, default = 0),
-        endsAtEpochSeconds = whole("endsAtEpochSeconds", 0..Long.MAX_VALUE, default = 0),
+        startsAtEpochSeconds = integer("startsAtEpochSeconds", 0..Long.MAX_VALUE, default = 0),
+        endsAtEpochSeconds = integer("endsAtEpochSeconds", 0..Long.MAX_VALUE, default = 0),
     )
 }
--- a/cardamomwharf-document/src/main/kotlin/org/cardamomwharf/document/ServiceReader.kt
+++ b/cardamomwharf-document/src/main/kotlin/org/cardamomwharf/document/ServiceReader.kt
@@ -27,25 +27,25 @@
 
 internal fun YamlFields.readService(): Service = Service(
     name = ServiceName(text("name")),
-    isIdempotent = flag("isIdempotent"),
-    weight = whole("weight", 1..LARGEST_WEIGHT).toInt(),
-    expectedServiceMs = whole("expectedServiceMs", 1..LARGEST_MS),
-    expectedResponseBytes = whole("expectedResponseBytes", 0..LARGEST_RESPONSE_BYTES),
-    cacheTtlMs = whole("cacheTtlMs", 0..LARGEST_MS),
+    isIdempotent = boolean("isIdempotent"),
+    weight = integer("weight", 1..LARGEST_WEIGHT).toInt(),
+    expectedServiceMs = integer("expectedServiceMs", 1..LARGEST_MS),
+    expectedResponseBytes = integer("expectedResponseBytes", 0..LARGEST_RESPONSE_BYTES),
+    cacheTtlMs = integer("cacheTtlMs", 0..LARGEST_MS),
     pools = sections("pools", isRequired = true) { it.readPool() },
     regionWeights = sections("regionWeights", isRequired = false) { it.readWeight() },
 )
 
 private fun YamlFields.readPool() = Pool(
     zone = ZoneName(text("zone")),
-    upstreams = whole("upstreams", 1..LARGEST_COUNT).toInt(),
-    slotsPerUpstream = whole("slotsPerUpstream", 1..LARGEST_COUNT).toInt(),
-    connectionsPerUpstream = whole("connectionsPerUpstream", 1..LARGEST_COUNT).toInt(),
+    upstreams = integer("upstreams", 1..LARGEST_COUNT).toInt(),
+    slotsPerUpstream = integer("slotsPerUpstream", 1..LARGEST_COUNT).toInt(),
+    connectionsPerUpstream = integer("connectionsPerUpstream", 1..LARGEST_COUNT).toInt(),
 )
 
 private fun YamlFields.readWeight() = RegionWeight(
     region = RegionName(text("region")),
-    weight = whole("weight", 0..LARGEST_WEIGHT).toInt(),
+    weight = integer("weight", 0..LARGEST_WEIGHT).toInt(),
 )
 
 internal fun YamlFields.readPolicy(): Policy =
@@ -62,25 +62,25 @@
     measurementMaxAgeMs = ms("measurementMaxAgeMs", default.measurementMaxAgeMs),
     slowStartMs = ms("slowStartMs", default.slowStartMs),
     reservedSlotsPercent = percent("reservedSlotsPercent", default.reservedSlotsPercent),
-    largestWaitPercent = whole(
+    largestWaitPercent = integer(
         "largestWaitPercent",
         0..LARGEST_WAIT_PERCENT,
         default.largestWaitPercent.toLong()
     ).toInt(),
-    maxAttempts = whole("maxAttempts", 1..LARGEST_ATTEMPTS, default.maxAttempts.toLong()).toInt(),
+    maxAttempts = integer("maxAttempts", 1..LARGEST_ATTEMPTS, default.maxAttempts.toLong()).toInt(),
     retryBudgetPercent = percent("retryBudgetPercent", default.retryBudgetPercent),
     keyTtlMs = ms("keyTtlMs", default.keyTtlMs),
-    claimRetentionMinutes = whole(
+    claimRetentionMinutes = integer(
         "claimRetentionMinutes",
         LEAST_RETENTION_MINUTES..LARGEST_RETENTION_MINUTES,
         default.claimRetentionMinutes.toLong(),
     ).toInt(),
-    boundBookingsWhenStoreDown = flag("boundBookingsWhenStoreDown", default.boundBookingsWhenStoreDown),
-    lookupCandidates = whole("lookupCandidates", 1..LARGEST_CANDIDATES, default.lookupCandidates.toLong()).toInt(),
+    boundBookingsWhenStoreDown = boolean("boundBookingsWhenStoreDown", default.boundBookingsWhenStoreDown),
+    lookupCandidates = integer("lookupCandidates", 1..LARGEST_CANDIDATES, default.lookupCandidates.toLong()).toInt(),
     leaveGraceMs = ms("leaveGraceMs", default.leaveGraceMs),
 )
 
 private fun YamlFields.percent(key: String, default: Int): Int =
-    whole(key, 0..LARGEST_PERCENT, default.toLong()).toInt()
+    integer(key, 0..LARGEST_PERCENT, default.toLong()).toInt()
 
-private fun YamlFields.ms(key: String, default: Long): Long = whole(key, 0..LARGEST_MS, default)
+private fun YamlFields.ms(key: String, default: Long): Long = integer(key, 0..LARGEST_MS, default)
--- a/cardamomwharf-document/src/main/kotlin/org/cardamomwharf/document/check/Reports.kt
+++ b/cardamomwharf-document/src/main/kotlin/org/cardamomwharf/document/check/Reports.kt
@@ -3,22 +3,22 @@
  */
 package org.cardamomwharf.document.check
 
+import org.cardamomwharf.document.yaml.ProblemCollector
 import org.cardamomwharf.document.yaml.ProblemKind
-import org.cardamomwharf.document.yaml.YamlFindings
 
-internal fun YamlFindings.reportDuplicates(list: String, field: String, names: List<String>) {
+internal fun ProblemCollector.reportDuplicates(list: String, field: String, names: List<String>) {
     val seen = mutableSetOf<String>()
     names.forEachIndexed { index, name -> if (!seen.add(name)) duplicate("$list[$index].$field", name) }
 }
 
-internal fun YamlFindings.reportEmpty(list: String, items: List<Any>) {
+internal fun ProblemCollector.reportEmpty(list: String, items: List<Any>) {
     if (items.isEmpty()) impossible(list, "at least one is needed")
 }
 
-internal fun YamlFindings.duplicate(path: String, name: String) =
+internal fun ProblemCollector.duplicate(path: String, name: String) =
     report(ProblemKind.DUPLICATE, path, "$name is there already")
 
-internal fun YamlFindings.unknown(path: String, what: String, name: String) =
+internal fun ProblemCollector.unknown(path: String, what: String, name: String) =
     report(ProblemKind.UNKNOWN_REFERENCE, path, "no $what named $name")
 
-internal fun YamlFindings.impossible(path: String, detail: String) = report(ProblemKind.IMPOSSIBLE, path, detail)
+internal fun ProblemCollector.impossible(path: String, detail: String) = report(ProblemKind.IMPOSSIBLE, path, detail)
--- a/cardamomwharf-document/src/main/kotlin/org/cardamomwharf/document/yaml/Problem.kt
+++ b/cardamomwharf-document/src/main/kotlin/org/cardamomwharf/document/yaml/Problem.kt
@@ -3,6 +3,7 @@
  */
 package org.cardamomwharf.document.yaml
 
+import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
 /** Represents the kind of a fault; the exit code of a check depends on it. */
@@ -21,10 +22,10 @@
 
 /** Represents a line and a column, both counted from 1. */
 @Serializable
-public data class Place(public val line: Int, public val column: Int) {
+public data class SourcePosition(public val line: Int, public val column: Int) {
     public companion object {
         /** The first character of a file. */
-        public val START: Place = Place(1, 1)
+        public val START: SourcePosition = SourcePosition(1, 1)
     }
 }
 
@@ -37,9 +38,10 @@
 @Serializable
 public data class Problem(
     public val kind: ProblemKind,
-    public val place: Place,
+    @SerialName("place")
+    public val position: SourcePosition,
     public val path: String,
     public val detail: String,
 ) {
-    override fun toString(): String = "${place.line}:${place.column} ${kind.code} $path: $detail"
+    override fun toString(): String = "${position.line}:${position.column} ${kind.code} $path: $detail"
 }
--- a/cardamomwharf-document/src/main/kotlin/org/cardamomwharf/document/yaml/YamlFields.kt
+++ b/cardamomwharf-document/src/main/kotlin/org/cardamomwharf/document/yaml/YamlFields.kt
@@ -13,14 +13,14 @@
 public class YamlFields(
     private val node: YamlMap,
     private val path: String,
-    internal val findings: YamlFindings,
+    internal val problems: ProblemCollector,
 ) {
     private val entries: Map<String, YamlNode> = node.entries.entries.associate { it.key.content to it.value }
     private val known = mutableSetOf<String>()
 
     init {
-        findings.mark(path, node)
-        entries.forEach { (key, value) -> findings.mark(pathOf(key), value) }
+        problems.mark(path, node)
+        entries.forEach { (key, value) -> problems.mark(pathOf(key), value) }
     }
 
     /** Returns the path of the field [key]. */
@@ -38,7 +38,7 @@
     }
 
     /** Returns the whole number of [key] within [range]. */
-    public fun whole(key: String, range: LongRange, default: Long? = null): Long {
+    public fun integer(key: String, range: LongRange, default: Long? = null): Long {
         val value = find(key)
         val number = (value as? YamlScalar)?.content?.replace("_", "")?.toLongOrNull()
         return when {
@@ -73,7 +73,7 @@
     }
 
     /** Returns the flag of [key]. */
-    public fun flag(key: String, default: Boolean? = null): Boolean {
+    public fun boolean(key: String, default: Boolean? = null): Boolean {
         val value = find(key)
         val flag = (value as? YamlScalar)?.content?.toBooleanStrictOrNull()
         return when {
@@ -87,7 +87,7 @@
     /** Reports the fields that nobody asked for. */
     public fun reportUnknown() {
         entries.keys.filter { it !in known }.forEach { key ->
-            findings.report(ProblemKind.UNKNOWN_KEY, pathOf(key), "known keys are ${known.sorted().joinToString()}")
+            problems.report(ProblemKind.UNKNOWN_KEY, pathOf(key), "known keys are ${known.sorted().joinToString()}")
         }
     }
 
@@ -107,7 +107,7 @@
         fault(ProblemKind.WRONG_TYPE, key, "must be $wanted", fallback)
 
     private fun <T> fault(kind: ProblemKind, key: String, detail: String, fallback: T): T {
-        findings.report(kind, pathOf(key), detail)
+        problems.report(kind, pathOf(key), detail)
         return fallback
     }
 }
--- a/cardamomwharf-document/src/main/kotlin/org/cardamomwharf/document/yaml/YamlFile.kt
+++ b/cardamomwharf-document/src/main/kotlin/org/cardamomwharf/document/yaml/YamlFile.kt
@@ -20,30 +20,32 @@
 private val yaml = Yaml(configuration = YamlConfiguration(codePointLimit = LARGEST_YAML_CHARACTERS))
 
 /** Returns what [read] makes of the YAML text [text], or every problem of it. */
-public fun <T> readYaml(text: String, read: (YamlFields, YamlFindings) -> T): Result<T, List<Problem>> =
+public fun <T> readYaml(text: String, read: (YamlFields, ProblemCollector) -> T): Result<T, List<Problem>> =
     if (text.length > LARGEST_YAML_CHARACTERS) {
         val detail = "${text.length} characters, at most $LARGEST_YAML_CHARACTERS are allowed"
-        Err(listOf(Problem(ProblemKind.OUT_OF_RANGE, Place.START, "", detail)))
+        Err(listOf(Problem(ProblemKind.OUT_OF_RANGE, SourcePosition.START, "", detail)))
     } else {
         readChecked(text, read)
     }
 
-private fun <T> readChecked(text: String, read: (YamlFields, YamlFindings) -> T): Result<T, List<Problem>> =
+private fun <T> readChecked(text: String, read: (YamlFields, ProblemCollector) -> T): Result<T, List<Problem>> =
     try {
         readNode(text, read)
     } catch (e: YamlException) {
         val detail = e.message.lineSequence().first()
-        Err(listOf(Problem(ProblemKind.SYNTAX, Place(e.line, e.column), "", detail)))
+        Err(listOf(Problem(ProblemKind.SYNTAX, SourcePosition(e.line, e.column), "", detail)))
     }
 
-private fun <T> readNode(text: String, read: (YamlFields, YamlFindings) -> T): Result<T, List<Problem>> {
+private fun <T> readNode(text: String, read: (YamlFields, ProblemCollector) -> T): Result<T, List<Problem>> {
     val node = yaml.parseToYamlNode(text)
-    if (node !is YamlMap) return Err(listOf(Problem(ProblemKind.WRONG_TYPE, Place.START, "", "must be a mapping")))
-    val findings = YamlFindings()
-    val fields = YamlFields(node, "", findings)
-    val value = read(fields, findings)
+    if (node !is YamlMap) {
+        return Err(listOf(Problem(ProblemKind.WRONG_TYPE, SourcePosition.START, "", "must be a mapping")))
+    }
+    val problems = ProblemCollector()
+    val fields = YamlFields(node, "", problems)
+    val value = read(fields, problems)
     fields.reportUnknown()
-    return if (findings.problems.isEmpty()) Ok(value) else Err(findings.problems)
+    return if (problems.inFileOrder.isEmpty()) Ok(value) else Err(problems.inFileOrder)
 }
 
 /** Returns the text of [file], or the problem of reading it. */
@@ -51,5 +53,5 @@
     try {
         Ok(Files.readString(file))
     } catch (e: IOException) {
-        Err(listOf(Problem(ProblemKind.UNREADABLE, Place.START, "", e.javaClass.simpleName)))
+        Err(listOf(Problem(ProblemKind.UNREADABLE, SourcePosition.START, "", e.javaClass.simpleName)))
     }
--- a/cardamomwharf-document/src/main/kotlin/org/cardamomwharf/document/yaml/YamlSections.kt
+++ b/cardamomwharf-document/src/main/kotlin/org/cardamomwharf/document/yaml/YamlSections.kt
@@ -9,7 +9,7 @@
 import com.charleskorn.kaml.YamlScalar
 
 /** Returns one of [choices] by its lower-case name. */
-public fun <T : Enum<T>> YamlFields.choice(key: String, choices: List<T>): T {
+public fun <T : Enum<T>> YamlFields.enumValue(key: String, choices: List<T>): T {
     val name = text(key, default = "")
     val names = choices.joinToString { it.name.lowercase() }
     val found = choices.firstOrNull { it.name.lowercase() == name }
@@ -31,14 +31,14 @@
 public fun <T> YamlFields.sections(key: String, isRequired: Boolean, read: (YamlFields) -> T): List<T> =
     items(key, isRequired).mapIndexedNotNull { index, item ->
         val itemPath = "${pathOf(key)}[$index]"
-        findings.mark(itemPath, item)
+        problems.mark(itemPath, item)
         if (item is YamlMap) readMap(item, itemPath, read) else wrong("$key[$index]", "a mapping", null)
     }
 
 /** Returns the texts in the list under [key]. */
-public fun YamlFields.texts(key: String, isRequired: Boolean = true): List<String> =
+public fun YamlFields.textList(key: String, isRequired: Boolean = true): List<String> =
     items(key, isRequired).mapIndexed { index, item ->
-        findings.mark("${pathOf(key)}[$index]", item)
+        problems.mark("${pathOf(key)}[$index]", item)
         (item as? YamlScalar)?.content ?: wrong("$key[$index]", "a text", "")
     }
 
@@ -53,7 +53,7 @@
 }
 
 private fun <T> YamlFields.readMap(map: YamlMap, at: String, read: (YamlFields) -> T): T {
-    val fields = YamlFields(map, at, findings)
+    val fields = YamlFields(map, at, problems)
     val result = read(fields)
     fields.reportUnknown()
     return result
--- a/cardamomwharf-document/src/test/kotlin/org/cardamomwharf/document/DocumentReaderTest.kt
+++ b/cardamomwharf-document/src/test/kotlin/org/cardamomwharf/document/DocumentReaderTest.kt
@@ -11,8 +11,8 @@
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.shouldNotBe
 import org.cardamomwharf.document.yaml.LARGEST_YAML_CHARACTERS
-import org.cardamomwharf.document.yaml.Place
 import org.cardamomwharf.document.yaml.ProblemKind
+import org.cardamomwharf.document.yaml.SourcePosition
 import java.nio.file.Files
 import java.nio.file.Path
 
@@ -40,7 +40,7 @@
             ProblemKind.WRONG_TYPE to "links[0].capBytesPerSecond",
         )
         val problem = parseDocument(broken).getError().orEmpty().first { it.path == "objective" }
-        problem.place shouldBe Place(3, 12)
+        problem.position shouldBe SourcePosition(3, 12)
     }
 
     test("`duplicates, unknown references and overlapping blocks are reported`") {
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/EntryProcess.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/EntryProcess.kt
@@ -38,7 +38,7 @@
 import org.cardamomwharf.http.JettyServer
 import org.cardamomwharf.http.startJettyHttpClient
 import org.cardamomwharf.http.startJettyServer
-import org.cardamomwharf.logging.PartLog
+import org.cardamomwharf.logging.ComponentLog
 import org.cardamomwharf.peer.PeerNode
 import org.cardamomwharf.peer.PeerSettings
 import org.cardamomwharf.peer.startPeerNode
@@ -53,7 +53,7 @@
 private const val ADMIN_THREADS = 16
 private const val SETTLE_POLL_MS = 100L
 private const val SETTLE_LIMIT_MS = 5_000L
-private val log = PartLog("entry")
+private val log = ComponentLog("entry")
 
 /** Represents a running entry process. */
 public class EntryProcess internal constructor(private val settings: EntrySettings) {
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/documents/BlockShelf.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/documents/BlockShelf.kt
@@ -19,7 +19,7 @@
     fun findContents(hash: String): ByteArray? = kept?.takeIf { it.hash == hash }?.contents
 
     fun put(hash: String, contents: ByteArray): Blocks {
-        val blocks = Blocks(hash, contents, ClientBlockTable.of(decodeBlocks(contents)))
+        val blocks = Blocks(hash, contents, ClientBlockTable.build(decodeBlocks(contents)))
         kept = blocks
         return blocks
     }
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/documents/DocumentKeeper.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/documents/DocumentKeeper.kt
@@ -13,14 +13,14 @@
 import org.cardamomwharf.decision.EntryEvent
 import org.cardamomwharf.decision.adoption.DocumentHead
 import org.cardamomwharf.entry.loop.EventRing
-import org.cardamomwharf.logging.PartLog
+import org.cardamomwharf.logging.ComponentLog
 import org.cardamomwharf.peer.PeerMessage
 import org.cardamomwharf.repository.DocumentArchive
 import org.cardamomwharf.repository.decodeDocument
-import org.cardamomwharf.repository.hashOfBlocks
+import org.cardamomwharf.repository.hashBlocks
 import java.util.concurrent.ConcurrentHashMap
 
-private val log = PartLog("documents")
+private val log = ComponentLog("documents")
 
 /** Represents a request for contents from the peer that had the document. */
 public typealias BlocksAsker = (blocksHash: String) -> Unit
@@ -92,7 +92,7 @@
         val wanted = waiting
         val contents = reply.contents
         waiting = null
-        if (wanted == null || contents == null || hashOfBlocks(contents) != reply.hash) {
+        if (wanted == null || contents == null || hashBlocks(contents) != reply.hash) {
             miss()
             return
         }
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/requests/CallerResponse.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/requests/CallerResponse.kt
@@ -40,7 +40,7 @@
 
 private val NO_REQUEST = RequestId(0)
 
-private fun retryAfterMs(reason: Reason): Long = if (reason.isRepeatable) MS_PER_SECOND else 0
+private fun retryAfterMs(reason: Reason): Long = if (reason.isRetryable) MS_PER_SECOND else 0
 
 private fun relay(ran: HandedAnswer): Response =
     passableFields(ran.fields).fold(Response(Status(ran.status, "")).body(bodyOf(ran.body))) { built, field ->
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/settings/EntrySettingsReader.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/settings/EntrySettingsReader.kt
@@ -11,10 +11,10 @@
 import org.cardamomwharf.decision.EntryLimits
 import org.cardamomwharf.decision.membership.MembershipSettings
 import org.cardamomwharf.document.yaml.Problem
+import org.cardamomwharf.document.yaml.ProblemCollector
 import org.cardamomwharf.document.yaml.ProblemKind
 import org.cardamomwharf.document.yaml.YamlFields
-import org.cardamomwharf.document.yaml.YamlFindings
-import org.cardamomwharf.document.yaml.choice
+import org.cardamomwharf.document.yaml.enumValue
 import org.cardamomwharf.document.yaml.readText
 import org.cardamomwharf.document.yaml.readYaml
 import org.cardamomwharf.document.yaml.section
@@ -32,32 +32,32 @@
 
 /** Returns the settings in the YAML [text], or every problem of them. */
 public fun parseEntrySettings(text: String): Result<EntrySettings, List<Problem>> =
-    readYaml(text) { fields, findings -> fields.readSettings(findings) }
+    readYaml(text) { fields, problems -> fields.readSettings(problems) }
 
-private fun YamlFields.readSettings(findings: YamlFindings) = EntrySettings(
+private fun YamlFields.readSettings(problems: ProblemCollector) = EntrySettings(
     name = InstanceName(text("name")),
     zone = ZoneName(text("zone")),
     environment = EnvironmentName(text("environment", EnvironmentName.PRODUCTION.value)),
     addresses = EntryAddresses(
-        caller = address("callerAddress", findings),
-        peer = address("peerAddress", findings),
-        advertisedPeer = address("advertisedPeerAddress", findings, default = text("peerAddress", default = "")),
-        admin = address("adminAddress", findings),
-        platform = address("platformAddress", findings),
+        caller = address("callerAddress", problems),
+        peer = address("peerAddress", problems),
+        advertisedPeer = address("advertisedPeerAddress", problems, default = text("peerAddress", default = "")),
+        admin = address("adminAddress", problems),
+        platform = address("platformAddress", problems),
     ),
-    logFormat = choice("logFormat", LogFormat.entries),
-    isClientHeaderTrusted = flag("isClientHeaderTrusted", default = false),
+    logFormat = enumValue("logFormat", LogFormat.entries),
+    isClientHeaderTrusted = boolean("isClientHeaderTrusted", default = false),
     times = section("times", isRequired = false) { it.readTimes(EntryTimes()) } ?: EntryTimes(),
     limits = section("limits", isRequired = false) { it.readLimits(EntryLimits()) } ?: EntryLimits(),
     membership = section("membership", isRequired = false) { it.readMembership(MembershipSettings()) }
         ?: MembershipSettings(),
 )
 
-private fun YamlFields.address(key: String, findings: YamlFindings, default: String? = null): SocketAddress {
+private fun YamlFields.address(key: String, problems: ProblemCollector, default: String? = null): SocketAddress {
     val text = text(key, default)
     val address = SocketAddress.parse(text)
     if (address == null && text.isNotEmpty()) {
-        findings.report(ProblemKind.WRONG_TYPE, pathOf(key), "$text isn't an IP number and port")
+        problems.report(ProblemKind.WRONG_TYPE, pathOf(key), "$text isn't an IP number and port")
     }
     return address ?: nowhere
 }
@@ -90,6 +90,6 @@
     summaryMembers = count("summaryMembers", default.summaryMembers),
 )
 
-private fun YamlFields.ms(key: String, default: Long): Long = whole(key, 1..LARGEST_MS, default)
+private fun YamlFields.ms(key: String, default: Long): Long = integer(key, 1..LARGEST_MS, default)
 
-private fun YamlFields.count(key: String, default: Int): Int = whole(key, 1..LARGEST_COUNT, default.toLong()).toInt()
+private fun YamlFields.count(key: String, default: Int): Int = integer(key, 1..LARGEST_COUNT, default.toLong()).toInt()
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/Main.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/Main.kt
@@ -15,7 +15,7 @@
 import org.cardamomwharf.gateway.selftest.runSelfTest
 import org.cardamomwharf.gateway.settings.GatewaySettings
 import org.cardamomwharf.gateway.settings.readGatewaySettings
-import org.cardamomwharf.logging.configureDecisionLines
+import org.cardamomwharf.logging.configureDecisionLog
 import sun.misc.Signal
 import java.nio.file.Path
 import java.util.concurrent.CountDownLatch
@@ -51,7 +51,7 @@
 }
 
 private fun selfTest(): Nothing {
-    configureDecisionLines()
+    configureDecisionLog()
     exitProcess(if (runSelfTest()) 0 else EXIT_SELF_TEST)
 }
 
@@ -59,13 +59,13 @@
     val lines = readText(Path.of(file)).getOrElse { "" }.lines()
     problems.forEach { problem ->
         System.err.println("$file:$problem")
-        lines.getOrNull(problem.place.line - 1)?.let { System.err.println("    $it") }
+        lines.getOrNull(problem.position.line - 1)?.let { System.err.println("    $it") }
     }
     exitProcess(EXIT_SETTINGS)
 }
 
 private fun serve(settings: GatewaySettings, settingsFile: Path) {
-    configureDecisionLines()
+    configureDecisionLog()
     val process = GatewayProcess(settings)
     process.start().onFailure {
         LogManager.shutdown()
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/settings/GatewaySettingsReader.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/settings/GatewaySettingsReader.kt
@@ -10,14 +10,14 @@
 import org.cardamomwharf.core.SocketAddress
 import org.cardamomwharf.core.ZoneName
 import org.cardamomwharf.document.yaml.Problem
+import org.cardamomwharf.document.yaml.ProblemCollector
 import org.cardamomwharf.document.yaml.ProblemKind
 import org.cardamomwharf.document.yaml.YamlFields
-import org.cardamomwharf.document.yaml.YamlFindings
 import org.cardamomwharf.document.yaml.readText
 import org.cardamomwharf.document.yaml.readYaml
 import org.cardamomwharf.document.yaml.section
 import org.cardamomwharf.document.yaml.sections
-import org.cardamomwharf.document.yaml.texts
+import org.cardamomwharf.document.yaml.textList
 import java.nio.file.Path
 
 private const val MS_PER_SECOND = 1_000
@@ -32,16 +32,16 @@
 
 /** Returns the settings in the YAML [text], or every problem of them. */
 public fun parseGatewaySettings(text: String): Result<GatewaySettings, List<Problem>> =
-    readYaml(text) { fields, findings -> fields.readSettings(findings) }
+    readYaml(text) { fields, problems -> fields.readSettings(problems) }
 
-private fun YamlFields.readSettings(findings: YamlFindings): GatewaySettings {
-    val ports = readPorts(findings)
+private fun YamlFields.readSettings(problems: ProblemCollector): GatewaySettings {
+    val ports = readPorts(problems)
     return GatewaySettings(
         instance = InstanceName(text("instance")),
         zone = ZoneName(text("zone")),
         zones = sections("zones", isRequired = true) { ZoneName(it.text("name")) to RegionName(it.text("region")) }
             .toMap(),
-        addresses = section("addresses", isRequired = true) { it.readAddresses(findings) }
+        addresses = section("addresses", isRequired = true) { it.readAddresses(problems) }
             ?: GatewayAddresses(nowhere, nowhere, nowhere, nowhere, ""),
         peerPort = ports.first,
         metricsPort = ports.last,
@@ -50,26 +50,26 @@
 }
 
 /** Returns the ports that are free for traffic between instances; heartbeats take the first, metrics the last. */
-private fun YamlFields.readPorts(findings: YamlFindings): IntRange {
-    val ports = texts("internalPorts").map { it.toIntOrNull() ?: 0 }
+private fun YamlFields.readPorts(problems: ProblemCollector): IntRange {
+    val ports = textList("internalPorts").map { it.toIntOrNull() ?: 0 }
     if (ports.size == 2 && ports.all { it > 0 } && ports[0] < ports[1]) return ports[0]..ports[1]
-    findings.report(ProblemKind.WRONG_TYPE, pathOf("internalPorts"), "must be two rising port numbers")
+    problems.report(ProblemKind.WRONG_TYPE, pathOf("internalPorts"), "must be two rising port numbers")
     return 1..2
 }
 
-private fun YamlFields.readAddresses(findings: YamlFindings) = GatewayAddresses(
-    caller = address("caller", findings),
-    ready = address("ready", findings),
-    directory = address("directory", findings),
-    store = address("store", findings),
+private fun YamlFields.readAddresses(problems: ProblemCollector) = GatewayAddresses(
+    caller = address("caller", problems),
+    ready = address("ready", problems),
+    directory = address("directory", problems),
+    store = address("store", problems),
     host = text("host"),
 )
 
-private fun YamlFields.address(key: String, findings: YamlFindings): SocketAddress {
+private fun YamlFields.address(key: String, problems: ProblemCollector): SocketAddress {
     val text = text(key)
     val address = SocketAddress.parse(text)
     if (address == null && text.isNotEmpty()) {
-        findings.report(ProblemKind.WRONG_TYPE, pathOf(key), "$text isn't an IP number and port")
+        problems.report(ProblemKind.WRONG_TYPE, pathOf(key), "$text isn't an IP number and port")
     }
     return address ?: nowhere
 }
@@ -77,7 +77,7 @@
 private fun YamlFields.readBounds() = GatewayBounds(
     stopMs = ms("stopS"),
     retryRatio = decimal("retryRatio", LARGEST_RATIO),
-    retryAllowance = whole("retryAllowance", 0..LARGEST_ALLOWANCE).toInt(),
+    retryAllowance = integer("retryAllowance", 0..LARGEST_ALLOWANCE).toInt(),
     retryWindowMs = ms("retryWindowS"),
     largestShift = decimal("largestShift", 1.0),
 )
--- a/cardamomwharf-logging/src/main/kotlin/org/cardamomwharf/logging/PartLog.kt
+++ b/cardamomwharf-logging/src/main/kotlin/org/cardamomwharf/logging/ComponentLog.kt
@@ -7,7 +7,7 @@
 import org.apache.logging.log4j.Logger
 
 /** Represents the log of the part named [prefix]. */
-public class PartLog(private val prefix: String) {
+public class ComponentLog(private val prefix: String) {
     private val logger: Logger = LogManager.getLogger("cardamomwharf.$prefix")
 
     /** Writes a line about something expected. */
--- a/cardamomwharf-logging/src/main/kotlin/org/cardamomwharf/logging/DecisionLines.kt
+++ b/cardamomwharf-logging/src/main/kotlin/org/cardamomwharf/logging/DecisionLog.kt
@@ -34,18 +34,18 @@
 private const val LAST_LINES_MS = 500L
 
 /** Makes all later log lines go to standard output as they are, without ever blocking. */
-public fun configureDecisionLines() {
-    System.setProperty(PROVIDER_PROPERTY, DecisionLineProvider::class.java.name)
+public fun configureDecisionLog() {
+    System.setProperty(PROVIDER_PROPERTY, DecisionLogProvider::class.java.name)
 }
 
 /** Gives Log4j the back end; Log4j makes it by its name. */
-public class DecisionLineProvider :
-    Provider(PROVIDER_PRIORITY, PROVIDER_VERSION, DecisionLineContextFactory::class.java)
+public class DecisionLogProvider :
+    Provider(PROVIDER_PRIORITY, PROVIDER_VERSION, DecisionLogContextFactory::class.java)
 
 /** Gives Log4j the only context of the process. */
-public class DecisionLineContextFactory : LoggerContextFactory {
-    private val writer = startLineWriter(System.out)
-    private val context = DecisionLineContext(writer)
+public class DecisionLogContextFactory : LoggerContextFactory {
+    private val writer = startLogLineWriter(System.out)
+    private val context = DecisionLogContext(writer)
 
     override fun getContext(
         fqcn: String?,
@@ -65,7 +65,7 @@
 
     /** Waits until the lines that are queued have been written. */
     override fun shutdown(fqcn: String?, loader: ClassLoader?, currentContext: Boolean, allContexts: Boolean) {
-        writer.drain(LAST_LINES_MS)
+        writer.flush(LAST_LINES_MS)
     }
 
     override fun removeContext(context: LoggerContext): Unit = Unit
@@ -74,13 +74,13 @@
 }
 
 /** Holds the loggers by name. */
-internal class DecisionLineContext(private val writer: LineWriter) : LoggerContext {
+internal class DecisionLogContext(private val writer: LogLineWriter) : LoggerContext {
     private val loggers = ConcurrentHashMap<String, ExtendedLogger>()
 
     override fun getExternalContext(): Any? = null
 
     override fun getLogger(name: String): ExtendedLogger =
-        loggers.computeIfAbsent(name) { LineLogger(it, writer) }
+        loggers.computeIfAbsent(name) { DecisionLogger(it, writer) }
 
     override fun getLogger(name: String, messageFactory: MessageFactory?): ExtendedLogger = getLogger(name)
 
@@ -92,7 +92,7 @@
 }
 
 /** Hands formatted messages to the writer. */
-private class LineLogger(name: String, private val writer: LineWriter) : SimpleLogger(
+private class DecisionLogger(name: String, private val writer: LogLineWriter) : SimpleLogger(
     name,
     if (name.startsWith(LIBRARY_PREFIX)) Level.WARN else Level.INFO,
     false,
--- a/cardamomwharf-logging/src/main/kotlin/org/cardamomwharf/logging/LineWriter.kt
+++ b/cardamomwharf-logging/src/main/kotlin/org/cardamomwharf/logging/LogLineWriter.kt
@@ -13,7 +13,7 @@
 private const val QUEUED_LINES = 512
 
 /** Represents a bounded queue of lines in front of an output. */
-internal class LineWriter(private val output: PrintStream, capacity: Int) {
+internal class LogLineWriter(private val output: PrintStream, capacity: Int) {
     private val queue = ArrayBlockingQueue<String>(capacity)
     private val dropped = AtomicLong()
     private val unwritten = AtomicInteger()
@@ -45,16 +45,16 @@
         unwritten.addAndGet(-taken)
     }
 
-    /** Waits until all lines have been written, at most [limitMs]. */
-    fun drain(limitMs: Long) {
-        val endNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(limitMs)
+    /** Waits until all lines have been written, at most [timeoutMs]. */
+    fun flush(timeoutMs: Long) {
+        val endNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMs)
         while (unwritten.get() > 0 && System.nanoTime() < endNs) Thread.sleep(1)
     }
 }
 
 /** Returns a writer to [output] whose thread is started. */
-internal fun startLineWriter(output: PrintStream): LineWriter {
-    val writer = LineWriter(output, QUEUED_LINES)
+internal fun startLogLineWriter(output: PrintStream): LogLineWriter {
+    val writer = LogLineWriter(output, QUEUED_LINES)
     Thread({ while (true) writer.writeNext() }, "log").apply { isDaemon = true }.start()
     return writer
 }
--- a/cardamomwharf-logging/src/test/kotlin/org/cardamomwharf/logging/LineWriterTest.kt
+++ b/cardamomwharf-logging/src/test/kotlin/org/cardamomwharf/logging/LogLineWriterTest.kt
@@ -8,10 +8,10 @@
 import java.io.ByteArrayOutputStream
 import java.io.PrintStream
 
-class LineWriterTest : FunSpec({
+class LogLineWriterTest : FunSpec({
     test("`queued lines are written in order, each on a line of its own`") {
         val bytes = ByteArrayOutputStream()
-        val writer = LineWriter(PrintStream(bytes), capacity = 4)
+        val writer = LogLineWriter(PrintStream(bytes), capacity = 4)
         listOf("a", "b", "c").forEach { writer.offer(it) }
         writer.writeNext()
         bytes.toString() shouldBe "a\nb\nc\n"
@@ -19,7 +19,7 @@
 
     test("`lines that find no room are told with the next line`") {
         val bytes = ByteArrayOutputStream()
-        val writer = LineWriter(PrintStream(bytes), capacity = 2)
+        val writer = LogLineWriter(PrintStream(bytes), capacity = 2)
         listOf("a", "b", "c", "d").forEach { writer.offer(it) }
         writer.writeNext()
         bytes.toString() shouldBe "{\"event\":\"lines-dropped\",\"count\":2}\na\nb\n"
@@ -27,8 +27,8 @@
 
     test("`a library's line carries its cause, and levels below its own are off`") {
         val bytes = ByteArrayOutputStream()
-        val writer = LineWriter(PrintStream(bytes), capacity = 4)
-        val context = DecisionLineContext(writer)
+        val writer = LogLineWriter(PrintStream(bytes), capacity = 4)
+        val context = DecisionLogContext(writer)
         val library = context.getLogger("org.eclipse.jetty.server.Server")
         library.info("started")
         library.warn("could not accept", IllegalStateException("no room"))
--- a/cardamomwharf-repository/src/main/kotlin/org/cardamomwharf/repository/DocumentArchive.kt
+++ b/cardamomwharf-repository/src/main/kotlin/org/cardamomwharf/repository/DocumentArchive.kt
@@ -29,11 +29,11 @@
     public fun readBlocks(hash: String): Result<ByteArray, RepositoryError> = readNamed(
         "blocks-$hash",
         hash,
-        ::hashOfBlocks
+        ::hashBlocks
     )
 
     /** Returns the document under [hash] with its client blocks. */
-    public fun readWhole(hash: String): Result<EnvironmentDocument, RepositoryError> =
+    public fun readWithBlocks(hash: String): Result<EnvironmentDocument, RepositoryError> =
         readDocument(hash).flatMap { stored ->
             readBlocks(stored.blocksHash).map { stored.document.copy(clientBlocks = decodeBlocks(it).toList()) }
         }
@@ -54,7 +54,7 @@
     ): Result<ByteArray, RepositoryError> =
         objects.read(name)
             .mapError { RepositoryError.Platform(it) }
-            .flatMap { if (it != null && hashOf(it) == hash) Ok(it) else Err(RepositoryError.Damaged(hash)) }
+            .flatMap { if (it != null && hashOf(it) == hash) Ok(it) else Err(RepositoryError.HashMismatch(hash)) }
 
     private fun write(name: String, contents: ByteArray): Result<Unit, RepositoryError> =
         objects.write(name, contents).mapError { RepositoryError.Platform(it) }
--- a/cardamomwharf-repository/src/main/kotlin/org/cardamomwharf/repository/EnvironmentHeads.kt
+++ b/cardamomwharf-repository/src/main/kotlin/org/cardamomwharf/repository/EnvironmentHeads.kt
@@ -53,12 +53,12 @@
         operator = change.operator,
         note = change.note,
         acceptedAtEpochSeconds = change.epochSeconds,
-        capEpoch = epochAfter(before, change.keepsCaps),
+        capEpoch = epochAfter(before, change.hasSameCaps),
     )
 
-    private fun epochAfter(before: HeadEntry?, keepsCaps: Boolean): CapEpoch = when {
+    private fun epochAfter(before: HeadEntry?, hasSameCaps: Boolean): CapEpoch = when {
         before == null -> CapEpoch.FIRST
-        keepsCaps -> before.capEpoch
+        hasSameCaps -> before.capEpoch
         else -> before.capEpoch.next()
     }
 
@@ -86,7 +86,7 @@
             if (isMoved) return settleMoved(row, change)
             pause(SETTLING_PAUSE_MS)
         }
-        return Err(RepositoryError.Unsettled(change.attempt))
+        return Err(RepositoryError.OutcomeUnknown(change.attempt))
     }
 
     private fun settleMoved(row: HeadRow?, change: HeadChange): Result<HeadEntry, RepositoryError> {
--- a/cardamomwharf-repository/src/main/kotlin/org/cardamomwharf/repository/HeadChange.kt
+++ b/cardamomwharf-repository/src/main/kotlin/org/cardamomwharf/repository/HeadChange.kt
@@ -10,7 +10,7 @@
  * Represents a change that an operator wants.
  *
  * @param expected version that must be in force, [DocumentVersion.NONE] for an empty environment.
- * @param keepsCaps true when the caps are divided as in the expected version.
+ * @param hasSameCaps true when the caps are divided as in the expected version.
  */
 public data class HeadChange(
     public val environment: EnvironmentName,
@@ -19,5 +19,5 @@
     public val operator: String,
     public val note: String,
     public val epochSeconds: Long,
-    public val keepsCaps: Boolean = false,
+    public val hasSameCaps: Boolean = false,
 )
--- a/cardamomwharf-repository/src/main/kotlin/org/cardamomwharf/repository/RepositoryError.kt
+++ b/cardamomwharf-repository/src/main/kotlin/org/cardamomwharf/repository/RepositoryError.kt
@@ -14,11 +14,11 @@
     public data class Platform(public val cause: PlatformError) : RepositoryError
 
     /** The platform does not tell whether the change took effect. */
-    public data class Unsettled(public val attempt: AttemptId) : RepositoryError
+    public data class OutcomeUnknown(public val attempt: AttemptId) : RepositoryError
 
     /** The environment has no such document. */
     public data class Missing(public val environment: EnvironmentName) : RepositoryError
 
     /** The stored contents don't fit their hash. */
-    public data class Damaged(public val hash: String) : RepositoryError
+    public data class HashMismatch(public val hash: String) : RepositoryError
 }
--- a/cardamomwharf-repository/src/main/kotlin/org/cardamomwharf/repository/StoredDocument.kt
+++ b/cardamomwharf-repository/src/main/kotlin/org/cardamomwharf/repository/StoredDocument.kt
@@ -35,7 +35,7 @@
 }
 
 /** Returns the hash that names client blocks with these [contents], or null when they are damaged. */
-public fun hashOfBlocks(contents: ByteArray): String? =
+public fun hashBlocks(contents: ByteArray): String? =
     try {
         GZIPInputStream(contents.inputStream()).use { it.sha256Hex() }
     } catch (@Suppress("SwallowedException") e: IOException) {
--- a/cardamomwharf-repository/src/test/kotlin/org/cardamomwharf/repository/ClientBlockContentsTest.kt
+++ b/cardamomwharf-repository/src/test/kotlin/org/cardamomwharf/repository/ClientBlockContentsTest.kt
@@ -28,14 +28,14 @@
     test("`blocks come back as they were stored, under the hash that names them`") {
         val stored = document.encodeBlocks()
         decodeBlocks(stored.contents).toList() shouldBe blocks
-        hashOfBlocks(stored.contents) shouldBe stored.hash
+        hashBlocks(stored.contents) shouldBe stored.hash
     }
 
     test("`damaged and truncated contents don't have the hash`") {
         val stored = document.encodeBlocks()
         val half = stored.contents.copyOf(stored.contents.size / 2)
-        hashOfBlocks(half) shouldBe null
+        hashBlocks(half) shouldBe null
         val damaged = stored.contents.copyOf().also { it[it.size / 2] = (it[it.size / 2] + 1).toByte() }
-        hashOfBlocks(damaged) shouldNotBe stored.hash
+        hashBlocks(damaged) shouldNotBe stored.hash
     }
 })
--- a/cardamomwharf-standin/src/main/kotlin/org/cardamomwharf/standin/Main.kt
+++ b/cardamomwharf-standin/src/main/kotlin/org/cardamomwharf/standin/Main.kt
@@ -11,8 +11,8 @@
 import kotlinx.cli.required
 import org.cardamomwharf.core.SocketAddress
 import org.cardamomwharf.http.JettyServer
+import org.cardamomwharf.logging.ComponentLog
 import org.cardamomwharf.logging.LogFormat
-import org.cardamomwharf.logging.PartLog
 import org.cardamomwharf.logging.configureLogs
 import java.nio.file.Files
 import java.nio.file.Path
@@ -24,7 +24,7 @@
 private const val DEFAULT_SLOTS = 4
 private const val DEFAULT_SERVICE_MS = 10
 private const val DEFAULT_ANSWER_BYTES = 256
-private val log = PartLog("standin")
+private val log = ComponentLog("standin")
 
 /** Starts a stand-in. */
 @OptIn(ExperimentalCli::class)
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/Candidates.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/Candidates.kt
@@ -5,7 +5,7 @@
 
 import org.cardamomwharf.core.ServerName
 import org.cardamomwharf.core.combineHashes
-import org.cardamomwharf.core.hashOf
+import org.cardamomwharf.core.hash64
 import org.cardamomwharf.steering.Distance
 import org.cardamomwharf.steering.SteeringTerms
 import org.cardamomwharf.steering.desired.ActiveRoutes
@@ -47,7 +47,7 @@
      * alone are likely to know the key.
      */
     fun ordered(spec: RequestSpec, ready: List<KnownServer>): Collection<List<KnownServer>> {
-        val keyHash = hashOf("${spec.service.value}/${spec.affinityKey ?: spec.id}")
+        val keyHash = hash64("${spec.service.value}/${spec.affinityKey ?: spec.id}")
         val hasOwn = ready.any { it.distance != Distance.OTHER_REGION }
         return ready.groupBy { it.region }.values.map { group ->
             val isOther = group.first().distance == Distance.OTHER_REGION
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/Placer.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/Placer.kt
@@ -5,7 +5,7 @@
 package org.cardamomwharf.steering.placement
 
 import org.cardamomwharf.core.ServerName
-import org.cardamomwharf.core.unitPositionOf
+import org.cardamomwharf.core.hashToUnitInterval
 import org.cardamomwharf.steering.Distance
 import org.cardamomwharf.steering.SteeringTerms
 import org.cardamomwharf.steering.requests.AttemptReport
@@ -46,7 +46,7 @@
 
     /** Returns the delay for a refused caller: the expected wait, spread so that callers don't return all at once. */
     fun retryAfterMs(id: String, waitMs: Double): Long =
-        ((terms.shortestRetryAfterMs + waitMs / 2) * (1 + unitPositionOf(id))).toLong()
+        ((terms.shortestRetryAfterMs + waitMs / 2) * (1 + hashToUnitInterval(id))).toLong()
 
     private fun placeAmong(
         spec: RequestSpec,
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/servers/KnownServer.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/servers/KnownServer.kt
@@ -5,7 +5,7 @@
 package org.cardamomwharf.steering.servers
 
 import org.cardamomwharf.core.RegionName
-import org.cardamomwharf.core.hashOf
+import org.cardamomwharf.core.hash64
 import org.cardamomwharf.steering.Distance
 import org.cardamomwharf.steering.SteeringTerms
 import org.cardamomwharf.steering.limits.ColdAllowance
@@ -20,7 +20,7 @@
     terms: SteeringTerms,
 ) {
     /** Hash of the name, for rankings by key. */
-    internal val nameHash: Long = hashOf(record.name.value)
+    internal val nameHash: Long = hash64(record.name.value)
 
     /** What the store says of the server. */
     public var record: ServerRecord = record
