--- a/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/paths/LookupBenchmark.kt
+++ b/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/paths/LookupBenchmark.kt
@@ -6,7 +6,7 @@
 import org.cardamomwharf.core.document.ClientBlockTable
 import org.cardamomwharf.decision.lookup.LookupView
 import org.cardamomwharf.decision.lookup.Placement
-import org.cardamomwharf.decision.lookup.lookupViewOf
+import org.cardamomwharf.decision.lookup.createLookupView
 import org.cardamomwharf.decision.lookup.rank
 import org.openjdk.jmh.annotations.Benchmark
 import org.openjdk.jmh.annotations.BenchmarkMode
@@ -37,7 +37,7 @@
     /** Makes the view and the table. */
     @Setup
     public fun prepare() {
-        view = requireNotNull(lookupViewOf(sampleState(PEERS), SAMPLE_NOW_MS))
+        view = requireNotNull(createLookupView(sampleState(PEERS), SAMPLE_NOW_MS))
         table = ClientBlockTable.build(sampleBlocks(blocks).asSequence())
     }
 
--- a/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/policy/WharfRouter.kt
+++ b/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/policy/WharfRouter.kt
@@ -8,7 +8,7 @@
 import org.cardamomwharf.core.Outcome
 import org.cardamomwharf.core.Reason
 import org.cardamomwharf.decision.claims.Binding
-import org.cardamomwharf.decision.lookup.lookupViewOf
+import org.cardamomwharf.decision.lookup.createLookupView
 import org.cardamomwharf.decision.lookup.rank
 import org.cardamomwharf.decision.requests.RequestOrigin
 import org.cardamomwharf.decision.requests.RequestSpec
@@ -88,7 +88,7 @@
         if (known != null && world.time.nowMs < known.untilMs) return known.names
         val asked = fleet.entries.firstOrNull { it.member.zone == request.zone && !world.isLost(request.zone) }
             ?: fleet.entries.first { !world.isLost(it.member.zone) }
-        val view = lookupViewOf(asked.state, world.time.nowMs)
+        val view = createLookupView(asked.state, world.time.nowMs)
         val service = world.index.services.getValue(request.service)
         val names = view?.rank(service, request.zone, request.client).orEmpty().map { it.candidate.member.name }
         kept[key] = KeptLookup(names, world.time.nowMs + service.cacheTtlMs)
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/DocumentFollowing.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/DocumentFollowing.kt
@@ -5,7 +5,7 @@
 
 import org.cardamomwharf.core.document.DocumentIndex
 import org.cardamomwharf.decision.adoption.adopt
-import org.cardamomwharf.decision.adoption.failFetch
+import org.cardamomwharf.decision.adoption.recordFetchFailure
 import org.cardamomwharf.decision.adoption.startFetch
 import org.cardamomwharf.decision.membership.findNewestVersion
 import org.cardamomwharf.decision.requests.wakeWaiting
@@ -14,12 +14,12 @@
     when (event) {
         is EntryEvent.HeadRead -> followHead(event)
         is EntryEvent.DocumentFetched -> adoptDocument(event)
-        else -> state = state.copy(adoption = state.adoption.failFetch())
+        else -> state = state.copy(adoption = state.adoption.recordFetchFailure())
     }
 }
 
 private fun Turn.followHead(event: EntryEvent.HeadRead) {
-    if (!state.adoption.isWanted(event.head.version, nowMs)) return
+    if (!state.adoption.shouldFetch(event.head.version, nowMs)) return
     state = state.copy(adoption = state.adoption.startFetch(event.head.version, nowMs))
     add(EntryEffect.FetchDocument(event.head))
 }
@@ -40,7 +40,7 @@
 internal fun Turn.followPeers() {
     val membership = state.membership
     val newest = membership.findNewestVersion()
-    if (!state.adoption.isWanted(newest, nowMs)) return
+    if (!state.adoption.shouldFetch(newest, nowMs)) return
     val near = membership.peers.values
         .filter { it.heartbeat.documentVersion == newest }
         .map { it.member }
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/EntryMachine.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/EntryMachine.kt
@@ -10,9 +10,10 @@
 import org.cardamomwharf.decision.claims.noteExpired
 import org.cardamomwharf.decision.membership.applyList
 import org.cardamomwharf.decision.membership.changesOwnership
-import org.cardamomwharf.decision.membership.hear
-import org.cardamomwharf.decision.membership.isLapsed
-import org.cardamomwharf.decision.membership.run
+import org.cardamomwharf.decision.membership.isLeaseExpired
+import org.cardamomwharf.decision.membership.recordHeartbeat
+import org.cardamomwharf.decision.membership.recordRun
+import org.cardamomwharf.decision.membership.recordSummary
 import org.cardamomwharf.decision.ownership.Ownership
 import org.cardamomwharf.decision.requests.admit
 import org.cardamomwharf.decision.requests.endAttempt
@@ -25,8 +26,8 @@
 import org.cardamomwharf.decision.requests.settleClaim
 import org.cardamomwharf.decision.requests.wakeWaiting
 import org.cardamomwharf.decision.servers.applyList
-import org.cardamomwharf.decision.servers.change
-import org.cardamomwharf.decision.servers.hear
+import org.cardamomwharf.decision.servers.recordLoadReport
+import org.cardamomwharf.decision.servers.update
 
 private const val OWNERSHIP_INTERVAL_MS = 250L
 
@@ -40,11 +41,11 @@
 
 /** Gives up what was owned when this process was paused for longer than its lease. */
 private fun Turn.resume() {
-    if (state.membership.isLapsed(nowMs)) {
+    if (state.membership.isLeaseExpired(nowMs)) {
         state = state.copy(ownership = Ownership())
-        adjustLedger()
+        adjustCapLimiter()
     }
-    state = state.copy(membership = state.membership.run(nowMs))
+    state = state.copy(membership = state.membership.recordRun(nowMs))
 }
 
 private fun Turn.handle(event: EntryEvent): Unit = when (event) {
@@ -54,7 +55,7 @@
     is EntryEvent.HeartbeatReceived, is EntryEvent.SummaryReceived, is EntryEvent.PeerDisconnected -> listen(event)
     is EntryEvent.LoadReported -> hearLoad(event)
     is EntryEvent.LoanRequested -> answerLoan(event)
-    is EntryEvent.LoanReplyReceived -> state = state.copy(ledger = state.ledger.borrow(event.grant, nowMs))
+    is EntryEvent.LoanReplyReceived -> state = state.copy(capLimiter = state.capLimiter.borrow(event.grant, nowMs))
     is EntryEvent.RequestArrived -> admit(event.spec)
     is EntryEvent.ClaimReplyReceived, is EntryEvent.ClaimsExpired -> hearStore(event)
     is EntryEvent.AttemptEnded -> endAttempt(event.attempt, event.result)
@@ -93,13 +94,13 @@
         is EntryEvent.HeartbeatReceived -> {
             val known = membership.peers[event.heartbeat.sender.name]?.heartbeat
             state = state.copy(
-                membership = membership.hear(event.heartbeat, nowMs),
+                membership = membership.recordHeartbeat(event.heartbeat, nowMs),
                 suspects = state.suspects.clear(event.heartbeat.sender.name),
             )
             if (known == null || event.heartbeat.changesOwnership(known)) advanceOwnership()
         }
         is EntryEvent.SummaryReceived -> {
-            state = state.copy(membership = membership.hear(event.summary, nowMs))
+            state = state.copy(membership = membership.recordSummary(event.summary, nowMs))
             if (event.isRelayed) notePassedOn(event.summary) else passOn(event.summary)
         }
         is EntryEvent.PeerDisconnected -> state = state.copy(membership = membership.closePeer(event.peer, nowMs))
@@ -117,13 +118,13 @@
 }
 
 private fun Turn.hearLoad(event: EntryEvent.LoadReported) {
-    val next = state.servers.change(event.server) { it.hear(event.report, nowMs) }
+    val next = state.servers.update(event.server) { it.recordLoadReport(event.report, nowMs) }
     state = state.copy(servers = next)
     wakeWaiting()
 }
 
 private fun Turn.answerLoan(event: EntryEvent.LoanRequested) {
-    val lent = state.ledger.lend(event.request, state.membership.self.name, nowMs)
-    state = state.copy(ledger = lent.ledger)
+    val lent = state.capLimiter.lend(event.request, state.membership.self.name, nowMs)
+    state = state.copy(capLimiter = lent.limiter)
     add(EntryEffect.ReplyToLoanRequest(event.request.borrower, lent.grant))
 }
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/EntryState.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/EntryState.kt
@@ -11,7 +11,7 @@
 import org.cardamomwharf.core.ZoneName
 import org.cardamomwharf.decision.adoption.DocumentAdoption
 import org.cardamomwharf.decision.caps.CapId
-import org.cardamomwharf.decision.caps.CapLedger
+import org.cardamomwharf.decision.caps.CapLimiter
 import org.cardamomwharf.decision.caps.CapTransition
 import org.cardamomwharf.decision.claims.BoundKeys
 import org.cardamomwharf.decision.claims.ClaimExpiry
@@ -64,7 +64,7 @@
     public val servers: ServerTable = ServerTable(),
     public val suspects: Suspects = Suspects(),
     public val serviceTimes: ServiceTimes = ServiceTimes(),
-    public val ledger: CapLedger = CapLedger(burstMs = 0),
+    public val capLimiter: CapLimiter = CapLimiter(burstMs = 0),
     public val capTransition: CapTransition = CapTransition(),
     public val budget: RetryBudget = RetryBudget(),
     public val store: StoreHealth = StoreHealth(),
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/Heartbeats.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/Heartbeats.kt
@@ -3,18 +3,18 @@
  */
 package org.cardamomwharf.decision
 
-import org.cardamomwharf.decision.caps.reportedEpoch
+import org.cardamomwharf.decision.caps.findOldestEpochInUse
 import org.cardamomwharf.decision.membership.Heartbeat
 import org.cardamomwharf.decision.membership.ResidualSlots
 import org.cardamomwharf.decision.membership.hashView
 import org.cardamomwharf.decision.membership.isJoining
-import org.cardamomwharf.decision.membership.listLive
-import org.cardamomwharf.decision.membership.listSettled
+import org.cardamomwharf.decision.membership.listLiveMembers
+import org.cardamomwharf.decision.membership.listSettledMembers
 
 internal fun Turn.sendHeartbeats() {
     val membership = state.membership
-    val liveHash = hashView(membership.listLive(nowMs))
-    val settledHash = hashView(membership.listSettled(nowMs))
+    val liveHash = hashView(membership.listLiveMembers(nowMs))
+    val settledHash = hashView(membership.listSettledMembers(nowMs))
     val isDue = nowMs - state.heartbeats.sentAtMs >= membership.settings.heartbeatIntervalMs
     val viewHash = liveHash xor settledHash.rotateLeft(1)
     if (!isDue && viewHash == state.heartbeats.viewHash) return
@@ -30,7 +30,7 @@
         documentVersion = state.adoption.version,
         loads = loads,
         residuals = listResiduals(),
-        capEpoch = state.capTransition.reportedEpoch(nowMs),
+        capEpoch = state.capTransition.findOldestEpochInUse(nowMs),
     )
     state = state.copy(
         heartbeats = state.heartbeats.copy(sequence = sequence, sentAtMs = nowMs, viewHash = viewHash, loads = loads),
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/Leaving.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/Leaving.kt
@@ -10,7 +10,7 @@
 /** Returns this membership after a peer closed its connection; silence alone decides whether it is dead. */
 internal fun Membership.closePeer(peer: InstanceName, nowMs: Long): Membership {
     val known = peers[peer] ?: return this
-    val isGoneForGood = known.heartbeat.isLeaving && nowMs - known.heardAtMs >= settings.heartbeatIntervalMs
+    val isGoneForGood = known.heartbeat.isLeaving && nowMs - known.receivedAtMs >= settings.heartbeatIntervalMs
     return if (isGoneForGood) copy(peers = peers.remove(peer)) else this
 }
 
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/Shares.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/Shares.kt
@@ -8,19 +8,19 @@
 import org.cardamomwharf.decision.caps.CapTransition
 import org.cardamomwharf.decision.caps.EpochShares
 import org.cardamomwharf.decision.caps.adopt
-import org.cardamomwharf.decision.caps.advance
 import org.cardamomwharf.decision.caps.computeZoneShares
-import org.cardamomwharf.decision.caps.hear
-import org.cardamomwharf.decision.caps.reportedEpoch
+import org.cardamomwharf.decision.caps.findOldestEpochInUse
+import org.cardamomwharf.decision.caps.recordOldestEpoch
+import org.cardamomwharf.decision.caps.update
 import org.cardamomwharf.decision.claims.expire
 import org.cardamomwharf.decision.membership.Membership
 import org.cardamomwharf.decision.membership.ServiceLoad
-import org.cardamomwharf.decision.ownership.advance
+import org.cardamomwharf.decision.ownership.recompute
 import org.cardamomwharf.decision.requests.poolViewOf
-import org.cardamomwharf.decision.servers.change
+import org.cardamomwharf.decision.servers.update
 import org.cardamomwharf.decision.shift.ShiftInput
 import org.cardamomwharf.decision.shift.advance
-import org.cardamomwharf.decision.shift.computeZoneUse
+import org.cardamomwharf.decision.shift.computeZoneUsage
 import org.cardamomwharf.decision.shift.sumByRegion
 
 /** Returns the slots of each service that this instance owns. */
@@ -39,16 +39,16 @@
     val residuals = sumResiduals(state.membership)
     val servers = state.servers.servers.values.fold(state.servers) { table, server ->
         val residual = residuals[server.name] ?: 0
-        if (server.residual == residual) table else table.change(server.name) { it.copy(residual = residual) }
+        if (server.residualSlots == residual) table else table.update(server.name) { it.copy(residualSlots = residual) }
     }
-    val ownership = state.ownership.advance(state.membership, servers.servers.keys, nowMs)
+    val ownership = state.ownership.recompute(state.membership, servers.servers.keys, nowMs)
     state = state.copy(
         servers = servers,
         ownership = ownership,
         ownershipAtMs = nowMs,
         boundKeys = state.boundKeys.expire(nowMs),
     )
-    adjustLedger()
+    adjustCapLimiter()
 }
 
 private fun sumResiduals(membership: Membership) =
@@ -57,21 +57,21 @@
         .groupBy({ it.server }, { it.slots })
         .mapValues { (_, slots) -> slots.sum() }
 
-internal fun Turn.adjustLedger() {
+internal fun Turn.adjustCapLimiter() {
     if (index == null) return
     val transition = hearEpochs(state.capTransition)
-    val ledger = state.ledger.copy(burstMs = policy.capBurstMs)
+    val limiter = state.capLimiter.copy(burstMs = policy.capBurstMs)
     state = state.copy(
         capTransition = transition,
-        ledger = ledger.advance(transition.shares, state.ownership.capParts.size, nowMs),
+        capLimiter = limiter.update(transition.shares, state.ownership.capParts.size, nowMs),
     )
 }
 
 private fun Turn.hearEpochs(transition: CapTransition): CapTransition {
     val membership = state.membership
     val far = membership.remoteZones.values.map { it.summary }
-    return far.fold(transition.hear(membership.self.zone, findZoneEpoch())) { next, summary ->
-        next.hear(summary.zone, summary.capEpoch)
+    return far.fold(transition.recordOldestEpoch(membership.self.zone, findZoneEpoch())) { next, summary ->
+        next.recordOldestEpoch(summary.zone, summary.capEpoch)
     }
 }
 
@@ -84,7 +84,7 @@
         isOwnZone && known.none { it.member.name == listed.name }
     }
     if (silent.isNotEmpty()) return CapEpoch.NONE
-    val own = state.capTransition.reportedEpoch(nowMs)
+    val own = state.capTransition.findOldestEpochInUse(nowMs)
     return known.minOfOrNull { it.heartbeat.capEpoch }?.let { minOf(it, own) } ?: own
 }
 
@@ -103,7 +103,7 @@
     if (current == null || home == null) return
     val loads = state.computeLoads(nowMs)
     val uses = current.document.services.associate { service ->
-        service.name to sumByRegion(current, computeZoneUse(state.membership, loads, service.name, nowMs))
+        service.name to sumByRegion(current, computeZoneUsage(state.membership, loads, service.name, nowMs))
     }
     val drained = current.document.services
         .map { it.name }
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/Summaries.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/Summaries.kt
@@ -11,7 +11,7 @@
 import org.cardamomwharf.decision.membership.ZoneSummary
 import org.cardamomwharf.decision.membership.findLivePeers
 import org.cardamomwharf.decision.membership.isDelegateFor
-import org.cardamomwharf.decision.membership.listLive
+import org.cardamomwharf.decision.membership.listLiveMembers
 
 internal fun Turn.sendSummaries(sequence: Long, loads: List<ServiceLoad>) {
     val membership = state.membership
@@ -75,7 +75,8 @@
 private fun Turn.isPassDue(zone: ZoneName): Boolean {
     val membership = state.membership
     val intervalMs = membership.settings.summaryIntervalMs
-    val rank = rendezvousTop(zone.value, membership.listLive(nowMs), membership.settings.delegateCount) { it.value }
+    val live = membership.listLiveMembers(nowMs)
+    val rank = rendezvousTop(zone.value, live, membership.settings.delegateCount) { it.value }
         .indexOf(membership.self.name)
     val silenceMs = if (rank == 0) intervalMs / 2 else intervalMs + intervalMs / 2
     return nowMs - (state.passedOnAtMs[zone] ?: Long.MIN_VALUE / 2) >= silenceMs
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/Turn.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/Turn.kt
@@ -20,7 +20,7 @@
     val policy: Policy get() = index?.document?.policy ?: Policy()
 
     /** Returns the time that a request of [service] will take at a backend server. */
-    fun expectMs(service: Service): Long = state.serviceTimes.expectMs(service)
+    fun expectMs(service: Service): Long = state.serviceTimes.estimateMs(service)
 
     fun add(effect: EntryEffect) {
         effects += effect
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/adoption/DocumentAdoption.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/adoption/DocumentAdoption.kt
@@ -25,11 +25,11 @@
     public val index: DocumentIndex? = null,
     public val adoptedAtMs: Long = 0,
     public val fetching: DocumentVersion = DocumentVersion.NONE,
-    public val fetchUntilMs: Long = 0,
+    public val fetchDeadlineMs: Long = 0,
 ) {
     /** Returns true when [other] is worth fetching now. */
-    public fun isWanted(other: DocumentVersion, nowMs: Long): Boolean =
-        other > version && (other > fetching || nowMs >= fetchUntilMs)
+    public fun shouldFetch(other: DocumentVersion, nowMs: Long): Boolean =
+        other > version && (other > fetching || nowMs >= fetchDeadlineMs)
 }
 
 /** Represents where a newer document can be fetched. */
@@ -45,10 +45,11 @@
 
 /** Returns the adoption while [wanted] is being fetched. */
 public fun DocumentAdoption.startFetch(wanted: DocumentVersion, nowMs: Long): DocumentAdoption =
-    copy(fetching = wanted, fetchUntilMs = nowMs + FETCH_LIMIT_MS)
+    copy(fetching = wanted, fetchDeadlineMs = nowMs + FETCH_LIMIT_MS)
 
 /** Returns the adoption after a fetch ended without a document. */
-public fun DocumentAdoption.failFetch(): DocumentAdoption = copy(fetching = DocumentVersion.NONE, fetchUntilMs = 0)
+public fun DocumentAdoption.recordFetchFailure(): DocumentAdoption =
+    copy(fetching = DocumentVersion.NONE, fetchDeadlineMs = 0)
 
 /** Returns the adoption with [newIndex] in force, or the same one when [head] isn't strictly newer. */
 public fun DocumentAdoption.adopt(head: DocumentHead, newIndex: DocumentIndex, nowMs: Long): DocumentAdoption =
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/caps/CapBucket.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/caps/CapBucket.kt
@@ -33,7 +33,7 @@
 }
 
 /** Returns this bucket after spending [amount], or null when that many tokens aren't there. */
-public fun CapBucket.spend(amount: Long): CapBucket? =
+public fun CapBucket.consume(amount: Long): CapBucket? =
     if (available < amount) null else copy(milliTokens = milliTokens - amount * MILLI)
 
 /** Returns this bucket with another rate and burst; tokens above the new burst are lost. */
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/caps/CapLedger.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/caps/CapLimiter.kt
@@ -15,11 +15,11 @@
 private const val MS_PER_SECOND = 1_000L
 private const val LARGEST_LENT_FRACTION = 4
 
-/** Represents an amount to spend of one cap. */
-public data class Charge(public val cap: CapId, public val amount: Long)
+/** Represents an amount to consume of one cap. */
+public data class CapCost(public val cap: CapId, public val amount: Long)
 
 /** Represents the cap shares of this instance. */
-public data class CapLedger(
+public data class CapLimiter(
     public val burstMs: Long,
     public val zoneShares: PersistentMap<CapId, Long> = persistentMapOf(),
     public val heldParts: Int = 0,
@@ -27,20 +27,20 @@
     public val borrowed: PersistentList<Loan> = persistentListOf(),
     public val lent: PersistentList<Loan> = persistentListOf(),
 ) {
-    /** Returns the units per second of [cap] that this instance may spend. */
-    public fun rateOf(cap: CapId): Long {
-        val own = partOfShare(zoneShares[cap] ?: 0, heldParts)
+    /** Returns the units per second of [cap] that this instance may consume. */
+    public fun getRate(cap: CapId): Long {
+        val own = computeHeldRate(zoneShares[cap] ?: 0, heldParts)
         val more = borrowed.filter { it.cap == cap }.sumOf { it.unitsPerSecond }
         val less = lent.filter { it.cap == cap }.sumOf { it.unitsPerSecond }
         return (own + more - less).coerceAtLeast(0)
     }
 
     /** Returns the whole tokens of [cap] at [nowMs]. */
-    public fun availableOf(cap: CapId, nowMs: Long): Long = buckets[cap]?.refill(nowMs)?.available ?: 0
+    public fun getAvailableUnits(cap: CapId, nowMs: Long): Long = buckets[cap]?.refill(nowMs)?.available ?: 0
 }
 
-/** Returns this ledger with shares from a document, parts from the ownership, and ended loans removed. */
-public fun CapLedger.advance(shares: Map<CapId, Long>, parts: Int, nowMs: Long): CapLedger {
+/** Returns this limiter with shares from a document, parts from the ownership, and ended loans removed. */
+public fun CapLimiter.update(shares: Map<CapId, Long>, parts: Int, nowMs: Long): CapLimiter {
     val next = copy(
         zoneShares = shares.toPersistentMap(),
         heldParts = parts,
@@ -50,44 +50,44 @@
     return next.copy(buckets = shares.keys.associateWith { next.adjustBucket(it, nowMs) }.toPersistentMap())
 }
 
-private fun CapLedger.adjustBucket(cap: CapId, nowMs: Long): CapBucket {
-    val rate = rateOf(cap)
+private fun CapLimiter.adjustBucket(cap: CapId, nowMs: Long): CapBucket {
+    val rate = getRate(cap)
     val burst = rate * burstMs / MS_PER_SECOND
     return buckets[cap]?.withRate(rate, burst, nowMs) ?: newCapBucket(rate, burst, nowMs)
 }
 
-/** Returns this ledger after all [charges], or null when one of them doesn't fit; a cap without a share fits none. */
-public fun CapLedger.spend(charges: List<Charge>, nowMs: Long): CapLedger? {
-    val current = if (hasEndedLoan(nowMs)) advance(zoneShares, heldParts, nowMs) else this
+/** Returns this limiter after all [charges], or null when one of them doesn't fit; a cap without a share fits none. */
+public fun CapLimiter.consume(charges: List<CapCost>, nowMs: Long): CapLimiter? {
+    val current = if (hasEndedLoan(nowMs)) update(zoneShares, heldParts, nowMs) else this
     val first: PersistentMap<CapId, CapBucket>? = current.buckets
-    val spent = charges.fold(first) { buckets, charge -> buckets?.spend(charge, nowMs) }
+    val spent = charges.fold(first) { buckets, charge -> buckets?.consume(charge, nowMs) }
     return spent?.let { current.copy(buckets = it) }
 }
 
-private fun PersistentMap<CapId, CapBucket>.spend(charge: Charge, nowMs: Long): PersistentMap<CapId, CapBucket>? =
-    get(charge.cap)?.refill(nowMs)?.spend(charge.amount)?.let { put(charge.cap, it) }
+private fun PersistentMap<CapId, CapBucket>.consume(charge: CapCost, nowMs: Long): PersistentMap<CapId, CapBucket>? =
+    get(charge.cap)?.refill(nowMs)?.consume(charge.amount)?.let { put(charge.cap, it) }
 
-private fun CapLedger.hasEndedLoan(nowMs: Long): Boolean = borrowed.any { nowMs >= it.untilMs }
+private fun CapLimiter.hasEndedLoan(nowMs: Long): Boolean = borrowed.any { nowMs >= it.untilMs }
 
-/** Represents the ledger after a loan was considered, with the answer for the borrower. */
-public data class LoanStep(public val ledger: CapLedger, public val grant: LoanGrant)
+/** Represents the limiter after a loan was considered, with the answer for the borrower. */
+public data class LendingResult(public val limiter: CapLimiter, public val grant: LoanGrant)
 
 /** Returns the answer to [request]: at most a quarter of the own rate, and only out of unused tokens. */
-public fun CapLedger.lend(request: LoanRequest, lender: InstanceName, nowMs: Long): LoanStep {
+public fun CapLimiter.lend(request: LoanRequest, lender: InstanceName, nowMs: Long): LendingResult {
     val bucket = buckets[request.cap]?.refill(nowMs)
     val isIdle = bucket != null && bucket.available >= bucket.burst
-    val most = if (isIdle) rateOf(request.cap) / LARGEST_LENT_FRACTION else 0
+    val most = if (isIdle) getRate(request.cap) / LARGEST_LENT_FRACTION else 0
     val units = minOf(most, request.unitsPerSecond).coerceAtLeast(0)
     val grant = LoanGrant(lender, request.cap, units, request.askedAtMs)
-    if (units == 0L) return LoanStep(this, grant)
-    val loan = Loan(request.cap, units, nowMs + LOAN_MS + LOAN_GUARD_MS)
-    return LoanStep(copy(lent = lent.add(loan)).advance(zoneShares, heldParts, nowMs), grant)
+    if (units == 0L) return LendingResult(this, grant)
+    val loan = Loan(request.cap, units, nowMs + LOAN_DURATION_MS + LOAN_GUARD_MS)
+    return LendingResult(copy(lent = lent.add(loan)).update(zoneShares, heldParts, nowMs), grant)
 }
 
-/** Returns this ledger after a grant; the loan ends [LOAN_MS] after it was asked for. */
-public fun CapLedger.borrow(grant: LoanGrant, nowMs: Long): CapLedger {
-    val untilMs = grant.askedAtMs + LOAN_MS
+/** Returns this limiter after a grant; the loan ends [LOAN_DURATION_MS] after it was asked for. */
+public fun CapLimiter.borrow(grant: LoanGrant, nowMs: Long): CapLimiter {
+    val untilMs = grant.askedAtMs + LOAN_DURATION_MS
     if (grant.unitsPerSecond <= 0 || nowMs >= untilMs) return this
     val loan = Loan(grant.cap, grant.unitsPerSecond, untilMs)
-    return copy(borrowed = borrowed.add(loan)).advance(zoneShares, heldParts, nowMs)
+    return copy(borrowed = borrowed.add(loan)).update(zoneShares, heldParts, nowMs)
 }
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/caps/CapShares.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/caps/CapShares.kt
@@ -22,7 +22,7 @@
 }
 
 /** Returns the units per second of a zone's share that [heldParts] parts give. */
-public fun partOfShare(sharePerSecond: Long, heldParts: Int): Long = sharePerSecond * heldParts / CAP_PARTS
+public fun computeHeldRate(sharePerSecond: Long, heldParts: Int): Long = sharePerSecond * heldParts / CAP_PARTS
 
 private fun linkShares(index: DocumentIndex, region: RegionName): Map<CapId, Long> =
     index.document.links
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/caps/CapTransition.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/caps/CapTransition.kt
@@ -20,13 +20,13 @@
 /**
  * Represents the epochs that may still be in use anywhere, the oldest first.
  *
- * @param heard the oldest epoch that a zone may spend by, as it told itself.
+ * @param oldestEpochs the oldest epoch that a zone may spend by, as it told itself.
  * @param zones zones of the newest document that operators haven't stopped. Zones that it lacks were stopped before
  * they were taken out.
  */
 public data class CapTransition(
     public val epochs: PersistentList<EpochShares> = persistentListOf(),
-    public val heard: PersistentMap<ZoneName, CapEpoch> = persistentMapOf(),
+    public val oldestEpochs: PersistentMap<ZoneName, CapEpoch> = persistentMapOf(),
     public val zones: Set<ZoneName> = emptySet(),
     public val adoptedAtMs: Long = 0,
 ) {
@@ -41,10 +41,10 @@
 
     /** The zones that raised shares wait for. */
     public val awaitedZones: Set<ZoneName>
-        get() = if (epochs.size < 2) emptySet() else zones.filter { heardOf(it) < newest }.toSet()
+        get() = if (epochs.size < 2) emptySet() else zones.filter { getOldestEpoch(it) < newest }.toSet()
 
     /** Returns the epoch that [zone] has told. */
-    public fun heardOf(zone: ZoneName): CapEpoch = heard[zone] ?: CapEpoch.NONE
+    public fun getOldestEpoch(zone: ZoneName): CapEpoch = oldestEpochs[zone] ?: CapEpoch.NONE
 }
 
 /**
@@ -63,20 +63,20 @@
 }
 
 /** Returns the transition after [zone] told that it spends by [epoch] or newer ones only. */
-public fun CapTransition.hear(zone: ZoneName, epoch: CapEpoch): CapTransition =
-    if (epoch <= heardOf(zone)) this else copy(heard = heard.put(zone, epoch)).dropUnusedEpochs()
+public fun CapTransition.recordOldestEpoch(zone: ZoneName, epoch: CapEpoch): CapTransition =
+    if (epoch <= getOldestEpoch(zone)) this else copy(oldestEpochs = oldestEpochs.put(zone, epoch)).dropUnusedEpochs()
 
 /** Returns the oldest epoch that this instance may still spend by; loans of older ones have ended. */
-public fun CapTransition.reportedEpoch(nowMs: Long): CapEpoch = when {
+public fun CapTransition.findOldestEpochInUse(nowMs: Long): CapEpoch = when {
     epochs.isEmpty() -> CapEpoch.NONE
-    nowMs - adoptedAtMs >= LOAN_MS -> newest
+    nowMs - adoptedAtMs >= LOAN_DURATION_MS -> newest
     else -> epochs.first().epoch
 }
 
 /** Drops the epochs that no zone uses any more. */
 private fun CapTransition.dropUnusedEpochs(): CapTransition {
     if (epochs.size < 2) return this
-    val oldest = zones.minOfOrNull { heardOf(it) } ?: newest
+    val oldest = zones.minOfOrNull { getOldestEpoch(it) } ?: newest
     val isUsed = { at: Int -> at + 1 >= epochs.size || epochs[at + 1].epoch > oldest }
     return copy(epochs = epochs.filterIndexed { at, _ -> isUsed(at) }.toPersistentList())
 }
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/caps/Loan.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/caps/Loan.kt
@@ -9,7 +9,7 @@
 import org.cardamomwharf.core.InstanceName
 
 /** The time for which a loan lasts. */
-public const val LOAN_MS: Long = 5_000
+public const val LOAN_DURATION_MS: Long = 5_000
 
 /** The time that a lender waits beyond the end of a loan. */
 public const val LOAN_GUARD_MS: Long = 2_000
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/claims/ClaimExpiry.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/claims/ClaimExpiry.kt
@@ -8,7 +8,7 @@
 import org.cardamomwharf.core.rendezvousOwner
 import org.cardamomwharf.decision.EntryEffect
 import org.cardamomwharf.decision.Turn
-import org.cardamomwharf.decision.membership.listLive
+import org.cardamomwharf.decision.membership.listLiveMembers
 
 /** Rows that one call deletes at most. */
 public const val LARGEST_EXPIRED_ROWS: Int = 1_000
@@ -48,4 +48,4 @@
     return isOwnZone && findOwner() == state.membership.self.name
 }
 
-private fun Turn.findOwner() = rendezvousOwner(DUTY, state.membership.listLive(nowMs)) { it.value }
+private fun Turn.findOwner() = rendezvousOwner(DUTY, state.membership.listLiveMembers(nowMs)) { it.value }
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/lookup/LookupRanking.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/lookup/LookupRanking.kt
@@ -29,15 +29,15 @@
 
 /** Returns the ranked short list for a client at [address] whose block belongs to [clientZone]. */
 public fun LookupView.rank(service: Service, clientZone: ZoneName, address: String): List<Placement> {
-    val placements = placeAll(service, clientZone, address)
-    return spanPlaces(placements, index.document.policy.lookupCandidates)
+    val placements = rankAll(service, clientZone, address)
+    return selectAcrossZones(placements, index.document.policy.lookupCandidates)
 }
 
 /** Returns all candidates in the order of the ranking. */
-public fun LookupView.placeAll(service: Service, clientZone: ZoneName, address: String): List<Placement> {
+public fun LookupView.rankAll(service: Service, clientZone: ZoneName, address: String): List<Placement> {
     val clientRegion = index.regionByZone[clientZone]?.name ?: home
-    val target = findTarget(service, clientRegion, address)
-    val place = ClientPlace(clientZone, clientRegion, target, address, findFullZones(service))
+    val target = findTargetRegion(service, clientRegion, address)
+    val place = ClientLocation(clientZone, clientRegion, target, address, findFullZones(service))
     val weights = service.regionWeights.associate { it.region to it.weight }
     return candidates
         .mapNotNull { place(it, service, place) }
@@ -50,7 +50,7 @@
 }
 
 /** Represents the client's place and the region that the split gives to it. */
-private data class ClientPlace(
+private data class ClientLocation(
     val zone: ZoneName,
     val region: RegionName,
     val target: RegionName,
@@ -58,28 +58,28 @@
     val fullZones: Set<ZoneName>,
 )
 
-private fun LookupView.findTarget(service: Service, clientRegion: RegionName, address: String): RegionName {
+private fun LookupView.findTargetRegion(service: Service, clientRegion: RegionName, address: String): RegionName {
     val split = splits[service.name]
     if (clientRegion != home || split == null) return clientRegion
-    return split.pick(hashToUnitInterval("${service.name.value}/$address"), clientRegion)
+    return split.chooseRegion(hashToUnitInterval("${service.name.value}/$address"), clientRegion)
 }
 
-private fun LookupView.place(candidate: LookupCandidate, service: Service, client: ClientPlace): Placement? {
+private fun LookupView.place(candidate: LookupCandidate, service: Service, client: ClientLocation): Placement? {
     val member = candidate.member
     val region = index.regionByZone[member.zone]?.name ?: return null
     val free = candidate.loads.filter { it.service == service.name }.sumOf { it.freeSlots }
-    val tier = tierOf(member.zone, region, service, client)
+    val tier = findTier(member.zone, region, service, client)
     val rank = weightedRank("${service.name.value}/${client.address}", member.name.value, weight = free + 1.0)
     return Placement(candidate, region, tier, free, rank)
 }
 
-private fun LookupView.tierOf(
+private fun LookupView.findTier(
     zone: ZoneName,
     region: RegionName,
     service: Service,
-    client: ClientPlace,
+    client: ClientLocation,
 ): Tier {
-    val isServed = index.findPool(service.name, zone) != null && DrainedPlace(service.name, zone) !in drained
+    val isServed = index.findPool(service.name, zone) != null && DrainedPool(service.name, zone) !in drained
     val isNear = index.document.objective == Objective.LATENCY && zone == client.zone
     return when {
         !isServed -> Tier.NOT_SERVED
@@ -100,7 +100,7 @@
     return candidates.map { it.member.zone }.filter { it !in open }.toSet()
 }
 
-private fun spanPlaces(placements: List<Placement>, count: Int): List<Placement> {
+private fun selectAcrossZones(placements: List<Placement>, count: Int): List<Placement> {
     if (placements.size <= count) return placements
     val first = placements.first()
     val otherZone = placements.firstOrNull { it.candidate.member.zone != first.candidate.member.zone }
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/lookup/LookupAnswer.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/lookup/LookupResponse.kt
@@ -28,7 +28,7 @@
 
 /** Represents the answer to a look-up; the first instance is the first choice. */
 @Serializable
-public data class LookupAnswer(
+public data class LookupResponse(
     public val service: ServiceName,
     public val documentVersion: DocumentVersion,
     public val cacheTtlMs: Long,
@@ -49,8 +49,8 @@
     public val home: RegionName,
     public val candidates: List<LookupCandidate>,
     public val splits: Map<ServiceName, RegionSplit>,
-    public val drained: Set<DrainedPlace>,
+    public val drained: Set<DrainedPool>,
 )
 
 /** Represents a zone in which a service gets no new work. */
-public data class DrainedPlace(public val service: ServiceName, public val zone: ZoneName)
+public data class DrainedPool(public val service: ServiceName, public val zone: ZoneName)
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/lookup/LookupViews.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/lookup/LookupViewFactory.kt
@@ -9,14 +9,14 @@
 import org.cardamomwharf.decision.membership.findRemoteZones
 
 /** Returns the view of look-ups at [nowMs], or null before a document is in force. */
-public fun lookupViewOf(state: EntryState, nowMs: Long): LookupView? {
+public fun createLookupView(state: EntryState, nowMs: Long): LookupView? {
     val index = state.adoption.index
     val home = index?.regionByZone?.get(state.membership.self.zone)?.name
     if (index == null || home == null) return null
     val drained = index.document.services.flatMap { service ->
         service.pools
             .filter { index.isDrained(service.name, it.zone, state.epochSeconds) }
-            .map { DrainedPlace(service.name, it.zone) }
+            .map { DrainedPool(service.name, it.zone) }
     }
     return LookupView(
         index = index,
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/membership/Membership.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/membership/Membership.kt
@@ -13,13 +13,13 @@
 import org.cardamomwharf.core.hash64
 
 /** Represents what is known of another instance of the own zone. */
-public data class PeerState(public val heartbeat: Heartbeat, public val heardAtMs: Long) {
+public data class PeerState(public val heartbeat: Heartbeat, public val receivedAtMs: Long) {
     /** The instance itself. */
     public val member: Member get() = heartbeat.sender
 }
 
 /** Represents the newest summary of another zone. */
-public data class RemoteZone(public val summary: ZoneSummary, public val heardAtMs: Long)
+public data class RemoteZone(public val summary: ZoneSummary, public val receivedAtMs: Long)
 
 /**
  * Represents the members of the own zone and the summaries of others, as one instance sees them.
@@ -35,7 +35,7 @@
     public val peers: PersistentMap<InstanceName, PeerState> = persistentMapOf(),
     public val remoteZones: PersistentMap<ZoneName, RemoteZone> = persistentMapOf(),
     public val listed: PersistentMap<InstanceName, ListedInstance> = persistentMapOf(),
-    public val everListed: Boolean = false,
+    public val hasReadList: Boolean = false,
 )
 
 /** Returns a hash of a set of members that peers compare. */
@@ -46,7 +46,7 @@
     Membership(self, settings, joinedAtMs = nowMs, lastRanAtMs = nowMs)
 
 /** Returns this membership after [heartbeat]; one of an older incarnation or out of order changes nothing. */
-public fun Membership.hear(heartbeat: Heartbeat, nowMs: Long): Membership {
+public fun Membership.recordHeartbeat(heartbeat: Heartbeat, nowMs: Long): Membership {
     val sender = heartbeat.sender
     if (sender.zone != self.zone || sender.name == self.name) return this
     val known = peers[sender.name]
@@ -58,7 +58,7 @@
     compareValuesBy(known, heard, { it.sender.incarnation }, { it.sequence })
 
 /** Returns this membership after a summary of another zone; delegates of a zone number their summaries by time. */
-public fun Membership.hear(summary: ZoneSummary, nowMs: Long): Membership {
+public fun Membership.recordSummary(summary: ZoneSummary, nowMs: Long): Membership {
     if (summary.zone == self.zone) return this
     return copy(remoteZones = remoteZones.put(summary.zone, RemoteZone(summary, nowMs)))
 }
@@ -67,12 +67,12 @@
 public fun Membership.applyList(instances: List<ListedInstance>, nowMs: Long): Membership {
     val byName = instances.associateBy { it.name }.toPersistentMap()
     val keptPeers = peers.filterValues { peer -> peer.member.name in byName || !isForgotten(peer, nowMs) }
-    return copy(listed = byName, everListed = true, peers = keptPeers.toPersistentMap())
+    return copy(listed = byName, hasReadList = true, peers = keptPeers.toPersistentMap())
 }
 
 private fun Membership.isForgotten(peer: PeerState, nowMs: Long): Boolean =
-    nowMs - peer.heardAtMs >= settings.takeoverMs
+    nowMs - peer.receivedAtMs >= settings.takeoverMs
 
 /** Returns this membership after the process ran at [nowMs]; a pause beyond the lease makes it join anew. */
-public fun Membership.run(nowMs: Long): Membership =
-    if (isLapsed(nowMs)) copy(lastRanAtMs = nowMs, joinedAtMs = nowMs) else copy(lastRanAtMs = nowMs)
+public fun Membership.recordRun(nowMs: Long): Membership =
+    if (isLeaseExpired(nowMs)) copy(lastRanAtMs = nowMs, joinedAtMs = nowMs) else copy(lastRanAtMs = nowMs)
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/membership/Knowledge.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/membership/RemoteState.kt
@@ -9,7 +9,7 @@
 
 /** Returns the summaries that are young enough to act on. */
 public fun Membership.findRemoteZones(nowMs: Long): List<ZoneSummary> =
-    remoteZones.values.filter { nowMs - it.heardAtMs < settings.summaryMaxAgeMs }.map { it.summary }
+    remoteZones.values.filter { nowMs - it.receivedAtMs < settings.summaryMaxAgeMs }.map { it.summary }
 
 /** Returns the newest document version that any peer or zone has. */
 public fun Membership.findNewestVersion(): DocumentVersion {
@@ -20,6 +20,6 @@
 
 /** Returns true when this instance exchanges summaries with [zone]. */
 public fun Membership.isDelegateFor(zone: ZoneName, nowMs: Long): Boolean {
-    val live = listLive(nowMs)
+    val live = listLiveMembers(nowMs)
     return self.name in rendezvousTop(zone.value, live, settings.delegateCount) { it.value }
 }
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/membership/Suspects.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/membership/Suspects.kt
@@ -9,7 +9,7 @@
 import org.cardamomwharf.core.InstanceName
 
 /** The time for which an instance stays a suspect. */
-public const val SUSPECT_MS: Long = 5_000
+public const val SUSPECT_DURATION_MS: Long = 5_000
 
 /** Represents the suspects with the time until which they are. */
 public data class Suspects(private val untilMs: PersistentMap<InstanceName, Long> = persistentMapOf()) {
@@ -17,7 +17,7 @@
     public fun isSuspect(name: InstanceName, nowMs: Long): Boolean = untilMs[name]?.let { nowMs < it } == true
 
     /** Returns these suspects after [name] could not be reached. */
-    public fun add(name: InstanceName, nowMs: Long): Suspects = Suspects(untilMs.put(name, nowMs + SUSPECT_MS))
+    public fun add(name: InstanceName, nowMs: Long): Suspects = Suspects(untilMs.put(name, nowMs + SUSPECT_DURATION_MS))
 
     /** Returns these suspects after [name] answered or was heard itself. */
     public fun clear(name: InstanceName): Suspects = if (name in untilMs) Suspects(untilMs.remove(name)) else this
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/ownership/Ownership.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/ownership/Ownership.kt
@@ -15,8 +15,8 @@
 import org.cardamomwharf.decision.membership.isJoining
 import org.cardamomwharf.decision.membership.isLiveViewAgreed
 import org.cardamomwharf.decision.membership.isSettledViewAgreed
-import org.cardamomwharf.decision.membership.listLive
-import org.cardamomwharf.decision.membership.listSettled
+import org.cardamomwharf.decision.membership.listLiveMembers
+import org.cardamomwharf.decision.membership.listSettledMembers
 
 /** The number of parts into which each cap share of a zone is divided. */
 public const val CAP_PARTS: Int = 64
@@ -24,16 +24,16 @@
 /**
  * Represents what this instance may use: whole backend servers and parts of every cap share of its zone.
  *
- * @param basis what the ownership was computed from; while it stays the same nothing has to be computed again.
+ * @param input what the ownership was computed from; while it stays the same nothing has to be computed again.
  */
 public data class Ownership(
     public val servers: PersistentSet<ServerName> = persistentSetOf(),
     public val capParts: PersistentSet<Int> = persistentSetOf(),
-    public val basis: OwnershipBasis? = null,
+    public val input: OwnershipInput? = null,
 )
 
 /** Represents all that decides about an ownership. */
-public data class OwnershipBasis(
+public data class OwnershipInput(
     public val live: List<InstanceName>,
     public val settled: List<InstanceName>,
     public val isLiveAgreed: Boolean,
@@ -42,25 +42,25 @@
 )
 
 /** Returns the ownership after a look at [membership]; [zoneServers] are the backend servers of the own zone. */
-public fun Ownership.advance(membership: Membership, zoneServers: Set<ServerName>, nowMs: Long): Ownership {
+public fun Ownership.recompute(membership: Membership, zoneServers: Set<ServerName>, nowMs: Long): Ownership {
     if (membership.isLeaving || membership.isJoining(nowMs)) return Ownership()
-    val next = OwnershipBasis(
-        live = membership.listLive(nowMs),
-        settled = membership.listSettled(nowMs),
+    val next = OwnershipInput(
+        live = membership.listLiveMembers(nowMs),
+        settled = membership.listSettledMembers(nowMs),
         isLiveAgreed = membership.isLiveViewAgreed(nowMs),
         isSettledAgreed = membership.isSettledViewAgreed(nowMs),
         zoneServers = zoneServers.toSet(),
     )
-    return if (next == basis) this else assign(next, membership.self.name)
+    return if (next == input) this else assign(next, membership.self.name)
 }
 
-private fun Ownership.assign(next: OwnershipBasis, self: InstanceName): Ownership {
+private fun Ownership.assign(next: OwnershipInput, self: InstanceName): Ownership {
     val myServers = next.zoneServers.filter { findServerOwner(it, next.live) == self }.toPersistentSet()
     val myParts = (0 until CAP_PARTS).filter { findPartOwner(it, next.settled) == self }.toPersistentSet()
     return Ownership(
         servers = merge(servers, myServers, next.isLiveAgreed),
         capParts = merge(capParts, myParts, next.isSettledAgreed),
-        basis = next,
+        input = next,
     )
 }
 
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/Admission.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/Admission.kt
@@ -10,11 +10,11 @@
 import org.cardamomwharf.core.document.Service
 import org.cardamomwharf.decision.EntryEffect
 import org.cardamomwharf.decision.Turn
+import org.cardamomwharf.decision.caps.CapCost
 import org.cardamomwharf.decision.caps.CapId
-import org.cardamomwharf.decision.caps.Charge
 import org.cardamomwharf.decision.caps.PartnerPath
-import org.cardamomwharf.decision.caps.spend
-import org.cardamomwharf.decision.retry.earn
+import org.cardamomwharf.decision.caps.consume
+import org.cardamomwharf.decision.retry.recordFirstAttempt
 
 private const val LIGHT_SHARE_NUMERATOR = 4
 private const val LIGHT_SHARE_DENOMINATOR = 5
@@ -31,7 +31,7 @@
         refuse(spec, Reason.CAP_REACHED)
         return
     }
-    state = state.copy(budget = state.budget.earn(policy.retryBudgetPercent))
+    state = state.copy(budget = state.budget.recordFirstAttempt(policy.retryBudgetPercent))
     val request = OpenRequest(spec, claimAttempt = spec.attempt ?: newAttemptId(spec, 0), phase = Phase.Waiting)
     update(request)
     if (needsClaim(spec)) startClaim(request) else dispatch(spec.id)
@@ -74,15 +74,15 @@
     if (!isShifted || payer == null || partner == null) return true
     val bytes = spec.requestBytes + service.expectedResponseBytes
     val charges = listOf(
-        Charge(CapId.PartnerRequests(partner, PartnerPath.LOOK_UP), 1),
-        Charge(CapId.PartnerBytes(partner, PartnerPath.LOOK_UP), bytes),
+        CapCost(CapId.PartnerRequests(partner, PartnerPath.LOOK_UP), 1),
+        CapCost(CapId.PartnerBytes(partner, PartnerPath.LOOK_UP), bytes),
     )
     return trySpend(charges)
 }
 
-internal fun Turn.trySpend(charges: List<Charge>): Boolean {
-    val ledger = state.ledger.spend(charges, nowMs) ?: return false
-    state = state.copy(ledger = ledger)
+internal fun Turn.trySpend(charges: List<CapCost>): Boolean {
+    val limiter = state.capLimiter.consume(charges, nowMs) ?: return false
+    state = state.copy(capLimiter = limiter)
     return true
 }
 
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/AnswerTrust.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/AnswerTrust.kt
@@ -7,18 +7,18 @@
 import org.cardamomwharf.core.Reason
 import org.cardamomwharf.decision.Turn
 import org.cardamomwharf.decision.servers.ServerState
-import org.cardamomwharf.decision.servers.change
+import org.cardamomwharf.decision.servers.update
 
 /** Returns [result], or a lost answer where [target] names its attempts and this answer doesn't. */
 internal fun Turn.distrustUnnamed(target: Target, result: AttemptResult): AttemptResult {
     val server = (target as? Target.Server)?.let { state.servers.servers[it.name] }
     if (server != null && result.isNamedAnswer) noteNaming(server)
-    val isDistrusted = server != null && server.namesAttempts && result.isAnswer && !result.isNamedAnswer
+    val isDistrusted = server != null && server.hasNamedAttempts && result.isAnswer && !result.isNamedAnswer
     return if (isDistrusted) AttemptResult.Lost(Reason.ANSWER_CROSSED) else result
 }
 
 private fun Turn.noteNaming(server: ServerState) {
-    state = state.copy(servers = state.servers.change(server.name) { it.copy(namesAttempts = true) })
+    state = state.copy(servers = state.servers.update(server.name) { it.copy(hasNamedAttempts = true) })
 }
 
 private val AttemptResult.isAnswer: Boolean
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/AttemptEnding.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/AttemptEnding.kt
@@ -8,11 +8,11 @@
 import org.cardamomwharf.core.Reason
 import org.cardamomwharf.decision.EntryEffect
 import org.cardamomwharf.decision.Turn
-import org.cardamomwharf.decision.servers.change
-import org.cardamomwharf.decision.servers.fail
-import org.cardamomwharf.decision.servers.refuse
-import org.cardamomwharf.decision.servers.release
-import org.cardamomwharf.decision.servers.succeed
+import org.cardamomwharf.decision.servers.endRequest
+import org.cardamomwharf.decision.servers.recordFailure
+import org.cardamomwharf.decision.servers.recordRefusal
+import org.cardamomwharf.decision.servers.recordSuccess
+import org.cardamomwharf.decision.servers.update
 
 internal fun Turn.endAttempt(attempt: AttemptId, result: AttemptResult) {
     val running = state.requests.attempts[attempt] ?: return
@@ -26,7 +26,7 @@
     notePeer(running.target, result)
     if (running.target is Target.Server && result is AttemptResult.Completed) {
         val tookMs = nowMs - running.startedAtMs
-        state = state.copy(serviceTimes = state.serviceTimes.note(running.service, tookMs))
+        state = state.copy(serviceTimes = state.serviceTimes.record(running.service, tookMs))
     }
     val request = find(running.request)
     if (request != null && request.phase == Phase.Running(attempt)) {
@@ -37,16 +37,16 @@
 
 private fun Turn.noteServer(target: Target, result: AttemptResult) {
     if (target !is Target.Server) return
-    val next = state.servers.change(target.name) { server ->
-        val released = server.release()
+    val next = state.servers.update(target.name) { server ->
+        val released = server.endRequest()
         when (result) {
             is AttemptResult.Completed ->
-                released.succeed(nowMs).copy(isLeaving = server.isLeaving || result.isServerLeaving)
+                released.recordSuccess(nowMs).copy(isLeaving = server.isLeaving || result.isServerLeaving)
             is AttemptResult.Refused ->
-                released.refuse(result.retryAfterMs, nowMs)
+                released.recordRefusal(result.retryAfterMs, nowMs)
                     .copy(isLeaving = server.isLeaving || result.isServerLeaving)
-            is AttemptResult.NotSent -> released.fail(nowMs)
-            is AttemptResult.Lost -> if (isServerFault(result)) released.fail(nowMs) else released
+            is AttemptResult.NotSent -> released.recordFailure(nowMs)
+            is AttemptResult.Lost -> if (isServerFault(result)) released.recordFailure(nowMs) else released
         }
     }
     state = state.copy(servers = next)
@@ -86,7 +86,7 @@
 private fun Turn.tryAgain(request: OpenRequest, reason: Reason) {
     val isLight = request.spec.isIdempotent
     val isSpent = request.attempts >= policy.maxAttempts
-    val isOverBudget = isLight && !state.budget.hasCredit
+    val isOverBudget = isLight && !state.budget.isRetryAllowed
     if (isOverBudget) add(EntryEffect.CountRetry(request.spec.service, Reason.RETRY_BUDGET_EMPTY))
     if (isSpent || isOverBudget || request.spec.deadlineAtMs <= nowMs) {
         end(request, reason)
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/Dispatch.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/Dispatch.kt
@@ -11,12 +11,12 @@
 import org.cardamomwharf.decision.EntryEffect
 import org.cardamomwharf.decision.EntryState
 import org.cardamomwharf.decision.Turn
-import org.cardamomwharf.decision.retry.spend
+import org.cardamomwharf.decision.retry.recordRetry
 import org.cardamomwharf.decision.servers.PoolView
 import org.cardamomwharf.decision.servers.ServerState
-import org.cardamomwharf.decision.servers.change
-import org.cardamomwharf.decision.servers.select
-import org.cardamomwharf.decision.servers.take
+import org.cardamomwharf.decision.servers.selectServer
+import org.cardamomwharf.decision.servers.startRequest
+import org.cardamomwharf.decision.servers.update
 
 /** Returns the backend servers of [service] in the own zone as the selection needs them. */
 internal fun poolViewOf(state: EntryState, index: DocumentIndex, service: Service, nowMs: Long): PoolView {
@@ -54,14 +54,14 @@
 
 internal fun Turn.sendToServer(request: OpenRequest, service: Service, current: DocumentIndex): Boolean {
     val view = poolViewOf(state, current, service, nowMs)
-    val server = view.select(isHeavy(request.spec, service), request.triedServers) ?: return false
+    val server = view.selectServer(isHeavy(request.spec, service), request.triedServers) ?: return false
     forward(request, server)
     return true
 }
 
 private fun Turn.forward(request: OpenRequest, server: ServerState) {
     val running = startAttempt(request, Target.Server(server.name))
-    state = state.copy(servers = state.servers.change(server.name) { it.take() })
+    state = state.copy(servers = state.servers.update(server.name) { it.startRequest() })
     add(
         EntryEffect.Forward(
             request = request.spec.id,
@@ -76,7 +76,7 @@
 /** Charges a further try to the budget, and only once there is a place for it. */
 private fun Turn.noteRetry(request: OpenRequest) {
     val reason = request.lastRefusal ?: return
-    if (request.spec.isIdempotent) state = state.copy(budget = state.budget.spend())
+    if (request.spec.isIdempotent) state = state.copy(budget = state.budget.recordRetry())
     add(EntryEffect.CountRetry(request.spec.service, reason))
 }
 
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/HandingOver.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/HandingOver.kt
@@ -9,12 +9,12 @@
 import org.cardamomwharf.decision.EntryEffect
 import org.cardamomwharf.decision.PeerAddress
 import org.cardamomwharf.decision.Turn
+import org.cardamomwharf.decision.caps.CapCost
 import org.cardamomwharf.decision.caps.CapId
-import org.cardamomwharf.decision.caps.Charge
 import org.cardamomwharf.decision.caps.LoanRequest
 import org.cardamomwharf.decision.caps.PartnerPath
 import org.cardamomwharf.decision.membership.findLivePeers
-import org.cardamomwharf.decision.shift.shiftRuleOf
+import org.cardamomwharf.decision.shift.getShiftRule
 
 /** Bytes that are charged for the heads of a request and its answer. */
 internal const val HEAD_BYTES: Long = 1_024
@@ -81,13 +81,13 @@
     service: Service,
     current: DocumentIndex,
 ): List<Place> {
-    val rule = shiftRuleOf(current.document.objective)
+    val rule = getShiftRule(current.document.objective)
     val weights = service.regionWeights.associate { it.region to it.weight }
     return places.sortedWith(
         compareBy<Place> { it.member.zone != state.membership.self.zone }
             .thenBy { !isOwnRegion(it) }
             .thenByDescending { place ->
-                rule.prefer(countFree(place, request, service), weights[place.region.name] ?: 1)
+                rule.computePreference(countFree(place, request, service), weights[place.region.name] ?: 1)
             }
             .thenByDescending { countFree(it, request, service) }
             .thenBy { it.member.name.value },
@@ -99,18 +99,18 @@
     request: OpenRequest,
     service: Service,
     current: DocumentIndex,
-): List<Charge> {
+): List<CapCost> {
     val own = current.regionByZone[state.membership.self.zone]
     if (own == null || own == place.region) return emptyList()
     val sentBytes = request.spec.requestBytes + HEAD_BYTES
     val receivedBytes = service.expectedResponseBytes + HEAD_BYTES
     val link = listOf(
-        Charge(CapId.LinkBytes(own.name, place.region.name), sentBytes),
-        Charge(CapId.LinkBytes(place.region.name, own.name), receivedBytes),
+        CapCost(CapId.LinkBytes(own.name, place.region.name), sentBytes),
+        CapCost(CapId.LinkBytes(place.region.name, own.name), receivedBytes),
     )
     val partner = listOf(
-        Charge(CapId.PartnerRequests(place.region.partner, PartnerPath.HAND_OVER), 1),
-        Charge(CapId.PartnerBytes(place.region.partner, PartnerPath.HAND_OVER), sentBytes + receivedBytes),
+        CapCost(CapId.PartnerRequests(place.region.partner, PartnerPath.HAND_OVER), 1),
+        CapCost(CapId.PartnerBytes(place.region.partner, PartnerPath.HAND_OVER), sentBytes + receivedBytes),
     )
     return if (own.partner == place.region.partner) link else link + partner
 }
@@ -118,7 +118,7 @@
 /** Asks a peer of the own zone for a part of its shares, at most once in an interval for each cap. */
 private fun Turn.askForLoan(place: Place, request: OpenRequest, service: Service, current: DocumentIndex) {
     val lacking = chargesFor(place, request, service, current)
-        .filter { state.ledger.availableOf(it.cap, nowMs) < it.amount }
+        .filter { state.capLimiter.getAvailableUnits(it.cap, nowMs) < it.amount }
         .filter { nowMs - (state.loanAskedAtMs[it.cap] ?: Long.MIN_VALUE / 2) >= LOAN_INTERVAL_MS }
     val peers = state.membership.findLivePeers(nowMs).map { it.member }
     if (peers.isEmpty()) return
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/Holding.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/Holding.kt
@@ -8,8 +8,8 @@
 import org.cardamomwharf.core.ZoneName
 import org.cardamomwharf.decision.EntryEffect
 import org.cardamomwharf.decision.Turn
+import org.cardamomwharf.decision.caps.CapCost
 import org.cardamomwharf.decision.caps.CapId
-import org.cardamomwharf.decision.caps.Charge
 import org.cardamomwharf.decision.caps.PartnerPath
 
 internal fun Turn.hold(attempt: AttemptId, missingBytes: Long) {
@@ -35,19 +35,19 @@
     }
 }
 
-private fun Turn.payPart(charge: Charge): Charge {
-    if (charge.cap !in state.ledger.buckets) return charge.copy(amount = 0)
-    val part = minOf(charge.amount, state.ledger.availableOf(charge.cap, nowMs))
-    val isPaid = part > 0 && trySpend(listOf(Charge(charge.cap, part)))
+private fun Turn.payPart(charge: CapCost): CapCost {
+    if (charge.cap !in state.capLimiter.buckets) return charge.copy(amount = 0)
+    val part = minOf(charge.amount, state.capLimiter.getAvailableUnits(charge.cap, nowMs))
+    val isPaid = part > 0 && trySpend(listOf(CapCost(charge.cap, part)))
     return if (isPaid) charge.copy(amount = charge.amount - part) else charge
 }
 
-private fun Turn.chargesForAnswer(peer: Target.Peer, bytes: Long): List<Charge> {
+private fun Turn.chargesForAnswer(peer: Target.Peer, bytes: Long): List<CapCost> {
     val own = index?.regionByZone?.get(state.membership.self.zone)
     val other = findZone(peer)?.let { index?.regionByZone?.get(it) }
     if (own == null || other == null || own == other) return emptyList()
-    val link = Charge(CapId.LinkBytes(other.name, own.name), bytes)
-    val partner = Charge(CapId.PartnerBytes(other.partner, PartnerPath.HAND_OVER), bytes)
+    val link = CapCost(CapId.LinkBytes(other.name, own.name), bytes)
+    val partner = CapCost(CapId.PartnerBytes(other.partner, PartnerPath.HAND_OVER), bytes)
     return if (own.partner == other.partner) listOf(link) else listOf(link, partner)
 }
 
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/retry/RetryBudget.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/retry/RetryBudget.kt
@@ -10,12 +10,12 @@
 /** Represents the retries that may still be made, in hundredths. */
 public data class RetryBudget(public val credits: Int = CREDITS_PER_RETRY * LARGEST_RETRIES) {
     /** True while a retry is allowed. */
-    public val hasCredit: Boolean get() = credits >= CREDITS_PER_RETRY
+    public val isRetryAllowed: Boolean get() = credits >= CREDITS_PER_RETRY
 }
 
 /** Returns this budget after a first try; each earns [percent] hundredths of a retry. */
-public fun RetryBudget.earn(percent: Int): RetryBudget =
+public fun RetryBudget.recordFirstAttempt(percent: Int): RetryBudget =
     RetryBudget((credits + percent).coerceAtMost(CREDITS_PER_RETRY * LARGEST_RETRIES))
 
 /** Returns this budget after a retry. */
-public fun RetryBudget.spend(): RetryBudget = RetryBudget((credits - CREDITS_PER_RETRY).coerceAtLeast(0))
+public fun RetryBudget.recordRetry(): RetryBudget = RetryBudget((credits - CREDITS_PER_RETRY).coerceAtLeast(0))
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/servers/PoolView.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/servers/PoolView.kt
@@ -24,14 +24,17 @@
     public val nowMs: Long,
 ) {
     /** The owned servers that may get new work. */
-    public val open: List<ServerState> = keepOpen(servers.filter { it.name in owned && !it.isLeaving })
+    public val availableServers: List<ServerState> =
+        selectAvailable(servers.filter { it.name in owned && !it.isLeaving })
 
     /** Returns the slots of [server] that are free now. */
-    public fun countFree(server: ServerState): Int =
-        (countAllowed(server) - maxOf(server.inFlight + server.residual, reported(server))).coerceAtLeast(0)
+    public fun countFreeSlots(server: ServerState): Int {
+        val usedSlots = maxOf(server.inFlight + server.residualSlots, countReportedInFlight(server))
+        return (countAllowedSlots(server) - usedSlots).coerceAtLeast(0)
+    }
 
-    /** The free slots of all open servers. */
-    public val freeSlots: Int get() = open.sumOf { countFree(it) }
+    /** The free slots of all available servers. */
+    public val freeSlots: Int get() = availableServers.sumOf { countFreeSlots(it) }
 
     /** The slots of all owned servers that aren't leaving. */
     public val totalSlots: Int get() = servers.count { it.name in owned && !it.isLeaving } * slotsPerUpstream
@@ -39,31 +42,31 @@
     /** The slots that only the heaviest services may use. */
     public val reservedSlots: Int get() = totalSlots * policy.reservedSlotsPercent / PERCENT
 
-    private fun countAllowed(server: ServerState): Int {
-        val warmMs = nowMs - server.warmFromMs
+    private fun countAllowedSlots(server: ServerState): Int {
+        val warmMs = nowMs - server.slowStartAtMs
         if (policy.slowStartMs <= 0 || warmMs >= policy.slowStartMs) return slotsPerUpstream
         return ceil(slotsPerUpstream * warmMs.toDouble() / policy.slowStartMs).toInt().coerceIn(1, slotsPerUpstream)
     }
 
-    private fun reported(server: ServerState): Int {
+    private fun countReportedInFlight(server: ServerState): Int {
         val isYoung = nowMs - server.reportAtMs < policy.measurementMaxAgeMs
         return if (isYoung) server.report?.inFlight?.coerceAtMost(slotsPerUpstream - 1) ?: 0 else 0
     }
 
-    private fun keepOpen(candidates: List<ServerState>): List<ServerState> {
-        val open = candidates.filter { it.closedUntilMs <= nowMs }
+    private fun selectAvailable(candidates: List<ServerState>): List<ServerState> {
+        val open = candidates.filter { it.ejectedUntilMs <= nowMs }
         val smallest = (candidates.size + 1) / 2
         if (open.size >= smallest) return open
-        val soonest = candidates.filter { it.closedUntilMs > nowMs }.sortedBy { it.closedUntilMs }
+        val soonest = candidates.filter { it.ejectedUntilMs > nowMs }.sortedBy { it.ejectedUntilMs }
         return open + soonest.take(smallest - open.size)
     }
 }
 
 /** Returns the server with most free slots outside [excluded], or null when no slot may be used. */
-public fun PoolView.select(isHeaviest: Boolean, excluded: Set<ServerName>): ServerState? {
+public fun PoolView.selectServer(isHeaviest: Boolean, excluded: Set<ServerName>): ServerState? {
     if (!isHeaviest && freeSlots <= reservedSlots) return null
-    return open
-        .filter { it.name !in excluded && countFree(it) > 0 }
+    return availableServers
+        .filter { it.name !in excluded && countFreeSlots(it) > 0 }
         .sortedBy { it.name.value }
-        .maxByOrNull { countFree(it) }
+        .maxByOrNull { countFreeSlots(it) }
 }
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/servers/ServiceTimes.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/servers/ServiceTimes.kt
@@ -14,11 +14,11 @@
 /** Represents moving averages in sixteenths of a millisecond. */
 public data class ServiceTimes(private val averages: PersistentMap<ServiceName, Long> = persistentMapOf()) {
     /** Returns the time to expect of [service] in milliseconds, at least what the document says. */
-    public fun expectMs(service: Service): Long =
+    public fun estimateMs(service: Service): Long =
         maxOf(service.expectedServiceMs, (averages[service.name] ?: 0) / SCALE)
 
     /** Returns these times after a request took [tookMs]. */
-    public fun note(service: ServiceName, tookMs: Long): ServiceTimes {
+    public fun record(service: ServiceName, tookMs: Long): ServiceTimes {
         val old = averages[service] ?: (tookMs * SCALE)
         return ServiceTimes(averages.put(service, old + tookMs - old / SCALE))
     }
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/shift/RegionUse.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/shift/RegionUsage.kt
@@ -9,27 +9,27 @@
 private const val SMOOTHING_DIVISOR = 2
 
 /** Represents how far the slots of a region are used. */
-public data class RegionUse(public val usedPermille: Int, public val totalSlots: Int) {
+public data class RegionUsage(public val usedPermille: Int, public val totalSlots: Int) {
     /** The slots that are free. */
     public val freeSlots: Int
         get() = (totalSlots.toLong() * (WHOLE_PERMILLE - usedPermille) / WHOLE_PERMILLE).toInt()
 }
 
 /** Returns the use at the moment of this measurement; a region without slots is full. */
-public fun SlotUse.toRegionUse(): RegionUse {
+public fun SlotUsage.toRegionUsage(): RegionUsage {
     val used = if (total <= 0) WHOLE_PERMILLE else (total - free) * WHOLE_PERMILLE / total
-    return RegionUse(used, total)
+    return RegionUsage(used, total)
 }
 
 /** Returns this use after [measured] came in. */
-public fun RegionUse.smooth(measured: RegionUse): RegionUse {
+public fun RegionUsage.smooth(measured: RegionUsage): RegionUsage {
     val change = (measured.usedPermille - usedPermille) / SMOOTHING_DIVISOR
-    return RegionUse(usedPermille + change, measured.totalSlots)
+    return RegionUsage(usedPermille + change, measured.totalSlots)
 }
 
 /** Returns the use of all these regions together. */
-public fun Collection<RegionUse>.sum(): RegionUse {
+public fun Collection<RegionUsage>.combine(): RegionUsage {
     val total = sumOf { it.totalSlots }
     val used = sumOf { it.usedPermille.toLong() * it.totalSlots }
-    return RegionUse(if (total == 0) WHOLE_PERMILLE else (used / total).toInt(), total)
+    return RegionUsage(if (total == 0) WHOLE_PERMILLE else (used / total).toInt(), total)
 }
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/shift/ShiftPlan.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/shift/ShiftPlan.kt
@@ -26,7 +26,7 @@
     public val targets: Map<RegionName, Int> = emptyMap(),
 ) {
     /** Returns the region for a client at [position] in `[0, 1)`; [home] gets all that isn't shifted. */
-    public fun pick(position: Double, home: RegionName): RegionName {
+    public fun chooseRegion(position: Double, home: RegionName): RegionName {
         var rest = (position * WHOLE_PERMILLE).toInt()
         for ((region, permille) in targets) {
             if (rest < permille) return region
@@ -43,7 +43,7 @@
  */
 public data class ShiftPlan(
     public val splits: PersistentMap<ServiceName, RegionSplit> = persistentMapOf(),
-    public val uses: PersistentMap<ServiceName, Map<RegionName, RegionUse>> = persistentMapOf(),
+    public val uses: PersistentMap<ServiceName, Map<RegionName, RegionUsage>> = persistentMapOf(),
     public val plannedAtMs: Long = 0,
 )
 
@@ -55,7 +55,7 @@
 public data class ShiftInput(
     public val index: DocumentIndex,
     public val home: RegionName,
-    public val uses: Map<ServiceName, Map<RegionName, SlotUse>>,
+    public val uses: Map<ServiceName, Map<RegionName, SlotUsage>>,
     public val drainedAtHome: Set<ServiceName>,
     public val nowMs: Long,
 )
@@ -73,48 +73,48 @@
 }
 
 /** Returns the use of the regions that were measured now; what was known of others is dropped. */
-private fun ShiftPlan.smoothUses(service: ServiceName, input: ShiftInput): Map<RegionName, RegionUse> {
+private fun ShiftPlan.smoothUses(service: ServiceName, input: ShiftInput): Map<RegionName, RegionUsage> {
     val before = uses[service].orEmpty()
     return input.uses[service].orEmpty().mapValues { (region, slots) ->
-        val measured = slots.toRegionUse()
+        val measured = slots.toRegionUsage()
         before[region]?.smooth(measured) ?: measured
     }
 }
 
 private fun RegionSplit.advance(
     service: Service,
-    uses: Map<RegionName, RegionUse>,
+    uses: Map<RegionName, RegionUsage>,
     input: ShiftInput,
 ): RegionSplit {
     val own = uses[input.home]
     val others = uses.filterKeys { it != input.home }
     if (own == null || others.isEmpty()) return this
     val step = input.index.document.policy.largestShiftPercent * PERMILLE_PER_PERCENT
-    val wanted = choose(service, own, others, input).coerceIn(shiftedPermille - step, shiftedPermille + step)
+    val wanted = computeTarget(service, own, others, input).coerceIn(shiftedPermille - step, shiftedPermille + step)
     return divide(service, wanted.coerceIn(0, WHOLE_PERMILLE), others, input)
 }
 
-private fun RegionSplit.choose(
+private fun RegionSplit.computeTarget(
     service: Service,
-    own: RegionUse,
-    others: Map<RegionName, RegionUse>,
+    own: RegionUsage,
+    others: Map<RegionName, RegionUsage>,
     input: ShiftInput,
 ): Int {
     if (service.name in input.drainedAtHome) return WHOLE_PERMILLE
-    val rule = shiftRuleOf(input.index.document.objective)
-    return rule.choose(shiftedPermille, own, others.values.sum(), input.index.document.policy)
+    val rule = getShiftRule(input.index.document.objective)
+    return rule.computeShift(shiftedPermille, own, others.values.combine(), input.index.document.policy)
 }
 
 private fun RegionSplit.divide(
     service: Service,
     permille: Int,
-    others: Map<RegionName, RegionUse>,
+    others: Map<RegionName, RegionUsage>,
     input: ShiftInput,
 ): RegionSplit {
-    val rule = shiftRuleOf(input.index.document.objective)
+    val rule = getShiftRule(input.index.document.objective)
     val weights = service.regionWeights.associate { it.region to it.weight }
     val preferences =
-        others.mapValues { (region, use) -> rule.prefer(use.freeSlots, weights[region] ?: DEFAULT_WEIGHT) }
+        others.mapValues { (region, use) -> rule.computePreference(use.freeSlots, weights[region] ?: DEFAULT_WEIGHT) }
     val sum = preferences.values.sum()
     if (sum <= 0.0) return this
     val targets = preferences.entries
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/shift/ShiftRule.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/shift/ShiftRule.kt
@@ -13,21 +13,21 @@
 /** Represents the rule of one objective. */
 public interface ShiftRule {
     /** Returns the part of the clients to shift, in permille, when [shiftedPermille] are shifted now. */
-    public fun choose(shiftedPermille: Int, own: RegionUse, others: RegionUse, policy: Policy): Int
+    public fun computeShift(shiftedPermille: Int, own: RegionUsage, others: RegionUsage, policy: Policy): Int
 
     /** Returns the preference of a place with [freeSlots] and the document's [weight]; larger is better. */
-    public fun prefer(freeSlots: Int, weight: Int): Double
+    public fun computePreference(freeSlots: Int, weight: Int): Double
 }
 
 /** Returns the rule of [objective]. */
-public fun shiftRuleOf(objective: Objective): ShiftRule = when (objective) {
+public fun getShiftRule(objective: Objective): ShiftRule = when (objective) {
     Objective.LATENCY -> LatencyRule
     Objective.HEADROOM -> HeadroomRule
 }
 
 /** Keeps traffic near its clients until the own region is nearly full. */
 private object LatencyRule : ShiftRule {
-    override fun choose(shiftedPermille: Int, own: RegionUse, others: RegionUse, policy: Policy): Int {
+    override fun computeShift(shiftedPermille: Int, own: RegionUsage, others: RegionUsage, policy: Policy): Int {
         val start = policy.shiftStartPercent * PERMILLE_PER_PERCENT
         val stop = policy.shiftStopPercent * PERMILLE_PER_PERCENT
         return when {
@@ -37,7 +37,7 @@
         }
     }
 
-    override fun prefer(freeSlots: Int, weight: Int): Double = if (freeSlots > 0) weight.toDouble() else 0.0
+    override fun computePreference(freeSlots: Int, weight: Int): Double = if (freeSlots > 0) weight.toDouble() else 0.0
 }
 
 /**
@@ -49,19 +49,19 @@
     private const val RETURNED_PERMILLE = 20
     private const val LEAST_KEPT_PERMILLE = 100
 
-    override fun choose(shiftedPermille: Int, own: RegionUse, others: RegionUse, policy: Policy): Int {
+    override fun computeShift(shiftedPermille: Int, own: RegionUsage, others: RegionUsage, policy: Policy): Int {
         val gap = own.usedPermille - others.usedPermille
         if (abs(gap) <= IGNORED_GAP_PERMILLE || others.totalSlots == 0) return shiftedPermille - RETURNED_PERMILLE
         return shiftedPermille + changeFor(gap, shiftedPermille, own, others)
     }
 
     /** Returns the part of the clients whose move closes [gap]: what leaves here arrives in the other regions. */
-    private fun changeFor(gap: Int, shiftedPermille: Int, own: RegionUse, others: RegionUse): Int {
+    private fun changeFor(gap: Int, shiftedPermille: Int, own: RegionUsage, others: RegionUsage): Int {
         val keptPermille = (WHOLE_PERMILLE - shiftedPermille).coerceAtLeast(LEAST_KEPT_PERMILLE)
         val demandPermille = (own.usedPermille * WHOLE_PERMILLE / keptPermille).coerceAtLeast(1)
         val growthOfOthers = own.totalSlots.toDouble() / others.totalSlots
         return (gap * WHOLE_PERMILLE / (demandPermille * (1 + growthOfOthers))).toInt()
     }
 
-    override fun prefer(freeSlots: Int, weight: Int): Double = freeSlots.toDouble() * weight
+    override fun computePreference(freeSlots: Int, weight: Int): Double = freeSlots.toDouble() * weight
 }
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/shift/SlotUse.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/shift/SlotUsage.kt
@@ -14,30 +14,30 @@
 import org.cardamomwharf.decision.membership.findRemoteZones
 
 /** Represents the slots of one service in one place. */
-public data class SlotUse(public val free: Int, public val total: Int) {
+public data class SlotUsage(public val free: Int, public val total: Int) {
     /** Returns the sum of two places. */
-    public operator fun plus(other: SlotUse): SlotUse = SlotUse(free + other.free, total + other.total)
+    public operator fun plus(other: SlotUsage): SlotUsage = SlotUsage(free + other.free, total + other.total)
 }
 
 /** Returns the slot use of [service] in each zone that was heard lately, the own zone included. */
-public fun computeZoneUse(
+public fun computeZoneUsage(
     membership: Membership,
     ownLoads: List<ServiceLoad>,
     service: ServiceName,
     nowMs: Long,
-): Map<ZoneName, SlotUse> {
+): Map<ZoneName, SlotUsage> {
     val ownZone = ownLoads + membership.findLivePeers(nowMs).flatMap { it.heartbeat.loads }
     val remote = membership.findRemoteZones(nowMs).associate { it.zone to sumOf(it.loads, service) }
     return remote + (membership.self.zone to sumOf(ownZone, service))
 }
 
 /** Returns the slot use of each region from that of its zones. */
-public fun sumByRegion(index: DocumentIndex, zones: Map<ZoneName, SlotUse>): Map<RegionName, SlotUse> =
+public fun sumByRegion(index: DocumentIndex, zones: Map<ZoneName, SlotUsage>): Map<RegionName, SlotUsage> =
     zones.entries
         .mapNotNull { (zone, use) -> index.regionByZone[zone]?.let { it.name to use } }
         .groupBy({ it.first }, { it.second })
-        .mapValues { (_, uses) -> uses.reduce(SlotUse::plus) }
+        .mapValues { (_, uses) -> uses.reduce(SlotUsage::plus) }
 
-private fun sumOf(loads: List<ServiceLoad>, service: ServiceName): SlotUse =
+private fun sumOf(loads: List<ServiceLoad>, service: ServiceName): SlotUsage =
     loads.filter { it.service == service }
-        .fold(SlotUse(0, 0)) { sum, load -> sum + SlotUse(load.freeSlots, load.totalSlots) }
+        .fold(SlotUsage(0, 0)) { sum, load -> sum + SlotUsage(load.freeSlots, load.totalSlots) }
--- a/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/caps/CapLedgerTest.kt
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/caps/CapLimiterTest.kt
@@ -29,7 +29,7 @@
 /** Two instances of one zone that spend as much as they can and lend to each other. */
 private class Pair(private val random: Random, zoneShare: Long) {
     private val names = listOf(InstanceName("e1"), InstanceName("e2"))
-    private val ledgers = names.map { CapLedger(burstMs = 100).advance(mapOf(cap to zoneShare), CAP_PARTS / 2, 0) }
+    private val limiters = names.map { CapLimiter(burstMs = 100).update(mapOf(cap to zoneShare), CAP_PARTS / 2, 0) }
         .toMutableList()
     private val pausedUntilMs = longArrayOf(0, 0)
     private val mail = mutableListOf<Triple<Long, Int, LoanGrant>>()
@@ -50,7 +50,7 @@
         }
         val due = mail.filter { it.first <= nowMs && it.second == index }
         mail.removeAll(due)
-        due.forEach { ledgers[index] = ledgers[index].borrow(it.third, nowMs) }
+        due.forEach { limiters[index] = limiters[index].borrow(it.third, nowMs) }
         if (random.nextInt(100) == 0) ask(index, nowMs)
         if (random.nextInt(3) > 0) spend(index, nowMs)
     }
@@ -58,16 +58,16 @@
     private fun ask(index: Int, nowMs: Long) {
         val lender = 1 - index
         val request = LoanRequest(names[index], cap, CAP / 10, askedAtMs = nowMs)
-        val lent = ledgers[lender].lend(request, names[lender], nowMs)
-        ledgers[lender] = lent.ledger
+        val lent = limiters[lender].lend(request, names[lender], nowMs)
+        limiters[lender] = lent.limiter
         mail += Triple(nowMs + random.nextLong(1, 6_000), index, lent.grant)
     }
 
     private fun spend(index: Int, nowMs: Long) {
-        val amount = ledgers[index].availableOf(cap, nowMs).coerceAtMost(random.nextLong(1, CAP / 10))
-        val next = if (amount > 0) ledgers[index].spend(listOf(Charge(cap, amount)), nowMs) else null
+        val amount = limiters[index].getAvailableUnits(cap, nowMs).coerceAtMost(random.nextLong(1, CAP / 10))
+        val next = if (amount > 0) limiters[index].consume(listOf(CapCost(cap, amount)), nowMs) else null
         if (next == null) return
-        ledgers[index] = next
+        limiters[index] = next
         spentAt[nowMs] = (spentAt[nowMs] ?: 0) + amount
     }
 }
@@ -77,7 +77,7 @@
         spentAt.filterKeys { it in start until start + WINDOW_MS }.values.sum()
     } ?: 0
 
-class CapLedgerTest : FunSpec({
+class CapLimiterTest : FunSpec({
     test("`the shares of all zones together stay under the cap less its reserve`") {
         val index = DocumentIndex(sampleDocument(linkBytesPerSecond = CAP, partnerRequestsPerSecond = 800))
         val total = ALL_ZONES.sumOf { computeZoneShares(index, it)[cap] ?: 0 }
@@ -90,19 +90,19 @@
 
     test("`an amount that doesn't fit one cap is charged to none`") {
         val other = CapId.LinkBytes(SOUTH, NORTH)
-        val ledger = CapLedger(burstMs = 100).advance(mapOf(cap to 10_000L, other to 100L), CAP_PARTS, 0)
-        ledger.spend(listOf(Charge(cap, 500), Charge(other, 500)), 1_000) shouldBe null
-        ledger.spend(listOf(Charge(cap, 500), Charge(other, 5)), 1_000)?.availableOf(cap, 1_000) shouldBe 500
+        val limiter = CapLimiter(burstMs = 100).update(mapOf(cap to 10_000L, other to 100L), CAP_PARTS, 0)
+        limiter.consume(listOf(CapCost(cap, 500), CapCost(other, 500)), 1_000) shouldBe null
+        limiter.consume(listOf(CapCost(cap, 500), CapCost(other, 5)), 1_000)?.getAvailableUnits(cap, 1_000) shouldBe 500
     }
 
     test("`a borrower that was paused over the end of its loan has nothing of it left`") {
-        val lender = CapLedger(burstMs = 100).advance(mapOf(cap to 10_000L), CAP_PARTS / 2, 0)
+        val lender = CapLimiter(burstMs = 100).update(mapOf(cap to 10_000L), CAP_PARTS / 2, 0)
         val request = LoanRequest(InstanceName("e2"), cap, 1_000, askedAtMs = 1_000)
         val grant = lender.lend(request, InstanceName("e1"), 1_000).grant
         grant.unitsPerSecond shouldBe 1_000
-        val borrower = CapLedger(burstMs = 100).advance(mapOf(cap to 10_000L), CAP_PARTS / 2, 0).borrow(grant, 1_100)
-        borrower.rateOf(cap) shouldBe 6_000
-        borrower.spend(emptyList(), 1_000 + LOAN_MS)?.rateOf(cap) shouldBe 5_000
+        val borrower = CapLimiter(burstMs = 100).update(mapOf(cap to 10_000L), CAP_PARTS / 2, 0).borrow(grant, 1_100)
+        borrower.getRate(cap) shouldBe 6_000
+        borrower.consume(emptyList(), 1_000 + LOAN_DURATION_MS)?.getRate(cap) shouldBe 5_000
     }
 
     test("`two instances that lend to each other never exceed their zone's share in any second`") {
--- a/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/caps/CapTransitionTest.kt
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/caps/CapTransitionTest.kt
@@ -104,13 +104,13 @@
         val isCut = nowMs < zone.cutUntilMs
         val isBehind = zone.documentAt < documents.lastIndex
         if (!isCut && isBehind && random.nextInt(6) == 0) adoptNewer(zone, documents.lastIndex)
-        hear(zone, zone.name to zone.transition.reportedEpoch(nowMs))
+        hear(zone, zone.name to zone.transition.findOldestEpochInUse(nowMs))
         if (!isCut) tell(zone)
     }
 
     private fun hear(zone: SpendingZone, told: Pair<ZoneName, CapEpoch>) {
         val before = zone.transition.shares[link] ?: 0
-        zone.transition = zone.transition.hear(told.first, told.second)
+        zone.transition = zone.transition.recordOldestEpoch(told.first, told.second)
         if ((zone.transition.shares[link] ?: 0) > before) raises++
     }
 
@@ -120,7 +120,7 @@
     }
 
     private fun tell(from: SpendingZone) {
-        val told = from.name to from.transition.reportedEpoch(nowMs)
+        val told = from.name to from.transition.findOldestEpochInUse(nowMs)
         zones.filter { it !== from }.forEach { mail += Triple(nowMs + random.nextLong(1, 4_000), it, told) }
     }
 
@@ -152,49 +152,49 @@
 
     test("`a raised share waits until every zone has left the old caps`") {
         val entry = readyEntry(sampleDocument(linkBytesPerSecond = 1_000_000))
-        val before = entry.state.ledger.rateOf(link)
+        val before = entry.state.capLimiter.getRate(link)
         val raised = sampleDocument(linkBytesPerSecond = 2_000_000)
         entry.handle(EntryEvent.DocumentFetched(headOf(2), raised))
         entry.live(10_000)
         (ALL_ZONES - NORTH_A - SOUTH_A).forEach { entry.handle(told(it, epoch = 2, sequence = 1)) }
         entry.live(1_000)
-        entry.state.ledger.rateOf(link) shouldBe before
+        entry.state.capLimiter.getRate(link) shouldBe before
         entry.state.capTransition.awaitedZones shouldBe setOf(SOUTH_A)
         entry.handle(told(SOUTH_A, epoch = 2, sequence = 1))
         entry.live(1_000)
-        entry.state.ledger.rateOf(link) shouldBe before * 2
+        entry.state.capLimiter.getRate(link) shouldBe before * 2
         entry.state.capTransition.awaitedZones.shouldBeEmpty()
     }
 
     test("`a lowered share is in force at once`") {
         val entry = readyEntry(sampleDocument(linkBytesPerSecond = 1_000_000))
-        val before = entry.state.ledger.rateOf(link)
+        val before = entry.state.capLimiter.getRate(link)
         entry.handle(EntryEvent.DocumentFetched(headOf(2), sampleDocument(linkBytesPerSecond = 500_000)))
-        entry.state.ledger.rateOf(link) shouldBe before / 2
+        entry.state.capLimiter.getRate(link) shouldBe before / 2
     }
 
     test("`a raised share doesn't wait for a zone that operators have stopped`") {
         val entry = readyEntry(sampleDocument(linkBytesPerSecond = 1_000_000))
-        val before = entry.state.ledger.rateOf(link)
+        val before = entry.state.capLimiter.getRate(link)
         val raised = sampleDocument(linkBytesPerSecond = 2_000_000).copy(stoppedZones = ALL_ZONES - NORTH_A)
         entry.handle(EntryEvent.DocumentFetched(headOf(2), raised))
-        entry.state.ledger.rateOf(link) shouldBe before
+        entry.state.capLimiter.getRate(link) shouldBe before
         entry.live(8_000)
-        entry.state.ledger.rateOf(link) shouldBe before * 2
+        entry.state.capLimiter.getRate(link) shouldBe before * 2
     }
 
     test("`an instance that missed a change of the caps has no share until all zones have left it`") {
         val entry = readyEntry(sampleDocument(linkBytesPerSecond = 1_000_000))
         entry.handle(EntryEvent.DocumentFetched(headOf(4), sampleDocument(linkBytesPerSecond = 1_000_000)))
         entry.live(10_000)
-        entry.state.ledger.rateOf(link) shouldBe 0
+        entry.state.capLimiter.getRate(link) shouldBe 0
         (ALL_ZONES - NORTH_A).forEach { entry.handle(told(it, epoch = 4, sequence = 1)) }
         entry.live(1_000)
-        (entry.state.ledger.rateOf(link) > 0) shouldBe true
+        (entry.state.capLimiter.getRate(link) > 0) shouldBe true
     }
 
     test("`what no share covers can't be spent`") {
-        val ledger = CapLedger(burstMs = 100).advance(emptyMap(), 64, 0)
-        ledger.spend(listOf(Charge(link, 1)), 1_000) shouldBe null
+        val limiter = CapLimiter(burstMs = 100).update(emptyMap(), 64, 0)
+        limiter.consume(listOf(CapCost(link, 1)), 1_000) shouldBe null
     }
 })
--- a/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/requests/HandOverTest.kt
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/requests/HandOverTest.kt
@@ -13,7 +13,7 @@
 import org.cardamomwharf.decision.EntryEvent
 import org.cardamomwharf.decision.EntryLimits
 import org.cardamomwharf.decision.adoption.DocumentHead
-import org.cardamomwharf.decision.lookup.lookupViewOf
+import org.cardamomwharf.decision.lookup.createLookupView
 import org.cardamomwharf.decision.membership.Member
 import org.cardamomwharf.decision.membership.ServiceLoad
 import org.cardamomwharf.decision.membership.SummaryMember
@@ -73,7 +73,7 @@
         val second = entry.handle(EntryEvent.AttemptEnded(first.attempt, failed)).only<EntryEffect.HandOver>()
         second.peer shouldBe farther.name
         entry.arrive(requestOf(21)).only<EntryEffect.HandOver>().peer shouldBe farther.name
-        val named = lookupViewOf(entry.state, entry.nowMs)?.candidates.orEmpty().map { it.member.name }
+        val named = createLookupView(entry.state, entry.nowMs)?.candidates.orEmpty().map { it.member.name }
         (far.name in named) shouldBe false
     }
 
--- a/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/servers/SlotUseTest.kt
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/servers/SlotUsageTest.kt
@@ -36,7 +36,7 @@
 
 private fun OneEntry.load(): Int? = state.servers.servers[first]?.inFlight
 
-class SlotUseTest : FunSpec({
+class SlotUsageTest : FunSpec({
     test("`a server that is new gets one slot more for each part of the slow start`") {
         val entry = readyEntry(sampleDocument(slots = SLOTS, policy = Policy(slowStartMs = SLOW_START_MS)))
         val added = serversOf(NORTH_A).first().copy(name = fresh, address = SocketAddress("127.0.2.9", 9_000))
--- a/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/shift/ShiftPlanTest.kt
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/shift/ShiftPlanTest.kt
@@ -24,8 +24,8 @@
     return (1..STEPS).runningFold(ShiftPlan()) { plan, step ->
         val moved = northPermille * (plan.splits[READS]?.shiftedPermille ?: 0) / SLOTS
         val uses = mapOf(
-            NORTH to SlotUse(SLOTS - (northPermille - moved), SLOTS),
-            SOUTH to SlotUse(SLOTS - (southPermille + moved), SLOTS),
+            NORTH to SlotUsage(SLOTS - (northPermille - moved), SLOTS),
+            SOUTH to SlotUsage(SLOTS - (southPermille + moved), SLOTS),
         )
         plan.advance(ShiftInput(index, NORTH, mapOf(READS to uses), emptySet(), step * 1_000L))
     }
@@ -56,7 +56,7 @@
 
     test("`even regions take their clients back, however many were shifted`") {
         val index = DocumentIndex(sampleDocument(objective = Objective.HEADROOM))
-        val even = mapOf(READS to mapOf(NORTH to SlotUse(400, SLOTS), SOUTH to SlotUse(400, SLOTS)))
+        val even = mapOf(READS to mapOf(NORTH to SlotUsage(400, SLOTS), SOUTH to SlotUsage(400, SLOTS)))
         val shifted = ShiftPlan().copy(splits = ShiftPlan().splits.put(READS, RegionSplit(500, mapOf(SOUTH to 500))))
         val last = (1..STEPS).fold(shifted) { plan, step ->
             plan.advance(ShiftInput(index, NORTH, even, emptySet(), step * 1_000L))
@@ -66,7 +66,7 @@
 
     test("`without measurements of other regions the split stays`") {
         val index = DocumentIndex(sampleDocument(objective = Objective.HEADROOM))
-        val alone = mapOf(READS to mapOf(NORTH to SlotUse(0, SLOTS)))
+        val alone = mapOf(READS to mapOf(NORTH to SlotUsage(0, SLOTS)))
         val shifted = ShiftPlan().copy(splits = ShiftPlan().splits.put(READS, RegionSplit(300, mapOf(SOUTH to 300))))
         shifted.advance(ShiftInput(index, NORTH, alone, emptySet(), 1_000)).shifted() shouldBe 300
     }
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/admin/Explanation.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/admin/Explanation.kt
@@ -7,8 +7,8 @@
 import org.cardamomwharf.core.ZoneName
 import org.cardamomwharf.core.document.Service
 import org.cardamomwharf.decision.lookup.LookupView
-import org.cardamomwharf.decision.lookup.placeAll
 import org.cardamomwharf.decision.lookup.rank
+import org.cardamomwharf.decision.lookup.rankAll
 
 /** Represents why a client gets its ranking. */
 @Serializable
@@ -45,7 +45,7 @@
         documentVersion = view.version.value,
         shiftedPermille = split?.shiftedPermille ?: 0,
         shiftTargets = split?.targets.orEmpty().mapKeys { it.key.value },
-        placements = view.placeAll(service, zone, address).map { placement ->
+        placements = view.rankAll(service, zone, address).map { placement ->
             val member = placement.candidate.member
             PlacementReport(
                 instance = member.name.value,
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/admin/StatusReport.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/admin/StatusReport.kt
@@ -83,5 +83,5 @@
     val owned = snapshot.state.ownership.servers
     return snapshot.state.servers.servers.values
         .sortedBy { it.name.value }
-        .map { ServerStatus(it.name.value, it.name in owned, it.isLeaving, it.inFlight, it.failures) }
+        .map { ServerStatus(it.name.value, it.name in owned, it.isLeaving, it.inFlight, it.consecutiveFailures) }
 }
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/loop/DecisionLoop.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/loop/DecisionLoop.kt
@@ -9,7 +9,7 @@
 import org.cardamomwharf.decision.EntryEvent
 import org.cardamomwharf.decision.EntryState
 import org.cardamomwharf.decision.lookup.LookupView
-import org.cardamomwharf.decision.lookup.lookupViewOf
+import org.cardamomwharf.decision.lookup.createLookupView
 import org.cardamomwharf.decision.step
 import org.cardamomwharf.entry.settings.EntryTimes
 import java.util.concurrent.CountDownLatch
@@ -86,6 +86,6 @@
     private fun publish() {
         val nowMs = clock.nowMs()
         publishedAtMs = nowMs
-        snapshot = Snapshot(state, lookupViewOf(state, nowMs), nowMs)
+        snapshot = Snapshot(state, createLookupView(state, nowMs), nowMs)
     }
 }
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/requests/CallerApi.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/requests/CallerApi.kt
@@ -13,7 +13,7 @@
 import org.cardamomwharf.core.StatusCode
 import org.cardamomwharf.core.ZoneName
 import org.cardamomwharf.decision.EntryEvent
-import org.cardamomwharf.decision.lookup.LookupAnswer
+import org.cardamomwharf.decision.lookup.LookupResponse
 import org.cardamomwharf.decision.lookup.RankedInstance
 import org.cardamomwharf.decision.lookup.rank
 import org.cardamomwharf.decision.requests.RequestOrigin
@@ -65,12 +65,12 @@
                 val ranked = view.rank(service, zone, address).map { it.candidate.member }
                 val instances = ranked.map { RankedInstance(it.name, it.incarnation, it.zone, it.callerAddress) }
                 tools.metrics.countLookup(service.name)
-                answer(LookupAnswer(service.name, view.version, service.cacheTtlMs, instances))
+                answer(LookupResponse(service.name, view.version, service.cacheTtlMs, instances))
             }
         }
     }
 
-    private fun answer(found: LookupAnswer): Response = jsonResponse(StatusCode.OK, Json.encodeToString(found))
+    private fun answer(found: LookupResponse): Response = jsonResponse(StatusCode.OK, Json.encodeToString(found))
 
     private fun run(request: Request): Response =
         parseRequest(request, settings.times).mapBoth(
