--- a/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/paths/ControlBenchmark.kt
+++ b/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/paths/ControlBenchmark.kt
@@ -41,7 +41,7 @@
     @Setup
     public fun prepare() {
         state = sampleState(peers)
-        beat = PeerMessage.Beat(sampleHeartbeat(1, 1))
+        beat = PeerMessage.HeartbeatMessage(sampleHeartbeat(1, 1))
         frame = encodeMessage(beat)
     }
 
--- a/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/paths/PeerRoundTrip.kt
+++ b/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/paths/PeerRoundTrip.kt
@@ -11,12 +11,12 @@
 import org.cardamomwharf.core.monotonicClock
 import org.cardamomwharf.decision.requests.AttemptResult
 import org.cardamomwharf.peer.HandOverLimits
-import org.cardamomwharf.peer.HandedAnswer
-import org.cardamomwharf.peer.HandedRequest
+import org.cardamomwharf.peer.HandedOverRequest
+import org.cardamomwharf.peer.HandedOverResponse
 import org.cardamomwharf.peer.PeerHandler
 import org.cardamomwharf.peer.PeerMessage
-import org.cardamomwharf.peer.PeerReplies
 import org.cardamomwharf.peer.PeerSettings
+import org.cardamomwharf.peer.ReplySender
 import org.cardamomwharf.peer.startPeerNode
 import java.util.concurrent.SynchronousQueue
 import java.util.concurrent.TimeUnit
@@ -56,37 +56,37 @@
 
 private fun handOverOf(number: Int): PeerMessage.HandOver {
     val attempt = AttemptId("attempt-$number")
-    val request = HandedRequest("GET", "/item/$number", emptyList(), ByteArray(0), "print")
+    val request = HandedOverRequest("GET", "/item/$number", emptyList(), ByteArray(0), "print")
     val limits = HandOverLimits(isIdempotent = true, remainingMs = LIMIT_MS, creditBytes = Long.MAX_VALUE)
     return PeerMessage.HandOver(attempt, attempt, ServiceName("stan"), request, limits)
 }
 
 private class Waiting : PeerHandler {
-    private val ends = SynchronousQueue<PeerMessage.HandOverEnd>()
+    private val ends = SynchronousQueue<PeerMessage.HandOverReply>()
 
     fun await() {
         checkNotNull(ends.poll(LIMIT_MS, TimeUnit.MILLISECONDS)) { "a hand-over got no answer" }
     }
 
-    override fun receive(message: PeerMessage, replies: PeerReplies): Unit = Unit
+    override fun receive(message: PeerMessage, replies: ReplySender): Unit = Unit
 
     override fun receiveReply(message: PeerMessage) {
-        if (message is PeerMessage.HandOverEnd) ends.offer(message, LIMIT_MS, TimeUnit.MILLISECONDS)
+        if (message is PeerMessage.HandOverReply) ends.offer(message, LIMIT_MS, TimeUnit.MILLISECONDS)
     }
 
-    override fun endHandOver(attempt: AttemptId, result: AttemptResult): Unit = Unit
+    override fun receiveHandOverFailure(attempt: AttemptId, result: AttemptResult): Unit = Unit
 }
 
 private class Echo : PeerHandler {
-    private val answer = HandedAnswer(status = 200, fields = emptyList(), body = ByteArray(BODY_BYTES))
+    private val answer = HandedOverResponse(status = 200, fields = emptyList(), body = ByteArray(BODY_BYTES))
 
-    override fun receive(message: PeerMessage, replies: PeerReplies) {
+    override fun receive(message: PeerMessage, replies: ReplySender) {
         if (message is PeerMessage.HandOver) {
-            replies.send(PeerMessage.HandOverEnd(message.attempt, Reason.ANSWERED, 0, answer))
+            replies.send(PeerMessage.HandOverReply(message.attempt, Reason.ANSWERED, 0, answer))
         }
     }
 
     override fun receiveReply(message: PeerMessage): Unit = Unit
 
-    override fun endHandOver(attempt: AttemptId, result: AttemptResult): Unit = Unit
+    override fun receiveHandOverFailure(attempt: AttemptId, result: AttemptResult): Unit = Unit
 }
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/documents/DocumentKeeper.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/documents/DocumentKeeper.kt
@@ -66,7 +66,7 @@
     }
 
     /** Returns the answer for a peer that asks for the document in force or its client blocks. */
-    public fun answer(ask: PeerMessage.ContentsAsk): PeerMessage.ContentsReply {
+    public fun answer(ask: PeerMessage.ContentsRequest): PeerMessage.ContentsReply {
         val held = inForce
         val version = held?.head?.version ?: DocumentVersion.NONE
         val hash = ask.blocksHash ?: held?.head?.hash.orEmpty()
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/forwarding/AttemptResults.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/forwarding/AttemptResults.kt
@@ -12,8 +12,8 @@
 import org.cardamomwharf.http.HttpFailure
 import org.cardamomwharf.http.HttpResponse
 import org.cardamomwharf.http.HttpResult
-import org.cardamomwharf.peer.HandedAnswer
-import org.cardamomwharf.peer.HandedField
+import org.cardamomwharf.peer.HandedOverField
+import org.cardamomwharf.peer.HandedOverResponse
 
 private const val MS_PER_SECOND = 1_000L
 
@@ -49,8 +49,8 @@
     (answer.findHeader(HeaderNames.RETRY_AFTER)?.toLongOrNull() ?: 0) * MS_PER_SECOND
 
 /** Returns [answer] as it is handed to callers and peers. */
-public fun handedAnswerOf(answer: HttpResponse): HandedAnswer = HandedAnswer(
+public fun handedAnswerOf(answer: HttpResponse): HandedOverResponse = HandedOverResponse(
     status = answer.status,
-    fields = answer.headers.map { HandedField(it.name, it.value) },
+    fields = answer.headers.map { HandedOverField(it.name, it.value) },
     body = answer.body,
 )
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/loop/EffectRouter.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/loop/EffectRouter.kt
@@ -45,12 +45,13 @@
     private fun tell(effect: EntryEffect) {
         when (effect) {
             is EntryEffect.SendHeartbeat ->
-                parts.peers.sendAll(effect.addresses, PeerMessage.Beat(effect.heartbeat))
+                parts.peers.sendAll(effect.addresses, PeerMessage.HeartbeatMessage(effect.heartbeat))
             is EntryEffect.SendSummary ->
-                parts.peers.sendAll(effect.addresses, PeerMessage.Summary(effect.summary, isPassedOn = false))
+                parts.peers.sendAll(effect.addresses, PeerMessage.SummaryMessage(effect.summary, isPassedOn = false))
             is EntryEffect.RelaySummary ->
-                parts.peers.sendAll(effect.addresses, PeerMessage.Summary(effect.summary, isPassedOn = true))
-            is EntryEffect.RequestLoan -> parts.peers.send(effect.peer.address, PeerMessage.LoanAsk(effect.loan))
+                parts.peers.sendAll(effect.addresses, PeerMessage.SummaryMessage(effect.summary, isPassedOn = true))
+            is EntryEffect.RequestLoan ->
+                parts.peers.send(effect.peer.address, PeerMessage.LoanRequestMessage(effect.loan))
             is EntryEffect.ReplyToLoanRequest -> parts.loans.answer(effect.borrower, effect.grant)
             else -> Unit
         }
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/peers/EntryPeerHandler.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/peers/EntryPeerHandler.kt
@@ -10,7 +10,7 @@
 import org.cardamomwharf.entry.loop.EventRing
 import org.cardamomwharf.peer.PeerHandler
 import org.cardamomwharf.peer.PeerMessage
-import org.cardamomwharf.peer.PeerReplies
+import org.cardamomwharf.peer.ReplySender
 
 /** Represents the receiver of messages of an entry process. */
 public class EntryPeerHandler(
@@ -21,35 +21,35 @@
     private val loans: LoanBook,
     private val askBlocks: (String) -> Unit,
 ) : PeerHandler {
-    override fun receive(message: PeerMessage, replies: PeerReplies) {
+    override fun receive(message: PeerMessage, replies: ReplySender) {
         when (message) {
-            is PeerMessage.Beat -> ring.put(EntryEvent.HeartbeatReceived(message.heartbeat))
-            is PeerMessage.Summary -> ring.put(EntryEvent.SummaryReceived(message.summary, message.isPassedOn))
-            is PeerMessage.LoanAsk -> askLoan(message, replies)
-            is PeerMessage.ContentsAsk -> replies.send(keeper.answer(message))
+            is PeerMessage.HeartbeatMessage -> ring.put(EntryEvent.HeartbeatReceived(message.heartbeat))
+            is PeerMessage.SummaryMessage -> ring.put(EntryEvent.SummaryReceived(message.summary, message.isPassedOn))
+            is PeerMessage.LoanRequestMessage -> askLoan(message, replies)
+            is PeerMessage.ContentsRequest -> replies.send(keeper.answer(message))
             is PeerMessage.HandOver -> desk.take(message, replies)
-            is PeerMessage.Credit -> desk.release(message.attempt)
+            is PeerMessage.CreditGrant -> desk.release(message.attempt)
             is PeerMessage.Cancel -> desk.cancel(message.attempt)
             else -> Unit
         }
     }
 
-    private fun askLoan(message: PeerMessage.LoanAsk, replies: PeerReplies) {
+    private fun askLoan(message: PeerMessage.LoanRequestMessage, replies: ReplySender) {
         loans.remember(message.request, replies)
         ring.put(EntryEvent.LoanRequested(message.request))
     }
 
     override fun receiveReply(message: PeerMessage) {
         when (message) {
-            is PeerMessage.LoanReply -> ring.put(EntryEvent.LoanReplyReceived(message.grant))
+            is PeerMessage.LoanGrantMessage -> ring.put(EntryEvent.LoanReplyReceived(message.grant))
             is PeerMessage.ContentsReply -> keeper.receive(message, askBlocks)
-            is PeerMessage.HandOverHeld -> ring.put(EntryEvent.CreditRequested(message.attempt, message.missingBytes))
-            is PeerMessage.HandOverEnd -> results.take(message)
+            is PeerMessage.CreditRequest -> ring.put(EntryEvent.CreditRequested(message.attempt, message.missingBytes))
+            is PeerMessage.HandOverReply -> results.take(message)
             else -> Unit
         }
     }
 
-    override fun endHandOver(attempt: AttemptId, result: AttemptResult) {
+    override fun receiveHandOverFailure(attempt: AttemptId, result: AttemptResult) {
         results.take(attempt, result)
     }
 }
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/peers/HandOverDesk.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/peers/HandOverDesk.kt
@@ -16,9 +16,9 @@
 import org.cardamomwharf.entry.requests.AnswerReceiver
 import org.cardamomwharf.entry.requests.BookedRequest
 import org.cardamomwharf.entry.requests.RequestBook
-import org.cardamomwharf.peer.HandedAnswer
+import org.cardamomwharf.peer.HandedOverResponse
 import org.cardamomwharf.peer.PeerMessage
-import org.cardamomwharf.peer.PeerReplies
+import org.cardamomwharf.peer.ReplySender
 import java.util.concurrent.ConcurrentHashMap
 
 /** Represents the requests taken over from peers. */
@@ -31,7 +31,7 @@
     private val held = ConcurrentHashMap<AttemptId, HeldEnd>()
 
     /** Takes a request over. */
-    public fun take(message: PeerMessage.HandOver, replies: PeerReplies) {
+    public fun take(message: PeerMessage.HandOver, replies: ReplySender) {
         val spec = specOf(message)
         running[message.attempt] = spec.id
         val receiver = AnswerReceiver { answer, ran -> finish(message, answer, ran, replies) }
@@ -39,7 +39,7 @@
         if (!ring.offerRequest(EntryEvent.RequestArrived(spec))) {
             book.remove(spec.id)
             running.remove(message.attempt)
-            replies.send(PeerMessage.HandOverEnd(message.attempt, Reason.RING_FULL, 0, null))
+            replies.send(PeerMessage.HandOverReply(message.attempt, Reason.RING_FULL, 0, null))
         }
     }
 
@@ -69,19 +69,19 @@
     private fun finish(
         message: PeerMessage.HandOver,
         answer: EntryEffect.Respond,
-        ran: HandedAnswer?,
-        replies: PeerReplies,
+        ran: HandedOverResponse?,
+        replies: ReplySender,
     ) {
         running.remove(message.attempt)
-        val end = PeerMessage.HandOverEnd(message.attempt, answer.reason, answer.retryAfterMs, ran)
+        val end = PeerMessage.HandOverReply(message.attempt, answer.reason, answer.retryAfterMs, ran)
         val missingBytes = (ran?.body?.size ?: 0) - message.limits.creditBytes
         if (missingBytes > 0) {
             held[message.attempt] = HeldEnd(end, replies)
-            replies.send(PeerMessage.HandOverHeld(message.attempt, missingBytes))
+            replies.send(PeerMessage.CreditRequest(message.attempt, missingBytes))
         } else {
             replies.send(end)
         }
     }
 
-    private class HeldEnd(val end: PeerMessage.HandOverEnd, val replies: PeerReplies)
+    private class HeldEnd(val end: PeerMessage.HandOverReply, val replies: ReplySender)
 }
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/peers/HandOverResults.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/peers/HandOverResults.kt
@@ -11,7 +11,7 @@
 import org.cardamomwharf.entry.loop.EventRing
 import org.cardamomwharf.entry.requests.RequestBook
 import org.cardamomwharf.entry.requests.toRecorded
-import org.cardamomwharf.peer.HandedAnswer
+import org.cardamomwharf.peer.HandedOverResponse
 import org.cardamomwharf.peer.PeerMessage
 
 /** Represents the receiver of the ends of attempts at peers. */
@@ -21,8 +21,8 @@
     private val attempts: HandedAttempts,
 ) {
     /** Takes the end that a peer sent; of a late or doubled one nothing is kept. */
-    public fun take(message: PeerMessage.HandOverEnd) {
-        val answer = message.answer
+    public fun take(message: PeerMessage.HandOverReply) {
+        val answer = message.response
         val result = when (message.reason.outcome) {
             Outcome.RAN -> ranResultOf(answer)
             Outcome.NOT_RUN -> AttemptResult.Refused(message.reason, message.retryAfterMs)
@@ -39,7 +39,7 @@
         ring.put(EntryEvent.AttemptEnded(attempt, result))
     }
 
-    private fun ranResultOf(answer: HandedAnswer?): AttemptResult =
+    private fun ranResultOf(answer: HandedOverResponse?): AttemptResult =
         if (answer == null) {
             AttemptResult.Lost(Reason.ANSWER_TRUNCATED)
         } else {
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/peers/PeerSender.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/peers/PeerSender.kt
@@ -44,12 +44,12 @@
     /** Asks a peer for its document. */
     public fun askDocument(address: SocketAddress) {
         documentSource = address
-        send(address, PeerMessage.ContentsAsk())
+        send(address, PeerMessage.ContentsRequest())
     }
 
     /** Asks the peer that had the document for its client blocks. */
     public fun askBlocks(blocksHash: String) {
-        documentSource?.let { send(it, PeerMessage.ContentsAsk(blocksHash)) }
+        documentSource?.let { send(it, PeerMessage.ContentsRequest(blocksHash)) }
     }
 
     /** Hands a request over. */
@@ -73,7 +73,7 @@
 
     /** Lets the peer send the whole answer. */
     public fun grantCredit(attempt: AttemptId) {
-        attempts.find(attempt)?.let { send(it.address, PeerMessage.Credit(attempt)) }
+        attempts.find(attempt)?.let { send(it.address, PeerMessage.CreditGrant(attempt)) }
     }
 
     /** Stops a request that was handed over. */
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/requests/CallerRequest.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/requests/CallerRequest.kt
@@ -12,8 +12,8 @@
 import org.cardamomwharf.core.sha256Hex
 import org.cardamomwharf.decision.claims.Binding
 import org.cardamomwharf.entry.settings.EntryTimes
-import org.cardamomwharf.peer.HandedField
-import org.cardamomwharf.peer.HandedRequest
+import org.cardamomwharf.peer.HandedOverField
+import org.cardamomwharf.peer.HandedOverRequest
 import org.http4k.core.Method
 import org.http4k.core.Request
 
@@ -38,7 +38,7 @@
 public class CallerRequest(
     public val service: ServiceName,
     public val isSafeMethod: Boolean,
-    public val handed: HandedRequest,
+    public val handed: HandedOverRequest,
     public val deadlineMs: Long,
     public val identity: RequestIdentity,
 )
@@ -81,18 +81,18 @@
     return if (isKeyFine && isBindingFine) RequestIdentity(key, binding) else null
 }
 
-private fun handedOf(request: Request, service: String): HandedRequest {
+private fun handedOf(request: Request, service: String): HandedOverRequest {
     val payload = request.body.payload.duplicate()
     val body = ByteArray(payload.remaining()).also { payload.get(it) }
     val path = request.uri.path.removePrefix(RUN_PREFIX + service).ifEmpty { "/" }
     val query = if (request.uri.query.isEmpty()) "" else "?" + request.uri.query
     val fields = request.headers
         .filter { it.first.lowercase() !in hopFields }
-        .map { HandedField(it.first, it.second.orEmpty()) }
+        .map { HandedOverField(it.first, it.second.orEmpty()) }
     val identity = "${request.method} $path$query\n".toByteArray() + body
-    return HandedRequest(request.method.name, path + query, fields, body, identity.sha256Hex())
+    return HandedOverRequest(request.method.name, path + query, fields, body, identity.sha256Hex())
 }
 
 /** Returns the fields of an answer that may be passed on. */
-public fun passableFields(fields: List<HandedField>): List<HandedField> =
+public fun passableFields(fields: List<HandedOverField>): List<HandedOverField> =
     fields.filter { it.name.lowercase() !in hopFields && !it.name.startsWith("Wharf-", ignoreCase = true) }
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/requests/CallerResponse.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/requests/CallerResponse.kt
@@ -10,7 +10,7 @@
 import org.cardamomwharf.core.RequestId
 import org.cardamomwharf.decision.EntryEffect
 import org.cardamomwharf.decision.claims.RecordedResponse
-import org.cardamomwharf.peer.HandedAnswer
+import org.cardamomwharf.peer.HandedOverResponse
 import org.http4k.core.Body
 import org.http4k.core.Response
 import org.http4k.core.Status
@@ -20,7 +20,7 @@
 private const val MS_PER_SECOND = 1_000L
 
 /** Returns the HTTP answer for [answer] of the instance [entry]. */
-public fun responseOf(answer: EntryEffect.Respond, ran: HandedAnswer?, entry: InstanceName): Response {
+public fun responseOf(answer: EntryEffect.Respond, ran: HandedOverResponse?, entry: InstanceName): Response {
     val recorded = answer.recorded
     val bare = when {
         ran != null -> relay(ran)
@@ -42,7 +42,7 @@
 
 private fun retryAfterMs(reason: Reason): Long = if (reason.isRetryable) MS_PER_SECOND else 0
 
-private fun relay(ran: HandedAnswer): Response =
+private fun relay(ran: HandedOverResponse): Response =
     passableFields(ran.fields).fold(Response(Status(ran.status, "")).body(bodyOf(ran.body))) { built, field ->
         built.header(field.name, field.value)
     }
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/requests/RequestBook.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/requests/RequestBook.kt
@@ -8,21 +8,21 @@
 import org.cardamomwharf.core.RequestId
 import org.cardamomwharf.decision.EntryEffect
 import org.cardamomwharf.decision.requests.RequestSpec
-import org.cardamomwharf.peer.HandedAnswer
-import org.cardamomwharf.peer.HandedRequest
+import org.cardamomwharf.peer.HandedOverRequest
+import org.cardamomwharf.peer.HandedOverResponse
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicLong
 
 /** Represents the receiver of a final answer; it is called once and must not block. */
 public fun interface AnswerReceiver {
     /** Takes the final answer; [ran] is present when the request ran now. */
-    public fun receive(answer: EntryEffect.Respond, ran: HandedAnswer?)
+    public fun receive(answer: EntryEffect.Respond, ran: HandedOverResponse?)
 }
 
 /** Represents an open request with all that is sent to a backend server. */
 public class BookedRequest(
     public val spec: RequestSpec,
-    public val handed: HandedRequest,
+    public val handed: HandedOverRequest,
     public val receiver: AnswerReceiver,
 )
 
@@ -55,7 +55,7 @@
     }
 
     /** Keeps the answer of an [attempt] until its [request] has its final answer; a closed request keeps nothing. */
-    public fun keep(request: RequestId, attempt: AttemptId, answer: HandedAnswer) {
+    public fun keep(request: RequestId, attempt: AttemptId, answer: HandedOverResponse) {
         answers[request] = KeptAnswer(attempt, answer)
         if (find(request) == null) answers.remove(request)
     }
@@ -69,5 +69,5 @@
     }
 
     /** An answer of one attempt; the next attempt of the same request replaces it. */
-    private class KeptAnswer(val attempt: AttemptId, val answer: HandedAnswer)
+    private class KeptAnswer(val attempt: AttemptId, val answer: HandedOverResponse)
 }
--- a/cardamomwharf-entry/src/test/kotlin/org/cardamomwharf/entry/requests/KeptAnswersTest.kt
+++ b/cardamomwharf-entry/src/test/kotlin/org/cardamomwharf/entry/requests/KeptAnswersTest.kt
@@ -17,16 +17,16 @@
 import org.cardamomwharf.entry.peers.HandOverResults
 import org.cardamomwharf.entry.peers.HandedAttempt
 import org.cardamomwharf.entry.peers.HandedAttempts
-import org.cardamomwharf.peer.HandedAnswer
-import org.cardamomwharf.peer.HandedRequest
+import org.cardamomwharf.peer.HandedOverRequest
+import org.cardamomwharf.peer.HandedOverResponse
 import org.cardamomwharf.peer.PeerMessage
 
 private val id = RequestId(1)
 private val first = AttemptId("first")
 private val second = AttemptId("second")
-private val answer = HandedAnswer(200, emptyList(), "body".toByteArray())
+private val answer = HandedOverResponse(200, emptyList(), "body".toByteArray())
 
-private fun bookedRequest(receive: (HandedAnswer?) -> Unit): BookedRequest {
+private fun bookedRequest(receive: (HandedOverResponse?) -> Unit): BookedRequest {
     val spec = RequestSpec(
         id = id,
         service = ServiceName("stan"),
@@ -35,14 +35,14 @@
         requestBytes = 1,
         deadlineAtMs = 1,
     )
-    val handed = HandedRequest("GET", "/item/1", emptyList(), ByteArray(0), fingerprint = "")
+    val handed = HandedOverRequest("GET", "/item/1", emptyList(), ByteArray(0), fingerprint = "")
     return BookedRequest(spec, handed) { _, ran -> receive(ran) }
 }
 
 class KeptAnswersTest : FunSpec({
     test("`an answer that the decisions don't relay is dropped with its request`") {
         val book = RequestBook()
-        val received = mutableListOf<HandedAnswer?>()
+        val received = mutableListOf<HandedOverResponse?>()
         book.add(bookedRequest { received += it })
         book.keep(id, first, answer)
         book.finish(EntryEffect.Respond(id, Reason.ANSWER_CROSSED))
@@ -52,7 +52,7 @@
 
     test("`only the answer of the attempt that is relayed reaches the receiver`") {
         val book = RequestBook()
-        val received = mutableListOf<HandedAnswer?>()
+        val received = mutableListOf<HandedOverResponse?>()
         book.add(bookedRequest { received += it })
         book.keep(id, first, answer)
         book.finish(EntryEffect.Respond(id, Reason.ANSWERED, attempt = second))
@@ -67,7 +67,7 @@
         val results = HandOverResults(EventRing(), book, attempts)
         book.add(bookedRequest { })
         attempts.add(first, HandedAttempt(id, SocketAddress("127.0.0.1", 8_100)))
-        val end = PeerMessage.HandOverEnd(first, Reason.ANSWERED, 0, answer)
+        val end = PeerMessage.HandOverReply(first, Reason.ANSWERED, 0, answer)
         results.take(end)
         book.keptAnswers shouldBe 1
         book.finish(EntryEffect.Respond(id, Reason.ANSWERED, attempt = first))
--- a/cardamomwharf-peer/src/main/kotlin/org/cardamomwharf/peer/OutgoingMessage.kt
+++ b/cardamomwharf-peer/src/main/kotlin/org/cardamomwharf/peer/OutgoingMessage.kt
@@ -3,6 +3,6 @@
  */
 package org.cardamomwharf.peer
 
-internal class Outgoing(val message: PeerMessage) {
+internal class OutgoingMessage(val message: PeerMessage) {
     val frame: ByteArray by lazy { encodeMessage(message) }
 }
--- a/cardamomwharf-peer/src/main/kotlin/org/cardamomwharf/peer/PeerCodec.kt
+++ b/cardamomwharf-peer/src/main/kotlin/org/cardamomwharf/peer/PeerCodec.kt
@@ -15,7 +15,7 @@
 import kotlinx.serialization.cbor.Cbor
 
 /** The largest frame in bytes; client blocks are the largest contents. */
-public const val LARGEST_FRAME_BYTES: Int = 50_331_648
+public const val MAX_FRAME_BYTES: Int = 50_331_648
 
 @OptIn(ExperimentalSerializationApi::class)
 private val cbor = Cbor {
@@ -41,6 +41,6 @@
 
 internal suspend fun ByteReadChannel.readMessage(): PeerMessage {
     val size = readInt()
-    if (size !in 1..LARGEST_FRAME_BYTES) throw IOException("frame of $size bytes")
+    if (size !in 1..MAX_FRAME_BYTES) throw IOException("frame of $size bytes")
     return decodeMessage(readByteArray(size))
 }
--- a/cardamomwharf-peer/src/main/kotlin/org/cardamomwharf/peer/PeerConnection.kt
+++ b/cardamomwharf-peer/src/main/kotlin/org/cardamomwharf/peer/PeerConnection.kt
@@ -29,31 +29,31 @@
 import org.cardamomwharf.decision.requests.AttemptResult
 import java.util.concurrent.ConcurrentHashMap
 
-internal class PeerLink(
+internal class PeerConnection(
     private val address: SocketAddress,
     private val settings: PeerSettings,
     private val clock: Clock,
     private val handler: PeerHandler,
 ) {
-    private val queue = Channel<Outgoing>(settings.largestQueue)
+    private val queue = Channel<OutgoingMessage>(settings.maxQueuedMessages)
     private val pending = ConcurrentHashMap<AttemptId, HandOverState>()
 
     @Volatile
-    private var heardAtMs = clock.nowMs()
+    private var receivedAtMs = clock.nowMs()
 
     @Volatile
-    private var usedAtMs = clock.nowMs()
+    private var sentAtMs = clock.nowMs()
 
     @Volatile
     var isClosed: Boolean = false
         private set
 
     /** Whether the peer has shown lately that this connection works; a connection being dialed counts as proven. */
-    val isProven: Boolean get() = clock.nowMs() - heardAtMs < settings.provenMs
+    val isAlive: Boolean get() = clock.nowMs() - receivedAtMs < settings.livenessMs
 
-    fun send(outgoing: Outgoing): Boolean {
+    fun send(outgoing: OutgoingMessage): Boolean {
         val message = outgoing.message
-        usedAtMs = clock.nowMs()
+        sentAtMs = clock.nowMs()
         if (message is PeerMessage.HandOver) pending[message.attempt] = HandOverState.QUEUED
         val isQueued = !isClosed && queue.trySend(outgoing).isSuccess
         if (!isQueued && message is PeerMessage.HandOver) pending.remove(message.attempt)
@@ -67,9 +67,9 @@
     private suspend fun run(selector: SelectorManager) {
         try {
             val target = InetSocketAddress(address.host, address.port)
-            val socket = withTimeout(settings.connectMs) { aSocket(selector).tcp().connect(target) }
-            heardAtMs = clock.nowMs()
-            socket.use { talk(it) }
+            val socket = withTimeout(settings.connectTimeoutMs) { aSocket(selector).tcp().connect(target) }
+            receivedAtMs = clock.nowMs()
+            socket.use { exchangeMessages(it) }
         } catch (@Suppress("SwallowedException") e: IOException) {
             isClosed = true
         } catch (@Suppress("SwallowedException") e: TimeoutCancellationException) {
@@ -79,23 +79,23 @@
         }
     }
 
-    private suspend fun talk(socket: Socket) {
+    private suspend fun exchangeMessages(socket: Socket) {
         coroutineScope {
             val reading = launch { readAll(socket.openReadChannel()) }
             val writing = launch { writeAll(socket.openWriteChannel(autoFlush = false)) }
-            watch(reading, writing)
+            monitor(reading, writing)
             reading.cancel()
             writing.cancel()
         }
     }
 
-    private suspend fun watch(reading: Job, writing: Job) {
+    private suspend fun monitor(reading: Job, writing: Job) {
         while (reading.isActive && writing.isActive) {
-            delay(settings.watchMs)
+            delay(settings.monitorIntervalMs)
             val nowMs = clock.nowMs()
-            val silentMs = nowMs - heardAtMs
-            if (silentMs >= settings.silentMs || nowMs - usedAtMs >= settings.idleMs) return
-            if (silentMs >= settings.pingAfterMs) queue.trySend(Outgoing(PeerMessage.Ping))
+            val silenceMs = nowMs - receivedAtMs
+            if (silenceMs >= settings.silenceTimeoutMs || nowMs - sentAtMs >= settings.idleTimeoutMs) return
+            if (silenceMs >= settings.pingAfterMs) queue.trySend(OutgoingMessage(PeerMessage.Ping))
         }
     }
 
@@ -113,7 +113,7 @@
 
     private suspend fun readAll(channel: ByteReadChannel) {
         try {
-            while (true) take(channel.readMessage())
+            while (true) receive(channel.readMessage())
         } catch (@Suppress("SwallowedException") e: IOException) {
             isClosed = true
         } catch (@Suppress("SwallowedException") e: SerializationException) {
@@ -121,9 +121,9 @@
         }
     }
 
-    private fun take(message: PeerMessage) {
-        heardAtMs = clock.nowMs()
-        if (message is PeerMessage.HandOverEnd && pending.remove(message.attempt) == null) return
+    private fun receive(message: PeerMessage) {
+        receivedAtMs = clock.nowMs()
+        if (message is PeerMessage.HandOverReply && pending.remove(message.attempt) == null) return
         handler.receiveReply(message)
     }
 
@@ -136,7 +136,7 @@
                 HandOverState.SENT -> AttemptResult.Lost(Reason.CONNECTION_LOST)
                 null -> null
             }
-            if (result != null) handler.endHandOver(attempt, result)
+            if (result != null) handler.receiveHandOverFailure(attempt, result)
         }
     }
 
--- a/cardamomwharf-peer/src/main/kotlin/org/cardamomwharf/peer/PeerHandler.kt
+++ b/cardamomwharf-peer/src/main/kotlin/org/cardamomwharf/peer/PeerHandler.kt
@@ -8,7 +8,7 @@
 import org.cardamomwharf.decision.requests.AttemptResult
 
 /** Represents the way back on the connection that a message came from. */
-public fun interface PeerReplies {
+public fun interface ReplySender {
     /** Sends [message] back; returns false when the connection is closed or its queue is full. */
     public fun send(message: PeerMessage): Boolean
 }
@@ -16,11 +16,11 @@
 /** Represents the receiver of messages. */
 public interface PeerHandler {
     /** Takes a message that a peer sent of its own accord. */
-    public fun receive(message: PeerMessage, replies: PeerReplies)
+    public fun receive(message: PeerMessage, replies: ReplySender)
 
     /** Takes an answer to a message of ours. */
     public fun receiveReply(message: PeerMessage)
 
     /** Takes the end of a hand-over that got no answer. */
-    public fun endHandOver(attempt: AttemptId, result: AttemptResult)
+    public fun receiveHandOverFailure(attempt: AttemptId, result: AttemptResult)
 }
--- a/cardamomwharf-peer/src/main/kotlin/org/cardamomwharf/peer/PeerMessage.kt
+++ b/cardamomwharf-peer/src/main/kotlin/org/cardamomwharf/peer/PeerMessage.kt
@@ -28,12 +28,12 @@
     /** Tells the state of an instance to a peer of its zone. */
     @Serializable
     @SerialName("h")
-    public data class Beat(@CborLabel(1) public val heartbeat: Heartbeat) : PeerMessage
+    public data class HeartbeatMessage(@CborLabel(1) public val heartbeat: Heartbeat) : PeerMessage
 
     /** Tells the state of a zone. */
     @Serializable
     @SerialName("s")
-    public data class Summary(
+    public data class SummaryMessage(
         @CborLabel(1) public val summary: ZoneSummary,
         @CborLabel(2) public val isPassedOn: Boolean,
     ) : PeerMessage
@@ -51,19 +51,19 @@
     /** Asks for a loan. */
     @Serializable
     @SerialName("l")
-    public data class LoanAsk(public val request: LoanRequest) : PeerMessage
+    public data class LoanRequestMessage(public val request: LoanRequest) : PeerMessage
 
-    /** Answers [LoanAsk]. */
+    /** Answers [LoanRequestMessage]. */
     @Serializable
     @SerialName("g")
-    public data class LoanReply(public val grant: LoanGrant) : PeerMessage
+    public data class LoanGrantMessage(public val grant: LoanGrant) : PeerMessage
 
     /** Asks for the document in force at the peer, or for client blocks under [blocksHash]. */
     @Serializable
     @SerialName("d")
-    public data class ContentsAsk(public val blocksHash: String? = null) : PeerMessage
+    public data class ContentsRequest(public val blocksHash: String? = null) : PeerMessage
 
-    /** Answers [ContentsAsk]; [contents] is null when the peer has none. */
+    /** Answers [ContentsRequest]; [contents] is null when the peer has none. */
     @Serializable
     @SerialName("c")
     public class ContentsReply(
@@ -81,29 +81,29 @@
         public val attempt: AttemptId,
         public val claimAttempt: AttemptId,
         public val service: ServiceName,
-        public val request: HandedRequest,
+        public val request: HandedOverRequest,
         public val limits: HandOverLimits,
     ) : PeerMessage
 
     /** Answers [HandOver]; [answer] is present when the request ran. */
     @Serializable
     @SerialName("e")
-    public class HandOverEnd(
+    public class HandOverReply(
         public val attempt: AttemptId,
         public val reason: Reason,
         public val retryAfterMs: Long,
-        public val answer: HandedAnswer?,
+        @SerialName("answer") public val response: HandedOverResponse?,
     ) : PeerMessage
 
-    /** Tells that the answer is [missingBytes] larger than its credit and waits for [Credit]. */
+    /** Tells that the answer is [missingBytes] larger than its credit and waits for [CreditGrant]. */
     @Serializable
     @SerialName("w")
-    public data class HandOverHeld(public val attempt: AttemptId, public val missingBytes: Long) : PeerMessage
+    public data class CreditRequest(public val attempt: AttemptId, public val missingBytes: Long) : PeerMessage
 
     /** Lets the whole answer be sent. */
     @Serializable
     @SerialName("k")
-    public data class Credit(public val attempt: AttemptId) : PeerMessage
+    public data class CreditGrant(public val attempt: AttemptId) : PeerMessage
 
     /** Stops a request that was handed over. */
     @Serializable
@@ -127,22 +127,22 @@
 
 /** Represents a header field. */
 @Serializable
-public data class HandedField(public val name: String, public val value: String)
+public data class HandedOverField(public val name: String, public val value: String)
 
 /** Represents a request as it is handed over. */
 @Serializable
-public class HandedRequest(
+public class HandedOverRequest(
     public val method: String,
     public val pathAndQuery: String,
-    public val fields: List<HandedField>,
+    public val fields: List<HandedOverField>,
     @ByteString public val body: ByteArray,
     public val fingerprint: String,
 )
 
 /** Represents a whole answer as it is handed back. */
 @Serializable
-public class HandedAnswer(
+public class HandedOverResponse(
     public val status: Int,
-    public val fields: List<HandedField>,
+    public val fields: List<HandedOverField>,
     @ByteString public val body: ByteArray,
 )
--- a/cardamomwharf-peer/src/main/kotlin/org/cardamomwharf/peer/PeerNode.kt
+++ b/cardamomwharf-peer/src/main/kotlin/org/cardamomwharf/peer/PeerNode.kt
@@ -27,12 +27,12 @@
     private val handler: PeerHandler,
 ) : AutoCloseable {
     private val executor = newDaemonThread("peers")
-    private val selecting = newDaemonThread("peers-select")
+    private val selectorExecutor = newDaemonThread("peers-select")
     private val dispatcher = executor.asCoroutineDispatcher()
-    private val selector = SelectorManager(selecting.asCoroutineDispatcher())
-    private val ignoring = CoroutineExceptionHandler { _, _ -> }
-    private val scope = CoroutineScope(dispatcher + SupervisorJob() + ignoring)
-    private val links = ConcurrentHashMap<SocketAddress, PeerLink>()
+    private val selector = SelectorManager(selectorExecutor.asCoroutineDispatcher())
+    private val exceptionHandler = CoroutineExceptionHandler { _, _ -> }
+    private val scope = CoroutineScope(dispatcher + SupervisorJob() + exceptionHandler)
+    private val connections = ConcurrentHashMap<SocketAddress, PeerConnection>()
 
     internal fun listen(address: SocketAddress) {
         val server = PeerServer(settings, handler)
@@ -41,37 +41,42 @@
     }
 
     /** Sends [message] to the peer at [address]; returns false when its queue is full. */
-    public fun send(address: SocketAddress, message: PeerMessage): Boolean = linkTo(address).send(Outgoing(message))
+    public fun send(address: SocketAddress, message: PeerMessage): Boolean =
+        getConnection(address).send(OutgoingMessage(message))
 
     /** Sends [message] to all [addresses], encoded once; returns the number of peers whose queue is full. */
     public fun sendAll(addresses: List<SocketAddress>, message: PeerMessage): Int {
-        val outgoing = Outgoing(message)
-        return addresses.count { !linkTo(it).send(outgoing) }
+        val outgoing = OutgoingMessage(message)
+        return addresses.count { !getConnection(it).send(outgoing) }
     }
 
     /** Hands a request over; a connection that isn't proven alive is replaced by a new one first. */
     public fun handOver(address: SocketAddress, message: PeerMessage.HandOver) {
-        val known = linkTo(address)
-        val link = if (known.isProven) known else renew(address, known)
-        if (!link.send(Outgoing(message))) {
-            handler.endHandOver(message.attempt, AttemptResult.NotSent(Reason.PEER_UNREACHABLE))
+        val known = getConnection(address)
+        val connection = if (known.isAlive) known else replaceConnection(address, known)
+        if (!connection.send(OutgoingMessage(message))) {
+            handler.receiveHandOverFailure(message.attempt, AttemptResult.NotSent(Reason.PEER_UNREACHABLE))
         }
     }
 
-    private fun linkTo(address: SocketAddress): PeerLink =
-        links.compute(address) { _, known -> if (known == null || known.isClosed) open(address) else known }!!
+    private fun getConnection(address: SocketAddress): PeerConnection =
+        connections.compute(address) { _, known ->
+            if (known == null || known.isClosed) openConnection(address) else known
+        }!!
 
-    private fun renew(address: SocketAddress, old: PeerLink): PeerLink =
-        links.compute(address) { _, known -> if (known == null || known === old) open(address) else known }!!
+    private fun replaceConnection(address: SocketAddress, old: PeerConnection): PeerConnection =
+        connections.compute(address) { _, known ->
+            if (known == null || known === old) openConnection(address) else known
+        }!!
 
-    private fun open(address: SocketAddress): PeerLink =
-        PeerLink(address, settings, clock, handler).also { it.start(scope, selector) }
+    private fun openConnection(address: SocketAddress): PeerConnection =
+        PeerConnection(address, settings, clock, handler).also { it.start(scope, selector) }
 
     override fun close() {
         scope.cancel()
         selector.close()
         executor.shutdownNow()
-        selecting.shutdownNow()
+        selectorExecutor.shutdownNow()
     }
 }
 
--- a/cardamomwharf-peer/src/main/kotlin/org/cardamomwharf/peer/PeerServer.kt
+++ b/cardamomwharf-peer/src/main/kotlin/org/cardamomwharf/peer/PeerServer.kt
@@ -31,7 +31,7 @@
     }
 
     private suspend fun serve(scope: CoroutineScope, socket: Socket) {
-        val queue = Channel<PeerMessage>(settings.largestQueue)
+        val queue = Channel<PeerMessage>(settings.maxQueuedMessages)
         val writing = scope.launch { writeAll(socket.openWriteChannel(autoFlush = false), queue) }
         try {
             socket.use { readAll(it.openReadChannel(), queue) }
@@ -46,7 +46,7 @@
     }
 
     private suspend fun readAll(channel: ByteReadChannel, queue: Channel<PeerMessage>) {
-        val replies = PeerReplies { queue.trySend(it).isSuccess }
+        val replies = ReplySender { queue.trySend(it).isSuccess }
         while (true) {
             val message = channel.readMessage()
             if (needsAck(message)) replies.send(PeerMessage.Ack)
@@ -55,7 +55,7 @@
     }
 
     private fun needsAck(message: PeerMessage): Boolean =
-        message is PeerMessage.Ping || message is PeerMessage.Beat || message is PeerMessage.Summary
+        message is PeerMessage.Ping || message is PeerMessage.HeartbeatMessage || message is PeerMessage.SummaryMessage
 
     private suspend fun writeAll(channel: ByteWriteChannel, queue: Channel<PeerMessage>) {
         try {
--- a/cardamomwharf-peer/src/main/kotlin/org/cardamomwharf/peer/PeerSettings.kt
+++ b/cardamomwharf-peer/src/main/kotlin/org/cardamomwharf/peer/PeerSettings.kt
@@ -7,15 +7,15 @@
  * Represents the limits of connections to peers.
  *
  * @param pingAfterMs silence after which proof is asked for.
- * @param silentMs silence after which a connection counts as dead and is closed; new ones may still work.
- * @param provenMs age of the last message up to which a connection counts as alive.
+ * @param silenceTimeoutMs silence after which a connection counts as dead and is closed; new ones may still work.
+ * @param livenessMs age of the last message up to which a connection counts as alive.
  */
 public data class PeerSettings(
-    public val connectMs: Long = 1_000,
+    public val connectTimeoutMs: Long = 1_000,
     public val pingAfterMs: Long = 600,
-    public val silentMs: Long = 2_000,
-    public val provenMs: Long = 1_500,
-    public val watchMs: Long = 200,
-    public val idleMs: Long = 30_000,
-    public val largestQueue: Int = 512,
+    public val silenceTimeoutMs: Long = 2_000,
+    public val livenessMs: Long = 1_500,
+    public val monitorIntervalMs: Long = 200,
+    public val idleTimeoutMs: Long = 30_000,
+    public val maxQueuedMessages: Int = 512,
 )
--- a/cardamomwharf-peer/src/test/kotlin/org/cardamomwharf/peer/PeerPair.kt
+++ b/cardamomwharf-peer/src/test/kotlin/org/cardamomwharf/peer/PeerPair.kt
@@ -31,15 +31,15 @@
 
     fun hasEnded(attempt: AttemptId): Boolean = ends.containsKey(attempt)
 
-    override fun receive(message: PeerMessage, replies: PeerReplies) = Unit
+    override fun receive(message: PeerMessage, replies: ReplySender) = Unit
 
     override fun receiveReply(message: PeerMessage) {
-        if (message !is PeerMessage.HandOverEnd) return
-        val body = message.answer?.body?.decodeToString().orEmpty()
+        if (message !is PeerMessage.HandOverReply) return
+        val body = message.response?.body?.decodeToString().orEmpty()
         answers.computeIfAbsent(message.attempt) { CopyOnWriteArrayList() } += body
     }
 
-    override fun endHandOver(attempt: AttemptId, result: AttemptResult) {
+    override fun receiveHandOverFailure(attempt: AttemptId, result: AttemptResult) {
         ends[attempt] = result
     }
 }
@@ -48,16 +48,16 @@
 class EchoingPeer : PeerHandler {
     val runs = ConcurrentHashMap<AttemptId, Int>()
 
-    override fun receive(message: PeerMessage, replies: PeerReplies) {
+    override fun receive(message: PeerMessage, replies: ReplySender) {
         if (message !is PeerMessage.HandOver) return
         runs.merge(message.attempt, 1, Int::plus)
-        val answer = HandedAnswer(200, emptyList(), message.request.pathAndQuery.toByteArray())
-        replies.send(PeerMessage.HandOverEnd(message.attempt, Reason.ANSWERED, 0, answer))
+        val answer = HandedOverResponse(200, emptyList(), message.request.pathAndQuery.toByteArray())
+        replies.send(PeerMessage.HandOverReply(message.attempt, Reason.ANSWERED, 0, answer))
     }
 
     override fun receiveReply(message: PeerMessage) = Unit
 
-    override fun endHandOver(attempt: AttemptId, result: AttemptResult) = Unit
+    override fun receiveHandOverFailure(attempt: AttemptId, result: AttemptResult) = Unit
 }
 
 class PeerPair : AutoCloseable {
@@ -68,17 +68,17 @@
     val relay: WireRelay = startWireRelay(relayAddress, farAddress)
     private val settings = PeerSettings(
         pingAfterMs = 100,
-        silentMs = 400,
-        provenMs = 300,
-        watchMs = 20,
-        idleMs = IDLE_MS
+        silenceTimeoutMs = 400,
+        livenessMs = 300,
+        monitorIntervalMs = 20,
+        idleTimeoutMs = IDLE_MS
     )
     private val near = startPeerNode(newAddress(), settings, monotonicClock(), log)
     private val far = startPeerNode(farAddress, settings, monotonicClock(), echo)
 
     fun handOver(name: String): AttemptId {
         val attempt = AttemptId(name)
-        val request = HandedRequest("GET", "/$name", emptyList(), ByteArray(0), "print")
+        val request = HandedOverRequest("GET", "/$name", emptyList(), ByteArray(0), "print")
         val limits = HandOverLimits(isIdempotent = false, remainingMs = 1_000, creditBytes = Long.MAX_VALUE)
         near.handOver(relayAddress, PeerMessage.HandOver(attempt, attempt, ServiceName("orders"), request, limits))
         return attempt
