--- a/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/serial/SerialFormsTest.kt
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/serial/SerialFormsTest.kt
@@ -15,7 +15,7 @@
 import org.cardamomwharf.decision.claims.Binding
 import org.cardamomwharf.decision.claims.ClaimRow
 import org.cardamomwharf.decision.claims.ClaimState
-import org.cardamomwharf.decision.lookup.LookupAnswer
+import org.cardamomwharf.decision.lookup.LookupResponse
 import org.cardamomwharf.decision.lookup.Tier
 import org.cardamomwharf.decision.requests.RequestOrigin
 
@@ -24,7 +24,7 @@
     "effect" to EntryEffect.serializer(),
     "claim" to ClaimRow.serializer(),
     "binding" to Binding.serializer(),
-    "lookup" to LookupAnswer.serializer(),
+    "lookup" to LookupResponse.serializer(),
 )
 
 class SerialFormsTest : FunSpec({
