--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/course/CourseReplies.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/course/CourseReplies.kt
@@ -5,7 +5,7 @@
 
 import org.cardamomwharf.core.StatusCode
 import org.cardamomwharf.forward.server.ServerAnswer
-import org.cardamomwharf.steering.requests.AttemptEnd
+import org.cardamomwharf.steering.requests.AttemptOutcome
 import org.cardamomwharf.steering.requests.RefusalReason
 import org.cardamomwharf.steering.requests.RequestSpec
 import org.eclipse.jetty.io.EofException
@@ -24,7 +24,7 @@
         if (answer.status in promisingStatuses) {
             return reply(OwnReply(StatusCode.BAD_GATEWAY, "unproved-refusal"), tries)
         }
-        trace(AttemptEnd.ANSWERED.code, answer.status, tries)
+        trace(AttemptOutcome.ANSWERED.code, answer.status, tries)
         writeAnswer(answer, tools.isStopping, response, callback)
     }
 
@@ -39,7 +39,7 @@
 
     /** Ends the exchange without an answer. */
     fun endUnanswered(tries: List<TryTrace>) {
-        trace(AttemptEnd.CALLER_GONE.code, 0, tries)
+        trace(AttemptOutcome.CALLER_GONE.code, 0, tries)
         callback.failed(EofException("the caller closed the connection"))
     }
 
@@ -55,7 +55,7 @@
                 outcome = outcome,
                 status = status,
                 tookMs = nowMs - spec.arrivedAtMs,
-                leftMs = spec.endsAtMs - nowMs,
+                leftMs = spec.deadlineAtMs - nowMs,
                 tries = tries,
             ),
         )
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/course/ForwardingHandler.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/course/ForwardingHandler.kt
@@ -88,7 +88,7 @@
             service = found.service,
             affinityKey = request.headers.get(FieldNames.AFFINITY_KEY),
             arrivedAtMs = arrivedAtMs,
-            endsAtMs = arrivedAtMs + givenMs,
+            deadlineAtMs = arrivedAtMs + givenMs,
         )
     }
 
@@ -104,7 +104,7 @@
         val isBodiless = request.length == 0L ||
             (request.length < 0 && !request.headers.contains(HttpHeader.TRANSFER_ENCODING))
         when {
-            spec.endsAtMs - spec.arrivedAtMs < LEAST_TIME_MS ->
+            spec.deadlineAtMs - spec.arrivedAtMs < LEAST_TIME_MS ->
                 replies.refuse(RefusalReason.TOO_LATE, 0, emptyList())
             isBodiless -> course.start(null)
             else -> Content.Source.asByteArrayAsync(request, largestBody(desired).toInt())
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/course/RequestCourse.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/course/RequestCourse.kt
@@ -11,7 +11,7 @@
 import org.cardamomwharf.forward.server.ServerCall
 import org.cardamomwharf.forward.server.ServerRequest
 import org.cardamomwharf.platform.FieldNames
-import org.cardamomwharf.steering.requests.AttemptEnd
+import org.cardamomwharf.steering.requests.AttemptOutcome
 import org.cardamomwharf.steering.requests.AttemptReport
 import org.cardamomwharf.steering.requests.NextStep
 import org.cardamomwharf.steering.requests.Placement
@@ -42,7 +42,7 @@
         this.body = body
         tools.underWay.incrementAndGet()
         request.addIdleTimeoutListener { false }
-        val leftMs = (spec.endsAtMs - tools.clock.nowMs()).coerceAtLeast(0)
+        val leftMs = (spec.deadlineAtMs - tools.clock.nowMs()).coerceAtLeast(0)
         timer = tools.scheduler.schedule(::onTimeout, leftMs, TimeUnit.MILLISECONDS)
         endPoint?.watch(::onCallerGone)
         when (val placement = tools.steering.decide { steering, nowMs -> steering.place(spec, nowMs) }) {
@@ -54,8 +54,8 @@
     private fun send(placement: Placement.Send) {
         val next = synchronized(this) {
             if (isOver) {
-                val unsent = AttemptReport(AttemptEnd.CALLER_GONE, mayHaveRun, 0)
-                tools.steering.decide { steering, nowMs -> steering.abandon(spec, placement, unsent, nowMs) }
+                val unsent = AttemptReport(AttemptOutcome.CALLER_GONE, mayHaveRun, 0)
+                tools.steering.decide { steering, nowMs -> steering.recordOutcome(spec, placement, unsent, nowMs) }
                 return
             }
             tried.add(placement)
@@ -67,7 +67,7 @@
     }
 
     private fun requestFor(placement: Placement.Send): ServerRequest {
-        val leftMs = (spec.endsAtMs - tools.clock.nowMs()).coerceAtLeast(1)
+        val leftMs = (spec.deadlineAtMs - tools.clock.nowMs()).coerceAtLeast(1)
         val fields = endToEnd(request.headers)
             .put(FieldNames.DEADLINE_MS, leftMs.toString())
             .put(FieldNames.EXPECTED_SERVER, placement.server.value)
@@ -80,8 +80,8 @@
             val report = noteTry(attemptEndOf(end), detailOf(end))
             val load = (end as? CallEnd.Answered)?.answer?.report
             tools.steering.decide { steering, nowMs ->
-                load?.let { steering.servers.find(placement.server)?.load?.noteReport(it, nowMs) }
-                steering.settle(spec, tried, report, nowMs)
+                load?.let { steering.servers.find(placement.server)?.load?.recordLoadReport(it, nowMs) }
+                steering.completeAttempt(spec, tried, report, nowMs)
             }
         }
         follow(next, (end as? CallEnd.Answered)?.answer)
@@ -89,24 +89,24 @@
 
     private fun follow(next: NextStep, answer: ServerAnswer?) {
         when (next) {
-            is NextStep.TryAgain -> send(next.placement)
+            is NextStep.Retry -> send(next.placement)
             is NextStep.Refuse -> finish { replies.refuse(next.reason, next.retryAfterMs, tries) }
-            NextStep.PassOn -> finish { replies.passOn(checkNotNull(answer), tries) }
+            NextStep.RelayResponse -> finish { replies.passOn(checkNotNull(answer), tries) }
             NextStep.ReportUnknown -> finish { replies.reply(OwnReply(StatusCode.BAD_GATEWAY, "unknown"), tries) }
             NextStep.ReportTimeout -> finish { replies.reply(timeoutReply, tries) }
         }
     }
 
-    private fun onTimeout() = stopEarly(AttemptEnd.TIMED_OUT) { replies.reply(timeoutReply, tries) }
+    private fun onTimeout() = stopEarly(AttemptOutcome.TIMED_OUT) { replies.reply(timeoutReply, tries) }
 
-    private fun onCallerGone() = stopEarly(AttemptEnd.CALLER_GONE) { replies.endUnanswered(tries) }
+    private fun onCallerGone() = stopEarly(AttemptOutcome.CALLER_GONE) { replies.endUnanswered(tries) }
 
-    private fun stopEarly(end: AttemptEnd, last: () -> Unit) {
+    private fun stopEarly(end: AttemptOutcome, last: () -> Unit) {
         val pending = synchronized(this) {
             if (isOver) return
             if (tries.size < tried.size) {
                 val report = noteTry(end, "")
-                tools.steering.decide { steering, nowMs -> steering.abandon(spec, tried.last(), report, nowMs) }
+                tools.steering.decide { steering, nowMs -> steering.recordOutcome(spec, tried.last(), report, nowMs) }
             }
             call
         }
@@ -114,10 +114,10 @@
         pending?.cancel()
     }
 
-    private fun noteTry(end: AttemptEnd, detail: String): AttemptReport {
+    private fun noteTry(end: AttemptOutcome, detail: String): AttemptReport {
         val tookMs = tools.clock.nowMs() - sentAtMs
         tries.add(TryTrace(tried.last(), end.code, detail, tookMs))
-        return AttemptReport(end, mayHaveRun, tookMs).also { mayHaveRun = mayHaveRun || !end.isRunExcluded }
+        return AttemptReport(end, mayHaveRun, tookMs).also { mayHaveRun = mayHaveRun || !end.isNotExecuted }
     }
 
     private fun finish(last: () -> Unit) {
@@ -132,6 +132,6 @@
     }
 
     private companion object {
-        val timeoutReply = OwnReply(StatusCode.GATEWAY_TIMEOUT, AttemptEnd.TIMED_OUT.code)
+        val timeoutReply = OwnReply(StatusCode.GATEWAY_TIMEOUT, AttemptOutcome.TIMED_OUT.code)
     }
 }
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/GatewayProcess.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/GatewayProcess.kt
@@ -44,10 +44,10 @@
 import org.cardamomwharf.http.startJettyHttpClient
 import org.cardamomwharf.platform.platformStore
 import org.cardamomwharf.steering.Steering
-import org.cardamomwharf.steering.belief.DeploymentStore
 import org.cardamomwharf.steering.desired.CallerLimits
-import org.cardamomwharf.steering.instances.InstanceBook
 import org.cardamomwharf.steering.instances.InstanceRecord
+import org.cardamomwharf.steering.instances.InstanceRegistry
+import org.cardamomwharf.steering.store.DeploymentStore
 import java.io.IOException
 import java.nio.file.Path
 import java.util.concurrent.TimeUnit
@@ -85,7 +85,7 @@
         settings.addresses.caller,
         SocketAddress(settings.addresses.host, settings.peerPort),
     )
-    private val book = InstanceBook(own, Incarnation(System.currentTimeMillis()), SILENCE_MS)
+    private val book = InstanceRegistry(own, Incarnation(System.currentTimeMillis()), SILENCE_MS)
     private val caller = startJettyHttpClient(HttpClientSettings("store", maxConnections = 8, maxThreads = 6))
     private val relay: StoreRelay = StoreRelay(own, peerDirectory(), watchTools, ::shareBudgets)
     private val roster = PeerRoster(own, book, clock)
@@ -102,7 +102,9 @@
     private val frontSettings = FrontSettings()
     private val threads = startFrontThreads(frontSettings)
     private val pool = startServerPool(ServerPoolSettings(), threads.executor, clock) { server, tookMs ->
-        steering.decide { decisions, _ -> decisions.servers.find(server)?.let { decisions.travel.note(it, tookMs) } }
+        steering.decide { decisions, _ ->
+            decisions.servers.find(server)?.let { decisions.roundTripTimes.record(it, tookMs) }
+        }
     }
     private val tools = CourseTools(steering, pool, threads.scheduler, clock) { trace ->
         log.take(trace)
@@ -177,7 +179,7 @@
 
     private fun shareBudgets() {
         val sharing = roster.sharing() ?: return
-        steering.decide { decisions, _ -> decisions.shareWith(sharing.associate { it.name to it.zone }) }
+        steering.decide { decisions, _ -> decisions.setLiveInstances(sharing.associate { it.name to it.zone }) }
     }
 
     private fun stateListener() = object : StateListener {
@@ -192,7 +194,7 @@
 
     private fun tick() {
         attempt("tick", log) {
-            steering.decide { decisions, nowMs -> decisions.tick(nowMs) }
+            steering.decide { decisions, nowMs -> decisions.adjustSpillover(nowMs) }
             watch.expire()
             pool.closeExpired()
             if (++ticks % TICKS_PER_LENDING == 0) lendingLog.write()
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/directory/DirectoryHandler.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/directory/DirectoryHandler.kt
@@ -7,7 +7,7 @@
 import org.cardamomwharf.forward.front.FrontHandler
 import org.cardamomwharf.platform.decodeCallerPlace
 import org.cardamomwharf.platform.encodeDirectoryAnswer
-import org.cardamomwharf.steering.Place
+import org.cardamomwharf.steering.InstanceLocation
 import org.cardamomwharf.steering.instances.InstanceRecord
 import org.cardamomwharf.steering.instances.chooseInstances
 import org.eclipse.jetty.http.HttpHeader
@@ -24,7 +24,7 @@
 
 /** Returns the handler for the directory. */
 internal fun directoryHandler(
-    place: Place,
+    place: InstanceLocation,
     watch: DirectoryWatch,
     serving: () -> List<InstanceRecord>,
 ): FrontHandler =
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/logs/LendingLog.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/logs/LendingLog.kt
@@ -12,15 +12,15 @@
     /** Writes the tries since the last call. */
     fun write() {
         val reports = steering.decide { decisions, _ ->
-            decisions.lendings.reports().also { decisions.lendings.clearCounts() }
+            decisions.spillover.reports().also { decisions.spillover.clearCounts() }
         }
-        reports.filter { it.sends.isNotEmpty() }.forEach { report ->
+        reports.filter { it.attemptCounts.isNotEmpty() }.forEach { report ->
             log.event("lending") {
                 put("service", report.service.value)
                 put("share", report.share)
-                put("wanted", report.wanted)
+                put("wanted", report.targetShare)
                 putJsonObject("sends") {
-                    report.sends.forEach { (to, count) -> put("${to.region?.value}/${to.choice.code}", count) }
+                    report.attemptCounts.forEach { (to, count) -> put("${to.region?.value}/${to.choice.code}", count) }
                 }
             }
         }
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/metrics/ProcessState.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/metrics/ProcessState.kt
@@ -7,7 +7,7 @@
 import org.cardamomwharf.forward.course.CourseTools
 import org.cardamomwharf.forward.course.GuardedSteering
 import org.cardamomwharf.forward.server.ServerPool
-import org.cardamomwharf.steering.instances.InstanceBook
+import org.cardamomwharf.steering.instances.InstanceRegistry
 
 private const val BYTES_PER_KB = 1_024
 
@@ -15,7 +15,7 @@
     private val tools: CourseTools,
     private val pool: ServerPool,
     private val steering: GuardedSteering,
-    private val book: InstanceBook,
+    private val book: InstanceRegistry,
     private val clock: Clock,
 ) {
     /** Returns the numbers by name. */
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/HeartbeatCodec.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/HeartbeatCodec.kt
@@ -13,11 +13,11 @@
 import org.cardamomwharf.core.InstanceName
 import org.cardamomwharf.core.SocketAddress
 import org.cardamomwharf.core.ZoneName
-import org.cardamomwharf.steering.belief.StoreNews
 import org.cardamomwharf.steering.instances.Heartbeat
 import org.cardamomwharf.steering.instances.HeartbeatCount
 import org.cardamomwharf.steering.instances.HeartbeatMessage
 import org.cardamomwharf.steering.instances.InstanceRecord
+import org.cardamomwharf.steering.store.StoreStatus
 
 @OptIn(ExperimentalSerializationApi::class)
 private val cbor = Cbor { ignoreUnknownKeys = true }
@@ -43,10 +43,10 @@
     val names = message.counts.joinToString(NAME_SEPARATOR.toString()) { it.name.value }
     val wire = WireMessage(
         message.sender.toWire(),
-        message.introduced.map { it.toWire() },
+        message.newInstances.map { it.toWire() },
         names,
         numbers,
-        message.news,
+        message.storeStatus,
     )
     return frame(cbor.encodeToByteArray(wire))
 }
@@ -78,7 +78,7 @@
     val introduced: List<WireHeartbeat> = emptyList(),
     val names: String = "",
     val numbers: LongArray = LongArray(0),
-    val news: StoreNews? = null,
+    val news: StoreStatus? = null,
 ) {
     fun counts(): List<HeartbeatCount> {
         val split = if (names.isEmpty()) emptyList() else names.split(NAME_SEPARATOR)
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/PeerDatagrams.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/PeerDatagrams.kt
@@ -8,8 +8,8 @@
 import org.cardamomwharf.core.SocketAddress
 import org.cardamomwharf.gateway.logs.DecisionLog
 import org.cardamomwharf.steering.instances.HeartbeatMessage
-import org.cardamomwharf.steering.instances.HeartbeatSend
 import org.cardamomwharf.steering.instances.InstanceRecord
+import org.cardamomwharf.steering.instances.OutgoingHeartbeat
 import java.io.IOException
 import java.net.InetSocketAddress
 import java.net.StandardProtocolFamily
@@ -37,9 +37,9 @@
     }
 
     /** Sends [sent] to each of its receivers. */
-    fun send(sent: HeartbeatSend) {
+    fun send(sent: OutgoingHeartbeat) {
         val bytes = ByteBuffer.wrap(encodeHeartbeats(sent.message))
-        sent.to.forEach { sendTo(it, bytes.duplicate()) }
+        sent.recipients.forEach { sendTo(it, bytes.duplicate()) }
     }
 
     /** Waits for a datagram and returns its message, or null when it isn't one of ours. */
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/PeerHeartbeats.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/PeerHeartbeats.kt
@@ -5,12 +5,12 @@
 
 import org.cardamomwharf.gateway.WatchTools
 import org.cardamomwharf.gateway.startDuty
-import org.cardamomwharf.steering.Place
-import org.cardamomwharf.steering.belief.StoreNews
+import org.cardamomwharf.steering.InstanceLocation
 import org.cardamomwharf.steering.instances.HeartbeatExchange
-import org.cardamomwharf.steering.instances.InstanceBook
 import org.cardamomwharf.steering.instances.InstanceRecord
-import org.cardamomwharf.steering.instances.ReaderChoice
+import org.cardamomwharf.steering.instances.InstanceRegistry
+import org.cardamomwharf.steering.instances.WatcherElection
+import org.cardamomwharf.steering.store.StoreStatus
 import java.util.concurrent.ArrayBlockingQueue
 import java.util.concurrent.TimeUnit
 import kotlin.random.Random
@@ -24,10 +24,10 @@
 /** Connects heartbeats with what this process knows of the store. */
 internal interface HeartbeatNews {
     /** Returns what to tell about the store, or null when another instance follows it for this one. */
-    fun toTell(): StoreNews?
+    fun toTell(): StoreStatus?
 
     /** Takes what the instance [from] tells about the store. */
-    fun take(from: InstanceRecord, news: StoreNews)
+    fun take(from: InstanceRecord, news: StoreStatus)
 
     /** Is called with each own heartbeat. */
     fun onBeat()
@@ -36,14 +36,14 @@
 /** Represents the heartbeats of this process. */
 internal class PeerHeartbeats(
     private val own: InstanceRecord,
-    private val place: Place,
-    private val book: InstanceBook,
+    private val place: InstanceLocation,
+    private val book: InstanceRegistry,
     private val roster: PeerRoster,
     private val tools: WatchTools,
     private val news: HeartbeatNews,
 ) {
     private val clock = tools.clock
-    private val exchange = HeartbeatExchange(place, book, ReaderChoice(own))
+    private val exchange = HeartbeatExchange(place, book, WatcherElection(own))
     private val changes = ArrayBlockingQueue<Unit>(1)
     private val datagrams = PeerDatagrams(own.peerAddress, tools.log)
     private var number = 0
@@ -88,18 +88,19 @@
         news.onBeat()
         val told = news.toTell()
         val others = roster.others()
-        synchronized(book) { exchange.beat(number, others, told, clock.nowMs()) }.forEach { datagrams.send(it) }
+        synchronized(book) { exchange.nextHeartbeats(number, others, told, clock.nowMs()) }
+            .forEach { datagrams.send(it) }
     }
 
-    private fun tell(told: StoreNews) {
+    private fun tell(told: StoreStatus) {
         val others = roster.others()
-        datagrams.send(synchronized(book) { exchange.change(others, told, clock.nowMs()) })
+        datagrams.send(synchronized(book) { exchange.changeNotification(others, told, clock.nowMs()) })
     }
 
     private fun receive(): Boolean {
         val message = datagrams.receive() ?: return true
         synchronized(book) { exchange.receive(message, clock.nowMs()) }
-        message.news?.let { news.take(message.sender.record, it) }
+        message.storeStatus?.let { news.take(message.sender.record, it) }
         return true
     }
 }
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/PeerRoster.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/PeerRoster.kt
@@ -4,8 +4,8 @@
 package org.cardamomwharf.gateway.peers
 
 import org.cardamomwharf.core.Clock
-import org.cardamomwharf.steering.instances.InstanceBook
 import org.cardamomwharf.steering.instances.InstanceRecord
+import org.cardamomwharf.steering.instances.InstanceRegistry
 
 /** Time after a start for which listed instances count as running; their heartbeats need several rounds to arrive. */
 private const val SETTLING_MS = 3_000L
@@ -13,7 +13,7 @@
 /** Represents the instances that are known besides [own]. */
 internal class PeerRoster(
     private val own: InstanceRecord,
-    private val book: InstanceBook,
+    private val book: InstanceRegistry,
     private val clock: Clock,
 ) {
     private val startedAtMs = clock.nowMs()
@@ -26,7 +26,7 @@
     fun introduce(records: Collection<InstanceRecord>) {
         val others = records.filter { it.name != own.name }
         listed = others
-        synchronized(book) { book.introduce(others) }
+        synchronized(book) { book.addAddresses(others) }
     }
 
     /** Returns the instances that run, this one included. */
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/PeerState.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/PeerState.kt
@@ -17,9 +17,9 @@
 import org.cardamomwharf.http.HttpClient
 import org.cardamomwharf.http.HttpResult
 import org.cardamomwharf.http.call
-import org.cardamomwharf.steering.belief.OperatorOrder
-import org.cardamomwharf.steering.belief.TableReading
 import org.cardamomwharf.steering.servers.ServerRecord
+import org.cardamomwharf.steering.store.OperatorOrder
+import org.cardamomwharf.steering.store.TableUpdate
 import org.eclipse.jetty.server.Request
 import java.nio.ByteBuffer
 
@@ -35,8 +35,8 @@
  */
 @Serializable
 internal data class PeerState(
-    val orders: TableReading<OperatorOrder>? = null,
-    val servers: TableReading<ServerRecord>? = null,
+    val orders: TableUpdate<OperatorOrder>? = null,
+    val servers: TableUpdate<ServerRecord>? = null,
     val graceLeftMs: Long = 0,
 )
 
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/Registration.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/Registration.kt
@@ -6,8 +6,8 @@
 import com.github.michaelbull.result.getOrElse
 import org.cardamomwharf.gateway.logs.DecisionLog
 import org.cardamomwharf.gateway.startDuty
-import org.cardamomwharf.steering.belief.DeploymentStore
 import org.cardamomwharf.steering.instances.InstanceRecord
+import org.cardamomwharf.steering.store.DeploymentStore
 
 /** Pause before the instances are read or registered again after a failure. */
 private const val RETRY_MS = 500L
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/settings/GatewaySettings.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/settings/GatewaySettings.kt
@@ -7,9 +7,9 @@
 import org.cardamomwharf.core.RegionName
 import org.cardamomwharf.core.SocketAddress
 import org.cardamomwharf.core.ZoneName
-import org.cardamomwharf.steering.Place
-import org.cardamomwharf.steering.SteeringTerms
-import org.cardamomwharf.steering.limits.RetryTerms
+import org.cardamomwharf.steering.InstanceLocation
+import org.cardamomwharf.steering.SteeringParameters
+import org.cardamomwharf.steering.limits.RetryBudgetParameters
 
 /**
  * Represents the settings.
@@ -28,11 +28,11 @@
     public val bounds: GatewayBounds,
 ) {
     /** Returns the place of this instance. */
-    public fun toPlace(): Place = Place(instance, zone, zones)
+    public fun toPlace(): InstanceLocation = InstanceLocation(instance, zone, zones)
 
     /** Returns the terms of the decisions. */
-    public fun toTerms(): SteeringTerms = SteeringTerms(
-        retry = RetryTerms(bounds.retryRatio, bounds.retryAllowance, bounds.retryWindowMs),
+    public fun toTerms(): SteeringParameters = SteeringParameters(
+        retryBudget = RetryBudgetParameters(bounds.retryRatio, bounds.retryAllowance, bounds.retryWindowMs),
         largestShift = bounds.largestShift,
     )
 }
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/store/GuardedBelief.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/store/GuardedBelief.kt
@@ -6,9 +6,9 @@
 
 import kotlinx.serialization.json.put
 import org.cardamomwharf.gateway.WatchTools
-import org.cardamomwharf.steering.belief.TableBelief
-import org.cardamomwharf.steering.belief.TableChange
-import org.cardamomwharf.steering.belief.TableReading
+import org.cardamomwharf.steering.store.CachedTable
+import org.cardamomwharf.steering.store.TableChange
+import org.cardamomwharf.steering.store.TableUpdate
 
 /** Length at which values are cut in log lines. */
 private const val LONGEST_TEXT = 300
@@ -19,7 +19,7 @@
     restoreGraceMs: Long,
     private val onChange: (List<TableChange<T>>) -> Unit,
 ) {
-    private val belief = TableBelief<T>(restoreGraceMs)
+    private val belief = CachedTable<T>(restoreGraceMs)
 
     /** True when the table was read once, here or by another instance. */
     @Volatile
@@ -33,19 +33,19 @@
     val contentVersion: Long get() = synchronized(belief) { belief.contentVersion }
 
     /** Returns what is known when it is newer than [version], or null. */
-    fun readingAfter(version: Long): TableReading<T>? =
-        synchronized(belief) { if (isKnown && belief.version > version) belief.readingAfter(version) else null }
+    fun readingAfter(version: Long): TableUpdate<T>? =
+        synchronized(belief) { if (isKnown && belief.version > version) belief.updateSince(version) else null }
 
     /** Returns the rest of the grace period for entries that lapsed during an outage. */
-    fun graceLeftMs(): Long = synchronized(belief) { belief.grace.leftMs(tools.clock.nowMs()) }
+    fun graceLeftMs(): Long = synchronized(belief) { belief.gracePeriod.remainingMs(tools.clock.nowMs()) }
 
     /** Notes that the store answers again after an outage. */
     fun beginGrace() {
-        if (isKnown) synchronized(belief) { belief.grace.begin(tools.clock.nowMs()) }
+        if (isKnown) synchronized(belief) { belief.gracePeriod.start(tools.clock.nowMs()) }
     }
 
     /** Takes a reading of the store; returns false when it is older than what is known and must be read again. */
-    fun take(reading: TableReading<T>): Boolean = synchronized(belief) {
+    fun take(reading: TableUpdate<T>): Boolean = synchronized(belief) {
         val isStale = belief.isStale(reading)
         publish { belief.apply(reading, tools.clock.nowMs()) }
         isKnown = true
@@ -53,9 +53,9 @@
     }
 
     /** Takes what another instance knows, with the rest of its grace period. */
-    fun takeFromPeer(reading: TableReading<T>, graceLeftMs: Long) {
+    fun takeFromPeer(reading: TableUpdate<T>, graceLeftMs: Long) {
         publish {
-            belief.grace.extend(graceLeftMs, tools.clock.nowMs())
+            belief.gracePeriod.extend(graceLeftMs, tools.clock.nowMs())
             belief.apply(reading, tools.clock.nowMs())
         }
         isKnown = true
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/store/StateWatch.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/store/StateWatch.kt
@@ -9,13 +9,13 @@
 import org.cardamomwharf.gateway.WatchTools
 import org.cardamomwharf.gateway.peers.KnownVersions
 import org.cardamomwharf.gateway.peers.PeerState
-import org.cardamomwharf.steering.belief.ContentVersions
-import org.cardamomwharf.steering.belief.DeploymentStore
-import org.cardamomwharf.steering.belief.OperatorOrder
-import org.cardamomwharf.steering.belief.StoreNews
-import org.cardamomwharf.steering.belief.TableChange
 import org.cardamomwharf.steering.desired.CallerLimits
 import org.cardamomwharf.steering.servers.ServerRecord
+import org.cardamomwharf.steering.store.ContentVersions
+import org.cardamomwharf.steering.store.DeploymentStore
+import org.cardamomwharf.steering.store.OperatorOrder
+import org.cardamomwharf.steering.store.StoreStatus
+import org.cardamomwharf.steering.store.TableChange
 
 /** Is told what follows from the store beyond the decisions. */
 internal interface StateListener {
@@ -61,10 +61,10 @@
     val content: ContentVersions get() = ContentVersions(orders.known.contentVersion, servers.known.contentVersion)
 
     /** Returns what other instances are told about the store. */
-    fun news(): StoreNews {
+    fun news(): StoreStatus {
         val nowMs = clock.nowMs()
         val silentForMs = maxOf(orders.silentForMs(nowMs), servers.silentForMs(nowMs))
-        return StoreNews(content, silentForMs, orders.isFailing || servers.isFailing)
+        return StoreStatus(content, silentForMs, orders.isFailing || servers.isFailing)
     }
 
     /** Returns what is known beyond [known], for another instance. */
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/store/StoreRelay.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/store/StoreRelay.kt
@@ -9,9 +9,9 @@
 import org.cardamomwharf.gateway.peers.KnownVersions
 import org.cardamomwharf.gateway.peers.PeerState
 import org.cardamomwharf.gateway.startDuty
-import org.cardamomwharf.steering.belief.StoreNews
 import org.cardamomwharf.steering.instances.InstanceRecord
-import org.cardamomwharf.steering.instances.ReaderChoice
+import org.cardamomwharf.steering.instances.WatcherElection
+import org.cardamomwharf.steering.store.StoreStatus
 import java.util.concurrent.ArrayBlockingQueue
 import java.util.concurrent.TimeUnit
 
@@ -39,7 +39,7 @@
     private val tools: WatchTools,
     private val onBeat: () -> Unit,
 ) : WatchDuty, HeartbeatNews {
-    private val choice = ReaderChoice(own)
+    private val choice = WatcherElection(own)
     private val wake = ArrayBlockingQueue<Unit>(1)
     private lateinit var watch: StateWatch
 
@@ -51,17 +51,17 @@
 
     override fun isReader(): Boolean {
         val running = peers.running()
-        return synchronized(choice) { choice.isReader(running, tools.clock.nowMs()) }
+        return synchronized(choice) { choice.isWatcher(running, tools.clock.nowMs()) }
     }
 
     override fun onAway() {
         peers.any()?.let(::ask)
     }
 
-    override fun toTell(): StoreNews? = if (isReader()) watch.news() else null
+    override fun toTell(): StoreStatus? = if (isReader()) watch.news() else null
 
-    override fun take(from: InstanceRecord, news: StoreNews) {
-        synchronized(choice) { choice.hear(from, news, tools.clock.nowMs()) }
+    override fun take(from: InstanceRecord, news: StoreStatus) {
+        synchronized(choice) { choice.receive(from, news, tools.clock.nowMs()) }
         if (news.content.isAheadOf(watch.content)) wake.offer(Unit)
     }
 
@@ -69,7 +69,7 @@
 
     private fun askAhead(): Boolean {
         wake.poll(LOOK_MS, TimeUnit.MILLISECONDS)
-        val ahead = synchronized(choice) { choice.aheadOf(watch.content, tools.clock.nowMs()) }
+        val ahead = synchronized(choice) { choice.instancesAheadOf(watch.content, tools.clock.nowMs()) }
         ahead.take(MOST_ASKED).any { ask(it) }
         return true
     }
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/store/TableWatcher.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/store/TableWatcher.kt
@@ -10,10 +10,10 @@
 import kotlinx.serialization.json.put
 import org.cardamomwharf.gateway.WatchTools
 import org.cardamomwharf.gateway.startDuty
-import org.cardamomwharf.steering.belief.StoreError
-import org.cardamomwharf.steering.belief.StoreTable
-import org.cardamomwharf.steering.belief.TableChange
-import org.cardamomwharf.steering.belief.TableReading
+import org.cardamomwharf.steering.store.StoreError
+import org.cardamomwharf.steering.store.StoreTable
+import org.cardamomwharf.steering.store.TableChange
+import org.cardamomwharf.steering.store.TableUpdate
 import kotlin.random.Random
 
 /** Longest wait for a change; a silent connection is noticed after it, within the users' stable window. */
@@ -66,11 +66,11 @@
     }
 
     private fun readOnce() {
-        val result = if (isWholeDue) table.read() else table.follow(known.version, WAIT_MS)
+        val result = if (isWholeDue) table.read() else table.awaitChanges(known.version, WAIT_MS)
         result.onSuccess { take(it) }.onFailure { fail(it) }
     }
 
-    private fun take(reading: TableReading<T>) {
+    private fun take(reading: TableUpdate<T>) {
         answeredAtMs = clock.nowMs()
         if (failures > 0) noteRestored()
         isWholeDue = !known.take(reading)
@@ -78,7 +78,7 @@
         if (reading.entries.isNotEmpty()) Thread.sleep(PAUSE_MS)
     }
 
-    private fun noteStale(reading: TableReading<T>) = log.event("store-stale") {
+    private fun noteStale(reading: TableUpdate<T>) = log.event("store-stale") {
         put("table", name)
         put("version", reading.version)
         put("known", known.version)
--- a/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/GracefulStopTest.kt
+++ b/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/GracefulStopTest.kt
@@ -21,10 +21,10 @@
 import org.cardamomwharf.forward.server.ServerPoolSettings
 import org.cardamomwharf.forward.server.startServerPool
 import org.cardamomwharf.gateway.logs.DecisionLog
-import org.cardamomwharf.steering.Place
+import org.cardamomwharf.steering.InstanceLocation
 import org.cardamomwharf.steering.Steering
-import org.cardamomwharf.steering.SteeringTerms
-import org.cardamomwharf.steering.limits.RetryTerms
+import org.cardamomwharf.steering.SteeringParameters
+import org.cardamomwharf.steering.limits.RetryBudgetParameters
 import java.net.Socket
 import java.nio.ByteBuffer
 import java.util.concurrent.CountDownLatch
@@ -39,8 +39,9 @@
     test("`a stop waits for a request that has arrived and isn't counted yet`") {
         val clock = monotonicClock()
         val threads = startFrontThreads(FrontSettings())
-        val place = Place(InstanceName("i"), ZoneName("z"), mapOf(ZoneName("z") to RegionName("r")))
-        val steering = GuardedSteering(Steering(place, SteeringTerms(RetryTerms(0.2, 10, 10_000))), clock)
+        val place = InstanceLocation(InstanceName("i"), ZoneName("z"), mapOf(ZoneName("z") to RegionName("r")))
+        val parameters = SteeringParameters(RetryBudgetParameters(0.2, 10, 10_000))
+        val steering = GuardedSteering(Steering(place, parameters), clock)
         val pool = startServerPool(ServerPoolSettings(), threads.executor, clock)
         val tools = CourseTools(steering, pool, threads.scheduler, clock) { }
         val isArrived = CountDownLatch(1)
--- a/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/peers/HeartbeatCodecTest.kt
+++ b/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/peers/HeartbeatCodecTest.kt
@@ -15,12 +15,12 @@
 import org.cardamomwharf.core.InstanceName
 import org.cardamomwharf.core.SocketAddress
 import org.cardamomwharf.core.ZoneName
-import org.cardamomwharf.steering.belief.ContentVersions
-import org.cardamomwharf.steering.belief.StoreNews
 import org.cardamomwharf.steering.instances.Heartbeat
 import org.cardamomwharf.steering.instances.HeartbeatCount
 import org.cardamomwharf.steering.instances.HeartbeatMessage
 import org.cardamomwharf.steering.instances.InstanceRecord
+import org.cardamomwharf.steering.store.ContentVersions
+import org.cardamomwharf.steering.store.StoreStatus
 
 private const val LARGEST_DATAGRAM_BYTES = 65_507
 
@@ -37,7 +37,7 @@
     }
 
     test("`a message with all its parts is read as it was written`") {
-        val news = StoreNews(ContentVersions(3, 4), 250, isFailing = true)
+        val news = StoreStatus(ContentVersions(3, 4), 250, isFailing = true)
         val message = HeartbeatMessage(beat("a"), listOf(beat("b"), beat("c")), counts(95), news)
         decodeHeartbeats(encodeHeartbeats(message)) shouldBe message
     }
--- a/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/store/TableWatcherTest.kt
+++ b/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/store/TableWatcherTest.kt
@@ -11,10 +11,10 @@
 import org.cardamomwharf.core.monotonicClock
 import org.cardamomwharf.gateway.WatchTools
 import org.cardamomwharf.gateway.logs.DecisionLog
-import org.cardamomwharf.steering.belief.StoreError
-import org.cardamomwharf.steering.belief.StoreTable
-import org.cardamomwharf.steering.belief.TableEntry
-import org.cardamomwharf.steering.belief.TableReading
+import org.cardamomwharf.steering.store.StoreError
+import org.cardamomwharf.steering.store.StoreTable
+import org.cardamomwharf.steering.store.TableEntry
+import org.cardamomwharf.steering.store.TableUpdate
 import java.util.concurrent.BlockingQueue
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit
@@ -23,22 +23,22 @@
 
 /** Answers reads and waits from two scripts; a script that has run out keeps the caller waiting. */
 private class ScriptedTable(
-    reads: List<Result<TableReading<String>, StoreError>>,
-    waits: List<Result<TableReading<String>, StoreError>>,
+    reads: List<Result<TableUpdate<String>, StoreError>>,
+    waits: List<Result<TableUpdate<String>, StoreError>>,
 ) : StoreTable<String> {
     private val reads = LinkedBlockingQueue(reads)
     private val waits = LinkedBlockingQueue(waits)
 
-    override fun read(): Result<TableReading<String>, StoreError> = reads.take()
+    override fun read(): Result<TableUpdate<String>, StoreError> = reads.take()
 
-    override fun follow(afterVersion: Long, waitMs: Long): Result<TableReading<String>, StoreError> = waits.take()
+    override fun awaitChanges(afterVersion: Long, waitMs: Long): Result<TableUpdate<String>, StoreError> = waits.take()
 }
 
 class TableWatcherTest : FunSpec({
     val clock = monotonicClock()
 
     fun whole(version: Long, value: String) =
-        Ok(TableReading(listOf(TableEntry("a", version, value)), version, isWhole = true))
+        Ok(TableUpdate(listOf(TableEntry("a", version, value)), version, isWhole = true))
 
     fun watch(table: StoreTable<String>, whenAway: () -> Unit = {}): BlockingQueue<String> {
         val seen = LinkedBlockingQueue<String>()
@@ -55,7 +55,7 @@
     fun BlockingQueue<String>.next() = poll(LIMIT_S, TimeUnit.SECONDS)
 
     test("`a table is read again until the reading isn't older than what is known`") {
-        val quiet = Ok(TableReading(emptyList<TableEntry<String>>(), 9, isWhole = false))
+        val quiet = Ok(TableUpdate(emptyList<TableEntry<String>>(), 9, isWhole = false))
         val table = ScriptedTable(
             reads = listOf(whole(1, "first"), whole(4, "old"), whole(5, "old"), whole(10, "newest")),
             waits = listOf(quiet, Err(StoreError.HISTORY_GONE)),
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/Place.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/InstanceLocation.kt
@@ -8,7 +8,7 @@
 import org.cardamomwharf.core.ZoneName
 
 /** Represents the zones of a deployment and the instance that decides. */
-public data class Place(
+public data class InstanceLocation(
     public val instance: InstanceName,
     public val zone: ZoneName,
     public val regions: Map<ZoneName, RegionName>,
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/SteeringTerms.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/SteeringParameters.kt
@@ -4,12 +4,12 @@
  */
 package org.cardamomwharf.steering
 
-import org.cardamomwharf.steering.limits.RetryTerms
+import org.cardamomwharf.steering.limits.RetryBudgetParameters
 
 /** Represents the limits and weights of the decisions. */
-public data class SteeringTerms(
+public data class SteeringParameters(
     /** The shared budget of repeats, from the settings. */
-    public val retry: RetryTerms,
+    public val retryBudget: RetryBudgetParameters,
     /** Largest change of the share of a region's requests that run elsewhere, in two seconds; from the settings. */
     public val largestShift: Double = 0.15,
     /** Time for which entries that lapsed during an outage of the store are kept; the users name two seconds. */
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/instances/HeartbeatExchange.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/instances/HeartbeatExchange.kt
@@ -9,8 +9,8 @@
 package org.cardamomwharf.steering.instances
 
 import org.cardamomwharf.core.rendezvousTop
-import org.cardamomwharf.steering.Place
-import org.cardamomwharf.steering.belief.StoreNews
+import org.cardamomwharf.steering.InstanceLocation
+import org.cardamomwharf.steering.store.StoreStatus
 import kotlin.random.Random
 
 /** Instances of its zone that an instance reports to, so that the second can follow the first without a gap. */
@@ -36,9 +36,9 @@
 
 /** Decides about the heartbeats of the instance at [place]. */
 public class HeartbeatExchange(
-    private val place: Place,
-    private val book: InstanceBook,
-    private val readers: ReaderChoice,
+    private val place: InstanceLocation,
+    private val book: InstanceRegistry,
+    private val readers: WatcherElection,
     private val random: Random = Random.Default,
 ) {
     /** The instance of the zone that last told about the store. */
@@ -51,61 +51,65 @@
      * @param others all instances that may run, without this one.
      * @param news what to tell about the store, or null when another instance follows it for this one.
      */
-    public fun beat(
+    public fun nextHeartbeats(
         number: Int,
         others: Collection<InstanceRecord>,
-        news: StoreNews?,
+        news: StoreStatus?,
         nowMs: Long,
-    ): List<HeartbeatSend> {
-        book.beat()
-        val sends = ArrayList<HeartbeatSend>()
+    ): List<OutgoingHeartbeat> {
+        book.incrementHeartbeat()
+        val sends = ArrayList<OutgoingHeartbeat>()
         val zone = others.filter { it.zone == place.zone }
         val (near, far) = others.partition { place.regions[it.zone] == place.region }
         if (news != null) {
-            sends += HeartbeatSend(zone, messageOf(book.heartbeats(nowMs), news))
+            sends += OutgoingHeartbeat(zone, messageOf(book.heartbeats(nowMs), news))
             if (number % OTHER_ZONES_EVERY == 0) sends += tellOtherZones(others, news, nowMs)
         } else {
-            sends += HeartbeatSend(reportedTo(zone, nowMs), HeartbeatMessage(book.own))
+            sends += OutgoingHeartbeat(reportedTo(zone, nowMs), HeartbeatMessage(book.own))
         }
         val chance = listOfNotNull(
             near.randomOrNull(random).takeIf { number % NEAR_EVERY == 0 },
             far.randomOrNull(random).takeIf { number % FAR_EVERY == 0 },
         )
-        if (chance.isNotEmpty()) sends += HeartbeatSend(chance, messageOf(book.heartbeats(nowMs), null))
-        return sends.filter { it.to.isNotEmpty() }
+        if (chance.isNotEmpty()) sends += OutgoingHeartbeat(chance, messageOf(book.heartbeats(nowMs), null))
+        return sends.filter { it.recipients.isNotEmpty() }
     }
 
     /** Returns what to send when something changed in the store. */
-    public fun change(others: Collection<InstanceRecord>, news: StoreNews, nowMs: Long): HeartbeatSend =
-        HeartbeatSend(
-            others.filter { it.zone == place.zone } + firstOfOtherZones(others, nowMs),
-            HeartbeatMessage(book.own, news = news),
+    public fun changeNotification(
+        others: Collection<InstanceRecord>,
+        news: StoreStatus,
+        nowMs: Long,
+    ): OutgoingHeartbeat =
+        OutgoingHeartbeat(
+            others.filter { it.zone == place.zone } + candidatesInOtherZones(others, nowMs),
+            HeartbeatMessage(book.own, storeStatus = news),
         )
 
     /** Notes that this instance is stopping and returns what to send to all [others]. */
-    public fun leave(others: Collection<InstanceRecord>): HeartbeatSend {
+    public fun leave(others: Collection<InstanceRecord>): OutgoingHeartbeat {
         book.leave()
-        book.beat()
-        return HeartbeatSend(others.toList(), HeartbeatMessage(book.own))
+        book.incrementHeartbeat()
+        return OutgoingHeartbeat(others.toList(), HeartbeatMessage(book.own))
     }
 
     /** Takes [message]. */
     public fun receive(message: HeartbeatMessage, nowMs: Long) {
         val sender = message.sender.record
-        if (message.news != null && sender.zone == place.zone) teller = sender
-        book.hear(message.sender, nowMs)
-        message.introduced.forEach { book.hear(it, nowMs) }
-        message.counts.forEach { book.hear(it, nowMs) }
+        if (message.storeStatus != null && sender.zone == place.zone) teller = sender
+        book.receive(message.sender, nowMs)
+        message.newInstances.forEach { book.receive(it, nowMs) }
+        message.counts.forEach { book.receive(it, nowMs) }
     }
 
-    private fun tellOtherZones(others: Collection<InstanceRecord>, news: StoreNews, nowMs: Long): HeartbeatSend {
+    private fun tellOtherZones(others: Collection<InstanceRecord>, news: StoreStatus, nowMs: Long): OutgoingHeartbeat {
         val ofZone = book.heartbeats(nowMs).filter { it.record.zone == place.zone }
-        return HeartbeatSend(firstOfOtherZones(others, nowMs), messageOf(ofZone, news))
+        return OutgoingHeartbeat(candidatesInOtherZones(others, nowMs), messageOf(ofZone, news))
     }
 
     /** Returns the first instances of other zones among those that run, and among all as long as few are known. */
-    private fun firstOfOtherZones(others: Collection<InstanceRecord>, nowMs: Long): List<InstanceRecord> =
-        (readers.firstOfOtherZones(book.running(nowMs)) + readers.firstOfOtherZones(others)).distinct()
+    private fun candidatesInOtherZones(others: Collection<InstanceRecord>, nowMs: Long): List<InstanceRecord> =
+        (readers.candidatesInOtherZones(book.running(nowMs)) + readers.candidatesInOtherZones(others)).distinct()
 
     private fun reportedTo(zone: List<InstanceRecord>, nowMs: Long): List<InstanceRecord> {
         val running = book.running(nowMs).filter { it.zone == place.zone && it.name != place.instance }
@@ -115,7 +119,7 @@
     private fun firstOf(zone: List<InstanceRecord>): List<InstanceRecord> =
         rendezvousTop(place.zone.value, zone, REPORTED_TO) { it.name.value }
 
-    private fun messageOf(known: List<Heartbeat>, news: StoreNews?): HeartbeatMessage {
+    private fun messageOf(known: List<Heartbeat>, news: StoreStatus?): HeartbeatMessage {
         val own = book.own
         val told = known.filter { it.record.name != own.record.name }
         val young = told.filter { it.count < INTRODUCED_BEATS }
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/instances/InstanceBook.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/instances/InstanceRegistry.kt
@@ -42,7 +42,7 @@
 private const val FORGET_FACTOR = 3
 
 /** Represents the known instances, this one included. */
-public class InstanceBook(own: InstanceRecord, incarnation: Incarnation, private val silenceMs: Long) {
+public class InstanceRegistry(own: InstanceRecord, incarnation: Incarnation, private val silenceMs: Long) {
     private val known = HashMap<InstanceName, Seen>()
     private val introduced = HashMap<InstanceName, InstanceRecord>()
     private val ownName = own.name
@@ -52,7 +52,7 @@
     }
 
     /** Counts the own heartbeat up. */
-    public fun beat() {
+    public fun incrementHeartbeat() {
         val own = known.getValue(ownName)
         known[ownName] = own.copy(heartbeat = own.heartbeat.copy(count = own.heartbeat.count + 1))
     }
@@ -64,7 +64,7 @@
     }
 
     /** Notes [heard] as told by any instance; what is older than what is known changes nothing. */
-    public fun hear(heard: Heartbeat, nowMs: Long) {
+    public fun receive(heard: Heartbeat, nowMs: Long) {
         val name = heard.record.name
         if (name == ownName) return outgrow(heard)
         val before = known[name]?.takeUnless { it.silentForMs(nowMs) > FORGET_FACTOR * silenceMs }?.heartbeat
@@ -74,14 +74,14 @@
     }
 
     /** Takes how other instances can be reached, so that counts of their heartbeats are understood. */
-    public fun introduce(records: Collection<InstanceRecord>) {
+    public fun addAddresses(records: Collection<InstanceRecord>) {
         records.forEach { introduced.putIfAbsent(it.name, it) }
     }
 
     /** Notes [counted] as told by any instance; says nothing about an instance that nobody introduced. */
-    public fun hear(counted: HeartbeatCount, nowMs: Long) {
+    public fun receive(counted: HeartbeatCount, nowMs: Long) {
         val record = known[counted.name]?.heartbeat?.record ?: introduced[counted.name] ?: return
-        hear(Heartbeat(record, counted.incarnation, counted.count, counted.isLeaving), nowMs)
+        receive(Heartbeat(record, counted.incarnation, counted.count, counted.isLeaving), nowMs)
     }
 
     /** The own heartbeat. */
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/instances/ReaderChoice.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/instances/WatcherElection.kt
@@ -8,8 +8,8 @@
 
 import org.cardamomwharf.core.InstanceName
 import org.cardamomwharf.core.rendezvousTop
-import org.cardamomwharf.steering.belief.ContentVersions
-import org.cardamomwharf.steering.belief.StoreNews
+import org.cardamomwharf.steering.store.ContentVersions
+import org.cardamomwharf.steering.store.StoreStatus
 
 /** Silence after which an instance doesn't count on another; half of the shortest bound for changes that users set. */
 private const val NEWS_SILENCE_MS = 1_000L
@@ -24,29 +24,29 @@
 private const val OTHER_ZONE_AFTER_MS = 250L
 
 /** Represents what is heard about the store from other instances. */
-public class ReaderChoice(private val own: InstanceRecord) {
+public class WatcherElection(private val own: InstanceRecord) {
     private val heard = HashMap<InstanceName, Heard>()
 
     /** Notes [news] of the instance [from]. */
-    public fun hear(from: InstanceRecord, news: StoreNews, nowMs: Long) {
+    public fun receive(from: InstanceRecord, news: StoreStatus, nowMs: Long) {
         val before = heard[from.name]
         val isSame = before != null && before.news.content == news.content
         heard[from.name] = Heard(from, news, nowMs, if (isSame) before.contentSinceMs else nowMs)
     }
 
     /** Returns true when this instance has to follow the store, given the instances that are [running]. */
-    public fun isReader(running: Collection<InstanceRecord>, nowMs: Long): Boolean {
+    public fun isWatcher(running: Collection<InstanceRecord>, nowMs: Long): Boolean {
         val before = orderOf(running).takeWhile { it != own.name }
         return before.none { name -> heard[name]?.isReliable(nowMs) == true }
     }
 
     /** Returns the instances that are the first to follow the store in each other zone, from the [running]. */
-    public fun firstOfOtherZones(running: Collection<InstanceRecord>): List<InstanceRecord> =
+    public fun candidatesInOtherZones(running: Collection<InstanceRecord>): List<InstanceRecord> =
         running.filter { it.zone != own.zone }.groupBy { it.zone }
             .flatMap { (zone, ofZone) -> rendezvousTop(zone.value, ofZone, TOLD_OF_ZONE) { it.name.value } }
 
     /** Returns the instances that are known to have something newer than [known], those of the own zone first. */
-    public fun aheadOf(known: ContentVersions, nowMs: Long): List<InstanceRecord> =
+    public fun instancesAheadOf(known: ContentVersions, nowMs: Long): List<InstanceRecord> =
         heard.values
             .filter { nowMs - it.heardAtMs <= STORE_SILENCE_MS && it.news.content.isAheadOf(known) }
             .filter { it.from.zone == own.zone || nowMs - it.contentSinceMs >= OTHER_ZONE_AFTER_MS }
@@ -60,7 +60,7 @@
 
     private class Heard(
         val from: InstanceRecord,
-        val news: StoreNews,
+        val news: StoreStatus,
         val heardAtMs: Long,
         val contentSinceMs: Long,
     ) {
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/limits/RetryBudget.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/limits/RetryBudget.kt
@@ -11,7 +11,7 @@
  * @param allowance repeats allowed in each window besides, for all instances together.
  * @param usableShare part of the budget that is used, so that instances with different views stay within it together.
  */
-public data class RetryTerms(
+public data class RetryBudgetParameters(
     public val ratio: Double,
     public val allowance: Int,
     public val windowMs: Long,
@@ -19,7 +19,7 @@
 )
 
 /** Represents the part of one instance in the budget of one service. */
-public class RetryBudget(private val terms: RetryTerms) {
+public class RetryBudget(private val terms: RetryBudgetParameters) {
     private val requests = SlidingCount(terms.windowMs)
     private val repeats = SlidingCount(terms.windowMs)
 
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/limits/RetryBudgets.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/limits/RetryBudgets.kt
@@ -6,7 +6,7 @@
 import org.cardamomwharf.core.ServiceName
 
 /** Represents the budgets of all services at this instance. */
-public class RetryBudgets(private val terms: RetryTerms) {
+public class RetryBudgets(private val terms: RetryBudgetParameters) {
     private val byService = HashMap<ServiceName, RetryBudget>()
 
     /** Returns the budget of [service]. */
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/limits/Sharers.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/limits/Sharers.kt
@@ -6,11 +6,11 @@
 
 import org.cardamomwharf.core.InstanceName
 import org.cardamomwharf.core.ZoneName
-import org.cardamomwharf.steering.Place
+import org.cardamomwharf.steering.InstanceLocation
 import org.cardamomwharf.steering.servers.KnownServer
 
 /** Represents the instances that share limits. */
-public class Sharers(private val place: Place) {
+public class Sharers(private val place: InstanceLocation) {
     private var zones: Map<InstanceName, ZoneName> = emptyMap()
 
     /** Number of instances that share, this one included; 0 while they aren't known. */
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/Candidates.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/Candidates.kt
@@ -7,7 +7,7 @@
 import org.cardamomwharf.core.combineHashes
 import org.cardamomwharf.core.hash64
 import org.cardamomwharf.steering.Distance
-import org.cardamomwharf.steering.SteeringTerms
+import org.cardamomwharf.steering.SteeringParameters
 import org.cardamomwharf.steering.desired.ActiveRoutes
 import org.cardamomwharf.steering.limits.Sharers
 import org.cardamomwharf.steering.requests.RequestSpec
@@ -24,7 +24,7 @@
     private val servers: ServerBook,
     private val routes: ActiveRoutes,
     private val sharers: Sharers,
-    private val terms: SteeringTerms,
+    private val terms: SteeringParameters,
 ) {
     fun find(name: ServerName): KnownServer? = servers.find(name)
 
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/EstimateBook.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/EstimateBook.kt
@@ -3,15 +3,15 @@
  */
 package org.cardamomwharf.steering.placement
 
-import org.cardamomwharf.steering.SteeringTerms
+import org.cardamomwharf.steering.SteeringParameters
 import org.cardamomwharf.steering.desired.Route
-import org.cardamomwharf.steering.requests.AttemptEnd
+import org.cardamomwharf.steering.requests.AttemptOutcome
 import org.cardamomwharf.steering.requests.AttemptReport
 import org.cardamomwharf.steering.requests.Placement
 import org.cardamomwharf.steering.requests.RequestSpec
 import org.cardamomwharf.steering.servers.KnownServer
 
-internal class EstimateBook(private val terms: SteeringTerms, private val travel: TravelTimes) {
+internal class EstimateBook(private val terms: SteeringParameters, private val roundTripTimes: RoundTripTimes) {
     private val byRoute = HashMap<String, WorkEstimates>()
 
     fun of(route: Route): WorkEstimates = byRoute.getOrPut(route.name) { WorkEstimates(route, terms) }
@@ -25,15 +25,15 @@
         nowMs: Long,
     ) {
         server.load.noteEnded()
-        when (report.end) {
-            AttemptEnd.ANSWERED -> learnAnswer(spec, send, server, report.tookMs, nowMs)
-            AttemptEnd.FAILED, AttemptEnd.SHED -> {
+        when (report.outcome) {
+            AttemptOutcome.ANSWERED -> learnAnswer(spec, send, server, report.tookMs, nowMs)
+            AttemptOutcome.FAILED, AttemptOutcome.SHED -> {
                 server.load.noteAnswer(nowMs)
                 server.trust.noteAnswer(isGood = false, nowMs)
             }
-            AttemptEnd.MISDIRECTED, AttemptEnd.NOT_SENT, AttemptEnd.LOST -> server.trust.noteFailure(nowMs)
-            AttemptEnd.TIMED_OUT -> learnTimeout(send, server, report.tookMs, nowMs)
-            AttemptEnd.CALLER_GONE -> Unit
+            AttemptOutcome.MISDIRECTED, AttemptOutcome.NOT_SENT, AttemptOutcome.LOST -> server.trust.noteFailure(nowMs)
+            AttemptOutcome.TIMED_OUT -> learnTimeout(send, server, report.tookMs, nowMs)
+            AttemptOutcome.CALLER_GONE -> Unit
         }
     }
 
@@ -48,7 +48,7 @@
         server.trust.noteAnswer(isGood = true, nowMs)
         val work = of(spec.route)
         val slowness = server.trust.slowness(nowMs)
-        val workMs = (tookMs - travel.to(server)).coerceAtLeast(1.0)
+        val workMs = (tookMs - roundTripTimes.estimateMs(server)).coerceAtLeast(1.0)
         if (send.load < server.slots) {
             val usualMs = if (work.isWarm(workMs / slowness)) work.warmMs else work.coldMs
             server.trust.noteSpeed(workMs / usualMs, nowMs)
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/Placer.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/Placer.kt
@@ -7,7 +7,7 @@
 import org.cardamomwharf.core.ServerName
 import org.cardamomwharf.core.hashToUnitInterval
 import org.cardamomwharf.steering.Distance
-import org.cardamomwharf.steering.SteeringTerms
+import org.cardamomwharf.steering.SteeringParameters
 import org.cardamomwharf.steering.requests.AttemptReport
 import org.cardamomwharf.steering.requests.Placement
 import org.cardamomwharf.steering.requests.RefusalReason
@@ -16,13 +16,13 @@
 import org.cardamomwharf.steering.servers.KnownServer
 
 internal class Placer(
-    private val terms: SteeringTerms,
+    private val terms: SteeringParameters,
     private val candidates: Candidates,
-    private val lendings: Lendings,
-    travel: TravelTimes,
+    private val spillover: RegionSpillover,
+    roundTripTimes: RoundTripTimes,
 ) {
-    private val estimates = EstimateBook(terms, travel)
-    private val rater = ServerRater(terms, travel)
+    private val estimates = EstimateBook(terms, roundTripTimes)
+    private val rater = ServerRater(terms, roundTripTimes)
 
     fun choose(spec: RequestSpec, excluded: Set<ServerName>, nowMs: Long): Placement {
         val work = estimates.of(spec.route)
@@ -36,7 +36,7 @@
     }
 
     fun noteSent(spec: RequestSpec, send: Placement.Send, nowMs: Long) {
-        lendings.noteSent(spec.service, send)
+        spillover.noteSent(spec.service, send)
         candidates.find(send.server)?.let { candidates.noteSent(it, nowMs) }
     }
 
@@ -97,7 +97,7 @@
     /** Returns true when the request goes to [other] instead of [own]. */
     private fun isLent(spec: RequestSpec, own: Rating, other: Rating): Boolean {
         val gains = other.costMs < own.costMs
-        val lending = lendings.of(spec.service)
+        val lending = spillover.of(spec.service)
         if (rater.isInTime(spec, if (gains) other else own)) lending.noteGain(gains)
         return lending.isDue(gains)
     }
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/Lendings.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/RegionSpillover.kt
@@ -5,22 +5,22 @@
 
 import org.cardamomwharf.core.ServiceName
 import org.cardamomwharf.steering.Distance
-import org.cardamomwharf.steering.Place
+import org.cardamomwharf.steering.InstanceLocation
 import org.cardamomwharf.steering.requests.Placement
 import org.cardamomwharf.steering.requests.RegionChoice
 import org.cardamomwharf.steering.servers.ServerBook
 
 /** Represents the lending of all services at this instance. */
-public class Lendings(
-    private val place: Place,
+public class RegionSpillover(
+    private val place: InstanceLocation,
     private val servers: ServerBook,
     private val largestShift: Double,
 ) {
-    private val byService = HashMap<ServiceName, RegionLending>()
-    private val sends = HashMap<ServiceName, MutableMap<RegionReason, Int>>()
+    private val byService = HashMap<ServiceName, ServiceSpillover>()
+    private val attemptCounts = HashMap<ServiceName, MutableMap<RegionReason, Int>>()
 
-    internal fun of(service: ServiceName): RegionLending =
-        byService.getOrPut(service) { RegionLending(largestShift, firstShareOf(service)) }
+    internal fun of(service: ServiceName): ServiceSpillover =
+        byService.getOrPut(service) { ServiceSpillover(largestShift, firstShareOf(service)) }
 
     /** Moves what is lent towards what gains by it. */
     public fun adjust(nowMs: Long) {
@@ -31,17 +31,17 @@
     public fun noteSent(service: ServiceName, send: Placement.Send) {
         // What leaves for want of a server isn't lent; counted, it would keep the region from lending afterwards.
         if (send.choice != RegionChoice.NO_HOME_SERVER) of(service).noteSent(isLent = send.choice == RegionChoice.LENT)
-        sends.getOrPut(service) { HashMap() }.merge(RegionReason(send.region, send.choice), 1, Int::plus)
+        attemptCounts.getOrPut(service) { HashMap() }.merge(RegionReason(send.region, send.choice), 1, Int::plus)
     }
 
     /** Returns the lending of each service, with the tries since the counts were cleared. */
-    public fun reports(): List<LendingReport> = byService.map { (service, lending) ->
-        LendingReport(service, lending.share, lending.wanted, sends[service].orEmpty().toMap())
+    public fun reports(): List<SpilloverReport> = byService.map { (service, lending) ->
+        SpilloverReport(service, lending.share, lending.targetShare, attemptCounts[service].orEmpty().toMap())
     }
 
     /** Clears the counts of tries. */
     public fun clearCounts() {
-        sends.clear()
+        attemptCounts.clear()
     }
 
     /** Returns the share that the region lacks slots for, when zones get equal shares of the requests. */
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/TravelTimes.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/RoundTripTimes.kt
@@ -21,14 +21,14 @@
 private const val RISE_WEIGHT = 0.05
 
 /** Represents the learnt times there and back. */
-public class TravelTimes {
+public class RoundTripTimes {
     private val byZone = HashMap<ZoneName, Double>()
 
     /** Returns the time there and back to [server]. */
-    public fun to(server: KnownServer): Double = byZone[server.record.zone] ?: usualMs(server.distance)
+    public fun estimateMs(server: KnownServer): Double = byZone[server.record.zone] ?: usualMs(server.distance)
 
     /** Notes that a connection to [server] took [tookMs], which is once there and back. */
-    public fun note(server: KnownServer, tookMs: Long) {
+    public fun record(server: KnownServer, tookMs: Long) {
         val known = byZone[server.record.zone]
         val seenMs = tookMs.toDouble()
         byZone[server.record.zone] = when {
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/ServerRater.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/ServerRater.kt
@@ -4,7 +4,7 @@
 package org.cardamomwharf.steering.placement
 
 import org.cardamomwharf.steering.Distance
-import org.cardamomwharf.steering.SteeringTerms
+import org.cardamomwharf.steering.SteeringParameters
 import org.cardamomwharf.steering.requests.RequestSpec
 import org.cardamomwharf.steering.servers.KnownServer
 
@@ -35,8 +35,8 @@
 
 /** Predicts for single servers. */
 internal class ServerRater(
-    private val terms: SteeringTerms,
-    private val travel: TravelTimes,
+    private val terms: SteeringParameters,
+    private val roundTripTimes: RoundTripTimes,
 ) {
     /** Predicts for [server], which stands at [place] in the order that its region has for the key; 0 is the first. */
     fun rate(
@@ -55,7 +55,7 @@
         val workMs = work.expectMs(warmth) * slowness
         val ahead = (server.load.estimate(nowMs) + 1 - server.slots).coerceAtLeast(0.0)
         val waitMs = ahead / server.slots * (work.warmMs + work.coldMs) / 2 * slowness
-        val times = PredictedTimes(travel.to(server), waitMs, workMs)
+        val times = PredictedTimes(roundTripTimes.estimateMs(server), waitMs, workMs)
         val extraMs = penaltyMs(server.distance) +
             terms.spreadPenaltyShare * minOf(place, LARGEST_SPREAD) * work.savedMs +
             server.trust.failureShare(nowMs) * spec.route.targetLatencyMs -
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/RegionLending.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/ServiceSpillover.kt
@@ -23,20 +23,20 @@
 private const val FIRST_CREDIT = 0.5
 
 /** Represents the lending of one service at this instance. */
-public class RegionLending(private val largestShift: Double, initialShare: Double) {
+public class ServiceSpillover(private val largestShift: Double, initialShare: Double) {
     /** Share of the tries that are lent. */
     public var share: Double = initialShare.coerceIn(0.0, 1.0)
         private set
 
     /** Share of the requests that gain by leaving, of those that can be served in time. */
-    public var wanted: Double = share
+    public var targetShare: Double = share
         private set
     private var credit = FIRST_CREDIT
     private var adjustedAtMs: Long? = null
 
     /** Notes whether a request that can be served in time [gains] by leaving. */
     public fun noteGain(gains: Boolean) {
-        wanted += SMOOTHING * ((if (gains) 1.0 else 0.0) - wanted)
+        targetShare += SMOOTHING * ((if (gains) 1.0 else 0.0) - targetShare)
     }
 
     /** Returns true when the next request is lent if it is sent, given whether it [gains] by leaving. */
@@ -50,11 +50,11 @@
         credit = (credit + share).coerceAtMost(LARGEST_CREDIT) - (if (isLent) 1.0 else 0.0)
     }
 
-    /** Moves the share towards what is wanted. */
+    /** Moves the share towards what is targetShare. */
     public fun adjust(nowMs: Long) {
         val elapsedMs = nowMs - (adjustedAtMs ?: nowMs)
         adjustedAtMs = nowMs
         val step = largestShift * USABLE_SHIFT * elapsedMs / SHIFT_WINDOW_MS
-        share += (wanted - share).coerceIn(-step, step)
+        share += (targetShare - share).coerceIn(-step, step)
     }
 }
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/LendingReport.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/SpilloverReport.kt
@@ -15,12 +15,12 @@
  * Represents the lending of one service.
  *
  * @param share share of the tries that are lent.
- * @param wanted share of the requests that gain by leaving; the lent share moves towards it.
- * @param sends tries since the counts were cleared.
+ * @param targetShare share of the requests that gain by leaving; the lent share moves towards it.
+ * @param attemptCounts tries since the counts were cleared.
  */
-public data class LendingReport(
+public data class SpilloverReport(
     public val service: ServiceName,
     public val share: Double,
-    public val wanted: Double,
-    public val sends: Map<RegionReason, Int>,
+    public val targetShare: Double,
+    public val attemptCounts: Map<RegionReason, Int>,
 )
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/WorkEstimates.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/WorkEstimates.kt
@@ -4,7 +4,7 @@
  */
 package org.cardamomwharf.steering.placement
 
-import org.cardamomwharf.steering.SteeringTerms
+import org.cardamomwharf.steering.SteeringParameters
 import org.cardamomwharf.steering.desired.Route
 
 /** Share of the cold time that a warm request takes before any answer was seen; warm work is several times faster. */
@@ -23,7 +23,7 @@
 private const val OTHER_CHOICE_WARM = 0.1
 
 /** Represents the learnt times of one route. */
-public class WorkEstimates(route: Route, private val terms: SteeringTerms) {
+public class WorkEstimates(route: Route, private val terms: SteeringParameters) {
     private val isSticky = route.isSticky
 
     /** Time of a request whose key the server doesn't know. */
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/requests/AttemptEnd.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/requests/AttemptOutcome.kt
@@ -4,7 +4,7 @@
 package org.cardamomwharf.steering.requests
 
 /** Represents the end of one try. */
-public enum class AttemptEnd(public val code: String, public val isRunExcluded: Boolean) {
+public enum class AttemptOutcome(public val code: String, public val isNotExecuted: Boolean) {
     /** A whole answer arrived that may be passed on. */
     ANSWERED("answered", false),
 
@@ -37,10 +37,10 @@
 /** Represents what follows the end of a try. */
 public sealed interface NextStep {
     /** The request is tried once more. */
-    public data class TryAgain(public val placement: Placement.Send) : NextStep
+    public data class Retry(public val placement: Placement.Send) : NextStep
 
     /** The answer of the backend server goes to the caller. */
-    public data object PassOn : NextStep
+    public data object RelayResponse : NextStep
 
     /** The caller is told that the request did not run. */
     public data class Refuse(public val reason: RefusalReason, public val retryAfterMs: Long) : NextStep
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/requests/AttemptReport.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/requests/AttemptReport.kt
@@ -10,7 +10,7 @@
  * @param tookMs time from the decision to send until the end.
  */
 public data class AttemptReport(
-    public val end: AttemptEnd,
+    public val outcome: AttemptOutcome,
     public val mayHaveRun: Boolean,
     public val tookMs: Long,
 )
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/requests/RequestSpec.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/requests/RequestSpec.kt
@@ -14,7 +14,7 @@
  * Represents a request that has a route.
  *
  * @param affinityKey the object that the request is about, or null.
- * @param endsAtMs time at which the caller or the route gives up, whichever is first.
+ * @param deadlineAtMs time at which the caller or the route gives up, whichever is first.
  */
 public data class RequestSpec(
     public val id: String,
@@ -22,7 +22,7 @@
     public val service: ServiceName,
     public val affinityKey: String?,
     public val arrivedAtMs: Long,
-    public val endsAtMs: Long,
+    public val deadlineAtMs: Long,
 )
 
 /** Represents where a request goes, or why it goes nowhere. */
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/servers/KnownServer.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/servers/KnownServer.kt
@@ -7,7 +7,7 @@
 import org.cardamomwharf.core.RegionName
 import org.cardamomwharf.core.hash64
 import org.cardamomwharf.steering.Distance
-import org.cardamomwharf.steering.SteeringTerms
+import org.cardamomwharf.steering.SteeringParameters
 import org.cardamomwharf.steering.limits.ColdAllowance
 
 /** Represents the belief about one life of a backend server. */
@@ -17,7 +17,7 @@
     public val distance: Distance,
     /** The region of the server, or null when its zone isn't listed. */
     public val region: RegionName?,
-    terms: SteeringTerms,
+    terms: SteeringParameters,
 ) {
     /** Hash of the name, for rankings by key. */
     internal val nameHash: Long = hash64(record.name.value)
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/servers/ServerBook.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/servers/ServerBook.kt
@@ -7,13 +7,13 @@
 import org.cardamomwharf.core.ServiceName
 import org.cardamomwharf.core.ZoneName
 import org.cardamomwharf.steering.Distance
-import org.cardamomwharf.steering.Place
-import org.cardamomwharf.steering.SteeringTerms
-import org.cardamomwharf.steering.belief.TableChange
+import org.cardamomwharf.steering.InstanceLocation
+import org.cardamomwharf.steering.SteeringParameters
 import org.cardamomwharf.steering.desired.ServiceTerms
+import org.cardamomwharf.steering.store.TableChange
 
 /** Represents the known backend servers. */
-public class ServerBook(private val place: Place, private val terms: SteeringTerms) {
+public class ServerBook(private val place: InstanceLocation, private val terms: SteeringParameters) {
     private val byName = HashMap<ServerName, KnownServer>()
     private val byService = HashMap<ServiceName, MutableList<KnownServer>>()
     private var evacuated: Set<ZoneName> = emptySet()
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/servers/ServerLoad.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/servers/ServerLoad.kt
@@ -3,11 +3,11 @@
  */
 package org.cardamomwharf.steering.servers
 
-import org.cardamomwharf.steering.SteeringTerms
+import org.cardamomwharf.steering.SteeringParameters
 import kotlin.math.exp
 
 /** Represents the load of one backend server. */
-public class ServerLoad(private val terms: SteeringTerms) {
+public class ServerLoad(private val terms: SteeringParameters) {
     /** Requests of this instance that are on their way or running there. */
     public var inFlight: Int = 0
         private set
@@ -51,7 +51,7 @@
     }
 
     /** Notes a load report. */
-    public fun noteReport(next: LoadReport, nowMs: Long) {
+    public fun recordLoadReport(next: LoadReport, nowMs: Long) {
         report = next
         reportAtMs = nowMs
         ownAtReport = inFlight
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/servers/ServerTrust.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/servers/ServerTrust.kt
@@ -3,10 +3,10 @@
  */
 package org.cardamomwharf.steering.servers
 
-import org.cardamomwharf.steering.SteeringTerms
+import org.cardamomwharf.steering.SteeringParameters
 
 /** Represents the trust in one backend server. */
-public class ServerTrust(private val terms: SteeringTerms) {
+public class ServerTrust(private val terms: SteeringParameters) {
     private val failures = FadingAverage(0.0, terms.failureFadeMs)
     private val speed = FadingAverage(1.0, terms.slownessFadeMs)
     private var failuresInRow = 0
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/belief/TableBelief.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/store/CachedTable.kt
@@ -3,7 +3,7 @@
  * and nothing older replaces anything newer. While the store is away nothing is forgotten. Entries whose removal is
  * seen right after an outage stay for a grace period, because their owners may only have failed to renew them.
  */
-package org.cardamomwharf.steering.belief
+package org.cardamomwharf.steering.store
 
 import kotlinx.serialization.Serializable
 
@@ -18,7 +18,7 @@
  * @param isWhole true when the entries are the whole table, so that every key that is absent has been removed.
  */
 @Serializable
-public data class TableReading<T>(
+public data class TableUpdate<T>(
     public val entries: List<TableEntry<T>>,
     public val version: Long,
     public val isWhole: Boolean,
@@ -37,9 +37,9 @@
  *
  * @param restoreGraceMs time after an outage for which removed entries are kept.
  */
-public class TableBelief<T>(restoreGraceMs: Long) {
+public class CachedTable<T>(restoreGraceMs: Long) {
     /** The time after an outage in which removed entries are kept. */
-    public val grace: RestoreGrace = RestoreGrace(restoreGraceMs)
+    public val gracePeriod: GracePeriod = GracePeriod(restoreGraceMs)
     private val entries = HashMap<String, TableEntry<T>>()
     private val removalsDueAtMs = HashMap<String, Long>()
 
@@ -61,18 +61,18 @@
      * Returns what is known beyond [knownVersion], for another process: the whole table when removals since then may
      * not be known here. Entries that are kept for the grace period count as removed.
      */
-    public fun readingAfter(knownVersion: Long): TableReading<T> {
+    public fun updateSince(knownVersion: Long): TableUpdate<T> {
         val isWhole = knownVersion < removalsKnownFrom
         val told = entries.values.map { if (it.key in removalsDueAtMs) it.copy(value = null) else it }
         val news = told.filter { if (isWhole) it.value != null else it.version > knownVersion }
-        return TableReading(news, version, isWhole)
+        return TableUpdate(news, version, isWhole)
     }
 
     /** Returns true when [reading] is the whole table as of a moment before what is known; it has to be read again. */
-    public fun isStale(reading: TableReading<T>): Boolean = reading.isWhole && reading.version < version
+    public fun isStale(reading: TableUpdate<T>): Boolean = reading.isWhole && reading.version < version
 
     /** Takes [reading] over and returns what changed. A stale reading changes nothing. */
-    public fun apply(reading: TableReading<T>, nowMs: Long): List<TableChange<T>> {
+    public fun apply(reading: TableUpdate<T>, nowMs: Long): List<TableChange<T>> {
         if (isStale(reading)) return emptyList()
         val changes = reading.entries.mapNotNull { applyEntry(it, nowMs) }.toMutableList()
         if (reading.isWhole) {
@@ -101,14 +101,14 @@
         if (known == null || known.version <= next.version) contentVersion = maxOf(contentVersion, next.version)
         return when {
             known != null && known.version > next.version -> null
-            next.value == null && known?.value != null && nowMs < grace.endsAtMs -> postpone(known, next)
+            next.value == null && known?.value != null && nowMs < gracePeriod.endsAtMs -> postpone(known, next)
             else -> replace(known, next)
         }
     }
 
     private fun postpone(known: TableEntry<T>, removal: TableEntry<T>): TableChange<T>? {
         entries[known.key] = known.copy(version = removal.version)
-        removalsDueAtMs.putIfAbsent(known.key, grace.endsAtMs)
+        removalsDueAtMs.putIfAbsent(known.key, gracePeriod.endsAtMs)
         return null
     }
 
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/belief/DeploymentStore.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/store/DeploymentStore.kt
@@ -1,9 +1,10 @@
 /*
  * The store of the platform as the product needs it. An adapter translates it; nothing here knows its protocol.
  */
-package org.cardamomwharf.steering.belief
+package org.cardamomwharf.steering.store
 
 import com.github.michaelbull.result.Result
+import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import org.cardamomwharf.core.ZoneName
 import org.cardamomwharf.steering.desired.DesiredState
@@ -13,10 +14,10 @@
 /** Represents one table of the store that can be read and followed. */
 public interface StoreTable<T> {
     /** Reads the whole table as of one moment. */
-    public fun read(): Result<TableReading<T>, StoreError>
+    public fun read(): Result<TableUpdate<T>, StoreError>
 
     /** Waits until entries newer than [afterVersion] exist, at most [waitMs], and returns them. */
-    public fun follow(afterVersion: Long, waitMs: Long): Result<TableReading<T>, StoreError>
+    public fun awaitChanges(afterVersion: Long, waitMs: Long): Result<TableUpdate<T>, StoreError>
 }
 
 /** Represents the store. */
@@ -42,10 +43,12 @@
 public sealed interface OperatorOrder {
     /** A configuration is to be in force. */
     @Serializable
+    @SerialName("org.cardamomwharf.steering.belief.OperatorOrder.Desired")
     public data class Desired(public val state: DesiredState) : OperatorOrder
 
     /** Backend servers of a zone are to get nothing. */
     @Serializable
+    @SerialName("org.cardamomwharf.steering.belief.OperatorOrder.Evacuation")
     public data class Evacuation(public val zone: ZoneName) : OperatorOrder
 }
 
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/belief/RestoreGrace.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/store/GracePeriod.kt
@@ -1,23 +1,23 @@
 /*
  * The time after an outage of the store in which entries that lapsed during it may come back.
  */
-package org.cardamomwharf.steering.belief
+package org.cardamomwharf.steering.store
 
 /**
  * Represents the grace period.
  *
  * @param durationMs time after an outage for which removed entries are kept.
  */
-public class RestoreGrace(private val durationMs: Long) {
+public class GracePeriod(private val durationMs: Long) {
     /** Time at which the grace period ends. */
     public var endsAtMs: Long = Long.MIN_VALUE
         private set
 
     /** Returns the rest of the grace period; 0 when there is none. */
-    public fun leftMs(nowMs: Long): Long = if (nowMs < endsAtMs) endsAtMs - nowMs else 0
+    public fun remainingMs(nowMs: Long): Long = if (nowMs < endsAtMs) endsAtMs - nowMs else 0
 
     /** Notes that the store answers again after an outage. */
-    public fun begin(nowMs: Long) {
+    public fun start(nowMs: Long) {
         endsAtMs = nowMs + durationMs
     }
 
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/belief/StoreNews.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/store/StoreStatus.kt
@@ -1,7 +1,7 @@
 /*
  * What an instance tells others about its contact with the store, so that few instances of a zone have to follow it.
  */
-package org.cardamomwharf.steering.belief
+package org.cardamomwharf.steering.store
 
 import kotlinx.serialization.Serializable
 
@@ -19,7 +19,7 @@
  * @param isFailing true when its latest call failed.
  */
 @Serializable
-public data class StoreNews(
+public data class StoreStatus(
     public val content: ContentVersions,
     public val silentForMs: Long,
     public val isFailing: Boolean,
--- a/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/instances/FleetHeartbeatTest.kt
+++ b/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/instances/FleetHeartbeatTest.kt
@@ -12,9 +12,9 @@
 import org.cardamomwharf.core.SocketAddress
 import org.cardamomwharf.core.ZoneName
 import org.cardamomwharf.core.rendezvousTop
-import org.cardamomwharf.steering.Place
-import org.cardamomwharf.steering.belief.ContentVersions
-import org.cardamomwharf.steering.belief.StoreNews
+import org.cardamomwharf.steering.InstanceLocation
+import org.cardamomwharf.steering.store.ContentVersions
+import org.cardamomwharf.steering.store.StoreStatus
 import kotlin.random.Random
 
 private const val SILENCE_MS = 4_000L
@@ -65,9 +65,10 @@
 })
 
 private class Member(val record: InstanceRecord, random: Random, val phaseMs: Long) {
-    val book = InstanceBook(record, Incarnation(1), SILENCE_MS)
-    val choice = ReaderChoice(record)
-    val exchange = HeartbeatExchange(Place(record.name, record.zone, regions), book, ReaderChoice(record), random)
+    val book = InstanceRegistry(record, Incarnation(1), SILENCE_MS)
+    val choice = WatcherElection(record)
+    private val location = InstanceLocation(record.name, record.zone, regions)
+    val exchange = HeartbeatExchange(location, book, WatcherElection(record), random)
     var beats = 0
 }
 
@@ -89,7 +90,7 @@
         private set
 
     init {
-        members.values.forEach { it.book.introduce(listed) }
+        members.values.forEach { it.book.addAddresses(listed) }
     }
 
     fun runUntil(endMs: Long, check: () -> Unit = {}) {
@@ -122,12 +123,12 @@
 
     private fun beat(member: Member) {
         val others = listed.filter { it.name != member.record.name }
-        val isReader = member.choice.isReader(member.book.running(nowMs), nowMs)
-        val news = if (isReader) StoreNews(ContentVersions(1, 1), 0, isFailing = false) else null
-        member.exchange.beat(member.beats++, others, news, nowMs).forEach { send(member, it) }
+        val isReader = member.choice.isWatcher(member.book.running(nowMs), nowMs)
+        val news = if (isReader) StoreStatus(ContentVersions(1, 1), 0, isFailing = false) else null
+        member.exchange.nextHeartbeats(member.beats++, others, news, nowMs).forEach { send(member, it) }
     }
 
-    private fun send(from: Member, sent: HeartbeatSend) = sent.to.forEach { to ->
+    private fun send(from: Member, sent: OutgoingHeartbeat) = sent.recipients.forEach { to ->
         if (to.zone != from.record.zone) betweenZones++
         if (random.nextDouble() >= LOSS) onTheWay.add(Datagram(nowMs + STEP_MS, to.name, sent.message))
     }
@@ -138,7 +139,7 @@
         due.forEach { datagram ->
             val member = members[datagram.to] ?: return@forEach
             member.exchange.receive(datagram.message, nowMs)
-            datagram.message.news?.let { member.choice.hear(datagram.message.sender.record, it, nowMs) }
+            datagram.message.storeStatus?.let { member.choice.receive(datagram.message.sender.record, it, nowMs) }
         }
     }
 }
--- a/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/instances/ReaderChoiceTest.kt
+++ b/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/instances/WatcherElectionTest.kt
@@ -9,30 +9,30 @@
 import org.cardamomwharf.core.InstanceName
 import org.cardamomwharf.core.SocketAddress
 import org.cardamomwharf.core.ZoneName
-import org.cardamomwharf.steering.belief.ContentVersions
-import org.cardamomwharf.steering.belief.StoreNews
+import org.cardamomwharf.steering.store.ContentVersions
+import org.cardamomwharf.steering.store.StoreStatus
 
 private val OLD = ContentVersions(orders = 3, servers = 7)
 private val NEW = ContentVersions(orders = 3, servers = 9)
 
-class ReaderChoiceTest : FunSpec({
+class WatcherElectionTest : FunSpec({
     fun record(name: String, zone: String = "z1") =
         InstanceRecord(InstanceName(name), ZoneName(zone), SocketAddress("10.0.0.1", 80), SocketAddress("10.0.0.1", 90))
 
     val zone = listOf(record("a"), record("b"), record("c"))
-    val working = StoreNews(OLD, silentForMs = 100, isFailing = false)
+    val working = StoreStatus(OLD, silentForMs = 100, isFailing = false)
 
     /** Returns who follows the store when everybody hears the [news] of those that do, told at 0. */
-    fun readers(news: Map<String, StoreNews>, nowMs: Long): List<String> = zone.filter { own ->
-        val choice = ReaderChoice(own)
-        news.forEach { (name, told) -> choice.hear(record(name), told, 0) }
-        choice.isReader(zone, nowMs)
+    fun readers(news: Map<String, StoreStatus>, nowMs: Long): List<String> = zone.filter { own ->
+        val choice = WatcherElection(own)
+        news.forEach { (name, told) -> choice.receive(record(name), told, 0) }
+        choice.isWatcher(zone, nowMs)
     }.map { it.name.value }
 
     val first = zone.single { own ->
-        val choice = ReaderChoice(own)
-        (zone - own).forEach { choice.hear(it, working, 0) }
-        choice.isReader(zone, 0)
+        val choice = WatcherElection(own)
+        (zone - own).forEach { choice.receive(it, working, 0) }
+        choice.isWatcher(zone, 0)
     }.name.value
 
     test("`of a zone whose instances hear each other one follows the store`") {
@@ -58,19 +58,19 @@
     }
 
     test("`news of another zone are asked for only when the own zone doesn't bring them`") {
-        val choice = ReaderChoice(record("a"))
-        choice.hear(record("x", "z2"), working.copy(content = NEW), 0)
-        choice.aheadOf(OLD, 100) shouldHaveSize 0
-        choice.hear(record("x", "z2"), working.copy(content = NEW), 200)
-        choice.aheadOf(OLD, 300).map { it.name.value } shouldBe listOf("x")
-        choice.hear(record("b"), working.copy(content = NEW), 300)
-        choice.aheadOf(OLD, 300).map { it.name.value } shouldBe listOf("b", "x")
-        choice.aheadOf(NEW, 300) shouldHaveSize 0
+        val choice = WatcherElection(record("a"))
+        choice.receive(record("x", "z2"), working.copy(content = NEW), 0)
+        choice.instancesAheadOf(OLD, 100) shouldHaveSize 0
+        choice.receive(record("x", "z2"), working.copy(content = NEW), 200)
+        choice.instancesAheadOf(OLD, 300).map { it.name.value } shouldBe listOf("x")
+        choice.receive(record("b"), working.copy(content = NEW), 300)
+        choice.instancesAheadOf(OLD, 300).map { it.name.value } shouldBe listOf("b", "x")
+        choice.instancesAheadOf(NEW, 300) shouldHaveSize 0
     }
 
     test("`in other zones two instances are told, in case the one that follows the store has just ended`") {
         val others = listOf(record("x", "z2"), record("y", "z2"), record("w", "z2"), record("v", "z3"))
-        ReaderChoice(record("a")).firstOfOtherZones(zone + others).map { it.zone.value }.sorted() shouldBe
+        WatcherElection(record("a")).candidatesInOtherZones(zone + others).map { it.zone.value }.sorted() shouldBe
             listOf("z2", "z2", "z3")
     }
 })
--- a/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/limits/SharedLimitsTest.kt
+++ b/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/limits/SharedLimitsTest.kt
@@ -11,7 +11,7 @@
 import org.cardamomwharf.core.InstanceName
 import org.cardamomwharf.core.ServerName
 import org.cardamomwharf.core.ZoneName
-import org.cardamomwharf.steering.Place
+import org.cardamomwharf.steering.InstanceLocation
 import org.cardamomwharf.steering.Steering
 import org.cardamomwharf.steering.requests.Placement
 import org.cardamomwharf.steering.requests.RefusalReason
@@ -29,7 +29,8 @@
     val instances = (1..12).map { InstanceName("i$it") }
 
     test("`repeats of all instances stay within the ratio and the allowance`") {
-        val budgets = instances.map { RetryBudget(RetryTerms(ratio = 0.2, allowance = 60, windowMs = 10_000)) }
+        val parameters = RetryBudgetParameters(ratio = 0.2, allowance = 60, windowMs = 10_000)
+        val budgets = instances.map { RetryBudget(parameters) }
         var requests = 0
         var repeats = 0
         for (nowMs in 0L until 10_000L step 10) {
@@ -56,21 +57,21 @@
     }
 
     test("`instances that all start at once and don't know each other leave cold servers and repeats alone`") {
-        val steering = Steering(Place(InstanceName("i1"), HOME, ZONES), TERMS)
+        val steering = Steering(InstanceLocation(InstanceName("i1"), HOME, ZONES), TERMS)
         steering.routes.adopt(stateOf(1, READS))
         steering.add(serverOf("s1").copy(coldRemainingMs = 3_000))
         steering.place(specOf(1), 0).shouldBeInstanceOf<Placement.Refuse>().reason shouldBe RefusalReason.COLD
-        steering.shareWith(emptyMap())
+        steering.setLiveInstances(emptyMap())
         steering.place(specOf(2, nowMs = 10), 10).shouldBeInstanceOf<Placement.Send>()
-        RetryBudget(TERMS.retry).take(0, instances = 0) shouldBe false
+        RetryBudget(TERMS.retryBudget).take(0, instances = 0) shouldBe false
     }
 
     test("`a cold server is left to instances of its region, and to others only while the region has none`") {
         val steering = steeringOf()
         steering.add(serverOf("far", ZoneName("b1")).copy(coldRemainingMs = 3_000))
-        steering.shareWith(mapOf(InstanceName("i2") to ZoneName("b2")))
+        steering.setLiveInstances(mapOf(InstanceName("i2") to ZoneName("b2")))
         steering.place(specOf(1), 0).shouldBeInstanceOf<Placement.Refuse>().reason shouldBe RefusalReason.COLD
-        steering.shareWith(mapOf(InstanceName("i3") to ZoneName("a2")))
+        steering.setLiveInstances(mapOf(InstanceName("i3") to ZoneName("a2")))
         (1..20).any { steering.place(specOf(it, nowMs = it * 100L), it * 100L) is Placement.Send } shouldBe true
     }
 
--- a/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/placement/PatternTest.kt
+++ b/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/placement/PatternTest.kt
@@ -14,11 +14,11 @@
 import org.cardamomwharf.core.ServerName
 import org.cardamomwharf.core.ServiceName
 import org.cardamomwharf.core.ZoneName
-import org.cardamomwharf.steering.belief.TableChange
 import org.cardamomwharf.steering.desired.WeightedService
-import org.cardamomwharf.steering.requests.AttemptEnd
+import org.cardamomwharf.steering.requests.AttemptOutcome
 import org.cardamomwharf.steering.requests.AttemptReport
 import org.cardamomwharf.steering.requests.Placement
+import org.cardamomwharf.steering.store.TableChange
 import org.cardamomwharf.steering.support.HOME
 import org.cardamomwharf.steering.support.add
 import org.cardamomwharf.steering.support.send
@@ -32,7 +32,8 @@
         val servers = (1..20).map { id ->
             val spec = specOf(id, key = "same", nowMs = id * 1_000L)
             val sent = steering.send(spec)
-            steering.settle(spec, listOf(sent), AttemptReport(AttemptEnd.ANSWERED, false, 150), id * 1_000L + 150)
+            val report = AttemptReport(AttemptOutcome.ANSWERED, false, 150)
+            steering.completeAttempt(spec, listOf(sent), report, id * 1_000L + 150)
             sent.server
         }
         servers.distinct().shouldHaveSize(1)
@@ -86,14 +87,14 @@
         val shares = (0 until 5).map { window ->
             val sent = (0 until 200).map { number ->
                 val nowMs = window * 2_000L + number * 10L
-                if (number % 20 == 0) steering.tick(nowMs)
+                if (number % 20 == 0) steering.adjustSpillover(nowMs)
                 val spec = specOf(number, nowMs = nowMs, key = "k${number % 20}")
                 steering.place(spec, nowMs).also {
                     if (it is Placement.Send) {
-                        steering.settle(
+                        steering.completeAttempt(
                             spec,
                             listOf(it),
-                            AttemptReport(AttemptEnd.ANSWERED, false, 100),
+                            AttemptReport(AttemptOutcome.ANSWERED, false, 100),
                             nowMs
                         )
                     }
@@ -110,7 +111,8 @@
         fun sendAndEnd(id: Int): ServerName {
             val spec = specOf(id, nowMs = id * 100L)
             val sent = steering.send(spec)
-            steering.settle(spec, listOf(sent), AttemptReport(AttemptEnd.ANSWERED, false, 80), id * 100L + 80)
+            val report = AttemptReport(AttemptOutcome.ANSWERED, false, 80)
+            steering.completeAttempt(spec, listOf(sent), report, id * 100L + 80)
             return sent.server
         }
         (1..10).forEach { sendAndEnd(it) }
@@ -140,7 +142,7 @@
         val steering = steeringOf(serverOf("s1"))
         val spec = specOf(1)
         val sent = steering.send(spec)
-        steering.settle(spec, listOf(sent), AttemptReport(AttemptEnd.NOT_SENT, false, 1), 1)
+        steering.completeAttempt(spec, listOf(sent), AttemptReport(AttemptOutcome.NOT_SENT, false, 1), 1)
         steering.place(specOf(2), 10).shouldBeInstanceOf<Placement.Refuse>()
         steering.place(specOf(3, nowMs = 1_000), 1_000).shouldBeInstanceOf<Placement.Send>()
         steering.place(specOf(4, nowMs = 1_001), 1_001).shouldBeInstanceOf<Placement.Refuse>()
--- a/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/requests/RepeatTest.kt
+++ b/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/requests/RepeatTest.kt
@@ -20,35 +20,35 @@
         val steering = twoServers()
         val spec = specOf(1, BOOKINGS)
         val sent = steering.send(spec)
-        val report = AttemptReport(AttemptEnd.LOST, false, 50)
-        steering.settle(spec, listOf(sent), report, 50) shouldBe NextStep.ReportUnknown
+        val report = AttemptReport(AttemptOutcome.LOST, false, 50)
+        steering.completeAttempt(spec, listOf(sent), report, 50) shouldBe NextStep.ReportUnknown
     }
 
     test("`a booking that a server refused goes to another server`") {
         val steering = twoServers()
         val spec = specOf(1, BOOKINGS)
         val sent = steering.send(spec)
-        val next = steering.settle(spec, listOf(sent), AttemptReport(AttemptEnd.SHED, false, 5), 5)
-        next.shouldBeInstanceOf<NextStep.TryAgain>().placement.server shouldNotBe sent.server
+        val next = steering.completeAttempt(spec, listOf(sent), AttemptReport(AttemptOutcome.SHED, false, 5), 5)
+        next.shouldBeInstanceOf<NextStep.Retry>().placement.server shouldNotBe sent.server
     }
 
     test("`a read that may have run is never refused as not run`") {
         val steering = twoServers()
         val spec = specOf(1)
         val first = steering.send(spec)
-        val next = steering.settle(spec, listOf(first), AttemptReport(AttemptEnd.LOST, false, 5), 5)
-        val second = next.shouldBeInstanceOf<NextStep.TryAgain>().placement
-        val report = AttemptReport(AttemptEnd.SHED, true, 5)
-        steering.settle(spec, listOf(first, second), report, 10) shouldBe NextStep.ReportUnknown
+        val next = steering.completeAttempt(spec, listOf(first), AttemptReport(AttemptOutcome.LOST, false, 5), 5)
+        val second = next.shouldBeInstanceOf<NextStep.Retry>().placement
+        val report = AttemptReport(AttemptOutcome.SHED, true, 5)
+        steering.completeAttempt(spec, listOf(first, second), report, 10) shouldBe NextStep.ReportUnknown
     }
 
     test("`a request is sent to no more servers than its route allows`") {
         val steering = steeringOf(serverOf("s1"), serverOf("s2"), serverOf("s3"))
         val spec = specOf(1)
         val first = steering.send(spec)
-        val next = steering.settle(spec, listOf(first), AttemptReport(AttemptEnd.SHED, false, 5), 5)
-        val second = next.shouldBeInstanceOf<NextStep.TryAgain>().placement
-        steering.settle(spec, listOf(first, second), AttemptReport(AttemptEnd.SHED, false, 5), 10)
+        val next = steering.completeAttempt(spec, listOf(first), AttemptReport(AttemptOutcome.SHED, false, 5), 5)
+        val second = next.shouldBeInstanceOf<NextStep.Retry>().placement
+        steering.completeAttempt(spec, listOf(first, second), AttemptReport(AttemptOutcome.SHED, false, 5), 10)
             .shouldBeInstanceOf<NextStep.Refuse>()
     }
 
--- a/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/belief/TableBeliefTest.kt
+++ b/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/store/CachedTableTest.kt
@@ -1,17 +1,17 @@
 /*
  * What a process believes of a table, whatever order news come in.
  */
-package org.cardamomwharf.steering.belief
+package org.cardamomwharf.steering.store
 
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.collections.shouldBeEmpty
 import io.kotest.matchers.collections.shouldHaveSize
 import io.kotest.matchers.shouldBe
 
-class TableBeliefTest : FunSpec({
-    fun belief() = TableBelief<String>(restoreGraceMs = 2_000)
+class CachedTableTest : FunSpec({
+    fun belief() = CachedTable<String>(restoreGraceMs = 2_000)
     fun news(key: String, version: Long, value: String?) =
-        TableReading(listOf(TableEntry(key, version, value)), version, isWhole = false)
+        TableUpdate(listOf(TableEntry(key, version, value)), version, isWhole = false)
 
     test("`an older entry never replaces a newer one`") {
         val belief = belief()
@@ -30,16 +30,16 @@
 
     test("`a whole reading removes what is absent, and an older whole reading changes nothing`") {
         val belief = belief()
-        belief.apply(TableReading(listOf(TableEntry("a", 1, "x"), TableEntry("b", 2, "y")), 2, isWhole = true), 0)
-        belief.apply(TableReading(listOf(TableEntry("b", 2, "y")), 9, isWhole = true), 0).shouldHaveSize(1)
-        belief.apply(TableReading(listOf(TableEntry("a", 1, "x")), 3, isWhole = true), 0).shouldBeEmpty()
-        belief.readingAfter(0).entries.map { it.key to it.value } shouldBe listOf("b" to "y")
+        belief.apply(TableUpdate(listOf(TableEntry("a", 1, "x"), TableEntry("b", 2, "y")), 2, isWhole = true), 0)
+        belief.apply(TableUpdate(listOf(TableEntry("b", 2, "y")), 9, isWhole = true), 0).shouldHaveSize(1)
+        belief.apply(TableUpdate(listOf(TableEntry("a", 1, "x")), 3, isWhole = true), 0).shouldBeEmpty()
+        belief.updateSince(0).entries.map { it.key to it.value } shouldBe listOf("b" to "y")
     }
 
     test("`an entry that lapsed during an outage stays for the grace period and goes when it isn't back`") {
         val belief = belief()
         belief.apply(news("a", 1, "x"), 0)
-        belief.grace.begin(10_000)
+        belief.gracePeriod.start(10_000)
         belief.apply(news("a", 5, null), 10_100).shouldBeEmpty()
         belief.find("a") shouldBe "x"
         belief.expire(11_900).shouldBeEmpty()
@@ -50,7 +50,7 @@
     test("`an entry that lapsed during an outage and is back in time is never removed`") {
         val belief = belief()
         belief.apply(news("a", 1, "x"), 0)
-        belief.grace.begin(10_000)
+        belief.gracePeriod.start(10_000)
         belief.apply(news("a", 5, null), 10_100)
         belief.apply(news("a", 6, "x"), 11_000)
         belief.expire(20_000).shouldBeEmpty()
--- a/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/support/Fixture.kt
+++ b/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/support/Fixture.kt
@@ -10,19 +10,19 @@
 import org.cardamomwharf.core.ServiceName
 import org.cardamomwharf.core.SocketAddress
 import org.cardamomwharf.core.ZoneName
-import org.cardamomwharf.steering.Place
+import org.cardamomwharf.steering.InstanceLocation
 import org.cardamomwharf.steering.Steering
-import org.cardamomwharf.steering.SteeringTerms
-import org.cardamomwharf.steering.belief.TableChange
+import org.cardamomwharf.steering.SteeringParameters
 import org.cardamomwharf.steering.desired.CallerLimits
 import org.cardamomwharf.steering.desired.DesiredState
 import org.cardamomwharf.steering.desired.Route
 import org.cardamomwharf.steering.desired.ServiceTerms
 import org.cardamomwharf.steering.desired.WeightedService
-import org.cardamomwharf.steering.limits.RetryTerms
+import org.cardamomwharf.steering.limits.RetryBudgetParameters
 import org.cardamomwharf.steering.requests.Placement
 import org.cardamomwharf.steering.requests.RequestSpec
 import org.cardamomwharf.steering.servers.ServerRecord
+import org.cardamomwharf.steering.store.TableChange
 
 internal val SERVICE = ServiceName("lookup")
 internal val HOME = ZoneName("a1")
@@ -34,7 +34,9 @@
     ZoneName("c1") to RegionName("c"),
     ZoneName("c2") to RegionName("c"),
 )
-internal val TERMS = SteeringTerms(retry = RetryTerms(ratio = 0.2, allowance = 60, windowMs = 10_000))
+internal val TERMS = SteeringParameters(
+    retryBudget = RetryBudgetParameters(ratio = 0.2, allowance = 60, windowMs = 10_000),
+)
 internal val READS = Route(
     name = "reads",
     host = "shop.example",
@@ -69,9 +71,9 @@
 )
 
 internal fun steeringOf(vararg servers: ServerRecord, instance: String = "i1"): Steering {
-    val steering = Steering(Place(InstanceName(instance), HOME, ZONES), TERMS)
+    val steering = Steering(InstanceLocation(InstanceName(instance), HOME, ZONES), TERMS)
     steering.routes.adopt(stateOf(1, READS, BOOKINGS))
-    steering.shareWith(emptyMap())
+    steering.setLiveInstances(emptyMap())
     steering.add(*servers)
     return steering
 }
@@ -85,7 +87,7 @@
     service = SERVICE,
     affinityKey = key,
     arrivedAtMs = nowMs,
-    endsAtMs = nowMs + route.timeoutMs,
+    deadlineAtMs = nowMs + route.timeoutMs,
 )
 
 internal fun Steering.send(spec: RequestSpec, nowMs: Long = spec.arrivedAtMs): Placement.Send =
--- a/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/support/LoadWorld.kt
+++ b/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/support/LoadWorld.kt
@@ -7,10 +7,10 @@
 import org.cardamomwharf.core.InstanceName
 import org.cardamomwharf.core.ServerName
 import org.cardamomwharf.core.ZoneName
-import org.cardamomwharf.steering.Place
+import org.cardamomwharf.steering.InstanceLocation
 import org.cardamomwharf.steering.Steering
-import org.cardamomwharf.steering.SteeringTerms
-import org.cardamomwharf.steering.requests.AttemptEnd
+import org.cardamomwharf.steering.SteeringParameters
+import org.cardamomwharf.steering.requests.AttemptOutcome
 import org.cardamomwharf.steering.requests.AttemptReport
 import org.cardamomwharf.steering.requests.Placement
 import org.cardamomwharf.steering.requests.RequestSpec
@@ -45,7 +45,7 @@
 }
 
 internal class LoadWorld(
-    terms: SteeringTerms,
+    terms: SteeringParameters,
     servers: List<ZoneServers>,
     private val loads: List<ZoneLoad>,
     seed: Int,
@@ -73,15 +73,15 @@
         loads.forEach { scheduleArrival(it, 0.0) }
         for (nowMs in 0L until seconds * MS_PER_S step TICK_MS) {
             while (events.isNotEmpty() && events.peek().atMs < nowMs + TICK_MS) events.poll().act()
-            deciders.values.forEach { it.tick(nowMs) }
+            deciders.values.forEach { it.adjustSpillover(nowMs) }
         }
         return LoadOutcome(requests, inTime, cold, refused, served)
     }
 
-    private fun decider(zone: String, name: String, terms: SteeringTerms): Steering {
-        val steering = Steering(Place(InstanceName(name), ZoneName(zone), ZONES), terms)
+    private fun decider(zone: String, name: String, terms: SteeringParameters): Steering {
+        val steering = Steering(InstanceLocation(InstanceName(name), ZoneName(zone), ZONES), terms)
         steering.routes.adopt(stateOf(1, READS))
-        steering.shareWith(instances.associate { InstanceName(it.second) to ZoneName(it.first) })
+        steering.setLiveInstances(instances.associate { InstanceName(it.second) to ZoneName(it.first) })
         steering.add(*machines.values.map { serverOf(it.name, ZoneName(it.place.zone), it.place.slots) }.toTypedArray())
         return steering
     }
@@ -136,9 +136,9 @@
         nowMs: Long,
         report: LoadReport,
     ) {
-        decider.servers.find(ServerName(placement.server.value))?.load?.noteReport(report, nowMs)
-        val end = AttemptReport(AttemptEnd.ANSWERED, false, nowMs - spec.arrivedAtMs)
-        decider.settle(spec, listOf(placement), end, nowMs)
+        decider.servers.find(ServerName(placement.server.value))?.load?.recordLoadReport(report, nowMs)
+        val end = AttemptReport(AttemptOutcome.ANSWERED, false, nowMs - spec.arrivedAtMs)
+        decider.completeAttempt(spec, listOf(placement), end, nowMs)
     }
 
     private fun count(spec: RequestSpec, nowMs: Long, isWarm: Boolean) {
