--- /dev/null
+++ b/cardamomwharf-cli/src/test/kotlin/org/cardamomwharf/cli/serial/SerialFormsTest.kt
@@ -0,0 +1,19 @@
+/*
+ * Guards printed differences and exit codes against renames in the code.
+ */
+package org.cardamomwharf.cli.serial
+
+import io.kotest.core.spec.style.FunSpec
+import kotlinx.serialization.json.Json
+import org.cardamomwharf.cli.ExitCode
+import org.cardamomwharf.cli.FieldDifference
+import org.cardamomwharf.logging.LogFormat
+
+class SerialFormsTest : FunSpec({
+    checkForms("difference", FieldDifference.serializer(), Json)
+
+    test("`exit codes and log formats are those that were recorded`") {
+        val codes = ExitCode.entries.map { "${it.name} ${it.number}" }
+        compareWithRecorded("enums.txt", codes + LogFormat.entries.map { it.name })
+    }
+})
--- /dev/null
+++ b/cardamomwharf-standin/src/test/kotlin/org/cardamomwharf/standin/serial/SerialFormsTest.kt
@@ -0,0 +1,14 @@
+/*
+ * Guards the bodies that switch faults on against renames in the code.
+ */
+package org.cardamomwharf.standin.serial
+
+import io.kotest.core.spec.style.FunSpec
+import kotlinx.serialization.json.Json
+import org.cardamomwharf.standin.PlatformFaults
+import org.cardamomwharf.standin.ServerFaults
+
+class SerialFormsTest : FunSpec({
+    checkForms("platform-faults", PlatformFaults.serializer(), Json)
+    checkForms("server-faults", ServerFaults.serializer(), Json)
+})
