--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/settings/GatewaySettings.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/settings/GatewaySettings.kt
@@ -33,7 +33,7 @@
     /** Returns the terms of the decisions. */
     public fun toTerms(): SteeringParameters = SteeringParameters(
         retryBudget = RetryBudgetParameters(bounds.retryRatio, bounds.retryAllowance, bounds.retryWindowMs),
-        largestShift = bounds.largestShift,
+        maxShift = bounds.largestShift,
     )
 }
 
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/desired/ActiveRoutes.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/desired/ActiveRoutes.kt
@@ -6,21 +6,21 @@
 
 import org.cardamomwharf.core.DocumentVersion
 import org.cardamomwharf.core.ServiceName
-import org.cardamomwharf.steering.placement.WeightedSplit
+import org.cardamomwharf.steering.placement.WeightedRoundRobin
 
 /** Represents the routes in force. */
 public class ActiveRoutes {
     /** The configuration in force, or null before the first one is known. */
     public var desired: DesiredState? = null
         private set
-    private var table: RouteTable = routeTableOf(emptyList())
-    private val splits = HashMap<String, Pair<Route, WeightedSplit>>()
+    private var table: RouteTable = createRouteTable(emptyList())
+    private val splits = HashMap<String, Pair<Route, WeightedRoundRobin>>()
 
     /** Puts [next] in force and returns true, or returns false when it isn't newer than what is in force. */
     public fun adopt(next: DesiredState): Boolean {
         if (next.version <= (desired?.version ?: DocumentVersion.NONE)) return false
         desired = next
-        table = routeTableOf(next.routes)
+        table = createRouteTable(next.routes)
         return true
     }
 
@@ -30,10 +30,10 @@
     /** Chooses the service of the next request of [route]. */
     public fun chooseService(route: Route): ServiceName {
         val known = splits[route.name]?.takeIf { it.first.backends == route.backends }
-        val (_, split) = known ?: (route to WeightedSplit(route.backends)).also { splits[route.name] = it }
+        val (_, split) = known ?: (route to WeightedRoundRobin(route.backends)).also { splits[route.name] = it }
         return split.next()
     }
 
     /** Returns the terms of [service], or null when the configuration has none. */
-    public fun termsOf(service: ServiceName): ServiceTerms? = desired?.services?.get(service)
+    public fun findServiceTerms(service: ServiceName): ServiceTerms? = desired?.services?.get(service)
 }
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/desired/RouteTable.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/desired/RouteTable.kt
@@ -13,8 +13,8 @@
 }
 
 /** Returns the table of [routes]. */
-public fun routeTableOf(routes: List<Route>): RouteTable =
+public fun createRouteTable(routes: List<Route>): RouteTable =
     RouteTable(
         routes.groupBy { it.host.lowercase() }
-            .mapValues { (_, ofHost) -> ofHost.sortedByDescending { it.prefix.length } },
+            .mapValues { (_, hostRoutes) -> hostRoutes.sortedByDescending { it.prefix.length } },
     )
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/instances/Directory.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/instances/Directory.kt
@@ -8,7 +8,7 @@
 import org.cardamomwharf.core.ZoneName
 
 /** Addresses below which a caller gets more distant ones too, so that one loss leaves it another. */
-private const val LEAST_ADDRESSES = 2
+private const val MIN_ADDRESSES = 2
 
 /** Represents how far from a caller the instances are that it is named. */
 public enum class DirectoryScope(public val code: String) {
@@ -32,13 +32,13 @@
     zone: ZoneName?,
     region: RegionName?,
 ): DirectoryChoice {
-    val ofZone = serving.filter { it.zone == zone }
-    if (ofZone.size >= LEAST_ADDRESSES) return DirectoryChoice(DirectoryScope.ZONE, ofZone)
-    val home = region ?: regions[zone]
-    val ofRegion = serving.filter { home != null && regions[it.zone] == home }
-    return if (ofRegion.isEmpty()) {
+    val inZone = serving.filter { it.zone == zone }
+    if (inZone.size >= MIN_ADDRESSES) return DirectoryChoice(DirectoryScope.ZONE, inZone)
+    val ownRegion = region ?: regions[zone]
+    val inRegion = serving.filter { ownRegion != null && regions[it.zone] == ownRegion }
+    return if (inRegion.isEmpty()) {
         DirectoryChoice(DirectoryScope.ALL, serving)
     } else {
-        DirectoryChoice(DirectoryScope.REGION, ofRegion)
+        DirectoryChoice(DirectoryScope.REGION, inRegion)
     }
 }
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/instances/InstanceRegistry.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/instances/InstanceRegistry.kt
@@ -1,5 +1,5 @@
 /*
- * The instances of the system. Each counts up a heartbeat of its own and passes on what it heard of others, so that an
+ * The instances of the system. Each counts up a heartbeat of its own and passes on what it heartbeat of others, so that an
  * instance whose heartbeat stands still in every message is taken as gone. An instance that stops says so.
  */
 package org.cardamomwharf.steering.instances
@@ -39,16 +39,16 @@
 )
 
 /** Multiple of the silence after which an instance is forgotten; no other passes its heartbeats on by then. */
-private const val FORGET_FACTOR = 3
+private const val REMOVAL_FACTOR = 3
 
 /** Represents the known instances, this one included. */
-public class InstanceRegistry(own: InstanceRecord, incarnation: Incarnation, private val silenceMs: Long) {
-    private val known = HashMap<InstanceName, Seen>()
-    private val introduced = HashMap<InstanceName, InstanceRecord>()
+public class InstanceRegistry(own: InstanceRecord, incarnation: Incarnation, private val timeoutMs: Long) {
+    private val known = HashMap<InstanceName, ReceivedHeartbeat>()
+    private val addresses = HashMap<InstanceName, InstanceRecord>()
     private val ownName = own.name
 
     init {
-        known[ownName] = Seen(Heartbeat(own, incarnation, 0, isLeaving = false), Long.MAX_VALUE)
+        known[ownName] = ReceivedHeartbeat(Heartbeat(own, incarnation, 0, isLeaving = false), Long.MAX_VALUE)
     }
 
     /** Counts the own heartbeat up. */
@@ -63,25 +63,25 @@
         known[ownName] = own.copy(heartbeat = own.heartbeat.copy(isLeaving = true))
     }
 
-    /** Notes [heard] as told by any instance; what is older than what is known changes nothing. */
-    public fun receive(heard: Heartbeat, nowMs: Long) {
-        val name = heard.record.name
-        if (name == ownName) return outgrow(heard)
-        val before = known[name]?.takeUnless { it.silentForMs(nowMs) > FORGET_FACTOR * silenceMs }?.heartbeat
-        val isNews = before == null || heard.incarnation > before.incarnation ||
-            (heard.incarnation == before.incarnation && heard.count > before.count)
-        if (isNews) known[name] = Seen(heard, nowMs)
+    /** Notes [heartbeat] as told by any instance; what is older than what is known changes nothing. */
+    public fun receive(heartbeat: Heartbeat, nowMs: Long) {
+        val name = heartbeat.record.name
+        if (name == ownName) return raiseIncarnation(heartbeat)
+        val before = known[name]?.takeUnless { it.ageMs(nowMs) > REMOVAL_FACTOR * timeoutMs }?.heartbeat
+        val isNewer = before == null || heartbeat.incarnation > before.incarnation ||
+            (heartbeat.incarnation == before.incarnation && heartbeat.count > before.count)
+        if (isNewer) known[name] = ReceivedHeartbeat(heartbeat, nowMs)
     }
 
     /** Takes how other instances can be reached, so that counts of their heartbeats are understood. */
     public fun addAddresses(records: Collection<InstanceRecord>) {
-        records.forEach { introduced.putIfAbsent(it.name, it) }
+        records.forEach { addresses.putIfAbsent(it.name, it) }
     }
 
-    /** Notes [counted] as told by any instance; says nothing about an instance that nobody introduced. */
-    public fun receive(counted: HeartbeatCount, nowMs: Long) {
-        val record = known[counted.name]?.heartbeat?.record ?: introduced[counted.name] ?: return
-        receive(Heartbeat(record, counted.incarnation, counted.count, counted.isLeaving), nowMs)
+    /** Notes [counted] as told by any instance; says nothing about an instance that nobody addresses. */
+    public fun receive(count: HeartbeatCount, nowMs: Long) {
+        val record = known[count.name]?.heartbeat?.record ?: addresses[count.name] ?: return
+        receive(Heartbeat(record, count.incarnation, count.count, count.isLeaving), nowMs)
     }
 
     /** The own heartbeat. */
@@ -90,31 +90,31 @@
     /** Returns the heartbeats to pass on. */
     public fun heartbeats(
         nowMs: Long
-    ): List<Heartbeat> = known.values.filter { isHeard(it, nowMs) }.map { it.heartbeat }
+    ): List<Heartbeat> = known.values.filter { isAlive(it, nowMs) }.map { it.heartbeat }
 
     /** Returns the instances that take requests. */
     public fun serving(nowMs: Long): List<InstanceRecord> =
-        known.values.filter { isHeard(it, nowMs) && !it.heartbeat.isLeaving }.map { it.heartbeat.record }
+        known.values.filter { isAlive(it, nowMs) && !it.heartbeat.isLeaving }.map { it.heartbeat.record }
 
     /** Returns the instances that run, stopping ones included. */
     public fun running(nowMs: Long): List<InstanceRecord> =
-        known.values.filter { isHeard(it, nowMs) }.map { it.heartbeat.record }
+        known.values.filter { isAlive(it, nowMs) }.map { it.heartbeat.record }
 
     /**
      * Raises the own incarnation above one that others still tell. An incarnation is the time of day of a start, and
      * the time of day may have been set back since.
      */
-    private fun outgrow(heard: Heartbeat) {
+    private fun raiseIncarnation(heartbeat: Heartbeat) {
         val own = known.getValue(ownName)
-        if (heard.incarnation <= own.heartbeat.incarnation) return
-        val next = Incarnation(heard.incarnation.value + 1)
+        if (heartbeat.incarnation <= own.heartbeat.incarnation) return
+        val next = Incarnation(heartbeat.incarnation.value + 1)
         known[ownName] = own.copy(heartbeat = own.heartbeat.copy(incarnation = next))
     }
 
-    private fun isHeard(seen: Seen, nowMs: Long): Boolean = seen.silentForMs(nowMs) <= silenceMs
+    private fun isAlive(received: ReceivedHeartbeat, nowMs: Long): Boolean = received.ageMs(nowMs) <= timeoutMs
 
     /** Represents the newest heartbeat of an instance and when it was first told; the own one is never silent. */
-    private data class Seen(val heartbeat: Heartbeat, val heardAtMs: Long) {
-        fun silentForMs(nowMs: Long): Long = if (heardAtMs == Long.MAX_VALUE) 0 else nowMs - heardAtMs
+    private data class ReceivedHeartbeat(val heartbeat: Heartbeat, val receivedAtMs: Long) {
+        fun ageMs(nowMs: Long): Long = if (receivedAtMs == Long.MAX_VALUE) 0 else nowMs - receivedAtMs
     }
 }
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/limits/ColdAllowance.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/limits/ColdRateLimiter.kt
@@ -9,30 +9,30 @@
 import org.cardamomwharf.core.rendezvousTop
 
 /** Requests per second below which a part isn't worth dividing further. */
-private const val SMALLEST_PART_PER_SECOND = 2.0
+private const val MIN_QUOTA_PER_SECOND = 2.0
 private const val MS_PER_SECOND = 1_000.0
 
 /** Represents the part of one instance in the allowance of one cold backend server. */
-public class ColdAllowance {
-    private var nextAtMs = Long.MIN_VALUE
+public class ColdRateLimiter {
+    private var nextAllowedAtMs = Long.MIN_VALUE
 
     /** Returns true when a request may be sent now under [ratePerSecond]. */
-    public fun isOpen(nowMs: Long, ratePerSecond: Double): Boolean = ratePerSecond > 0 && nowMs >= nextAtMs
+    public fun isAllowed(nowMs: Long, ratePerSecond: Double): Boolean = ratePerSecond > 0 && nowMs >= nextAllowedAtMs
 
     /** Counts a request that is sent now. */
-    public fun noteSent(nowMs: Long, ratePerSecond: Double) {
-        nextAtMs = nowMs + (MS_PER_SECOND / ratePerSecond).toLong()
+    public fun recordRequest(nowMs: Long, ratePerSecond: Double) {
+        nextAllowedAtMs = nowMs + (MS_PER_SECOND / ratePerSecond).toLong()
     }
 }
 
 /** Returns the requests per second that [self] may send to the cold [server], 0 when it isn't among the senders. */
-public fun coldPartPerSecond(
+public fun coldQuotaPerSecond(
     self: InstanceName,
     server: ServerName,
     instances: Collection<InstanceName>,
     coldPerSecond: Double,
 ): Double {
-    val senders = (coldPerSecond / SMALLEST_PART_PER_SECOND).toInt().coerceIn(1, instances.size.coerceAtLeast(1))
+    val senders = (coldPerSecond / MIN_QUOTA_PER_SECOND).toInt().coerceIn(1, instances.size.coerceAtLeast(1))
     val chosen = rendezvousTop(server.value, instances, senders) { it.value }
     return if (self in chosen) coldPerSecond / senders else 0.0
 }
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/limits/Sharers.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/limits/LimitSharing.kt
@@ -10,24 +10,24 @@
 import org.cardamomwharf.steering.servers.KnownServer
 
 /** Represents the instances that share limits. */
-public class Sharers(private val place: InstanceLocation) {
+public class LimitSharing(private val location: InstanceLocation) {
     private var zones: Map<InstanceName, ZoneName> = emptyMap()
 
     /** Number of instances that share, this one included; 0 while they aren't known. */
-    public val count: Int get() = zones.size
+    public val instanceCount: Int get() = zones.size
 
     /** Sets the instances that share with this one. */
-    public fun replace(live: Map<InstanceName, ZoneName>) {
-        zones = live + (place.instance to place.zone)
+    public fun update(live: Map<InstanceName, ZoneName>) {
+        zones = live + (location.instance to location.zone)
     }
 
     /**
      * Returns this instance's part of the [ratePerSecond] that the cold [server] bears. Instances of the server's own
      * region send to it; others only while that region has none.
      */
-    public fun coldPartPerSecond(server: KnownServer, ratePerSecond: Double): Double {
+    public fun coldQuotaPerSecond(server: KnownServer, ratePerSecond: Double): Double {
         if (zones.isEmpty()) return 0.0
-        val near = zones.filterValues { place.regions[it] == server.region }.keys
-        return coldPartPerSecond(place.instance, server.record.name, near.ifEmpty { zones.keys }, ratePerSecond)
+        val inRegion = zones.filterValues { location.regions[it] == server.region }.keys
+        return coldQuotaPerSecond(location.instance, server.record.name, inRegion.ifEmpty { zones.keys }, ratePerSecond)
     }
 }
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/limits/RetryBudget.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/limits/RetryBudget.kt
@@ -19,25 +19,26 @@
 )
 
 /** Represents the part of one instance in the budget of one service. */
-public class RetryBudget(private val terms: RetryBudgetParameters) {
-    private val requests = SlidingCount(terms.windowMs)
-    private val repeats = SlidingCount(terms.windowMs)
+public class RetryBudget(private val parameters: RetryBudgetParameters) {
+    private val requests = SlidingWindowCounter(parameters.windowMs)
+    private val retries = SlidingWindowCounter(parameters.windowMs)
 
     /** Counts a request that arrived for the service. */
-    public fun noteRequest(nowMs: Long) {
-        requests.add(nowMs)
+    public fun recordRequest(nowMs: Long) {
+        requests.increment(nowMs)
     }
 
     /**
      * Takes one repeat and returns true, or returns false when none is left with [instances] sharing the budget; 0
      * means that they aren't known, and nothing is left then.
      */
-    public fun take(nowMs: Long, instances: Int): Boolean {
-        val isLeft = instances > 0 && repeats.total(nowMs) + 1 <= grantedTo(instances, nowMs)
-        if (isLeft) repeats.add(nowMs)
-        return isLeft
+    public fun tryAcquire(nowMs: Long, instances: Int): Boolean {
+        val isAvailable = instances > 0 && retries.total(nowMs) + 1 <= quotaFor(instances, nowMs)
+        if (isAvailable) retries.increment(nowMs)
+        return isAvailable
     }
 
-    private fun grantedTo(instances: Int, nowMs: Long): Double =
-        terms.usableShare * (terms.ratio * requests.total(nowMs) + terms.allowance.toDouble() / instances)
+    private fun quotaFor(instances: Int, nowMs: Long): Double =
+        parameters.usableShare *
+            (parameters.ratio * requests.total(nowMs) + parameters.allowance.toDouble() / instances)
 }
--- /dev/null
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/CandidateServers.kt
@@ -0,0 +1,97 @@
+/*
+ * The backend servers that may get a request, in the order that its key gives them in each region.
+ */
+package org.cardamomwharf.steering.placement
+
+import org.cardamomwharf.core.ServerName
+import org.cardamomwharf.core.combineHashes
+import org.cardamomwharf.core.hash64
+import org.cardamomwharf.steering.Distance
+import org.cardamomwharf.steering.SteeringParameters
+import org.cardamomwharf.steering.desired.ActiveRoutes
+import org.cardamomwharf.steering.limits.LimitSharing
+import org.cardamomwharf.steering.requests.RequestSpec
+import org.cardamomwharf.steering.servers.KnownServer
+import org.cardamomwharf.steering.servers.ServerRegistry
+
+/** Multiple of the cold time after which a server that owes answers and gives none is left alone. */
+private const val UNANSWERED_FACTOR = 2.5
+
+/** Shortest silence that counts. */
+private const val MIN_UNANSWERED_MS = 700L
+
+internal class CandidateServers(
+    private val servers: ServerRegistry,
+    private val routes: ActiveRoutes,
+    private val limitSharing: LimitSharing,
+    private val parameters: SteeringParameters,
+) {
+    fun find(name: ServerName): KnownServer? = servers.find(name)
+
+    /** Returns the servers that are open and can be trusted, cold ones included. */
+    fun findUsable(
+        spec: RequestSpec,
+        excluded: Set<ServerName>,
+        estimate: ProcessingTimeEstimate,
+        nowMs: Long,
+    ): List<KnownServer> = servers.findByService(spec.service)
+        .filter { it.record.name !in excluded && isUsable(it, spec, estimate, nowMs) }
+
+    /** Returns true when [server] bears one more request now. */
+    fun canReceive(server: KnownServer, nowMs: Long): Boolean =
+        !server.isCold(nowMs) || server.coldRateLimiter.isAllowed(nowMs, coldQuotaPerSecond(server))
+
+    /** Notes that a request goes to [server] now. */
+    fun recordRequestSent(server: KnownServer, nowMs: Long) {
+        server.recordRequestSent(nowMs)
+        if (server.isCold(nowMs)) server.coldRateLimiter.recordRequest(nowMs, coldQuotaPerSecond(server))
+    }
+
+    /**
+     * Returns those of [ready] that are worth rating, by region, in the order of the key: the first choices, which
+     * alone are likely to know the key.
+     */
+    fun selectByRegion(spec: RequestSpec, ready: List<KnownServer>): Collection<List<KnownServer>> {
+        val keyHash = hash64("${spec.service.value}/${spec.affinityKey ?: spec.id}")
+        val limits = parameters.candidateLimits
+        val hasOwnRegion = ready.any { it.distance != Distance.OTHER_REGION }
+        return ready.groupBy { it.region }.values.map { group ->
+            val isOtherRegion = group.first().distance == Distance.OTHER_REGION
+            val count = if (isOtherRegion && hasOwnRegion) limits.otherRegionServers else limits.ownRegionServers
+            selectFirstChoices(group, keyHash, count)
+        }
+    }
+
+    /** Returns the [count] servers of [group] that come first in the order of the key. */
+    private fun selectFirstChoices(group: List<KnownServer>, keyHash: Long, count: Int): List<KnownServer> {
+        val ranks = LongArray(group.size) { combineHashes(keyHash, group[it].nameHash) }
+        val indices = group.indices.toMutableList()
+        val chosen = ArrayList<KnownServer>()
+        while (chosen.size < count && indices.isNotEmpty()) {
+            val best = indices.maxBy { ranks[it] }
+            indices.remove(best)
+            chosen.add(group[best])
+        }
+        return chosen
+    }
+
+    private fun isUsable(
+        server: KnownServer,
+        spec: RequestSpec,
+        estimate: ProcessingTimeEstimate,
+        nowMs: Long,
+    ): Boolean {
+        val allowed = spec.route.allowedRegions
+        val expectedColdMs = estimate.coldMs * server.health.slowness(nowMs)
+        val maxUnansweredMs = maxOf(MIN_UNANSWERED_MS, (UNANSWERED_FACTOR * expectedColdMs).toLong())
+        return servers.isEligible(server) &&
+            (allowed.isEmpty() || server.region in allowed) &&
+            server.health.isAvailable(server.load.inFlight, nowMs) &&
+            server.load.unansweredForMs(nowMs) < maxUnansweredMs
+    }
+
+    private fun coldQuotaPerSecond(server: KnownServer): Double {
+        val maxPerSecond = routes.findServiceTerms(server.record.service)?.coldPerSecond ?: 0.0
+        return limitSharing.coldQuotaPerSecond(server, maxPerSecond * parameters.usableColdRateShare)
+    }
+}
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/RoundTripTimes.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/RoundTripTimes.kt
@@ -18,26 +18,26 @@
 private const val OTHER_REGION_MS = 70.0
 
 /** Weight of a connection that took longer than the known time; waits at the server must hardly count. */
-private const val RISE_WEIGHT = 0.05
+private const val INCREASE_WEIGHT = 0.05
 
 /** Represents the learnt times there and back. */
 public class RoundTripTimes {
     private val byZone = HashMap<ZoneName, Double>()
 
     /** Returns the time there and back to [server]. */
-    public fun estimateMs(server: KnownServer): Double = byZone[server.record.zone] ?: usualMs(server.distance)
+    public fun estimateMs(server: KnownServer): Double = byZone[server.record.zone] ?: defaultMs(server.distance)
 
     /** Notes that a connection to [server] took [tookMs], which is once there and back. */
     public fun record(server: KnownServer, tookMs: Long) {
         val known = byZone[server.record.zone]
-        val seenMs = tookMs.toDouble()
+        val measuredMs = tookMs.toDouble()
         byZone[server.record.zone] = when {
-            known == null || seenMs < known -> seenMs
-            else -> known + RISE_WEIGHT * (seenMs - known)
+            known == null || measuredMs < known -> measuredMs
+            else -> known + INCREASE_WEIGHT * (measuredMs - known)
         }
     }
 
-    private fun usualMs(distance: Distance): Double = when (distance) {
+    private fun defaultMs(distance: Distance): Double = when (distance) {
         Distance.SAME_ZONE -> SAME_ZONE_MS
         Distance.SAME_REGION -> SAME_REGION_MS
         Distance.OTHER_REGION -> OTHER_REGION_MS
--- /dev/null
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/RouteEstimates.kt
@@ -0,0 +1,69 @@
+/*
+ * The learnt times of all routes, and what is learnt from each request that ended.
+ */
+package org.cardamomwharf.steering.placement
+
+import org.cardamomwharf.steering.SteeringParameters
+import org.cardamomwharf.steering.desired.Route
+import org.cardamomwharf.steering.requests.AttemptOutcome
+import org.cardamomwharf.steering.requests.AttemptReport
+import org.cardamomwharf.steering.requests.Placement
+import org.cardamomwharf.steering.requests.RequestSpec
+import org.cardamomwharf.steering.servers.KnownServer
+
+internal class RouteEstimates(private val parameters: SteeringParameters, private val roundTripTimes: RoundTripTimes) {
+    private val byRoute = HashMap<String, ProcessingTimeEstimate>()
+
+    fun getForRoute(route: Route): ProcessingTimeEstimate =
+        byRoute.getOrPut(route.name) { ProcessingTimeEstimate(route, parameters) }
+
+    /** Learns from a try of [spec] that ended at [server]. */
+    fun recordOutcome(
+        spec: RequestSpec,
+        send: Placement.Send,
+        report: AttemptReport,
+        server: KnownServer,
+        nowMs: Long,
+    ) {
+        server.load.recordRequestEnded()
+        when (report.outcome) {
+            AttemptOutcome.ANSWERED -> recordResponse(spec, send, server, report.tookMs, nowMs)
+            AttemptOutcome.FAILED, AttemptOutcome.SHED -> {
+                server.load.recordResponse(nowMs)
+                server.health.recordResponse(isSuccess = false, nowMs)
+            }
+            AttemptOutcome.MISDIRECTED, AttemptOutcome.NOT_SENT, AttemptOutcome.LOST ->
+                server.health.recordFailure(nowMs)
+            AttemptOutcome.TIMED_OUT -> recordTimeout(send, server, report.tookMs, nowMs)
+            AttemptOutcome.CALLER_GONE -> Unit
+        }
+    }
+
+    private fun recordResponse(
+        spec: RequestSpec,
+        send: Placement.Send,
+        server: KnownServer,
+        tookMs: Long,
+        nowMs: Long,
+    ) {
+        server.load.recordResponse(nowMs)
+        server.health.recordResponse(isSuccess = true, nowMs)
+        val estimate = getForRoute(spec.route)
+        val slowness = server.health.slowness(nowMs)
+        val processingMs = (tookMs - roundTripTimes.estimateMs(server)).coerceAtLeast(1.0)
+        if (send.load < server.slots) {
+            val expectedMs = if (estimate.isWarm(processingMs / slowness)) estimate.warmMs else estimate.coldMs
+            server.health.recordSlowness(processingMs / expectedMs, nowMs)
+            if (!server.isCold(nowMs)) estimate.record(send.warmth, processingMs / slowness)
+        } else if (tookMs > send.predictedMs) {
+            server.health.recordSlowness(slowness * tookMs / send.predictedMs, nowMs)
+        }
+        spec.affinityKey?.let { server.warmKeys.add(it) }
+    }
+
+    private fun recordTimeout(send: Placement.Send, server: KnownServer, tookMs: Long, nowMs: Long) {
+        server.health.recordTimeout(nowMs)
+        val factor = maxOf(parameters.minTimeoutSlowness, tookMs / send.predictedMs)
+        server.health.recordSlowness(server.health.slowness(nowMs) * factor, nowMs)
+    }
+}
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/Placer.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/ServerSelector.kt
@@ -15,53 +15,53 @@
 import org.cardamomwharf.steering.requests.RequestSpec
 import org.cardamomwharf.steering.servers.KnownServer
 
-internal class Placer(
-    private val terms: SteeringParameters,
-    private val candidates: Candidates,
+internal class ServerSelector(
+    private val parameters: SteeringParameters,
+    private val candidates: CandidateServers,
     private val spillover: RegionSpillover,
     roundTripTimes: RoundTripTimes,
 ) {
-    private val estimates = EstimateBook(terms, roundTripTimes)
-    private val rater = ServerRater(terms, roundTripTimes)
+    private val estimates = RouteEstimates(parameters, roundTripTimes)
+    private val scorer = ServerScorer(parameters, roundTripTimes)
 
-    fun choose(spec: RequestSpec, excluded: Set<ServerName>, nowMs: Long): Placement {
-        val work = estimates.of(spec.route)
-        val open = candidates.usable(spec, excluded, work, nowMs)
-        val ready = open.filter { candidates.isReady(it, nowMs) }
+    fun select(spec: RequestSpec, excluded: Set<ServerName>, nowMs: Long): Placement {
+        val estimate = estimates.getForRoute(spec.route)
+        val usable = candidates.findUsable(spec, excluded, estimate, nowMs)
+        val ready = usable.filter { candidates.canReceive(it, nowMs) }
         return when {
-            open.isEmpty() -> refuse(spec, RefusalReason.NO_SERVER, work.coldMs)
-            ready.isEmpty() -> refuse(spec, RefusalReason.COLD, work.coldMs)
-            else -> placeAmong(spec, work, ready, nowMs)
+            usable.isEmpty() -> refuse(spec, RefusalReason.NO_SERVER, estimate.coldMs)
+            ready.isEmpty() -> refuse(spec, RefusalReason.COLD, estimate.coldMs)
+            else -> selectAmong(spec, estimate, ready, nowMs)
         }
     }
 
-    fun noteSent(spec: RequestSpec, send: Placement.Send, nowMs: Long) {
-        spillover.noteSent(spec.service, send)
-        candidates.find(send.server)?.let { candidates.noteSent(it, nowMs) }
+    fun recordRequestSent(spec: RequestSpec, send: Placement.Send, nowMs: Long) {
+        spillover.recordAttempt(spec.service, send)
+        candidates.find(send.server)?.let { candidates.recordRequestSent(it, nowMs) }
     }
 
-    fun noteEnd(spec: RequestSpec, send: Placement.Send, report: AttemptReport, nowMs: Long) {
-        candidates.find(send.server)?.let { estimates.learn(spec, send, report, it, nowMs) }
+    fun recordOutcome(spec: RequestSpec, send: Placement.Send, report: AttemptReport, nowMs: Long) {
+        candidates.find(send.server)?.let { estimates.recordOutcome(spec, send, report, it, nowMs) }
     }
 
     /** Returns the delay for a refused caller: the expected wait, spread so that callers don't return all at once. */
     fun retryAfterMs(id: String, waitMs: Double): Long =
-        ((terms.shortestRetryAfterMs + waitMs / 2) * (1 + hashToUnitInterval(id))).toLong()
+        ((parameters.minRetryAfterMs + waitMs / 2) * (1 + hashToUnitInterval(id))).toLong()
 
-    private fun placeAmong(
+    private fun selectAmong(
         spec: RequestSpec,
-        work: WorkEstimates,
+        estimate: ProcessingTimeEstimate,
         ready: List<KnownServer>,
         nowMs: Long,
     ): Placement {
-        val ratings = candidates.ordered(spec, ready).flatMap { rateGroup(spec, work, it, nowMs) }
-        val cheapest = bestOf(spec, ratings)
-        val hasHome = ratings.any { it.server.distance != Distance.OTHER_REGION }
-        val best = if (rater.isInTime(spec, cheapest)) cheapest else spareOf(ratings, nowMs)
-        if (best == null) return refuse(spec, RefusalReason.OVERLOAD, cheapest.times.waitMs)
+        val scores = candidates.selectByRegion(spec, ready).flatMap { scoreGroup(spec, estimate, it, nowMs) }
+        val cheapest = selectBest(spec, scores)
+        val hasOwnRegion = scores.any { it.server.distance != Distance.OTHER_REGION }
+        val best = if (scorer.isInTime(spec, cheapest)) cheapest else selectForLateRequest(scores, nowMs)
+        if (best == null) return refuse(spec, RefusalReason.OVERLOAD, cheapest.times.queueMs)
         val record = best.server.record
         val load = best.server.load.estimate(nowMs)
-        val choice = choiceOf(best.server, hasHome)
+        val choice = regionChoiceFor(best.server, hasOwnRegion)
         return Placement.Send(
             record.name,
             record.address,
@@ -73,33 +73,35 @@
         )
     }
 
-    private fun rateGroup(
+    private fun scoreGroup(
         spec: RequestSpec,
-        work: WorkEstimates,
+        estimate: ProcessingTimeEstimate,
         group: List<KnownServer>,
         nowMs: Long,
-    ): List<Rating> =
-        group.mapIndexed { index, server -> rater.rate(spec, work, server, place = index, nowMs) }
+    ): List<ServerScore> =
+        group.mapIndexed { index, server -> scorer.score(spec, estimate, server, rank = index, nowMs) }
 
     /** Returns the best of the own region, or of another when this request is lent or the own region has none. */
-    private fun bestOf(spec: RequestSpec, ratings: List<Rating>): Rating {
-        val (own, other) = ratings.partition { it.server.distance != Distance.OTHER_REGION }
+    private fun selectBest(spec: RequestSpec, scores: List<ServerScore>): ServerScore {
+        val (own, other) = scores.partition { it.server.distance != Distance.OTHER_REGION }
         val bestOwn = own.minByOrNull { it.costMs }
         val bestOther = other.minByOrNull { it.costMs }
         return when {
             bestOwn == null -> checkNotNull(bestOther)
             bestOther == null -> bestOwn
-            isLent(spec, bestOwn, bestOther) -> bestOther
+            isSpilledOver(spec, bestOwn, bestOther) -> bestOther
             else -> bestOwn
         }
     }
 
     /** Returns true when the request goes to [other] instead of [own]. */
-    private fun isLent(spec: RequestSpec, own: Rating, other: Rating): Boolean {
-        val gains = other.costMs < own.costMs
-        val lending = spillover.of(spec.service)
-        if (rater.isInTime(spec, if (gains) other else own)) lending.noteGain(gains)
-        return lending.isDue(gains)
+    private fun isSpilledOver(spec: RequestSpec, own: ServerScore, other: ServerScore): Boolean {
+        val isCheaperElsewhere = other.costMs < own.costMs
+        val serviceSpillover = spillover.getForService(spec.service)
+        if (scorer.isInTime(spec, if (isCheaperElsewhere) other else own)) {
+            serviceSpillover.recordComparison(isCheaperElsewhere)
+        }
+        return serviceSpillover.isNextSpilledOver(isCheaperElsewhere)
     }
 
     /**
@@ -108,17 +110,18 @@
      * request would displace another key and take the time of several others, which LoadPatternTest shows to cost more
      * than it brings.
      */
-    private fun spareOf(ratings: List<Rating>, nowMs: Long): Rating? = ratings
-        .filter { it.server.distance != Distance.OTHER_REGION && it.place < terms.choices.whenLate }
-        .filter { rater.hasRoom(it, nowMs) }
+    private fun selectForLateRequest(scores: List<ServerScore>, nowMs: Long): ServerScore? = scores
+        .filter { it.server.distance != Distance.OTHER_REGION }
+        .filter { it.rank < parameters.candidateLimits.lateRequestServers }
+        .filter { scorer.hasSpareCapacity(it, nowMs) }
         .minByOrNull { it.costMs }
 
     private fun refuse(spec: RequestSpec, reason: RefusalReason, waitMs: Double): Placement.Refuse =
         Placement.Refuse(reason, retryAfterMs(spec.id, waitMs))
 }
 
-private fun choiceOf(server: KnownServer, hasHome: Boolean): RegionChoice = when {
+private fun regionChoiceFor(server: KnownServer, hasOwnRegion: Boolean): RegionChoice = when {
     server.distance != Distance.OTHER_REGION -> RegionChoice.HOME
-    hasHome -> RegionChoice.LENT
+    hasOwnRegion -> RegionChoice.SPILLOVER
     else -> RegionChoice.NO_HOME_SERVER
 }
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/WeightedSplit.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/WeightedRoundRobin.kt
@@ -8,7 +8,7 @@
 import org.cardamomwharf.steering.desired.WeightedService
 
 /** Represents the division of one route's requests at this instance. */
-public class WeightedSplit(private val backends: List<WeightedService>) {
+public class WeightedRoundRobin(private val backends: List<WeightedService>) {
     private val credits = DoubleArray(backends.size)
     private val totalWeight = backends.sumOf { it.weight }
 
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/requests/RequestSpec.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/requests/RequestSpec.kt
@@ -53,7 +53,7 @@
     HOME("home"),
 
     /** It belongs to the share that is lent to another region. */
-    LENT("lent"),
+    SPILLOVER("lent"),
 
     /** No backend server of the instance's region can take it. */
     NO_HOME_SERVER("no-home-server"),
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/servers/KnownServer.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/servers/KnownServer.kt
@@ -8,7 +8,7 @@
 import org.cardamomwharf.core.hash64
 import org.cardamomwharf.steering.Distance
 import org.cardamomwharf.steering.SteeringParameters
-import org.cardamomwharf.steering.limits.ColdAllowance
+import org.cardamomwharf.steering.limits.ColdRateLimiter
 
 /** Represents the belief about one life of a backend server. */
 public class KnownServer(
@@ -17,7 +17,7 @@
     public val distance: Distance,
     /** The region of the server, or null when its zone isn't listed. */
     public val region: RegionName?,
-    terms: SteeringParameters,
+    parameters: SteeringParameters,
 ) {
     /** Hash of the name, for rankings by key. */
     internal val nameHash: Long = hash64(record.name.value)
@@ -27,10 +27,10 @@
         internal set
 
     /** The load of the server. */
-    public val load: ServerLoad = ServerLoad(terms)
+    public val load: ServerLoad = ServerLoad(parameters)
 
     /** Whether the server can be trusted with requests. */
-    public val trust: ServerTrust = ServerTrust(terms)
+    public val health: ServerHealth = ServerHealth(parameters)
 
     /** Keys that the server is believed to have handled recently. */
     public val warmKeys: WarmKeys = WarmKeys()
@@ -40,14 +40,14 @@
         internal set
 
     /** True for a server that joined others at work, until this instance has sent it a request. */
-    public var isUnproven: Boolean = false
+    public var isUntried: Boolean = false
         internal set
 
     /** True when this instance has sent the server a request. */
-    public var isUsed: Boolean = false
+    public var hasReceivedRequest: Boolean = false
         private set
 
-    internal val coldAllowance = ColdAllowance()
+    internal val coldRateLimiter = ColdRateLimiter()
 
     /** Slots of the server, at least one. */
     public val slots: Int get() = (load.reportedSlots ?: record.slots).coerceAtLeast(1)
@@ -56,16 +56,16 @@
     public fun isCold(nowMs: Long): Boolean = nowMs < coldUntilMs
 
     /** Notes that a request goes to the server now. */
-    public fun noteSent(nowMs: Long) {
-        load.noteSent(nowMs)
-        isUnproven = false
-        isUsed = true
+    public fun recordRequestSent(nowMs: Long) {
+        load.recordRequestSent(nowMs)
+        isUntried = false
+        hasReceivedRequest = true
     }
 
     /** Starts the belief anew, as for a new life of the server. */
-    internal fun restart() {
+    internal fun reset() {
         warmKeys.clear()
-        load.restart()
-        trust.restart()
+        load.reset()
+        health.reset()
     }
 }
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/servers/ServerBook.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/servers/ServerRegistry.kt
@@ -13,7 +13,7 @@
 import org.cardamomwharf.steering.store.TableChange
 
 /** Represents the known backend servers. */
-public class ServerBook(private val place: InstanceLocation, private val terms: SteeringParameters) {
+public class ServerRegistry(private val location: InstanceLocation, private val parameters: SteeringParameters) {
     private val byName = HashMap<ServerName, KnownServer>()
     private val byService = HashMap<ServiceName, MutableList<KnownServer>>()
     private var evacuated: Set<ZoneName> = emptySet()
@@ -23,10 +23,10 @@
     public fun find(name: ServerName): KnownServer? = byName[name]
 
     /** Returns all servers of [service], leaving ones included. */
-    public fun serversOf(service: ServiceName): List<KnownServer> = byService[service].orEmpty()
+    public fun findByService(service: ServiceName): List<KnownServer> = byService[service].orEmpty()
 
     /** Returns true when [server] may get new requests as far as the store and the operators say. */
-    public fun isOpen(server: KnownServer): Boolean =
+    public fun isEligible(server: KnownServer): Boolean =
         !server.record.isDraining && server.record.name !in leaving && server.record.zone !in evacuated
 
     /** Takes changes of the store over. */
@@ -42,15 +42,15 @@
     }
 
     /** Notes that the server [name] said itself that it is leaving. */
-    public fun noteLeaving(name: ServerName) {
+    public fun markLeaving(name: ServerName) {
         if (name in byName) leaving.add(name)
     }
 
     /** Sets the zones whose servers get nothing; servers of a zone that is taken back count as cold. */
     public fun evacuate(zones: Set<ZoneName>, services: Map<ServiceName, ServiceTerms>, nowMs: Long) {
-        val restored = evacuated - zones
+        val readmitted = evacuated - zones
         evacuated = zones
-        byName.values.filter { it.record.zone in restored }.forEach { server ->
+        byName.values.filter { it.record.zone in readmitted }.forEach { server ->
             server.coldUntilMs = nowMs + (services[server.record.service]?.coldStartMs ?: 0)
             server.warmKeys.clear()
         }
@@ -59,24 +59,24 @@
     private fun add(record: ServerRecord, coldStartMs: Long, nowMs: Long) {
         val known = byName[record.name]
         if (known != null) return replace(record, coldStartMs, nowMs)
-        val region = place.regions[record.zone]
-        val server = KnownServer(record, place.distanceTo(record.zone), region, terms)
+        val region = location.regions[record.zone]
+        val server = KnownServer(record, location.distanceTo(record.zone), region, parameters)
         server.coldUntilMs = nowMs + record.coldRemainingMs
         val peers = byService.getOrPut(record.service) { ArrayList() }
-        server.isUnproven = server.distance != Distance.OTHER_REGION && peers.any { it.isUsed }
+        server.isUntried = server.distance != Distance.OTHER_REGION && peers.any { it.hasReceivedRequest }
         byName[record.name] = server
         peers.add(server)
     }
 
     private fun replace(record: ServerRecord, coldStartMs: Long, nowMs: Long) {
         val server = byName[record.name]
-        if (server == null || isElsewhere(server.record, record)) {
+        if (server == null || hasMoved(server.record, record)) {
             remove(record.name)
             return add(record, coldStartMs, nowMs)
         }
         if (server.record.startedAtUnixMs != record.startedAtUnixMs) {
             leaving.remove(record.name)
-            server.restart()
+            server.reset()
             server.coldUntilMs = nowMs + maxOf(record.coldRemainingMs, coldStartMs)
         } else if (record.coldRemainingMs != server.record.coldRemainingMs) {
             server.coldUntilMs = maxOf(server.coldUntilMs, nowMs + record.coldRemainingMs)
@@ -84,7 +84,7 @@
         server.record = record
     }
 
-    private fun isElsewhere(before: ServerRecord, after: ServerRecord): Boolean =
+    private fun hasMoved(before: ServerRecord, after: ServerRecord): Boolean =
         before.service != after.service || before.zone != after.zone || before.address != after.address
 
     private fun remove(name: ServerName) {
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/servers/WarmKeys.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/servers/WarmKeys.kt
@@ -12,14 +12,14 @@
     public operator fun contains(key: String): Boolean = key in keys
 
     /** Notes that [key] was handled. */
-    public fun note(key: String) {
+    public fun add(key: String) {
         keys.remove(key)
         keys.add(key)
-        if (keys.size > LARGEST_KEYS) keys.remove(keys.first())
+        if (keys.size > MAX_KEYS) keys.remove(keys.first())
     }
 
     /** Notes that [key] was found not to be warm. */
-    public fun forget(key: String) {
+    public fun remove(key: String) {
         keys.remove(key)
     }
 
@@ -30,6 +30,6 @@
 
     private companion object {
         /** Keys kept for each backend server; backend servers of today remember fewer than 70. */
-        const val LARGEST_KEYS = 128
+        const val MAX_KEYS = 128
     }
 }
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/store/CachedTable.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/store/CachedTable.kt
@@ -44,9 +44,9 @@
     private val removalsDueAtMs = HashMap<String, Long>()
 
     /** Version from which on every removal is known. */
-    private var removalsKnownFrom = Long.MAX_VALUE
+    private var completeSinceVersion = Long.MAX_VALUE
 
-    /** Newest version of the store that was seen; 0 before the first reading. */
+    /** Newest version of the store that was seen; 0 before the first update. */
     public var version: Long = 0
         private set
 
@@ -62,33 +62,33 @@
      * not be known here. Entries that are kept for the grace period count as removed.
      */
     public fun updateSince(knownVersion: Long): TableUpdate<T> {
-        val isWhole = knownVersion < removalsKnownFrom
-        val told = entries.values.map { if (it.key in removalsDueAtMs) it.copy(value = null) else it }
-        val news = told.filter { if (isWhole) it.value != null else it.version > knownVersion }
-        return TableUpdate(news, version, isWhole)
+        val isWhole = knownVersion < completeSinceVersion
+        val visible = entries.values.map { if (it.key in removalsDueAtMs) it.copy(value = null) else it }
+        val changed = visible.filter { if (isWhole) it.value != null else it.version > knownVersion }
+        return TableUpdate(changed, version, isWhole)
     }
 
-    /** Returns true when [reading] is the whole table as of a moment before what is known; it has to be read again. */
-    public fun isStale(reading: TableUpdate<T>): Boolean = reading.isWhole && reading.version < version
-
-    /** Takes [reading] over and returns what changed. A stale reading changes nothing. */
-    public fun apply(reading: TableUpdate<T>, nowMs: Long): List<TableChange<T>> {
-        if (isStale(reading)) return emptyList()
-        val changes = reading.entries.mapNotNull { applyEntry(it, nowMs) }.toMutableList()
-        if (reading.isWhole) {
-            val present = reading.entries.mapTo(HashSet()) { it.key }
-            val absent = entries.values.filter { it.key !in present && it.version <= reading.version }
-            absent.mapNotNullTo(changes) { applyEntry(TableEntry(it.key, reading.version, null), nowMs) }
+    /** Returns true when [update] is the whole table as of a moment before what is known; it has to be read again. */
+    public fun isStale(update: TableUpdate<T>): Boolean = update.isWhole && update.version < version
+
+    /** Takes [update] over and returns what changed. A stale update changes nothing. */
+    public fun apply(update: TableUpdate<T>, nowMs: Long): List<TableChange<T>> {
+        if (isStale(update)) return emptyList()
+        val changes = update.entries.mapNotNull { applyEntry(it, nowMs) }.toMutableList()
+        if (update.isWhole) {
+            val present = update.entries.mapTo(HashSet()) { it.key }
+            val absent = entries.values.filter { it.key !in present && it.version <= update.version }
+            absent.mapNotNullTo(changes) { applyEntry(TableEntry(it.key, update.version, null), nowMs) }
         }
-        if (reading.isWhole) removalsKnownFrom = minOf(removalsKnownFrom, reading.version)
-        version = maxOf(version, reading.version)
+        if (update.isWhole) completeSinceVersion = minOf(completeSinceVersion, update.version)
+        version = maxOf(version, update.version)
         return changes
     }
 
     /** Removes the entries whose grace period is over and returns what changed. */
     public fun expire(nowMs: Long): List<TableChange<T>> {
-        val due = removalsDueAtMs.filterValues { it <= nowMs }.keys.toList()
-        return due.mapNotNull { key ->
+        val expired = removalsDueAtMs.filterValues { it <= nowMs }.keys.toList()
+        return expired.mapNotNull { key ->
             removalsDueAtMs.remove(key)
             val entry = entries[key] ?: return@mapNotNull null
             entries[key] = entry.copy(value = null)
@@ -101,35 +101,35 @@
         if (known == null || known.version <= next.version) contentVersion = maxOf(contentVersion, next.version)
         return when {
             known != null && known.version > next.version -> null
-            next.value == null && known?.value != null && nowMs < gracePeriod.endsAtMs -> postpone(known, next)
+            next.value == null && known?.value != null && nowMs < gracePeriod.endsAtMs -> postponeRemoval(known, next)
             else -> replace(known, next)
         }
     }
 
-    private fun postpone(known: TableEntry<T>, removal: TableEntry<T>): TableChange<T>? {
+    private fun postponeRemoval(known: TableEntry<T>, removal: TableEntry<T>): TableChange<T>? {
         entries[known.key] = known.copy(version = removal.version)
         removalsDueAtMs.putIfAbsent(known.key, gracePeriod.endsAtMs)
         return null
     }
 
     private fun replace(known: TableEntry<T>?, next: TableEntry<T>): TableChange<T>? {
-        if (next.value == null) forgetOldTombstones() else removalsDueAtMs.remove(next.key)
+        if (next.value == null) purgeOldTombstones() else removalsDueAtMs.remove(next.key)
         entries[next.key] = next
         return if (known?.value == next.value) null else TableChange(next.key, next.version, known?.value, next.value)
     }
 
-    private fun forgetOldTombstones() {
-        if (entries.size <= LARGEST_ENTRIES) return
+    private fun purgeOldTombstones() {
+        if (entries.size <= MAX_ENTRIES) return
         entries.values.filter { it.value == null }.sortedBy { it.version }
-            .take(entries.size - LARGEST_ENTRIES)
+            .take(entries.size - MAX_ENTRIES)
             .forEach {
                 entries.remove(it.key)
-                removalsKnownFrom = maxOf(removalsKnownFrom, it.version)
+                completeSinceVersion = maxOf(completeSinceVersion, it.version)
             }
     }
 
     private companion object {
         /** Entries kept, removed ones included; far above the backend servers of one deployment. */
-        const val LARGEST_ENTRIES = 20_000
+        const val MAX_ENTRIES = 20_000
     }
 }
--- a/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/instances/FleetHeartbeatTest.kt
+++ b/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/instances/FleetHeartbeatTest.kt
@@ -17,14 +17,14 @@
 import org.cardamomwharf.steering.store.StoreStatus
 import kotlin.random.Random
 
-private const val SILENCE_MS = 4_000L
-private const val BEAT_MS = 500L
+private const val TIMEOUT_MS = 4_000L
+private const val HEARTBEAT_INTERVAL_MS = 500L
 private const val STEP_MS = 50L
 private const val LOSS = 0.05
 private const val WARM_UP_MS = 6_000L
 
-/** The users' bound for instances that ended: the shortest stable window with three seconds. */
-private const val GONE_BOUND_MS = 6_000L
+/** The users' bound for instances that stopped: the shortest stable window with three seconds. */
+private const val DETECTION_BOUND_MS = 6_000L
 private val regions = (0 until 9).associate { ZoneName("z$it") to RegionName("r${it / 3}") }
 
 class FleetHeartbeatTest : FunSpec({
@@ -40,13 +40,13 @@
         test("`instances that end are gone in all of $size, also the ones that others report to`") {
             val fleet = Fleet(size, Random(size))
             fleet.runUntil(WARM_UP_MS)
-            val ended = fleet.firstOf(ZoneName("z0"), 2) + fleet.firstOf(ZoneName("z4"), 1)
-            fleet.end(ended)
+            val stopped = fleet.firstOf(ZoneName("z0"), 2) + fleet.firstOf(ZoneName("z4"), 1)
+            fleet.stop(stopped)
             val missing = ArrayList<String>()
-            fleet.runUntil(WARM_UP_MS + GONE_BOUND_MS) { missing += fleet.missing() }
+            fleet.runUntil(WARM_UP_MS + DETECTION_BOUND_MS) { missing += fleet.missing() }
             fleet.runUntil(WARM_UP_MS * 3) {
                 missing += fleet.missing()
-                fleet.believing(ended).shouldBeEmpty()
+                fleet.instancesCounting(stopped).shouldBeEmpty()
             }
             missing.shouldBeEmpty()
         }
@@ -65,10 +65,10 @@
 })
 
 private class Member(val record: InstanceRecord, random: Random, val phaseMs: Long) {
-    val book = InstanceRegistry(record, Incarnation(1), SILENCE_MS)
-    val choice = WatcherElection(record)
+    val registry = InstanceRegistry(record, Incarnation(1), TIMEOUT_MS)
+    val election = WatcherElection(record)
     private val location = InstanceLocation(record.name, record.zone, regions)
-    val exchange = HeartbeatExchange(location, book, WatcherElection(record), random)
+    val exchange = HeartbeatExchange(location, registry, WatcherElection(record), random)
     var beats = 0
 }
 
@@ -79,10 +79,10 @@
     private val members = (0 until size).associate { number ->
         val address = SocketAddress("10.0.${number / 200}.${number % 200 + 1}", 80)
         val record = InstanceRecord(InstanceName("front-$number"), ZoneName("z${number % 9}"), address, address)
-        record.name to Member(record, random, random.nextLong(BEAT_MS / STEP_MS) * STEP_MS)
+        record.name to Member(record, random, random.nextLong(HEARTBEAT_INTERVAL_MS / STEP_MS) * STEP_MS)
     }.toMutableMap()
     private val listed = members.values.map { it.record }
-    private var onTheWay = ArrayList<Datagram>()
+    private var inTransit = ArrayList<Datagram>()
     private var nowMs = 0L
 
     /** Messages that were sent to another zone. */
@@ -90,19 +90,19 @@
         private set
 
     init {
-        members.values.forEach { it.book.addAddresses(listed) }
+        members.values.forEach { it.registry.addAddresses(listed) }
     }
 
     fun runUntil(endMs: Long, check: () -> Unit = {}) {
         while (nowMs < endMs) {
             deliver()
-            members.values.forEach { if (nowMs % BEAT_MS == it.phaseMs) beat(it) }
+            members.values.forEach { if (nowMs % HEARTBEAT_INTERVAL_MS == it.phaseMs) sendHeartbeats(it) }
             nowMs += STEP_MS
-            if (nowMs % BEAT_MS == 0L) check()
+            if (nowMs % HEARTBEAT_INTERVAL_MS == 0L) check()
         }
     }
 
-    fun end(names: List<InstanceName>) {
+    fun stop(names: List<InstanceName>) {
         names.forEach { members.remove(it) }
     }
 
@@ -111,35 +111,35 @@
 
     /** Returns the pairs of running instances of which the first doesn't count the second as running. */
     fun missing(): List<String> = members.values.flatMap { member ->
-        val running = member.book.running(nowMs).mapTo(HashSet()) { it.name }
+        val running = member.registry.running(nowMs).mapTo(HashSet()) { it.name }
         members.keys.filter { it !in running }.map { "${member.record.name.value} lacks ${it.value} at $nowMs" }
     }
 
     /** Returns the instances that count one of [names] as running. */
-    fun believing(names: List<InstanceName>): List<String> = members.values.flatMap { member ->
-        member.book.running(nowMs).filter { it.name in names }
+    fun instancesCounting(names: List<InstanceName>): List<String> = members.values.flatMap { member ->
+        member.registry.running(nowMs).filter { it.name in names }
             .map { "${member.record.name.value} believes ${it.name.value} at $nowMs" }
     }
 
-    private fun beat(member: Member) {
+    private fun sendHeartbeats(member: Member) {
         val others = listed.filter { it.name != member.record.name }
-        val isReader = member.choice.isWatcher(member.book.running(nowMs), nowMs)
-        val news = if (isReader) StoreStatus(ContentVersions(1, 1), 0, isFailing = false) else null
-        member.exchange.nextHeartbeats(member.beats++, others, news, nowMs).forEach { send(member, it) }
+        val isWatcher = member.election.isWatcher(member.registry.running(nowMs), nowMs)
+        val status = if (isWatcher) StoreStatus(ContentVersions(1, 1), 0, isFailing = false) else null
+        member.exchange.nextHeartbeats(member.beats++, others, status, nowMs).forEach { send(member, it) }
     }
 
     private fun send(from: Member, sent: OutgoingHeartbeat) = sent.recipients.forEach { to ->
         if (to.zone != from.record.zone) betweenZones++
-        if (random.nextDouble() >= LOSS) onTheWay.add(Datagram(nowMs + STEP_MS, to.name, sent.message))
+        if (random.nextDouble() >= LOSS) inTransit.add(Datagram(nowMs + STEP_MS, to.name, sent.message))
     }
 
     private fun deliver() {
-        val (due, later) = onTheWay.partition { it.dueMs <= nowMs }
-        onTheWay = ArrayList(later)
+        val (due, later) = inTransit.partition { it.dueMs <= nowMs }
+        inTransit = ArrayList(later)
         due.forEach { datagram ->
             val member = members[datagram.to] ?: return@forEach
             member.exchange.receive(datagram.message, nowMs)
-            datagram.message.storeStatus?.let { member.choice.receive(datagram.message.sender.record, it, nowMs) }
+            datagram.message.storeStatus?.let { member.election.receive(datagram.message.sender.record, it, nowMs) }
         }
     }
 }
--- a/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/instances/InstanceRegistryTest.kt
+++ b/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/instances/InstanceRegistryTest.kt
@@ -18,46 +18,46 @@
     fun heartbeat(name: String, incarnation: Long, count: Long, isLeaving: Boolean = false) =
         Heartbeat(record(name), Incarnation(incarnation), count, isLeaving)
 
-    fun book() = InstanceRegistry(record("own"), Incarnation(1), silenceMs = 4_000)
+    fun createRegistry() = InstanceRegistry(record("own"), Incarnation(1), timeoutMs = 4_000)
     fun InstanceRegistry.names(nowMs: Long) = serving(nowMs).map { it.name.value }.sorted()
 
     test("`an instance whose heartbeat stands still is gone, however often it is told`") {
-        val book = book()
-        book.receive(heartbeat("b", 1, 7), 0)
-        book.names(3_000) shouldBe listOf("b", "own")
-        book.receive(heartbeat("b", 1, 7), 3_500)
-        book.names(4_100) shouldBe listOf("own")
+        val registry = createRegistry()
+        registry.receive(heartbeat("b", 1, 7), 0)
+        registry.names(3_000) shouldBe listOf("b", "own")
+        registry.receive(heartbeat("b", 1, 7), 3_500)
+        registry.names(4_100) shouldBe listOf("own")
     }
 
     test("`an instance that leaves is not named, and its next life is`") {
-        val book = book()
-        book.receive(heartbeat("b", 1, 7), 0)
-        book.receive(heartbeat("b", 1, 8, isLeaving = true), 100)
-        book.names(200) shouldBe listOf("own")
-        book.receive(heartbeat("b", 1, 7), 300)
-        book.names(400) shouldBe listOf("own")
-        book.receive(heartbeat("b", 2, 1), 500)
-        book.names(600) shouldBe listOf("b", "own")
+        val registry = createRegistry()
+        registry.receive(heartbeat("b", 1, 7), 0)
+        registry.receive(heartbeat("b", 1, 8, isLeaving = true), 100)
+        registry.names(200) shouldBe listOf("own")
+        registry.receive(heartbeat("b", 1, 7), 300)
+        registry.names(400) shouldBe listOf("own")
+        registry.receive(heartbeat("b", 2, 1), 500)
+        registry.names(600) shouldBe listOf("b", "own")
     }
 
     test("`an instance that starts again after its clock was set back is named again`") {
-        val book = book()
-        book.receive(heartbeat("b", 5_000, 7), 0)
-        val restarted = InstanceRegistry(record("b"), Incarnation(2_000), silenceMs = 4_000)
-        restarted.receive(book.heartbeats(100).single { it.record.name.value == "b" }, 100)
-        book.receive(heartbeat("b", 5_000, 8, isLeaving = true), 150)
-        book.names(200) shouldBe listOf("own")
-        book.receive(restarted.heartbeats(300).single { it.record.name.value == "b" }, 300)
-        book.names(400) shouldBe listOf("b", "own")
+        val registry = createRegistry()
+        registry.receive(heartbeat("b", 5_000, 7), 0)
+        val restarted = InstanceRegistry(record("b"), Incarnation(2_000), timeoutMs = 4_000)
+        restarted.receive(registry.heartbeats(100).single { it.record.name.value == "b" }, 100)
+        registry.receive(heartbeat("b", 5_000, 8, isLeaving = true), 150)
+        registry.names(200) shouldBe listOf("own")
+        registry.receive(restarted.heartbeats(300).single { it.record.name.value == "b" }, 300)
+        registry.names(400) shouldBe listOf("b", "own")
     }
 
     test("`an instance that nobody told of for long may come back with an older incarnation`") {
-        val book = book()
-        book.receive(heartbeat("b", 5_000, 7), 0)
-        book.receive(heartbeat("b", 2_000, 1), 5_000)
-        book.names(5_100) shouldBe listOf("own")
-        book.receive(heartbeat("b", 2_000, 2), 13_000)
-        book.names(13_100) shouldBe listOf("b", "own")
+        val registry = createRegistry()
+        registry.receive(heartbeat("b", 5_000, 7), 0)
+        registry.receive(heartbeat("b", 2_000, 1), 5_000)
+        registry.names(5_100) shouldBe listOf("own")
+        registry.receive(heartbeat("b", 2_000, 2), 13_000)
+        registry.names(13_100) shouldBe listOf("b", "own")
     }
 
     test("`callers get their zone, then their region, then anything`") {
--- a/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/instances/WatcherElectionTest.kt
+++ b/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/instances/WatcherElectionTest.kt
@@ -23,49 +23,49 @@
     val working = StoreStatus(OLD, silentForMs = 100, isFailing = false)
 
     /** Returns who follows the store when everybody hears the [news] of those that do, told at 0. */
-    fun readers(news: Map<String, StoreStatus>, nowMs: Long): List<String> = zone.filter { own ->
-        val choice = WatcherElection(own)
-        news.forEach { (name, told) -> choice.receive(record(name), told, 0) }
-        choice.isWatcher(zone, nowMs)
+    fun watchers(news: Map<String, StoreStatus>, nowMs: Long): List<String> = zone.filter { own ->
+        val election = WatcherElection(own)
+        news.forEach { (name, told) -> election.receive(record(name), told, 0) }
+        election.isWatcher(zone, nowMs)
     }.map { it.name.value }
 
     val first = zone.single { own ->
-        val choice = WatcherElection(own)
-        (zone - own).forEach { choice.receive(it, working, 0) }
-        choice.isWatcher(zone, 0)
+        val election = WatcherElection(own)
+        (zone - own).forEach { election.receive(it, working, 0) }
+        election.isWatcher(zone, 0)
     }.name.value
 
     test("`of a zone whose instances hear each other one follows the store`") {
-        readers(mapOf(first to working), 500) shouldBe listOf(first)
+        watchers(mapOf(first to working), 500) shouldBe listOf(first)
     }
 
     test("`without news everybody follows the store`") {
-        readers(emptyMap(), 0) shouldHaveSize 3
+        watchers(emptyMap(), 0) shouldHaveSize 3
     }
 
     test("`a silent follower, one that fails and one without answers are replaced`") {
-        readers(mapOf(first to working), 1_300) shouldHaveSize 3
-        readers(mapOf(first to working.copy(isFailing = true)), 500) shouldHaveSize 3
-        readers(mapOf(first to working.copy(silentForMs = 4_000)), 500) shouldHaveSize 3
+        watchers(mapOf(first to working), 1_300) shouldHaveSize 3
+        watchers(mapOf(first to working.copy(isFailing = true)), 500) shouldHaveSize 3
+        watchers(mapOf(first to working.copy(silentForMs = 4_000)), 500) shouldHaveSize 3
     }
 
     test("`one replacement is enough while the first one fails`") {
         val second = (zone.map { it.name.value } - first).first { name ->
-            readers(mapOf(first to working.copy(isFailing = true), name to working), 500).sorted() ==
+            watchers(mapOf(first to working.copy(isFailing = true), name to working), 500).sorted() ==
                 listOf(first, name).sorted()
         }
         (second != first) shouldBe true
     }
 
     test("`news of another zone are asked for only when the own zone doesn't bring them`") {
-        val choice = WatcherElection(record("a"))
-        choice.receive(record("x", "z2"), working.copy(content = NEW), 0)
-        choice.instancesAheadOf(OLD, 100) shouldHaveSize 0
-        choice.receive(record("x", "z2"), working.copy(content = NEW), 200)
-        choice.instancesAheadOf(OLD, 300).map { it.name.value } shouldBe listOf("x")
-        choice.receive(record("b"), working.copy(content = NEW), 300)
-        choice.instancesAheadOf(OLD, 300).map { it.name.value } shouldBe listOf("b", "x")
-        choice.instancesAheadOf(NEW, 300) shouldHaveSize 0
+        val election = WatcherElection(record("a"))
+        election.receive(record("x", "z2"), working.copy(content = NEW), 0)
+        election.instancesAheadOf(OLD, 100) shouldHaveSize 0
+        election.receive(record("x", "z2"), working.copy(content = NEW), 200)
+        election.instancesAheadOf(OLD, 300).map { it.name.value } shouldBe listOf("x")
+        election.receive(record("b"), working.copy(content = NEW), 300)
+        election.instancesAheadOf(OLD, 300).map { it.name.value } shouldBe listOf("b", "x")
+        election.instancesAheadOf(NEW, 300) shouldHaveSize 0
     }
 
     test("`in other zones two instances are told, in case the one that follows the store has just ended`") {
--- a/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/placement/LoadPatternTest.kt
+++ b/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/placement/LoadPatternTest.kt
@@ -6,10 +6,10 @@
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.doubles.shouldBeGreaterThan
 import io.kotest.matchers.doubles.shouldBeLessThan
-import org.cardamomwharf.steering.PlacementChoices
+import org.cardamomwharf.steering.CandidateLimits
 import org.cardamomwharf.steering.support.LoadOutcome
-import org.cardamomwharf.steering.support.LoadWorld
-import org.cardamomwharf.steering.support.TERMS
+import org.cardamomwharf.steering.support.LoadSimulation
+import org.cardamomwharf.steering.support.PARAMETERS
 import org.cardamomwharf.steering.support.ZoneLoad
 import org.cardamomwharf.steering.support.ZoneServers
 
@@ -20,7 +20,11 @@
 private val ZONE_NAMES = listOf("a1", "a2", "b1", "b2", "c1", "c2")
 
 /** The placement of before, which let every server of the own region take a request that is late anyway. */
-private val everyServer = PlacementChoices(ownRegion = Int.MAX_VALUE, whenLate = Int.MAX_VALUE, nextRoomShare = 0.5)
+private val unlimitedCandidates = CandidateLimits(
+    ownRegionServers = Int.MAX_VALUE,
+    lateRequestServers = Int.MAX_VALUE,
+    lateRequestLoadShare = 0.5,
+)
 
 private fun sumOf(one: LoadOutcome, other: LoadOutcome) = LoadOutcome(
     one.requests + other.requests,
@@ -32,62 +36,62 @@
 
 class LoadPatternTest : FunSpec({
     val uneven = listOf(
-        ZoneServers("a1", 3, slots = 8, remembered = 38),
-        ZoneServers("a2", 3, slots = 8, remembered = 38),
-        ZoneServers("b1", 1, slots = 8, remembered = 38),
-        ZoneServers("b2", 1, slots = 8, remembered = 38),
-        ZoneServers("c1", 2, slots = 8, remembered = 38),
-        ZoneServers("c2", 2, slots = 8, remembered = 38),
+        ZoneServers("a1", 3, slots = 8, keyCapacity = 38),
+        ZoneServers("a2", 3, slots = 8, keyCapacity = 38),
+        ZoneServers("b1", 1, slots = 8, keyCapacity = 38),
+        ZoneServers("b2", 1, slots = 8, keyCapacity = 38),
+        ZoneServers("c1", 2, slots = 8, keyCapacity = 38),
+        ZoneServers("c2", 2, slots = 8, keyCapacity = 38),
     )
 
     fun loads(perSecond: Double, keys: Int) =
         ZONE_NAMES.map { ZoneLoad(it, perSecond, keys) }
 
     fun total(spreadPenalty: Double, perSecond: Double): LoadOutcome = SEEDS.map { seed ->
-        val terms = TERMS.copy(spreadPenaltyShare = spreadPenalty)
-        LoadWorld(terms, uneven, loads(perSecond, keys = 64), seed).play(SECONDS, WARM_UP_S)
+        val parameters = PARAMETERS.copy(spreadPenaltyFactor = spreadPenalty)
+        LoadSimulation(parameters, uneven, loads(perSecond, keys = 64), seed).run(SECONDS, WARM_UP_S)
     }.reduce(::sumOf)
 
     /** Many small instances, each of which sends a server less than a request every two seconds. */
-    fun many(choices: PlacementChoices, perSecond: Double): LoadOutcome = SEEDS.map { seed ->
-        val servers = ZONE_NAMES.map { ZoneServers(it, 8, slots = 4, remembered = 16) }
-        val terms = TERMS.copy(choices = choices)
-        val world = LoadWorld(terms, servers, loads(perSecond, keys = 200), seed, instancesPerZone = 14)
-        world.play(SECONDS, WARM_UP_S)
+    fun runManySmallInstances(candidateLimits: CandidateLimits, perSecond: Double): LoadOutcome = SEEDS.map { seed ->
+        val servers = ZONE_NAMES.map { ZoneServers(it, 8, slots = 4, keyCapacity = 16) }
+        val parameters = PARAMETERS.copy(candidateLimits = candidateLimits)
+        val simulation = LoadSimulation(parameters, servers, loads(perSecond, keys = 200), seed, instancesPerZone = 14)
+        simulation.run(SECONDS, WARM_UP_S)
     }.reduce(::sumOf)
 
     test("`many small instances that know little of loads keep keys at their servers under pressure`") {
-        val before = many(everyServer, perSecond = 120.0)
-        val after = many(TERMS.choices, perSecond = 120.0)
+        val before = runManySmallInstances(unlimitedCandidates, perSecond = 120.0)
+        val after = runManySmallInstances(PARAMETERS.candidateLimits, perSecond = 120.0)
         before.inTimeShare shouldBeLessThan 0.3
         after.inTimeShare shouldBeGreaterThan 0.8
         after.refused.toDouble() shouldBeLessThan before.refused / 4.0
     }
 
     test("`many small instances lose nothing at moderate load by keeping keys at their servers`") {
-        val before = many(everyServer, perSecond = 80.0)
-        val after = many(TERMS.choices, perSecond = 80.0)
+        val before = runManySmallInstances(unlimitedCandidates, perSecond = 80.0)
+        val after = runManySmallInstances(PARAMETERS.candidateLimits, perSecond = 80.0)
         after.inTimeShare shouldBeGreaterThan before.inTimeShare - 0.01
     }
 
     test("`near full load a request that is late anyway doesn't displace keys of other servers`") {
-        val (before, after) = listOf(everyServer, TERMS.choices).map { choices ->
-            val terms = TERMS.copy(choices = choices)
-            LoadWorld(terms, uneven, loads(120.0, keys = 64), seed = 1).play(SECONDS, WARM_UP_S)
+        val (before, after) = listOf(unlimitedCandidates, PARAMETERS.candidateLimits).map { candidateLimits ->
+            val parameters = PARAMETERS.copy(candidateLimits = candidateLimits)
+            LoadSimulation(parameters, uneven, loads(120.0, keys = 64), seed = 1).run(SECONDS, WARM_UP_S)
         }
         after.inTimeShare shouldBeGreaterThan before.inTimeShare
     }
 
     test("`near full load, servers that remember few keys serve far more in time when overflow has a price`") {
         val before = total(spreadPenalty = 0.0, perSecond = 90.0)
-        val after = total(TERMS.spreadPenaltyShare, perSecond = 90.0)
+        val after = total(PARAMETERS.spreadPenaltyFactor, perSecond = 90.0)
         after.coldShare shouldBeLessThan before.coldShare / 2
         after.inTimeShare shouldBeGreaterThan before.inTimeShare + 0.1
     }
 
     test("`at moderate load the price of overflow costs nothing`") {
         val before = total(spreadPenalty = 0.0, perSecond = 40.0)
-        val after = total(TERMS.spreadPenaltyShare, perSecond = 40.0)
+        val after = total(PARAMETERS.spreadPenaltyFactor, perSecond = 40.0)
         after.inTimeShare shouldBeGreaterThan before.inTimeShare - 0.01
     }
 })
--- a/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/placement/PatternTest.kt
+++ b/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/placement/PlacementTest.kt
@@ -21,16 +21,16 @@
 import org.cardamomwharf.steering.store.TableChange
 import org.cardamomwharf.steering.support.HOME
 import org.cardamomwharf.steering.support.add
+import org.cardamomwharf.steering.support.createServer
+import org.cardamomwharf.steering.support.createSpec
+import org.cardamomwharf.steering.support.createSteering
 import org.cardamomwharf.steering.support.send
-import org.cardamomwharf.steering.support.serverOf
-import org.cardamomwharf.steering.support.specOf
-import org.cardamomwharf.steering.support.steeringOf
 
-class PatternTest : FunSpec({
+class PlacementTest : FunSpec({
     test("`requests for one key meet at one server while it has room`") {
-        val steering = steeringOf(serverOf("s1"), serverOf("s2"), serverOf("s3"))
+        val steering = createSteering(createServer("s1"), createServer("s2"), createServer("s3"))
         val servers = (1..20).map { id ->
-            val spec = specOf(id, key = "same", nowMs = id * 1_000L)
+            val spec = createSpec(id, key = "same", nowMs = id * 1_000L)
             val sent = steering.send(spec)
             val report = AttemptReport(AttemptOutcome.ANSWERED, false, 150)
             steering.completeAttempt(spec, listOf(sent), report, id * 1_000L + 150)
@@ -40,24 +40,24 @@
     }
 
     test("`a burst for one key spreads before it waits too long`") {
-        val steering = steeringOf(serverOf("s1", slots = 2), serverOf("s2", slots = 2))
-        val sent = (1..4).map { steering.send(specOf(it, key = "same")) }
+        val steering = createSteering(createServer("s1", slots = 2), createServer("s2", slots = 2))
+        val sent = (1..4).map { steering.send(createSpec(it, key = "same")) }
         sent.map { it.server }.distinct().shouldHaveSize(2)
     }
 
     test("`what no server can answer in time is refused at once with a time to come back`") {
-        val steering = steeringOf(serverOf("s1", slots = 1))
-        val placements = (1..10).map { steering.place(specOf(it), 0) }
+        val steering = createSteering(createServer("s1", slots = 1))
+        val placements = (1..10).map { steering.place(createSpec(it), 0) }
         placements.filterIsInstance<Placement.Refuse>().size shouldBeGreaterThan 5
         placements.last().shouldBeInstanceOf<Placement.Refuse>().retryAfterMs.toInt() shouldBeGreaterThan 0
     }
 
     test("`a burst onto cold servers keeps to their rate`") {
-        val steering = steeringOf()
-        steering.add(serverOf("s1").copy(coldRemainingMs = 3_000))
+        val steering = createSteering()
+        steering.add(createServer("s1").copy(coldRemainingMs = 3_000))
         val sent = (0L until 1_000L step 10).count {
             steering.place(
-                specOf(it.toInt(), nowMs = it),
+                createSpec(it.toInt(), nowMs = it),
                 it
             ) is Placement.Send
         }
@@ -65,30 +65,30 @@
     }
 
     test("`a server that leaves gets nothing more, also while it is the first choice`") {
-        val steering = steeringOf(serverOf("s1"), serverOf("s2"))
-        val chosen = steering.send(specOf(1, key = "same")).server
-        val before = serverOf(chosen.value)
+        val steering = createSteering(createServer("s1"), createServer("s2"))
+        val chosen = steering.send(createSpec(1, key = "same")).server
+        val before = createServer(chosen.value)
         steering.applyServers(listOf(TableChange(chosen.value, 2, before, before.copy(isDraining = true))), 10)
-        val later = (2..5).map { steering.send(specOf(it, key = "same", nowMs = 20)).server }
+        val later = (2..5).map { steering.send(createSpec(it, key = "same", nowMs = 20)).server }
         later.all { it != chosen } shouldBe true
     }
 
     test("`an evacuated zone gets nothing, and its servers are cold when it is back`") {
-        val steering = steeringOf(serverOf("s1"), serverOf("s2", ZoneName("a2")))
+        val steering = createSteering(createServer("s1"), createServer("s2", ZoneName("a2")))
         steering.evacuate(setOf(HOME), 0)
-        (1..4).map { steering.send(specOf(it)).server }.distinct() shouldBe listOf(ServerName("s2"))
+        (1..4).map { steering.send(createSpec(it)).server }.distinct() shouldBe listOf(ServerName("s2"))
         steering.evacuate(emptySet(), 100)
         steering.servers.find(ServerName("s1"))?.isCold(200) shouldBe true
     }
 
     test("`a region with too few servers lends, no faster than a region may shift`") {
-        val far = (1..5).map { serverOf("far$it", ZoneName("b1"), slots = 8) }
-        val steering = steeringOf(serverOf("near", slots = 8), *far.toTypedArray())
+        val far = (1..5).map { createServer("far$it", ZoneName("b1"), slots = 8) }
+        val steering = createSteering(createServer("near", slots = 8), *far.toTypedArray())
         val shares = (0 until 5).map { window ->
             val sent = (0 until 200).map { number ->
                 val nowMs = window * 2_000L + number * 10L
                 if (number % 20 == 0) steering.adjustSpillover(nowMs)
-                val spec = specOf(number, nowMs = nowMs, key = "k${number % 20}")
+                val spec = createSpec(number, nowMs = nowMs, key = "k${number % 20}")
                 steering.place(spec, nowMs).also {
                     if (it is Placement.Send) {
                         steering.completeAttempt(
@@ -106,10 +106,10 @@
     }
 
     test("`a region that had no server for a while lends as before when it has servers again`") {
-        val far = (1..5).map { serverOf("far$it", ZoneName("b1"), slots = 8) }
-        val steering = steeringOf(serverOf("near", slots = 8), *far.toTypedArray())
+        val far = (1..5).map { createServer("far$it", ZoneName("b1"), slots = 8) }
+        val steering = createSteering(createServer("near", slots = 8), *far.toTypedArray())
         fun sendAndEnd(id: Int): ServerName {
-            val spec = specOf(id, nowMs = id * 100L)
+            val spec = createSpec(id, nowMs = id * 100L)
             val sent = steering.send(spec)
             val report = AttemptReport(AttemptOutcome.ANSWERED, false, 80)
             steering.completeAttempt(spec, listOf(sent), report, id * 100L + 80)
@@ -123,15 +123,15 @@
     }
 
     test("`a server that joins gets a request soon`") {
-        val steering = steeringOf(serverOf("s1"), serverOf("s2"))
-        (1..3).forEach { steering.send(specOf(it)) }
-        steering.add(serverOf("s3"))
-        val sent = (11..13).map { steering.send(specOf(it, nowMs = 1_000)).server }
+        val steering = createSteering(createServer("s1"), createServer("s2"))
+        (1..3).forEach { steering.send(createSpec(it)) }
+        steering.add(createServer("s3"))
+        val sent = (11..13).map { steering.send(createSpec(it, nowMs = 1_000)).server }
         sent shouldContain ServerName("s3")
     }
 
     test("`a split route keeps its weights in every short run of requests`") {
-        val split = WeightedSplit(
+        val split = WeightedRoundRobin(
             listOf(WeightedService(ServiceName("x"), 90.0), WeightedService(ServiceName("y"), 10.0))
         )
         val chosen = (1..300).map { split.next().value }
@@ -139,12 +139,12 @@
     }
 
     test("`a server that could not be reached is avoided, then tried by one request at a time`") {
-        val steering = steeringOf(serverOf("s1"))
-        val spec = specOf(1)
+        val steering = createSteering(createServer("s1"))
+        val spec = createSpec(1)
         val sent = steering.send(spec)
         steering.completeAttempt(spec, listOf(sent), AttemptReport(AttemptOutcome.NOT_SENT, false, 1), 1)
-        steering.place(specOf(2), 10).shouldBeInstanceOf<Placement.Refuse>()
-        steering.place(specOf(3, nowMs = 1_000), 1_000).shouldBeInstanceOf<Placement.Send>()
-        steering.place(specOf(4, nowMs = 1_001), 1_001).shouldBeInstanceOf<Placement.Refuse>()
+        steering.place(createSpec(2), 10).shouldBeInstanceOf<Placement.Refuse>()
+        steering.place(createSpec(3, nowMs = 1_000), 1_000).shouldBeInstanceOf<Placement.Send>()
+        steering.place(createSpec(4, nowMs = 1_001), 1_001).shouldBeInstanceOf<Placement.Refuse>()
     }
 })
--- a/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/requests/RepeatTest.kt
+++ b/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/requests/RetryTest.kt
@@ -8,17 +8,17 @@
 import io.kotest.matchers.shouldNotBe
 import io.kotest.matchers.types.shouldBeInstanceOf
 import org.cardamomwharf.steering.support.BOOKINGS
+import org.cardamomwharf.steering.support.createServer
+import org.cardamomwharf.steering.support.createSpec
+import org.cardamomwharf.steering.support.createSteering
 import org.cardamomwharf.steering.support.send
-import org.cardamomwharf.steering.support.serverOf
-import org.cardamomwharf.steering.support.specOf
-import org.cardamomwharf.steering.support.steeringOf
 
-class RepeatTest : FunSpec({
-    fun twoServers() = steeringOf(serverOf("s1"), serverOf("s2"))
+class RetryTest : FunSpec({
+    fun twoServers() = createSteering(createServer("s1"), createServer("s2"))
 
     test("`a booking whose answer got lost is never sent again`") {
         val steering = twoServers()
-        val spec = specOf(1, BOOKINGS)
+        val spec = createSpec(1, BOOKINGS)
         val sent = steering.send(spec)
         val report = AttemptReport(AttemptOutcome.LOST, false, 50)
         steering.completeAttempt(spec, listOf(sent), report, 50) shouldBe NextStep.ReportUnknown
@@ -26,7 +26,7 @@
 
     test("`a booking that a server refused goes to another server`") {
         val steering = twoServers()
-        val spec = specOf(1, BOOKINGS)
+        val spec = createSpec(1, BOOKINGS)
         val sent = steering.send(spec)
         val next = steering.completeAttempt(spec, listOf(sent), AttemptReport(AttemptOutcome.SHED, false, 5), 5)
         next.shouldBeInstanceOf<NextStep.Retry>().placement.server shouldNotBe sent.server
@@ -34,7 +34,7 @@
 
     test("`a read that may have run is never refused as not run`") {
         val steering = twoServers()
-        val spec = specOf(1)
+        val spec = createSpec(1)
         val first = steering.send(spec)
         val next = steering.completeAttempt(spec, listOf(first), AttemptReport(AttemptOutcome.LOST, false, 5), 5)
         val second = next.shouldBeInstanceOf<NextStep.Retry>().placement
@@ -43,8 +43,8 @@
     }
 
     test("`a request is sent to no more servers than its route allows`") {
-        val steering = steeringOf(serverOf("s1"), serverOf("s2"), serverOf("s3"))
-        val spec = specOf(1)
+        val steering = createSteering(createServer("s1"), createServer("s2"), createServer("s3"))
+        val spec = createSpec(1)
         val first = steering.send(spec)
         val next = steering.completeAttempt(spec, listOf(first), AttemptReport(AttemptOutcome.SHED, false, 5), 5)
         val second = next.shouldBeInstanceOf<NextStep.Retry>().placement
@@ -53,6 +53,7 @@
     }
 
     test("`without a configuration or servers a request is refused at once`") {
-        steeringOf().place(specOf(1), 0).shouldBeInstanceOf<Placement.Refuse>().reason shouldBe RefusalReason.NO_SERVER
+        val placement = createSteering().place(createSpec(1), 0)
+        placement.shouldBeInstanceOf<Placement.Refuse>().reason shouldBe RefusalReason.NO_SERVER
     }
 })
--- a/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/support/Fixture.kt
+++ b/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/support/Fixture.kt
@@ -34,7 +34,7 @@
     ZoneName("c1") to RegionName("c"),
     ZoneName("c2") to RegionName("c"),
 )
-internal val TERMS = SteeringParameters(
+internal val PARAMETERS = SteeringParameters(
     retryBudget = RetryBudgetParameters(ratio = 0.2, allowance = 60, windowMs = 10_000),
 )
 internal val READS = Route(
@@ -52,14 +52,14 @@
 )
 internal val BOOKINGS = READS.copy(name = "bookings", prefix = "/bookings/", isIdempotent = false, rank = 0)
 
-internal fun stateOf(version: Long, vararg routes: Route) = DesiredState(
+internal fun createState(version: Long, vararg routes: Route) = DesiredState(
     version = DocumentVersion(version),
     routes = routes.toList(),
     services = mapOf(SERVICE to ServiceTerms(SERVICE, "/health", 100, coldStartMs = 3_000, coldPerSecond = 9.0)),
     callerLimits = CallerLimits(16_384, 65_536, 3_000, 15_000),
 )
 
-internal fun serverOf(name: String, zone: ZoneName = HOME, slots: Int = 4) = ServerRecord(
+internal fun createServer(name: String, zone: ZoneName = HOME, slots: Int = 4) = ServerRecord(
     name = ServerName(name),
     service = SERVICE,
     address = SocketAddress("10.0.0.1", 9_000),
@@ -70,9 +70,9 @@
     coldRemainingMs = 0,
 )
 
-internal fun steeringOf(vararg servers: ServerRecord, instance: String = "i1"): Steering {
-    val steering = Steering(InstanceLocation(InstanceName(instance), HOME, ZONES), TERMS)
-    steering.routes.adopt(stateOf(1, READS, BOOKINGS))
+internal fun createSteering(vararg servers: ServerRecord, instance: String = "i1"): Steering {
+    val steering = Steering(InstanceLocation(InstanceName(instance), HOME, ZONES), PARAMETERS)
+    steering.routes.adopt(createState(1, READS, BOOKINGS))
     steering.setLiveInstances(emptyMap())
     steering.add(*servers)
     return steering
@@ -81,7 +81,7 @@
 internal fun Steering.add(vararg servers: ServerRecord) =
     applyServers(servers.map { TableChange(it.name.value, 1, null, it) }, 0)
 
-internal fun specOf(id: Int, route: Route = READS, key: String? = "k$id", nowMs: Long = 0) = RequestSpec(
+internal fun createSpec(id: Int, route: Route = READS, key: String? = "k$id", nowMs: Long = 0) = RequestSpec(
     id = "request-$id",
     route = route,
     service = SERVICE,
--- a/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/support/LoadWorld.kt
+++ b/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/support/LoadSimulation.kt
@@ -1,5 +1,5 @@
 /*
- * A deployment under load for tests: servers with slots, a queue and a memory of keys, and instances that decide. Time
+ * A deployment under load for tests: servers with slots, a queue and a warmKeys of keys, and instances that decide. Time
  * is counted by the test, arrivals come from a seed, nothing uses the network.
  */
 package org.cardamomwharf.steering.support
@@ -21,21 +21,21 @@
 
 private const val QUEUE_FACTOR = 4
 private const val TICK_MS = 200L
-private const val FAR_WAY_MS = 35L
+private const val OTHER_REGION_DELAY_MS = 35L
 
 /** Represents the servers of a zone. */
-internal data class ZoneServers(val zone: String, val count: Int, val slots: Int, val remembered: Int)
+internal data class ZoneServers(val zone: String, val count: Int, val slots: Int, val keyCapacity: Int)
 
 /**
  * Represents the requests that arrive in a zone, each for one of [keys] keys that only its region uses.
  *
- * @param factorAt what the rate is multiplied by at a time.
+ * @param rateFactorAt what the rate is multiplied by at a time.
  */
 internal data class ZoneLoad(
     val zone: String,
     val perSecond: Double,
     val keys: Int,
-    val factorAt: (Long) -> Double = { 1.0 },
+    val rateFactorAt: (Long) -> Double = { 1.0 },
 )
 
 /** Represents what became of the requests after the first seconds. */
@@ -44,18 +44,18 @@
     val coldShare: Double get() = cold.toDouble() / served.coerceAtLeast(1)
 }
 
-internal class LoadWorld(
-    terms: SteeringParameters,
-    servers: List<ZoneServers>,
+internal class LoadSimulation(
+    parameters: SteeringParameters,
+    zoneServers: List<ZoneServers>,
     private val loads: List<ZoneLoad>,
     seed: Int,
     private val instancesPerZone: Int = 2,
 ) {
     private val random = Random(seed)
-    private val machines = servers.flatMap { zone -> (1..zone.count).map { ServerModel("${zone.zone}-s$it", zone) } }
+    private val servers = zoneServers.flatMap { zone -> (1..zone.count).map { ServerModel("${zone.zone}-s$it", zone) } }
         .associateBy { it.name }
     private val instances = loads.flatMap { load -> (1..instancesPerZone).map { load.zone to "${load.zone}-i$it" } }
-    private val deciders = instances.associate { (zone, name) -> name to decider(zone, name, terms) }
+    private val instancesByName = instances.associate { (zone, name) -> name to createSteering(zone, name, parameters) }
     private val events = PriorityQueue<Event>(compareBy { it.atMs })
     private var countFromMs = Long.MAX_VALUE
     private var requests = 0
@@ -68,26 +68,28 @@
     val placements = RegionPlacements()
 
     /** Plays [seconds] and counts the requests that arrive from [countFromS] on. */
-    fun play(seconds: Int, countFromS: Int): LoadOutcome {
+    fun run(seconds: Int, countFromS: Int): LoadOutcome {
         countFromMs = countFromS * MS_PER_S
         loads.forEach { scheduleArrival(it, 0.0) }
         for (nowMs in 0L until seconds * MS_PER_S step TICK_MS) {
             while (events.isNotEmpty() && events.peek().atMs < nowMs + TICK_MS) events.poll().act()
-            deciders.values.forEach { it.adjustSpillover(nowMs) }
+            instancesByName.values.forEach { it.adjustSpillover(nowMs) }
         }
         return LoadOutcome(requests, inTime, cold, refused, served)
     }
 
-    private fun decider(zone: String, name: String, terms: SteeringParameters): Steering {
-        val steering = Steering(InstanceLocation(InstanceName(name), ZoneName(zone), ZONES), terms)
-        steering.routes.adopt(stateOf(1, READS))
+    private fun createSteering(zone: String, name: String, parameters: SteeringParameters): Steering {
+        val steering = Steering(InstanceLocation(InstanceName(name), ZoneName(zone), ZONES), parameters)
+        steering.routes.adopt(createState(1, READS))
         steering.setLiveInstances(instances.associate { InstanceName(it.second) to ZoneName(it.first) })
-        steering.add(*machines.values.map { serverOf(it.name, ZoneName(it.place.zone), it.place.slots) }.toTypedArray())
+        val records = servers.values.map { createServer(it.name, ZoneName(it.settings.zone), it.settings.slots) }
+        steering.add(*records.toTypedArray())
         return steering
     }
 
     private fun scheduleArrival(load: ZoneLoad, afterMs: Double) {
-        val atMs = afterMs - ln(1 - random.nextDouble()) * MS_PER_S / (load.perSecond * load.factorAt(afterMs.toLong()))
+        val perSecond = load.perSecond * load.rateFactorAt(afterMs.toLong())
+        val atMs = afterMs - ln(1 - random.nextDouble()) * MS_PER_S / perSecond
         events.add(
             Event(atMs.toLong()) {
                 arrive(load, atMs.toLong())
@@ -99,29 +101,29 @@
     private fun arrive(load: ZoneLoad, nowMs: Long) {
         val region = ZONES.getValue(ZoneName(load.zone)).value
         val key = "$region${random.nextInt(load.keys)}"
-        val decider = deciders.getValue("${load.zone}-i${1 + random.nextInt(instancesPerZone)}")
-        val spec = specOf(random.nextInt(), key = key, nowMs = nowMs)
+        val steering = instancesByName.getValue("${load.zone}-i${1 + random.nextInt(instancesPerZone)}")
+        val spec = createSpec(random.nextInt(), key = key, nowMs = nowMs)
         if (nowMs >= countFromMs) requests++
-        when (val placement = decider.place(spec, nowMs)) {
+        when (val placement = steering.place(spec, nowMs)) {
             is Placement.Refuse -> if (nowMs >= countFromMs) refused++
-            is Placement.Send -> send(decider, spec, placement, nowMs)
+            is Placement.Send -> send(steering, spec, placement, nowMs)
         }
     }
 
-    private fun send(decider: Steering, spec: RequestSpec, placement: Placement.Send, nowMs: Long) {
-        val machine = machines.getValue(placement.server.value)
+    private fun send(steering: Steering, spec: RequestSpec, placement: Placement.Send, nowMs: Long) {
+        val server = servers.getValue(placement.server.value)
         val home = checkNotNull(spec.affinityKey).take(1)
-        val region = ZONES.getValue(ZoneName(machine.place.zone)).value
-        placements.note(nowMs, home, region)
-        val isFar = region != home
-        val wayMs = if (isFar) FAR_WAY_MS else 1L
+        val region = ZONES.getValue(ZoneName(server.settings.zone)).value
+        placements.record(nowMs, home, region)
+        val isOtherRegion = region != home
+        val networkMs = if (isOtherRegion) OTHER_REGION_DELAY_MS else 1L
         events.add(
-            Event(nowMs + wayMs) {
-                machine.take(nowMs + wayMs, checkNotNull(spec.affinityKey)) { endMs, isWarm, report ->
+            Event(nowMs + networkMs) {
+                server.accept(nowMs + networkMs, checkNotNull(spec.affinityKey)) { endMs, isWarm, report ->
                     events.add(
-                        Event(endMs + wayMs) {
-                            settle(decider, spec, placement, endMs + wayMs, report)
-                            count(spec, endMs + wayMs, isWarm)
+                        Event(endMs + networkMs) {
+                            settle(steering, spec, placement, endMs + networkMs, report)
+                            count(spec, endMs + networkMs, isWarm)
                         },
                     )
                 }
@@ -130,15 +132,15 @@
     }
 
     private fun settle(
-        decider: Steering,
+        steering: Steering,
         spec: RequestSpec,
         placement: Placement.Send,
         nowMs: Long,
         report: LoadReport,
     ) {
-        decider.servers.find(ServerName(placement.server.value))?.load?.recordLoadReport(report, nowMs)
-        val end = AttemptReport(AttemptOutcome.ANSWERED, false, nowMs - spec.arrivedAtMs)
-        decider.completeAttempt(spec, listOf(placement), end, nowMs)
+        steering.servers.find(ServerName(placement.server.value))?.load?.recordLoadReport(report, nowMs)
+        val attempt = AttemptReport(AttemptOutcome.ANSWERED, false, nowMs - spec.arrivedAtMs)
+        steering.completeAttempt(spec, listOf(placement), attempt, nowMs)
     }
 
     private fun count(spec: RequestSpec, nowMs: Long, isWarm: Boolean) {
@@ -151,31 +153,35 @@
     private class Event(val atMs: Long, val act: () -> Unit)
 
     /** A server that runs [ZoneServers.slots] requests at a time and is quick for the keys that it saw last. */
-    private inner class ServerModel(val name: String, val place: ZoneServers) {
-        private val memory = LinkedHashSet<String>()
+    private inner class ServerModel(val name: String, val settings: ZoneServers) {
+        private val warmKeys = LinkedHashSet<String>()
         private val waiting = ArrayDeque<() -> Unit>()
         private var running = 0
         private var nowMs = 0L
 
-        fun take(atMs: Long, key: String, onEnd: (Long, Boolean, LoadReport) -> Unit) {
+        fun accept(atMs: Long, key: String, onComplete: (Long, Boolean, LoadReport) -> Unit) {
             nowMs = atMs
-            val run = { start(key, onEnd) }
-            if (running < place.slots) run() else if (waiting.size < place.slots * QUEUE_FACTOR) waiting.addLast(run)
+            val run = { start(key, onComplete) }
+            if (running < settings.slots) {
+                run()
+            } else if (waiting.size < settings.slots * QUEUE_FACTOR) {
+                waiting.addLast(run)
+            }
         }
 
-        private fun start(key: String, onEnd: (Long, Boolean, LoadReport) -> Unit) {
+        private fun start(key: String, onComplete: (Long, Boolean, LoadReport) -> Unit) {
             running++
-            val isWarm = !memory.add(key)
-            if (isWarm) memory.remove(key).also { memory.add(key) }
-            if (memory.size > place.remembered) memory.remove(memory.first())
-            val usualMs = if (isWarm) WARM_MS else COLD_MS
-            val endMs = nowMs + (usualMs * (1 - SPREAD + 2 * SPREAD * random.nextDouble())).toLong()
+            val isWarm = !warmKeys.add(key)
+            if (isWarm) warmKeys.remove(key).also { warmKeys.add(key) }
+            if (warmKeys.size > settings.keyCapacity) warmKeys.remove(warmKeys.first())
+            val baseMs = if (isWarm) WARM_MS else COLD_MS
+            val endMs = nowMs + (baseMs * (1 - SPREAD + 2 * SPREAD * random.nextDouble())).toLong()
             events.add(
                 Event(endMs) {
                     nowMs = endMs
                     running--
                     waiting.removeFirstOrNull()?.invoke()
-                    onEnd(endMs, isWarm, LoadReport(running, waiting.size, place.slots))
+                    onComplete(endMs, isWarm, LoadReport(running, waiting.size, settings.slots))
                 },
             )
         }
--- a/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/support/RegionPlacements.kt
+++ b/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/support/RegionPlacements.kt
@@ -21,32 +21,32 @@
     private val runs = ArrayList<Run>()
 
     /** Notes that a request of the region [from] goes to the region [to]. */
-    fun note(atMs: Long, from: String, to: String) {
+    fun record(atMs: Long, from: String, to: String) {
         runs.add(Run(atMs, from, to))
     }
 
     /** Returns the largest change between two windows next to each other that begin at [fromMs] or later. */
     fun largestShift(fromMs: Long): RegionShift =
-        runs.groupBy { it.from }.flatMap { (from, ofRegion) -> shifts(from, ofRegion, fromMs) }.maxBy { it.share }
+        runs.groupBy { it.from }.flatMap { (from, regionRuns) -> shifts(from, regionRuns, fromMs) }.maxBy { it.share }
 
     /** Returns the share of the requests of region [from] that ran elsewhere in the window that ends at [atMs]. */
-    fun lentShare(from: String, atMs: Long): Double {
+    fun spilloverShare(from: String, atMs: Long): Double {
         val window = runs.filter { it.from == from && it.atMs in atMs - WINDOW_MS until atMs }
         return window.count { it.to != from }.toDouble() / window.size.coerceAtLeast(1)
     }
 
-    private fun shifts(from: String, ofRegion: List<Run>, fromMs: Long): List<RegionShift> {
-        val endMs = ofRegion.maxOf { it.atMs } - WINDOW_MS
+    private fun shifts(from: String, regionRuns: List<Run>, fromMs: Long): List<RegionShift> {
+        val endMs = regionRuns.maxOf { it.atMs } - WINDOW_MS
         return (fromMs + WINDOW_MS..endMs step STEP_MS).map { atMs ->
-            val before = sharesIn(ofRegion, atMs - WINDOW_MS)
-            val after = sharesIn(ofRegion, atMs)
+            val before = sharesIn(regionRuns, atMs - WINDOW_MS)
+            val after = sharesIn(regionRuns, atMs)
             val regions = before.keys + after.keys
             RegionShift(from, atMs, regions.sumOf { abs((after[it] ?: 0.0) - (before[it] ?: 0.0)) } / 2)
         }
     }
 
-    private fun sharesIn(ofRegion: List<Run>, startMs: Long): Map<String, Double> {
-        val window = ofRegion.filter { it.atMs in startMs until startMs + WINDOW_MS }
+    private fun sharesIn(regionRuns: List<Run>, startMs: Long): Map<String, Double> {
+        val window = regionRuns.filter { it.atMs in startMs until startMs + WINDOW_MS }
         return window.groupingBy { it.to }.eachCount().mapValues { it.value.toDouble() / window.size }
     }
 }
