--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/desired/ActiveRoutes.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/desired/ActiveRoutes.kt
@@ -29,8 +29,8 @@
 
     /** Selects the service of the next request of [route]. */
     public fun chooseService(route: Route): ServiceName {
-        val known = splits[route.name]?.takeIf { it.first.backends == route.backends }
-        val (_, split) = known ?: (route to WeightedRoundRobin(route.backends)).also { splits[route.name] = it }
+        val current = splits[route.name]?.takeIf { it.first.backends == route.backends }
+        val (_, split) = current ?: (route to WeightedRoundRobin(route.backends)).also { splits[route.name] = it }
         return split.next()
     }
 
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/desired/DesiredState.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/desired/DesiredState.kt
@@ -23,7 +23,7 @@
  *
  * @param backends services with their shares of the requests; never empty.
  * @param timeoutMs maximum time that a caller waits.
- * @param targetLatencyMs response time to meet.
+ * @param targetLatencyMs response time that requests should meet.
  * @param rank priority under overload; 0 is the highest.
  * @param maxAttempts maximum number of backend servers that one request is sent to.
  * @param isSticky true when a backend server is faster for keys that it has handled before.
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/instances/HeartbeatExchange.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/instances/HeartbeatExchange.kt
@@ -20,13 +20,13 @@
  */
 private const val REPORT_TARGETS = 2
 
-/** Number of heartbeats per message to a random instance of the own region. */
+/** Interval, in heartbeats, of messages to a random instance of the own region. */
 private const val OWN_REGION_INTERVAL = 2
 
-/** Number of heartbeats per message to a random instance of another region; higher because of the traffic costs. */
+/** Interval, in heartbeats, of messages to a random instance of another region; longer because of traffic costs. */
 private const val OTHER_REGION_INTERVAL = 4
 
-/** Number of heartbeats per message to the other zones. */
+/** Interval, in heartbeats, of messages to the other zones. */
 private const val OTHER_ZONES_INTERVAL = 2
 
 /** Heartbeat count up to which an instance is sent with its addresses; after that, others have received them. */
@@ -62,23 +62,23 @@
         nowMs: Long,
     ): List<OutgoingHeartbeat> {
         registry.incrementHeartbeat()
-        val sends = ArrayList<OutgoingHeartbeat>()
+        val messages = ArrayList<OutgoingHeartbeat>()
         val zone = others.filter { it.zone == location.zone }
         val (ownRegion, otherRegions) = others.partition { location.regions[it.zone] == location.region }
         if (status != null) {
-            sends += OutgoingHeartbeat(zone, createMessage(registry.heartbeats(nowMs), status))
-            if (number % OTHER_ZONES_INTERVAL == 0) sends += notifyOtherZones(others, status, nowMs)
+            messages += OutgoingHeartbeat(zone, createMessage(registry.heartbeats(nowMs), status))
+            if (number % OTHER_ZONES_INTERVAL == 0) messages += notifyOtherZones(others, status, nowMs)
         } else {
-            sends += OutgoingHeartbeat(reportTargets(zone, nowMs), HeartbeatMessage(registry.own))
+            messages += OutgoingHeartbeat(reportTargets(zone, nowMs), HeartbeatMessage(registry.own))
         }
         val randomTargets = listOfNotNull(
             ownRegion.randomOrNull(random).takeIf { number % OWN_REGION_INTERVAL == 0 },
             otherRegions.randomOrNull(random).takeIf { number % OTHER_REGION_INTERVAL == 0 },
         )
         if (randomTargets.isNotEmpty()) {
-            sends += OutgoingHeartbeat(randomTargets, createMessage(registry.heartbeats(nowMs), null))
+            messages += OutgoingHeartbeat(randomTargets, createMessage(registry.heartbeats(nowMs), null))
         }
-        return sends.filter { it.recipients.isNotEmpty() }
+        return messages.filter { it.recipients.isNotEmpty() }
     }
 
     /** Returns the message to send after a change in the store. */
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/ServiceSpillover.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/ServiceSpillover.kt
@@ -12,7 +12,7 @@
  * Weight of one request in the average of requests that are cheaper elsewhere; about two seconds of an instance's
  * requests.
  */
-private const val SMOOTHING = 0.03
+private const val SMOOTHING_FACTOR = 0.03
 
 /** Share of the allowed shift that is used, because the arrivals of single instances vary. */
 private const val USABLE_SHIFT_SHARE = 0.6
@@ -43,7 +43,7 @@
 
     /** Records whether a request that can be served in time is cheaper in another region. */
     public fun recordComparison(isCheaperElsewhere: Boolean) {
-        targetShare += SMOOTHING * ((if (isCheaperElsewhere) 1.0 else 0.0) - targetShare)
+        targetShare += SMOOTHING_FACTOR * ((if (isCheaperElsewhere) 1.0 else 0.0) - targetShare)
     }
 
     /** Returns true when the next request, if sent, goes to another region. */
@@ -52,7 +52,7 @@
         return next >= 1.0 && (isCheaperElsewhere || next >= MAX_CREDIT)
     }
 
-    /** Records an attempt in another region or in the own one. */
+    /** Records an attempt, which [isSpilledOver] or stays in the own region. */
     public fun recordAttempt(isSpilledOver: Boolean) {
         credit = (credit + share).coerceAtMost(MAX_CREDIT) - (if (isSpilledOver) 1.0 else 0.0)
     }
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/requests/AttemptOutcome.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/requests/AttemptOutcome.kt
@@ -3,7 +3,12 @@
  */
 package org.cardamomwharf.steering.requests
 
-/** Represents the outcome of an attempt. */
+/**
+ * Represents the outcome of an attempt.
+ *
+ * @param code name in logs and metrics.
+ * @param isNotExecuted true when the attempt certainly did not execute the request.
+ */
 public enum class AttemptOutcome(public val code: String, public val isNotExecuted: Boolean) {
     /** A complete response arrived that may be relayed. */
     ANSWERED("answered", false),
@@ -42,12 +47,12 @@
     /** The response of the backend server is relayed to the caller. */
     public data object RelayResponse : NextStep
 
-    /** The caller is told that the request was not executed. */
+    /** The caller receives a refusal, because the request was not executed. */
     public data class Refuse(public val reason: RefusalReason, public val retryAfterMs: Long) : NextStep
 
-    /** The caller is told that the request may have been executed. */
+    /** The caller receives an error, because the request may have been executed. */
     public data object ReportUnknown : NextStep
 
-    /** The caller is told that the deadline passed. */
+    /** The caller receives a timeout response. */
     public data object ReportTimeout : NextStep
 }
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/servers/ServerLoad.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/servers/ServerLoad.kt
@@ -28,8 +28,8 @@
      * other instances counts instead.
      */
     public fun estimate(nowMs: Long): Double {
-        val known = report ?: return inFlight.toDouble()
-        val otherLoad = (known.total - inFlightAtReport).coerceAtLeast(0)
+        val latest = report ?: return inFlight.toDouble()
+        val otherLoad = (latest.total - inFlightAtReport).coerceAtLeast(0)
         val freshness = exp(-(nowMs - reportAtMs) / parameters.reportDecayMs)
         return inFlight + averageOtherLoad + (otherLoad - averageOtherLoad) * freshness
     }
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/store/GracePeriod.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/store/GracePeriod.kt
@@ -21,8 +21,8 @@
         endsAtMs = nowMs + durationMs
     }
 
-    /** Extends the grace period to that of another process, which has [leftMs] left. */
-    public fun extend(leftMs: Long, nowMs: Long) {
-        if (leftMs > 0) endsAtMs = maxOf(endsAtMs, nowMs + minOf(leftMs, durationMs))
+    /** Extends the grace period to that of another process, which lasts for another [peerRemainingMs]. */
+    public fun extend(peerRemainingMs: Long, nowMs: Long) {
+        if (peerRemainingMs > 0) endsAtMs = maxOf(endsAtMs, nowMs + minOf(peerRemainingMs, durationMs))
     }
 }
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/store/StoreStatus.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/store/StoreStatus.kt
@@ -8,7 +8,7 @@
 /** Represents the latest entry versions known to an instance. */
 @Serializable
 public data class ContentVersions(public val orders: Long, public val servers: Long) {
-    /** Returns true when this instance knows a newer version than [other]. */
+    /** Returns true when any of these versions is newer than in [other]. */
     public fun isAheadOf(other: ContentVersions): Boolean = orders > other.orders || servers > other.servers
 }
 
--- a/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/instances/FleetHeartbeatTest.kt
+++ b/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/instances/FleetHeartbeatTest.kt
@@ -40,7 +40,7 @@
         test("`stopped instances are detected by all of $size, including those that others report to`") {
             val fleet = Fleet(size, Random(size))
             fleet.runUntil(WARM_UP_MS)
-            val stopped = fleet.firstOf(ZoneName("z0"), 2) + fleet.firstOf(ZoneName("z4"), 1)
+            val stopped = fleet.firstInZone(ZoneName("z0"), 2) + fleet.firstInZone(ZoneName("z4"), 1)
             fleet.stop(stopped)
             val missing = ArrayList<String>()
             fleet.runUntil(WARM_UP_MS + DETECTION_BOUND_MS) { missing += fleet.missing() }
@@ -69,7 +69,7 @@
     val election = WatcherElection(record)
     private val location = InstanceLocation(record.name, record.zone, regions)
     val exchange = HeartbeatExchange(location, registry, WatcherElection(record), random)
-    var beats = 0
+    var heartbeatNumber = 0
 }
 
 private class Datagram(val dueMs: Long, val to: InstanceName, val message: HeartbeatMessage)
@@ -106,7 +106,7 @@
         names.forEach { members.remove(it) }
     }
 
-    fun firstOf(zone: ZoneName, count: Int): List<InstanceName> =
+    fun firstInZone(zone: ZoneName, count: Int): List<InstanceName> =
         rendezvousTop(zone.value, listed.filter { it.zone == zone }, count) { it.name.value }.map { it.name }
 
     /** Returns the pairs of running instances in which the first doesn't count the second as running. */
@@ -125,7 +125,7 @@
         val others = listed.filter { it.name != member.record.name }
         val isWatcher = member.election.isWatcher(member.registry.running(nowMs), nowMs)
         val status = if (isWatcher) StoreStatus(ContentVersions(1, 1), 0, isFailing = false) else null
-        member.exchange.nextHeartbeats(member.beats++, others, status, nowMs).forEach { send(member, it) }
+        member.exchange.nextHeartbeats(member.heartbeatNumber++, others, status, nowMs).forEach { send(member, it) }
     }
 
     private fun send(from: Member, sent: OutgoingHeartbeat) = sent.recipients.forEach { to ->
--- a/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/placement/LoadPatternTest.kt
+++ b/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/placement/LoadPatternTest.kt
@@ -26,12 +26,12 @@
     lateRequestLoadShare = 0.5,
 )
 
-private fun sumOf(one: LoadOutcome, other: LoadOutcome) = LoadOutcome(
-    one.requests + other.requests,
-    one.inTime + other.inTime,
-    one.cold + other.cold,
-    one.refused + other.refused,
-    one.served + other.served,
+private fun addOutcomes(first: LoadOutcome, second: LoadOutcome) = LoadOutcome(
+    first.requests + second.requests,
+    first.inTime + second.inTime,
+    first.cold + second.cold,
+    first.refused + second.refused,
+    first.served + second.served,
 )
 
 class LoadPatternTest : FunSpec({
@@ -47,10 +47,10 @@
     fun loads(perSecond: Double, keys: Int) =
         ZONE_NAMES.map { ZoneLoad(it, perSecond, keys) }
 
-    fun total(spreadPenalty: Double, perSecond: Double): LoadOutcome = SEEDS.map { seed ->
+    fun runUnevenRegions(spreadPenalty: Double, perSecond: Double): LoadOutcome = SEEDS.map { seed ->
         val parameters = PARAMETERS.copy(spreadPenaltyFactor = spreadPenalty)
         LoadSimulation(parameters, uneven, loads(perSecond, keys = 64), seed).run(SECONDS, WARM_UP_S)
-    }.reduce(::sumOf)
+    }.reduce(::addOutcomes)
 
     /** Runs many small instances, each of which sends a server less than one request every two seconds. */
     fun runManySmallInstances(candidateLimits: CandidateLimits, perSecond: Double): LoadOutcome = SEEDS.map { seed ->
@@ -58,7 +58,7 @@
         val parameters = PARAMETERS.copy(candidateLimits = candidateLimits)
         val simulation = LoadSimulation(parameters, servers, loads(perSecond, keys = 200), seed, instancesPerZone = 14)
         simulation.run(SECONDS, WARM_UP_S)
-    }.reduce(::sumOf)
+    }.reduce(::addOutcomes)
 
     test("`many small instances that know little about loads keep keys on their servers under overload`") {
         val before = runManySmallInstances(unlimitedCandidates, perSecond = 120.0)
@@ -83,15 +83,15 @@
     }
 
     test("`near full load, servers that cache few keys serve far more in time with a spread penalty`") {
-        val before = total(spreadPenalty = 0.0, perSecond = 90.0)
-        val after = total(PARAMETERS.spreadPenaltyFactor, perSecond = 90.0)
+        val before = runUnevenRegions(spreadPenalty = 0.0, perSecond = 90.0)
+        val after = runUnevenRegions(PARAMETERS.spreadPenaltyFactor, perSecond = 90.0)
         after.coldShare shouldBeLessThan before.coldShare / 2
         after.inTimeShare shouldBeGreaterThan before.inTimeShare + 0.1
     }
 
     test("`at moderate load, the spread penalty costs nothing`") {
-        val before = total(spreadPenalty = 0.0, perSecond = 40.0)
-        val after = total(PARAMETERS.spreadPenaltyFactor, perSecond = 40.0)
+        val before = runUnevenRegions(spreadPenalty = 0.0, perSecond = 40.0)
+        val after = runUnevenRegions(PARAMETERS.spreadPenaltyFactor, perSecond = 40.0)
         after.inTimeShare shouldBeGreaterThan before.inTimeShare - 0.01
     }
 })
--- a/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/support/LoadSimulation.kt
+++ b/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/support/LoadSimulation.kt
@@ -112,17 +112,17 @@
 
     private fun send(steering: Steering, spec: RequestSpec, placement: Placement.Send, nowMs: Long) {
         val server = servers.getValue(placement.server.value)
-        val home = checkNotNull(spec.affinityKey).take(1)
+        val ownRegion = checkNotNull(spec.affinityKey).take(1)
         val region = ZONES.getValue(ZoneName(server.settings.zone)).value
-        placements.record(nowMs, home, region)
-        val isOtherRegion = region != home
+        placements.record(nowMs, ownRegion, region)
+        val isOtherRegion = region != ownRegion
         val networkMs = if (isOtherRegion) OTHER_REGION_DELAY_MS else 1L
         events.add(
             Event(nowMs + networkMs) {
                 server.accept(nowMs + networkMs, checkNotNull(spec.affinityKey)) { endMs, isWarm, report ->
                     events.add(
                         Event(endMs + networkMs) {
-                            settle(steering, spec, placement, endMs + networkMs, report)
+                            complete(steering, spec, placement, endMs + networkMs, report)
                             count(spec, endMs + networkMs, isWarm)
                         },
                     )
@@ -131,7 +131,7 @@
         )
     }
 
-    private fun settle(
+    private fun complete(
         steering: Steering,
         spec: RequestSpec,
         placement: Placement.Send,
