--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/ServiceSpillover.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/ServiceSpillover.kt
@@ -46,13 +46,16 @@
         targetShare += SMOOTHING_FACTOR * ((if (isCheaperElsewhere) 1.0 else 0.0) - targetShare)
     }
 
-    /** Returns true when the next request, if sent, goes to another region. */
+    /**
+     * Returns true when the next request, if sent, goes to another region. One that isn't cheaper there goes only once
+     * the credit has reached its maximum.
+     */
     public fun isNextSpilledOver(isCheaperElsewhere: Boolean): Boolean {
         val next = credit + share
         return next >= 1.0 && (isCheaperElsewhere || next >= MAX_CREDIT)
     }
 
-    /** Records an attempt, which [isSpilledOver] or stays in the own region. */
+    /** Records an attempt: in another region when [isSpilledOver], else in the own one. */
     public fun recordAttempt(isSpilledOver: Boolean) {
         credit = (credit + share).coerceAtMost(MAX_CREDIT) - (if (isSpilledOver) 1.0 else 0.0)
     }
