--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/RegionSpillover.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/RegionSpillover.kt
@@ -32,7 +32,7 @@
         // A request that leaves because its region has no server is not counted as spillover. Otherwise it would use up
         // the spillover credit and prevent spillover after the servers return.
         if (send.choice != RegionChoice.NO_HOME_SERVER) {
-            getForService(service).recordAttempt(isSpilledOver = send.choice == RegionChoice.SPILLOVER)
+            getForService(service).recordAttempt(isSpilledOver = send.choice == RegionChoice.LENT)
         }
         attemptCounts.getOrPut(service) { HashMap() }.merge(RegionReason(send.region, send.choice), 1, Int::plus)
     }
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/ServerSelector.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/ServerSelector.kt
@@ -129,6 +129,6 @@
 
 private fun regionChoiceFor(server: KnownServer, hasOwnRegion: Boolean): RegionChoice = when {
     server.distance != Distance.OTHER_REGION -> RegionChoice.HOME
-    hasOwnRegion -> RegionChoice.SPILLOVER
+    hasOwnRegion -> RegionChoice.LENT
     else -> RegionChoice.NO_HOME_SERVER
 }
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/requests/RequestSpec.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/requests/RequestSpec.kt
@@ -53,7 +53,7 @@
     HOME("home"),
 
     /** The request spills over to another region. */
-    SPILLOVER("lent"),
+    LENT("lent"),
 
     /** No backend server in the region of the instance can take the request. */
     NO_HOME_SERVER("no-home-server"),
