--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/caps/CapBucket.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/caps/CapBucket.kt
@@ -38,10 +38,10 @@
 
 /** Returns this bucket with another rate and burst; tokens above the new burst are discarded. */
 public fun CapBucket.withRate(rate: Long, newBurst: Long, nowMs: Long): CapBucket {
-    val filled = refill(nowMs)
-    return filled.copy(
+    val refilled = refill(nowMs)
+    return refilled.copy(
         ratePerSecond = rate,
         burst = newBurst,
-        milliTokens = filled.milliTokens.coerceAtMost(newBurst * MILLI),
+        milliTokens = refilled.milliTokens.coerceAtMost(newBurst * MILLI),
     )
 }
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/caps/CapLimiter.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/caps/CapLimiter.kt
@@ -34,10 +34,10 @@
 ) {
     /** Returns the units per second of [cap] that this instance may use. */
     public fun getRate(cap: CapId): Long {
-        val own = computeHeldRate(zoneShares[cap] ?: 0, heldParts)
-        val more = borrowed.filter { it.cap == cap }.sumOf { it.unitsPerSecond }
-        val less = lent.filter { it.cap == cap }.sumOf { it.unitsPerSecond }
-        return (own + more - less).coerceAtLeast(0)
+        val ownedRate = computeHeldRate(zoneShares[cap] ?: 0, heldParts)
+        val borrowedRate = borrowed.filter { it.cap == cap }.sumOf { it.unitsPerSecond }
+        val lentRate = lent.filter { it.cap == cap }.sumOf { it.unitsPerSecond }
+        return (ownedRate + borrowedRate - lentRate).coerceAtLeast(0)
     }
 
     /** Returns the units of [cap] that can be consumed at [nowMs]. */
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/caps/CapShares.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/caps/CapShares.kt
@@ -17,9 +17,9 @@
 /** Returns the units per second that [zone] may use of each cap, after deducting the reserve. */
 public fun computeZoneShares(index: DocumentIndex, zone: ZoneName): Map<CapId, Long> {
     val region = index.regionByZone[zone] ?: return emptyMap()
-    val usable = PERCENT - index.document.policy.capReservePercent
+    val usablePercent = PERCENT - index.document.policy.capReservePercent
     val fullShares = computeLinkShares(index, region.name) + computePartnerShares(index, zone)
-    return fullShares.mapValues { (_, perSecond) -> perSecond * usable / PERCENT }
+    return fullShares.mapValues { (_, perSecond) -> perSecond * usablePercent / PERCENT }
 }
 
 /** Returns the units per second of a zone's share that belong to [heldParts] parts. */
@@ -37,12 +37,12 @@
     val ownPartner = index.regionByZone.getValue(zone).partner
     return index.document.partners.flatMap { partner ->
         val path = if (partner.name == ownPartner) PartnerPath.LOOK_UP else PartnerPath.HAND_OVER
-        computeShares(partner, path, getPercent(path, index), countSharing(index, partner, path))
+        computeShares(partner, path, getPercent(path, index), countSharingZones(index, partner, path))
     }.toMap()
 }
 
-private fun countSharing(index: DocumentIndex, partner: Partner, path: PartnerPath): Int {
-    val isSharing = { name: Boolean -> if (path == PartnerPath.LOOK_UP) name else !name }
+private fun countSharingZones(index: DocumentIndex, partner: Partner, path: PartnerPath): Int {
+    val isSharing = { isOwn: Boolean -> if (path == PartnerPath.LOOK_UP) isOwn else !isOwn }
     return index.document.regions.filter { isSharing(it.partner == partner.name) }.sumOf { it.zones.size }
 }
 
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/caps/CapTransition.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/caps/CapTransition.kt
@@ -53,9 +53,9 @@
 public fun CapTransition.adopt(next: EpochShares, documentZones: Set<ZoneName>, nowMs: Long): CapTransition {
     if (next.epoch <= newest) return copy(zones = documentZones).dropUnusedEpochs()
     val missed = EpochShares(CapEpoch(next.epoch.value - 1), emptyMap())
-    val between = if (next.epoch > newest.next()) listOf(missed) else emptyList()
+    val missedEpochs = if (next.epoch > newest.next()) listOf(missed) else emptyList()
     return copy(
-        epochs = (epochs + between + next).toPersistentList(),
+        epochs = (epochs + missedEpochs + next).toPersistentList(),
         zones = documentZones,
         adoptedAtMs = nowMs,
     ).dropUnusedEpochs()
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/servers/ServiceTimes.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/servers/ServiceTimes.kt
@@ -19,7 +19,7 @@
 
     /** Records that a request took [tookMs]. */
     public fun record(service: ServiceName, tookMs: Long): ServiceTimes {
-        val old = averages[service] ?: (tookMs * SCALE)
-        return ServiceTimes(averages.put(service, old + tookMs - old / SCALE))
+        val average = averages[service] ?: (tookMs * SCALE)
+        return ServiceTimes(averages.put(service, average + tookMs - average / SCALE))
     }
 }
