--- a/cardamomwharf-core/src/main/kotlin/org/cardamomwharf/core/HeaderNames.kt
+++ b/cardamomwharf-core/src/main/kotlin/org/cardamomwharf/core/HeaderNames.kt
@@ -5,13 +5,13 @@
 
 /** Holds the names of the header fields that the system reads and writes. */
 public object HeaderNames {
-    /** Remaining time of the request in milliseconds. */
+    /** The remaining time of the request in milliseconds. */
     public const val DEADLINE_MS: String = "Wharf-Deadline-Ms"
 
-    /** The idempotency key, chosen by the caller; unique per operation. */
+    /** The idempotency key, which the caller chooses for each operation. */
     public const val IDEMPOTENCY_KEY: String = "Idempotency-Key"
 
-    /** The incarnation and issue time that a key is bound to while the table service is down. */
+    /** The incarnation and the issue time to which a key is bound while the table service is down. */
     public const val BINDING: String = "Wharf-Binding"
 
     /** The outcome of the request: `ran`, `not-run` or `unknown`. */
@@ -20,16 +20,16 @@
     /** The reason code of the outcome. */
     public const val REASON: String = "Wharf-Reason"
 
-    /** The entry instance that gave the answer. */
+    /** The entry instance that sent the response. */
     public const val ENTRY: String = "Wharf-Entry"
 
-    /** The attempt that a backend server handles; backend servers that know it return it. */
+    /** The attempt that a backend server handles; backend servers that support the field return it. */
     public const val ATTEMPT: String = "Wharf-Attempt"
 
-    /** The backend server marks with `true` that it is leaving. */
+    /** `true` when the backend server is leaving. */
     public const val LEAVING: String = "Wharf-Leaving"
 
-    /** The backend server marks with `true` that it refused the request and did not run it. */
+    /** `true` when the backend server refused the request and did not run it. */
     public const val REFUSED: String = "Wharf-Refused"
 
     /** The delay in seconds after which a refused request may be sent again. */
--- a/cardamomwharf-core/src/main/kotlin/org/cardamomwharf/core/Identifiers.kt
+++ b/cardamomwharf-core/src/main/kotlin/org/cardamomwharf/core/Identifiers.kt
@@ -1,5 +1,5 @@
 /*
- * Identifiers are value classes, so that a zone can't be passed where a region is meant. They serialize as plain
+ * Identifiers as value classes, so that a zone can't be passed where a region is expected. They serialize as plain
  * strings or numbers.
  */
 package org.cardamomwharf.core
@@ -36,24 +36,27 @@
 @JvmInline
 public value class ServerName(public val value: String)
 
-/** Represents one life of an entry process; a later life of the same instance has a larger number. */
+/** Represents one run of an entry process; a later run of the same instance has a larger number. */
 @Serializable
 @JvmInline
 public value class Incarnation(public val value: Long) : Comparable<Incarnation> {
     override fun compareTo(other: Incarnation): Int = value.compareTo(other.value)
 }
 
-/** Represents one request inside one entry process. */
+/** Represents a request within one entry process. */
 @Serializable
 @JvmInline
 public value class RequestId(public val value: Long)
 
-/** Represents one try of an operation, unique over all processes; it settles answers that got lost. */
+/**
+ * Represents one attempt of an operation, unique across all processes. When a response is lost, it tells whether the
+ * attempt took effect.
+ */
 @Serializable
 @JvmInline
 public value class AttemptId(public val value: String)
 
-/** Represents the number of a document within its environment; larger numbers are newer. */
+/** Represents the version number of a document within its environment; a larger number is newer. */
 @Serializable
 @JvmInline
 public value class DocumentVersion(public val value: Long) : Comparable<DocumentVersion> {
@@ -66,8 +69,8 @@
 }
 
 /**
- * Represents the number of changes to the caps of an environment. Documents whose caps are divided alike share an
- * epoch; each other change adds one.
+ * Represents the version of the cap division of an environment. Documents that divide the caps in the same way share an
+ * epoch; every other document has the next epoch.
  */
 @Serializable
 @JvmInline
@@ -81,7 +84,7 @@
         /** Represents the absence of a document. */
         public val NONE: CapEpoch = CapEpoch(0)
 
-        /** Represents the caps of the first document of an environment. */
+        /** Represents the cap division of the first document of an environment. */
         public val FIRST: CapEpoch = CapEpoch(1)
     }
 }
--- a/cardamomwharf-core/src/main/kotlin/org/cardamomwharf/core/Reason.kt
+++ b/cardamomwharf-core/src/main/kotlin/org/cardamomwharf/core/Reason.kt
@@ -1,16 +1,16 @@
 /*
- * Each refusal and failure has one reason with its outcome and HTTP status. The code is what callers, counters and logs
- * show; CALLER-API.md documents each of them.
+ * The reasons for which a request ends, each with its outcome and HTTP status. Callers, metrics and logs show the code;
+ * CALLER-API.md documents each code.
  */
 package org.cardamomwharf.core
 
 /**
  * Represents why a request ended as it did.
  *
- * @param code the word that callers, logs and counters show.
+ * @param code the name shown to callers and in metrics and logs.
  * @param outcome what happened to the request.
- * @param status the HTTP status of the answer.
- * @param isRetryable true when the same request may succeed a little later or at another instance.
+ * @param status the HTTP status of the response.
+ * @param isRetryable true when the same request may succeed later or at another instance.
  */
 public enum class Reason(
     public val code: String,
--- a/cardamomwharf-core/src/main/kotlin/org/cardamomwharf/core/Rendezvous.kt
+++ b/cardamomwharf-core/src/main/kotlin/org/cardamomwharf/core/Rendezvous.kt
@@ -1,6 +1,6 @@
 /*
- * Rendezvous hashing gives every resource an owner from a set of members without agreement: all that know the same
- * members compute the same owner, and a change of members moves only what it must.
+ * Rendezvous hashing assigns each resource to a member without coordination. Processes that know the same members
+ * compute the same owner, and a change of the members moves only the resources of the members that joined or left.
  */
 package org.cardamomwharf.core
 
@@ -10,14 +10,15 @@
 public fun <T> rendezvousOwner(resource: String, members: Collection<T>, key: (T) -> String): T? =
     members.maxByOrNull { hash64(resource + "/" + key(it)) }
 
-/** Returns up to [count] members for [resource], the first choice first. */
+/** Returns up to [count] members for [resource] in order of preference. */
 public fun <T> rendezvousTop(resource: String, members: Collection<T>, count: Int, key: (T) -> String): List<T> =
     members.sortedByDescending { hash64(resource + "/" + key(it)) }.take(count)
 
 /**
- * Returns a rank for weighted rendezvous selection; members sorted by descending rank are spread by weight.
+ * Returns the rank of [member] in weighted rendezvous hashing. The member with the highest rank is selected; over many
+ * resources each member is selected in proportion to its weight.
  *
- * @param weight a positive weight; zero or less ranks behind every positive weight.
+ * @param weight a weight of zero or less ranks behind every positive weight.
  */
 public fun weightedRank(resource: String, member: String, weight: Double): Double {
     if (weight <= 0.0) return Double.NEGATIVE_INFINITY
--- a/cardamomwharf-core/src/main/kotlin/org/cardamomwharf/core/StatusCode.kt
+++ b/cardamomwharf-core/src/main/kotlin/org/cardamomwharf/core/StatusCode.kt
@@ -1,55 +1,55 @@
 /*
- * The HTTP status codes that answers of the system carry.
+ * The HTTP status codes of the responses of the system.
  */
 package org.cardamomwharf.core
 
-/** Holds the HTTP status codes in use. */
+/** Defines the HTTP status codes in use. */
 public object StatusCode {
-    /** Represents the status 200. */
+    /** 200 OK. */
     public const val OK: Int = 200
 
-    /** Represents the status 201. */
+    /** 201 Created. */
     public const val CREATED: Int = 201
 
-    /** Represents the status 204. */
+    /** 204 No Content. */
     public const val NO_CONTENT: Int = 204
 
-    /** Represents the status 400. */
+    /** 400 Bad Request. */
     public const val BAD_REQUEST: Int = 400
 
-    /** Represents the status 404. */
+    /** 404 Not Found. */
     public const val NOT_FOUND: Int = 404
 
-    /** Represents the status 409. */
+    /** 409 Conflict. */
     public const val CONFLICT: Int = 409
 
-    /** Represents the status 412. */
+    /** 412 Precondition Failed. */
     public const val PRECONDITION_FAILED: Int = 412
 
-    /** Represents the status 413. */
+    /** 413 Content Too Large. */
     public const val CONTENT_TOO_LARGE: Int = 413
 
-    /** Represents the status 421. */
+    /** 421 Misdirected Request. */
     public const val MISDIRECTED: Int = 421
 
-    /** Represents the status 422. */
+    /** 422 Unprocessable Content. */
     public const val UNPROCESSABLE: Int = 422
 
-    /** Represents the status 431. */
+    /** 431 Request Header Fields Too Large. */
     public const val HEAD_TOO_LARGE: Int = 431
 
-    /** Represents the status 499. */
+    /** 499, the non-standard status of a request whose caller closed the connection. */
     public const val CALLER_CLOSED: Int = 499
 
-    /** Represents the status 500. */
+    /** 500 Internal Server Error. */
     public const val INTERNAL_ERROR: Int = 500
 
-    /** Represents the status 502. */
+    /** 502 Bad Gateway. */
     public const val BAD_GATEWAY: Int = 502
 
-    /** Represents the status 503. */
+    /** 503 Service Unavailable. */
     public const val UNAVAILABLE: Int = 503
 
-    /** Represents the status 504. */
+    /** 504 Gateway Timeout. */
     public const val GATEWAY_TIMEOUT: Int = 504
 }
--- a/cardamomwharf-core/src/main/kotlin/org/cardamomwharf/core/document/CapParameters.kt
+++ b/cardamomwharf-core/src/main/kotlin/org/cardamomwharf/core/document/CapParameters.kt
@@ -1,10 +1,10 @@
 /*
- * What the division of caps among zones depends on. Documents with equal terms may be in force side by side without
- * any cap being exceeded.
+ * The parameters of the division of caps among zones. Documents with equal parameters can be in force at the same time
+ * without exceeding a cap.
  */
 package org.cardamomwharf.core.document
 
-/** Represents the parts of a document that decide how caps are divided. */
+/** Represents the parts of a document that determine how caps are divided. */
 public data class CapParameters(
     public val partners: List<Partner>,
     public val regions: List<Region>,
@@ -13,6 +13,6 @@
     public val lookUpPercent: Int,
 )
 
-/** Returns the parts of this document that decide how caps are divided. */
+/** Returns the parts of this document that determine how caps are divided. */
 public fun EnvironmentDocument.capParameters(): CapParameters =
     CapParameters(partners, regions, links, policy.capReservePercent, policy.capLookUpPercent)
--- a/cardamomwharf-core/src/main/kotlin/org/cardamomwharf/core/document/ClientBlockTable.kt
+++ b/cardamomwharf-core/src/main/kotlin/org/cardamomwharf/core/document/ClientBlockTable.kt
@@ -1,6 +1,6 @@
 /*
- * Finds the zone of a client address among all client blocks. Blocks must not overlap; they are kept as two sorted
- * arrays, so that 440,000 IPv4 blocks need about 9 MB and a look-up is one binary search.
+ * Finds the zone of a client address in the client blocks of a document. Blocks must not overlap. They are stored as
+ * sorted arrays, so that 440,000 IPv4 blocks need about 9 MB and a lookup is one binary search.
  */
 package org.cardamomwharf.core.document
 
@@ -9,27 +9,27 @@
 /** Represents an inclusive range of IPv4 addresses. */
 public data class AddressRange(public val first: Long, public val last: Long)
 
-/** Represents the sorted client blocks of one document. */
+/** Represents the client blocks of one document, sorted by address. */
 public class ClientBlockTable private constructor(
-    private val firsts: LongArray,
-    private val lasts: LongArray,
+    private val firstAddresses: LongArray,
+    private val lastAddresses: LongArray,
     private val zoneIndexes: ShortArray,
     private val zones: List<ZoneName>,
 ) {
     /** The number of blocks. */
-    public val size: Int get() = firsts.size
+    public val size: Int get() = firstAddresses.size
 
-    /** Returns the zone of [address], or null when no block holds it. */
+    /** Returns the zone of [address], or null when no block contains it. */
     public fun findZone(address: String): ZoneName? {
         val number = parseIpv4(address) ?: return null
-        val found = firsts.binarySearch(number)
-        val index = if (found >= 0) found else -found - 2
-        val isInside = index >= 0 && lasts[index] >= number
+        val position = firstAddresses.binarySearch(number)
+        val index = if (position >= 0) position else -position - 2
+        val isInside = index >= 0 && lastAddresses[index] >= number
         return if (isInside) zones[zoneIndexes[index].toInt()] else null
     }
 
     public companion object {
-        /** Returns the table of [blocks]; blocks that can't be parsed are left out, the checker reports them. */
+        /** Returns the table of [blocks]. Malformed blocks are skipped; the check of the document reports them. */
         public fun build(blocks: Sequence<ClientBlock>): ClientBlockTable {
             val zones = LinkedHashMap<ZoneName, Int>()
             val packed = PackedBlocks()
@@ -39,9 +39,9 @@
             }
             packed.sort()
             return ClientBlockTable(
-                firsts = LongArray(packed.size) { packed.firstOf(it) },
-                lasts = LongArray(packed.size) { packed.lastOf(it) },
-                zoneIndexes = ShortArray(packed.size) { packed.zoneOf(it).toShort() },
+                firstAddresses = LongArray(packed.size) { packed.getFirstAddress(it) },
+                lastAddresses = LongArray(packed.size) { packed.getLastAddress(it) },
+                zoneIndexes = ShortArray(packed.size) { packed.getZoneIndex(it).toShort() },
                 zones = zones.keys.toList(),
             )
         }
@@ -53,14 +53,14 @@
 private const val OCTET_MAX = 255
 private const val ADDRESS_BITS = 32
 
-/** Returns the IPv4 address [text] as a number, or null when it isn't one. */
+/** Returns the IPv4 address in [text] as a number, or null when [text] is malformed. */
 public fun parseIpv4(text: String): Long? {
     val octets = text.split('.').mapNotNull { it.toIntOrNull() }
     val isAddress = octets.size == OCTETS && octets.all { it in 0..OCTET_MAX } && text.count { it == '.' } == OCTETS - 1
     return if (isAddress) octets.fold(0L) { number, octet -> (number shl OCTET_BITS) or octet.toLong() } else null
 }
 
-/** Returns the range of the block [text] in CIDR notation, or null when it isn't one. */
+/** Returns the range of the CIDR block in [text], or null when [text] is malformed or not aligned. */
 public fun parseCidr(text: String): AddressRange? {
     val base = parseIpv4(text.substringBefore('/'))
     val prefixBits = text.substringAfter('/', "").toIntOrNull()?.takeIf { it in 0..ADDRESS_BITS }
--- a/cardamomwharf-core/src/main/kotlin/org/cardamomwharf/core/document/DrainProblem.kt
+++ b/cardamomwharf-core/src/main/kotlin/org/cardamomwharf/core/document/DrainProblem.kt
@@ -1,39 +1,39 @@
 /*
- * What can be wrong with the drains of a document. A drain of a name that doesn't exist would drain nothing, and nobody
- * would notice.
+ * Validation of the drains of a document. A drain of an unknown zone or service is rejected, because it would silently
+ * have no effect.
  */
 package org.cardamomwharf.core.document
 
 import org.cardamomwharf.core.ServiceName
 import org.cardamomwharf.core.ZoneName
 
-/** Represents a fault of the drain at [index]. */
+/** Represents a problem of the drain at [index]. */
 public sealed interface DrainProblem {
     /** The position of the drain in the document. */
     public val index: Int
 
-    /** There is no such zone. */
+    /** The zone of the drain is unknown. */
     public data class UnknownZone(override val index: Int, public val zone: ZoneName) : DrainProblem
 
-    /** There is no such service. */
+    /** The service of the drain is unknown. */
     public data class UnknownService(override val index: Int, public val service: ServiceName) : DrainProblem
 
-    /** The drain would end before it starts. */
+    /** The end of the drain is not after its start. */
     public data class EndsBeforeStart(override val index: Int) : DrainProblem
 }
 
-/** Returns all faults of the drains of this document. */
+/** Returns all problems of the drains of this document. */
 public fun EnvironmentDocument.findDrainProblems(): List<DrainProblem> {
     val zones = regions.flatMap { it.zones }.toSet()
-    val names = services.map { it.name }.toSet()
+    val serviceNames = services.map { it.name }.toSet()
     return drains.flatMapIndexed { index, drain ->
         listOfNotNull(
             DrainProblem.UnknownZone(index, drain.zone).takeIf { drain.zone !in zones },
-            drain.service?.takeIf { it !in names }?.let { DrainProblem.UnknownService(index, it) },
-            DrainProblem.EndsBeforeStart(index).takeIf { drain.endsBeforeStart },
+            drain.service?.takeIf { it !in serviceNames }?.let { DrainProblem.UnknownService(index, it) },
+            DrainProblem.EndsBeforeStart(index).takeIf { drain.isEndBeforeStart },
         )
     }
 }
 
-private val Drain.endsBeforeStart: Boolean
+private val Drain.isEndBeforeStart: Boolean
     get() = endsAtEpochSeconds in 1..startsAtEpochSeconds
--- a/cardamomwharf-core/src/main/kotlin/org/cardamomwharf/core/document/EnvironmentDocument.kt
+++ b/cardamomwharf-core/src/main/kotlin/org/cardamomwharf/core/document/EnvironmentDocument.kt
@@ -1,7 +1,7 @@
 /*
- * The environment document is what operators submit, try and promote. It says where each service may be served, the
- * links and caps between regions, the weights that partners agreed, and which client blocks belong to which zone. All
- * parts are immutable; fields carry their unit as a suffix.
+ * The environment document that operators submit, try and promote. It defines where each service may be served, the
+ * links and caps between regions, the weights agreed between partners, and the zone of each client block. All parts are
+ * immutable; field names end in their unit.
  */
 package org.cardamomwharf.core.document
 
@@ -14,7 +14,7 @@
 /**
  * Represents one whole environment document.
  *
- * @param stoppedZones zones whose instances operators have stopped; raised cap shares don't wait for them.
+ * @param stoppedZones zones whose instances operators have stopped; a raise of cap shares doesn't wait for them.
  */
 @Serializable
 public data class EnvironmentDocument(
@@ -31,21 +31,21 @@
     public val policy: Policy = Policy(),
 )
 
-/** Represents what the policy prefers where both can't be had. */
+/** Represents the goal that takes precedence when both can't be met. */
 @Serializable
 public enum class Objective {
     /** Serve near the client as long as the deadline allows. */
     LATENCY,
 
-    /** Serve where most slots and link shares are free. */
+    /** Serve where the most slots and link shares are free. */
     HEADROOM,
 }
 
 /**
- * Represents a partner with the caps on traffic that other partners' regions may shift to its regions.
+ * Represents a partner with the caps on the traffic that regions of other partners may shift to its regions.
  *
- * @param inboundRequestsPerSecond cap on requests from regions of other partners.
- * @param inboundBytesPerSecond cap on request and response bytes of those requests.
+ * @param inboundRequestsPerSecond cap on the requests from regions of other partners.
+ * @param inboundBytesPerSecond cap on the request and response bytes of these requests.
  */
 @Serializable
 public data class Partner(
@@ -62,7 +62,7 @@
     public val zones: List<ZoneName>,
 )
 
-/** Represents the one-way delays between places, in milliseconds. */
+/** Represents the one-way network latencies in milliseconds. */
 @Serializable
 public data class Delays(
     public val betweenZonesMs: Double,
@@ -81,10 +81,10 @@
 /**
  * Represents a service.
  *
- * @param weight requests of a larger weight are refused later.
- * @param expectedServiceMs time that a backend server usually takes for one request.
- * @param expectedResponseBytes size of a usual response; link shares are charged with it on admission.
- * @param cacheTtlMs time that callers may keep a look-up answer.
+ * @param weight priority under load; requests of services with smaller weights are refused first.
+ * @param expectedServiceMs usual processing time of one request at a backend server.
+ * @param expectedResponseBytes usual response size, deducted from the link shares on admission.
+ * @param cacheTtlMs time for which callers may cache a lookup response.
  */
 @Serializable
 public data class Service(
@@ -111,15 +111,15 @@
 @Serializable
 public data class RegionWeight(public val region: RegionName, public val weight: Int)
 
-/** Represents a range of client addresses in CIDR notation and the zone that is nearest to it. */
+/** Represents a range of client addresses in CIDR notation and the zone nearest to it. */
 @Serializable
 public data class ClientBlock(public val cidr: String, public val zone: ZoneName)
 
 /**
- * Represents a planned drain: the zone gets no new work of the service, or of any service when none is named.
+ * Represents a planned drain: the zone gets no new requests of the service, or of any service when none is named.
  *
- * @param startsAtEpochSeconds wall-clock start, 0 for at once.
- * @param endsAtEpochSeconds wall-clock end, 0 for none.
+ * @param startsAtEpochSeconds wall-clock start, 0 for an immediate start.
+ * @param endsAtEpochSeconds wall-clock end, 0 for a drain without an end.
  */
 @Serializable
 public data class Drain(
--- a/cardamomwharf-core/src/main/kotlin/org/cardamomwharf/core/document/PackedBlocks.kt
+++ b/cardamomwharf-core/src/main/kotlin/org/cardamomwharf/core/document/PackedBlocks.kt
@@ -1,10 +1,10 @@
 /*
- * Client blocks while their table is built, each in one number: first address, prefix and zone. Sorting the numbers
- * sorts the blocks by address, and nothing is kept for each block beside its eight bytes.
+ * Collects client blocks while a table is built. Each block is packed into one number of first address, prefix length
+ * and zone index, so that it takes eight bytes and sorting the numbers sorts the blocks by address.
  */
 package org.cardamomwharf.core.document
 
-private const val FIRST_CAPACITY = 1_024
+private const val INITIAL_CAPACITY = 1_024
 private const val ADDRESS_BITS = 32
 private const val ADDRESS_SHIFT = 24
 private const val PREFIX_SHIFT = 16
@@ -12,27 +12,27 @@
 private const val ZONE_MASK = 0xFFFFL
 
 internal class PackedBlocks {
-    private var numbers = LongArray(FIRST_CAPACITY)
+    private var values = LongArray(INITIAL_CAPACITY)
 
     var size: Int = 0
         private set
 
-    fun add(range: AddressRange, zone: Int) {
-        if (size == numbers.size) numbers = numbers.copyOf(size * 2)
+    fun add(range: AddressRange, zoneIndex: Int) {
+        if (size == values.size) values = values.copyOf(size * 2)
         val prefixBits = ADDRESS_BITS - (range.last - range.first + 1).countTrailingZeroBits()
-        numbers[size++] = (range.first shl ADDRESS_SHIFT) or (prefixBits.toLong() shl PREFIX_SHIFT) or zone.toLong()
+        values[size++] = (range.first shl ADDRESS_SHIFT) or (prefixBits.toLong() shl PREFIX_SHIFT) or zoneIndex.toLong()
     }
 
     fun sort() {
-        numbers.sort(0, size)
+        values.sort(0, size)
     }
 
-    fun firstOf(index: Int): Long = numbers[index] ushr ADDRESS_SHIFT
+    fun getFirstAddress(index: Int): Long = values[index] ushr ADDRESS_SHIFT
 
-    fun lastOf(index: Int): Long {
-        val prefixBits = (numbers[index] ushr PREFIX_SHIFT) and PREFIX_MASK
-        return firstOf(index) + (1L shl (ADDRESS_BITS - prefixBits.toInt())) - 1
+    fun getLastAddress(index: Int): Long {
+        val prefixBits = (values[index] ushr PREFIX_SHIFT) and PREFIX_MASK
+        return getFirstAddress(index) + (1L shl (ADDRESS_BITS - prefixBits.toInt())) - 1
     }
 
-    fun zoneOf(index: Int): Int = (numbers[index] and ZONE_MASK).toInt()
+    fun getZoneIndex(index: Int): Int = (values[index] and ZONE_MASK).toInt()
 }
--- a/cardamomwharf-core/src/main/kotlin/org/cardamomwharf/core/document/Policy.kt
+++ b/cardamomwharf-core/src/main/kotlin/org/cardamomwharf/core/document/Policy.kt
@@ -1,22 +1,22 @@
 /*
- * Defaults of every decision in one place. A document may override each of them.
+ * Tunable parameters of the decisions with their defaults. A document may override each of them.
  */
 package org.cardamomwharf.core.document
 
 import kotlinx.serialization.Serializable
 
 /**
- * Represents the tunable values of the decisions.
+ * Represents the tunable parameters of the decisions.
  *
- * @param capReservePercent part of every cap that stays unused; it covers bursts of [capBurstMs].
- * @param capLookUpPercent part of a partner's cap for requests that look-ups send; the rest is for hand-overs.
- * @param largestShiftPercent largest change of a region's split in one [shiftIntervalMs].
+ * @param capReservePercent part of each cap that is left unused to cover bursts of [capBurstMs].
+ * @param capLookUpPercent part of a partner's cap for requests that lookups direct to it; the rest is for hand-overs.
+ * @param largestShiftPercent maximum change of a region's split in one [shiftIntervalMs].
  * @param shiftStartPercent utilization of the own region above which traffic is shifted.
  * @param shiftStopPercent utilization of the own region below which shifted traffic returns.
- * @param largestWaitPercent longest wait for a slot, in percent of the time that a request takes.
- * @param reservedSlotsPercent slots of a pool held back for services of the largest weight.
- * @param keyTtlMs life of a key that is bound to one instance while the table service is down.
- * @param claimRetentionMinutes time for which a key of a non-idempotent request is remembered after its last change.
+ * @param largestWaitPercent maximum wait for a slot, in percent of the time that a request takes.
+ * @param reservedSlotsPercent slots of a pool reserved for services of the largest weight.
+ * @param keyTtlMs lifetime of a key that is bound to one instance while the table service is down.
+ * @param claimRetentionMinutes time for which the claim of a non-idempotent request is kept after its last change.
  */
 @Serializable
 public data class Policy(
--- a/cardamomwharf-core/src/test/kotlin/org/cardamomwharf/core/document/ClientBlockTableTest.kt
+++ b/cardamomwharf-core/src/test/kotlin/org/cardamomwharf/core/document/ClientBlockTableTest.kt
@@ -1,5 +1,5 @@
 /*
- * Client addresses are found in the block that holds them, and in no other.
+ * Tests that a client address is found in the block that contains it and in no other.
  */
 package org.cardamomwharf.core.document
 
@@ -12,13 +12,13 @@
 private const val OCTET_BITS = 8
 private const val OCTET_MASK = 0xFFL
 
-/** Returns the address [number] as text. */
-private fun addressOf(number: Long): String =
+/** Returns the address [number] in dotted decimal notation. */
+private fun formatAddress(number: Long): String =
     (ADDRESS_BITS / OCTET_BITS - 1 downTo 0)
         .joinToString(".") { ((number shr (it * OCTET_BITS)) and OCTET_MASK).toString() }
 
-/** Returns a block of each size; none overlaps another: the upper half, the upper half of the rest, and so on. */
-private fun cidrOf(bits: Int): String = "${addressOf(1L shl (ADDRESS_BITS - bits))}/$bits"
+/** Returns the block with a prefix of [bits] bits; the blocks of different prefix lengths do not overlap. */
+private fun formatBlock(bits: Int): String = "${formatAddress(1L shl (ADDRESS_BITS - bits))}/$bits"
 
 class ClientBlockTableTest : FunSpec({
     val table = ClientBlockTable.build(
@@ -29,7 +29,7 @@
         ),
     )
 
-    test("`the first and the last address of a block belong to it, their neighbours don't`") {
+    test("`a block contains its first and last address and no address beyond them`") {
         table.findZone("10.1.0.0") shouldBe ZoneName("a")
         table.findZone("10.1.0.255") shouldBe ZoneName("a")
         table.findZone("10.1.1.0") shouldBe null
@@ -38,19 +38,19 @@
         table.findZone("255.255.255.255") shouldBe ZoneName("c")
     }
 
-    test("`blocks of every size are kept whole, in whatever order they come`") {
-        val zones = (1..32).map { ClientBlock(cidrOf(it), ZoneName("zone-$it")) }
-        val sizes = ClientBlockTable.build(zones.shuffled(Random(7)).asSequence())
-        sizes.size shouldBe zones.size
+    test("`blocks of every size are found whole in any input order`") {
+        val zones = (1..32).map { ClientBlock(formatBlock(it), ZoneName("zone-$it")) }
+        val blocksOfEverySize = ClientBlockTable.build(zones.shuffled(Random(7)).asSequence())
+        blocksOfEverySize.size shouldBe zones.size
         for (bits in 1..32) {
-            val range = requireNotNull(parseCidr(cidrOf(bits)))
-            sizes.findZone(addressOf(range.first)) shouldBe ZoneName("zone-$bits")
-            sizes.findZone(addressOf(range.last)) shouldBe ZoneName("zone-$bits")
+            val range = requireNotNull(parseCidr(formatBlock(bits)))
+            blocksOfEverySize.findZone(formatAddress(range.first)) shouldBe ZoneName("zone-$bits")
+            blocksOfEverySize.findZone(formatAddress(range.last)) shouldBe ZoneName("zone-$bits")
         }
-        sizes.findZone("0.0.0.0") shouldBe null
+        blocksOfEverySize.findZone("0.0.0.0") shouldBe null
     }
 
-    test("`what isn't an address is in no block`") {
+    test("`a malformed address is in no block`") {
         listOf(
             "",
             "10.1.0",
@@ -61,7 +61,7 @@
         ).forEach { table.findZone(it) shouldBe null }
     }
 
-    test("`blocks must be aligned`") {
+    test("`a CIDR block with a misaligned address or an invalid prefix is rejected`") {
         parseCidr("10.0.0.1/24") shouldBe null
         parseCidr("10.0.0.0/33") shouldBe null
         parseCidr("10.0.0.0") shouldBe null
--- a/cardamomwharf-core/src/test/kotlin/org/cardamomwharf/core/document/DrainTest.kt
+++ b/cardamomwharf-core/src/test/kotlin/org/cardamomwharf/core/document/DrainTest.kt
@@ -1,5 +1,5 @@
 /*
- * When drains are in force.
+ * Tests when drains are in force.
  */
 package org.cardamomwharf.core.document
 
@@ -13,7 +13,7 @@
         listOf(99L, 100L, 199L, 200L).map { drain.isActive(it) } shouldBe listOf(false, true, true, false)
     }
 
-    test("`a drain without an end lasts`") {
+    test("`a drain without an end stays in force`") {
         Drain(ZoneName("north-a"), startsAtEpochSeconds = 100).isActive(Long.MAX_VALUE) shouldBe true
     }
 })
