--- a/cardamomwharf-http/src/main/kotlin/org/cardamomwharf/http/BlockingCalls.kt
+++ b/cardamomwharf-http/src/main/kotlin/org/cardamomwharf/http/BlockingCalls.kt
@@ -1,5 +1,5 @@
 /*
- * Calls that wait for their end, for threads whose only duty is to make them.
+ * Blocking HTTP calls, for threads that have no other work.
  */
 package org.cardamomwharf.http
 
@@ -8,16 +8,17 @@
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.TimeoutException
 
+/** Time that the client gets beyond the timeout of the call to report the result itself. */
 private const val MARGIN_MS = 1_000L
 
-/** Returns the end of [call]. */
+/** Sends [call], waits for its result and returns it. */
 public fun HttpClient.call(call: HttpCall): HttpResult {
-    val end = CompletableFuture<HttpResult>()
-    val flight = start(call) { end.complete(it) }
+    val result = CompletableFuture<HttpResult>()
+    val pendingCall = start(call) { result.complete(it) }
     return try {
-        end.get(call.timeoutMs + MARGIN_MS, TimeUnit.MILLISECONDS)
+        result.get(call.timeoutMs + MARGIN_MS, TimeUnit.MILLISECONDS)
     } catch (@Suppress("SwallowedException") e: TimeoutException) {
-        flight.cancel()
+        pendingCall.cancel()
         HttpResult.Lost(HttpFailure.TIMEOUT)
     } catch (@Suppress("SwallowedException") e: ExecutionException) {
         HttpResult.Lost(HttpFailure.CLOSED)
--- a/cardamomwharf-http/src/main/kotlin/org/cardamomwharf/http/BodyReadResult.kt
+++ b/cardamomwharf-http/src/main/kotlin/org/cardamomwharf/http/BodyReadResult.kt
@@ -1,35 +1,35 @@
 /*
- * Reads bodies whole and bounded: a body that is too large or ends early never reaches a handler or a caller.
+ * Reads bodies completely and up to a maximum size. A body that is too large or truncated is never passed on.
  */
 package org.cardamomwharf.http
 
 import java.io.IOException
 import java.io.InputStream
 
-/** Represents what reading a body gave. */
+/** Represents the result of reading a body. */
 public sealed interface BodyReadResult {
-    /** The whole body. */
+    /** The body was read completely. */
     public class Complete(public val bytes: ByteArray) : BodyReadResult
 
-    /** The body is larger than allowed. */
+    /** The body exceeds the maximum size. */
     public data object TooLarge : BodyReadResult
 
-    /** The body ended before its announced size. */
+    /** The body ended before its declared size. */
     public data object Truncated : BodyReadResult
 }
 
-/** Returns the whole body of this stream, or why it can't be had. */
-public fun InputStream.readBody(maxBytes: Int, announcedBytes: Long): BodyReadResult {
-    if (announcedBytes > maxBytes) return BodyReadResult.TooLarge
+/** Returns the complete body of this stream, or why it can't be read; [declaredBytes] is negative when unknown. */
+public fun InputStream.readBody(maxBytes: Int, declaredBytes: Long): BodyReadResult {
+    if (declaredBytes > maxBytes) return BodyReadResult.TooLarge
     val bytes = readOrNull(maxBytes + 1)
     return when {
-        bytes == null || announcedBytes >= 0 && bytes.size < announcedBytes -> BodyReadResult.Truncated
+        bytes == null || declaredBytes >= 0 && bytes.size < declaredBytes -> BodyReadResult.Truncated
         bytes.size > maxBytes -> BodyReadResult.TooLarge
         else -> BodyReadResult.Complete(bytes)
     }
 }
 
-/** Returns null when the stream fails; the cause tells nothing that the caller of [readBody] could act on. */
+/** Returns up to [bytes] bytes, or null when the stream fails; [readBody] treats every failure in the same way. */
 private fun InputStream.readOrNull(bytes: Int): ByteArray? =
     try {
         readNBytes(bytes)
--- a/cardamomwharf-http/src/main/kotlin/org/cardamomwharf/http/HttpClientSettings.kt
+++ b/cardamomwharf-http/src/main/kotlin/org/cardamomwharf/http/HttpClientSettings.kt
@@ -1,13 +1,14 @@
 /*
- * Limits of our HTTP clients in one place.
+ * The settings of an HTTP client.
  */
 package org.cardamomwharf.http
 
 /**
- * Represents the limits of a client.
+ * Represents the settings of an HTTP client.
  *
+ * @param name the name of its threads.
  * @param idleTimeoutMs time after which an unused connection is closed.
- * @param isConnectionReused false when every call opens a new connection.
+ * @param isConnectionReused false when every call opens a new connection, as calls that must not be repeated need.
  */
 public data class HttpClientSettings(
     public val name: String,
--- a/cardamomwharf-http/src/main/kotlin/org/cardamomwharf/http/HttpServerSettings.kt
+++ b/cardamomwharf-http/src/main/kotlin/org/cardamomwharf/http/HttpServerSettings.kt
@@ -1,14 +1,14 @@
 /*
- * Limits of the HTTP server in one place. What exceeds them is refused before a handler sees it.
+ * The settings of an HTTP server. Requests that exceed a limit are refused before they reach a handler.
  */
 package org.cardamomwharf.http
 
 import org.cardamomwharf.core.SocketAddress
 
 /**
- * Represents where a server listens and what it takes.
+ * Represents the address and the limits of an HTTP server.
  *
- * @param maxHeadBytes request line and header fields together.
+ * @param maxHeadBytes maximum size of the request line and the header fields together.
  */
 public data class HttpServerSettings(
     public val address: SocketAddress,
--- a/cardamomwharf-http/src/main/kotlin/org/cardamomwharf/http/JettyHttpClient.kt
+++ b/cardamomwharf-http/src/main/kotlin/org/cardamomwharf/http/JettyHttpClient.kt
@@ -1,6 +1,7 @@
 /*
- * Jetty's client behind our own small interface. A connection whose call timed out or was cancelled is closed, never
- * used again, so that no late answer can meet another request. Nothing is repeated or redirected here.
+ * An [HttpClient] based on Jetty's client. The connection of a call that timed out or was cancelled is closed and not
+ * reused, so that a late response can't be taken for the response to another request. Calls are neither retried nor
+ * redirected.
  */
 package org.cardamomwharf.http
 
@@ -21,7 +22,7 @@
 import java.util.concurrent.atomic.AtomicBoolean
 import org.eclipse.jetty.client.HttpClient as JettyClient
 
-/** Returns a started client. */
+/** Returns a started HTTP client. */
 public fun startJettyHttpClient(settings: HttpClientSettings): HttpClient {
     val threads = QueuedThreadPool(settings.maxThreads)
     threads.name = settings.name
@@ -39,7 +40,7 @@
     return JettyHttpClient(client, settings.isConnectionReused)
 }
 
-/** Opens connections whose silent loss the system notices by itself. */
+/** Opens connections with TCP keep-alive, which detects lost connections. */
 private class KeepAliveConnector : ClientConnector() {
     init {
         selectors = 1
@@ -54,17 +55,17 @@
 
 private class JettyHttpClient(private val client: JettyClient, private val isConnectionReused: Boolean) : HttpClient {
     override fun start(call: HttpCall, onResult: (HttpResult) -> Unit): PendingCall {
-        val isSent = AtomicBoolean(false)
+        val isRequestBegun = AtomicBoolean(false)
         val request = client.newRequest(call.url)
             .method(HttpMethod.fromString(call.method) ?: HttpMethod.GET)
             .timeout(call.timeoutMs.coerceAtLeast(1), TimeUnit.MILLISECONDS)
-            .onRequestBegin { isSent.set(true) }
-        addFields(request, call)
-        request.send(ResultListener(call.maxResponseBytes, isSent, onResult))
+            .onRequestBegin { isRequestBegun.set(true) }
+        addHeadersAndBody(request, call)
+        request.send(ResultListener(call.maxResponseBytes, isRequestBegun, onResult))
         return JettyPendingCall(request)
     }
 
-    private fun addFields(request: Request, call: HttpCall) {
+    private fun addHeadersAndBody(request: Request, call: HttpCall) {
         request.headers { fields ->
             call.headers.forEach { fields.add(it.name, it.value) }
             if (!isConnectionReused) fields.put(HttpHeader.CONNECTION, "close")
@@ -85,26 +86,26 @@
 
 private class ResultListener(
     maxBytes: Int,
-    private val isSent: AtomicBoolean,
+    private val isRequestBegun: AtomicBoolean,
     private val onResult: (HttpResult) -> Unit,
 ) : BufferingResponseListener(maxBytes) {
     override fun onComplete(result: Result) {
-        onResult(if (result.isFailed) failed(result) else answered(result))
+        onResult(if (result.isFailed) createFailed(result) else createCompleted(result))
     }
 
-    private fun answered(result: Result): HttpResult {
+    private fun createCompleted(result: Result): HttpResult {
         val headers = result.response.headers.map { HttpField(it.name, it.value.orEmpty()) }
         return HttpResult.Completed(HttpResponse(result.response.status, headers, content ?: ByteArray(0)))
     }
 
-    private fun failed(result: Result): HttpResult {
-        val cause = failureOf(result.requestFailure ?: result.responseFailure)
-        val isBegun = result.response != null && result.response.status > 0
-        val failure = if (cause == HttpFailure.CLOSED && isBegun) HttpFailure.TRUNCATED else cause
-        return if (isSent.get()) HttpResult.Lost(failure) else HttpResult.NotSent(failure)
+    private fun createFailed(result: Result): HttpResult {
+        val cause = getFailure(result.requestFailure ?: result.responseFailure)
+        val isResponseBegun = result.response != null && result.response.status > 0
+        val failure = if (cause == HttpFailure.CLOSED && isResponseBegun) HttpFailure.TRUNCATED else cause
+        return if (isRequestBegun.get()) HttpResult.Lost(failure) else HttpResult.NotSent(failure)
     }
 
-    private fun failureOf(cause: Throwable?): HttpFailure = when (cause) {
+    private fun getFailure(cause: Throwable?): HttpFailure = when (cause) {
         is CancellationException -> HttpFailure.CANCELLED
         is TimeoutException -> HttpFailure.TIMEOUT
         is java.net.ConnectException, is java.net.SocketTimeoutException -> HttpFailure.CONNECT
--- a/cardamomwharf-http/src/main/kotlin/org/cardamomwharf/http/JettyServer.kt
+++ b/cardamomwharf-http/src/main/kotlin/org/cardamomwharf/http/JettyServer.kt
@@ -1,6 +1,6 @@
 /*
- * A thin bridge from Jetty's core handler to http4k's HttpHandler. The Jetty adapters of http4k aren't available for
- * this version of Jetty, so this is their nearest kin. Bodies are read whole before the handler runs.
+ * An HTTP server that runs http4k handlers on Jetty. It has its own adapter, because http4k's Jetty adapters aren't
+ * available for this version of Jetty. Bodies are read completely before the handler runs.
  */
 package org.cardamomwharf.http
 
@@ -28,8 +28,8 @@
 import org.eclipse.jetty.server.Request as JettyRequest
 import org.eclipse.jetty.server.Response as JettyResponse
 
-private const val LARGEST_CONNECTIONS = 20_000
-private const val STOP_MS = 1_000L
+private const val MAX_CONNECTIONS = 20_000
+private const val STOP_TIMEOUT_MS = 1_000L
 
 /** Represents a running HTTP server. */
 public class JettyServer internal constructor(
@@ -40,14 +40,14 @@
     /** The port that the server listens on. */
     public val port: Int get() = connector.localPort
 
-    /** Closes each connection after its next answer, so that callers leave before the server stops. */
+    /** Closes each connection after its next response, so that callers reconnect elsewhere before the server stops. */
     public fun disableKeepAlive() {
         bridge.isKeepAliveDisabled = true
     }
 
-    /** Stops the server; requests that are still open are cut off after a second. */
+    /** Stops the server; requests that are still open after a second are aborted. */
     public fun stop() {
-        server.stopTimeout = STOP_MS
+        server.stopTimeout = STOP_TIMEOUT_MS
         try {
             server.stop()
         } catch (@Suppress("SwallowedException") e: TimeoutException) {
@@ -56,7 +56,7 @@
     }
 }
 
-/** Returns a started server that gives whole requests to [handler] and refusals to [onRefusal]. */
+/** Returns a started server that passes complete requests to [handler] and reports refusals to [onRefusal]. */
 public fun startJettyServer(
     settings: HttpServerSettings,
     onRefusal: (Reason) -> Unit = {},
@@ -76,7 +76,7 @@
         acceptQueueSize = settings.acceptQueueSize
     }
     server.addConnector(connector)
-    server.addBean(ConnectionLimit(LARGEST_CONNECTIONS, server))
+    server.addBean(ConnectionLimit(MAX_CONNECTIONS, server))
     val bridge = Http4kBridge(settings, onRefusal, handler)
     server.handler = bridge
     server.errorHandler = RefusalErrorHandler(onRefusal)
@@ -84,7 +84,7 @@
     return JettyServer(server, connector, bridge)
 }
 
-/** Turns Jetty's requests into http4k's and back. */
+/** Converts requests from Jetty's type to http4k's type, and responses in the opposite direction. */
 internal class Http4kBridge(
     private val settings: HttpServerSettings,
     private val onRefusal: (Reason) -> Unit,
@@ -95,12 +95,12 @@
 
     override fun handle(request: JettyRequest, response: JettyResponse, callback: Callback): Boolean {
         val body = Content.Source.asInputStream(request).readBody(settings.maxBodyBytes, request.length)
-        val answer = when (body) {
+        val http4kResponse = when (body) {
             is BodyReadResult.Complete -> handler(toHttp4k(request, body.bytes))
             is BodyReadResult.TooLarge -> refuse(Reason.BODY_TOO_LARGE)
             is BodyReadResult.Truncated -> refuse(Reason.BODY_TRUNCATED)
         }
-        write(answer, response, callback)
+        write(http4kResponse, response, callback)
         return true
     }
 
@@ -112,17 +112,17 @@
     private fun toHttp4k(request: JettyRequest, bytes: ByteArray): Request {
         val method = Method.entries.firstOrNull { it.name == request.method } ?: Method.GET
         val remote = JettyRequest.getRemoteAddr(request)
-        val bare = Request(method, request.httpURI.pathQuery.orEmpty())
+        val requestWithoutHeaders = Request(method, request.httpURI.pathQuery.orEmpty())
             .source(RequestSource(remote, JettyRequest.getRemotePort(request), request.httpURI.scheme))
             .body(Body(ByteBuffer.wrap(bytes)))
-        return request.headers.fold(bare) { built, field -> built.header(field.name, field.value) }
+        return request.headers.fold(requestWithoutHeaders) { result, field -> result.header(field.name, field.value) }
     }
 
-    private fun write(answer: Response, response: JettyResponse, callback: Callback) {
-        val payload = answer.body.payload
-        response.status = answer.status.code
-        if (answer.header(HttpHeader.DATE.asString()) != null) response.headers.remove(HttpHeader.DATE)
-        answer.headers
+    private fun write(http4kResponse: Response, response: JettyResponse, callback: Callback) {
+        val payload = http4kResponse.body.payload
+        response.status = http4kResponse.status.code
+        if (http4kResponse.header(HttpHeader.DATE.asString()) != null) response.headers.remove(HttpHeader.DATE)
+        http4kResponse.headers
             .filter { !it.first.equals(HttpHeader.CONTENT_LENGTH.asString(), ignoreCase = true) }
             .forEach { (name, value) -> response.headers.add(name, value.orEmpty()) }
         if (isKeepAliveDisabled) response.headers.put(HttpHeader.CONNECTION, "close")
@@ -131,7 +131,7 @@
     }
 }
 
-/** Returns the answer for a request that was refused before it was looked at. */
+/** Returns the response to a request that was refused before it reached a handler. */
 public fun refusalResponse(reason: Reason): Response =
     Response(Status(reason.status, reason.code))
         .header(HeaderNames.OUTCOME, reason.outcome.code)
--- a/cardamomwharf-http/src/main/kotlin/org/cardamomwharf/http/RefusalErrorHandler.kt
+++ b/cardamomwharf-http/src/main/kotlin/org/cardamomwharf/http/RefusalErrorHandler.kt
@@ -1,5 +1,5 @@
 /*
- * Answers what Jetty itself refuses, such as a head that is too large, with a reason like every other refusal.
+ * Adds the outcome and reason headers to responses for requests that Jetty itself refuses, such as an oversized head.
  */
 package org.cardamomwharf.http
 
@@ -16,7 +16,7 @@
 
 internal class RefusalErrorHandler(private val onRefusal: (Reason) -> Unit) : ErrorHandler() {
     override fun badMessageError(status: Int, reason: String?, fields: HttpFields.Mutable): ByteBuffer {
-        val refusal = note(status)
+        val refusal = reportRefusal(status)
         fields.put(HeaderNames.OUTCOME, refusal.outcome.code)
         fields.put(HeaderNames.REASON, refusal.code)
         fields.put(HttpHeader.CONTENT_TYPE, "text/plain")
@@ -24,14 +24,14 @@
     }
 
     override fun handle(request: Request, response: Response, callback: Callback): Boolean {
-        val refusal = note(response.status)
+        val refusal = reportRefusal(response.status)
         response.headers.put(HeaderNames.OUTCOME, refusal.outcome.code)
         response.headers.put(HeaderNames.REASON, refusal.code)
         response.write(true, ByteBuffer.wrap(refusal.code.toByteArray()), callback)
         return true
     }
 
-    private fun note(status: Int): Reason {
+    private fun reportRefusal(status: Int): Reason {
         val refusal = when (status) {
             StatusCode.HEAD_TOO_LARGE -> Reason.HEAD_TOO_LARGE
             in StatusCode.BAD_REQUEST until StatusCode.INTERNAL_ERROR -> Reason.BAD_REQUEST
--- a/cardamomwharf-http/src/test/kotlin/org/cardamomwharf/http/LeavingConnectionTest.kt
+++ b/cardamomwharf-http/src/test/kotlin/org/cardamomwharf/http/DisabledKeepAliveTest.kt
@@ -1,5 +1,5 @@
 /*
- * A server that leaves answers what arrives and closes each connection after its answer.
+ * Tests that a server with keep-alive disabled still responds and closes each connection after the response.
  */
 package org.cardamomwharf.http
 
@@ -13,23 +13,23 @@
 import java.net.Socket
 
 private const val HOST = "127.0.0.1"
-private const val LIMIT_MS = 20_000
+private const val SOCKET_TIMEOUT_MS = 20_000
 private const val REQUEST = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 
-class LeavingConnectionTest : FunSpec({
-    test("`a connection in use is closed after the next answer once the server leaves`") {
+class DisabledKeepAliveTest : FunSpec({
+    test("`an open connection is closed after the next response once keep-alive is disabled`") {
         val settings = HttpServerSettings(SocketAddress(HOST, 0))
         val server = startJettyServer(settings) { Response(Status.OK).body("whole\n") }
         Socket(HOST, server.port).use { socket ->
-            socket.soTimeout = LIMIT_MS
+            socket.soTimeout = SOCKET_TIMEOUT_MS
             val reader = socket.getInputStream().bufferedReader()
-            fun answer(): String {
+            fun sendRequest(): String {
                 socket.getOutputStream().write(REQUEST.toByteArray())
                 return generateSequence { reader.readLine() }.takeWhile { it != "whole" }.joinToString()
             }
-            answer() shouldNotContain "close"
+            sendRequest() shouldNotContain "close"
             server.disableKeepAlive()
-            answer() shouldContain "Connection: close"
+            sendRequest() shouldContain "Connection: close"
             reader.read() shouldBe -1
         }
         server.stop()
