--- a/cardamomwharf-repository/src/main/kotlin/org/cardamomwharf/repository/DocumentArchive.kt
+++ b/cardamomwharf-repository/src/main/kotlin/org/cardamomwharf/repository/DocumentArchive.kt
@@ -1,5 +1,5 @@
 /*
- * Reads and stores the contents of documents under the name of their hash.
+ * Reads and stores the contents of documents in the object store, named by their hash.
  */
 package org.cardamomwharf.repository
 
@@ -19,18 +19,12 @@
         readContents(hash).map(::decodeDocument)
 
     /** Returns the contents of the document under [hash]. */
-    public fun readContents(hash: String): Result<ByteArray, RepositoryError> = readNamed(
-        "documents-$hash",
-        hash,
-        ByteArray::sha256Hex
-    )
+    public fun readContents(hash: String): Result<ByteArray, RepositoryError> =
+        readVerified("documents-$hash", hash, ByteArray::sha256Hex)
 
     /** Returns the contents of the client blocks under [hash]. */
-    public fun readBlocks(hash: String): Result<ByteArray, RepositoryError> = readNamed(
-        "blocks-$hash",
-        hash,
-        ::hashBlocks
-    )
+    public fun readBlocks(hash: String): Result<ByteArray, RepositoryError> =
+        readVerified("blocks-$hash", hash, ::hashBlocks)
 
     /** Returns the document under [hash] with its client blocks. */
     public fun readWithBlocks(hash: String): Result<EnvironmentDocument, RepositoryError> =
@@ -47,14 +41,15 @@
             .map { encoded.hash }
     }
 
-    private fun readNamed(
+    /** Returns the object [name] when its contents have [hash]. */
+    private fun readVerified(
         name: String,
         hash: String,
-        hashOf: (ByteArray) -> String?,
+        computeHash: (ByteArray) -> String?,
     ): Result<ByteArray, RepositoryError> =
         objects.read(name)
             .mapError { RepositoryError.Platform(it) }
-            .flatMap { if (it != null && hashOf(it) == hash) Ok(it) else Err(RepositoryError.HashMismatch(hash)) }
+            .flatMap { if (it != null && computeHash(it) == hash) Ok(it) else Err(RepositoryError.HashMismatch(hash)) }
 
     private fun write(name: String, contents: ByteArray): Result<Unit, RepositoryError> =
         objects.write(name, contents).mapError { RepositoryError.Platform(it) }
--- a/cardamomwharf-repository/src/main/kotlin/org/cardamomwharf/repository/EnvironmentHead.kt
+++ b/cardamomwharf-repository/src/main/kotlin/org/cardamomwharf/repository/EnvironmentHead.kt
@@ -1,7 +1,7 @@
 /*
- * The head row of an environment names the document in force and the versions before it. It is moved only by
- * compare-and-set. Each entry carries the attempt that made it, so that a lost answer is settled by reading back, even
- * when another operator has moved the head since.
+ * The head row of an environment, which lists the document in force and its earlier versions. It is updated only by
+ * compare-and-set. Each entry contains the attempt that wrote it, so that after a lost response a read tells whether
+ * the write took effect, even when another operator has updated the head since.
  */
 package org.cardamomwharf.repository
 
@@ -11,9 +11,9 @@
 import org.cardamomwharf.core.DocumentVersion
 
 /**
- * Represents one accepted document of an environment.
+ * Represents an accepted document of an environment.
  *
- * @param capEpoch grows by one whenever the caps are divided in another way than before.
+ * @param capEpoch incremented whenever the document divides the caps in a different way than its predecessor.
  */
 @Serializable
 public data class HeadEntry(
@@ -26,22 +26,9 @@
     public val capEpoch: CapEpoch = CapEpoch.FIRST,
 )
 
-/** Represents the head row; the newest entry comes first. */
+/** Represents the head row; the newest entry is the first. */
 @Serializable
 public data class EnvironmentHead(public val entries: List<HeadEntry>) {
     /** The document in force. */
     public val newest: HeadEntry get() = entries.first()
 }
-
-/** Represents the name of an environment. */
-@Serializable
-@JvmInline
-public value class EnvironmentName(public val value: String) {
-    public companion object {
-        /** Where documents are tried. */
-        public val TRIAL: EnvironmentName = EnvironmentName("trial")
-
-        /** Where documents are in force for callers. */
-        public val PRODUCTION: EnvironmentName = EnvironmentName("production")
-    }
-}
--- a/cardamomwharf-repository/src/main/kotlin/org/cardamomwharf/repository/HeadChange.kt
+++ b/cardamomwharf-repository/src/main/kotlin/org/cardamomwharf/repository/HeadChange.kt
@@ -1,5 +1,5 @@
 /*
- * A wish to move the head of an environment. The same attempt may be tried again; it takes effect once.
+ * A requested change of the head of an environment. The same attempt may be sent again; it takes effect at most once.
  */
 package org.cardamomwharf.repository
 
@@ -7,9 +7,9 @@
 import org.cardamomwharf.core.DocumentVersion
 
 /**
- * Represents a change that an operator wants.
+ * Represents a change that an operator requests.
  *
- * @param expected version that must be in force, [DocumentVersion.NONE] for an empty environment.
+ * @param expected the version that must be in force, or [DocumentVersion.NONE] for an empty environment.
  * @param hasSameCaps true when the caps are divided as in the expected version.
  */
 public data class HeadChange(
--- a/cardamomwharf-repository/src/main/kotlin/org/cardamomwharf/repository/HttpPlatform.kt
+++ b/cardamomwharf-repository/src/main/kotlin/org/cardamomwharf/repository/HttpPlatform.kt
@@ -1,5 +1,5 @@
 /*
- * The platform over HTTP. Tables: GET and PUT /tables/{table}/{key} with If-None-Match or If-Match, and
+ * The HTTP clients of the platform. Tables: GET and PUT /tables/{table}/{key} with If-None-Match or If-Match, and
  * DELETE /tables/{table}?unwrittenForSeconds=..&limit=.. for old rows; objects: GET and PUT /objects/{name}; instance
  * list: GET /instances.
  */
@@ -23,36 +23,36 @@
 
 private const val ANY_VERSION = "*"
 
-/** Returns the table service at [address]; each call takes at most [limitMs]. */
-public fun httpTableService(caller: HttpClient, address: SocketAddress, limitMs: Long): TableService =
-    HttpTableService(PlatformCalls(caller, address, limitMs))
+/** Returns the table service at [address]; each call takes at most [timeoutMs]. */
+public fun httpTableService(client: HttpClient, address: SocketAddress, timeoutMs: Long): TableService =
+    HttpTableService(PlatformCalls(client, address, timeoutMs))
 
-/** Returns the object store at [address]; each call takes at most [limitMs]. */
-public fun httpObjectStore(caller: HttpClient, address: SocketAddress, limitMs: Long): ObjectStore =
-    HttpObjectStore(PlatformCalls(caller, address, limitMs))
+/** Returns the object store at [address]; each call takes at most [timeoutMs]. */
+public fun httpObjectStore(client: HttpClient, address: SocketAddress, timeoutMs: Long): ObjectStore =
+    HttpObjectStore(PlatformCalls(client, address, timeoutMs))
 
-/** Returns the instance list at [address]; each call takes at most [limitMs]. */
-public fun httpInstanceList(caller: HttpClient, address: SocketAddress, limitMs: Long): InstanceList {
-    val calls = PlatformCalls(caller, address, limitMs)
+/** Returns the instance list at [address]; each call takes at most [timeoutMs]. */
+public fun httpInstanceList(client: HttpClient, address: SocketAddress, timeoutMs: Long): InstanceList {
+    val calls = PlatformCalls(client, address, timeoutMs)
     return InstanceList { calls.send("GET", "/instances").flatMap(::parseInstances) }
 }
 
-private fun parseInstances(answer: HttpResponse): Result<List<PlatformInstance>, PlatformError> =
-    if (answer.status != StatusCode.OK) {
-        Err(PlatformError.Rejected(answer.status))
+private fun parseInstances(response: HttpResponse): Result<List<PlatformInstance>, PlatformError> =
+    if (response.status != StatusCode.OK) {
+        Err(PlatformError.Rejected(response.status))
     } else {
         try {
-            Ok(Json.decodeFromString<List<PlatformInstance>>(answer.body.decodeToString()))
+            Ok(Json.decodeFromString<List<PlatformInstance>>(response.body.decodeToString()))
         } catch (@Suppress("SwallowedException") e: SerializationException) {
-            Err(PlatformError.Rejected(answer.status))
+            Err(PlatformError.Rejected(response.status))
         }
     }
 
-/** Sends calls and turns their ends into platform errors. */
+/** Sends calls and converts failed calls to platform errors. */
 private class PlatformCalls(
-    private val caller: HttpClient,
+    private val client: HttpClient,
     private val address: SocketAddress,
-    private val limitMs: Long,
+    private val timeoutMs: Long,
 ) {
     fun send(
         method: String,
@@ -61,25 +61,25 @@
         headers: List<HttpField> = emptyList(),
     ): Result<HttpResponse, PlatformError> {
         val url = "http://$address$path"
-        return when (val end = caller.call(HttpCall(method, url, headers, body, limitMs, LARGEST_ANSWER_BYTES))) {
-            is HttpResult.Completed -> Ok(end.response)
+        return when (val result = client.call(HttpCall(method, url, headers, body, timeoutMs, MAX_RESPONSE_BYTES))) {
+            is HttpResult.Completed -> Ok(result.response)
             is HttpResult.NotSent -> Err(PlatformError.Unreachable)
             is HttpResult.Lost -> Err(PlatformError.Lost)
         }
     }
 
     private companion object {
-        const val LARGEST_ANSWER_BYTES = 134_217_728
+        const val MAX_RESPONSE_BYTES = 134_217_728
     }
 }
 
 private class HttpTableService(private val calls: PlatformCalls) : TableService {
     override fun read(table: String, key: String): Result<TableRow?, PlatformError> =
-        calls.send("GET", pathOf(table, key)).flatMap { answer ->
-            when (answer.status) {
-                StatusCode.OK -> Ok(rowOf(answer))
+        calls.send("GET", getRowPath(table, key)).flatMap { response ->
+            when (response.status) {
+                StatusCode.OK -> Ok(parseRow(response))
                 StatusCode.NOT_FOUND -> Ok(null)
-                else -> Err(PlatformError.Rejected(answer.status))
+                else -> Err(PlatformError.Rejected(response.status))
             }
         }
 
@@ -95,9 +95,9 @@
 
     override fun expire(table: String, unwrittenForSeconds: Long, limit: Int): Result<Int, PlatformError> {
         val query = "unwrittenForSeconds=$unwrittenForSeconds&limit=$limit"
-        return calls.send("DELETE", "/tables/${encode(table)}?$query").flatMap { answer ->
-            val count = if (answer.status == StatusCode.OK) answer.body.decodeToString().toIntOrNull() else null
-            if (count == null) Err(PlatformError.Rejected(answer.status)) else Ok(count)
+        return calls.send("DELETE", "/tables/${encode(table)}?$query").flatMap { response ->
+            val count = if (response.status == StatusCode.OK) response.body.decodeToString().toIntOrNull() else null
+            if (count == null) Err(PlatformError.Rejected(response.status)) else Ok(count)
         }
     }
 
@@ -107,39 +107,40 @@
         value: String,
         condition: HttpField,
     ): Result<TableWrite, PlatformError> =
-        calls.send("PUT", pathOf(table, key), value.toByteArray(), listOf(condition)).flatMap { answer ->
-            when (answer.status) {
-                StatusCode.OK -> Ok(TableWrite.Written(versionOf(answer)))
-                StatusCode.PRECONDITION_FAILED -> Ok(TableWrite.Conflict(rowOrNull(answer)))
+        calls.send("PUT", getRowPath(table, key), value.toByteArray(), listOf(condition)).flatMap { response ->
+            when (response.status) {
+                StatusCode.OK -> Ok(TableWrite.Written(getVersion(response)))
+                StatusCode.PRECONDITION_FAILED -> Ok(TableWrite.Conflict(parseRowOrNull(response)))
                 StatusCode.UNAVAILABLE -> Err(PlatformError.Unreachable)
-                else -> Err(PlatformError.Rejected(answer.status))
+                else -> Err(PlatformError.Rejected(response.status))
             }
         }
 
-    private fun rowOrNull(answer: HttpResponse): TableRow? =
-        if (versionOf(answer).isEmpty()) null else rowOf(answer)
+    private fun parseRowOrNull(response: HttpResponse): TableRow? =
+        if (getVersion(response).isEmpty()) null else parseRow(response)
 
-    private fun rowOf(answer: HttpResponse): TableRow = TableRow(answer.body.decodeToString(), versionOf(answer))
+    private fun parseRow(response: HttpResponse): TableRow =
+        TableRow(response.body.decodeToString(), getVersion(response))
 
-    private fun versionOf(answer: HttpResponse): String = answer.findHeader("ETag").orEmpty()
+    private fun getVersion(response: HttpResponse): String = response.findHeader("ETag").orEmpty()
 
-    private fun pathOf(table: String, key: String): String = "/tables/${encode(table)}/${encode(key)}"
+    private fun getRowPath(table: String, key: String): String = "/tables/${encode(table)}/${encode(key)}"
 }
 
 private fun encode(text: String): String = URLEncoder.encode(text, Charsets.UTF_8)
 
 private class HttpObjectStore(private val calls: PlatformCalls) : ObjectStore {
     override fun read(name: String): Result<ByteArray?, PlatformError> =
-        calls.send("GET", "/objects/${encode(name)}").flatMap { answer ->
-            when (answer.status) {
-                StatusCode.OK -> Ok(answer.body)
+        calls.send("GET", "/objects/${encode(name)}").flatMap { response ->
+            when (response.status) {
+                StatusCode.OK -> Ok(response.body)
                 StatusCode.NOT_FOUND -> Ok(null)
-                else -> Err(PlatformError.Rejected(answer.status))
+                else -> Err(PlatformError.Rejected(response.status))
             }
         }
 
     override fun write(name: String, contents: ByteArray): Result<Unit, PlatformError> =
-        calls.send("PUT", "/objects/${encode(name)}", contents).flatMap { answer ->
-            if (answer.status == StatusCode.OK) Ok(Unit) else Err(PlatformError.Rejected(answer.status))
+        calls.send("PUT", "/objects/${encode(name)}", contents).flatMap { response ->
+            if (response.status == StatusCode.OK) Ok(Unit) else Err(PlatformError.Rejected(response.status))
         }
 }
--- a/cardamomwharf-repository/src/main/kotlin/org/cardamomwharf/repository/InstanceList.kt
+++ b/cardamomwharf-repository/src/main/kotlin/org/cardamomwharf/repository/InstanceList.kt
@@ -1,5 +1,5 @@
 /*
- * The platform's list of live and leaving instances as the system uses it. The list lags.
+ * The platform's list of live and leaving instances, which lags behind their actual state.
  */
 package org.cardamomwharf.repository
 
@@ -18,11 +18,11 @@
     public val isLeaving: Boolean = false,
 )
 
-/** Represents what an instance does. */
+/** Represents the role of an instance. */
 @Serializable
 public enum class PlatformRole { ENTRY, SERVER }
 
-/** Represents the list. */
+/** Represents the instance list of the platform. */
 public fun interface InstanceList {
     /** Returns all instances that the platform knows. */
     public fun read(): Result<List<PlatformInstance>, PlatformError>
--- a/cardamomwharf-repository/src/main/kotlin/org/cardamomwharf/repository/ObjectStore.kt
+++ b/cardamomwharf-repository/src/main/kotlin/org/cardamomwharf/repository/ObjectStore.kt
@@ -1,5 +1,5 @@
 /*
- * The platform's object store as the system uses it: immutable contents under the name of their hash.
+ * The platform's object store, which holds immutable contents named by their hash.
  */
 package org.cardamomwharf.repository
 
--- a/cardamomwharf-repository/src/main/kotlin/org/cardamomwharf/repository/StoredDocument.kt
+++ b/cardamomwharf-repository/src/main/kotlin/org/cardamomwharf/repository/StoredDocument.kt
@@ -1,7 +1,7 @@
 /*
- * Documents are stored in two objects: the document without its client blocks, and the blocks. Most changes leave the
- * blocks alone, so that entry instances fetch a few kilobytes for them and not the whole block table. Blocks are
- * compressed, as each entry instance keeps them for its peers.
+ * The stored form of documents. The document without its client blocks and the blocks are separate objects. Most
+ * changes don't affect the blocks, so that entry instances fetch a few kilobytes instead of the whole block table.
+ * Blocks are compressed, because each entry instance keeps them for its peers.
  */
 package org.cardamomwharf.repository
 
@@ -19,14 +19,14 @@
 import java.util.zip.GZIPInputStream
 import java.util.zip.GZIPOutputStream
 
-/** Represents a document as it is stored; its client blocks are under [blocksHash]. */
+/** Represents a stored document, whose client blocks are stored under [blocksHash]. */
 @Serializable
 public data class StoredDocument(public val document: EnvironmentDocument, public val blocksHash: String)
 
 /** Represents contents with the hash that names them. */
 public class NamedContents(public val hash: String, public val contents: ByteArray)
 
-/** Returns the contents of the client blocks of this document; their hash doesn't depend on the compression. */
+/** Encodes and compresses the client blocks of this document; their hash doesn't depend on the compression. */
 public fun EnvironmentDocument.encodeBlocks(): NamedContents {
     val plain = Json.encodeToString(clientBlocks).toByteArray()
     val compressed = ByteArrayOutputStream()
@@ -34,7 +34,7 @@
     return NamedContents(plain.sha256Hex(), compressed.toByteArray())
 }
 
-/** Returns the hash that names client blocks with these [contents], or null when they are damaged. */
+/** Returns the hash of the client blocks in [contents], or null when [contents] can't be decompressed. */
 public fun hashBlocks(contents: ByteArray): String? =
     try {
         GZIPInputStream(contents.inputStream()).use { it.sha256Hex() }
@@ -42,16 +42,16 @@
         null
     }
 
-/** Returns the contents of this document without its client blocks. */
+/** Encodes this document without its client blocks. */
 public fun EnvironmentDocument.encode(blocksHash: String): NamedContents {
     val contents = Json.encodeToString(StoredDocument(copy(clientBlocks = emptyList()), blocksHash)).toByteArray()
     return NamedContents(contents.sha256Hex(), contents)
 }
 
-/** Returns the document in [contents]. */
+/** Decodes the document in [contents]. */
 public fun decodeDocument(contents: ByteArray): StoredDocument = Json.decodeFromString(contents.decodeToString())
 
-/** Returns the client blocks in [contents], decoded one by one, so that they need not be held all at once. */
+/** Decodes the client blocks in [contents] one by one, so that they aren't all held in memory at once. */
 @OptIn(ExperimentalSerializationApi::class)
 public fun decodeBlocks(contents: ByteArray): Sequence<ClientBlock> =
     Json.decodeToSequence(GZIPInputStream(contents.inputStream()), DecodeSequenceMode.ARRAY_WRAPPED)
--- a/cardamomwharf-repository/src/test/kotlin/org/cardamomwharf/repository/ClientBlockContentsTest.kt
+++ b/cardamomwharf-repository/src/test/kotlin/org/cardamomwharf/repository/ClientBlockContentsTest.kt
@@ -1,5 +1,5 @@
 /*
- * Client blocks as they are stored: compressed, and named by a hash that shows damage.
+ * Tests the stored form of client blocks, whose hash reveals damaged contents.
  */
 package org.cardamomwharf.repository
 
@@ -25,13 +25,13 @@
 )
 
 class ClientBlockContentsTest : FunSpec({
-    test("`blocks come back as they were stored, under the hash that names them`") {
+    test("`decoding stored blocks returns the original blocks, and their hash is unchanged`") {
         val stored = document.encodeBlocks()
         decodeBlocks(stored.contents).toList() shouldBe blocks
         hashBlocks(stored.contents) shouldBe stored.hash
     }
 
-    test("`damaged and truncated contents don't have the hash`") {
+    test("`damaged and truncated contents do not have the hash of the original`") {
         val stored = document.encodeBlocks()
         val half = stored.contents.copyOf(stored.contents.size / 2)
         hashBlocks(half) shouldBe null
