--- a/cardamomwharf-document/src/main/kotlin/org/cardamomwharf/document/DocumentReader.kt
+++ b/cardamomwharf-document/src/main/kotlin/org/cardamomwharf/document/DocumentReader.kt
@@ -1,5 +1,5 @@
 /*
- * Reads an environment document from YAML, checks it whole and gives either the document or every problem of it.
+ * Reads and validates an environment document in YAML. Returns either the document or all of its problems.
  */
 package org.cardamomwharf.document
 
@@ -28,23 +28,23 @@
 import org.cardamomwharf.document.yaml.textList
 import java.nio.file.Path
 
-private const val LARGEST_DELAY_MS = 10_000.0
-private const val LARGEST_BYTES_PER_SECOND = 100_000_000_000L
-private const val LARGEST_REQUESTS_PER_SECOND = 100_000_000L
+private const val MAX_DELAY_MS = 10_000.0
+private const val MAX_BYTES_PER_SECOND = 100_000_000_000L
+private const val MAX_REQUESTS_PER_SECOND = 100_000_000L
 
-/** Returns the document in [file], or every problem of it. */
+/** Returns the document in [file], or all of its problems. */
 public fun readDocument(file: Path): Result<EnvironmentDocument, List<Problem>> =
     readText(file).flatMap(::parseDocument)
 
-/** Returns the document in the YAML [text], or every problem of it. */
+/** Returns the document in the YAML [text], or all of its problems. */
 public fun parseDocument(text: String): Result<EnvironmentDocument, List<Problem>> =
     readYaml(text) { fields, problems ->
-        val document = fields.readWhole()
+        val document = fields.readDocumentFields()
         checkDocument(document, problems)
         document
     }
 
-private fun YamlFields.readWhole(): EnvironmentDocument = EnvironmentDocument(
+private fun YamlFields.readDocumentFields(): EnvironmentDocument = EnvironmentDocument(
     deployment = text("deployment"),
     objective = enumValue("objective", Objective.entries),
     partners = sections("partners", isRequired = true) { it.readPartner() },
@@ -60,8 +60,8 @@
 
 private fun YamlFields.readPartner() = Partner(
     name = PartnerName(text("name")),
-    inboundRequestsPerSecond = integer("inboundRequestsPerSecond", 0..LARGEST_REQUESTS_PER_SECOND),
-    inboundBytesPerSecond = integer("inboundBytesPerSecond", 0..LARGEST_BYTES_PER_SECOND),
+    inboundRequestsPerSecond = integer("inboundRequestsPerSecond", 0..MAX_REQUESTS_PER_SECOND),
+    inboundBytesPerSecond = integer("inboundBytesPerSecond", 0..MAX_BYTES_PER_SECOND),
 )
 
 private fun YamlFields.readRegion() = Region(
@@ -71,15 +71,15 @@
 )
 
 private fun YamlFields.readDelays() = Delays(
-    betweenZonesMs = decimal("betweenZonesMs", LARGEST_DELAY_MS),
-    betweenRegionsMs = decimal("betweenRegionsMs", LARGEST_DELAY_MS),
-    toClientsMs = decimal("toClientsMs", LARGEST_DELAY_MS),
+    betweenZonesMs = decimal("betweenZonesMs", MAX_DELAY_MS),
+    betweenRegionsMs = decimal("betweenRegionsMs", MAX_DELAY_MS),
+    toClientsMs = decimal("toClientsMs", MAX_DELAY_MS),
 )
 
 private fun YamlFields.readLink() = Link(
     from = RegionName(text("from")),
     to = RegionName(text("to")),
-    capBytesPerSecond = integer("capBytesPerSecond", 1..LARGEST_BYTES_PER_SECOND),
+    capBytesPerSecond = integer("capBytesPerSecond", 1..MAX_BYTES_PER_SECOND),
 )
 
 private fun YamlFields.readBlock() = ClientBlock(cidr = text("cidr"), zone = ZoneName(text("zone")))
--- a/cardamomwharf-document/src/main/kotlin/org/cardamomwharf/document/ServiceReader.kt
+++ b/cardamomwharf-document/src/main/kotlin/org/cardamomwharf/document/ServiceReader.kt
@@ -14,38 +14,38 @@
 import org.cardamomwharf.document.yaml.section
 import org.cardamomwharf.document.yaml.sections
 
-private const val LEAST_RETENTION_MINUTES = 60L
-private const val LARGEST_RETENTION_MINUTES = 525_600L
-private const val LARGEST_COUNT = 100_000L
-private const val LARGEST_WEIGHT = 1_000L
-private const val LARGEST_MS = 3_600_000L
-private const val LARGEST_PERCENT = 100L
-private const val LARGEST_RESPONSE_BYTES = 4_194_304L
-private const val LARGEST_WAIT_PERCENT = 10_000L
-private const val LARGEST_ATTEMPTS = 10L
-private const val LARGEST_CANDIDATES = 16L
+private const val MIN_RETENTION_MINUTES = 60L
+private const val MAX_RETENTION_MINUTES = 525_600L
+private const val MAX_COUNT = 100_000L
+private const val MAX_WEIGHT = 1_000L
+private const val MAX_MS = 3_600_000L
+private const val MAX_PERCENT = 100L
+private const val MAX_RESPONSE_BYTES = 4_194_304L
+private const val MAX_WAIT_PERCENT = 10_000L
+private const val MAX_ATTEMPTS = 10L
+private const val MAX_CANDIDATES = 16L
 
 internal fun YamlFields.readService(): Service = Service(
     name = ServiceName(text("name")),
     isIdempotent = boolean("isIdempotent"),
-    weight = integer("weight", 1..LARGEST_WEIGHT).toInt(),
-    expectedServiceMs = integer("expectedServiceMs", 1..LARGEST_MS),
-    expectedResponseBytes = integer("expectedResponseBytes", 0..LARGEST_RESPONSE_BYTES),
-    cacheTtlMs = integer("cacheTtlMs", 0..LARGEST_MS),
+    weight = integer("weight", 1..MAX_WEIGHT).toInt(),
+    expectedServiceMs = integer("expectedServiceMs", 1..MAX_MS),
+    expectedResponseBytes = integer("expectedResponseBytes", 0..MAX_RESPONSE_BYTES),
+    cacheTtlMs = integer("cacheTtlMs", 0..MAX_MS),
     pools = sections("pools", isRequired = true) { it.readPool() },
-    regionWeights = sections("regionWeights", isRequired = false) { it.readWeight() },
+    regionWeights = sections("regionWeights", isRequired = false) { it.readRegionWeight() },
 )
 
 private fun YamlFields.readPool() = Pool(
     zone = ZoneName(text("zone")),
-    upstreams = integer("upstreams", 1..LARGEST_COUNT).toInt(),
-    slotsPerUpstream = integer("slotsPerUpstream", 1..LARGEST_COUNT).toInt(),
-    connectionsPerUpstream = integer("connectionsPerUpstream", 1..LARGEST_COUNT).toInt(),
+    upstreams = integer("upstreams", 1..MAX_COUNT).toInt(),
+    slotsPerUpstream = integer("slotsPerUpstream", 1..MAX_COUNT).toInt(),
+    connectionsPerUpstream = integer("connectionsPerUpstream", 1..MAX_COUNT).toInt(),
 )
 
-private fun YamlFields.readWeight() = RegionWeight(
+private fun YamlFields.readRegionWeight() = RegionWeight(
     region = RegionName(text("region")),
-    weight = integer("weight", 0..LARGEST_WEIGHT).toInt(),
+    weight = integer("weight", 0..MAX_WEIGHT).toInt(),
 )
 
 internal fun YamlFields.readPolicy(): Policy =
@@ -64,23 +64,23 @@
     reservedSlotsPercent = percent("reservedSlotsPercent", default.reservedSlotsPercent),
     largestWaitPercent = integer(
         "largestWaitPercent",
-        0..LARGEST_WAIT_PERCENT,
+        0..MAX_WAIT_PERCENT,
         default.largestWaitPercent.toLong()
     ).toInt(),
-    maxAttempts = integer("maxAttempts", 1..LARGEST_ATTEMPTS, default.maxAttempts.toLong()).toInt(),
+    maxAttempts = integer("maxAttempts", 1..MAX_ATTEMPTS, default.maxAttempts.toLong()).toInt(),
     retryBudgetPercent = percent("retryBudgetPercent", default.retryBudgetPercent),
     keyTtlMs = ms("keyTtlMs", default.keyTtlMs),
     claimRetentionMinutes = integer(
         "claimRetentionMinutes",
-        LEAST_RETENTION_MINUTES..LARGEST_RETENTION_MINUTES,
+        MIN_RETENTION_MINUTES..MAX_RETENTION_MINUTES,
         default.claimRetentionMinutes.toLong(),
     ).toInt(),
     boundBookingsWhenStoreDown = boolean("boundBookingsWhenStoreDown", default.boundBookingsWhenStoreDown),
-    lookupCandidates = integer("lookupCandidates", 1..LARGEST_CANDIDATES, default.lookupCandidates.toLong()).toInt(),
+    lookupCandidates = integer("lookupCandidates", 1..MAX_CANDIDATES, default.lookupCandidates.toLong()).toInt(),
     leaveGraceMs = ms("leaveGraceMs", default.leaveGraceMs),
 )
 
 private fun YamlFields.percent(key: String, default: Int): Int =
-    integer(key, 0..LARGEST_PERCENT, default.toLong()).toInt()
+    integer(key, 0..MAX_PERCENT, default.toLong()).toInt()
 
-private fun YamlFields.ms(key: String, default: Long): Long = integer(key, 0..LARGEST_MS, default)
+private fun YamlFields.ms(key: String, default: Long): Long = integer(key, 0..MAX_MS, default)
--- a/cardamomwharf-document/src/main/kotlin/org/cardamomwharf/document/check/DocumentChecks.kt
+++ b/cardamomwharf-document/src/main/kotlin/org/cardamomwharf/document/check/DocumentChecks.kt
@@ -1,6 +1,6 @@
 /*
- * Checks what a single field can't show: names used twice, references to nothing, and caps, weights and times that
- * can't hold together.
+ * Checks that involve several fields of a document: duplicate names, unknown references, and inconsistent caps, weights
+ * and times.
  */
 package org.cardamomwharf.document.check
 
@@ -11,7 +11,7 @@
 import org.cardamomwharf.document.yaml.ProblemCollector
 import org.cardamomwharf.document.yaml.ProblemKind
 
-/** Reports every fault of [document] to [problems]. */
+/** Reports all problems of [document] to [problems]. */
 public fun checkDocument(document: EnvironmentDocument, problems: ProblemCollector) {
     val check = DocumentCheck(document, problems)
     check.checkNames()
@@ -33,7 +33,7 @@
         problems.reportDuplicates("services", "name", document.services.map { it.name.value })
         val stopped = document.stoppedZones
         stopped.forEachIndexed { index, zone ->
-            if (zone in stopped.take(index)) problems.duplicate("stoppedZones[$index]", zone.value)
+            if (zone in stopped.take(index)) problems.reportDuplicate("stoppedZones[$index]", zone.value)
         }
         problems.reportEmpty("regions", document.regions)
         problems.reportEmpty("services", document.services)
@@ -44,19 +44,19 @@
         val seen = mutableSetOf<String>()
         document.regions.forEachIndexed { index, region ->
             val path = "regions[$index]"
-            if (region.partner !in partners) problems.unknown("$path.partner", "partner", region.partner.value)
-            if (region.zones.isEmpty()) problems.impossible("$path.zones", "a region needs an availability zone")
-            region.zones.forEachIndexed { at, zone ->
-                if (!seen.add(zone.value)) problems.duplicate("$path.zones[$at]", zone.value)
+            if (region.partner !in partners) problems.reportUnknown("$path.partner", "partner", region.partner.value)
+            if (region.zones.isEmpty()) problems.reportImpossible("$path.zones", "a region needs an availability zone")
+            region.zones.forEachIndexed { zoneIndex, zone ->
+                if (!seen.add(zone.value)) problems.reportDuplicate("$path.zones[$zoneIndex]", zone.value)
             }
         }
     }
 
     fun checkLinks() {
         document.links.forEachIndexed { index, link ->
-            if (link.from !in regions) problems.unknown("links[$index].from", "region", link.from.value)
-            if (link.to !in regions) problems.unknown("links[$index].to", "region", link.to.value)
-            if (link.from == link.to) problems.impossible("links[$index].to", "a link joins two regions")
+            if (link.from !in regions) problems.reportUnknown("links[$index].from", "region", link.from.value)
+            if (link.to !in regions) problems.reportUnknown("links[$index].to", "region", link.to.value)
+            if (link.from == link.to) problems.reportImpossible("links[$index].to", "a link must join two regions")
         }
         val directions = document.links.map { "${it.from.value} to ${it.to.value}" }
         problems.reportDuplicates("links", "from", directions)
@@ -75,23 +75,24 @@
     }
 
     private fun checkPools(service: Service, path: String) {
-        if (service.pools.isEmpty()) problems.impossible("$path.pools", "no zone serves ${service.name.value}")
+        if (service.pools.isEmpty()) problems.reportImpossible("$path.pools", "no zone serves ${service.name.value}")
         problems.reportDuplicates("$path.pools", "zone", service.pools.map { it.zone.value })
         service.pools.forEachIndexed { index, pool ->
-            if (pool.zone !in zones) problems.unknown("$path.pools[$index].zone", "zone", pool.zone.value)
+            if (pool.zone !in zones) problems.reportUnknown("$path.pools[$index].zone", "zone", pool.zone.value)
             if (pool.connectionsPerUpstream < pool.slotsPerUpstream) {
-                problems.impossible("$path.pools[$index].connectionsPerUpstream", "fewer connections than slots")
+                val connectionsPath = "$path.pools[$index].connectionsPerUpstream"
+                problems.reportImpossible(connectionsPath, "must not be less than slotsPerUpstream")
             }
         }
     }
 
     private fun checkWeights(service: Service, path: String) {
         problems.reportDuplicates("$path.regionWeights", "region", service.regionWeights.map { it.region.value })
-        val isZero = service.regionWeights.isNotEmpty() && service.regionWeights.all { it.weight == 0 }
-        if (isZero) problems.impossible("$path.regionWeights", "all weights are 0")
+        val isEveryWeightZero = service.regionWeights.isNotEmpty() && service.regionWeights.all { it.weight == 0 }
+        if (isEveryWeightZero) problems.reportImpossible("$path.regionWeights", "all weights are 0")
         service.regionWeights.forEachIndexed { index, weight ->
             if (weight.region !in regions) {
-                problems.unknown(
+                problems.reportUnknown(
                     "$path.regionWeights[$index].region",
                     "region",
                     weight.region.value
@@ -101,11 +102,12 @@
     }
 
     fun checkDrains() {
-        document.findDrainProblems().forEach { fault ->
-            val path = "drains[${fault.index}]"
-            when (fault) {
-                is DrainProblem.UnknownZone -> problems.unknown("$path.zone", "zone", fault.zone.value)
-                is DrainProblem.UnknownService -> problems.unknown("$path.service", "service", fault.service.value)
+        document.findDrainProblems().forEach { problem ->
+            val path = "drains[${problem.index}]"
+            when (problem) {
+                is DrainProblem.UnknownZone -> problems.reportUnknown("$path.zone", "zone", problem.zone.value)
+                is DrainProblem.UnknownService ->
+                    problems.reportUnknown("$path.service", "service", problem.service.value)
                 is DrainProblem.EndsBeforeStart ->
                     problems.report(ProblemKind.IMPOSSIBLE, "$path.endsAtEpochSeconds", "must be after the start")
             }
--- a/cardamomwharf-document/src/main/kotlin/org/cardamomwharf/document/yaml/Problem.kt
+++ b/cardamomwharf-document/src/main/kotlin/org/cardamomwharf/document/yaml/Problem.kt
@@ -1,12 +1,12 @@
 /*
- * A fault of a YAML file with its place. All faults of a file are reported at once.
+ * A problem in a YAML file with its position. All problems of a file are reported together.
  */
 package org.cardamomwharf.document.yaml
 
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
-/** Represents the kind of a fault; the exit code of a check depends on it. */
+/** Represents the kind of a problem, which determines the exit code of a check. */
 @Serializable
 public enum class ProblemKind(public val code: String) {
     UNREADABLE("unreadable"),
@@ -20,20 +20,20 @@
     IMPOSSIBLE("impossible"),
 }
 
-/** Represents a line and a column, both counted from 1. */
+/** Represents a line and a column, both starting at 1. */
 @Serializable
 public data class SourcePosition(public val line: Int, public val column: Int) {
     public companion object {
-        /** The first character of a file. */
+        /** The position of the first character. */
         public val START: SourcePosition = SourcePosition(1, 1)
     }
 }
 
 /**
- * Represents one fault.
+ * Represents a problem in a YAML file.
  *
- * @param path the field, such as `services[2].pools[0].zone`.
- * @param detail what was found and what is allowed.
+ * @param path the path of the field, such as `services[2].pools[0].zone`.
+ * @param detail the value that was found and the values that are allowed.
  */
 @Serializable
 public data class Problem(
--- a/cardamomwharf-document/src/main/kotlin/org/cardamomwharf/document/yaml/ProblemCollector.kt
+++ b/cardamomwharf-document/src/main/kotlin/org/cardamomwharf/document/yaml/ProblemCollector.kt
@@ -1,25 +1,25 @@
 /*
- * Collects the faults of a YAML file with their positions.
+ * Collects the problems of a YAML file with their positions.
  */
 package org.cardamomwharf.document.yaml
 
 import com.charleskorn.kaml.YamlNode
 
-/** Represents the faults and positions found while a file is read. */
+/** Represents the problems and field positions found while a file is read. */
 public class ProblemCollector {
-    private val found = mutableListOf<Problem>()
+    private val reported = mutableListOf<Problem>()
     private val positions = mutableMapOf<String, SourcePosition>()
 
-    /** All faults so far, in the order of the file. */
+    /** The problems reported so far, in the order of their positions. */
     public val inFileOrder: List<Problem>
-        get() = found.sortedWith(compareBy({ it.position.line }, { it.position.column }))
+        get() = reported.sortedWith(compareBy({ it.position.line }, { it.position.column }))
 
-    /** Notes a fault at the field [path]. */
+    /** Adds a problem of the field at [path]. */
     public fun report(kind: ProblemKind, path: String, detail: String) {
-        found += Problem(kind, findPosition(path), path, detail)
+        reported += Problem(kind, findPosition(path), path, detail)
     }
 
-    internal fun mark(path: String, node: YamlNode) {
+    internal fun recordPosition(path: String, node: YamlNode) {
         positions[path] = SourcePosition(node.location.line, node.location.column)
     }
 
--- a/cardamomwharf-document/src/main/kotlin/org/cardamomwharf/document/yaml/YamlFile.kt
+++ b/cardamomwharf-document/src/main/kotlin/org/cardamomwharf/document/yaml/YamlFile.kt
@@ -1,5 +1,5 @@
 /*
- * Reads a YAML file whole and gives either its value or all of its problems.
+ * Reads a YAML file. Returns either its value or all of its problems.
  */
 package org.cardamomwharf.document.yaml
 
@@ -14,29 +14,29 @@
 import java.nio.file.Files
 import java.nio.file.Path
 
-/** The largest file; 440,000 client blocks take about a third of it. */
-public const val LARGEST_YAML_CHARACTERS: Int = 67_108_864
+/** Maximum size of a file; 440,000 client blocks take about a third of it. */
+public const val MAX_YAML_CHARACTERS: Int = 67_108_864
 
-private val yaml = Yaml(configuration = YamlConfiguration(codePointLimit = LARGEST_YAML_CHARACTERS))
+private val yaml = Yaml(configuration = YamlConfiguration(codePointLimit = MAX_YAML_CHARACTERS))
 
-/** Returns what [read] makes of the YAML text [text], or every problem of it. */
+/** Parses the YAML [text] and returns the result of [read], or all problems. */
 public fun <T> readYaml(text: String, read: (YamlFields, ProblemCollector) -> T): Result<T, List<Problem>> =
-    if (text.length > LARGEST_YAML_CHARACTERS) {
-        val detail = "${text.length} characters, at most $LARGEST_YAML_CHARACTERS are allowed"
+    if (text.length > MAX_YAML_CHARACTERS) {
+        val detail = "${text.length} characters; at most $MAX_YAML_CHARACTERS are allowed"
         Err(listOf(Problem(ProblemKind.OUT_OF_RANGE, SourcePosition.START, "", detail)))
     } else {
-        readChecked(text, read)
+        parseYaml(text, read)
     }
 
-private fun <T> readChecked(text: String, read: (YamlFields, ProblemCollector) -> T): Result<T, List<Problem>> =
+private fun <T> parseYaml(text: String, read: (YamlFields, ProblemCollector) -> T): Result<T, List<Problem>> =
     try {
-        readNode(text, read)
+        readMapping(text, read)
     } catch (e: YamlException) {
         val detail = e.message.lineSequence().first()
         Err(listOf(Problem(ProblemKind.SYNTAX, SourcePosition(e.line, e.column), "", detail)))
     }
 
-private fun <T> readNode(text: String, read: (YamlFields, ProblemCollector) -> T): Result<T, List<Problem>> {
+private fun <T> readMapping(text: String, read: (YamlFields, ProblemCollector) -> T): Result<T, List<Problem>> {
     val node = yaml.parseToYamlNode(text)
     if (node !is YamlMap) {
         return Err(listOf(Problem(ProblemKind.WRONG_TYPE, SourcePosition.START, "", "must be a mapping")))
@@ -48,7 +48,7 @@
     return if (problems.inFileOrder.isEmpty()) Ok(value) else Err(problems.inFileOrder)
 }
 
-/** Returns the text of [file], or the problem of reading it. */
+/** Returns the contents of [file], or a problem when it can't be read. */
 public fun readText(file: Path): Result<String, List<Problem>> =
     try {
         Ok(Files.readString(file))
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/settings/EntrySettingsReader.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/settings/EntrySettingsReader.kt
@@ -57,7 +57,7 @@
     val text = text(key, default)
     val address = SocketAddress.parse(text)
     if (address == null && text.isNotEmpty()) {
-        problems.report(ProblemKind.WRONG_TYPE, pathOf(key), "$text isn't an IP number and port")
+        problems.report(ProblemKind.WRONG_TYPE, getPath(key), "$text isn't an IP number and port")
     }
     return address ?: nowhere
 }
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/settings/GatewaySettingsReader.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/settings/GatewaySettingsReader.kt
@@ -53,7 +53,7 @@
 private fun YamlFields.readPorts(problems: ProblemCollector): IntRange {
     val ports = textList("internalPorts").map { it.toIntOrNull() ?: 0 }
     if (ports.size == 2 && ports.all { it > 0 } && ports[0] < ports[1]) return ports[0]..ports[1]
-    problems.report(ProblemKind.WRONG_TYPE, pathOf("internalPorts"), "must be two rising port numbers")
+    problems.report(ProblemKind.WRONG_TYPE, getPath("internalPorts"), "must be two rising port numbers")
     return 1..2
 }
 
@@ -69,7 +69,7 @@
     val text = text(key)
     val address = SocketAddress.parse(text)
     if (address == null && text.isNotEmpty()) {
-        problems.report(ProblemKind.WRONG_TYPE, pathOf(key), "$text isn't an IP number and port")
+        problems.report(ProblemKind.WRONG_TYPE, getPath(key), "$text isn't an IP number and port")
     }
     return address ?: nowhere
 }
