--- a/cardamomwharf-logging/src/main/kotlin/org/cardamomwharf/logging/DecisionLog.kt
+++ b/cardamomwharf-logging/src/main/kotlin/org/cardamomwharf/logging/DecisionLog.kt
@@ -1,9 +1,9 @@
 /*
- * Sets logs up for processes whose log is read by programs: each message is a line of its own on standard output. A
- * bounded queue lies between the threads and the output; when it is full, lines are dropped and nobody waits.
+ * The logging configuration of processes whose log is read by programs: each message is one line on standard output. A
+ * bounded queue decouples the threads from the output; when it is full, lines are dropped instead of blocking.
  *
- * The back end of Log4j is our own: that of log4j-core takes a third of the processor time of a start, because it looks
- * for plugins, and every test of a level in a library costs several calls there.
+ * It replaces log4j-core with its own Log4j provider. The plugin scan of log4j-core takes a third of the processor time
+ * of a process start, and each level check of a library takes several calls there.
  */
 package org.cardamomwharf.logging
 
@@ -22,27 +22,27 @@
 import java.util.Properties
 import java.util.concurrent.ConcurrentHashMap
 
-/** Log4j's system property that names the class of the back end. */
+/** The system property with the class name of the Log4j provider. */
 private const val PROVIDER_PROPERTY = "log4j.provider"
 
-/** Version of Log4j's interface to back ends. */
+/** The version of Log4j's provider interface. */
 private const val PROVIDER_VERSION = "2.6.0"
 private const val PROVIDER_PRIORITY = 20
-private const val LIBRARY_PREFIX = "org.eclipse.jetty"
+private const val JETTY_LOGGER_PREFIX = "org.eclipse.jetty"
 
-/** Time for which the end of the process waits for lines that are still queued. */
-private const val LAST_LINES_MS = 500L
+/** Maximum time for which the shutdown waits for queued lines. */
+private const val SHUTDOWN_FLUSH_TIMEOUT_MS = 500L
 
-/** Makes all later log lines go to standard output as they are, without ever blocking. */
+/** Configures logging to write messages to standard output as they are, without blocking the logging threads. */
 public fun configureDecisionLog() {
     System.setProperty(PROVIDER_PROPERTY, DecisionLogProvider::class.java.name)
 }
 
-/** Gives Log4j the back end; Log4j makes it by its name. */
+/** Provides the implementation to Log4j, which creates this class by its name. */
 public class DecisionLogProvider :
     Provider(PROVIDER_PRIORITY, PROVIDER_VERSION, DecisionLogContextFactory::class.java)
 
-/** Gives Log4j the only context of the process. */
+/** Returns the single logger context of the process. */
 public class DecisionLogContextFactory : LoggerContextFactory {
     private val writer = startLogLineWriter(System.out)
     private val context = DecisionLogContext(writer)
@@ -63,9 +63,9 @@
         name: String?,
     ): LoggerContext = context
 
-    /** Waits until the lines that are queued have been written. */
+    /** Waits until the queued lines have been written. */
     override fun shutdown(fqcn: String?, loader: ClassLoader?, currentContext: Boolean, allContexts: Boolean) {
-        writer.flush(LAST_LINES_MS)
+        writer.flush(SHUTDOWN_FLUSH_TIMEOUT_MS)
     }
 
     override fun removeContext(context: LoggerContext): Unit = Unit
@@ -73,7 +73,7 @@
     override fun isClassLoaderDependent(): Boolean = false
 }
 
-/** Holds the loggers by name. */
+/** Represents the loggers by name. */
 internal class DecisionLogContext(private val writer: LogLineWriter) : LoggerContext {
     private val loggers = ConcurrentHashMap<String, ExtendedLogger>()
 
@@ -91,10 +91,10 @@
     override fun hasLogger(name: String, messageFactoryClass: Class<out MessageFactory>?): Boolean = hasLogger(name)
 }
 
-/** Hands formatted messages to the writer. */
+/** Passes formatted messages to the writer; loggers of Jetty skip levels below WARN. */
 private class DecisionLogger(name: String, private val writer: LogLineWriter) : SimpleLogger(
     name,
-    if (name.startsWith(LIBRARY_PREFIX)) Level.WARN else Level.INFO,
+    if (name.startsWith(JETTY_LOGGER_PREFIX)) Level.WARN else Level.INFO,
     false,
     false,
     false,
--- a/cardamomwharf-logging/src/main/kotlin/org/cardamomwharf/logging/LogFormat.kt
+++ b/cardamomwharf-logging/src/main/kotlin/org/cardamomwharf/logging/LogFormat.kt
@@ -1,5 +1,5 @@
 /*
- * Sets logs up once for each process: plain lines for people or JSON lines for programs, both on standard error.
+ * The logging configuration of a process: plain lines for people or JSON lines for programs, both on standard error.
  */
 package org.cardamomwharf.logging
 
@@ -9,10 +9,10 @@
 
 private const val PLAIN_PATTERN = "%d{yyyy-MM-dd'T'HH:mm:ss.SSSXXX} %-5level %msg%n"
 
-/** Represents the layout of log lines. */
+/** Represents the format of log lines. */
 public enum class LogFormat { PLAIN, JSON }
 
-/** Makes all later log lines use [format]. */
+/** Configures logging to write lines in [format]. */
 public fun configureLogs(format: LogFormat, level: Level = Level.INFO) {
     val builder = ConfigurationBuilderFactory.newConfigurationBuilder()
     val layout = when (format) {
--- a/cardamomwharf-logging/src/main/kotlin/org/cardamomwharf/logging/LogLineWriter.kt
+++ b/cardamomwharf-logging/src/main/kotlin/org/cardamomwharf/logging/LogLineWriter.kt
@@ -1,5 +1,5 @@
 /*
- * Writes lines on a thread of its own. Those who log never wait: a line that finds no room is dropped and counted.
+ * Writes log lines on a separate thread. Logging never blocks: a line is dropped and counted when the queue is full.
  */
 package org.cardamomwharf.logging
 
@@ -9,52 +9,52 @@
 import java.util.concurrent.atomic.AtomicInteger
 import java.util.concurrent.atomic.AtomicLong
 
-/** Lines that wait for the output; a second of the largest allowed rate. */
-private const val QUEUED_LINES = 512
+/** Capacity of the queue, which holds the lines of one second at the maximum allowed rate. */
+private const val QUEUE_CAPACITY_LINES = 512
 
 /** Represents a bounded queue of lines in front of an output. */
 internal class LogLineWriter(private val output: PrintStream, capacity: Int) {
     private val queue = ArrayBlockingQueue<String>(capacity)
-    private val dropped = AtomicLong()
-    private val unwritten = AtomicInteger()
+    private val droppedLines = AtomicLong()
+    private val pendingCount = AtomicInteger()
 
     /** Queues [line], or drops it when the queue is full. */
     fun offer(line: String) {
-        unwritten.incrementAndGet()
+        pendingCount.incrementAndGet()
         if (!queue.offer(line)) {
-            unwritten.decrementAndGet()
-            dropped.incrementAndGet()
+            pendingCount.decrementAndGet()
+            droppedLines.incrementAndGet()
         }
     }
 
-    /** Writes the next lines that are queued, waiting for the first; the lines that were dropped are told first. */
+    /** Waits for a line and writes all queued lines, preceded by the number of lines dropped since the last write. */
     fun writeNext() {
         val first = queue.take()
         val text = StringBuilder()
-        val lost = dropped.getAndSet(0)
-        if (lost > 0) text.append("{\"event\":\"lines-dropped\",\"count\":").append(lost).append("}\n")
+        val droppedCount = droppedLines.getAndSet(0)
+        if (droppedCount > 0) text.append("{\"event\":\"lines-dropped\",\"count\":").append(droppedCount).append("}\n")
         var next: String? = first
-        var taken = 0
+        var writtenCount = 0
         while (next != null) {
-            taken++
+            writtenCount++
             text.append(next).append('\n')
             next = queue.poll()
         }
         output.print(text)
         output.flush()
-        unwritten.addAndGet(-taken)
+        pendingCount.addAndGet(-writtenCount)
     }
 
-    /** Waits until all lines have been written, at most [timeoutMs]. */
+    /** Waits up to [timeoutMs] until all lines have been written. */
     fun flush(timeoutMs: Long) {
-        val endNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMs)
-        while (unwritten.get() > 0 && System.nanoTime() < endNs) Thread.sleep(1)
+        val deadlineNs = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMs)
+        while (pendingCount.get() > 0 && System.nanoTime() < deadlineNs) Thread.sleep(1)
     }
 }
 
-/** Returns a writer to [output] whose thread is started. */
+/** Returns a writer to [output] with a started thread. */
 internal fun startLogLineWriter(output: PrintStream): LogLineWriter {
-    val writer = LogLineWriter(output, QUEUED_LINES)
+    val writer = LogLineWriter(output, QUEUE_CAPACITY_LINES)
     Thread({ while (true) writer.writeNext() }, "log").apply { isDaemon = true }.start()
     return writer
 }
--- a/cardamomwharf-logging/src/test/kotlin/org/cardamomwharf/logging/LogLineWriterTest.kt
+++ b/cardamomwharf-logging/src/test/kotlin/org/cardamomwharf/logging/LogLineWriterTest.kt
@@ -1,5 +1,5 @@
 /*
- * Lines go out in order; those that find no room are counted, and nobody waits.
+ * Tests that lines are written in order and that lines beyond the queue capacity are dropped and counted.
  */
 package org.cardamomwharf.logging
 
@@ -17,7 +17,7 @@
         bytes.toString() shouldBe "a\nb\nc\n"
     }
 
-    test("`lines that find no room are told with the next line`") {
+    test("`the number of dropped lines is written before the next lines`") {
         val bytes = ByteArrayOutputStream()
         val writer = LogLineWriter(PrintStream(bytes), capacity = 2)
         listOf("a", "b", "c", "d").forEach { writer.offer(it) }
@@ -25,7 +25,7 @@
         bytes.toString() shouldBe "{\"event\":\"lines-dropped\",\"count\":2}\na\nb\n"
     }
 
-    test("`a library's line carries its cause, and levels below its own are off`") {
+    test("`a line of a library contains its cause, and lines below the level of the library are skipped`") {
         val bytes = ByteArrayOutputStream()
         val writer = LogLineWriter(PrintStream(bytes), capacity = 4)
         val context = DecisionLogContext(writer)
