--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/DocumentFollowing.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/DocumentUpdates.kt
@@ -8,36 +8,36 @@
 import org.cardamomwharf.decision.adoption.recordFetchFailure
 import org.cardamomwharf.decision.adoption.startFetch
 import org.cardamomwharf.decision.membership.findNewestVersion
-import org.cardamomwharf.decision.requests.wakeWaiting
+import org.cardamomwharf.decision.requests.dispatchWaiting
 
-internal fun Turn.follow(event: EntryEvent) {
+internal fun StepContext.handleDocumentEvent(event: EntryEvent) {
     when (event) {
-        is EntryEvent.HeadRead -> followHead(event)
+        is EntryEvent.HeadRead -> fetchIfNewer(event)
         is EntryEvent.DocumentFetched -> adoptDocument(event)
         else -> state = state.copy(adoption = state.adoption.recordFetchFailure())
     }
 }
 
-private fun Turn.followHead(event: EntryEvent.HeadRead) {
+private fun StepContext.fetchIfNewer(event: EntryEvent.HeadRead) {
     if (!state.adoption.shouldFetch(event.head.version, nowMs)) return
     state = state.copy(adoption = state.adoption.startFetch(event.head.version, nowMs))
-    add(EntryEffect.FetchDocument(event.head))
+    emit(EntryEffect.FetchDocument(event.head))
 }
 
-private fun Turn.adoptDocument(event: EntryEvent.DocumentFetched) {
+private fun StepContext.adoptDocument(event: EntryEvent.DocumentFetched) {
     val newIndex = DocumentIndex(event.document)
     val next = state.adoption.adopt(event.head, newIndex, nowMs)
     val isAdopted = next !== state.adoption
     state = state.copy(adoption = next)
     if (!isAdopted) return
-    add(EntryEffect.DocumentAdopted(event.head))
+    emit(EntryEffect.DocumentAdopted(event.head))
     adoptCaps(event.head.capEpoch)
     advanceOwnership()
-    wakeWaiting()
+    dispatchWaiting()
 }
 
 /** Fetches a document from a peer that has a newer one; the store may be out of reach. */
-internal fun Turn.followPeers() {
+internal fun StepContext.fetchNewerDocumentFromPeer() {
     val membership = state.membership
     val newest = membership.findNewestVersion()
     if (!state.adoption.shouldFetch(newest, nowMs)) return
@@ -49,5 +49,5 @@
         .flatMap { zone -> zone.summary.members.map { it.member } }
     val source = (near + far).minByOrNull { it.name.value } ?: return
     state = state.copy(adoption = state.adoption.startFetch(newest, nowMs))
-    add(EntryEffect.FetchDocumentFromPeer(source.name, source.peerAddress))
+    emit(EntryEffect.FetchDocumentFromPeer(source.name, source.peerAddress))
 }
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/EntryState.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/EntryState.kt
@@ -23,7 +23,7 @@
 import org.cardamomwharf.decision.membership.Suspects
 import org.cardamomwharf.decision.membership.newMembership
 import org.cardamomwharf.decision.ownership.Ownership
-import org.cardamomwharf.decision.requests.HeldAnswer
+import org.cardamomwharf.decision.requests.HeldResponse
 import org.cardamomwharf.decision.requests.RequestTable
 import org.cardamomwharf.decision.retry.RetryBudget
 import org.cardamomwharf.decision.servers.ServerTable
@@ -66,15 +66,15 @@
     public val serviceTimes: ServiceTimes = ServiceTimes(),
     public val capLimiter: CapLimiter = CapLimiter(burstMs = 0),
     public val capTransition: CapTransition = CapTransition(),
-    public val budget: RetryBudget = RetryBudget(),
-    public val store: StoreHealth = StoreHealth(),
+    public val retryBudget: RetryBudget = RetryBudget(),
+    public val storeHealth: StoreHealth = StoreHealth(),
     public val boundKeys: BoundKeys = BoundKeys(),
     public val claimExpiry: ClaimExpiry = ClaimExpiry(),
     public val requests: RequestTable = RequestTable(),
-    public val held: PersistentMap<AttemptId, HeldAnswer> = persistentMapOf(),
-    public val loanAskedAtMs: PersistentMap<CapId, Long> = persistentMapOf(),
-    public val passedOnAtMs: PersistentMap<ZoneName, Long> = persistentMapOf(),
-    public val ownershipAtMs: Long = Long.MIN_VALUE / 2,
+    public val heldResponses: PersistentMap<AttemptId, HeldResponse> = persistentMapOf(),
+    public val loanRequestedAtMs: PersistentMap<CapId, Long> = persistentMapOf(),
+    public val summaryRelayedAtMs: PersistentMap<ZoneName, Long> = persistentMapOf(),
+    public val ownershipUpdatedAtMs: Long = Long.MIN_VALUE / 2,
     public val shifts: ShiftPlan = ShiftPlan(),
     public val heartbeats: HeartbeatState = HeartbeatState(),
     public val leave: LeaveState? = null,
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/EntryMachine.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/EntryStateMachine.kt
@@ -7,24 +7,24 @@
 import org.cardamomwharf.decision.caps.borrow
 import org.cardamomwharf.decision.caps.lend
 import org.cardamomwharf.decision.claims.expireClaims
-import org.cardamomwharf.decision.claims.noteExpired
+import org.cardamomwharf.decision.claims.scheduleNextExpiry
 import org.cardamomwharf.decision.membership.applyList
 import org.cardamomwharf.decision.membership.changesOwnership
 import org.cardamomwharf.decision.membership.isLeaseExpired
 import org.cardamomwharf.decision.membership.recordHeartbeat
-import org.cardamomwharf.decision.membership.recordRun
+import org.cardamomwharf.decision.membership.checkLease
 import org.cardamomwharf.decision.membership.recordSummary
 import org.cardamomwharf.decision.ownership.Ownership
 import org.cardamomwharf.decision.requests.admit
 import org.cardamomwharf.decision.requests.endAttempt
 import org.cardamomwharf.decision.requests.expireDeadlines
-import org.cardamomwharf.decision.requests.forgetCaller
+import org.cardamomwharf.decision.requests.handleCallerDisconnect
 import org.cardamomwharf.decision.requests.handOverWaiting
-import org.cardamomwharf.decision.requests.hold
-import org.cardamomwharf.decision.requests.payHeldAnswers
+import org.cardamomwharf.decision.requests.holdResponse
+import org.cardamomwharf.decision.requests.chargeHeldResponses
 import org.cardamomwharf.decision.requests.readDueClaims
-import org.cardamomwharf.decision.requests.settleClaim
-import org.cardamomwharf.decision.requests.wakeWaiting
+import org.cardamomwharf.decision.requests.handleClaimReply
+import org.cardamomwharf.decision.requests.dispatchWaiting
 import org.cardamomwharf.decision.servers.applyList
 import org.cardamomwharf.decision.servers.recordLoadReport
 import org.cardamomwharf.decision.servers.update
@@ -33,62 +33,64 @@
 
 /** Returns the state after [event] at [nowMs] on the monotonic clock, with the effects in order. */
 public fun step(state: EntryState, event: EntryEvent, nowMs: Long): EntryStep {
-    val turn = Turn(state, nowMs)
-    turn.resume()
-    turn.handle(event)
-    return EntryStep(turn.state, turn.effects)
+    val context = StepContext(state, nowMs)
+    context.checkLease()
+    context.handle(event)
+    return EntryStep(context.state, context.effects)
 }
 
 /** Gives up what was owned when this process was paused for longer than its lease. */
-private fun Turn.resume() {
+private fun StepContext.checkLease() {
     if (state.membership.isLeaseExpired(nowMs)) {
         state = state.copy(ownership = Ownership())
         adjustCapLimiter()
     }
-    state = state.copy(membership = state.membership.recordRun(nowMs))
+    state = state.copy(membership = state.membership.checkLease(nowMs))
 }
 
-private fun Turn.handle(event: EntryEvent): Unit = when (event) {
+private fun StepContext.handle(event: EntryEvent): Unit = when (event) {
     is EntryEvent.Tick -> tick(event)
-    is EntryEvent.HeadRead, is EntryEvent.DocumentFetched, is EntryEvent.DocumentFetchFailed -> follow(event)
-    is EntryEvent.PlatformListRead -> readList(event)
-    is EntryEvent.HeartbeatReceived, is EntryEvent.SummaryReceived, is EntryEvent.PeerDisconnected -> listen(event)
-    is EntryEvent.LoadReported -> hearLoad(event)
-    is EntryEvent.LoanRequested -> answerLoan(event)
+    is EntryEvent.HeadRead, is EntryEvent.DocumentFetched, is EntryEvent.DocumentFetchFailed ->
+        handleDocumentEvent(event)
+    is EntryEvent.PlatformListRead -> applyPlatformList(event)
+    is EntryEvent.HeartbeatReceived, is EntryEvent.SummaryReceived, is EntryEvent.PeerDisconnected ->
+        handlePeerEvent(event)
+    is EntryEvent.LoadReported -> recordLoadReport(event)
+    is EntryEvent.LoanRequested -> replyToLoanRequest(event)
     is EntryEvent.LoanReplyReceived -> state = state.copy(capLimiter = state.capLimiter.borrow(event.grant, nowMs))
     is EntryEvent.RequestArrived -> admit(event.spec)
-    is EntryEvent.ClaimReplyReceived, is EntryEvent.ClaimsExpired -> hearStore(event)
+    is EntryEvent.ClaimReplyReceived, is EntryEvent.ClaimsExpired -> handleStoreEvent(event)
     is EntryEvent.AttemptEnded -> endAttempt(event.attempt, event.result)
-    is EntryEvent.CreditRequested -> hold(event.attempt, event.missingBytes)
-    is EntryEvent.CallerDisconnected -> forgetCaller(event.request)
-    is EntryEvent.LeaveRequested -> leave()
+    is EntryEvent.CreditRequested -> holdResponse(event.attempt, event.missingBytes)
+    is EntryEvent.CallerDisconnected -> handleCallerDisconnect(event.request)
+    is EntryEvent.LeaveRequested -> startShutdown()
 }
 
-private fun Turn.tick(event: EntryEvent.Tick) {
+private fun StepContext.tick(event: EntryEvent.Tick) {
     state = state.copy(epochSeconds = event.epochSeconds)
     expireDeadlines()
     readDueClaims()
     expireClaims()
-    payHeldAnswers()
-    if (nowMs - state.ownershipAtMs >= OWNERSHIP_INTERVAL_MS) advanceOwnership()
+    chargeHeldResponses()
+    if (nowMs - state.ownershipUpdatedAtMs >= OWNERSHIP_INTERVAL_MS) advanceOwnership()
     advanceShifts()
-    wakeWaiting()
+    dispatchWaiting()
     handOverWaiting()
     sendHeartbeats()
-    exitWhenDone()
+    exitWhenIdle()
 }
 
-private fun Turn.readList(event: EntryEvent.PlatformListRead) {
+private fun StepContext.applyPlatformList(event: EntryEvent.PlatformListRead) {
     val zone = state.membership.self.zone
     state = state.copy(
         membership = state.membership.applyList(event.instances, nowMs),
         servers = state.servers.applyList(event.servers.filter { it.zone == zone }, nowMs),
     )
     advanceOwnership()
-    wakeWaiting()
+    dispatchWaiting()
 }
 
-private fun Turn.listen(event: EntryEvent) {
+private fun StepContext.handlePeerEvent(event: EntryEvent) {
     val membership = state.membership
     when (event) {
         is EntryEvent.HeartbeatReceived -> {
@@ -101,30 +103,31 @@
         }
         is EntryEvent.SummaryReceived -> {
             state = state.copy(membership = membership.recordSummary(event.summary, nowMs))
-            if (event.isRelayed) notePassedOn(event.summary) else passOn(event.summary)
+            if (event.isRelayed) recordSummaryRelay(event.summary) else relaySummary(event.summary)
         }
-        is EntryEvent.PeerDisconnected -> state = state.copy(membership = membership.closePeer(event.peer, nowMs))
+        is EntryEvent.PeerDisconnected ->
+            state = state.copy(membership = membership.removeDisconnectedPeer(event.peer, nowMs))
         else -> Unit
     }
-    followPeers()
+    fetchNewerDocumentFromPeer()
 }
 
-private fun Turn.hearStore(event: EntryEvent) {
+private fun StepContext.handleStoreEvent(event: EntryEvent) {
     when (event) {
-        is EntryEvent.ClaimReplyReceived -> settleClaim(event.request, event.reply)
-        is EntryEvent.ClaimsExpired -> noteExpired(event.rows)
+        is EntryEvent.ClaimReplyReceived -> handleClaimReply(event.request, event.reply)
+        is EntryEvent.ClaimsExpired -> scheduleNextExpiry(event.rows)
         else -> Unit
     }
 }
 
-private fun Turn.hearLoad(event: EntryEvent.LoadReported) {
+private fun StepContext.recordLoadReport(event: EntryEvent.LoadReported) {
     val next = state.servers.update(event.server) { it.recordLoadReport(event.report, nowMs) }
     state = state.copy(servers = next)
-    wakeWaiting()
+    dispatchWaiting()
 }
 
-private fun Turn.answerLoan(event: EntryEvent.LoanRequested) {
+private fun StepContext.replyToLoanRequest(event: EntryEvent.LoanRequested) {
     val lent = state.capLimiter.lend(event.request, state.membership.self.name, nowMs)
     state = state.copy(capLimiter = lent.limiter)
-    add(EntryEffect.ReplyToLoanRequest(event.request.borrower, lent.grant))
+    emit(EntryEffect.ReplyToLoanRequest(event.request.borrower, lent.grant))
 }
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/Leaving.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/GracefulShutdown.kt
@@ -8,13 +8,13 @@
 import org.cardamomwharf.decision.membership.Membership
 
 /** Returns this membership after a peer closed its connection; silence alone decides whether it is dead. */
-internal fun Membership.closePeer(peer: InstanceName, nowMs: Long): Membership {
+internal fun Membership.removeDisconnectedPeer(peer: InstanceName, nowMs: Long): Membership {
     val known = peers[peer] ?: return this
     val isGoneForGood = known.heartbeat.isLeaving && nowMs - known.receivedAtMs >= settings.heartbeatIntervalMs
     return if (isGoneForGood) copy(peers = peers.remove(peer)) else this
 }
 
-internal fun Turn.leave() {
+internal fun StepContext.startShutdown() {
     if (state.leave != null) return
     val cacheTtlMs = index?.document?.services?.maxOfOrNull { it.cacheTtlMs } ?: 0
     val acceptsUntilMs = nowMs + maxOf(cacheTtlMs, policy.leaveGraceMs)
@@ -27,8 +27,8 @@
     sendHeartbeats()
 }
 
-internal fun Turn.exitWhenDone() {
+internal fun StepContext.exitWhenIdle() {
     val leave = state.leave ?: return
     val isIdle = state.requests.open.isEmpty() && state.requests.attempts.isEmpty()
-    if (nowMs >= leave.acceptsUntilMs && isIdle) add(EntryEffect.Exit)
+    if (nowMs >= leave.acceptsUntilMs && isIdle) emit(EntryEffect.Exit)
 }
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/Heartbeats.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/Heartbeats.kt
@@ -11,7 +11,7 @@
 import org.cardamomwharf.decision.membership.listLiveMembers
 import org.cardamomwharf.decision.membership.listSettledMembers
 
-internal fun Turn.sendHeartbeats() {
+internal fun StepContext.sendHeartbeats() {
     val membership = state.membership
     val liveHash = hashView(membership.listLiveMembers(nowMs))
     val settledHash = hashView(membership.listSettledMembers(nowMs))
@@ -35,19 +35,19 @@
     state = state.copy(
         heartbeats = state.heartbeats.copy(sequence = sequence, sentAtMs = nowMs, viewHash = viewHash, loads = loads),
     )
-    add(EntryEffect.SendHeartbeat(heartbeat, findZoneAddresses()))
+    emit(EntryEffect.SendHeartbeat(heartbeat, findZoneAddresses()))
     val isSummaryDue = nowMs - state.heartbeats.summarySentAtMs >= membership.settings.summaryIntervalMs
     if (isSummaryDue) sendSummaries(sequence, loads)
 }
 
-private fun Turn.listResiduals(): List<ResidualSlots> =
+private fun StepContext.listResiduals(): List<ResidualSlots> =
     state.servers.servers.values
         .filter { it.inFlight > 0 && it.name !in state.ownership.servers }
         .map { ResidualSlots(it.name, it.inFlight) }
         .sortedBy { it.server.value }
 
 /** Returns the addresses of all other instances of the own zone, from the list and from heartbeats. */
-internal fun Turn.findZoneAddresses(): List<PeerAddress> {
+internal fun StepContext.findZoneAddresses(): List<PeerAddress> {
     val self = state.membership.self
     val heard = state.membership.peers.values.map { PeerAddress(it.member.name, it.member.peerAddress) }
     val listed = state.membership.listed.values
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/Turn.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/StepContext.kt
@@ -12,7 +12,7 @@
 import org.cardamomwharf.decision.requests.RequestTable
 import org.cardamomwharf.decision.requests.put
 
-internal class Turn(var state: EntryState, val nowMs: Long) {
+internal class StepContext(var state: EntryState, val nowMs: Long) {
     val effects: MutableList<EntryEffect> = mutableListOf()
 
     val index: DocumentIndex? get() = state.adoption.index
@@ -20,19 +20,19 @@
     val policy: Policy get() = index?.document?.policy ?: Policy()
 
     /** Returns the time that a request of [service] will take at a backend server. */
-    fun expectMs(service: Service): Long = state.serviceTimes.estimateMs(service)
+    fun estimateServiceMs(service: Service): Long = state.serviceTimes.estimateMs(service)
 
-    fun add(effect: EntryEffect) {
+    fun emit(effect: EntryEffect) {
         effects += effect
     }
 
-    fun find(id: RequestId): OpenRequest? = state.requests.open[id]
+    fun findRequest(id: RequestId): OpenRequest? = state.requests.open[id]
 
-    fun update(request: OpenRequest) {
-        changeRequests { it.put(request) }
+    fun updateRequest(request: OpenRequest) {
+        updateRequests { it.put(request) }
     }
 
-    fun changeRequests(change: (RequestTable) -> RequestTable) {
+    fun updateRequests(change: (RequestTable) -> RequestTable) {
         state = state.copy(requests = change(state.requests))
     }
 }
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/Summaries.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/Summaries.kt
@@ -13,18 +13,18 @@
 import org.cardamomwharf.decision.membership.isDelegateFor
 import org.cardamomwharf.decision.membership.listLiveMembers
 
-internal fun Turn.sendSummaries(sequence: Long, loads: List<ServiceLoad>) {
+internal fun StepContext.sendSummaries(sequence: Long, loads: List<ServiceLoad>) {
     val membership = state.membership
     state = state.copy(heartbeats = state.heartbeats.copy(summarySentAtMs = nowMs))
     val zones = membership.listed.values.map { it.zone }.distinct().filter { it != membership.self.zone }
     val summary = summarize(sequence, loads)
     for (zone in zones.sortedBy { it.value }) {
         if (!membership.isDelegateFor(zone, nowMs)) continue
-        add(EntryEffect.SendSummary(summary, zone, findDelegates(zone)))
+        emit(EntryEffect.SendSummary(summary, zone, findDelegates(zone)))
     }
 }
 
-private fun Turn.findDelegates(zone: ZoneName): List<PeerAddress> {
+private fun StepContext.findDelegates(zone: ZoneName): List<PeerAddress> {
     val membership = state.membership
     val heard = membership.remoteZones[zone]?.summary?.members.orEmpty().map {
         PeerAddress(it.member.name, it.member.peerAddress)
@@ -36,7 +36,7 @@
     return rendezvousTop(membership.self.zone.value, known, membership.settings.delegateCount) { it.name.value }
 }
 
-private fun Turn.summarize(sequence: Long, loads: List<ServiceLoad>): ZoneSummary {
+private fun StepContext.summarize(sequence: Long, loads: List<ServiceLoad>): ZoneSummary {
     val membership = state.membership
     val own = SummaryMember(membership.self, membership.isLeaving, loads)
     val peers = membership.findLivePeers(nowMs)
@@ -45,7 +45,7 @@
     val shown = rendezvousTop(membership.self.zone.value, all, membership.settings.summaryMembers) {
         it.member.name.value
     }
-    return ZoneSummary(membership.self.zone, sequence, state.adoption.version, shown, sumLoads(all), findZoneEpoch())
+    return ZoneSummary(membership.self.zone, sequence, state.adoption.version, shown, sumLoads(all), findOldestZoneEpoch())
 }
 
 private fun sumLoads(members: List<SummaryMember>): List<ServiceLoad> =
@@ -60,24 +60,24 @@
             )
         }
 
-internal fun Turn.passOn(summary: ZoneSummary) {
-    if (summary.zone == state.membership.self.zone || !isPassDue(summary.zone)) return
-    state = state.copy(passedOnAtMs = state.passedOnAtMs.put(summary.zone, nowMs))
-    add(EntryEffect.RelaySummary(summary, findZoneAddresses()))
+internal fun StepContext.relaySummary(summary: ZoneSummary) {
+    if (summary.zone == state.membership.self.zone || !isRelayDue(summary.zone)) return
+    state = state.copy(summaryRelayedAtMs = state.summaryRelayedAtMs.put(summary.zone, nowMs))
+    emit(EntryEffect.RelaySummary(summary, findZoneAddresses()))
 }
 
 /** Notes that another delegate passed a summary on. */
-internal fun Turn.notePassedOn(summary: ZoneSummary) {
-    state = state.copy(passedOnAtMs = state.passedOnAtMs.put(summary.zone, nowMs))
+internal fun StepContext.recordSummaryRelay(summary: ZoneSummary) {
+    state = state.copy(summaryRelayedAtMs = state.summaryRelayedAtMs.put(summary.zone, nowMs))
 }
 
 /** The first delegate passes each summary on once in an interval, the second only when the first has fallen silent. */
-private fun Turn.isPassDue(zone: ZoneName): Boolean {
+private fun StepContext.isRelayDue(zone: ZoneName): Boolean {
     val membership = state.membership
     val intervalMs = membership.settings.summaryIntervalMs
     val live = membership.listLiveMembers(nowMs)
     val rank = rendezvousTop(zone.value, live, membership.settings.delegateCount) { it.value }
         .indexOf(membership.self.name)
     val silenceMs = if (rank == 0) intervalMs / 2 else intervalMs + intervalMs / 2
-    return nowMs - (state.passedOnAtMs[zone] ?: Long.MIN_VALUE / 2) >= silenceMs
+    return nowMs - (state.summaryRelayedAtMs[zone] ?: Long.MIN_VALUE / 2) >= silenceMs
 }
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/Shares.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/ZoneResources.kt
@@ -12,11 +12,11 @@
 import org.cardamomwharf.decision.caps.findOldestEpochInUse
 import org.cardamomwharf.decision.caps.recordOldestEpoch
 import org.cardamomwharf.decision.caps.update
-import org.cardamomwharf.decision.claims.expire
+import org.cardamomwharf.decision.claims.removeExpired
 import org.cardamomwharf.decision.membership.Membership
 import org.cardamomwharf.decision.membership.ServiceLoad
 import org.cardamomwharf.decision.ownership.recompute
-import org.cardamomwharf.decision.requests.poolViewOf
+import org.cardamomwharf.decision.requests.createPoolView
 import org.cardamomwharf.decision.servers.update
 import org.cardamomwharf.decision.shift.ShiftInput
 import org.cardamomwharf.decision.shift.advance
@@ -30,12 +30,12 @@
     return index.document.services
         .filter { index.findPool(it.name, zone) != null }
         .map { service ->
-            val view = poolViewOf(this, index, service, nowMs)
+            val view = createPoolView(this, index, service, nowMs)
             ServiceLoad(service.name, view.freeSlots, view.totalSlots, requests.countWaiting(service.name))
         }
 }
 
-internal fun Turn.advanceOwnership() {
+internal fun StepContext.advanceOwnership() {
     val residuals = sumResiduals(state.membership)
     val servers = state.servers.servers.values.fold(state.servers) { table, server ->
         val residual = residuals[server.name] ?: 0
@@ -45,8 +45,8 @@
     state = state.copy(
         servers = servers,
         ownership = ownership,
-        ownershipAtMs = nowMs,
-        boundKeys = state.boundKeys.expire(nowMs),
+        ownershipUpdatedAtMs = nowMs,
+        boundKeys = state.boundKeys.removeExpired(nowMs),
     )
     adjustCapLimiter()
 }
@@ -57,9 +57,9 @@
         .groupBy({ it.server }, { it.slots })
         .mapValues { (_, slots) -> slots.sum() }
 
-internal fun Turn.adjustCapLimiter() {
+internal fun StepContext.adjustCapLimiter() {
     if (index == null) return
-    val transition = hearEpochs(state.capTransition)
+    val transition = recordOldestEpochs(state.capTransition)
     val limiter = state.capLimiter.copy(burstMs = policy.capBurstMs)
     state = state.copy(
         capTransition = transition,
@@ -67,16 +67,16 @@
     )
 }
 
-private fun Turn.hearEpochs(transition: CapTransition): CapTransition {
+private fun StepContext.recordOldestEpochs(transition: CapTransition): CapTransition {
     val membership = state.membership
     val far = membership.remoteZones.values.map { it.summary }
-    return far.fold(transition.recordOldestEpoch(membership.self.zone, findZoneEpoch())) { next, summary ->
+    return far.fold(transition.recordOldestEpoch(membership.self.zone, findOldestZoneEpoch())) { next, summary ->
         next.recordOldestEpoch(summary.zone, summary.capEpoch)
     }
 }
 
 /** Returns the oldest epoch that an instance of the own zone may spend by; one that wasn't heard may use any. */
-internal fun Turn.findZoneEpoch(): CapEpoch {
+internal fun StepContext.findOldestZoneEpoch(): CapEpoch {
     val membership = state.membership
     val known = membership.peers.values
     val silent = membership.listed.values.filter { listed ->
@@ -89,14 +89,14 @@
 }
 
 /** Takes over the caps of the document that was adopted under [epoch]. */
-internal fun Turn.adoptCaps(epoch: CapEpoch) {
+internal fun StepContext.adoptCaps(epoch: CapEpoch) {
     val current = index ?: return
     val shares = EpochShares(epoch, computeZoneShares(current, state.membership.self.zone))
     val zones = current.regionByZone.keys - current.document.stoppedZones.toSet()
     state = state.copy(capTransition = state.capTransition.adopt(shares, zones, nowMs))
 }
 
-internal fun Turn.advanceShifts() {
+internal fun StepContext.advanceShifts() {
     if (nowMs - state.shifts.plannedAtMs < policy.shiftIntervalMs) return
     val current = index
     val home = current?.regionByZone?.get(state.membership.self.zone)
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/claims/BoundKeys.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/claims/BoundKeys.kt
@@ -38,15 +38,15 @@
 public data class BoundKeys(public val keys: PersistentMap<String, BoundKey> = persistentMapOf())
 
 /** The keys that one incarnation remembers at most; more are refused as not run. */
-public const val LARGEST_BOUND_KEYS: Int = 20_000
+public const val MAX_BOUND_KEYS: Int = 20_000
 
 /** Represents what a bound key may do. */
-public sealed interface BoundDecision {
+public sealed interface BindingDecision {
     /** The key may run; [keys] remember it. */
-    public data class Run(public val keys: BoundKeys) : BoundDecision
+    public data class Run(public val keys: BoundKeys) : BindingDecision
 
     /** The request ends without another run. */
-    public data class End(public val reason: Reason, public val response: RecordedResponse? = null) : BoundDecision
+    public data class End(public val reason: Reason, public val response: RecordedResponse? = null) : BindingDecision
 }
 
 /** Returns what [key] may do at the incarnation [own]; a key whose binding has run out may have run before. */
@@ -56,15 +56,15 @@
     binding: Binding,
     own: Incarnation,
     times: BindingTimes,
-): BoundDecision {
+): BindingDecision {
     val known = keys[key]
     val expiresAtMs = binding.issuedAtMs + times.keyTtlMs
     return when {
-        binding.incarnation != own -> BoundDecision.End(Reason.BINDING_ELSEWHERE)
-        times.nowMs >= expiresAtMs || binding.issuedAtMs > times.nowMs -> BoundDecision.End(Reason.BINDING_EXPIRED)
-        known != null -> BoundDecision.End(reasonOf(known, fingerprint), known.response)
-        keys.size >= LARGEST_BOUND_KEYS -> BoundDecision.End(Reason.BUSY)
-        else -> BoundDecision.Run(BoundKeys(keys.put(key, BoundKey(fingerprint, expiresAtMs))))
+        binding.incarnation != own -> BindingDecision.End(Reason.BINDING_ELSEWHERE)
+        times.nowMs >= expiresAtMs || binding.issuedAtMs > times.nowMs -> BindingDecision.End(Reason.BINDING_EXPIRED)
+        known != null -> BindingDecision.End(reasonOf(known, fingerprint), known.response)
+        keys.size >= MAX_BOUND_KEYS -> BindingDecision.End(Reason.BUSY)
+        else -> BindingDecision.Run(BoundKeys(keys.put(key, BoundKey(fingerprint, expiresAtMs))))
     }
 }
 
@@ -78,16 +78,16 @@
 }
 
 /** Returns these keys with the response of [key]. */
-public fun BoundKeys.record(key: String, response: RecordedResponse): BoundKeys {
+public fun BoundKeys.recordResponse(key: String, response: RecordedResponse): BoundKeys {
     val known = keys[key] ?: return this
     return BoundKeys(keys.put(key, known.copy(response = response)))
 }
 
 /** Returns these keys without [key]; only for a key that did not run. */
-public fun BoundKeys.forget(key: String): BoundKeys = BoundKeys(keys.remove(key))
+public fun BoundKeys.remove(key: String): BoundKeys = BoundKeys(keys.remove(key))
 
 /** Returns these keys without those whose binding has run out. */
-public fun BoundKeys.expire(nowMs: Long): BoundKeys =
+public fun BoundKeys.removeExpired(nowMs: Long): BoundKeys =
     if (keys.values.none { it.expiresAtMs <= nowMs }) {
         this
     } else {
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/claims/ClaimDecision.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/claims/ClaimDecision.kt
@@ -34,17 +34,17 @@
 }
 
 /** The calls that one claim may make before the table service counts as down. */
-public const val LARGEST_CLAIM_CALLS: Int = 6
+public const val MAX_CLAIM_CALLS: Int = 6
 
-private const val READ_AGAIN_MS = 100L
+private const val READ_RETRY_DELAY_MS = 100L
 
 /** Returns the step after [reply] to [attempt], [calls] calls having been made. */
 public fun decideClaim(reply: ClaimReply, attempt: AttemptId, fingerprint: String, calls: Int): ClaimDecision =
     when (reply) {
         is ClaimReply.Written -> ClaimDecision.Proceed
         is ClaimReply.Unavailable -> ClaimDecision.StoreDown
-        is ClaimReply.Absent -> if (calls < LARGEST_CLAIM_CALLS) ClaimDecision.Insert else ClaimDecision.StoreDown
-        is ClaimReply.Lost -> if (calls < LARGEST_CLAIM_CALLS) ClaimDecision.Read else ClaimDecision.StoreDown
+        is ClaimReply.Absent -> if (calls < MAX_CLAIM_CALLS) ClaimDecision.Insert else ClaimDecision.StoreDown
+        is ClaimReply.Lost -> if (calls < MAX_CLAIM_CALLS) ClaimDecision.Read else ClaimDecision.StoreDown
         is ClaimReply.Exists -> decideExisting(reply, attempt, fingerprint, calls)
     }
 
@@ -60,7 +60,7 @@
         row.fingerprint != fingerprint -> ClaimDecision.End(Reason.KEY_REUSED)
         row.state == ClaimState.DONE -> ClaimDecision.End(Reason.RECORDED_ANSWER, row.response)
         row.state == ClaimState.RELEASED -> ClaimDecision.Replace(reply.rowVersion)
-        calls < LARGEST_CLAIM_CALLS -> ClaimDecision.ReadLater(calls * READ_AGAIN_MS)
+        calls < MAX_CLAIM_CALLS -> ClaimDecision.ReadLater(calls * READ_RETRY_DELAY_MS)
         else -> ClaimDecision.End(Reason.KEY_IN_PROGRESS)
     }
 }
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/claims/ClaimExpiry.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/claims/ClaimExpiry.kt
@@ -7,45 +7,45 @@
 
 import org.cardamomwharf.core.rendezvousOwner
 import org.cardamomwharf.decision.EntryEffect
-import org.cardamomwharf.decision.Turn
+import org.cardamomwharf.decision.StepContext
 import org.cardamomwharf.decision.membership.listLiveMembers
 
 /** Rows that one call deletes at most. */
-public const val LARGEST_EXPIRED_ROWS: Int = 1_000
+public const val MAX_EXPIRED_ROWS: Int = 1_000
 
-private const val DUTY = "claim-expiry"
+private const val TASK = "claim-expiry"
 private const val SECONDS_PER_HOUR = 3_600L
 private const val SECONDS_PER_MINUTE = 60L
-private const val DUTY_PAUSE_MS = 1_000L
-private const val MORE_PAUSE_MS = 1_000L
+private const val UNASSIGNED_PAUSE_MS = 1_000L
+private const val FULL_BATCH_PAUSE_MS = 1_000L
 private const val IDLE_PAUSE_MS = 60_000L
 
 /** Represents when old claim rows are deleted next. */
 public data class ClaimExpiry(public val nextAtMs: Long = 0)
 
 /** Asks for the next deletion when it is due and this instance has the duty. */
-internal fun Turn.expireClaims() {
+internal fun StepContext.expireClaims() {
     if (nowMs < state.claimExpiry.nextAtMs) return
-    val isOnDuty = hasDuty()
-    state = state.copy(claimExpiry = ClaimExpiry(nowMs + if (isOnDuty) IDLE_PAUSE_MS else DUTY_PAUSE_MS))
-    if (!isOnDuty) return
-    add(EntryEffect.ExpireClaims(policy.claimRetentionMinutes * SECONDS_PER_MINUTE, LARGEST_EXPIRED_ROWS))
+    val isAssigned = isExpiryAssignedHere()
+    state = state.copy(claimExpiry = ClaimExpiry(nowMs + if (isAssigned) IDLE_PAUSE_MS else UNASSIGNED_PAUSE_MS))
+    if (!isAssigned) return
+    emit(EntryEffect.ExpireClaims(policy.claimRetentionMinutes * SECONDS_PER_MINUTE, MAX_EXPIRED_ROWS))
 }
 
 /** Plans the next deletion after [rows] were deleted; null when the table service gave no answer. */
-internal fun Turn.noteExpired(rows: Int?) {
-    val pauseMs = if (rows == LARGEST_EXPIRED_ROWS) MORE_PAUSE_MS else IDLE_PAUSE_MS
+internal fun StepContext.scheduleNextExpiry(rows: Int?) {
+    val pauseMs = if (rows == MAX_EXPIRED_ROWS) FULL_BATCH_PAUSE_MS else IDLE_PAUSE_MS
     state = state.copy(claimExpiry = ClaimExpiry(nowMs + pauseMs))
 }
 
-private fun Turn.hasDuty(): Boolean {
+private fun StepContext.isExpiryAssignedHere(): Boolean {
     val current = index
     val hour = state.epochSeconds / SECONDS_PER_HOUR
-    if (current == null || hour == 0L || state.store.isDown(nowMs)) return false
+    if (current == null || hour == 0L || state.storeHealth.isDown(nowMs)) return false
     val zones = current.regionByZone.keys - current.document.stoppedZones.toSet()
-    val zone = rendezvousOwner("$DUTY/$hour", zones) { it.value }
+    val zone = rendezvousOwner("$TASK/$hour", zones) { it.value }
     val isOwnZone = zone == state.membership.self.zone
     return isOwnZone && findOwner() == state.membership.self.name
 }
 
-private fun Turn.findOwner() = rendezvousOwner(DUTY, state.membership.listLiveMembers(nowMs)) { it.value }
+private fun StepContext.findOwner() = rendezvousOwner(TASK, state.membership.listLiveMembers(nowMs)) { it.value }
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/Admission.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/Admission.kt
@@ -9,7 +9,7 @@
 import org.cardamomwharf.core.document.DocumentIndex
 import org.cardamomwharf.core.document.Service
 import org.cardamomwharf.decision.EntryEffect
-import org.cardamomwharf.decision.Turn
+import org.cardamomwharf.decision.StepContext
 import org.cardamomwharf.decision.caps.CapCost
 import org.cardamomwharf.decision.caps.CapId
 import org.cardamomwharf.decision.caps.PartnerPath
@@ -19,7 +19,7 @@
 private const val LIGHT_SHARE_NUMERATOR = 4
 private const val LIGHT_SHARE_DENOMINATOR = 5
 
-internal fun Turn.admit(spec: RequestSpec) {
+internal fun StepContext.admit(spec: RequestSpec) {
     val current = index
     val service = current?.services?.get(spec.service)
     val refusal = findRefusal(spec, service)
@@ -31,43 +31,43 @@
         refuse(spec, Reason.CAP_REACHED)
         return
     }
-    state = state.copy(budget = state.budget.recordFirstAttempt(policy.retryBudgetPercent))
+    state = state.copy(retryBudget = state.retryBudget.recordFirstAttempt(policy.retryBudgetPercent))
     val request = OpenRequest(spec, claimAttempt = spec.attempt ?: newAttemptId(spec, 0), phase = Phase.Waiting)
-    update(request)
+    updateRequest(request)
     if (needsClaim(spec)) startClaim(request) else dispatch(spec.id)
 }
 
 private fun needsClaim(spec: RequestSpec): Boolean = !spec.isIdempotent && spec.origin == RequestOrigin.CALLER
 
-private fun Turn.findRefusal(spec: RequestSpec, service: Service?): Reason? = when {
+private fun StepContext.findRefusal(spec: RequestSpec, service: Service?): Reason? = when {
     index == null -> Reason.NO_DOCUMENT
     service == null -> Reason.UNKNOWN_SERVICE
-    isLeft(spec) -> Reason.LEAVING
+    isRefusedWhileLeaving(spec) -> Reason.LEAVING
     needsClaim(spec) && spec.key == null -> Reason.KEY_MISSING
     spec.deadlineAtMs <= nowMs -> Reason.DEADLINE_PASSED
-    spec.deadlineAtMs - nowMs < expectMs(service) -> Reason.DEADLINE_TOO_SHORT
-    isCrowded(spec, service) -> Reason.BUSY
+    spec.deadlineAtMs - nowMs < estimateServiceMs(service) -> Reason.DEADLINE_TOO_SHORT
+    isOverloaded(spec, service) -> Reason.BUSY
     else -> null
 }
 
-private fun Turn.isLeft(spec: RequestSpec): Boolean {
+private fun StepContext.isRefusedWhileLeaving(spec: RequestSpec): Boolean {
     val leave = state.leave ?: return false
     return spec.origin == RequestOrigin.PEER || nowMs >= leave.acceptsUntilMs
 }
 
-private fun Turn.isCrowded(spec: RequestSpec, service: Service): Boolean {
+private fun StepContext.isOverloaded(spec: RequestSpec, service: Service): Boolean {
     val open = state.requests.open.size
     val most = state.limits.largestOpenRequests
-    val isHeavy = isHeavy(spec, service)
-    return open >= if (isHeavy) most else most * LIGHT_SHARE_NUMERATOR / LIGHT_SHARE_DENOMINATOR
+        val isReserveAllowed = mayUseReservedCapacity(spec, service)
+    return open >= if (isReserveAllowed) most else most * LIGHT_SHARE_NUMERATOR / LIGHT_SHARE_DENOMINATOR
 }
 
 /** Returns true when the request may use what is held back for the heaviest services. */
-internal fun Turn.isHeavy(spec: RequestSpec, service: Service): Boolean =
+internal fun StepContext.mayUseReservedCapacity(spec: RequestSpec, service: Service): Boolean =
     !spec.isIdempotent && index?.hasLargestWeight(service) == true
 
 /** Charges a request that look-up sent here from another partner's region to this zone's share. */
-private fun Turn.chargeArrival(spec: RequestSpec, service: Service, current: DocumentIndex): Boolean {
+private fun StepContext.chargeArrival(spec: RequestSpec, service: Service, current: DocumentIndex): Boolean {
     val payer = spec.clientZone?.let { current.regionByZone[it] }?.partner
     val partner = current.regionByZone[state.membership.self.zone]?.partner
     val isShifted = spec.origin == RequestOrigin.CALLER && payer != partner
@@ -80,17 +80,17 @@
     return trySpend(charges)
 }
 
-internal fun Turn.trySpend(charges: List<CapCost>): Boolean {
+internal fun StepContext.trySpend(charges: List<CapCost>): Boolean {
     val limiter = state.capLimiter.consume(charges, nowMs) ?: return false
     state = state.copy(capLimiter = limiter)
     return true
 }
 
-private fun Turn.refuse(spec: RequestSpec, reason: Reason) {
-    add(EntryEffect.Respond(spec.id, reason, retryAfterMs = retryAfterMs(reason)))
+private fun StepContext.refuse(spec: RequestSpec, reason: Reason) {
+    emit(EntryEffect.Respond(spec.id, reason, retryAfterMs = retryAfterMs(reason)))
 }
 
-internal fun Turn.newAttemptId(spec: RequestSpec, number: Int): AttemptId {
+internal fun StepContext.newAttemptId(spec: RequestSpec, number: Int): AttemptId {
     val self = state.membership.self
     return AttemptId("${self.name.value}-${self.incarnation.value}-${spec.id.value}-$number")
 }
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/Dispatch.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/Dispatch.kt
@@ -10,7 +10,7 @@
 import org.cardamomwharf.core.document.Service
 import org.cardamomwharf.decision.EntryEffect
 import org.cardamomwharf.decision.EntryState
-import org.cardamomwharf.decision.Turn
+import org.cardamomwharf.decision.StepContext
 import org.cardamomwharf.decision.retry.recordRetry
 import org.cardamomwharf.decision.servers.PoolView
 import org.cardamomwharf.decision.servers.ServerState
@@ -19,7 +19,7 @@
 import org.cardamomwharf.decision.servers.update
 
 /** Returns the backend servers of [service] in the own zone as the selection needs them. */
-internal fun poolViewOf(state: EntryState, index: DocumentIndex, service: Service, nowMs: Long): PoolView {
+internal fun createPoolView(state: EntryState, index: DocumentIndex, service: Service, nowMs: Long): PoolView {
     val pool = index.findPool(service.name, state.membership.self.zone)
     return PoolView(
         servers = state.servers.findServers(service.name),
@@ -32,37 +32,37 @@
     )
 }
 
-internal fun Turn.dispatch(id: RequestId) {
-    val request = find(id) ?: return
+internal fun StepContext.dispatch(id: RequestId) {
+    val request = findRequest(id) ?: return
     val current = index
     val service = current?.services?.get(request.spec.service)
     when {
-        current == null || service == null -> end(request, Reason.UNKNOWN_SERVICE)
-        request.spec.deadlineAtMs - nowMs < expectMs(service) -> end(request, Reason.DEADLINE_PASSED)
-        else -> findPlace(request, service, current)
+        current == null || service == null -> endRequest(request, Reason.UNKNOWN_SERVICE)
+        request.spec.deadlineAtMs - nowMs < estimateServiceMs(service) -> endRequest(request, Reason.DEADLINE_PASSED)
+        else -> dispatchWithin(request, service, current)
     }
 }
 
-private fun Turn.findPlace(request: OpenRequest, service: Service, current: DocumentIndex) {
+private fun StepContext.dispatchWithin(request: OpenRequest, service: Service, current: DocumentIndex) {
     if (!isDrainedHere(service) && sendToServer(request, service, current)) return
     val refusal = if (request.spec.origin == RequestOrigin.CALLER) handOver(request, service, current) else null
-    if (refusal !is HandOverRefusal.Sent) waitOrRefuse(request, service, current, refusal)
+    if (refusal !is HandOverOutcome.Sent) waitOrRefuse(request, service, current, refusal)
 }
 
-internal fun Turn.isDrainedHere(service: Service): Boolean =
+internal fun StepContext.isDrainedHere(service: Service): Boolean =
     index?.isDrained(service.name, state.membership.self.zone, state.epochSeconds) == true
 
-internal fun Turn.sendToServer(request: OpenRequest, service: Service, current: DocumentIndex): Boolean {
-    val view = poolViewOf(state, current, service, nowMs)
-    val server = view.selectServer(isHeavy(request.spec, service), request.triedServers) ?: return false
+internal fun StepContext.sendToServer(request: OpenRequest, service: Service, current: DocumentIndex): Boolean {
+    val view = createPoolView(state, current, service, nowMs)
+    val server = view.selectServer(mayUseReservedCapacity(request.spec, service), request.triedServers) ?: return false
     forward(request, server)
     return true
 }
 
-private fun Turn.forward(request: OpenRequest, server: ServerState) {
+private fun StepContext.forward(request: OpenRequest, server: ServerState) {
     val running = startAttempt(request, Target.Server(server.name))
     state = state.copy(servers = state.servers.update(server.name) { it.startRequest() })
-    add(
+    emit(
         EntryEffect.Forward(
             request = request.spec.id,
             attempt = running,
@@ -74,18 +74,18 @@
 }
 
 /** Charges a further try to the budget, and only once there is a place for it. */
-private fun Turn.noteRetry(request: OpenRequest) {
-    val reason = request.lastRefusal ?: return
-    if (request.spec.isIdempotent) state = state.copy(budget = state.budget.recordRetry())
-    add(EntryEffect.CountRetry(request.spec.service, reason))
+private fun StepContext.recordRetry(request: OpenRequest) {
+    val reason = request.lastRefusalReason ?: return
+    if (request.spec.isIdempotent) state = state.copy(retryBudget = state.retryBudget.recordRetry())
+    emit(EntryEffect.CountRetry(request.spec.service, reason))
 }
 
-internal fun Turn.startAttempt(request: OpenRequest, target: Target) = newAttemptId(
+internal fun StepContext.startAttempt(request: OpenRequest, target: Target) = newAttemptId(
     request.spec,
     request.attempts + 1,
 ).also { attempt ->
-    noteRetry(request)
-    changeRequests { table ->
+    recordRetry(request)
+    updateRequests { table ->
         val unqueued = table.unqueue(request.spec.service, request.spec.id)
         unqueued.copy(
             attempts = unqueued.attempts.put(
@@ -94,5 +94,5 @@
             ),
         )
     }
-    update(request.copy(phase = Phase.Running(attempt), attempts = request.attempts + 1))
+    updateRequest(request.copy(phase = Phase.Running(attempt), attempts = request.attempts + 1))
 }
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/HeldAnswer.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/HeldResponse.kt
@@ -7,4 +7,4 @@
 import org.cardamomwharf.decision.caps.CapCost
 
 /** Represents what is still to be charged for an answer, by cap. */
-public data class HeldAnswer(public val owed: List<CapCost>)
+public data class HeldResponse(public val unchargedCosts: List<CapCost>)
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/Claiming.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/RequestClaim.kt
@@ -8,48 +8,48 @@
 import org.cardamomwharf.core.RequestId
 import org.cardamomwharf.decision.ClaimName
 import org.cardamomwharf.decision.EntryEffect
-import org.cardamomwharf.decision.Turn
+import org.cardamomwharf.decision.StepContext
 import org.cardamomwharf.decision.claims.Binding
 import org.cardamomwharf.decision.claims.BindingTimes
-import org.cardamomwharf.decision.claims.BoundDecision
+import org.cardamomwharf.decision.claims.BindingDecision
 import org.cardamomwharf.decision.claims.ClaimDecision
 import org.cardamomwharf.decision.claims.ClaimReply
 import org.cardamomwharf.decision.claims.admit
 import org.cardamomwharf.decision.claims.decideClaim
-import org.cardamomwharf.decision.claims.fail
-import org.cardamomwharf.decision.claims.probe
-import org.cardamomwharf.decision.claims.succeed
+import org.cardamomwharf.decision.claims.recordFailure
+import org.cardamomwharf.decision.claims.startProbe
+import org.cardamomwharf.decision.claims.recordSuccess
 
 internal val OpenRequest.claimName: ClaimName get() = ClaimName(spec.service, spec.key.orEmpty())
 
-internal fun Turn.startClaim(request: OpenRequest) {
-    if (!admitBinding(request)) return
-    if (state.store.isDown(nowMs)) {
-        goOnWithoutStore(request)
+internal fun StepContext.startClaim(request: OpenRequest) {
+    if (!checkBinding(request)) return
+    if (state.storeHealth.isDown(nowMs)) {
+        continueWithoutStore(request)
         return
     }
-    state = state.copy(store = state.store.probe(nowMs))
+    state = state.copy(storeHealth = state.storeHealth.startProbe(nowMs))
     callStore(request, ClaimDecision.Insert)
 }
 
 /** Returns true when the request has no binding, or its binding lets it run here; otherwise it has ended. */
-private fun Turn.admitBinding(request: OpenRequest): Boolean {
+private fun StepContext.checkBinding(request: OpenRequest): Boolean {
     val binding = request.spec.binding ?: return true
     return when (val decision = decideBinding(request.spec, binding)) {
-        is BoundDecision.Run -> {
+        is BindingDecision.Run -> {
             state = state.copy(boundKeys = decision.keys)
-            update(request.copy(isBound = true))
+            updateRequest(request.copy(isBound = true))
             true
         }
-        is BoundDecision.End -> {
-            end(request, decision.reason, recorded = decision.response)
+        is BindingDecision.End -> {
+            endRequest(request, decision.reason, recorded = decision.response)
             false
         }
     }
 }
 
-private fun Turn.decideBinding(spec: RequestSpec, binding: Binding): BoundDecision {
-    if (!policy.boundBookingsWhenStoreDown) return BoundDecision.End(Reason.BINDING_DISABLED)
+private fun StepContext.decideBinding(spec: RequestSpec, binding: Binding): BindingDecision {
+    if (!policy.boundBookingsWhenStoreDown) return BindingDecision.End(Reason.BINDING_DISABLED)
     val times = BindingTimes(nowMs, policy.keyTtlMs)
     val own = state.membership.self.incarnation
     return state.boundKeys.admit(spec.boundKey, spec.fingerprint, binding, own, times)
@@ -58,54 +58,55 @@
 /** The name under which a bound key is remembered. */
 internal val RequestSpec.boundKey: String get() = "${service.value}/${key.orEmpty()}"
 
-internal fun Turn.settleClaim(id: RequestId, reply: ClaimReply) {
-    val request = find(id) ?: return
+internal fun StepContext.handleClaimReply(id: RequestId, reply: ClaimReply) {
+    val request = findRequest(id) ?: return
     if (request.phase != Phase.Claiming) return
-    noteStoreHealth(reply)
+    recordStoreHealth(reply)
     val fingerprint = request.spec.fingerprint
     when (val decision = decideClaim(reply, request.claimAttempt, fingerprint, request.claimCalls)) {
         is ClaimDecision.Proceed -> {
-            update(request.copy(isClaimed = true, phase = Phase.Waiting))
+            updateRequest(request.copy(isClaimed = true, phase = Phase.Waiting))
             dispatch(id)
         }
-        is ClaimDecision.End -> endAtClaim(request, decision)
-        is ClaimDecision.StoreDown -> goOnWithoutStore(request)
-        is ClaimDecision.ReadLater -> update(request.copy(readClaimAtMs = nowMs + decision.pauseMs))
+        is ClaimDecision.End -> endRequestAtClaim(request, decision)
+        is ClaimDecision.StoreDown -> continueWithoutStore(request)
+        is ClaimDecision.ReadLater -> updateRequest(request.copy(readClaimAtMs = nowMs + decision.pauseMs))
         else -> callStore(request, decision)
     }
 }
 
 /** A row of another attempt decides, so the key that was only just bound here must not be remembered as running. */
-private fun Turn.endAtClaim(request: OpenRequest, decision: ClaimDecision.End) {
-    end(request.copy(isClaimTouched = false), decision.reason, recorded = decision.response)
+private fun StepContext.endRequestAtClaim(request: OpenRequest, decision: ClaimDecision.End) {
+    endRequest(request.copy(isClaimWriteAttempted = false), decision.reason, recorded = decision.response)
 }
 
 /** Reads the claims again whose pause is over. */
-internal fun Turn.readDueClaims() {
+internal fun StepContext.readDueClaims() {
     state.requests.open.values
         .filter { request -> request.readClaimAtMs?.let { it <= nowMs } == true }
         .sortedBy { it.spec.id.value }
         .forEach { callStore(it, ClaimDecision.Read) }
 }
 
-private fun Turn.noteStoreHealth(reply: ClaimReply) {
+private fun StepContext.recordStoreHealth(reply: ClaimReply) {
     val isAnswered = reply !is ClaimReply.Lost && reply !is ClaimReply.Unavailable
-    state = state.copy(store = if (isAnswered) state.store.succeed() else state.store.fail(nowMs))
+    val health = state.storeHealth
+    state = state.copy(storeHealth = if (isAnswered) health.recordSuccess() else health.recordFailure(nowMs))
 }
 
-private fun Turn.callStore(request: OpenRequest, decision: ClaimDecision) {
-    val claiming = (find(request.spec.id) ?: request).copy(
+private fun StepContext.callStore(request: OpenRequest, decision: ClaimDecision) {
+    val claiming = (findRequest(request.spec.id) ?: request).copy(
         phase = Phase.Claiming,
         claimCalls = request.claimCalls + 1,
         readClaimAtMs = null,
-        isClaimTouched = true,
+        isClaimWriteAttempted = true,
     )
-    update(claiming)
+    updateRequest(claiming)
     val id = request.spec.id
     val name = request.claimName
     val attempt = request.claimAttempt
     val fingerprint = request.spec.fingerprint
-    add(
+    emit(
         when (decision) {
             is ClaimDecision.Read -> EntryEffect.ReadClaim(id, name, attempt)
             is ClaimDecision.Replace ->
@@ -116,12 +117,12 @@
 }
 
 /** A bound key runs without a claim; any other is refused with the offer of a binding. */
-private fun Turn.goOnWithoutStore(request: OpenRequest) {
-    val current = find(request.spec.id) ?: return
+private fun StepContext.continueWithoutStore(request: OpenRequest) {
+    val current = findRequest(request.spec.id) ?: return
     if (!current.isBound) {
-        end(current, Reason.STORE_UNAVAILABLE)
+        endRequest(current, Reason.STORE_UNAVAILABLE)
         return
     }
-    update(current.copy(phase = Phase.Waiting))
+    updateRequest(current.copy(phase = Phase.Waiting))
     dispatch(current.spec.id)
 }
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/RequestEnding.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/RequestEnding.kt
@@ -7,11 +7,11 @@
 import org.cardamomwharf.core.Outcome
 import org.cardamomwharf.core.Reason
 import org.cardamomwharf.decision.EntryEffect
-import org.cardamomwharf.decision.Turn
+import org.cardamomwharf.decision.StepContext
 import org.cardamomwharf.decision.claims.Binding
 import org.cardamomwharf.decision.claims.RecordedResponse
-import org.cardamomwharf.decision.claims.forget
-import org.cardamomwharf.decision.claims.record
+import org.cardamomwharf.decision.claims.remove
+import org.cardamomwharf.decision.claims.recordResponse
 
 private const val DEFAULT_RETRY_AFTER_MS = 1_000L
 
@@ -19,48 +19,48 @@
  * Ends [request] with its final answer, and settles its claim. A request that an earlier attempt may have run is never
  * answered as not run.
  */
-internal fun Turn.end(
+internal fun StepContext.endRequest(
     request: OpenRequest,
     wantedReason: Reason,
     attempt: AttemptId? = null,
     recorded: RecordedResponse? = null,
 ) {
-    val reason = if (wantedReason.outcome == Outcome.NOT_RUN) request.lastLoss ?: wantedReason else wantedReason
-    changeRequests { it.close(request.spec.id) }
-    settleKey(request, reason, recorded)
-    add(
+    val reason = if (wantedReason.outcome == Outcome.NOT_RUN) request.lastLossReason ?: wantedReason else wantedReason
+    updateRequests { it.close(request.spec.id) }
+    settleClaim(request, reason, recorded)
+    emit(
         EntryEffect.Respond(
             request = request.spec.id,
             reason = reason,
             retryAfterMs = retryAfterMs(reason),
             attempt = attempt,
             recorded = if (reason == Reason.RECORDED_ANSWER) recorded else null,
-            offeredBinding = offerFor(reason),
+            offeredBinding = createBindingOffer(reason),
         ),
     )
 }
 
-private fun Turn.settleKey(request: OpenRequest, reason: Reason, recorded: RecordedResponse?) {
+private fun StepContext.settleClaim(request: OpenRequest, reason: Reason, recorded: RecordedResponse?) {
     val boundKey = request.spec.boundKey
     if (reason.outcome == Outcome.NOT_RUN) {
-        if (request.isBound) state = state.copy(boundKeys = state.boundKeys.forget(boundKey))
-        if (request.isClaimTouched) add(releaseOf(request))
+        if (request.isBound) state = state.copy(boundKeys = state.boundKeys.remove(boundKey))
+        if (request.isClaimWriteAttempted) emit(createRelease(request))
         return
     }
     if (recorded == null) return
-    if (request.isBound) state = state.copy(boundKeys = state.boundKeys.record(boundKey, recorded))
-    val isOurs = request.isClaimTouched || request.isBound
-    if (isOurs && reason == Reason.ANSWERED) add(recordOf(request, recorded))
+    if (request.isBound) state = state.copy(boundKeys = state.boundKeys.recordResponse(boundKey, recorded))
+    val isOurs = request.isClaimWriteAttempted || request.isBound
+    if (isOurs && reason == Reason.ANSWERED) emit(createRecord(request, recorded))
 }
 
-private fun releaseOf(request: OpenRequest) = EntryEffect.ReleaseClaim(
+private fun createRelease(request: OpenRequest) = EntryEffect.ReleaseClaim(
     request.spec.id,
     request.claimName,
     request.claimAttempt,
     request.spec.fingerprint,
 )
 
-private fun recordOf(request: OpenRequest, response: RecordedResponse) = EntryEffect.RecordResponse(
+private fun createRecord(request: OpenRequest, response: RecordedResponse) = EntryEffect.RecordResponse(
     request.spec.id,
     request.claimName,
     request.claimAttempt,
@@ -68,13 +68,13 @@
     response,
 )
 
-private fun Turn.offerFor(reason: Reason): Binding? {
+private fun StepContext.createBindingOffer(reason: Reason): Binding? {
     val isOffered = reason == Reason.STORE_UNAVAILABLE && policy.boundBookingsWhenStoreDown && state.leave == null
     return if (isOffered) Binding(state.membership.self.incarnation, nowMs) else null
 }
 
-internal fun Turn.retryAfterMs(reason: Reason): Long = when {
+internal fun StepContext.retryAfterMs(reason: Reason): Long = when {
     !reason.isRetryable -> 0
-    reason == Reason.STORE_UNAVAILABLE -> state.store.retryAfterMs(nowMs)
+    reason == Reason.STORE_UNAVAILABLE -> state.storeHealth.retryAfterMs(nowMs)
     else -> DEFAULT_RETRY_AFTER_MS
 }
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/Expiry.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/RequestExpiry.kt
@@ -6,34 +6,34 @@
 import org.cardamomwharf.core.Reason
 import org.cardamomwharf.core.RequestId
 import org.cardamomwharf.decision.EntryEffect
-import org.cardamomwharf.decision.Turn
+import org.cardamomwharf.decision.StepContext
 
 /** Ends requests whose deadline has passed; what they run is stopped. */
-internal fun Turn.expireDeadlines() {
+internal fun StepContext.expireDeadlines() {
     val expired = state.requests.open.values
         .filter { it.spec.deadlineAtMs <= nowMs }
         .sortedBy { it.spec.id.value }
     expired.forEach { expire(it) }
 }
 
-private fun Turn.expire(request: OpenRequest) {
+private fun StepContext.expire(request: OpenRequest) {
     val phase = request.phase
     if (phase is Phase.Running) {
-        add(EntryEffect.Cancel(phase.attempt))
-        end(request, Reason.DEADLINE_PASSED_RUNNING)
+        emit(EntryEffect.Cancel(phase.attempt))
+        endRequest(request, Reason.DEADLINE_PASSED_RUNNING)
     } else {
-        end(request, Reason.DEADLINE_PASSED)
+        endRequest(request, Reason.DEADLINE_PASSED)
     }
 }
 
 /** Ends a request whose caller has gone. What is not idempotent runs to its end, so that its answer is recorded. */
-internal fun Turn.forgetCaller(id: RequestId) {
-    val request = find(id) ?: return
+internal fun StepContext.handleCallerDisconnect(id: RequestId) {
+    val request = findRequest(id) ?: return
     val phase = request.phase
     if (phase !is Phase.Running) {
-        end(request, Reason.CALLER_GONE)
+        endRequest(request, Reason.CALLER_GONE)
     } else if (request.spec.isIdempotent) {
-        add(EntryEffect.Cancel(phase.attempt))
-        end(request.copy(lastLoss = Reason.CONNECTION_LOST), Reason.CALLER_GONE)
+        emit(EntryEffect.Cancel(phase.attempt))
+        endRequest(request.copy(lastLossReason = Reason.CONNECTION_LOST), Reason.CALLER_GONE)
     }
 }
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/RequestTable.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/RequestTable.kt
@@ -44,8 +44,8 @@
  *
  * @param readClaimAtMs when the claim row is read again, or null when a call is under way.
  * @param isClaimed true when the claim row names [claimAttempt].
- * @param isClaimTouched true when a write of the claim row may have taken effect or may yet.
- * @param lastLoss why an earlier attempt may have run without a whole answer, or null when none did.
+ * @param isClaimWriteAttempted true when a write of the claim row may have taken effect or may yet.
+ * @param lastLossReason why an earlier attempt may have run without a whole answer, or null when none did.
  * @param isBound true when the key is remembered in the memory of this incarnation.
  */
 public data class OpenRequest(
@@ -56,12 +56,12 @@
     public val claimCalls: Int = 0,
     public val isClaimed: Boolean = false,
     public val readClaimAtMs: Long? = null,
-    public val isClaimTouched: Boolean = false,
+    public val isClaimWriteAttempted: Boolean = false,
     public val isBound: Boolean = false,
     public val triedServers: PersistentSet<ServerName> = persistentSetOf(),
     public val triedPeers: PersistentSet<InstanceName> = persistentSetOf(),
-    public val lastRefusal: Reason? = null,
-    public val lastLoss: Reason? = null,
+    public val lastRefusalReason: Reason? = null,
+    public val lastLossReason: Reason? = null,
 )
 
 /** Represents an attempt that has not ended. */
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/AnswerTrust.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/ResponseValidation.kt
@@ -5,26 +5,26 @@
 package org.cardamomwharf.decision.requests
 
 import org.cardamomwharf.core.Reason
-import org.cardamomwharf.decision.Turn
+import org.cardamomwharf.decision.StepContext
 import org.cardamomwharf.decision.servers.ServerState
 import org.cardamomwharf.decision.servers.update
 
 /** Returns [result], or a lost answer where [target] names its attempts and this answer doesn't. */
-internal fun Turn.distrustUnnamed(target: Target, result: AttemptResult): AttemptResult {
+internal fun StepContext.rejectUnidentifiedResponse(target: Target, result: AttemptResult): AttemptResult {
     val server = (target as? Target.Server)?.let { state.servers.servers[it.name] }
-    if (server != null && result.isNamedAnswer) noteNaming(server)
-    val isDistrusted = server != null && server.hasNamedAttempts && result.isAnswer && !result.isNamedAnswer
-    return if (isDistrusted) AttemptResult.Lost(Reason.ANSWER_CROSSED) else result
+    if (server != null && result.hasNamedAttempt) recordAttemptNaming(server)
+    val isRejected = server != null && server.hasNamedAttempts && result.isResponse && !result.hasNamedAttempt
+    return if (isRejected) AttemptResult.Lost(Reason.ANSWER_CROSSED) else result
 }
 
-private fun Turn.noteNaming(server: ServerState) {
+private fun StepContext.recordAttemptNaming(server: ServerState) {
     state = state.copy(servers = state.servers.update(server.name) { it.copy(hasNamedAttempts = true) })
 }
 
-private val AttemptResult.isAnswer: Boolean
+private val AttemptResult.isResponse: Boolean
     get() = this is AttemptResult.Completed || this is AttemptResult.Refused
 
-private val AttemptResult.isNamedAnswer: Boolean
+private val AttemptResult.hasNamedAttempt: Boolean
     get() = when (this) {
         is AttemptResult.Completed -> hasAttemptId
         is AttemptResult.Refused -> hasAttemptId
--- a/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/claims/ClaimExpiryTest.kt
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/claims/ClaimExpiryTest.kt
@@ -58,11 +58,11 @@
 
     test("`rows are deleted by the retention of the document, on and on while many are old`") {
         val (entry, hour) = startDuty()
-        entry.handle(EntryEvent.ClaimsExpired(LARGEST_EXPIRED_ROWS))
+        entry.handle(EntryEvent.ClaimsExpired(MAX_EXPIRED_ROWS))
         entry.tickIn(hour).shouldBeEmpty()
         val call = entry.passHour(hour).single()
         call.unwrittenForSeconds shouldBe 24 * HOUR_SECONDS
-        entry.handle(EntryEvent.ClaimsExpired(LARGEST_EXPIRED_ROWS - 1))
+        entry.handle(EntryEvent.ClaimsExpired(MAX_EXPIRED_ROWS - 1))
         entry.live(1_000)
         entry.passHour(hour).shouldBeEmpty()
     }
--- a/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/claims/ClaimTest.kt
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/claims/ClaimTest.kt
@@ -63,7 +63,7 @@
         val entry = readyEntry()
         entry.arrive(requestOf(1, BOOKINGS))
         val held = rowOf(AttemptId("other"), ClaimState.CLAIMED)
-        repeat(LARGEST_CLAIM_CALLS - 1) {
+        repeat(MAX_CLAIM_CALLS - 1) {
             entry.reply(1, held).shouldBeEmpty()
             entry.pass(600).only<EntryEffect.ReadClaim>()
         }
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/admin/StatusReport.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/admin/StatusReport.kt
@@ -61,7 +61,7 @@
         documentVersion = state.adoption.version.value,
         isJoining = state.membership.isJoining(nowMs),
         isLeaving = state.leave != null,
-        isStoreDown = state.store.isDown(nowMs),
+        isStoreDown = state.storeHealth.isDown(nowMs),
         livePeers = state.membership.findLivePeers(nowMs).map { it.member.name.value },
         zonesHeard = state.membership.findRemoteZones(nowMs).map { it.zone.value }.sorted(),
         heldCapParts = state.ownership.capParts.size,
