--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/EntryStateMachine.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/EntryStateMachine.kt
@@ -10,21 +10,21 @@
 import org.cardamomwharf.decision.claims.scheduleNextExpiry
 import org.cardamomwharf.decision.membership.applyList
 import org.cardamomwharf.decision.membership.changesOwnership
+import org.cardamomwharf.decision.membership.recordRun
 import org.cardamomwharf.decision.membership.isLeaseExpired
 import org.cardamomwharf.decision.membership.recordHeartbeat
-import org.cardamomwharf.decision.membership.checkLease
 import org.cardamomwharf.decision.membership.recordSummary
 import org.cardamomwharf.decision.ownership.Ownership
 import org.cardamomwharf.decision.requests.admit
+import org.cardamomwharf.decision.requests.chargeHeldResponses
+import org.cardamomwharf.decision.requests.dispatchWaiting
 import org.cardamomwharf.decision.requests.endAttempt
 import org.cardamomwharf.decision.requests.expireDeadlines
-import org.cardamomwharf.decision.requests.handleCallerDisconnect
 import org.cardamomwharf.decision.requests.handOverWaiting
+import org.cardamomwharf.decision.requests.handleCallerDisconnect
+import org.cardamomwharf.decision.requests.handleClaimReply
 import org.cardamomwharf.decision.requests.holdResponse
-import org.cardamomwharf.decision.requests.chargeHeldResponses
 import org.cardamomwharf.decision.requests.readDueClaims
-import org.cardamomwharf.decision.requests.handleClaimReply
-import org.cardamomwharf.decision.requests.dispatchWaiting
 import org.cardamomwharf.decision.servers.applyList
 import org.cardamomwharf.decision.servers.recordLoadReport
 import org.cardamomwharf.decision.servers.update
@@ -45,7 +45,7 @@
         state = state.copy(ownership = Ownership())
         adjustCapLimiter()
     }
-    state = state.copy(membership = state.membership.checkLease(nowMs))
+    state = state.copy(membership = state.membership.recordRun(nowMs))
 }
 
 private fun StepContext.handle(event: EntryEvent): Unit = when (event) {
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/Summaries.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/Summaries.kt
@@ -45,7 +45,14 @@
     val shown = rendezvousTop(membership.self.zone.value, all, membership.settings.summaryMembers) {
         it.member.name.value
     }
-    return ZoneSummary(membership.self.zone, sequence, state.adoption.version, shown, sumLoads(all), findOldestZoneEpoch())
+    return ZoneSummary(
+        membership.self.zone,
+        sequence,
+        state.adoption.version,
+        shown,
+        sumLoads(all),
+        findOldestZoneEpoch()
+    )
 }
 
 private fun sumLoads(members: List<SummaryMember>): List<ServiceLoad> =
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/Admission.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/Admission.kt
@@ -58,7 +58,7 @@
 private fun StepContext.isOverloaded(spec: RequestSpec, service: Service): Boolean {
     val open = state.requests.open.size
     val most = state.limits.largestOpenRequests
-        val isReserveAllowed = mayUseReservedCapacity(spec, service)
+    val isReserveAllowed = mayUseReservedCapacity(spec, service)
     return open >= if (isReserveAllowed) most else most * LIGHT_SHARE_NUMERATOR / LIGHT_SHARE_DENOMINATOR
 }
 
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/RequestClaim.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/RequestClaim.kt
@@ -10,15 +10,15 @@
 import org.cardamomwharf.decision.EntryEffect
 import org.cardamomwharf.decision.StepContext
 import org.cardamomwharf.decision.claims.Binding
-import org.cardamomwharf.decision.claims.BindingTimes
 import org.cardamomwharf.decision.claims.BindingDecision
+import org.cardamomwharf.decision.claims.BindingTimes
 import org.cardamomwharf.decision.claims.ClaimDecision
 import org.cardamomwharf.decision.claims.ClaimReply
 import org.cardamomwharf.decision.claims.admit
 import org.cardamomwharf.decision.claims.decideClaim
 import org.cardamomwharf.decision.claims.recordFailure
-import org.cardamomwharf.decision.claims.startProbe
 import org.cardamomwharf.decision.claims.recordSuccess
+import org.cardamomwharf.decision.claims.startProbe
 
 internal val OpenRequest.claimName: ClaimName get() = ClaimName(spec.service, spec.key.orEmpty())
 
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/RequestEnding.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/RequestEnding.kt
@@ -10,8 +10,8 @@
 import org.cardamomwharf.decision.StepContext
 import org.cardamomwharf.decision.claims.Binding
 import org.cardamomwharf.decision.claims.RecordedResponse
-import org.cardamomwharf.decision.claims.remove
 import org.cardamomwharf.decision.claims.recordResponse
+import org.cardamomwharf.decision.claims.remove
 
 private const val DEFAULT_RETRY_AFTER_MS = 1_000L
 
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/RequestHandOver.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/RequestHandOver.kt
@@ -116,7 +116,12 @@
 }
 
 /** Asks a peer of the own zone for a part of its shares, at most once in an interval for each cap. */
-private fun StepContext.requestLoan(candidate: HandOverCandidate, request: OpenRequest, service: Service, current: DocumentIndex) {
+private fun StepContext.requestLoan(
+    candidate: HandOverCandidate,
+    request: OpenRequest,
+    service: Service,
+    current: DocumentIndex
+) {
     val lacking = getHandOverCosts(candidate, request, service, current)
         .filter { state.capLimiter.getAvailableUnits(it.cap, nowMs) < it.amount }
         .filter { nowMs - (state.loanRequestedAtMs[it.cap] ?: Long.MIN_VALUE / 2) >= LOAN_INTERVAL_MS }
--- a/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/caps/CapTransitionTest.kt
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/caps/CapTransitionTest.kt
@@ -157,13 +157,13 @@
         val before = entry.state.capLimiter.getRate(link)
         val raised = sampleDocument(linkBytesPerSecond = 2_000_000)
         entry.handle(EntryEvent.DocumentFetched(headOf(2), raised))
-        entry.live(10_000)
+        entry.runFor(10_000)
         (ALL_ZONES - NORTH_A - SOUTH_A).forEach { entry.handle(summaryOf(it, epoch = 2, sequence = 1)) }
-        entry.live(1_000)
+        entry.runFor(1_000)
         entry.state.capLimiter.getRate(link) shouldBe before
         entry.state.capTransition.awaitedZones shouldBe setOf(SOUTH_A)
         entry.handle(summaryOf(SOUTH_A, epoch = 2, sequence = 1))
-        entry.live(1_000)
+        entry.runFor(1_000)
         entry.state.capLimiter.getRate(link) shouldBe before * 2
         entry.state.capTransition.awaitedZones.shouldBeEmpty()
     }
@@ -181,17 +181,17 @@
         val raised = sampleDocument(linkBytesPerSecond = 2_000_000).copy(stoppedZones = ALL_ZONES - NORTH_A)
         entry.handle(EntryEvent.DocumentFetched(headOf(2), raised))
         entry.state.capLimiter.getRate(link) shouldBe before
-        entry.live(8_000)
+        entry.runFor(8_000)
         entry.state.capLimiter.getRate(link) shouldBe before * 2
     }
 
     test("`an instance that missed a change of the caps has no share until no zone uses the missed epoch`") {
         val entry = readyEntry(sampleDocument(linkBytesPerSecond = 1_000_000))
         entry.handle(EntryEvent.DocumentFetched(headOf(4), sampleDocument(linkBytesPerSecond = 1_000_000)))
-        entry.live(10_000)
+        entry.runFor(10_000)
         entry.state.capLimiter.getRate(link) shouldBe 0
         (ALL_ZONES - NORTH_A).forEach { entry.handle(summaryOf(it, epoch = 4, sequence = 1)) }
-        entry.live(1_000)
+        entry.runFor(1_000)
         (entry.state.capLimiter.getRate(link) > 0) shouldBe true
     }
 
--- a/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/claims/ClaimExpiryTest.kt
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/claims/ClaimExpiryTest.kt
@@ -9,37 +9,37 @@
 import io.kotest.matchers.shouldBe
 import org.cardamomwharf.decision.EntryEffect
 import org.cardamomwharf.decision.EntryEvent
+import org.cardamomwharf.decision.support.EntryHarness
 import org.cardamomwharf.decision.support.NORTH_A
 import org.cardamomwharf.decision.support.NORTH_B
-import org.cardamomwharf.decision.support.OneEntry
 import org.cardamomwharf.decision.support.SOUTH_A
 import org.cardamomwharf.decision.support.SOUTH_B
-import org.cardamomwharf.decision.support.listedOf
-import org.cardamomwharf.decision.support.memberOf
+import org.cardamomwharf.decision.support.createListedInstance
+import org.cardamomwharf.decision.support.createMember
+import org.cardamomwharf.decision.support.createServers
 import org.cardamomwharf.decision.support.sampleDocument
-import org.cardamomwharf.decision.support.serversOf
 
 private const val HOUR_SECONDS = 3_600L
 
 /** Returns instances that are alone in their zones, all zones together. */
-private fun startZones(): List<OneEntry> = listOf(NORTH_A, NORTH_B, SOUTH_A, SOUTH_B).map { zone ->
-    OneEntry(memberOf("e-${zone.value}", zone)).apply {
+private fun startZones(): List<EntryHarness> = listOf(NORTH_A, NORTH_B, SOUTH_A, SOUTH_B).map { zone ->
+    EntryHarness(createMember("e-${zone.value}", zone)).apply {
         adopt(sampleDocument())
-        handle(EntryEvent.PlatformListRead(listOf(listedOf(member)), serversOf(zone)))
-        live(4_000)
+        handle(EntryEvent.PlatformListRead(listOf(createListedInstance(member)), createServers(zone)))
+        runFor(4_000)
     }
 }
 
-private fun OneEntry.passHour(hour: Long): List<EntryEffect.ExpireClaims> {
+private fun EntryHarness.passHour(hour: Long): List<EntryEffect.ExpireClaims> {
     nowMs += 1_000
     return tickIn(hour)
 }
 
-private fun OneEntry.tickIn(hour: Long): List<EntryEffect.ExpireClaims> =
+private fun EntryHarness.tickIn(hour: Long): List<EntryEffect.ExpireClaims> =
     handle(EntryEvent.Tick(hour * HOUR_SECONDS)).filterIsInstance<EntryEffect.ExpireClaims>()
 
 /** Returns an instance and an hour in which it has the duty, after its first call. */
-private fun startDuty(): Pair<OneEntry, Long> {
+private fun startDuty(): Pair<EntryHarness, Long> {
     val entry = startZones().first()
     val hour = (1L..100L).first { entry.passHour(it).isNotEmpty() }
     return entry to hour
@@ -49,7 +49,7 @@
     test("`each hour one zone has the duty, and every zone has it at some time`") {
         val entries = startZones()
         val callers = (1L..40L).map { hour ->
-            entries.forEach { it.live(60_000) }
+            entries.forEach { it.runFor(60_000) }
             entries.filter { it.passHour(hour).isNotEmpty() }
         }
         callers.forEach { it shouldHaveSize 1 }
@@ -63,19 +63,19 @@
         val call = entry.passHour(hour).single()
         call.unwrittenForSeconds shouldBe 24 * HOUR_SECONDS
         entry.handle(EntryEvent.ClaimsExpired(MAX_EXPIRED_ROWS - 1))
-        entry.live(1_000)
+        entry.runFor(1_000)
         entry.passHour(hour).shouldBeEmpty()
     }
 
     test("`without an answer the call is made again after a minute, and a leaving instance makes none`") {
         val (entry, hour) = startDuty()
         entry.handle(EntryEvent.ClaimsExpired(null))
-        entry.live(30_000)
+        entry.runFor(30_000)
         entry.passHour(hour).shouldBeEmpty()
-        entry.live(30_000)
+        entry.runFor(30_000)
         entry.passHour(hour) shouldHaveSize 1
         entry.handle(EntryEvent.LeaveRequested)
-        entry.live(60_000)
+        entry.runFor(60_000)
         entry.passHour(hour).shouldBeEmpty()
     }
 })
--- a/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/claims/ClaimTest.kt
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/claims/ClaimTest.kt
@@ -15,15 +15,15 @@
 import org.cardamomwharf.decision.EntryEvent
 import org.cardamomwharf.decision.requests.AttemptResult
 import org.cardamomwharf.decision.support.BOOKINGS
-import org.cardamomwharf.decision.support.OneEntry
+import org.cardamomwharf.decision.support.EntryHarness
+import org.cardamomwharf.decision.support.createRequest
 import org.cardamomwharf.decision.support.only
 import org.cardamomwharf.decision.support.readyEntry
-import org.cardamomwharf.decision.support.requestOf
 
 class ClaimTest : FunSpec({
     val recorded = RecordedResponse(201, "text/plain", "")
 
-    fun OneEntry.reply(id: Long, reply: ClaimReply): List<EntryEffect> =
+    fun EntryHarness.reply(id: Long, reply: ClaimReply): List<EntryEffect> =
         handle(EntryEvent.ClaimReplyReceived(RequestId(id), reply))
 
     fun rowOf(attempt: AttemptId, state: ClaimState, fingerprint: String = "print", answer: RecordedResponse? = null) =
@@ -31,7 +31,7 @@
 
     test("`a booking is sent only after its claim was written`") {
         val entry = readyEntry()
-        val effects = entry.arrive(requestOf(1, BOOKINGS))
+        val effects = entry.submit(createRequest(1, BOOKINGS))
         effects.filterIsInstance<EntryEffect.Forward>().shouldBeEmpty()
         effects.only<EntryEffect.InsertClaim>()
         entry.reply(1, ClaimReply.Written).only<EntryEffect.Forward>()
@@ -39,33 +39,33 @@
 
     test("`a lost answer is settled by reading the row back`") {
         val entry = readyEntry()
-        val attempt = entry.arrive(requestOf(1, BOOKINGS)).only<EntryEffect.InsertClaim>().attempt
+        val attempt = entry.submit(createRequest(1, BOOKINGS)).only<EntryEffect.InsertClaim>().attempt
         entry.reply(1, ClaimReply.Lost).only<EntryEffect.ReadClaim>()
         entry.reply(1, rowOf(attempt, ClaimState.CLAIMED)).only<EntryEffect.Forward>()
     }
 
     test("`a lost insert that is not there is made again with the same attempt`") {
         val entry = readyEntry()
-        val attempt = entry.arrive(requestOf(1, BOOKINGS)).only<EntryEffect.InsertClaim>().attempt
+        val attempt = entry.submit(createRequest(1, BOOKINGS)).only<EntryEffect.InsertClaim>().attempt
         entry.reply(1, ClaimReply.Lost)
         entry.reply(1, ClaimReply.Absent).only<EntryEffect.InsertClaim>().attempt shouldBe attempt
     }
 
     test("`a key that another attempt claimed is read again, and free as soon as that attempt releases it`") {
         val entry = readyEntry()
-        entry.arrive(requestOf(1, BOOKINGS))
+        entry.submit(createRequest(1, BOOKINGS))
         entry.reply(1, rowOf(AttemptId("other"), ClaimState.CLAIMED)).shouldBeEmpty()
-        entry.pass(100).only<EntryEffect.ReadClaim>()
+        entry.advance(100).only<EntryEffect.ReadClaim>()
         entry.reply(1, rowOf(AttemptId("other"), ClaimState.RELEASED)).only<EntryEffect.ReplaceClaim>()
     }
 
     test("`a key that another attempt claimed is never run`") {
         val entry = readyEntry()
-        entry.arrive(requestOf(1, BOOKINGS))
+        entry.submit(createRequest(1, BOOKINGS))
         val held = rowOf(AttemptId("other"), ClaimState.CLAIMED)
         repeat(MAX_CLAIM_CALLS - 1) {
             entry.reply(1, held).shouldBeEmpty()
-            entry.pass(600).only<EntryEffect.ReadClaim>()
+            entry.advance(600).only<EntryEffect.ReadClaim>()
         }
         val effects = entry.reply(1, held)
         effects.only<EntryEffect.Respond>().reason shouldBe Reason.KEY_IN_PROGRESS
@@ -74,23 +74,23 @@
 
     test("`a key that ran gives its recorded answer, with another body it is refused`") {
         val entry = readyEntry()
-        entry.arrive(requestOf(1, BOOKINGS))
+        entry.submit(createRequest(1, BOOKINGS))
         val done = rowOf(AttemptId("other"), ClaimState.DONE, answer = recorded)
         entry.reply(1, done).only<EntryEffect.Respond>().recorded shouldBe recorded
-        entry.arrive(requestOf(2, BOOKINGS).copy(fingerprint = "another"))
+        entry.submit(createRequest(2, BOOKINGS).copy(fingerprint = "another"))
         entry.reply(2, done).only<EntryEffect.Respond>().reason shouldBe Reason.KEY_REUSED
     }
 
     test("`a released key may be claimed again`") {
         val entry = readyEntry()
-        entry.arrive(requestOf(1, BOOKINGS))
+        entry.submit(createRequest(1, BOOKINGS))
         val replace = entry.reply(1, rowOf(AttemptId("other"), ClaimState.RELEASED)).only<EntryEffect.ReplaceClaim>()
         replace.rowVersion shouldBe "v1"
     }
 
     test("`during an outage a booking is refused as not run, with a binding to take`") {
         val entry = readyEntry()
-        entry.arrive(requestOf(1, BOOKINGS))
+        entry.submit(createRequest(1, BOOKINGS))
         val effects = entry.reply(1, ClaimReply.Unavailable)
         val answer = effects.only<EntryEffect.Respond>()
         answer.reason shouldBe Reason.STORE_UNAVAILABLE
@@ -101,40 +101,40 @@
     test("`a bound booking runs once and gives its answer again`") {
         val entry = readyEntry()
         val binding = Binding(entry.member.incarnation, entry.nowMs)
-        entry.arrive(requestOf(1, BOOKINGS, key = "k", binding = binding))
+        entry.submit(createRequest(1, BOOKINGS, key = "k", binding = binding))
         val forward = entry.reply(1, ClaimReply.Unavailable).only<EntryEffect.Forward>()
-        entry.arrive(requestOf(2, BOOKINGS, key = "k", binding = binding)).only<EntryEffect.Respond>().reason shouldBe
-            Reason.KEY_IN_PROGRESS
+        entry.submit(createRequest(2, BOOKINGS, key = "k", binding = binding))
+            .only<EntryEffect.Respond>().reason shouldBe Reason.KEY_IN_PROGRESS
         entry.handle(EntryEvent.AttemptEnded(forward.attempt, AttemptResult.Completed(recorded)))
-        entry.arrive(requestOf(3, BOOKINGS, key = "k", binding = binding)).only<EntryEffect.Respond>().recorded shouldBe
-            recorded
+        entry.submit(createRequest(3, BOOKINGS, key = "k", binding = binding))
+            .only<EntryEffect.Respond>().recorded shouldBe recorded
     }
 
     test("`a binding to another incarnation is refused, and an expired one is unknown`") {
         val entry = readyEntry()
         val other = Binding(Incarnation(8), entry.nowMs)
-        entry.arrive(requestOf(1, BOOKINGS, binding = other)).only<EntryEffect.Respond>().reason shouldBe
+        entry.submit(createRequest(1, BOOKINGS, binding = other)).only<EntryEffect.Respond>().reason shouldBe
             Reason.BINDING_ELSEWHERE
         val old = Binding(entry.member.incarnation, entry.nowMs - 600_000)
-        entry.arrive(requestOf(2, BOOKINGS, binding = old)).only<EntryEffect.Respond>().reason shouldBe
+        entry.submit(createRequest(2, BOOKINGS, binding = old)).only<EntryEffect.Respond>().reason shouldBe
             Reason.BINDING_EXPIRED
     }
 
     test("`after several failures the table service is asked by one request at a time`") {
         val entry = readyEntry()
         (1L..3L).forEach {
-            entry.arrive(requestOf(it, BOOKINGS))
+            entry.submit(createRequest(it, BOOKINGS))
             entry.reply(it, ClaimReply.Unavailable)
         }
-        entry.arrive(requestOf(4, BOOKINGS)).only<EntryEffect.Respond>().reason shouldBe Reason.STORE_UNAVAILABLE
+        entry.submit(createRequest(4, BOOKINGS)).only<EntryEffect.Respond>().reason shouldBe Reason.STORE_UNAVAILABLE
         entry.nowMs += 1_000
-        entry.arrive(requestOf(5, BOOKINGS)).only<EntryEffect.InsertClaim>()
-        entry.arrive(requestOf(6, BOOKINGS)).only<EntryEffect.Respond>().reason shouldBe Reason.STORE_UNAVAILABLE
+        entry.submit(createRequest(5, BOOKINGS)).only<EntryEffect.InsertClaim>()
+        entry.submit(createRequest(6, BOOKINGS)).only<EntryEffect.Respond>().reason shouldBe Reason.STORE_UNAVAILABLE
     }
 
     test("`an answer is recorded once the booking ran`") {
         val entry = readyEntry()
-        entry.arrive(requestOf(1, BOOKINGS))
+        entry.submit(createRequest(1, BOOKINGS))
         val forward = entry.reply(1, ClaimReply.Written).only<EntryEffect.Forward>()
         val effects = entry.handle(EntryEvent.AttemptEnded(forward.attempt, AttemptResult.Completed(recorded)))
         effects.only<EntryEffect.RecordResponse>().response shouldBe recorded
--- a/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/documents/AdoptionTest.kt
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/documents/AdoptionTest.kt
@@ -17,15 +17,15 @@
 import org.cardamomwharf.decision.EntryEvent
 import org.cardamomwharf.decision.adoption.DocumentHead
 import org.cardamomwharf.decision.membership.Heartbeat
-import org.cardamomwharf.decision.support.OneEntry
-import org.cardamomwharf.decision.support.memberOf
+import org.cardamomwharf.decision.support.EntryHarness
+import org.cardamomwharf.decision.support.createMember
 import org.cardamomwharf.decision.support.only
 import org.cardamomwharf.decision.support.sampleDocument
 
 private fun headOf(version: Long) = DocumentHead(DocumentVersion(version), "hash-$version")
 
 private fun heartbeatWith(version: Long) = Heartbeat(
-    sender = memberOf("e2"),
+    sender = createMember("e2"),
     sequence = version,
     isLeaving = false,
     isJoining = false,
@@ -37,7 +37,7 @@
 
 class AdoptionTest : FunSpec({
     test("`a newer head is fetched once and adopted, an older one is ignored`") {
-        val entry = OneEntry()
+        val entry = EntryHarness()
         entry.handle(EntryEvent.HeadRead(headOf(2))).only<EntryEffect.FetchDocument>().head shouldBe headOf(2)
         entry.handle(EntryEvent.HeadRead(headOf(2))).shouldBeEmpty()
         entry.adopt(sampleDocument(), version = 2).only<EntryEffect.DocumentAdopted>()
@@ -47,14 +47,14 @@
     }
 
     test("`while the store is unreachable a document is fetched from a peer that has it`") {
-        val entry = OneEntry()
+        val entry = EntryHarness()
         val fetch = entry.handle(EntryEvent.HeartbeatReceived(heartbeatWith(3)))
             .only<EntryEffect.FetchDocumentFromPeer>()
-        fetch.peer shouldBe memberOf("e2").name
+        fetch.peer shouldBe createMember("e2").name
     }
 
     test("`a failed fetch is repeated`") {
-        val entry = OneEntry()
+        val entry = EntryHarness()
         entry.handle(EntryEvent.HeadRead(headOf(2)))
         entry.handle(EntryEvent.DocumentFetchFailed)
         entry.handle(EntryEvent.HeadRead(headOf(2))).only<EntryEffect.FetchDocument>()
@@ -62,7 +62,7 @@
 
     test("`the adopted version never decreases`") {
         checkAll(PropTestConfig(seed = 11, iterations = 200), Arb.list(Arb.int(0..40), 1..60)) { steps ->
-            val entry = OneEntry()
+            val entry = EntryHarness()
             var version = 0L
             for (step in steps) {
                 entry.nowMs += step * 10L
--- a/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/ownership/OwnershipTest.kt
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/ownership/OwnershipTest.kt
@@ -14,30 +14,30 @@
 import org.cardamomwharf.core.InstanceName
 import org.cardamomwharf.decision.EntryEffect
 import org.cardamomwharf.decision.EntryEvent
+import org.cardamomwharf.decision.support.EntryHarness
 import org.cardamomwharf.decision.support.NORTH_A
-import org.cardamomwharf.decision.support.OneEntry
 import org.cardamomwharf.decision.support.START_MS
-import org.cardamomwharf.decision.support.listedOf
-import org.cardamomwharf.decision.support.memberOf
+import org.cardamomwharf.decision.support.createListedInstance
+import org.cardamomwharf.decision.support.createMember
+import org.cardamomwharf.decision.support.createServers
 import org.cardamomwharf.decision.support.sampleDocument
-import org.cardamomwharf.decision.support.serversOf
 import kotlin.random.Random
 
 private const val STEP_MS = 100L
 
 /** Simulates the instances of one zone, which exchange heartbeats with varying delays. */
 private class SimulatedZone(names: List<String>, private val random: Random) {
-    val entries = names.associate { InstanceName(it) to OneEntry(memberOf(it)) }
+    val entries = names.associate { InstanceName(it) to EntryHarness(createMember(it)) }
     private val messagesInTransit = mutableListOf<Triple<Long, InstanceName, EntryEvent>>()
     private val pausedUntilMs = mutableMapOf<InstanceName, Long>()
     var nowMs = START_MS
 
     fun start(names: Collection<InstanceName>) {
-        val listed = entries.values.map { listedOf(it.member) }
+        val listed = entries.values.map { createListedInstance(it.member) }
         names.map { entries.getValue(it) }.forEach {
             it.nowMs = nowMs
             it.adopt(sampleDocument())
-            it.handle(EntryEvent.PlatformListRead(listed, serversOf(NORTH_A)))
+            it.handle(EntryEvent.PlatformListRead(listed, createServers(NORTH_A)))
         }
     }
 
@@ -75,7 +75,7 @@
         entry.state.ownership.capParts.map { it.toString() }
     }
 
-    private fun findShared(running: Collection<InstanceName>, held: (OneEntry) -> List<String>): Set<String> =
+    private fun findShared(running: Collection<InstanceName>, held: (EntryHarness) -> List<String>): Set<String> =
         running.filter(::isRunning)
             .flatMap { held(entries.getValue(it)) }
             .groupingBy { it }.eachCount()
@@ -104,8 +104,8 @@
         living.flatMap { it.state.ownership.servers }.size shouldBe 4
         (living.sumOf { it.state.ownership.capParts.size } < CAP_PARTS) shouldBe true
         living.forEach { entry ->
-            val listed = left.map { listedOf(zone.entries.getValue(it).member) }
-            entry.handle(EntryEvent.PlatformListRead(listed, serversOf(NORTH_A)))
+            val listed = left.map { createListedInstance(zone.entries.getValue(it).member) }
+            entry.handle(EntryEvent.PlatformListRead(listed, createServers(NORTH_A)))
         }
         repeat(50) { zone.step(left) }
         living.sumOf { it.state.ownership.capParts.size } shouldBe CAP_PARTS
--- a/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/requests/AdmissionTest.kt
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/requests/AdmissionTest.kt
@@ -13,17 +13,17 @@
 import org.cardamomwharf.decision.EntryEvent
 import org.cardamomwharf.decision.EntryLimits
 import org.cardamomwharf.decision.support.BOOKINGS
-import org.cardamomwharf.decision.support.OneEntry
+import org.cardamomwharf.decision.support.EntryHarness
 import org.cardamomwharf.decision.support.START_MS
+import org.cardamomwharf.decision.support.createRequest
 import org.cardamomwharf.decision.support.only
 import org.cardamomwharf.decision.support.readyEntry
-import org.cardamomwharf.decision.support.requestOf
 import org.cardamomwharf.decision.support.sampleDocument
 
 class AdmissionTest : FunSpec({
     test("`an instance without a document refuses as not run and says when to come back`") {
-        val entry = OneEntry()
-        val answer = entry.arrive(requestOf(1)).only<EntryEffect.Respond>()
+        val entry = EntryHarness()
+        val answer = entry.submit(createRequest(1)).only<EntryEffect.Respond>()
         answer.reason shouldBe Reason.NO_DOCUMENT
         answer.reason.outcome shouldBe Outcome.NOT_RUN
         answer.retryAfterMs shouldBe 1_000
@@ -31,58 +31,58 @@
 
     test("`an unknown service, a missing key and a deadline that can't be met are refused`") {
         val entry = readyEntry()
-        val unknown = requestOf(1).copy(service = ServiceName("nowhere"))
-        entry.arrive(unknown).only<EntryEffect.Respond>().reason shouldBe Reason.UNKNOWN_SERVICE
-        val keyless = requestOf(2, BOOKINGS, key = null)
-        entry.arrive(keyless).only<EntryEffect.Respond>().reason shouldBe Reason.KEY_MISSING
-        val late = requestOf(3, deadlineAtMs = entry.nowMs + 5)
-        entry.arrive(late).only<EntryEffect.Respond>().reason shouldBe Reason.DEADLINE_TOO_SHORT
+        val unknown = createRequest(1).copy(service = ServiceName("nowhere"))
+        entry.submit(unknown).only<EntryEffect.Respond>().reason shouldBe Reason.UNKNOWN_SERVICE
+        val keyless = createRequest(2, BOOKINGS, key = null)
+        entry.submit(keyless).only<EntryEffect.Respond>().reason shouldBe Reason.KEY_MISSING
+        val late = createRequest(3, deadlineAtMs = entry.nowMs + 5)
+        entry.submit(late).only<EntryEffect.Respond>().reason shouldBe Reason.DEADLINE_TOO_SHORT
     }
 
     test("`a read is sent at once to a server with a free slot`") {
         val entry = readyEntry()
-        val forward = entry.arrive(requestOf(1)).only<EntryEffect.Forward>()
+        val forward = entry.submit(createRequest(1)).only<EntryEffect.Forward>()
         forward.isFreshConnection shouldBe false
     }
 
     test("`when all slots are taken reads wait, and what can't be done in time is refused on arrival`") {
         val entry = readyEntry()
-        (1L..8L).forEach { entry.arrive(requestOf(it)).only<EntryEffect.Forward>() }
-        entry.arrive(requestOf(9)).shouldBeEmpty()
-        val hurried = requestOf(10, deadlineAtMs = entry.nowMs + 11)
-        entry.arrive(hurried).only<EntryEffect.Respond>().reason shouldBe Reason.NO_SLOT
+        (1L..8L).forEach { entry.submit(createRequest(it)).only<EntryEffect.Forward>() }
+        entry.submit(createRequest(9)).shouldBeEmpty()
+        val hurried = createRequest(10, deadlineAtMs = entry.nowMs + 11)
+        entry.submit(hurried).only<EntryEffect.Respond>().reason shouldBe Reason.NO_SLOT
     }
 
     test("`a slot that becomes free goes to the request that has waited longest`") {
         val entry = readyEntry()
-        val first = (1L..8L).map { entry.arrive(requestOf(it)).only<EntryEffect.Forward>() }.first()
-        entry.arrive(requestOf(9))
-        entry.arrive(requestOf(10))
+        val first = (1L..8L).map { entry.submit(createRequest(it)).only<EntryEffect.Forward>() }.first()
+        entry.submit(createRequest(9))
+        entry.submit(createRequest(10))
         val effects = entry.handle(EntryEvent.AttemptEnded(first.attempt, AttemptResult.Completed()))
         effects.only<EntryEffect.Forward>().request.value shouldBe 9
     }
 
     test("`reads can't take the last fifth of the open requests, bookings can`") {
         val entry = readyEntry(sampleDocument(slots = 50), EntryLimits(largestOpenRequests = 10))
-        (1L..8L).forEach { entry.arrive(requestOf(it)).only<EntryEffect.Forward>() }
-        entry.arrive(requestOf(9)).only<EntryEffect.Respond>().reason shouldBe Reason.BUSY
-        entry.arrive(requestOf(10, BOOKINGS)).only<EntryEffect.InsertClaim>()
+        (1L..8L).forEach { entry.submit(createRequest(it)).only<EntryEffect.Forward>() }
+        entry.submit(createRequest(9)).only<EntryEffect.Respond>().reason shouldBe Reason.BUSY
+        entry.submit(createRequest(10, BOOKINGS)).only<EntryEffect.InsertClaim>()
     }
 
     test("`a waiting request gets its final answer when its deadline passes`") {
         val entry = readyEntry()
-        (1L..8L).forEach { entry.arrive(requestOf(it)) }
-        entry.arrive(requestOf(9, deadlineAtMs = entry.nowMs + 100))
-        entry.pass(99)
-        entry.answerOf(9) shouldBe null
-        entry.pass(1)
-        entry.answerOf(9)?.reason shouldBe Reason.DEADLINE_PASSED
+        (1L..8L).forEach { entry.submit(createRequest(it)) }
+        entry.submit(createRequest(9, deadlineAtMs = entry.nowMs + 100))
+        entry.advance(99)
+        entry.findResponse(9) shouldBe null
+        entry.advance(1)
+        entry.findResponse(9)?.reason shouldBe Reason.DEADLINE_PASSED
     }
 
     test("`a request that runs past its deadline is stopped and answered as unknown`") {
         val entry = readyEntry()
-        val forward = entry.arrive(requestOf(1, deadlineAtMs = entry.nowMs + 100)).only<EntryEffect.Forward>()
-        val effects = entry.pass(100)
+        val forward = entry.submit(createRequest(1, deadlineAtMs = entry.nowMs + 100)).only<EntryEffect.Forward>()
+        val effects = entry.advance(100)
         effects.only<EntryEffect.Cancel>().attempt shouldBe forward.attempt
         effects.only<EntryEffect.Respond>().reason shouldBe Reason.DEADLINE_PASSED_RUNNING
     }
@@ -90,8 +90,8 @@
     test("`an instance that was paused beyond its lease owns nothing until it has joined again`") {
         val entry = readyEntry()
         entry.nowMs += 3_000
-        entry.arrive(requestOf(1, deadlineAtMs = START_MS + 90_000)).shouldBeEmpty()
-        entry.live(2_500).filterIsInstance<EntryEffect.Forward>().shouldBeEmpty()
-        entry.live(1_000).only<EntryEffect.Forward>()
+        entry.submit(createRequest(1, deadlineAtMs = START_MS + 90_000)).shouldBeEmpty()
+        entry.runFor(2_500).filterIsInstance<EntryEffect.Forward>().shouldBeEmpty()
+        entry.runFor(1_000).only<EntryEffect.Forward>()
     }
 })
--- a/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/requests/HandOverTest.kt
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/requests/HandOverTest.kt
@@ -19,20 +19,20 @@
 import org.cardamomwharf.decision.membership.SummaryMember
 import org.cardamomwharf.decision.membership.ZoneSummary
 import org.cardamomwharf.decision.support.BOOKINGS
+import org.cardamomwharf.decision.support.EntryHarness
 import org.cardamomwharf.decision.support.NORTH_A
-import org.cardamomwharf.decision.support.OneEntry
 import org.cardamomwharf.decision.support.READS
 import org.cardamomwharf.decision.support.SOUTH_A
 import org.cardamomwharf.decision.support.SOUTH_B
-import org.cardamomwharf.decision.support.handedRequestOf
-import org.cardamomwharf.decision.support.memberOf
+import org.cardamomwharf.decision.support.createHandedOverRequest
+import org.cardamomwharf.decision.support.createMember
+import org.cardamomwharf.decision.support.createRequest
 import org.cardamomwharf.decision.support.only
 import org.cardamomwharf.decision.support.readyEntry
-import org.cardamomwharf.decision.support.requestOf
 import org.cardamomwharf.decision.support.sampleDocument
 
-private val far = memberOf("s1", SOUTH_A)
-private val farther = memberOf("s2", SOUTH_B)
+private val far = createMember("s1", SOUTH_A)
+private val farther = createMember("s2", SOUTH_B)
 
 private fun summaryOf(member: Member, sequence: Long = 1): ZoneSummary {
     val loads = listOf(ServiceLoad(READS, 8, 8, 0), ServiceLoad(BOOKINGS, 8, 8, 0))
@@ -44,35 +44,35 @@
 private fun fullEntry(
     document: EnvironmentDocument = sampleDocument(),
     limits: EntryLimits = EntryLimits(),
-): OneEntry {
+): EntryHarness {
     val entry = readyEntry(document, limits)
     listOf(far, farther).forEach { entry.handle(EntryEvent.SummaryReceived(summaryOf(it), isRelayed = false)) }
-    (1L..8L).forEach { entry.arrive(requestOf(it)) }
+    (1L..8L).forEach { entry.submit(createRequest(it)) }
     entry.effects.clear()
     return entry
 }
 
 class HandOverTest : FunSpec({
     test("`a request without a free slot goes to another region under its caps`") {
-        val handOver = fullEntry().arrive(requestOf(20)).only<EntryEffect.HandOver>()
+        val handOver = fullEntry().submit(createRequest(20)).only<EntryEffect.HandOver>()
         handOver.peer shouldBe far.name
         handOver.creditBytes shouldBe 1_000
     }
 
     test("`when the caps of the way are used up and no wait is allowed the request is refused as such`") {
         val entry = fullEntry(sampleDocument(linkBytesPerSecond = 100), EntryLimits(largestWaiting = 0))
-        val effects = entry.arrive(requestOf(20))
+        val effects = entry.submit(createRequest(20))
         effects.filterIsInstance<EntryEffect.HandOver>().shouldBeEmpty()
         effects.only<EntryEffect.Respond>().reason shouldBe Reason.CAP_REACHED
     }
 
     test("`an instance that can't be reached gets no more requests and is left out of look-ups`") {
         val entry = fullEntry()
-        val first = entry.arrive(requestOf(20)).only<EntryEffect.HandOver>()
+        val first = entry.submit(createRequest(20)).only<EntryEffect.HandOver>()
         val failed = AttemptResult.NotSent(Reason.PEER_UNREACHABLE)
         val second = entry.handle(EntryEvent.AttemptEnded(first.attempt, failed)).only<EntryEffect.HandOver>()
         second.peer shouldBe farther.name
-        entry.arrive(requestOf(21)).only<EntryEffect.HandOver>().peer shouldBe farther.name
+        entry.submit(createRequest(21)).only<EntryEffect.HandOver>().peer shouldBe farther.name
         val named = createLookupView(entry.state, entry.nowMs)?.candidates.orEmpty().map { it.member.name }
         (far.name in named) shouldBe false
     }
@@ -82,21 +82,21 @@
         val whole = sampleDocument()
         val smaller = whole.copy(regions = whole.regions.map { it.copy(zones = it.zones - NORTH_A) })
         entry.handle(EntryEvent.DocumentFetched(DocumentHead(DocumentVersion(2), "hash-2"), smaller))
-        entry.arrive(requestOf(20)).filterIsInstance<EntryEffect.HandOver>().shouldBeEmpty()
+        entry.submit(createRequest(20)).filterIsInstance<EntryEffect.HandOver>().shouldBeEmpty()
     }
 
     test("`a request from a peer is never handed over again`") {
         val entry = fullEntry()
-        entry.arrive(handedRequestOf(20, BOOKINGS)).only<EntryEffect.Forward>()
-        entry.arrive(handedRequestOf(21, READS)).only<EntryEffect.Respond>().reason shouldBe
+        entry.submit(createHandedOverRequest(20, BOOKINGS)).only<EntryEffect.Forward>()
+        entry.submit(createHandedOverRequest(21, READS)).only<EntryEffect.Respond>().reason shouldBe
             Reason.NO_SLOT
     }
 
     test("`an answer larger than its credit is charged before it travels`") {
         val entry = fullEntry(sampleDocument(linkBytesPerSecond = 1_000_000))
-        val handOver = entry.arrive(requestOf(20)).only<EntryEffect.HandOver>()
+        val handOver = entry.submit(createRequest(20)).only<EntryEffect.HandOver>()
         entry.handle(EntryEvent.CreditRequested(handOver.attempt, missingBytes = 60_000)).shouldBeEmpty()
-        val granted = (1..100).firstOrNull { entry.pass(20).any { it is EntryEffect.GrantCredit } }
+        val granted = (1..100).firstOrNull { entry.advance(20).any { it is EntryEffect.GrantCredit } }
         val zoneBytesPerSecond = 1_000_000 * 90 / 100 / 4
         val shortestMs = (60_000 - zoneBytesPerSecond / 10) * 1_000 / zoneBytesPerSecond
         ((granted ?: 0) * 20 >= shortestMs) shouldBe true
--- a/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/requests/AnswerTrustTest.kt
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/requests/ResponseValidationTest.kt
@@ -9,30 +9,30 @@
 import org.cardamomwharf.core.Reason
 import org.cardamomwharf.decision.EntryEffect
 import org.cardamomwharf.decision.EntryEvent
-import org.cardamomwharf.decision.support.OneEntry
+import org.cardamomwharf.decision.support.EntryHarness
+import org.cardamomwharf.decision.support.createRequest
 import org.cardamomwharf.decision.support.only
 import org.cardamomwharf.decision.support.readyEntry
-import org.cardamomwharf.decision.support.requestOf
 
 private const val REQUESTS = 8L
 
 /** Lets all servers answer once, so that each has named an attempt or none has. */
-private fun OneEntry.serveAll(hasAttemptId: Boolean) {
-    (1..REQUESTS).map { arrive(requestOf(it)).only<EntryEffect.Forward>() }
+private fun EntryHarness.serveAll(hasAttemptId: Boolean) {
+    (1..REQUESTS).map { submit(createRequest(it)).only<EntryEffect.Forward>() }
         .forEach { handle(EntryEvent.AttemptEnded(it.attempt, AttemptResult.Completed(hasAttemptId = hasAttemptId))) }
     effects.clear()
 }
 
-class AnswerTrustTest : FunSpec({
+class ResponseValidationTest : FunSpec({
     val unnamedAnswers = listOf(AttemptResult.Completed(), AttemptResult.Refused(Reason.SERVER_REFUSED))
 
     test("`an answer without a name from a server that names its attempts reaches no caller`") {
         unnamedAnswers.forEach { unnamed ->
             val entry = readyEntry()
             entry.serveAll(hasAttemptId = true)
-            val first = entry.arrive(requestOf(20)).only<EntryEffect.Forward>()
+            val first = entry.submit(createRequest(20)).only<EntryEffect.Forward>()
             val second = entry.handle(EntryEvent.AttemptEnded(first.attempt, unnamed)).only<EntryEffect.Forward>()
-            entry.answers().shouldBeEmpty()
+            entry.responses().shouldBeEmpty()
             val end = entry.handle(EntryEvent.AttemptEnded(second.attempt, unnamed)).only<EntryEffect.Respond>()
             end.reason shouldBe Reason.ANSWER_CROSSED
         }
@@ -41,7 +41,7 @@
     test("`servers that never name an attempt are taken at their word`") {
         val entry = readyEntry()
         entry.serveAll(hasAttemptId = false)
-        val forward = entry.arrive(requestOf(20)).only<EntryEffect.Forward>()
+        val forward = entry.submit(createRequest(20)).only<EntryEffect.Forward>()
         val effects = entry.handle(EntryEvent.AttemptEnded(forward.attempt, AttemptResult.Completed()))
         effects.only<EntryEffect.Respond>().reason shouldBe Reason.ANSWERED
     }
--- a/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/requests/RetryTest.kt
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/requests/RetryTest.kt
@@ -15,20 +15,20 @@
 import org.cardamomwharf.decision.EntryEvent
 import org.cardamomwharf.decision.claims.ClaimReply
 import org.cardamomwharf.decision.support.BOOKINGS
-import org.cardamomwharf.decision.support.OneEntry
+import org.cardamomwharf.decision.support.EntryHarness
+import org.cardamomwharf.decision.support.createRequest
 import org.cardamomwharf.decision.support.only
 import org.cardamomwharf.decision.support.readyEntry
-import org.cardamomwharf.decision.support.requestOf
 
 class RetryTest : FunSpec({
-    fun OneEntry.book(id: Long): EntryEffect.Forward {
-        arrive(requestOf(id, BOOKINGS))
+    fun EntryHarness.book(id: Long): EntryEffect.Forward {
+        submit(createRequest(id, BOOKINGS))
         return handle(EntryEvent.ClaimReplyReceived(RequestId(id), ClaimReply.Written)).only()
     }
 
     test("`a read whose answer got lost is tried at another server`") {
         val entry = readyEntry()
-        val first = entry.arrive(requestOf(1)).only<EntryEffect.Forward>()
+        val first = entry.submit(createRequest(1)).only<EntryEffect.Forward>()
         val lost = AttemptResult.Lost(Reason.CONNECTION_LOST)
         val second = entry.handle(EntryEvent.AttemptEnded(first.attempt, lost)).only<EntryEffect.Forward>()
         second.server shouldNotBe first.server
@@ -36,7 +36,7 @@
 
     test("`a read that was lost once is never answered as not run`") {
         val entry = readyEntry()
-        val first = entry.arrive(requestOf(1)).only<EntryEffect.Forward>()
+        val first = entry.submit(createRequest(1)).only<EntryEffect.Forward>()
         val lost = AttemptResult.Lost(Reason.CONNECTION_LOST)
         val second = entry.handle(EntryEvent.AttemptEnded(first.attempt, lost)).only<EntryEffect.Forward>()
         val refused = AttemptResult.NotSent(Reason.SERVER_UNREACHABLE)
@@ -70,9 +70,9 @@
         val entry = readyEntry()
         val lost = AttemptResult.Lost(Reason.CONNECTION_LOST)
         val retries = (1L..100L).sumOf { id ->
-            entry.live(10_000)
-            val spec = requestOf(id, deadlineAtMs = entry.nowMs + 5_000)
-            val forward = entry.arrive(spec).only<EntryEffect.Forward>()
+            entry.runFor(10_000)
+            val spec = createRequest(id, deadlineAtMs = entry.nowMs + 5_000)
+            val forward = entry.submit(spec).only<EntryEffect.Forward>()
             val again = entry.handle(EntryEvent.AttemptEnded(forward.attempt, lost))
             val second = again.filterIsInstance<EntryEffect.Forward>()
             second.forEach { entry.handle(EntryEvent.AttemptEnded(it.attempt, lost)) }
@@ -85,8 +85,8 @@
 
     test("`an answer that comes after the final one only frees the slot`") {
         val entry = readyEntry()
-        val forward = entry.arrive(requestOf(1, deadlineAtMs = entry.nowMs + 100)).only<EntryEffect.Forward>()
-        entry.pass(100)
+        val forward = entry.submit(createRequest(1, deadlineAtMs = entry.nowMs + 100)).only<EntryEffect.Forward>()
+        entry.advance(100)
         val effects = entry.handle(EntryEvent.AttemptEnded(forward.attempt, AttemptResult.Completed()))
         effects.filterIsInstance<EntryEffect.Respond>().shouldBeEmpty()
         entry.state.requests.attempts.size shouldBe 0
--- a/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/servers/LeavingServerTest.kt
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/servers/LeavingServerTest.kt
@@ -12,45 +12,45 @@
 import org.cardamomwharf.decision.EntryEffect
 import org.cardamomwharf.decision.EntryEvent
 import org.cardamomwharf.decision.requests.AttemptResult
+import org.cardamomwharf.decision.support.EntryHarness
 import org.cardamomwharf.decision.support.NORTH_A
-import org.cardamomwharf.decision.support.OneEntry
-import org.cardamomwharf.decision.support.listedOf
+import org.cardamomwharf.decision.support.createListedInstance
+import org.cardamomwharf.decision.support.createRequest
+import org.cardamomwharf.decision.support.createServers
 import org.cardamomwharf.decision.support.only
 import org.cardamomwharf.decision.support.readyEntry
-import org.cardamomwharf.decision.support.requestOf
-import org.cardamomwharf.decision.support.serversOf
 
 private val leaving = ServerName("reads-north-a-1")
 private const val REQUESTS = 40L
 
-private fun OneEntry.readList(isLeavingMarked: Boolean) {
-    val servers = serversOf(NORTH_A).map { if (it.name == leaving) it.copy(isLeaving = isLeavingMarked) else it }
-    handle(EntryEvent.PlatformListRead(listOf(listedOf(member)), servers))
+private fun EntryHarness.readList(isLeavingMarked: Boolean) {
+    val servers = createServers(NORTH_A).map { if (it.name == leaving) it.copy(isLeaving = isLeavingMarked) else it }
+    handle(EntryEvent.PlatformListRead(listOf(createListedInstance(member)), servers))
 }
 
-private fun OneEntry.reportLoad(isLeaving: Boolean) =
+private fun EntryHarness.reportLoad(isLeaving: Boolean) =
     handle(EntryEvent.LoadReported(leaving, LoadReport(inFlight = 0, isLeaving = isLeaving)))
 
 /** Sends a request to the leaving server, and completes it with [result]. */
-private fun OneEntry.completeRequest(result: AttemptResult) {
-    val forwards = (1_000L..1_007L).flatMap { arrive(requestOf(it)).filterIsInstance<EntryEffect.Forward>() }
+private fun EntryHarness.completeRequest(result: AttemptResult) {
+    val forwards = (1_000L..1_007L).flatMap { submit(createRequest(it)).filterIsInstance<EntryEffect.Forward>() }
     val forward = forwards.first { it.server == leaving }
     handle(EntryEvent.AttemptEnded(forward.attempt, result))
     (forwards - forward).forEach { handle(EntryEvent.AttemptEnded(it.attempt, AttemptResult.Completed(null))) }
-    pass(100)
+    advance(100)
 }
 
 /** Resets all other signals to not leaving, then sends requests and counts those that the server gets. */
-private fun OneEntry.countNewRequests(): Int {
+private fun EntryHarness.countNewRequests(): Int {
     readList(isLeavingMarked = false)
     reportLoad(isLeaving = false)
-    live(10_000)
+    runFor(10_000)
     effects.clear()
     for (id in 1..REQUESTS) {
-        val forward = arrive(requestOf(id, deadlineAtMs = nowMs + 60_000)).only<EntryEffect.Forward>()
+        val forward = submit(createRequest(id, deadlineAtMs = nowMs + 60_000)).only<EntryEffect.Forward>()
         handle(EntryEvent.AttemptEnded(forward.attempt, AttemptResult.Completed(null)))
         reportLoad(isLeaving = false)
-        pass(20)
+        advance(20)
     }
     return effects.filterIsInstance<EntryEffect.Forward>().count { it.server == leaving }
 }
@@ -89,17 +89,19 @@
 
     test("`a server that is no longer listed gets no new requests and completes the running ones`") {
         val entry = readyEntry()
-        val forwards = (1L..8L).map { entry.arrive(requestOf(it)).only<EntryEffect.Forward>() }
+        val forwards = (1L..8L).map { entry.submit(createRequest(it)).only<EntryEffect.Forward>() }
         val running = forwards.first { it.server == leaving }
-        val others = serversOf(NORTH_A).filter { it.name != leaving }
-        entry.handle(EntryEvent.PlatformListRead(listOf(listedOf(entry.member)), others))
+        val others = createServers(NORTH_A).filter { it.name != leaving }
+        entry.handle(EntryEvent.PlatformListRead(listOf(createListedInstance(entry.member)), others))
         (forwards - running).forEach {
             entry.handle(EntryEvent.AttemptEnded(it.attempt, AttemptResult.Completed(null)))
         }
         entry.effects.clear()
-        (11L..14L).forEach { entry.arrive(requestOf(it)).only<EntryEffect.Forward>().server shouldBe others[0].name }
+        (11L..14L).forEach {
+            entry.submit(createRequest(it)).only<EntryEffect.Forward>().server shouldBe others[0].name
+        }
         entry.handle(EntryEvent.AttemptEnded(running.attempt, AttemptResult.Completed(null)))
-        entry.answerOf(running.request.value)?.reason shouldBe Reason.ANSWERED
+        entry.findResponse(running.request.value)?.reason shouldBe Reason.ANSWERED
         entry.state.requests.open.containsKey(RequestId(running.request.value)) shouldBe false
     }
 })
--- a/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/servers/SlotUsageTest.kt
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/servers/SlotUsageTest.kt
@@ -11,14 +11,14 @@
 import org.cardamomwharf.decision.EntryEffect
 import org.cardamomwharf.decision.EntryEvent
 import org.cardamomwharf.decision.requests.AttemptResult
+import org.cardamomwharf.decision.support.EntryHarness
 import org.cardamomwharf.decision.support.NORTH_A
-import org.cardamomwharf.decision.support.OneEntry
 import org.cardamomwharf.decision.support.READS
-import org.cardamomwharf.decision.support.listedOf
+import org.cardamomwharf.decision.support.createListedInstance
+import org.cardamomwharf.decision.support.createRequest
+import org.cardamomwharf.decision.support.createServers
 import org.cardamomwharf.decision.support.readyEntry
-import org.cardamomwharf.decision.support.requestOf
 import org.cardamomwharf.decision.support.sampleDocument
-import org.cardamomwharf.decision.support.serversOf
 
 private val fresh = ServerName("reads-north-a-3")
 private val first = ServerName("reads-north-a-1")
@@ -26,22 +26,22 @@
 private const val SLOW_START_MS = 8_000L
 
 /** Returns the number of requests that [server] gets when more arrive than there are slots. */
-private fun OneEntry.countRequestsUnderLoad(server: ServerName): Int {
+private fun EntryHarness.countRequestsUnderLoad(server: ServerName): Int {
     val ids = (nowMs * 100 until nowMs * 100 + 20)
-    val sent = ids.flatMap { arrive(requestOf(it, deadlineAtMs = nowMs + 60_000)) }
+    val sent = ids.flatMap { submit(createRequest(it, deadlineAtMs = nowMs + 60_000)) }
         .filterIsInstance<EntryEffect.Forward>()
     sent.forEach { handle(EntryEvent.AttemptEnded(it.attempt, AttemptResult.Completed(null))) }
     return sent.count { it.server == server }
 }
 
-private fun OneEntry.countInFlight(): Int? = state.servers.servers[first]?.inFlight
+private fun EntryHarness.countInFlight(): Int? = state.servers.servers[first]?.inFlight
 
 class SlotUsageTest : FunSpec({
     test("`a new server gets one slot more for each part of the slow start`") {
         val entry = readyEntry(sampleDocument(slots = SLOTS, policy = Policy(slowStartMs = SLOW_START_MS)))
-        val added = serversOf(NORTH_A).first().copy(name = fresh, address = SocketAddress("127.0.2.9", 9_000))
-        entry.handle(EntryEvent.PlatformListRead(listOf(listedOf(entry.member)), serversOf(NORTH_A) + added))
-        val slots = (1..SLOTS).map { entry.countFreeSlots(fresh).also { entry.live(SLOW_START_MS / SLOTS) } }
+        val added = createServers(NORTH_A).first().copy(name = fresh, address = SocketAddress("127.0.2.9", 9_000))
+        entry.handle(EntryEvent.PlatformListRead(listOf(createListedInstance(entry.member)), createServers(NORTH_A) + added))
+        val slots = (1..SLOTS).map { entry.countFreeSlots(fresh).also { entry.runFor(SLOW_START_MS / SLOTS) } }
         slots shouldBe listOf(1, 1, 2, 3)
         entry.countFreeSlots(fresh) shouldBe SLOTS
     }
@@ -55,7 +55,7 @@
         val entry = readyEntry(sampleDocument(slots = SLOTS))
         (1L..40L).forEach {
             entry.handle(EntryEvent.LoadReported(first, LoadReport(inFlight = 0, isLeaving = false)))
-            entry.arrive(requestOf(it))
+            entry.submit(createRequest(it))
         }
         entry.countInFlight() shouldBe SLOTS
     }
@@ -70,13 +70,13 @@
         val entry = readyEntry(sampleDocument(slots = SLOTS))
         entry.handle(EntryEvent.LoadReported(first, LoadReport(inFlight = 3, isLeaving = false)))
         entry.countFreeSlots(first) shouldBe 1
-        entry.live(Policy().measurementMaxAgeMs)
+        entry.runFor(Policy().measurementMaxAgeMs)
         entry.countFreeSlots(first) shouldBe SLOTS
         entry.countRequestsUnderLoad(first) shouldBe SLOTS
     }
 })
 
-private fun OneEntry.countFreeSlots(server: ServerName): Int {
+private fun EntryHarness.countFreeSlots(server: ServerName): Int {
     val index = requireNotNull(state.adoption.index)
     val view = PoolView(
         servers = state.servers.findServers(READS),
--- a/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/session/AtMostOnceTest.kt
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/session/AtMostOnceTest.kt
@@ -21,7 +21,7 @@
         var ran = 0
         var refused = 0
         checkAll(PropTestConfig(seed = 7_412, iterations = 150), Arb.long()) { seed ->
-            val world = BookingWorld(seed)
+            val world = BookingSimulation(seed)
             world.start()
             world.book(count = 60, spanMs = SPAN_MS)
             world.disturb(SPAN_MS)
@@ -36,7 +36,7 @@
     }
 
     test("`without faults every booking runs once`") {
-        val world = BookingWorld(seed = 5, FaultRates(0, 0, 0, 0, 0, 0))
+        val world = BookingSimulation(seed = 5, FaultRates(0, 0, 0, 0, 0, 0))
         world.start()
         world.book(count = 60, spanMs = SPAN_MS)
         world.run(END_MS)
--- a/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/session/BookingWorld.kt
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/session/BookingSimulation.kt
@@ -20,14 +20,14 @@
 import org.cardamomwharf.decision.requests.RequestOrigin
 import org.cardamomwharf.decision.requests.RequestSpec
 import org.cardamomwharf.decision.support.BOOKINGS
+import org.cardamomwharf.decision.support.EntryHarness
 import org.cardamomwharf.decision.support.NORTH_A
-import org.cardamomwharf.decision.support.OneEntry
 import org.cardamomwharf.decision.support.START_MS
-import org.cardamomwharf.decision.support.listedOf
-import org.cardamomwharf.decision.support.memberOf
-import org.cardamomwharf.decision.support.requestOf
+import org.cardamomwharf.decision.support.createListedInstance
+import org.cardamomwharf.decision.support.createMember
+import org.cardamomwharf.decision.support.createRequest
+import org.cardamomwharf.decision.support.createServers
 import org.cardamomwharf.decision.support.sampleDocument
-import org.cardamomwharf.decision.support.serversOf
 import java.util.PriorityQueue
 import kotlin.random.Random
 
@@ -44,10 +44,10 @@
     val handOverCut: Int = 10,
 )
 
-class BookingWorld(seed: Long, private val rates: FaultRates = FaultRates()) {
+class BookingSimulation(seed: Long, private val rates: FaultRates = FaultRates()) {
     private val random = Random(seed)
     private val names = listOf("e1", "e2", "e3").map(::InstanceName)
-    private val entries = names.associateWith { OneEntry(memberOf(it.value)) }.toMutableMap()
+    private val entries = names.associateWith { EntryHarness(createMember(it.value)) }.toMutableMap()
     private val agenda = PriorityQueue<Planned>(compareBy({ it.atMs }, { it.order }))
     private val rows = mutableMapOf<String, ClaimRow>()
     private val pausedUntilMs = mutableMapOf<InstanceName, Long>()
@@ -82,7 +82,8 @@
         val entry = entries.getValue(name)
         entry.nowMs = nowMs
         entry.adopt(sampleDocument())
-        entry.handle(EntryEvent.PlatformListRead(entries.values.map { listedOf(it.member) }, serversOf(NORTH_A)))
+        val listed = entries.values.map { createListedInstance(it.member) }
+        entry.handle(EntryEvent.PlatformListRead(listed, createServers(NORTH_A)))
     }
 
     /** Plans [count] bookings over [spanMs]; each key is tried up to three times, through any instances. */
@@ -90,7 +91,7 @@
         repeat(count) { number ->
             val key = "key-$number"
             val firstMs = 6_000 + random.nextLong(spanMs)
-            repeat(1 + random.nextInt(3)) { plan(firstMs + random.nextLong(2_500)) { arrive(key) } }
+            repeat(1 + random.nextInt(3)) { plan(firstMs + random.nextLong(2_500)) { submit(key) } }
         }
     }
 
@@ -110,16 +111,16 @@
         }
     }
 
-    private fun arrive(key: String) {
+    private fun submit(key: String) {
         val name = names.random(random)
         val id = RequestId(nextRequest++)
         requestsOf[id] = key
-        val spec = requestOf(id.value, BOOKINGS, nowMs + DEADLINE_MS, key = key)
+        val spec = createRequest(id.value, BOOKINGS, nowMs + DEADLINE_MS, key = key)
         deliver(name, EntryEvent.RequestArrived(spec))
     }
 
     private fun restart(name: InstanceName) {
-        entries[name] = OneEntry(memberOf(name.value, incarnation = nextIncarnation++))
+        entries[name] = EntryHarness(createMember(name.value, incarnation = nextIncarnation++))
         pausedUntilMs.remove(name)
         begin(name)
     }
@@ -141,7 +142,7 @@
         entry.handle(event).forEach { perform(name, entry, it) }
     }
 
-    private fun perform(name: InstanceName, entry: OneEntry, effect: EntryEffect) {
+    private fun perform(name: InstanceName, entry: EntryHarness, effect: EntryEffect) {
         val life = entry.member.incarnation.value
         when (effect) {
             is EntryEffect.ClaimEffect -> callStore(name, life, effect)
@@ -226,7 +227,7 @@
         runs[key] = (runs[key] ?: 0) + 1
     }
 
-    private fun handOver(name: InstanceName, life: Long, entry: OneEntry, effect: EntryEffect.HandOver) {
+    private fun handOver(name: InstanceName, life: Long, entry: EntryHarness, effect: EntryEffect.HandOver) {
         val spec = entry.state.requests.open[effect.request]?.spec ?: return
         val id = RequestId(nextRequest++)
         val first = handedOver[effect.request]?.origin ?: effect.request
--- a/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/session/GoldenSessionTest.kt
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/session/GoldenSessionTest.kt
@@ -16,7 +16,7 @@
 import org.cardamomwharf.decision.newEntryState
 import org.cardamomwharf.decision.step
 import org.cardamomwharf.decision.support.START_MS
-import org.cardamomwharf.decision.support.memberOf
+import org.cardamomwharf.decision.support.createMember
 import java.nio.file.Files
 import java.nio.file.Path
 
@@ -32,7 +32,7 @@
 data class TimedEffects(val atMs: Long, val effects: List<EntryEffect>)
 
 private fun replay(lines: List<String>): List<String> {
-    var state = newEntryState(memberOf("e1"), MembershipSettings(), EntryLimits(), START_MS)
+    var state = newEntryState(createMember("e1"), MembershipSettings(), EntryLimits(), START_MS)
     return lines.map { line ->
         val timed = Json.decodeFromString<TimedEvent>(line)
         val step = step(state, timed.event, timed.atMs)
--- a/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/support/OneEntry.kt
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/support/EntryHarness.kt
@@ -30,7 +30,7 @@
 
 const val START_MS = 1_000_000L
 
-fun memberOf(name: String, zone: ZoneName = NORTH_A, incarnation: Long = 7): Member = Member(
+fun createMember(name: String, zone: ZoneName = NORTH_A, incarnation: Long = 7): Member = Member(
     InstanceName(name),
     Incarnation(incarnation),
     zone,
@@ -38,17 +38,17 @@
     SocketAddress("127.0.0.1", 8_100),
 )
 
-fun listedOf(member: Member): ListedInstance =
+fun createListedInstance(member: Member): ListedInstance =
     ListedInstance(member.name, member.zone, member.callerAddress, member.peerAddress)
 
-fun serversOf(zone: ZoneName): List<ListedServer> = listOf(READS, BOOKINGS).flatMap { service ->
+fun createServers(zone: ZoneName): List<ListedServer> = listOf(READS, BOOKINGS).flatMap { service ->
     (1..2).map { number ->
         val name = ServerName("${service.value}-${zone.value}-$number")
         ListedServer(name, service, zone, SocketAddress("127.0.0.2", 9_000 + number))
     }
 }
 
-fun requestOf(
+fun createRequest(
     id: Long,
     service: ServiceName = READS,
     deadlineAtMs: Long = START_MS + 60_000,
@@ -67,11 +67,11 @@
     fingerprint = "print",
 )
 
-fun handedRequestOf(id: Long, service: ServiceName): RequestSpec =
-    requestOf(id, service).copy(origin = RequestOrigin.PEER, attempt = AttemptId("other-$id"))
+fun createHandedOverRequest(id: Long, service: ServiceName): RequestSpec =
+    createRequest(id, service).copy(origin = RequestOrigin.PEER, attempt = AttemptId("other-$id"))
 
-class OneEntry(
-    val member: Member = memberOf("e1"),
+class EntryHarness(
+    val member: Member = createMember("e1"),
     limits: EntryLimits = EntryLimits(),
     settings: MembershipSettings = MembershipSettings(),
 ) {
@@ -86,33 +86,33 @@
         return step.effects
     }
 
-    fun pass(ms: Long): List<EntryEffect> {
+    fun advance(ms: Long): List<EntryEffect> {
         nowMs += ms
         return handle(EntryEvent.Tick(epochSeconds = nowMs / 1_000))
     }
 
     /** Lets time pass in steps that keep the lease. */
-    fun live(ms: Long): List<EntryEffect> = (1..ms / 500).flatMap { pass(500) }
+    fun runFor(ms: Long): List<EntryEffect> = (1..ms / 500).flatMap { advance(500) }
 
     fun adopt(document: EnvironmentDocument, version: Long = 1): List<EntryEffect> =
         handle(EntryEvent.DocumentFetched(DocumentHead(DocumentVersion(version), "hash-$version"), document))
 
-    fun arrive(spec: RequestSpec): List<EntryEffect> = handle(EntryEvent.RequestArrived(spec))
+    fun submit(spec: RequestSpec): List<EntryEffect> = handle(EntryEvent.RequestArrived(spec))
 
-    fun answers(): List<EntryEffect.Respond> = effects.filterIsInstance<EntryEffect.Respond>()
+    fun responses(): List<EntryEffect.Respond> = effects.filterIsInstance<EntryEffect.Respond>()
 
-    fun answerOf(id: Long): EntryEffect.Respond? = answers().firstOrNull { it.request == RequestId(id) }
+    fun findResponse(id: Long): EntryEffect.Respond? = responses().firstOrNull { it.request == RequestId(id) }
 }
 
 /** Returns an instance that is alone in its zone, has a document and owns all servers of the zone. */
 fun readyEntry(
     document: EnvironmentDocument = sampleDocument(),
     limits: EntryLimits = EntryLimits(),
-): OneEntry {
-    val entry = OneEntry(limits = limits)
+): EntryHarness {
+    val entry = EntryHarness(limits = limits)
     entry.adopt(document)
-    entry.handle(EntryEvent.PlatformListRead(listOf(listedOf(entry.member)), serversOf(NORTH_A)))
-    entry.live(4_000)
+    entry.handle(EntryEvent.PlatformListRead(listOf(createListedInstance(entry.member)), createServers(NORTH_A)))
+    entry.runFor(4_000)
     entry.effects.clear()
     return entry
 }
