--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/DocumentUpdates.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/DocumentUpdates.kt
@@ -1,5 +1,5 @@
 /*
- * Follows the document of the environment, from the store and from peers that have a newer one.
+ * Handles new versions of the environment document, announced by the store or by peers.
  */
 package org.cardamomwharf.decision
 
@@ -36,7 +36,7 @@
     dispatchWaiting()
 }
 
-/** Fetches a document from a peer that has a newer one; the store may be out of reach. */
+/** Fetches the newest document from a peer that has it, which also works while the store is unreachable. */
 internal fun StepContext.fetchNewerDocumentFromPeer() {
     val membership = state.membership
     val newest = membership.findNewestVersion()
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/EntryEffect.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/EntryEffect.kt
@@ -1,5 +1,5 @@
 /*
- * Everything that the decisions ask the process around them to do, as values.
+ * Defines the effects that the decisions return. The process around the decisions carries them out.
  */
 package org.cardamomwharf.decision
 
@@ -21,23 +21,23 @@
 import org.cardamomwharf.decision.membership.Heartbeat
 import org.cardamomwharf.decision.membership.ZoneSummary
 
-/** Represents something that the process has to do. */
+/** Represents an action that the process must carry out. */
 @Serializable
 public sealed interface EntryEffect {
-    /** Represents an effect on one claim row. */
+    /** Represents an operation on one claim row. */
     @Serializable
     public sealed interface ClaimEffect : EntryEffect {
-        /** The request that the claim belongs to. */
+        /** The request that needs the claim. */
         public val request: RequestId
 
-        /** The name of the claim. */
+        /** The name of the claim row. */
         public val claim: ClaimName
 
-        /** The attempt that acts. */
+        /** The attempt on whose behalf the row is read or written. */
         public val attempt: AttemptId
     }
 
-    /** Insert the claim row unless it exists, and answer with `ClaimReplyReceived`. */
+    /** Inserts the claim row unless it exists; the result comes back as [EntryEvent.ClaimReplyReceived]. */
     @Serializable
     public data class InsertClaim(
         override val request: RequestId,
@@ -46,7 +46,7 @@
         public val fingerprint: String,
     ) : ClaimEffect
 
-    /** Read the claim row, and answer with `ClaimReplyReceived`. */
+    /** Reads the claim row; the result comes back as [EntryEvent.ClaimReplyReceived]. */
     @Serializable
     public data class ReadClaim(
         override val request: RequestId,
@@ -54,7 +54,7 @@
         override val attempt: AttemptId,
     ) : ClaimEffect
 
-    /** Replace a released claim row, and answer with `ClaimReplyReceived`. */
+    /** Replaces a released claim row; the result comes back as [EntryEvent.ClaimReplyReceived]. */
     @Serializable
     public data class ReplaceClaim(
         override val request: RequestId,
@@ -64,7 +64,7 @@
         public val rowVersion: String,
     ) : ClaimEffect
 
-    /** Mark the claim row as released, if it is absent or names [attempt]; nothing ran. */
+    /** Marks the claim row as released, if it is absent or names [attempt], because the request did not run. */
     @Serializable
     public data class ReleaseClaim(
         override val request: RequestId,
@@ -73,7 +73,7 @@
         public val fingerprint: String,
     ) : ClaimEffect
 
-    /** Record the answer in the claim row. */
+    /** Records the response in the claim row. */
     @Serializable
     @SerialName("org.cardamomwharf.decision.EntryEffect.RecordAnswer")
     public data class RecordResponse(
@@ -85,11 +85,14 @@
         public val response: RecordedResponse,
     ) : ClaimEffect
 
-    /** Delete up to [limit] claim rows that weren't written for this long, and answer with `ClaimsExpired`. */
+    /**
+     * Deletes up to [limit] claim rows that were last written at least [unwrittenForSeconds] ago; the result comes back
+     * as [EntryEvent.ClaimsExpired].
+     */
     @Serializable
     public data class ExpireClaims(public val unwrittenForSeconds: Long, public val limit: Int) : EntryEffect
 
-    /** Send the request to a backend server of the own zone. */
+    /** Sends the request to a backend server of the own zone. */
     @Serializable
     public data class Forward(
         public val request: RequestId,
@@ -100,9 +103,9 @@
     ) : EntryEffect
 
     /**
-     * Hand the request over to another entry instance.
+     * Hands the request over to another entry instance.
      *
-     * @param creditBytes size up to which the answer may be sent at once; a larger one waits for [GrantCredit].
+     * @param creditBytes maximum size of a response that the peer may send without waiting for [GrantCredit].
      */
     @Serializable
     public data class HandOver(
@@ -114,19 +117,19 @@
         public val creditBytes: Long,
     ) : EntryEffect
 
-    /** Tell the peer that it may send the whole answer of an attempt. */
+    /** Allows the peer to send the whole response to an attempt. */
     @Serializable
     public data class GrantCredit(public val attempt: AttemptId) : EntryEffect
 
-    /** Stop an attempt; its end is still reported. */
+    /** Cancels an attempt; its result is still reported as [EntryEvent.AttemptEnded]. */
     @Serializable
     public data class Cancel(public val attempt: AttemptId) : EntryEffect
 
     /**
-     * Give the request its final answer.
+     * Sends the final response to the request.
      *
-     * @param attempt the attempt whose answer is relayed, for requests that ran now.
-     * @param recorded the answer that was recorded under the key before.
+     * @param attempt the attempt whose response is relayed, or null when no attempt completed.
+     * @param recorded the response that was recorded under the key by an earlier request.
      * @param offeredBinding the binding that the caller may use for this key while the table service is down.
      */
     @Serializable
@@ -141,15 +144,15 @@
         public val offeredBinding: Binding? = null,
     ) : EntryEffect
 
-    /** Count a further try of a request. */
+    /** Counts a retry of a request in the metrics. */
     @Serializable
     public data class CountRetry(public val service: ServiceName, public val reason: Reason) : EntryEffect
 
-    /** Fetch the document under [head] from the object store. */
+    /** Fetches the document under [head] from the object store. */
     @Serializable
     public data class FetchDocument(public val head: DocumentHead) : EntryEffect
 
-    /** Fetch a newer document from a peer. */
+    /** Fetches a newer document from a peer. */
     @Serializable
     @SerialName("org.cardamomwharf.decision.EntryEffect.FetchFromPeer")
     public data class FetchDocumentFromPeer(
@@ -157,19 +160,19 @@
         public val address: SocketAddress,
     ) : EntryEffect
 
-    /** The document [head] is in force from now on. */
+    /** Reports that the document under [head] is now in effect. */
     @Serializable
     @SerialName("org.cardamomwharf.decision.EntryEffect.Adopted")
     public data class DocumentAdopted(public val head: DocumentHead) : EntryEffect
 
-    /** Send a heartbeat to all instances of the own zone. */
+    /** Sends a heartbeat to all other instances of the own zone. */
     @Serializable
     public data class SendHeartbeat(
         public val heartbeat: Heartbeat,
         public val addresses: List<PeerAddress>,
     ) : EntryEffect
 
-    /** Send a summary of the own zone to delegates of another. */
+    /** Sends a summary of the own zone to the delegates of another zone. */
     @Serializable
     public data class SendSummary(
         public val summary: ZoneSummary,
@@ -177,7 +180,7 @@
         public val addresses: List<PeerAddress>,
     ) : EntryEffect
 
-    /** Pass a summary of another zone on to the instances of the own zone. */
+    /** Relays a summary of another zone to the instances of the own zone. */
     @Serializable
     @SerialName("org.cardamomwharf.decision.EntryEffect.PassOnSummary")
     public data class RelaySummary(
@@ -185,17 +188,17 @@
         public val addresses: List<PeerAddress>,
     ) : EntryEffect
 
-    /** Ask a peer for a loan. */
+    /** Requests a quota loan from a peer. */
     @Serializable
     @SerialName("org.cardamomwharf.decision.EntryEffect.AskLoan")
     public data class RequestLoan(public val peer: PeerAddress, public val loan: LoanRequest) : EntryEffect
 
-    /** Answer a peer's request for a loan. */
+    /** Replies to a loan request of a peer. */
     @Serializable
     @SerialName("org.cardamomwharf.decision.EntryEffect.AnswerLoan")
     public data class ReplyToLoanRequest(public val borrower: InstanceName, public val grant: LoanGrant) : EntryEffect
 
-    /** Nothing is left to finish; the process may end. */
+    /** Lets the process exit, because no requests are left. */
     @Serializable
     public data object Exit : EntryEffect
 }
@@ -204,6 +207,6 @@
 @Serializable
 public data class ClaimName(public val service: ServiceName, public val key: String)
 
-/** Represents an entry instance with the address that peers use. */
+/** Represents an entry instance with its address for peers. */
 @Serializable
 public data class PeerAddress(public val name: InstanceName, public val address: SocketAddress)
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/EntryEvent.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/EntryEvent.kt
@@ -1,6 +1,5 @@
 /*
- * Everything that can happen to an entry instance, as values. A file of events replayed gives the same effects each
- * time.
+ * Defines the events that an entry instance handles. Replaying a file of events yields the same effects each time.
  */
 package org.cardamomwharf.decision
 
@@ -23,10 +22,10 @@
 import org.cardamomwharf.decision.servers.ListedServer
 import org.cardamomwharf.decision.servers.LoadReport
 
-/** Represents something that happened to an entry instance. */
+/** Represents an input to the decisions of an entry instance. */
 @Serializable
 public sealed interface EntryEvent {
-    /** Time passed; [epochSeconds] is the wall clock, for planned drains. */
+    /** Time has passed; [epochSeconds] is the wall clock time, which planned drains refer to. */
     @Serializable
     public data class Tick(public val epochSeconds: Long) : EntryEvent
 
@@ -34,7 +33,7 @@
     @Serializable
     public data class HeadRead(public val head: DocumentHead) : EntryEvent
 
-    /** A document was fetched and its hash is right. Its client blocks are kept outside of the decisions. */
+    /** A document was fetched and its hash verified. Its client blocks are not part of the decision state. */
     @Serializable
     public data class DocumentFetched(
         public val head: DocumentHead,
@@ -46,7 +45,7 @@
     @SerialName("org.cardamomwharf.decision.EntryEvent.DocumentMissed")
     public data object DocumentFetchFailed : EntryEvent
 
-    /** The platform's list was read. */
+    /** The list of instances and servers was read from the platform. */
     @Serializable
     @SerialName("org.cardamomwharf.decision.EntryEvent.ListRead")
     public data class PlatformListRead(
@@ -59,7 +58,7 @@
     @SerialName("org.cardamomwharf.decision.EntryEvent.HeartbeatHeard")
     public data class HeartbeatReceived(public val heartbeat: Heartbeat) : EntryEvent
 
-    /** A summary arrived, from its zone or passed on by a peer of the own zone. */
+    /** A zone summary arrived, either directly from its zone or relayed by a peer of the own zone. */
     @Serializable
     @SerialName("org.cardamomwharf.decision.EntryEvent.SummaryHeard")
     public data class SummaryReceived(
@@ -73,26 +72,26 @@
     @SerialName("org.cardamomwharf.decision.EntryEvent.LoadHeard")
     public data class LoadReported(public val server: ServerName, public val report: LoadReport) : EntryEvent
 
-    /** A peer asks for a loan. */
+    /** A peer requested a quota loan. */
     @Serializable
     @SerialName("org.cardamomwharf.decision.EntryEvent.LoanAsked")
     public data class LoanRequested(public val request: LoanRequest) : EntryEvent
 
-    /** A peer answered a request for a loan. */
+    /** A peer replied to a loan request of this instance. */
     @Serializable
     @SerialName("org.cardamomwharf.decision.EntryEvent.LoanAnswered")
     public data class LoanReplyReceived(public val grant: LoanGrant) : EntryEvent
 
-    /** A request arrived whole. */
+    /** A request was received completely. */
     @Serializable
     public data class RequestArrived(public val spec: RequestSpec) : EntryEvent
 
-    /** The table service answered about the claim of a request. */
+    /** The table service replied to an operation on the claim of a request. */
     @Serializable
     @SerialName("org.cardamomwharf.decision.EntryEvent.ClaimAnswered")
     public data class ClaimReplyReceived(public val request: RequestId, public val reply: ClaimReply) : EntryEvent
 
-    /** The table service deleted [rows] old claim rows; null when it gave no answer. */
+    /** The table service deleted [rows] old claim rows; null when it did not reply. */
     @Serializable
     public data class ClaimsExpired(public val rows: Int?) : EntryEvent
 
@@ -100,7 +99,7 @@
     @Serializable
     public data class AttemptEnded(public val attempt: AttemptId, public val result: AttemptResult) : EntryEvent
 
-    /** A peer holds an answer that is [missingBytes] larger than the credit it was given. */
+    /** A peer has a response that exceeds the credit granted to it by [missingBytes]. */
     @Serializable
     @SerialName("org.cardamomwharf.decision.EntryEvent.CreditAsked")
     public data class CreditRequested(public val attempt: AttemptId, public val missingBytes: Long) : EntryEvent
@@ -110,12 +109,12 @@
     @SerialName("org.cardamomwharf.decision.EntryEvent.CallerGone")
     public data class CallerDisconnected(public val request: RequestId) : EntryEvent
 
-    /** The connection to a peer was closed by it. */
+    /** A peer closed its connection to this instance. */
     @Serializable
     @SerialName("org.cardamomwharf.decision.EntryEvent.PeerClosed")
     public data class PeerDisconnected(public val peer: InstanceName) : EntryEvent
 
-    /** The instance was asked to leave. */
+    /** A graceful shutdown of this instance was requested. */
     @Serializable
     @SerialName("org.cardamomwharf.decision.EntryEvent.LeaveAsked")
     public data object LeaveRequested : EntryEvent
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/EntryState.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/EntryState.kt
@@ -1,6 +1,5 @@
 /*
- * The whole state of the decisions of one entry instance. Each part has its own file and rules; this one only joins
- * them.
+ * Defines the complete decision state of one entry instance. The rules for each part are in the file of that part.
  */
 package org.cardamomwharf.decision
 
@@ -33,8 +32,9 @@
 /**
  * Represents the limits of one entry instance.
  *
- * @param largestOpenRequests requests without their answer; the last fifth is for the heaviest services.
- * @param largestWaiting requests of one service that wait for a slot.
+ * @param largestOpenRequests maximum number of open requests; the last fifth is reserved for the services of the
+ * highest weight.
+ * @param largestWaiting maximum number of requests of one service that wait for a slot.
  */
 @Serializable
 public data class EntryLimits(
@@ -42,10 +42,10 @@
     public val largestWaiting: Int = 64,
 )
 
-/** Represents when this instance was asked to leave. */
+/** Represents a graceful shutdown: when it was requested and until when new requests are accepted. */
 public data class LeaveState(public val sinceMs: Long, public val acceptsUntilMs: Long)
 
-/** Represents the last heartbeat that went out. */
+/** Represents the last heartbeat and zone summary that were sent. */
 public data class HeartbeatState(
     public val sequence: Long = 0,
     public val sentAtMs: Long = Long.MIN_VALUE / 2,
@@ -54,7 +54,7 @@
     public val loads: List<ServiceLoad> = emptyList(),
 )
 
-/** Represents the state of one entry instance. */
+/** Represents the decision state of one entry instance. */
 public data class EntryState(
     public val limits: EntryLimits,
     public val membership: Membership,
@@ -80,10 +80,10 @@
     public val leave: LeaveState? = null,
 )
 
-/** Represents the state after an event, and what has to be done. */
+/** Represents the result of handling one event: the new state and the effects to carry out. */
 public data class EntryStep(public val state: EntryState, public val effects: List<EntryEffect>)
 
-/** Returns the state of an instance that has just started. */
+/** Returns the initial state of an instance. */
 public fun newEntryState(
     self: Member,
     membership: MembershipSettings,
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/EntryStateMachine.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/EntryStateMachine.kt
@@ -1,6 +1,6 @@
 /*
- * The one entrance to the decisions: (state, event, now) -> (state, effects). It has no clock, thread, socket or random
- * source; the process around it is its shell.
+ * Implements the state machine of an entry instance: (state, event, now) -> (state, effects). It uses no clock, thread,
+ * socket or source of randomness; the surrounding process supplies the events and carries out the effects.
  */
 package org.cardamomwharf.decision
 
@@ -31,7 +31,7 @@
 
 private const val OWNERSHIP_INTERVAL_MS = 250L
 
-/** Returns the state after [event] at [nowMs] on the monotonic clock, with the effects in order. */
+/** Returns the state after [event] at [nowMs], a time of the monotonic clock, and the effects in order. */
 public fun step(state: EntryState, event: EntryEvent, nowMs: Long): EntryStep {
     val context = StepContext(state, nowMs)
     context.checkLease()
@@ -39,7 +39,7 @@
     return EntryStep(context.state, context.effects)
 }
 
-/** Gives up what was owned when this process was paused for longer than its lease. */
+/** Drops all ownership if this process was paused for longer than its lease. */
 private fun StepContext.checkLease() {
     if (state.membership.isLeaseExpired(nowMs)) {
         state = state.copy(ownership = Ownership())
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/GracefulShutdown.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/GracefulShutdown.kt
@@ -1,17 +1,20 @@
 /*
- * The graceful shutdown of an instance: its mark goes out at once, new work is taken until cached look-up answers have
- * aged out, and the process ends when nothing is open.
+ * Implements the graceful shutdown of an instance. It announces at once that it is leaving, accepts new requests until
+ * cached look-up responses have expired, and exits when no requests are open.
  */
 package org.cardamomwharf.decision
 
 import org.cardamomwharf.core.InstanceName
 import org.cardamomwharf.decision.membership.Membership
 
-/** Returns this membership after a peer closed its connection; silence alone decides whether it is dead. */
+/**
+ * Returns this membership after [peer] closed its connection. A leaving peer is removed if its last heartbeat is at
+ * least one interval old; any other peer counts as failed only when its heartbeats stop.
+ */
 internal fun Membership.removeDisconnectedPeer(peer: InstanceName, nowMs: Long): Membership {
     val known = peers[peer] ?: return this
-    val isGoneForGood = known.heartbeat.isLeaving && nowMs - known.receivedAtMs >= settings.heartbeatIntervalMs
-    return if (isGoneForGood) copy(peers = peers.remove(peer)) else this
+    val hasLeft = known.heartbeat.isLeaving && nowMs - known.receivedAtMs >= settings.heartbeatIntervalMs
+    return if (hasLeft) copy(peers = peers.remove(peer)) else this
 }
 
 internal fun StepContext.startShutdown() {
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/Heartbeats.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/Heartbeats.kt
@@ -1,5 +1,5 @@
 /*
- * Heartbeats to all instances of the own zone, sent on time and whenever the view of the members changed.
+ * Sends heartbeats to all instances of the own zone, periodically and whenever the view of the members has changed.
  */
 package org.cardamomwharf.decision
 
@@ -46,14 +46,14 @@
         .map { ResidualSlots(it.name, it.inFlight) }
         .sortedBy { it.server.value }
 
-/** Returns the addresses of all other instances of the own zone, from the list and from heartbeats. */
+/** Returns the addresses of all other instances of the own zone, from heartbeats and the platform list. */
 internal fun StepContext.findZoneAddresses(): List<PeerAddress> {
     val self = state.membership.self
-    val heard = state.membership.peers.values.map { PeerAddress(it.member.name, it.member.peerAddress) }
+    val known = state.membership.peers.values.map { PeerAddress(it.member.name, it.member.peerAddress) }
     val listed = state.membership.listed.values
         .filter { it.zone == self.zone }
         .map { PeerAddress(it.name, it.peerAddress) }
-    return (heard + listed)
+    return (known + listed)
         .distinctBy { it.name }
         .filter { it.name != self.name }
         .sortedBy { it.name.value }
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/StepContext.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/StepContext.kt
@@ -1,6 +1,5 @@
 /*
- * One event being handled. The parts of the handling change the state through this class and note their effects in
- * order; nothing of it outlives the step.
+ * Holds the state while one event is handled, and collects the effects in order. It is discarded after the step.
  */
 package org.cardamomwharf.decision
 
@@ -19,7 +18,7 @@
 
     val policy: Policy get() = index?.document?.policy ?: Policy()
 
-    /** Returns the time that a request of [service] will take at a backend server. */
+    /** Returns the expected processing time of a request of [service] at a backend server. */
     fun estimateServiceMs(service: Service): Long = state.serviceTimes.estimateMs(service)
 
     fun emit(effect: EntryEffect) {
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/Summaries.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/Summaries.kt
@@ -1,5 +1,5 @@
 /*
- * Summaries of the own zone for the delegates of other zones, and those of other zones for the own peers.
+ * Sends summaries of the own zone to the delegates of other zones, and relays the summaries of other zones to peers.
  */
 package org.cardamomwharf.decision
 
@@ -26,13 +26,13 @@
 
 private fun StepContext.findDelegates(zone: ZoneName): List<PeerAddress> {
     val membership = state.membership
-    val heard = membership.remoteZones[zone]?.summary?.members.orEmpty().map {
+    val reported = membership.remoteZones[zone]?.summary?.members.orEmpty().map {
         PeerAddress(it.member.name, it.member.peerAddress)
     }
     val listed = membership.listed.values
         .filter { it.zone == zone && !it.isLeaving }
         .map { PeerAddress(it.name, it.peerAddress) }
-    val known = (heard + listed).distinctBy { it.name }
+    val known = (reported + listed).distinctBy { it.name }
     return rendezvousTop(membership.self.zone.value, known, membership.settings.delegateCount) { it.name.value }
 }
 
@@ -73,12 +73,15 @@
     emit(EntryEffect.RelaySummary(summary, findZoneAddresses()))
 }
 
-/** Notes that another delegate passed a summary on. */
+/** Records that another delegate relayed a summary. */
 internal fun StepContext.recordSummaryRelay(summary: ZoneSummary) {
     state = state.copy(summaryRelayedAtMs = state.summaryRelayedAtMs.put(summary.zone, nowMs))
 }
 
-/** The first delegate passes each summary on once in an interval, the second only when the first has fallen silent. */
+/**
+ * Returns true when this instance must relay a summary of [zone]. The first delegate relays once per interval, the
+ * others only when nothing has been relayed for longer than an interval.
+ */
 private fun StepContext.isRelayDue(zone: ZoneName): Boolean {
     val membership = state.membership
     val intervalMs = membership.settings.summaryIntervalMs
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/ZoneResources.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/ZoneResources.kt
@@ -1,6 +1,6 @@
 /*
- * What changes hands between the instances of a zone: backend servers, parts of cap shares, and the shifts that
- * follow from their use.
+ * Updates what the instances of a zone divide among themselves: backend servers, parts of the cap shares, and the
+ * shifts that follow from their utilization.
  */
 package org.cardamomwharf.decision
 
@@ -23,7 +23,7 @@
 import org.cardamomwharf.decision.shift.computeZoneUsage
 import org.cardamomwharf.decision.shift.sumByRegion
 
-/** Returns the slots of each service that this instance owns. */
+/** Returns the owned slots and the waiting requests of this instance for each service. */
 public fun EntryState.computeLoads(nowMs: Long): List<ServiceLoad> {
     val index = adoption.index ?: return emptyList()
     val zone = membership.self.zone
@@ -69,26 +69,29 @@
 
 private fun StepContext.recordOldestEpochs(transition: CapTransition): CapTransition {
     val membership = state.membership
-    val far = membership.remoteZones.values.map { it.summary }
-    return far.fold(transition.recordOldestEpoch(membership.self.zone, findOldestZoneEpoch())) { next, summary ->
+    val remoteSummaries = membership.remoteZones.values.map { it.summary }
+    return remoteSummaries.fold(transition.recordOldestEpoch(membership.self.zone, findOldestZoneEpoch())) { next, summary ->
         next.recordOldestEpoch(summary.zone, summary.capEpoch)
     }
 }
 
-/** Returns the oldest epoch that an instance of the own zone may spend by; one that wasn't heard may use any. */
+/**
+ * Returns the oldest cap epoch that an instance of the own zone may still use. An instance without a heartbeat may use
+ * any epoch.
+ */
 internal fun StepContext.findOldestZoneEpoch(): CapEpoch {
     val membership = state.membership
     val known = membership.peers.values
-    val silent = membership.listed.values.filter { listed ->
+    val unknown = membership.listed.values.filter { listed ->
         val isOwnZone = listed.zone == membership.self.zone && listed.name != membership.self.name
         isOwnZone && known.none { it.member.name == listed.name }
     }
-    if (silent.isNotEmpty()) return CapEpoch.NONE
+    if (unknown.isNotEmpty()) return CapEpoch.NONE
     val own = state.capTransition.findOldestEpochInUse(nowMs)
     return known.minOfOrNull { it.heartbeat.capEpoch }?.let { minOf(it, own) } ?: own
 }
 
-/** Takes over the caps of the document that was adopted under [epoch]. */
+/** Applies the caps of the document that was adopted under [epoch]. */
 internal fun StepContext.adoptCaps(epoch: CapEpoch) {
     val current = index ?: return
     val shares = EpochShares(epoch, computeZoneShares(current, state.membership.self.zone))
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/claims/ClaimDecision.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/claims/ClaimDecision.kt
@@ -1,7 +1,7 @@
 /*
- * Decides what follows from an answer about a claim. A key that another attempt holds is read again for a short time:
- * the attempt may just be ending, and then its answer is given or its key is free. A lost answer is settled by reading
- * the row back and comparing the attempt; a row that is absent after that is inserted again with the same attempt,
+ * Decides the next step of a claim after a reply of the table service. A key that another attempt holds is read again
+ * for a short time: that attempt may be about to end, which yields its response or frees the key. After a lost reply
+ * the row is read back and its attempt compared; if the row is absent, it is inserted again with the same attempt,
  * which is idempotent.
  */
 package org.cardamomwharf.decision.claims
@@ -20,25 +20,25 @@
     /** The row must be read back. */
     public data object Read : ClaimDecision
 
-    /** The row must be read again after [pauseMs]; its attempt may yet end. */
+    /** The row must be read again after [pauseMs], because its attempt may still end. */
     public data class ReadLater(public val pauseMs: Long) : ClaimDecision
 
     /** A released row must be replaced. */
     public data class Replace(public val rowVersion: String) : ClaimDecision
 
-    /** The request ends; [response] is the recorded answer where there is one. */
+    /** The request ends; [response] is the recorded response, if any. */
     public data class End(public val reason: Reason, public val response: RecordedResponse? = null) : ClaimDecision
 
-    /** The table service is down; the claim neither holds nor is held. */
+    /** The table service is down, so the claim remains undecided. */
     public data object StoreDown : ClaimDecision
 }
 
-/** The calls that one claim may make before the table service counts as down. */
+/** Maximum number of calls for one claim before the table service counts as down. */
 public const val MAX_CLAIM_CALLS: Int = 6
 
 private const val READ_RETRY_DELAY_MS = 100L
 
-/** Returns the step after [reply] to [attempt], [calls] calls having been made. */
+/** Returns the next step for [attempt] after [reply], when [calls] calls have been made. */
 public fun decideClaim(reply: ClaimReply, attempt: AttemptId, fingerprint: String, calls: Int): ClaimDecision =
     when (reply) {
         is ClaimReply.Written -> ClaimDecision.Proceed
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/claims/ClaimRow.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/claims/ClaimRow.kt
@@ -1,6 +1,7 @@
 /*
- * The row that makes a non-idempotent request run at most once. It is inserted before the first byte goes to a backend
- * server, and names the attempt that may run the key. Only that attempt may release it, and only when nothing ran.
+ * Defines the row that ensures that a non-idempotent request runs at most once. It is inserted before the first byte is
+ * sent to a backend server, and names the attempt that may run the key. Only that attempt may release it, and only if
+ * nothing ran.
  */
 package org.cardamomwharf.decision.claims
 
@@ -8,20 +9,20 @@
 import kotlinx.serialization.Serializable
 import org.cardamomwharf.core.AttemptId
 
-/** Represents how far the attempt of a [ClaimRow] has come. */
+/** Represents the state of the attempt of a [ClaimRow]. */
 @Serializable
 public enum class ClaimState {
     /** The attempt may be running, or may have run. */
     CLAIMED,
 
-    /** The attempt ended without running; another may replace it. */
+    /** The attempt ended without running; another attempt may replace it. */
     RELEASED,
 
-    /** The attempt ran; its answer is recorded. */
+    /** The attempt ran and its response is recorded. */
     DONE,
 }
 
-/** Represents the answer of a backend server that is kept for callers that repeat a key. */
+/** Represents the response of a backend server that is recorded for callers that repeat a key. */
 @Serializable
 public data class RecordedResponse(
     public val status: Int,
@@ -43,14 +44,14 @@
     public val response: RecordedResponse? = null,
 )
 
-/** Represents what the table service answered about a claim. */
+/** Represents the reply of the table service to an operation on a claim. */
 @Serializable
 public sealed interface ClaimReply {
     /** The write took effect. */
     @Serializable
     public data object Written : ClaimReply
 
-    /** The row exists; [rowVersion] is needed to replace it. */
+    /** The row exists; [rowVersion] is required to replace it. */
     @Serializable
     public data class Exists(public val row: ClaimRow, public val rowVersion: String) : ClaimReply
 
@@ -58,7 +59,7 @@
     @Serializable
     public data object Absent : ClaimReply
 
-    /** The answer got lost; the write may have taken effect or may yet. */
+    /** The reply was lost; the write may have taken effect or still may. */
     @Serializable
     public data object Lost : ClaimReply
 
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/Admission.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/Admission.kt
@@ -1,6 +1,6 @@
 /*
- * Decides on arrival whether a request is taken. What can't be finished in time, or would crowd out heavier requests,
- * is refused at once and as not run.
+ * Decides on arrival whether a request is accepted. A request that can't finish in time, or that would take capacity
+ * reserved for services of higher weight, is refused at once as not run.
  */
 package org.cardamomwharf.decision.requests
 
@@ -16,8 +16,8 @@
 import org.cardamomwharf.decision.caps.consume
 import org.cardamomwharf.decision.retry.recordFirstAttempt
 
-private const val LIGHT_SHARE_NUMERATOR = 4
-private const val LIGHT_SHARE_DENOMINATOR = 5
+private const val UNRESERVED_SHARE_NUMERATOR = 4
+private const val UNRESERVED_SHARE_DENOMINATOR = 5
 
 internal fun StepContext.admit(spec: RequestSpec) {
     val current = index
@@ -57,21 +57,21 @@
 
 private fun StepContext.isOverloaded(spec: RequestSpec, service: Service): Boolean {
     val open = state.requests.open.size
-    val most = state.limits.largestOpenRequests
+    val maxOpen = state.limits.largestOpenRequests
     val isReserveAllowed = mayUseReservedCapacity(spec, service)
-    return open >= if (isReserveAllowed) most else most * LIGHT_SHARE_NUMERATOR / LIGHT_SHARE_DENOMINATOR
+    return open >= if (isReserveAllowed) maxOpen else maxOpen * UNRESERVED_SHARE_NUMERATOR / UNRESERVED_SHARE_DENOMINATOR
 }
 
-/** Returns true when the request may use what is held back for the heaviest services. */
+/** Returns true when the request may use the capacity reserved for the services of the highest weight. */
 internal fun StepContext.mayUseReservedCapacity(spec: RequestSpec, service: Service): Boolean =
     !spec.isIdempotent && index?.hasLargestWeight(service) == true
 
-/** Charges a request that look-up sent here from another partner's region to this zone's share. */
+/** Charges a request that look-up directed here from another partner's region to the cap shares of this zone. */
 private fun StepContext.chargeArrival(spec: RequestSpec, service: Service, current: DocumentIndex): Boolean {
-    val payer = spec.clientZone?.let { current.regionByZone[it] }?.partner
+    val clientPartner = spec.clientZone?.let { current.regionByZone[it] }?.partner
     val partner = current.regionByZone[state.membership.self.zone]?.partner
-    val isShifted = spec.origin == RequestOrigin.CALLER && payer != partner
-    if (!isShifted || payer == null || partner == null) return true
+    val isShifted = spec.origin == RequestOrigin.CALLER && clientPartner != partner
+    if (!isShifted || clientPartner == null || partner == null) return true
     val bytes = spec.requestBytes + service.expectedResponseBytes
     val charges = listOf(
         CapCost(CapId.PartnerRequests(partner, PartnerPath.LOOK_UP), 1),
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/AttemptEnding.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/AttemptEnding.kt
@@ -1,6 +1,6 @@
 /*
- * Ends attempts. The result of an attempt says whether a byte was sent; that alone decides whether the request may be
- * tried again.
+ * Handles the end of attempts. The result of an attempt says whether any byte was sent, which alone decides whether the
+ * request may be retried.
  */
 package org.cardamomwharf.decision.requests
 
@@ -54,11 +54,11 @@
 
 private fun StepContext.recordPeerResult(target: Target, result: AttemptResult) {
     if (target !is Target.Peer) return
-    val isUnreached = result is AttemptResult.NotSent ||
+    val isUnreachable = result is AttemptResult.NotSent ||
         result is AttemptResult.Lost && result.reason == Reason.CONNECTION_LOST
     val suspects = state.suspects
     state = state.copy(
-        suspects = if (isUnreached) suspects.add(target.name, nowMs) else suspects.clear(target.name),
+        suspects = if (isUnreachable) suspects.add(target.name, nowMs) else suspects.clear(target.name),
     )
 }
 
@@ -71,13 +71,13 @@
     attempt: AttemptId,
     result: AttemptResult,
 ) {
-    val tried = markTried(request, target)
+    val updated = markTried(request, target)
     when (result) {
         is AttemptResult.Completed -> endRequest(request, Reason.ANSWERED, attempt, result.recorded)
-        is AttemptResult.NotSent -> retryOrEnd(tried, result.reason)
-        is AttemptResult.Refused -> retryOrEnd(tried, result.reason)
+        is AttemptResult.NotSent -> retryOrEnd(updated, result.reason)
+        is AttemptResult.Refused -> retryOrEnd(updated, result.reason)
         is AttemptResult.Lost -> {
-            val lost = tried.copy(lastLossReason = result.reason)
+            val lost = updated.copy(lastLossReason = result.reason)
             if (request.spec.isIdempotent) retryOrEnd(lost, result.reason) else endRequest(lost, result.reason)
         }
     }
@@ -89,9 +89,9 @@
 }
 
 private fun StepContext.retryOrEnd(request: OpenRequest, reason: Reason) {
-    val isLight = request.spec.isIdempotent
+    val isIdempotent = request.spec.isIdempotent
     val isAttemptLimitReached = request.attempts >= policy.maxAttempts
-    val isRetryBudgetEmpty = isLight && !state.retryBudget.isRetryAllowed
+    val isRetryBudgetEmpty = isIdempotent && !state.retryBudget.isRetryAllowed
     if (isRetryBudgetEmpty) emit(EntryEffect.CountRetry(request.spec.service, Reason.RETRY_BUDGET_EMPTY))
     if (isAttemptLimitReached || isRetryBudgetEmpty || request.spec.deadlineAtMs <= nowMs) {
         endRequest(request, reason)
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/AttemptResult.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/AttemptResult.kt
@@ -1,6 +1,6 @@
 /*
- * How one try of a request ended, at a backend server or at another entry instance. What was sent decides what may
- * follow: before the first byte any request may be tried again, after it only idempotent ones.
+ * Defines how an attempt ended at a backend server or at another entry instance. Any request may be retried if no byte
+ * was sent; after the first byte only idempotent requests may.
  */
 package org.cardamomwharf.decision.requests
 
@@ -9,14 +9,14 @@
 import org.cardamomwharf.core.Reason
 import org.cardamomwharf.decision.claims.RecordedResponse
 
-/** Represents the end of one attempt. */
+/** Represents the result of one attempt. */
 @Serializable
 public sealed interface AttemptResult {
     /**
-     * The whole answer arrived.
+     * The whole response arrived.
      *
-     * @param recorded the answer to keep under the key of a non-idempotent request.
-     * @param hasAttemptId whether the answer names the attempt that it belongs to.
+     * @param recorded the response to record under the key of a non-idempotent request.
+     * @param hasAttemptId whether the response names the attempt that it belongs to.
      */
     @Serializable
     @SerialName("org.cardamomwharf.decision.requests.AttemptResult.Answered")
@@ -32,7 +32,7 @@
     public data class NotSent(public val reason: Reason) : AttemptResult
 
     /**
-     * The backend server or the peer said that it did not run the request.
+     * The backend server or the peer reported that it did not run the request.
      *
      * @param hasAttemptId whether the refusal names the attempt that it belongs to.
      */
@@ -45,7 +45,7 @@
         public val hasAttemptId: Boolean = false,
     ) : AttemptResult
 
-    /** Bytes were sent and no whole answer arrived. */
+    /** Bytes were sent and no whole response arrived, so the request may have run. */
     @Serializable
     public data class Lost(public val reason: Reason) : AttemptResult
 }
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/Dispatch.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/Dispatch.kt
@@ -1,6 +1,6 @@
 /*
- * Finds a place for a request: a free slot of an owned backend server, then an instance of the own zone that has one,
- * then another zone under the caps of the way there, then a short wait if the deadline allows it.
+ * Dispatches a request: to a free slot of an owned backend server, else to an instance of the own zone that has one,
+ * else to another zone within the caps on the way, else to the queue if the deadline allows it.
  */
 package org.cardamomwharf.decision.requests
 
@@ -18,7 +18,7 @@
 import org.cardamomwharf.decision.servers.startRequest
 import org.cardamomwharf.decision.servers.update
 
-/** Returns the backend servers of [service] in the own zone as the selection needs them. */
+/** Returns the view of the backend servers of [service] in the own zone that server selection uses. */
 internal fun createPoolView(state: EntryState, index: DocumentIndex, service: Service, nowMs: Long): PoolView {
     val pool = index.findPool(service.name, state.membership.self.zone)
     return PoolView(
@@ -39,14 +39,14 @@
     when {
         current == null || service == null -> endRequest(request, Reason.UNKNOWN_SERVICE)
         request.spec.deadlineAtMs - nowMs < estimateServiceMs(service) -> endRequest(request, Reason.DEADLINE_PASSED)
-        else -> dispatchWithin(request, service, current)
+        else -> dispatchToTarget(request, service, current)
     }
 }
 
-private fun StepContext.dispatchWithin(request: OpenRequest, service: Service, current: DocumentIndex) {
+private fun StepContext.dispatchToTarget(request: OpenRequest, service: Service, current: DocumentIndex) {
     if (!isDrainedHere(service) && sendToServer(request, service, current)) return
-    val refusal = if (request.spec.origin == RequestOrigin.CALLER) handOver(request, service, current) else null
-    if (refusal !is HandOverOutcome.Sent) waitOrRefuse(request, service, current, refusal)
+    val handOver = if (request.spec.origin == RequestOrigin.CALLER) handOver(request, service, current) else null
+    if (handOver !is HandOverOutcome.Sent) waitOrRefuse(request, service, current, handOver)
 }
 
 internal fun StepContext.isDrainedHere(service: Service): Boolean =
@@ -60,12 +60,12 @@
 }
 
 private fun StepContext.forward(request: OpenRequest, server: ServerState) {
-    val running = startAttempt(request, Target.Server(server.name))
+    val attempt = startAttempt(request, Target.Server(server.name))
     state = state.copy(servers = state.servers.update(server.name) { it.startRequest() })
     emit(
         EntryEffect.Forward(
             request = request.spec.id,
-            attempt = running,
+            attempt = attempt,
             server = server.name,
             address = server.listed.address,
             isFreshConnection = !request.spec.isIdempotent,
@@ -73,7 +73,7 @@
     )
 }
 
-/** Charges a further try to the budget, and only once there is a place for it. */
+/** Charges a retry to the retry budget; called only once a target for it has been found. */
 private fun StepContext.recordRetry(request: OpenRequest) {
     val reason = request.lastRefusalReason ?: return
     if (request.spec.isIdempotent) state = state.copy(retryBudget = state.retryBudget.recordRetry())
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/HandOverCandidate.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/HandOverCandidate.kt
@@ -1,5 +1,5 @@
 /*
- * The entry instances that may take a request of a service, in the own zone and in others.
+ * Finds the entry instances that a request may be handed over to, in the own zone and in others.
  */
 package org.cardamomwharf.decision.requests
 
@@ -12,7 +12,7 @@
 import org.cardamomwharf.decision.membership.findLivePeers
 import org.cardamomwharf.decision.membership.findRemoteZones
 
-/** Represents an instance that may take the request, with its slots as last heard. */
+/** Represents an instance that may receive the request, with its last reported slots. */
 internal data class HandOverCandidate(val member: Member, val region: Region, val load: ServiceLoad)
 
 internal fun StepContext.isOwnRegion(candidate: HandOverCandidate): Boolean =
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/HeldResponse.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/HeldResponse.kt
@@ -1,10 +1,10 @@
 /*
- * An answer that a peer holds back because it is larger than the share of the link that was charged for it. The missing
- * bytes are charged as the share refills, then the answer may travel.
+ * Defines a response that a peer holds back because it exceeds the bytes charged for it. The missing bytes are charged
+ * as the cap shares refill; then the response may be sent.
  */
 package org.cardamomwharf.decision.requests
 
 import org.cardamomwharf.decision.caps.CapCost
 
-/** Represents what is still to be charged for an answer, by cap. */
+/** Represents the costs that are still to be charged for a response, by cap. */
 public data class HeldResponse(public val unchargedCosts: List<CapCost>)
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/RequestClaim.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/RequestClaim.kt
@@ -1,6 +1,6 @@
 /*
- * The claim of a non-idempotent request before its first byte goes out, and what is done while the table service is
- * down.
+ * Claims the key of a non-idempotent request before its first byte is sent, and handles such requests while the table
+ * service is down.
  */
 package org.cardamomwharf.decision.requests
 
@@ -32,7 +32,7 @@
     callStore(request, ClaimDecision.Insert)
 }
 
-/** Returns true when the request has no binding, or its binding lets it run here; otherwise it has ended. */
+/** Returns true when the request has no binding or its binding allows it to run here; otherwise ends the request. */
 private fun StepContext.checkBinding(request: OpenRequest): Boolean {
     val binding = request.spec.binding ?: return true
     return when (val decision = decideBinding(request.spec, binding)) {
@@ -55,7 +55,7 @@
     return state.boundKeys.admit(spec.boundKey, spec.fingerprint, binding, own, times)
 }
 
-/** The name under which a bound key is remembered. */
+/** The name of the key in [org.cardamomwharf.decision.claims.BoundKeys]. */
 internal val RequestSpec.boundKey: String get() = "${service.value}/${key.orEmpty()}"
 
 internal fun StepContext.handleClaimReply(id: RequestId, reply: ClaimReply) {
@@ -75,12 +75,15 @@
     }
 }
 
-/** A row of another attempt decides, so the key that was only just bound here must not be remembered as running. */
+/**
+ * Ends a request whose key was claimed by another attempt. Its own claim does not count as written, and a key that was
+ * just bound here must not stay recorded as running.
+ */
 private fun StepContext.endRequestAtClaim(request: OpenRequest, decision: ClaimDecision.End) {
     endRequest(request.copy(isClaimWriteAttempted = false), decision.reason, recorded = decision.response)
 }
 
-/** Reads the claims again whose pause is over. */
+/** Reads the claims again whose retry delay has passed. */
 internal fun StepContext.readDueClaims() {
     state.requests.open.values
         .filter { request -> request.readClaimAtMs?.let { it <= nowMs } == true }
@@ -116,7 +119,7 @@
     )
 }
 
-/** A bound key runs without a claim; any other is refused with the offer of a binding. */
+/** Runs a request with a bound key without a claim; refuses any other request and offers a binding. */
 private fun StepContext.continueWithoutStore(request: OpenRequest) {
     val current = findRequest(request.spec.id) ?: return
     if (!current.isBound) {
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/RequestEnding.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/RequestEnding.kt
@@ -1,5 +1,5 @@
 /*
- * Gives requests their final answer and settles their claims.
+ * Sends the final response to requests and settles their claims.
  */
 package org.cardamomwharf.decision.requests
 
@@ -16,16 +16,16 @@
 private const val DEFAULT_RETRY_AFTER_MS = 1_000L
 
 /**
- * Ends [request] with its final answer, and settles its claim. A request that an earlier attempt may have run is never
- * answered as not run.
+ * Ends [request] with its final response and settles its claim. A request that an earlier attempt may have run is never
+ * reported as not run.
  */
 internal fun StepContext.endRequest(
     request: OpenRequest,
-    wantedReason: Reason,
+    requestedReason: Reason,
     attempt: AttemptId? = null,
     recorded: RecordedResponse? = null,
 ) {
-    val reason = if (wantedReason.outcome == Outcome.NOT_RUN) request.lastLossReason ?: wantedReason else wantedReason
+    val reason = if (requestedReason.outcome == Outcome.NOT_RUN) request.lastLossReason ?: requestedReason else requestedReason
     updateRequests { it.close(request.spec.id) }
     settleClaim(request, reason, recorded)
     emit(
@@ -49,8 +49,8 @@
     }
     if (recorded == null) return
     if (request.isBound) state = state.copy(boundKeys = state.boundKeys.recordResponse(boundKey, recorded))
-    val isOurs = request.isClaimWriteAttempted || request.isBound
-    if (isOurs && reason == Reason.ANSWERED) emit(createRecord(request, recorded))
+    val isClaimOwned = request.isClaimWriteAttempted || request.isBound
+    if (isClaimOwned && reason == Reason.ANSWERED) emit(createRecord(request, recorded))
 }
 
 private fun createRelease(request: OpenRequest) = EntryEffect.ReleaseClaim(
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/RequestExpiry.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/RequestExpiry.kt
@@ -1,5 +1,5 @@
 /*
- * Ends requests whose deadline has passed or whose caller has gone; what they run is stopped.
+ * Ends requests whose deadline has passed or whose caller has disconnected, and cancels their attempts.
  */
 package org.cardamomwharf.decision.requests
 
@@ -8,7 +8,7 @@
 import org.cardamomwharf.decision.EntryEffect
 import org.cardamomwharf.decision.StepContext
 
-/** Ends requests whose deadline has passed; what they run is stopped. */
+/** Ends requests whose deadline has passed and cancels their running attempts. */
 internal fun StepContext.expireDeadlines() {
     val expired = state.requests.open.values
         .filter { it.spec.deadlineAtMs <= nowMs }
@@ -26,7 +26,10 @@
     }
 }
 
-/** Ends a request whose caller has gone. What is not idempotent runs to its end, so that its answer is recorded. */
+/**
+ * Ends a request whose caller has disconnected. A running non-idempotent request is left to finish, so that its response
+ * is recorded.
+ */
 internal fun StepContext.handleCallerDisconnect(id: RequestId) {
     val request = findRequest(id) ?: return
     val phase = request.phase
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/RequestHandOver.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/RequestHandOver.kt
@@ -1,6 +1,6 @@
 /*
- * Hands a request over to another entry instance. Inside the own region no cap applies; between regions the charges for
- * the link and the partner are made before anything is sent, and the receiving zone admits or refuses at once.
+ * Hands a request over to another entry instance. No cap applies within the own region; between regions the costs for
+ * the link and the partner are charged before anything is sent, and the receiving zone admits or refuses at once.
  */
 package org.cardamomwharf.decision.requests
 
@@ -16,13 +16,13 @@
 import org.cardamomwharf.decision.membership.findLivePeers
 import org.cardamomwharf.decision.shift.getShiftRule
 
-/** Bytes that are charged for the heads of a request and its answer. */
+/** Bytes that are charged for the head of a request, and again for the head of its response. */
 internal const val HEAD_BYTES: Long = 1_024
 
 private const val LOAN_INTERVAL_MS = 1_000L
-private const val LOAN_SECONDS_OF_CHARGE = 10
+private const val LOAN_COST_MULTIPLE = 10
 
-/** Represents why a request was not handed over, or that it was. */
+/** Represents the outcome of an attempt to hand a request over. */
 internal sealed interface HandOverOutcome {
     data object Sent : HandOverOutcome
 
@@ -45,7 +45,7 @@
     }
 }
 
-/** Hands over to the first of the ordered candidates whose caps allow it. */
+/** Hands the request over to the first of the ranked candidates that the caps allow. */
 private fun StepContext.handOverToFirstAllowed(
     candidates: List<HandOverCandidate>,
     request: OpenRequest,
@@ -115,7 +115,7 @@
     return if (own.partner == candidate.region.partner) link else link + partner
 }
 
-/** Asks a peer of the own zone for a part of its shares, at most once in an interval for each cap. */
+/** Requests a quota loan from a peer of the own zone, at most once per interval and cap. */
 private fun StepContext.requestLoan(
     candidate: HandOverCandidate,
     request: OpenRequest,
@@ -128,11 +128,11 @@
     val peers = state.membership.findLivePeers(nowMs).map { it.member }
     if (peers.isEmpty()) return
     for (charge in lacking) {
-        val asked = state.loanRequestedAtMs.put(charge.cap, nowMs)
+        val requestedAtMs = state.loanRequestedAtMs.put(charge.cap, nowMs)
         val lender = peers[(nowMs / LOAN_INTERVAL_MS % peers.size).toInt()]
-        val units = charge.amount * LOAN_SECONDS_OF_CHARGE
+        val units = charge.amount * LOAN_COST_MULTIPLE
         val loan = LoanRequest(state.membership.self.name, charge.cap, units, askedAtMs = nowMs)
-        state = state.copy(loanRequestedAtMs = asked)
+        state = state.copy(loanRequestedAtMs = requestedAtMs)
         emit(EntryEffect.RequestLoan(PeerAddress(lender.name, lender.peerAddress), loan))
     }
 }
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/RequestSpec.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/RequestSpec.kt
@@ -1,5 +1,6 @@
 /*
- * What the decisions need to know of a request. Its body stays outside; only sizes and a fingerprint come in.
+ * Defines the properties of a request that the decisions need. The body is not part of them, only its size and a
+ * fingerprint.
  */
 package org.cardamomwharf.decision.requests
 
@@ -16,16 +17,16 @@
     /** A caller sent it to this instance. */
     CALLER,
 
-    /** Another entry instance handed it over; it isn't handed over again. */
+    /** Another entry instance handed it over, so it isn't handed over again. */
     PEER,
 }
 
 /**
  * Represents a request.
  *
- * @param clientZone zone of the client's block, or null when no block holds the client.
+ * @param clientZone zone of the client block that contains the client, or null if there is none.
  * @param fingerprint hash of method, path and body.
- * @param attempt the attempt that holds the claim, for requests from a peer.
+ * @param attempt the attempt that holds the claim; set for requests from a peer.
  */
 @Serializable
 public data class RequestSpec(
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/RequestTable.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/RequestTable.kt
@@ -1,6 +1,6 @@
 /*
- * The requests that this instance has not answered yet, and the attempts that are running. An attempt may outlive its
- * request: its slot stays taken until the attempt itself has ended.
+ * Tracks the requests without a final response and the running attempts. An attempt may outlive its request; its slot
+ * stays occupied until the attempt itself has ended.
  */
 package org.cardamomwharf.decision.requests
 
@@ -18,7 +18,7 @@
 import org.cardamomwharf.core.ServerName
 import org.cardamomwharf.core.ServiceName
 
-/** Represents where an attempt runs. */
+/** Represents the target of an attempt. */
 public sealed interface Target {
     /** A backend server of the own zone. */
     public data class Server(public val name: ServerName) : Target
@@ -27,26 +27,26 @@
     public data class Peer(public val name: InstanceName) : Target
 }
 
-/** Represents how far an open request has come. */
+/** Represents the phase of an open request. */
 public sealed interface Phase {
-    /** The table service is asked for the key. */
+    /** The key of the request is being claimed in the table service. */
     public data object Claiming : Phase
 
     /** The request waits for a slot. */
     public data object Waiting : Phase
 
-    /** An attempt runs. */
+    /** The given attempt is running. */
     public data class Running(public val attempt: AttemptId) : Phase
 }
 
 /**
- * Represents a request without its final answer.
+ * Represents a request without a final response.
  *
- * @param readClaimAtMs when the claim row is read again, or null when a call is under way.
+ * @param readClaimAtMs when the claim row is read again, or null when no read is scheduled.
  * @param isClaimed true when the claim row names [claimAttempt].
- * @param isClaimWriteAttempted true when a write of the claim row may have taken effect or may yet.
- * @param lastLossReason why an earlier attempt may have run without a whole answer, or null when none did.
- * @param isBound true when the key is remembered in the memory of this incarnation.
+ * @param isClaimWriteAttempted true when a write of the claim row may have taken effect or still may.
+ * @param lastLossReason why the response to an earlier attempt was lost, or null when none was; the request may have run.
+ * @param isBound true when the key is recorded in the memory of this incarnation.
  */
 public data class OpenRequest(
     public val spec: RequestSpec,
@@ -72,25 +72,25 @@
     public val startedAtMs: Long,
 )
 
-/** Represents all open requests, those waiting by service in order of arrival, and the running attempts. */
+/** Represents the open requests, the queue of each service in order of arrival, and the running attempts. */
 public data class RequestTable(
     public val open: PersistentMap<RequestId, OpenRequest> = persistentMapOf(),
     public val waiting: PersistentMap<ServiceName, PersistentList<RequestId>> = persistentMapOf(),
     public val attempts: PersistentMap<AttemptId, RunningAttempt> = persistentMapOf(),
 ) {
-    /** Returns the number of requests of [service] that wait. */
+    /** Returns the number of waiting requests of [service]. */
     public fun countWaiting(service: ServiceName): Int = waiting[service]?.size ?: 0
 
-    /** Returns the attempts that run at [peer] for [service]. */
+    /** Returns the number of running attempts at [peer] for [service]. */
     public fun countHandOvers(peer: InstanceName, service: ServiceName): Int =
         attempts.values.count { it.service == service && it.target == Target.Peer(peer) }
 }
 
-/** Returns this table with [request] as it is now. */
+/** Returns this table with [request] added or replaced. */
 public fun RequestTable.put(request: OpenRequest): RequestTable =
     copy(open = open.put(request.spec.id, request))
 
-/** Returns this table without the request [id]; its attempts stay until they end. */
+/** Returns this table without the request [id]; its attempts remain until they end. */
 public fun RequestTable.close(id: RequestId): RequestTable {
     val service = open[id]?.spec?.service ?: return this
     return unqueue(service, id).copy(open = open.remove(id))
@@ -102,7 +102,7 @@
     return copy(waiting = waiting.put(service, queue.add(id)))
 }
 
-/** Returns this table with [id] taken out of the queue of [service]. */
+/** Returns this table with [id] removed from the queue of [service]. */
 public fun RequestTable.unqueue(service: ServiceName, id: RequestId): RequestTable {
     val queue = waiting[service]
     if (queue == null || id !in queue) return this
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/ResponseCharging.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/ResponseCharging.kt
@@ -1,6 +1,6 @@
 /*
- * Charges answers that are larger than expected before they travel over a link. A large answer is charged piece by
- * piece as the shares refill.
+ * Charges responses that are larger than expected before they are sent over a link, part by part as the cap shares
+ * refill.
  */
 package org.cardamomwharf.decision.requests
 
@@ -38,8 +38,8 @@
 private fun StepContext.chargeAvailablePart(charge: CapCost): CapCost {
     if (charge.cap !in state.capLimiter.buckets) return charge.copy(amount = 0)
     val part = minOf(charge.amount, state.capLimiter.getAvailableUnits(charge.cap, nowMs))
-    val isPaid = part > 0 && trySpend(listOf(CapCost(charge.cap, part)))
-    return if (isPaid) charge.copy(amount = charge.amount - part) else charge
+    val isCharged = part > 0 && trySpend(listOf(CapCost(charge.cap, part)))
+    return if (isCharged) charge.copy(amount = charge.amount - part) else charge
 }
 
 private fun StepContext.getResponseCosts(peer: Target.Peer, bytes: Long): List<CapCost> {
@@ -53,8 +53,8 @@
 
 private fun StepContext.findZone(peer: Target.Peer): ZoneName? {
     val listed = state.membership.listed[peer.name]?.zone
-    val heard = state.membership.remoteZones.values
+    val reported = state.membership.remoteZones.values
         .flatMap { it.summary.members }
         .firstOrNull { it.member.name == peer.name }
-    return heard?.member?.zone ?: listed
+    return reported?.member?.zone ?: listed
 }
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/ResponseValidation.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/ResponseValidation.kt
@@ -1,6 +1,6 @@
 /*
- * Decides whether an answer is taken for the answer to its attempt. A backend server that has named an attempt once has
- * to name one in each answer; an answer without a name may belong to another request on the same connection.
+ * Decides whether a response is accepted for its attempt. A backend server that has named an attempt once must name one
+ * in every response; a response without an attempt may belong to another request on the same connection.
  */
 package org.cardamomwharf.decision.requests
 
@@ -9,7 +9,7 @@
 import org.cardamomwharf.decision.servers.ServerState
 import org.cardamomwharf.decision.servers.update
 
-/** Returns [result], or a lost answer where [target] names its attempts and this answer doesn't. */
+/** Returns [result], or a lost response if [target] names its attempts and this response names none. */
 internal fun StepContext.rejectUnidentifiedResponse(target: Target, result: AttemptResult): AttemptResult {
     val server = (target as? Target.Server)?.let { state.servers.servers[it.name] }
     if (server != null && result.hasNamedAttempt) recordAttemptNaming(server)
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/WaitingRequests.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/WaitingRequests.kt
@@ -1,6 +1,6 @@
 /*
- * Requests that wait for a slot of a backend server of the zone, as long as their deadline allows it. They also wait
- * while servers change hands between the instances of the zone.
+ * Queues requests for a slot of a backend server of the own zone while their deadline allows it. They also wait while
+ * the ownership of servers moves between the instances of the zone.
  */
 package org.cardamomwharf.decision.requests
 
@@ -14,7 +14,7 @@
     request: OpenRequest,
     service: Service,
     current: DocumentIndex,
-    refusal: HandOverOutcome?,
+    handOver: HandOverOutcome?,
 ) {
     if (canWait(request, service, current)) {
         if (request.phase != Phase.Waiting || !isQueued(request)) {
@@ -23,7 +23,7 @@
         }
         return
     }
-    endRequest(request, refusalReason(request, service, current, refusal))
+    endRequest(request, findRefusalReason(request, service, current, handOver))
 }
 
 internal fun StepContext.isQueued(request: OpenRequest): Boolean =
@@ -46,23 +46,23 @@
     return isInTime && isShort && ahead < state.limits.largestWaiting
 }
 
-private fun StepContext.refusalReason(
+private fun StepContext.findRefusalReason(
     request: OpenRequest,
     service: Service,
     current: DocumentIndex,
-    refusal: HandOverOutcome?,
+    handOver: HandOverOutcome?,
 ): Reason {
     val hasServers = createPoolView(state, current, service, nowMs).servers.isNotEmpty()
     return when {
         request.lastRefusalReason != null -> request.lastRefusalReason
-        refusal is HandOverOutcome.CapReached -> Reason.CAP_REACHED
+        handOver is HandOverOutcome.CapReached -> Reason.CAP_REACHED
         isDrainedHere(service) -> Reason.DRAINED
-        hasServers || refusal is HandOverOutcome.NoFreeSlot -> Reason.NO_SLOT
+        hasServers || handOver is HandOverOutcome.NoFreeSlot -> Reason.NO_SLOT
         else -> Reason.NO_SERVER
     }
 }
 
-/** Gives slots that have become free to waiting requests, the heaviest first and else in order of arrival. */
+/** Dispatches waiting requests to free slots: highest service weight first, then in order of arrival. */
 internal fun StepContext.dispatchWaiting() {
     val current = index ?: return
     for (service in current.document.services.sortedByDescending { it.weight }) {
@@ -83,7 +83,7 @@
 private const val MAX_HAND_OVERS_PER_TICK = 8
 private const val WHOLE_PERCENT = 100
 
-/** Hands waiting requests over to instances that have slots again. */
+/** Hands waiting requests over to instances that have free slots. */
 internal fun StepContext.handOverWaiting() {
     val current = index ?: return
     for (service in current.document.services.sortedByDescending { it.weight }) {
