--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/ZoneResources.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/ZoneResources.kt
@@ -70,7 +70,8 @@
 private fun StepContext.recordOldestEpochs(transition: CapTransition): CapTransition {
     val membership = state.membership
     val remoteSummaries = membership.remoteZones.values.map { it.summary }
-    return remoteSummaries.fold(transition.recordOldestEpoch(membership.self.zone, findOldestZoneEpoch())) { next, summary ->
+    val own = transition.recordOldestEpoch(membership.self.zone, findOldestZoneEpoch())
+    return remoteSummaries.fold(own) { next, summary ->
         next.recordOldestEpoch(summary.zone, summary.capEpoch)
     }
 }
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/Admission.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/Admission.kt
@@ -59,7 +59,11 @@
     val open = state.requests.open.size
     val maxOpen = state.limits.largestOpenRequests
     val isReserveAllowed = mayUseReservedCapacity(spec, service)
-    return open >= if (isReserveAllowed) maxOpen else maxOpen * UNRESERVED_SHARE_NUMERATOR / UNRESERVED_SHARE_DENOMINATOR
+    return open >= if (isReserveAllowed) {
+        maxOpen
+    } else {
+        maxOpen * UNRESERVED_SHARE_NUMERATOR / UNRESERVED_SHARE_DENOMINATOR
+    }
 }
 
 /** Returns true when the request may use the capacity reserved for the services of the highest weight. */
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/RequestEnding.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/RequestEnding.kt
@@ -21,11 +21,12 @@
  */
 internal fun StepContext.endRequest(
     request: OpenRequest,
-    requestedReason: Reason,
+    initialReason: Reason,
     attempt: AttemptId? = null,
     recorded: RecordedResponse? = null,
 ) {
-    val reason = if (requestedReason.outcome == Outcome.NOT_RUN) request.lastLossReason ?: requestedReason else requestedReason
+    val isNotRun = initialReason.outcome == Outcome.NOT_RUN
+    val reason = if (isNotRun) request.lastLossReason ?: initialReason else initialReason
     updateRequests { it.close(request.spec.id) }
     settleClaim(request, reason, recorded)
     emit(
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/RequestExpiry.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/RequestExpiry.kt
@@ -27,8 +27,8 @@
 }
 
 /**
- * Ends a request whose caller has disconnected. A running non-idempotent request is left to finish, so that its response
- * is recorded.
+ * Ends a request whose caller has disconnected. A running non-idempotent request is left to finish, so that its
+ * response is recorded.
  */
 internal fun StepContext.handleCallerDisconnect(id: RequestId) {
     val request = findRequest(id) ?: return
--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/RequestTable.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/requests/RequestTable.kt
@@ -45,7 +45,8 @@
  * @param readClaimAtMs when the claim row is read again, or null when no read is scheduled.
  * @param isClaimed true when the claim row names [claimAttempt].
  * @param isClaimWriteAttempted true when a write of the claim row may have taken effect or still may.
- * @param lastLossReason why the response to an earlier attempt was lost, or null when none was; the request may have run.
+ * @param lastLossReason why the response to an earlier attempt was lost, in which case the request may have run; null
+ * when none was lost.
  * @param isBound true when the key is recorded in the memory of this incarnation.
  */
 public data class OpenRequest(
--- a/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/claims/ClaimExpiryTest.kt
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/claims/ClaimExpiryTest.kt
@@ -1,5 +1,5 @@
 /*
- * The duty to have old claim rows deleted.
+ * Tests the scheduling of the deletion of old claim rows.
  */
 package org.cardamomwharf.decision.claims
 
@@ -21,7 +21,7 @@
 
 private const val HOUR_SECONDS = 3_600L
 
-/** Returns instances that are alone in their zones, all zones together. */
+/** Returns one instance for each zone. */
 private fun startZones(): List<EntryHarness> = listOf(NORTH_A, NORTH_B, SOUTH_A, SOUTH_B).map { zone ->
     EntryHarness(createMember("e-${zone.value}", zone)).apply {
         adopt(sampleDocument())
@@ -38,15 +38,15 @@
 private fun EntryHarness.tickIn(hour: Long): List<EntryEffect.ExpireClaims> =
     handle(EntryEvent.Tick(hour * HOUR_SECONDS)).filterIsInstance<EntryEffect.ExpireClaims>()
 
-/** Returns an instance and an hour in which it has the duty, after its first call. */
-private fun startDuty(): Pair<EntryHarness, Long> {
+/** Returns an instance and an hour in which the deletion is assigned to it, after its first call. */
+private fun startAssigned(): Pair<EntryHarness, Long> {
     val entry = startZones().first()
     val hour = (1L..100L).first { entry.passHour(it).isNotEmpty() }
     return entry to hour
 }
 
 class ClaimExpiryTest : FunSpec({
-    test("`each hour one zone has the duty, and every zone has it at some time`") {
+    test("`each hour the deletion is assigned to one zone, and over time to every zone`") {
         val entries = startZones()
         val callers = (1L..40L).map { hour ->
             entries.forEach { it.runFor(60_000) }
@@ -56,8 +56,8 @@
         callers.flatten().distinct() shouldHaveSize entries.size
     }
 
-    test("`rows are deleted by the retention of the document, on and on while many are old`") {
-        val (entry, hour) = startDuty()
+    test("`rows older than the retention period are deleted, with short pauses while batches are full`") {
+        val (entry, hour) = startAssigned()
         entry.handle(EntryEvent.ClaimsExpired(MAX_EXPIRED_ROWS))
         entry.tickIn(hour).shouldBeEmpty()
         val call = entry.passHour(hour).single()
@@ -67,8 +67,8 @@
         entry.passHour(hour).shouldBeEmpty()
     }
 
-    test("`without an answer the call is made again after a minute, and a leaving instance makes none`") {
-        val (entry, hour) = startDuty()
+    test("`a call without a reply is repeated after a minute, and a leaving instance makes no calls`") {
+        val (entry, hour) = startAssigned()
         entry.handle(EntryEvent.ClaimsExpired(null))
         entry.runFor(30_000)
         entry.passHour(hour).shouldBeEmpty()
--- a/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/claims/ClaimTest.kt
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/claims/ClaimTest.kt
@@ -1,5 +1,5 @@
 /*
- * The claim of a booking: lost answers, keys that are in use, an outage of the table service, and bindings.
+ * Tests the claim of a booking: lost replies, keys in use, an outage of the table service, and bindings.
  */
 package org.cardamomwharf.decision.claims
 
@@ -29,7 +29,7 @@
     fun rowOf(attempt: AttemptId, state: ClaimState, fingerprint: String = "print", answer: RecordedResponse? = null) =
         ClaimReply.Exists(ClaimRow(attempt, fingerprint, state, answer), "v1")
 
-    test("`a booking is sent only after its claim was written`") {
+    test("`a booking is forwarded only after its claim has been written`") {
         val entry = readyEntry()
         val effects = entry.submit(createRequest(1, BOOKINGS))
         effects.filterIsInstance<EntryEffect.Forward>().shouldBeEmpty()
@@ -37,21 +37,21 @@
         entry.reply(1, ClaimReply.Written).only<EntryEffect.Forward>()
     }
 
-    test("`a lost answer is settled by reading the row back`") {
+    test("`after a lost reply the row is read back`") {
         val entry = readyEntry()
         val attempt = entry.submit(createRequest(1, BOOKINGS)).only<EntryEffect.InsertClaim>().attempt
         entry.reply(1, ClaimReply.Lost).only<EntryEffect.ReadClaim>()
         entry.reply(1, rowOf(attempt, ClaimState.CLAIMED)).only<EntryEffect.Forward>()
     }
 
-    test("`a lost insert that is not there is made again with the same attempt`") {
+    test("`a lost insert that did not take effect is repeated with the same attempt`") {
         val entry = readyEntry()
         val attempt = entry.submit(createRequest(1, BOOKINGS)).only<EntryEffect.InsertClaim>().attempt
         entry.reply(1, ClaimReply.Lost)
         entry.reply(1, ClaimReply.Absent).only<EntryEffect.InsertClaim>().attempt shouldBe attempt
     }
 
-    test("`a key that another attempt claimed is read again, and free as soon as that attempt releases it`") {
+    test("`a key that another attempt claimed is read again, and claimed as soon as that attempt releases it`") {
         val entry = readyEntry()
         entry.submit(createRequest(1, BOOKINGS))
         entry.reply(1, rowOf(AttemptId("other"), ClaimState.CLAIMED)).shouldBeEmpty()
@@ -59,7 +59,7 @@
         entry.reply(1, rowOf(AttemptId("other"), ClaimState.RELEASED)).only<EntryEffect.ReplaceClaim>()
     }
 
-    test("`a key that another attempt claimed is never run`") {
+    test("`a key that another attempt holds is never run`") {
         val entry = readyEntry()
         entry.submit(createRequest(1, BOOKINGS))
         val held = rowOf(AttemptId("other"), ClaimState.CLAIMED)
@@ -72,7 +72,7 @@
         effects.filterIsInstance<EntryEffect.ReleaseClaim>().shouldBeEmpty()
     }
 
-    test("`a key that ran gives its recorded answer, with another body it is refused`") {
+    test("`a key that ran yields its recorded response, and is refused with another body`") {
         val entry = readyEntry()
         entry.submit(createRequest(1, BOOKINGS))
         val done = rowOf(AttemptId("other"), ClaimState.DONE, answer = recorded)
@@ -88,17 +88,17 @@
         replace.rowVersion shouldBe "v1"
     }
 
-    test("`during an outage a booking is refused as not run, with a binding to take`") {
+    test("`during an outage a booking is refused as not run and offered a binding`") {
         val entry = readyEntry()
         entry.submit(createRequest(1, BOOKINGS))
         val effects = entry.reply(1, ClaimReply.Unavailable)
-        val answer = effects.only<EntryEffect.Respond>()
-        answer.reason shouldBe Reason.STORE_UNAVAILABLE
-        answer.offeredBinding?.incarnation shouldBe entry.member.incarnation
+        val response = effects.only<EntryEffect.Respond>()
+        response.reason shouldBe Reason.STORE_UNAVAILABLE
+        response.offeredBinding?.incarnation shouldBe entry.member.incarnation
         effects.only<EntryEffect.ReleaseClaim>()
     }
 
-    test("`a bound booking runs once and gives its answer again`") {
+    test("`a bound booking runs once and repeats its response`") {
         val entry = readyEntry()
         val binding = Binding(entry.member.incarnation, entry.nowMs)
         entry.submit(createRequest(1, BOOKINGS, key = "k", binding = binding))
@@ -110,7 +110,7 @@
             .only<EntryEffect.Respond>().recorded shouldBe recorded
     }
 
-    test("`a binding to another incarnation is refused, and an expired one is unknown`") {
+    test("`bindings to another incarnation and expired bindings are refused with their reasons`") {
         val entry = readyEntry()
         val other = Binding(Incarnation(8), entry.nowMs)
         entry.submit(createRequest(1, BOOKINGS, binding = other)).only<EntryEffect.Respond>().reason shouldBe
@@ -120,7 +120,7 @@
             Reason.BINDING_EXPIRED
     }
 
-    test("`after several failures the table service is asked by one request at a time`") {
+    test("`after several failures only one request at a time calls the table service`") {
         val entry = readyEntry()
         (1L..3L).forEach {
             entry.submit(createRequest(it, BOOKINGS))
@@ -132,7 +132,7 @@
         entry.submit(createRequest(6, BOOKINGS)).only<EntryEffect.Respond>().reason shouldBe Reason.STORE_UNAVAILABLE
     }
 
-    test("`an answer is recorded once the booking ran`") {
+    test("`the response is recorded once the booking has run`") {
         val entry = readyEntry()
         entry.submit(createRequest(1, BOOKINGS))
         val forward = entry.reply(1, ClaimReply.Written).only<EntryEffect.Forward>()
--- a/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/requests/AdmissionTest.kt
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/requests/AdmissionTest.kt
@@ -1,5 +1,5 @@
 /*
- * What is refused on arrival, and what a refusal tells.
+ * Tests which requests are refused on arrival, and the reason that the refusal reports.
  */
 package org.cardamomwharf.decision.requests
 
@@ -21,15 +21,15 @@
 import org.cardamomwharf.decision.support.sampleDocument
 
 class AdmissionTest : FunSpec({
-    test("`an instance without a document refuses as not run and says when to come back`") {
+    test("`an instance without a document refuses requests as not run and sends a retry delay`") {
         val entry = EntryHarness()
-        val answer = entry.submit(createRequest(1)).only<EntryEffect.Respond>()
-        answer.reason shouldBe Reason.NO_DOCUMENT
-        answer.reason.outcome shouldBe Outcome.NOT_RUN
-        answer.retryAfterMs shouldBe 1_000
+        val response = entry.submit(createRequest(1)).only<EntryEffect.Respond>()
+        response.reason shouldBe Reason.NO_DOCUMENT
+        response.reason.outcome shouldBe Outcome.NOT_RUN
+        response.retryAfterMs shouldBe 1_000
     }
 
-    test("`an unknown service, a missing key and a deadline that can't be met are refused`") {
+    test("`requests with an unknown service, a missing key or a deadline that can't be met are refused`") {
         val entry = readyEntry()
         val unknown = createRequest(1).copy(service = ServiceName("nowhere"))
         entry.submit(unknown).only<EntryEffect.Respond>().reason shouldBe Reason.UNKNOWN_SERVICE
@@ -45,7 +45,7 @@
         forward.isFreshConnection shouldBe false
     }
 
-    test("`when all slots are taken reads wait, and what can't be done in time is refused on arrival`") {
+    test("`when all slots are taken a read waits, unless it can't finish before its deadline`") {
         val entry = readyEntry()
         (1L..8L).forEach { entry.submit(createRequest(it)).only<EntryEffect.Forward>() }
         entry.submit(createRequest(9)).shouldBeEmpty()
@@ -62,14 +62,14 @@
         effects.only<EntryEffect.Forward>().request.value shouldBe 9
     }
 
-    test("`reads can't take the last fifth of the open requests, bookings can`") {
+    test("`the last fifth of the open requests is reserved for bookings`") {
         val entry = readyEntry(sampleDocument(slots = 50), EntryLimits(largestOpenRequests = 10))
         (1L..8L).forEach { entry.submit(createRequest(it)).only<EntryEffect.Forward>() }
         entry.submit(createRequest(9)).only<EntryEffect.Respond>().reason shouldBe Reason.BUSY
         entry.submit(createRequest(10, BOOKINGS)).only<EntryEffect.InsertClaim>()
     }
 
-    test("`a waiting request gets its final answer when its deadline passes`") {
+    test("`a waiting request gets its final response when its deadline passes`") {
         val entry = readyEntry()
         (1L..8L).forEach { entry.submit(createRequest(it)) }
         entry.submit(createRequest(9, deadlineAtMs = entry.nowMs + 100))
@@ -79,7 +79,7 @@
         entry.findResponse(9)?.reason shouldBe Reason.DEADLINE_PASSED
     }
 
-    test("`a request that runs past its deadline is stopped and answered as unknown`") {
+    test("`a request that runs past its deadline is cancelled and reported with an unknown outcome`") {
         val entry = readyEntry()
         val forward = entry.submit(createRequest(1, deadlineAtMs = entry.nowMs + 100)).only<EntryEffect.Forward>()
         val effects = entry.advance(100)
@@ -87,7 +87,7 @@
         effects.only<EntryEffect.Respond>().reason shouldBe Reason.DEADLINE_PASSED_RUNNING
     }
 
-    test("`an instance that was paused beyond its lease owns nothing until it has joined again`") {
+    test("`an instance that was paused beyond its lease owns no servers until it has joined again`") {
         val entry = readyEntry()
         entry.nowMs += 3_000
         entry.submit(createRequest(1, deadlineAtMs = START_MS + 90_000)).shouldBeEmpty()
--- a/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/requests/HandOverTest.kt
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/requests/HandOverTest.kt
@@ -1,5 +1,5 @@
 /*
- * Requests that are handed over: where to, under which caps, and what follows when the other instance can't be reached.
+ * Tests handing requests over: the choice of the instance, the caps, and the handling of unreachable instances.
  */
 package org.cardamomwharf.decision.requests
 
@@ -31,53 +31,55 @@
 import org.cardamomwharf.decision.support.readyEntry
 import org.cardamomwharf.decision.support.sampleDocument
 
-private val far = createMember("s1", SOUTH_A)
-private val farther = createMember("s2", SOUTH_B)
+private val remote = createMember("s1", SOUTH_A)
+private val secondRemote = createMember("s2", SOUTH_B)
 
-private fun summaryOf(member: Member, sequence: Long = 1): ZoneSummary {
+private fun createSummary(member: Member, sequence: Long = 1): ZoneSummary {
     val loads = listOf(ServiceLoad(READS, 8, 8, 0), ServiceLoad(BOOKINGS, 8, 8, 0))
     val members = listOf(SummaryMember(member, isLeaving = false, loads))
     return ZoneSummary(member.zone, sequence, DocumentVersion(1), members, loads)
 }
 
-/** Returns an instance whose own slots are all taken and that hears two zones of the other region. */
+/** Returns an instance whose own slots are all taken and that has summaries of two zones of the other region. */
 private fun fullEntry(
     document: EnvironmentDocument = sampleDocument(),
     limits: EntryLimits = EntryLimits(),
 ): EntryHarness {
     val entry = readyEntry(document, limits)
-    listOf(far, farther).forEach { entry.handle(EntryEvent.SummaryReceived(summaryOf(it), isRelayed = false)) }
+    listOf(remote, secondRemote).forEach {
+        entry.handle(EntryEvent.SummaryReceived(createSummary(it), isRelayed = false))
+    }
     (1L..8L).forEach { entry.submit(createRequest(it)) }
     entry.effects.clear()
     return entry
 }
 
 class HandOverTest : FunSpec({
-    test("`a request without a free slot goes to another region under its caps`") {
+    test("`a request without a free slot is handed over to another region within the caps`") {
         val handOver = fullEntry().submit(createRequest(20)).only<EntryEffect.HandOver>()
-        handOver.peer shouldBe far.name
+        handOver.peer shouldBe remote.name
         handOver.creditBytes shouldBe 1_000
     }
 
-    test("`when the caps of the way are used up and no wait is allowed the request is refused as such`") {
+    test("`when the caps are exhausted and no request may wait, the request is refused with that reason`") {
         val entry = fullEntry(sampleDocument(linkBytesPerSecond = 100), EntryLimits(largestWaiting = 0))
         val effects = entry.submit(createRequest(20))
         effects.filterIsInstance<EntryEffect.HandOver>().shouldBeEmpty()
         effects.only<EntryEffect.Respond>().reason shouldBe Reason.CAP_REACHED
     }
 
-    test("`an instance that can't be reached gets no more requests and is left out of look-ups`") {
+    test("`an unreachable instance gets no further requests and is left out of look-ups`") {
         val entry = fullEntry()
         val first = entry.submit(createRequest(20)).only<EntryEffect.HandOver>()
         val failed = AttemptResult.NotSent(Reason.PEER_UNREACHABLE)
         val second = entry.handle(EntryEvent.AttemptEnded(first.attempt, failed)).only<EntryEffect.HandOver>()
-        second.peer shouldBe farther.name
-        entry.submit(createRequest(21)).only<EntryEffect.HandOver>().peer shouldBe farther.name
+        second.peer shouldBe secondRemote.name
+        entry.submit(createRequest(21)).only<EntryEffect.HandOver>().peer shouldBe secondRemote.name
         val named = createLookupView(entry.state, entry.nowMs)?.candidates.orEmpty().map { it.member.name }
-        (far.name in named) shouldBe false
+        (remote.name in named) shouldBe false
     }
 
-    test("`an instance whose zone the document leaves out hands nothing to other zones`") {
+    test("`an instance whose zone is not in the document hands no requests over to other zones`") {
         val entry = fullEntry()
         val whole = sampleDocument()
         val smaller = whole.copy(regions = whole.regions.map { it.copy(zones = it.zones - NORTH_A) })
@@ -92,7 +94,7 @@
             Reason.NO_SLOT
     }
 
-    test("`an answer larger than its credit is charged before it travels`") {
+    test("`a response larger than its credit is charged before it is sent`") {
         val entry = fullEntry(sampleDocument(linkBytesPerSecond = 1_000_000))
         val handOver = entry.submit(createRequest(20)).only<EntryEffect.HandOver>()
         entry.handle(EntryEvent.CreditRequested(handOver.attempt, missingBytes = 60_000)).shouldBeEmpty()
--- a/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/requests/ResponseValidationTest.kt
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/requests/ResponseValidationTest.kt
@@ -1,5 +1,5 @@
 /*
- * Answers that name no attempt, from backend servers that name theirs.
+ * Tests responses that name no attempt, from backend servers that have named one before.
  */
 package org.cardamomwharf.decision.requests
 
@@ -16,7 +16,7 @@
 
 private const val REQUESTS = 8L
 
-/** Lets all servers answer once, so that each has named an attempt or none has. */
+/** Completes one request per slot, so that every server has named an attempt, or none has. */
 private fun EntryHarness.serveAll(hasAttemptId: Boolean) {
     (1..REQUESTS).map { submit(createRequest(it)).only<EntryEffect.Forward>() }
         .forEach { handle(EntryEvent.AttemptEnded(it.attempt, AttemptResult.Completed(hasAttemptId = hasAttemptId))) }
@@ -24,10 +24,10 @@
 }
 
 class ResponseValidationTest : FunSpec({
-    val unnamedAnswers = listOf(AttemptResult.Completed(), AttemptResult.Refused(Reason.SERVER_REFUSED))
+    val unnamedResponses = listOf(AttemptResult.Completed(), AttemptResult.Refused(Reason.SERVER_REFUSED))
 
-    test("`an answer without a name from a server that names its attempts reaches no caller`") {
-        unnamedAnswers.forEach { unnamed ->
+    test("`a response without an attempt from a server that names its attempts is not sent to the caller`") {
+        unnamedResponses.forEach { unnamed ->
             val entry = readyEntry()
             entry.serveAll(hasAttemptId = true)
             val first = entry.submit(createRequest(20)).only<EntryEffect.Forward>()
@@ -38,7 +38,7 @@
         }
     }
 
-    test("`servers that never name an attempt are taken at their word`") {
+    test("`responses of servers that never name an attempt are accepted`") {
         val entry = readyEntry()
         entry.serveAll(hasAttemptId = false)
         val forward = entry.submit(createRequest(20)).only<EntryEffect.Forward>()
--- a/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/requests/RetryTest.kt
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/requests/RetryTest.kt
@@ -1,5 +1,5 @@
 /*
- * What may be tried again after an attempt, and what the caller is told in the end.
+ * Tests which requests are retried after an attempt, and the final response to the caller.
  */
 package org.cardamomwharf.decision.requests
 
@@ -26,7 +26,7 @@
         return handle(EntryEvent.ClaimReplyReceived(RequestId(id), ClaimReply.Written)).only()
     }
 
-    test("`a read whose answer got lost is tried at another server`") {
+    test("`a read whose response was lost is retried at another server`") {
         val entry = readyEntry()
         val first = entry.submit(createRequest(1)).only<EntryEffect.Forward>()
         val lost = AttemptResult.Lost(Reason.CONNECTION_LOST)
@@ -34,7 +34,7 @@
         second.server shouldNotBe first.server
     }
 
-    test("`a read that was lost once is never answered as not run`") {
+    test("`a read whose response was lost once is never reported as not run`") {
         val entry = readyEntry()
         val first = entry.submit(createRequest(1)).only<EntryEffect.Forward>()
         val lost = AttemptResult.Lost(Reason.CONNECTION_LOST)
@@ -44,7 +44,7 @@
         end.reason.outcome shouldBe Outcome.UNKNOWN
     }
 
-    test("`a booking whose answer got lost is never tried again`") {
+    test("`a booking whose response was lost is never retried`") {
         val entry = readyEntry()
         val forward = entry.book(1)
         forward.isFreshConnection shouldBe true
@@ -55,7 +55,7 @@
         effects.filterIsInstance<EntryEffect.ReleaseClaim>().shouldBeEmpty()
     }
 
-    test("`a booking that a server refused goes to another server, then ends as not run and frees its key`") {
+    test("`a booking that two servers refuse ends as not run and releases its key`") {
         val entry = readyEntry()
         val first = entry.book(1)
         val refused = AttemptResult.Refused(Reason.SERVER_REFUSED, retryAfterMs = 1_000)
@@ -66,7 +66,7 @@
         effects.filterIsInstance<EntryEffect.ReleaseClaim>() shouldHaveSize 1
     }
 
-    test("`retries of reads stop when the budget is empty`") {
+    test("`reads are no longer retried when the retry budget is empty`") {
         val entry = readyEntry()
         val lost = AttemptResult.Lost(Reason.CONNECTION_LOST)
         val retries = (1L..100L).sumOf { id ->
@@ -83,7 +83,7 @@
         entry.effects.filterIsInstance<EntryEffect.CountRetry>().last().reason shouldBe Reason.RETRY_BUDGET_EMPTY
     }
 
-    test("`an answer that comes after the final one only frees the slot`") {
+    test("`a result that arrives after the final response only frees the slot`") {
         val entry = readyEntry()
         val forward = entry.submit(createRequest(1, deadlineAtMs = entry.nowMs + 100)).only<EntryEffect.Forward>()
         entry.advance(100)
--- a/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/session/AtMostOnceTest.kt
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/session/AtMostOnceTest.kt
@@ -1,5 +1,6 @@
 /*
- * A booking runs at most once and "not run" is true, over many seeded interleavings of faults.
+ * Tests over many seeded interleavings of faults that a booking runs at most once, and that a booking reported as not run
+ * never ran.
  */
 package org.cardamomwharf.decision.session
 
@@ -17,30 +18,30 @@
 private const val END_MS = 30_000L
 
 class AtMostOnceTest : FunSpec({
-    test("`no booking runs twice and what was told not run never ran`") {
+    test("`no booking runs twice, and a booking reported as not run never ran`") {
         var ran = 0
         var refused = 0
         checkAll(PropTestConfig(seed = 7_412, iterations = 150), Arb.long()) { seed ->
-            val world = BookingSimulation(seed)
-            world.start()
-            world.book(count = 60, spanMs = SPAN_MS)
-            world.disturb(SPAN_MS)
-            world.run(END_MS)
-            world.runs.filterValues { it > 1 }.shouldBeEmpty()
-            world.liedTo.shouldBeEmpty()
-            ran += world.answered.values.count { it.outcome == Outcome.RAN }
-            refused += world.answered.values.count { it.outcome == Outcome.NOT_RUN }
+            val simulation = BookingSimulation(seed)
+            simulation.start()
+            simulation.book(count = 60, spanMs = SPAN_MS)
+            simulation.scheduleFaults(SPAN_MS)
+            simulation.run(END_MS)
+            simulation.runs.filterValues { it > 1 }.shouldBeEmpty()
+            simulation.ranDespiteNotRun.shouldBeEmpty()
+            ran += simulation.outcomes.values.count { it.outcome == Outcome.RAN }
+            refused += simulation.outcomes.values.count { it.outcome == Outcome.NOT_RUN }
         }
         ran shouldBeGreaterThan 0
         refused shouldBeGreaterThan 0
     }
 
     test("`without faults every booking runs once`") {
-        val world = BookingSimulation(seed = 5, FaultRates(0, 0, 0, 0, 0, 0))
-        world.start()
-        world.book(count = 60, spanMs = SPAN_MS)
-        world.run(END_MS)
-        world.runs.size.let { it shouldBeGreaterThan 59 }
-        world.runs.filterValues { it > 1 }.shouldBeEmpty()
+        val simulation = BookingSimulation(seed = 5, FaultRates(0, 0, 0, 0, 0, 0))
+        simulation.start()
+        simulation.book(count = 60, spanMs = SPAN_MS)
+        simulation.run(END_MS)
+        simulation.runs.size.let { it shouldBeGreaterThan 59 }
+        simulation.runs.filterValues { it > 1 }.shouldBeEmpty()
     }
 })
--- a/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/session/BookingSimulation.kt
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/session/BookingSimulation.kt
@@ -1,6 +1,6 @@
 /*
- * Several entry instances of one zone with a fake table service and fake backend servers, in virtual time. Messages
- * take a varying time, answers of the table service get lost, servers refuse, lose answers or can't be reached,
+ * Simulates several entry instances of one zone with a fake table service and fake backend servers, in virtual time.
+ * Message delays vary; replies of the table service are lost; servers refuse, lose responses or are unreachable;
  * instances are killed, paused and restarted. Callers repeat their keys through any instance.
  */
 package org.cardamomwharf.decision.session
@@ -34,13 +34,13 @@
 private const val TICK_MS = 50L
 private const val DEADLINE_MS = 3_000L
 
-/** Rates of faults out of a hundred. */
+/** Defines the rates of faults in percent. */
 data class FaultRates(
     val storeLost: Int = 15,
     val storeDown: Int = 5,
     val refused: Int = 10,
     val unreachable: Int = 10,
-    val answerLost: Int = 10,
+    val responseLost: Int = 10,
     val handOverCut: Int = 10,
 )
 
@@ -48,7 +48,7 @@
     private val random = Random(seed)
     private val names = listOf("e1", "e2", "e3").map(::InstanceName)
     private val entries = names.associateWith { EntryHarness(createMember(it.value)) }.toMutableMap()
-    private val agenda = PriorityQueue<Planned>(compareBy({ it.atMs }, { it.order }))
+    private val timeline = PriorityQueue<Planned>(compareBy({ it.atMs }, { it.order }))
     private val rows = mutableMapOf<String, ClaimRow>()
     private val pausedUntilMs = mutableMapOf<InstanceName, Long>()
     private val handedOver = mutableMapOf<RequestId, HandedOver>()
@@ -57,28 +57,28 @@
     private var nextRequest = 1L
     private var nextIncarnation = 100L
     private var nowMs = START_MS
-    private var isStoreOut = false
+    private var isStoreDown = false
 
-    /** How often each key ran at a backend server. */
+    /** The number of runs of each key at a backend server. */
     val runs = mutableMapOf<String, Int>()
 
-    /** The request chains that a backend server ran, by the request that the caller sent. */
-    private val ranFor = mutableSetOf<RequestId>()
+    /** The caller requests that a backend server ran, directly or after a hand-over. */
+    private val executed = mutableSetOf<RequestId>()
 
-    /** Requests whose caller was told that they did not run. */
-    private val toldNotRun = mutableSetOf<RequestId>()
+    /** Requests that were reported to the caller as not run. */
+    private val reportedNotRun = mutableSetOf<RequestId>()
 
-    /** Requests that were told not run although they ran, before or after. */
-    val liedTo: Set<RequestId> get() = toldNotRun intersect ranFor
+    /** Requests that were reported as not run although they ran, before or after the report. */
+    val ranDespiteNotRun: Set<RequestId> get() = reportedNotRun intersect executed
 
-    val answered = mutableMapOf<RequestId, Reason>()
+    val outcomes = mutableMapOf<RequestId, Reason>()
 
     fun start() {
-        names.forEach { begin(it) }
+        names.forEach { initialize(it) }
         plan(0) { tickAll() }
     }
 
-    private fun begin(name: InstanceName) {
+    private fun initialize(name: InstanceName) {
         val entry = entries.getValue(name)
         entry.nowMs = nowMs
         entry.adopt(sampleDocument())
@@ -86,7 +86,7 @@
         entry.handle(EntryEvent.PlatformListRead(listed, createServers(NORTH_A)))
     }
 
-    /** Plans [count] bookings over [spanMs]; each key is tried up to three times, through any instances. */
+    /** Plans [count] bookings over [spanMs]; each key is sent up to three times, through any instances. */
     fun book(count: Int, spanMs: Long) {
         repeat(count) { number ->
             val key = "key-$number"
@@ -95,17 +95,17 @@
         }
     }
 
-    fun disturb(spanMs: Long) {
+    fun scheduleFaults(spanMs: Long) {
         repeat(4) { plan(6_000 + random.nextLong(spanMs)) { pausedUntilMs[names.random(random)] = nowMs + 4_000 } }
         repeat(3) { plan(6_000 + random.nextLong(spanMs)) { restart(names.random(random)) } }
         val outageMs = 6_000 + random.nextLong(spanMs)
-        plan(outageMs) { isStoreOut = true }
-        plan(outageMs + 3_000) { isStoreOut = false }
+        plan(outageMs) { isStoreDown = true }
+        plan(outageMs + 3_000) { isStoreDown = false }
     }
 
     fun run(untilMs: Long) {
-        while (agenda.isNotEmpty() && agenda.peek().atMs <= START_MS + untilMs) {
-            val planned = agenda.poll()
+        while (timeline.isNotEmpty() && timeline.peek().atMs <= START_MS + untilMs) {
+            val planned = timeline.poll()
             nowMs = planned.atMs
             planned.act()
         }
@@ -122,7 +122,7 @@
     private fun restart(name: InstanceName) {
         entries[name] = EntryHarness(createMember(name.value, incarnation = nextIncarnation++))
         pausedUntilMs.remove(name)
-        begin(name)
+        initialize(name)
     }
 
     private fun tickAll() {
@@ -143,12 +143,12 @@
     }
 
     private fun perform(name: InstanceName, entry: EntryHarness, effect: EntryEffect) {
-        val life = entry.member.incarnation.value
+        val incarnation = entry.member.incarnation.value
         when (effect) {
-            is EntryEffect.ClaimEffect -> callStore(name, life, effect)
-            is EntryEffect.Forward -> forward(name, life, effect)
-            is EntryEffect.HandOver -> handOver(name, life, entry, effect)
-            is EntryEffect.Respond -> answer(effect)
+            is EntryEffect.ClaimEffect -> callStore(name, incarnation, effect)
+            is EntryEffect.Forward -> forward(name, incarnation, effect)
+            is EntryEffect.HandOver -> handOver(name, incarnation, entry, effect)
+            is EntryEffect.Respond -> respond(effect)
             is EntryEffect.SendHeartbeat -> effect.addresses.forEach { to ->
                 plan(random.nextLong(1, 100)) { deliver(to.name, EntryEvent.HeartbeatReceived(effect.heartbeat)) }
             }
@@ -156,15 +156,17 @@
         }
     }
 
-    private fun callStore(name: InstanceName, life: Long, effect: EntryEffect.ClaimEffect) {
-        val isDown = isStoreOut || hits(rates.storeDown)
-        val isLost = hits(rates.storeLost)
+    private fun callStore(name: InstanceName, incarnation: Long, effect: EntryEffect.ClaimEffect) {
+        val isUnavailable = isStoreDown || occurs(rates.storeDown)
+        val isLost = occurs(rates.storeLost)
         val arriveMs = random.nextLong(1, 300)
         val reply = { answer: ClaimReply ->
-            plan(random.nextLong(1, 100)) { deliver(name, EntryEvent.ClaimReplyReceived(effect.request, answer), life) }
+            plan(random.nextLong(1, 100)) {
+                deliver(name, EntryEvent.ClaimReplyReceived(effect.request, answer), incarnation)
+            }
         }
         when {
-            isDown -> reply(ClaimReply.Unavailable)
+            isUnavailable -> reply(ClaimReply.Unavailable)
             isLost -> {
                 reply(ClaimReply.Lost)
                 plan(arriveMs) { write(effect) }
@@ -177,12 +179,12 @@
         val key = effect.claim.key
         val row = rows[key]
         return when (effect) {
-            is EntryEffect.ReadClaim -> row?.let { ClaimReply.Exists(it, versionOf(it)) } ?: ClaimReply.Absent
+            is EntryEffect.ReadClaim -> row?.let { ClaimReply.Exists(it, createRowVersion(it)) } ?: ClaimReply.Absent
             is EntryEffect.InsertClaim ->
-                if (row != null) ClaimReply.Exists(row, versionOf(row)) else put(key, effect, ClaimState.CLAIMED)
+                if (row != null) ClaimReply.Exists(row, createRowVersion(row)) else put(key, effect, ClaimState.CLAIMED)
             is EntryEffect.ReplaceClaim ->
-                if (row != null && versionOf(row) != effect.rowVersion) {
-                    ClaimReply.Exists(row, versionOf(row))
+                if (row != null && createRowVersion(row) != effect.rowVersion) {
+                    ClaimReply.Exists(row, createRowVersion(row))
                 } else {
                     put(key, effect, ClaimState.CLAIMED)
                 }
@@ -192,8 +194,8 @@
     }
 
     private fun settle(key: String, row: ClaimRow?, effect: EntryEffect.ClaimEffect, state: ClaimState): ClaimReply {
-        val isOurs = row == null || row.attempt == effect.attempt && row.state == ClaimState.CLAIMED
-        return if (isOurs) put(key, effect, state) else ClaimReply.Written
+        val isOwned = row == null || row.attempt == effect.attempt && row.state == ClaimState.CLAIMED
+        return if (isOwned) put(key, effect, state) else ClaimReply.Written
     }
 
     private fun put(key: String, effect: EntryEffect.ClaimEffect, state: ClaimState): ClaimReply {
@@ -202,13 +204,13 @@
         return ClaimReply.Written
     }
 
-    private fun versionOf(row: ClaimRow): String = "${row.attempt.value}/${row.state}"
+    private fun createRowVersion(row: ClaimRow): String = "${row.attempt.value}/${row.state}"
 
-    private fun forward(name: InstanceName, life: Long, effect: EntryEffect.Forward) {
+    private fun forward(name: InstanceName, incarnation: Long, effect: EntryEffect.Forward) {
         val roll = random.nextInt(100)
         val refusedBelow = rates.refused
         val unreachableBelow = refusedBelow + rates.unreachable
-        val lostBelow = unreachableBelow + rates.answerLost
+        val lostBelow = unreachableBelow + rates.responseLost
         val result = when {
             roll < refusedBelow -> AttemptResult.Refused(Reason.SERVER_REFUSED)
             roll < unreachableBelow -> AttemptResult.NotSent(Reason.SERVER_UNREACHABLE)
@@ -216,23 +218,23 @@
             else -> AttemptResult.Completed(RecordedResponse(200, "text/plain", ""))
         }
         val hasRun = result is AttemptResult.Completed || result is AttemptResult.Lost && random.nextBoolean()
-        if (hasRun) plan(random.nextLong(1, 40)) { noteRun(effect.request) }
-        plan(random.nextLong(41, 400)) { deliver(name, EntryEvent.AttemptEnded(effect.attempt, result), life) }
+        if (hasRun) plan(random.nextLong(1, 40)) { recordRun(effect.request) }
+        plan(random.nextLong(41, 400)) { deliver(name, EntryEvent.AttemptEnded(effect.attempt, result), incarnation) }
     }
 
-    private fun noteRun(request: RequestId) {
+    private fun recordRun(request: RequestId) {
         val first = handedOver[request]?.origin ?: request
-        ranFor += first
+        executed += first
         val key = requestsOf.getValue(first)
         runs[key] = (runs[key] ?: 0) + 1
     }
 
-    private fun handOver(name: InstanceName, life: Long, entry: EntryHarness, effect: EntryEffect.HandOver) {
+    private fun handOver(name: InstanceName, incarnation: Long, entry: EntryHarness, effect: EntryEffect.HandOver) {
         val spec = entry.state.requests.open[effect.request]?.spec ?: return
         val id = RequestId(nextRequest++)
         val first = handedOver[effect.request]?.origin ?: effect.request
-        handedOver[id] = HandedOver(first, name, life, effect.attempt)
-        if (hits(rates.handOverCut)) {
+        handedOver[id] = HandedOver(first, name, incarnation, effect.attempt)
+        if (occurs(rates.handOverCut)) {
             val isSent = random.nextBoolean()
             if (isSent) plan(random.nextLong(1, 50)) { receive(effect, spec, id) }
             val result = if (isSent) {
@@ -240,8 +242,10 @@
             } else {
                 AttemptResult.NotSent(Reason.PEER_UNREACHABLE)
             }
-            plan(random.nextLong(1, 100)) { deliver(name, EntryEvent.AttemptEnded(effect.attempt, result), life) }
-            handedOver[id] = HandedOver(first, name, life, AttemptId("cut"))
+            plan(random.nextLong(1, 100)) {
+                deliver(name, EntryEvent.AttemptEnded(effect.attempt, result), incarnation)
+            }
+            handedOver[id] = HandedOver(first, name, incarnation, AttemptId("cut"))
         } else {
             plan(random.nextLong(1, 50)) { receive(effect, spec, id) }
         }
@@ -252,11 +256,11 @@
         deliver(effect.peer, EntryEvent.RequestArrived(handed))
     }
 
-    private fun answer(effect: EntryEffect.Respond) {
-        val from = handedOver[effect.request]
-        if (from == null) {
-            answered[effect.request] = effect.reason
-            if (effect.reason.outcome == Outcome.NOT_RUN) toldNotRun += effect.request
+    private fun respond(effect: EntryEffect.Respond) {
+        val origin = handedOver[effect.request]
+        if (origin == null) {
+            outcomes[effect.request] = effect.reason
+            if (effect.reason.outcome == Outcome.NOT_RUN) reportedNotRun += effect.request
             return
         }
         val result = when (effect.reason.outcome) {
@@ -264,16 +268,23 @@
             Outcome.NOT_RUN -> AttemptResult.Refused(effect.reason)
             Outcome.UNKNOWN -> AttemptResult.Lost(effect.reason)
         }
-        plan(random.nextLong(1, 50)) { deliver(from.name, EntryEvent.AttemptEnded(from.attempt, result), from.life) }
+        plan(random.nextLong(1, 50)) {
+            deliver(origin.name, EntryEvent.AttemptEnded(origin.attempt, result), origin.incarnation)
+        }
     }
 
-    private fun hits(percent: Int): Boolean = random.nextInt(100) < percent
+    private fun occurs(percent: Int): Boolean = random.nextInt(100) < percent
 
     private fun plan(inMs: Long, act: () -> Unit) {
-        agenda += Planned(nowMs + inMs, order++, act)
+        timeline += Planned(nowMs + inMs, order++, act)
     }
 
     private class Planned(val atMs: Long, val order: Long, val act: () -> Unit)
 
-    private class HandedOver(val origin: RequestId, val name: InstanceName, val life: Long, val attempt: AttemptId)
+    private class HandedOver(
+        val origin: RequestId,
+        val name: InstanceName,
+        val incarnation: Long,
+        val attempt: AttemptId,
+    )
 }
--- a/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/session/GoldenSessionTest.kt
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/session/GoldenSessionTest.kt
@@ -1,6 +1,6 @@
 /*
- * Replays event files and compares the effects with golden files byte for byte. To write the files anew after a wanted
- * change, run the tests with -Dgolden.update=true and read the difference.
+ * Replays event files and compares the effects with golden files byte for byte. To regenerate the files after an
+ * intended change, run the tests with -Dgolden.update=true and review the difference.
  */
 package org.cardamomwharf.decision.session
 
@@ -27,7 +27,7 @@
 @Serializable
 data class TimedEvent(val atMs: Long, val event: EntryEvent)
 
-/** Represents the effects of the event at a time. */
+/** Represents the effects of the event at the same time. */
 @Serializable
 data class TimedEffects(val atMs: Long, val effects: List<EntryEffect>)
 
@@ -43,7 +43,7 @@
 
 class GoldenSessionTest : FunSpec({
     for ((name, session) in goldenSessions) {
-        test("`the session $name gives the same effects byte for byte`") {
+        test("`the session $name yields the same effects byte for byte`") {
             val eventsFile = folder.resolve("$name.events.jsonl")
             val effectsFile = folder.resolve("$name.effects.jsonl")
             if (isUpdate) {
--- a/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/session/GoldenSessions.kt
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/session/GoldenSessions.kt
@@ -1,5 +1,5 @@
 /*
- * The sessions of the golden files, as scripts that write the event files.
+ * Defines the sessions of the golden files, as scripts that generate the event files.
  */
 package org.cardamomwharf.decision.session
 
@@ -23,10 +23,10 @@
 import org.cardamomwharf.decision.support.createServers
 import org.cardamomwharf.decision.support.sampleDocument
 
-private val answered = AttemptResult.Completed(RecordedResponse(200, "text/plain", "aGVsbG8="))
+private val completed = AttemptResult.Completed(RecordedResponse(200, "text/plain", "aGVsbG8="))
 
 val goldenSessions: Map<String, () -> List<TimedEvent>> = mapOf(
-    "whole-life" to { Script().start().work().leave().events },
+    "whole-life" to { Script().start().requests().leave().events },
     "store-outage" to { Script().start().outage().events },
 )
 
@@ -35,57 +35,57 @@
     private var nowMs = START_MS
 
     fun start(): Script = apply {
-        say(EntryEvent.HeadRead(DocumentHead(DocumentVersion(1), "hash-1")))
-        say(EntryEvent.DocumentFetched(DocumentHead(DocumentVersion(1), "hash-1"), sampleDocument()))
-        say(EntryEvent.PlatformListRead(listOf(createListedInstance(createMember("e1"))), createServers(NORTH_A)))
+        addEvent(EntryEvent.HeadRead(DocumentHead(DocumentVersion(1), "hash-1")))
+        addEvent(EntryEvent.DocumentFetched(DocumentHead(DocumentVersion(1), "hash-1"), sampleDocument()))
+        addEvent(EntryEvent.PlatformListRead(listOf(createListedInstance(createMember("e1"))), createServers(NORTH_A)))
         repeat(8) { tick() }
     }
 
-    fun work(): Script = apply {
-        say(EntryEvent.RequestArrived(createRequest(1, deadlineAtMs = nowMs + 1_000)))
-        end(1, 1, AttemptResult.Lost(Reason.CONNECTION_LOST))
-        end(1, 2, AttemptResult.Completed())
-        say(EntryEvent.RequestArrived(createRequest(2, BOOKINGS, nowMs + 2_000)))
-        say(EntryEvent.ClaimReplyReceived(RequestId(2), ClaimReply.Lost))
-        say(EntryEvent.ClaimReplyReceived(RequestId(2), ClaimReply.Absent))
-        say(EntryEvent.ClaimReplyReceived(RequestId(2), ClaimReply.Written))
-        end(2, 1, AttemptResult.Refused(Reason.SERVER_REFUSED, 1_000, isServerLeaving = true))
-        end(2, 2, answered)
-        say(EntryEvent.LoadReported(createServers(NORTH_A).first().name, LoadReport(1, isLeaving = true)))
+    fun requests(): Script = apply {
+        addEvent(EntryEvent.RequestArrived(createRequest(1, deadlineAtMs = nowMs + 1_000)))
+        endAttempt(1, 1, AttemptResult.Lost(Reason.CONNECTION_LOST))
+        endAttempt(1, 2, AttemptResult.Completed())
+        addEvent(EntryEvent.RequestArrived(createRequest(2, BOOKINGS, nowMs + 2_000)))
+        addEvent(EntryEvent.ClaimReplyReceived(RequestId(2), ClaimReply.Lost))
+        addEvent(EntryEvent.ClaimReplyReceived(RequestId(2), ClaimReply.Absent))
+        addEvent(EntryEvent.ClaimReplyReceived(RequestId(2), ClaimReply.Written))
+        endAttempt(2, 1, AttemptResult.Refused(Reason.SERVER_REFUSED, 1_000, isServerLeaving = true))
+        endAttempt(2, 2, completed)
+        addEvent(EntryEvent.LoadReported(createServers(NORTH_A).first().name, LoadReport(1, isLeaving = true)))
         tick()
     }
 
     fun outage(): Script = apply {
-        say(EntryEvent.RequestArrived(createRequest(1, BOOKINGS, nowMs + 2_000)))
-        say(EntryEvent.ClaimReplyReceived(RequestId(1), ClaimReply.Unavailable))
+        addEvent(EntryEvent.RequestArrived(createRequest(1, BOOKINGS, nowMs + 2_000)))
+        addEvent(EntryEvent.ClaimReplyReceived(RequestId(1), ClaimReply.Unavailable))
         val binding = Binding(createMember("e1").incarnation, nowMs)
-        say(EntryEvent.RequestArrived(createRequest(2, BOOKINGS, nowMs + 2_000, key = "key-1", binding = binding)))
-        say(EntryEvent.ClaimReplyReceived(RequestId(2), ClaimReply.Unavailable))
-        end(2, 1, answered)
-        say(EntryEvent.RequestArrived(createRequest(3, BOOKINGS, nowMs + 2_000, key = "key-1", binding = binding)))
+        addEvent(EntryEvent.RequestArrived(createRequest(2, BOOKINGS, nowMs + 2_000, key = "key-1", binding = binding)))
+        addEvent(EntryEvent.ClaimReplyReceived(RequestId(2), ClaimReply.Unavailable))
+        endAttempt(2, 1, completed)
+        addEvent(EntryEvent.RequestArrived(createRequest(3, BOOKINGS, nowMs + 2_000, key = "key-1", binding = binding)))
         tick()
     }
 
     fun leave(): Script = apply {
-        say(EntryEvent.RequestArrived(createRequest(3, deadlineAtMs = nowMs + 20_000)))
-        say(EntryEvent.LeaveRequested)
+        addEvent(EntryEvent.RequestArrived(createRequest(3, deadlineAtMs = nowMs + 20_000)))
+        addEvent(EntryEvent.LeaveRequested)
         repeat(11) { tick() }
-        say(EntryEvent.RequestArrived(createRequest(4, deadlineAtMs = nowMs + 1_000)))
-        end(3, 1, AttemptResult.Completed())
+        addEvent(EntryEvent.RequestArrived(createRequest(4, deadlineAtMs = nowMs + 1_000)))
+        endAttempt(3, 1, AttemptResult.Completed())
         tick()
     }
 
-    private fun end(request: Long, attempt: Int, result: AttemptResult) {
-        say(EntryEvent.AttemptEnded(AttemptId("e1-7-$request-$attempt"), result))
+    private fun endAttempt(request: Long, attempt: Int, result: AttemptResult) {
+        addEvent(EntryEvent.AttemptEnded(AttemptId("e1-7-$request-$attempt"), result))
     }
 
-    private fun say(event: EntryEvent) {
+    private fun addEvent(event: EntryEvent) {
         nowMs += 10
         events += TimedEvent(nowMs, event)
     }
 
     private fun tick() {
         nowMs += 490
-        say(EntryEvent.Tick(nowMs / 1_000))
+        addEvent(EntryEvent.Tick(nowMs / 1_000))
     }
 }
--- a/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/support/EntryHarness.kt
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/support/EntryHarness.kt
@@ -1,5 +1,5 @@
 /*
- * One entry instance under test, with its time and everything it asked for. The thin base of the tests of decisions.
+ * Runs the decisions of one entry instance in tests, with a virtual clock and a record of all effects.
  */
 package org.cardamomwharf.decision.support
 
@@ -91,7 +91,7 @@
         return handle(EntryEvent.Tick(epochSeconds = nowMs / 1_000))
     }
 
-    /** Lets time pass in steps that keep the lease. */
+    /** Advances the time in steps that are short enough to keep the lease. */
     fun runFor(ms: Long): List<EntryEffect> = (1..ms / 500).flatMap { advance(500) }
 
     fun adopt(document: EnvironmentDocument, version: Long = 1): List<EntryEffect> =
@@ -104,7 +104,7 @@
     fun findResponse(id: Long): EntryEffect.Respond? = responses().firstOrNull { it.request == RequestId(id) }
 }
 
-/** Returns an instance that is alone in its zone, has a document and owns all servers of the zone. */
+/** Returns an instance that is alone in its zone, has a document and owns all servers of its zone. */
 fun readyEntry(
     document: EnvironmentDocument = sampleDocument(),
     limits: EntryLimits = EntryLimits(),
--- a/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/support/SampleDocument.kt
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/support/SampleDocument.kt
@@ -1,5 +1,5 @@
 /*
- * A small document for tests: two regions of two partners with two zones each, one read service and one booking
+ * Defines a small document for tests: two regions of two partners with two zones each, one read service and one booking
  * service.
  */
 package org.cardamomwharf.decision.support
