--- a/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/EntryStateMachine.kt
+++ b/cardamomwharf-decision/src/main/kotlin/org/cardamomwharf/decision/EntryStateMachine.kt
@@ -10,9 +10,9 @@
 import org.cardamomwharf.decision.claims.scheduleNextExpiry
 import org.cardamomwharf.decision.membership.applyList
 import org.cardamomwharf.decision.membership.changesOwnership
-import org.cardamomwharf.decision.membership.recordRun
 import org.cardamomwharf.decision.membership.isLeaseExpired
 import org.cardamomwharf.decision.membership.recordHeartbeat
+import org.cardamomwharf.decision.membership.recordRun
 import org.cardamomwharf.decision.membership.recordSummary
 import org.cardamomwharf.decision.ownership.Ownership
 import org.cardamomwharf.decision.requests.admit
--- a/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/session/AtMostOnceTest.kt
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/session/AtMostOnceTest.kt
@@ -1,6 +1,6 @@
 /*
- * Tests over many seeded interleavings of faults that a booking runs at most once, and that a booking reported as not run
- * never ran.
+ * Tests over many seeded interleavings of faults that a booking runs at most once, and that a booking that was reported
+ * as not run never ran.
  */
 package org.cardamomwharf.decision.session
 
