--- a/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/servers/SlotUsageTest.kt
+++ b/cardamomwharf-decision/src/test/kotlin/org/cardamomwharf/decision/servers/SlotUsageTest.kt
@@ -40,7 +40,8 @@
     test("`a new server gets one slot more for each part of the slow start`") {
         val entry = readyEntry(sampleDocument(slots = SLOTS, policy = Policy(slowStartMs = SLOW_START_MS)))
         val added = createServers(NORTH_A).first().copy(name = fresh, address = SocketAddress("127.0.2.9", 9_000))
-        entry.handle(EntryEvent.PlatformListRead(listOf(createListedInstance(entry.member)), createServers(NORTH_A) + added))
+        val listed = listOf(createListedInstance(entry.member))
+        entry.handle(EntryEvent.PlatformListRead(listed, createServers(NORTH_A) + added))
         val slots = (1..SLOTS).map { entry.countFreeSlots(fresh).also { entry.runFor(SLOW_START_MS / SLOTS) } }
         slots shouldBe listOf(1, 1, 2, 3)
         entry.countFreeSlots(fresh) shouldBe SLOTS
