Rename the platform functions that other modules use

FieldNames becomes HeaderNames, CallerPlace CallerLocation, platformStore createPlatformStore, and the functions of the stand-ins say what they return or change.

--- a/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/process/ProcessCost.kt
+++ b/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/process/ProcessCost.kt
@@ -15,7 +15,7 @@
 import org.cardamomwharf.http.HttpResult
 import org.cardamomwharf.http.call
 import org.cardamomwharf.http.startJettyHttpClient
-import org.cardamomwharf.platform.FieldNames
+import org.cardamomwharf.platform.HeaderNames
 import org.cardamomwharf.platform.standin.BackendStandin
 import org.cardamomwharf.platform.standin.StoreStandin
 import org.cardamomwharf.platform.standin.write
@@ -110,9 +110,9 @@
         val number = sent.incrementAndGet()
         val headers = listOf(
             HttpField("Host", HOST),
-            HttpField(FieldNames.REQUEST_ID, "r$number"),
-            HttpField(FieldNames.AFFINITY_KEY, "${number % KEYS}"),
-            HttpField(FieldNames.DEADLINE_MS, "$CALL_MS"),
+            HttpField(HeaderNames.REQUEST_ID, "r$number"),
+            HttpField(HeaderNames.AFFINITY_KEY, "${number % KEYS}"),
+            HttpField(HeaderNames.DEADLINE_MS, "$CALL_MS"),
         )
         statusOf("http://${gateway.callerAddress}/reads/a", headers)
     }
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/AttemptEnds.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/AttemptEnds.kt
@@ -5,7 +5,7 @@
 
 import org.cardamomwharf.core.StatusCode
 import org.cardamomwharf.forward.server.CallResult
-import org.cardamomwharf.platform.FieldNames
+import org.cardamomwharf.platform.HeaderNames
 import org.cardamomwharf.steering.requests.AttemptOutcome
 
 private const val REQUEST_TIMEOUT = 408
@@ -21,7 +21,7 @@
     is CallResult.Lost -> AttemptOutcome.LOST
     is CallResult.Completed -> when {
         end.response.status == MISDIRECTED -> AttemptOutcome.MISDIRECTED
-        end.response.fields.contains(FieldNames.NOT_RUN) -> AttemptOutcome.SHED
+        end.response.fields.contains(HeaderNames.NOT_EXECUTED) -> AttemptOutcome.SHED
         end.response.status >= SMALLEST_SERVER_FAILURE || end.response.status in promisingStatuses ->
             AttemptOutcome.FAILED
         else -> AttemptOutcome.ANSWERED
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/ForwardingHandler.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/ForwardingHandler.kt
@@ -8,7 +8,7 @@
 import org.cardamomwharf.core.StatusCode
 import org.cardamomwharf.forward.listener.AsyncHandler
 import org.cardamomwharf.forward.server.ConnectionPool
-import org.cardamomwharf.platform.FieldNames
+import org.cardamomwharf.platform.HeaderNames
 import org.cardamomwharf.steering.Steering
 import org.cardamomwharf.steering.desired.DesiredState
 import org.cardamomwharf.steering.desired.Route
@@ -60,7 +60,7 @@
 private class ForwardingHandler(private val tools: ForwardingContext) : AsyncHandler {
     override fun handle(request: Request, response: Response, callback: Callback) {
         val arrivedAtMs = tools.clock.nowMs()
-        val id = request.headers.get(FieldNames.REQUEST_ID)
+        val id = request.headers.get(HeaderNames.REQUEST_ID)
         val (desired, found) = tools.steering.withLock { steering, _ ->
             steering.routes.desired to findRoute(steering, request)
         }
@@ -80,13 +80,13 @@
     }
 
     private fun specOf(request: Request, id: String?, found: Found, arrivedAtMs: Long): RequestSpec {
-        val deadlineMs = request.headers.get(FieldNames.DEADLINE_MS)?.toDoubleOrNull()?.toLong()
+        val deadlineMs = request.headers.get(HeaderNames.DEADLINE_MS)?.toDoubleOrNull()?.toLong()
         val givenMs = minOf(found.route.timeoutMs, deadlineMs ?: Long.MAX_VALUE)
         return RequestSpec(
             id = id ?: "",
             route = found.route,
             service = found.service,
-            affinityKey = request.headers.get(FieldNames.AFFINITY_KEY),
+            affinityKey = request.headers.get(HeaderNames.AFFINITY_KEY),
             arrivedAtMs = arrivedAtMs,
             deadlineAtMs = arrivedAtMs + givenMs,
         )
@@ -129,7 +129,7 @@
         minOf(desired.callerLimits.largestBodyBytes, LARGEST_KEPT_BODY_BYTES)
 
     private fun refuse(request: Request, response: Response, callback: Callback, reply: OwnReply) {
-        val id = request.headers.get(FieldNames.REQUEST_ID)
+        val id = request.headers.get(HeaderNames.REQUEST_ID)
         tools.traces.record(RequestTrace(id.orEmpty(), "", "", null, 0, reply.code, reply.status, 0, 0, emptyList()))
         writeOwn(reply, id, tools.isStopping || reply.status == CONTENT_TOO_LARGE, response, callback)
     }
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/Replies.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/Replies.kt
@@ -4,7 +4,7 @@
 package org.cardamomwharf.forward.proxy
 
 import org.cardamomwharf.forward.server.ServerResponse
-import org.cardamomwharf.platform.FieldNames
+import org.cardamomwharf.platform.HeaderNames
 import org.eclipse.jetty.http.HttpFields
 import org.eclipse.jetty.http.HttpHeader
 import org.eclipse.jetty.server.Response
@@ -37,8 +37,8 @@
 
 internal fun writeOwn(reply: OwnReply, requestId: String?, isClosing: Boolean, response: Response, done: Callback) {
     response.status = reply.status
-    requestId?.let { response.headers.put(FieldNames.REQUEST_ID, it) }
-    reply.retryAfterMs?.let { response.headers.put(FieldNames.RETRY_AFTER, secondsOf(it)) }
+    requestId?.let { response.headers.put(HeaderNames.REQUEST_ID, it) }
+    reply.retryAfterMs?.let { response.headers.put(HeaderNames.RETRY_AFTER, secondsOf(it)) }
     write(reply.code.toByteArray(), isClosing, response, done)
 }
 
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/RequestCourse.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/RequestCourse.kt
@@ -10,7 +10,7 @@
 import org.cardamomwharf.forward.server.ServerCall
 import org.cardamomwharf.forward.server.ServerRequest
 import org.cardamomwharf.forward.server.ServerResponse
-import org.cardamomwharf.platform.FieldNames
+import org.cardamomwharf.platform.HeaderNames
 import org.cardamomwharf.steering.requests.AttemptOutcome
 import org.cardamomwharf.steering.requests.AttemptReport
 import org.cardamomwharf.steering.requests.NextStep
@@ -69,8 +69,8 @@
     private fun requestFor(placement: Placement.Send): ServerRequest {
         val leftMs = (spec.deadlineAtMs - tools.clock.nowMs()).coerceAtLeast(1)
         val fields = endToEnd(request.headers)
-            .put(FieldNames.DEADLINE_MS, leftMs.toString())
-            .put(FieldNames.EXPECTED_SERVER, placement.server.value)
+            .put(HeaderNames.DEADLINE_MS, leftMs.toString())
+            .put(HeaderNames.EXPECTED_SERVER, placement.server.value)
         return ServerRequest(spec.id, request.method, request.httpURI.pathQuery, fields, body)
     }
 
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/AnswerJudge.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/AnswerJudge.kt
@@ -4,7 +4,7 @@
  */
 package org.cardamomwharf.forward.server
 
-import org.cardamomwharf.platform.FieldNames
+import org.cardamomwharf.platform.HeaderNames
 import org.cardamomwharf.platform.decodeLoadReport
 import org.eclipse.jetty.http.HttpFields
 import org.eclipse.jetty.http.HttpHeader
@@ -21,7 +21,7 @@
 
 /** Returns true when the answer is an interim one or names another request than [id]. */
 internal fun AnswerReader.isForeignTo(id: String?): Boolean {
-    val named = fields.get(FieldNames.REQUEST_ID)
+    val named = fields.get(HeaderNames.REQUEST_ID)
     return status < SMALLEST_FINAL_STATUS || (named != null && named != id)
 }
 
@@ -37,14 +37,14 @@
 
 /** Returns the answer that was read. */
 internal fun AnswerReader.toAnswer(): ServerResponse {
-    val report = decodeLoadReport(fields.get(FieldNames.SERVER_LOAD))
+    val report = decodeLoadReport(fields.get(HeaderNames.SERVER_LOAD))
     return ServerResponse(status, fields.asImmutable(), body.toByteArray(), report)
 }
 
 /** Returns the end of a call to which [answer] came; a success has to be ours, signed and plain. */
 internal fun judge(answer: ServerResponse, id: String): CallResult {
-    val isOurs = answer.fields.get(FieldNames.REQUEST_ID) == id
-    val isSigned = answer.fields.contains(FieldNames.SIGNATURE)
+    val isOurs = answer.fields.get(HeaderNames.REQUEST_ID) == id
+    val isSigned = answer.fields.contains(HeaderNames.SIGNATURE)
     val isEncoded = answer.fields.contains(HttpHeader.CONTENT_ENCODING)
     val isUsable = answer.status !in success || (isOurs && isSigned && !isEncoded)
     return if (isUsable) CallResult.Completed(answer) else CallResult.Lost(CallFailure.FOREIGN)
--- a/cardamomwharf-forward/src/test/kotlin/org/cardamomwharf/forward/server/EndlessAnswerTest.kt
+++ b/cardamomwharf-forward/src/test/kotlin/org/cardamomwharf/forward/server/EndlessAnswerTest.kt
@@ -13,7 +13,7 @@
 import org.cardamomwharf.forward.support.ScriptedConnection
 import org.cardamomwharf.forward.support.ScriptedServer
 import org.cardamomwharf.forward.support.answerText
-import org.cardamomwharf.platform.FieldNames
+import org.cardamomwharf.platform.HeaderNames
 import org.eclipse.jetty.http.HttpFields
 import org.eclipse.jetty.util.thread.QueuedThreadPool
 import java.util.concurrent.CompletableFuture
@@ -49,7 +49,7 @@
     afterSpec { threads.stop() }
 
     fun start(pool: ConnectionPool, address: SocketAddress): CompletableFuture<CallResult> {
-        val fields = HttpFields.build().put("Host", "h").put(FieldNames.REQUEST_ID, "a")
+        val fields = HttpFields.build().put("Host", "h").put(HeaderNames.REQUEST_ID, "a")
         val end = CompletableFuture<CallResult>()
         val request = ServerRequest("a", "GET", "/x", fields, null)
         pool.send(ServerCall(ServerName("s"), address, request) { end.complete(it) })
--- a/cardamomwharf-forward/src/test/kotlin/org/cardamomwharf/forward/server/ServerPoolTest.kt
+++ b/cardamomwharf-forward/src/test/kotlin/org/cardamomwharf/forward/server/ServerPoolTest.kt
@@ -12,7 +12,7 @@
 import org.cardamomwharf.forward.support.ScriptedServer
 import org.cardamomwharf.forward.support.answerText
 import org.cardamomwharf.forward.support.idOf
-import org.cardamomwharf.platform.FieldNames
+import org.cardamomwharf.platform.HeaderNames
 import org.eclipse.jetty.http.HttpFields
 import org.eclipse.jetty.util.thread.QueuedThreadPool
 import java.net.InetSocketAddress
@@ -33,7 +33,7 @@
     }
 
     fun start(address: SocketAddress, id: String, end: CompletableFuture<CallResult>): ServerCall {
-        val fields = HttpFields.build().put("Host", "h").put(FieldNames.REQUEST_ID, id)
+        val fields = HttpFields.build().put("Host", "h").put(HeaderNames.REQUEST_ID, id)
         val request = ServerRequest(id, "GET", "/x", fields, null)
         val call = ServerCall(ServerName("s"), address, request) { end.complete(it) }
         pool.send(call)
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/GatewayProcess.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/GatewayProcess.kt
@@ -42,7 +42,7 @@
 import org.cardamomwharf.gateway.store.StoreRelay
 import org.cardamomwharf.http.HttpClientSettings
 import org.cardamomwharf.http.startJettyHttpClient
-import org.cardamomwharf.platform.platformStore
+import org.cardamomwharf.platform.createPlatformStore
 import org.cardamomwharf.steering.Steering
 import org.cardamomwharf.steering.desired.CallerLimits
 import org.cardamomwharf.steering.instances.InstanceRecord
@@ -160,7 +160,7 @@
         )
     }
 
-    private fun openStore(): DeploymentStore = platformStore(caller, settings.addresses.store) { table, key ->
+    private fun openStore(): DeploymentStore = createPlatformStore(caller, settings.addresses.store) { table, key ->
         metrics.countUnreadable(table)
         log.event("unreadable-row") {
             put("table", table)
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/directory/DirectoryHandler.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/directory/DirectoryHandler.kt
@@ -5,8 +5,8 @@
 
 import org.cardamomwharf.core.StatusCode
 import org.cardamomwharf.forward.listener.AsyncHandler
-import org.cardamomwharf.platform.decodeCallerPlace
-import org.cardamomwharf.platform.encodeDirectoryAnswer
+import org.cardamomwharf.platform.decodeCallerLocation
+import org.cardamomwharf.platform.encodeDirectoryResponse
 import org.cardamomwharf.steering.InstanceLocation
 import org.cardamomwharf.steering.instances.InstanceRecord
 import org.cardamomwharf.steering.instances.chooseInstances
@@ -30,11 +30,11 @@
 ): AsyncHandler =
     AsyncHandler { request, response, callback ->
         val query = Request.extractQueryParameters(request)
-        val asked = decodeCallerPlace(query::getValue)
+        val asked = decodeCallerLocation(query::getValue)
         val choice = chooseInstances(serving(), place.regions, asked.zone, asked.region)
         watch.note(asked.zone?.takeIf { it in place.regions }, choice)
         val chosen = choice.instances.take(LARGEST_ADDRESSES)
-        val body = encodeDirectoryAnswer(chosen.map { it.callerAddress }, KEPT_S)
+        val body = encodeDirectoryResponse(chosen.map { it.callerAddress }, KEPT_S)
         response.headers.put(HttpHeader.CONTENT_TYPE, "application/json")
         write(StatusCode.OK, body, response, callback)
     }
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/selftest/SelfTest.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/selftest/SelfTest.kt
@@ -21,7 +21,7 @@
 import org.cardamomwharf.http.HttpResult
 import org.cardamomwharf.http.call
 import org.cardamomwharf.http.startJettyHttpClient
-import org.cardamomwharf.platform.FieldNames
+import org.cardamomwharf.platform.HeaderNames
 import org.cardamomwharf.platform.standin.BackendStandin
 import org.cardamomwharf.platform.standin.StoreStandin
 import org.cardamomwharf.platform.standin.write
@@ -67,7 +67,7 @@
 }
 
 private fun isServed(caller: HttpClient, port: Int, number: Int): Boolean {
-    val headers = listOf(HttpField(FieldNames.REQUEST_ID, "self-$number"), HttpField(FieldNames.AFFINITY_KEY, "k"))
+    val headers = listOf(HttpField(HeaderNames.REQUEST_ID, "self-$number"), HttpField(HeaderNames.AFFINITY_KEY, "k"))
     val body = if (number % 2 == 0) ByteArray(0) else "body".toByteArray()
     val method = if (body.isEmpty()) "GET" else "POST"
     val end = caller.call(HttpCall(method, "http://$HOST:$port/p/$number", headers, body, CALL_MS))
--- a/cardamomwharf-soak/src/main/kotlin/org/cardamomwharf/soak/ServerFaults.kt
+++ b/cardamomwharf-soak/src/main/kotlin/org/cardamomwharf/soak/ServerFaults.kt
@@ -3,7 +3,7 @@
  */
 package org.cardamomwharf.soak
 
-import org.cardamomwharf.platform.standin.BackendBehaviour
+import org.cardamomwharf.platform.standin.BackendBehavior
 import org.cardamomwharf.platform.standin.write
 
 /** Time for which a leaving server serves on; the users name 2.5 s and a little longer. */
@@ -48,8 +48,8 @@
     }
 
     private fun loseAnswers(server: SoakServer, forMs: Long) {
-        server.standin.behaviour = BackendBehaviour(isLosing = true)
+        server.standin.behavior = BackendBehavior(isLosingResponses = true)
         Thread.sleep(forMs)
-        server.standin.behaviour = BackendBehaviour()
+        server.standin.behavior = BackendBehavior()
     }
 }
--- a/cardamomwharf-soak/src/main/kotlin/org/cardamomwharf/soak/SoakCall.kt
+++ b/cardamomwharf-soak/src/main/kotlin/org/cardamomwharf/soak/SoakCall.kt
@@ -5,7 +5,7 @@
 
 import org.cardamomwharf.http.HttpCall
 import org.cardamomwharf.http.HttpField
-import org.cardamomwharf.platform.FieldNames
+import org.cardamomwharf.platform.HeaderNames
 
 /** Time after which a caller gives up. */
 private const val CALL_LIMIT_MS = 2_500L
@@ -20,9 +20,9 @@
 internal fun callOf(gateway: GatewayHandle, path: String, request: SoakCall): HttpCall {
     val fields = listOf(
         HttpField("Host", HOST),
-        HttpField(FieldNames.REQUEST_ID, request.id),
-        HttpField(FieldNames.AFFINITY_KEY, request.key),
-        HttpField(FieldNames.DEADLINE_MS, "$DEADLINE_MS"),
+        HttpField(HeaderNames.REQUEST_ID, request.id),
+        HttpField(HeaderNames.AFFINITY_KEY, request.key),
+        HttpField(HeaderNames.DEADLINE_MS, "$DEADLINE_MS"),
     )
     val method = if (request.body.isEmpty()) "GET" else "POST"
     return HttpCall(method, "http://${gateway.callerAddress}$path", fields, request.body, CALL_LIMIT_MS)
--- a/cardamomwharf-soak/src/main/kotlin/org/cardamomwharf/soak/SoakCallers.kt
+++ b/cardamomwharf-soak/src/main/kotlin/org/cardamomwharf/soak/SoakCallers.kt
@@ -11,7 +11,7 @@
 import org.cardamomwharf.http.HttpResult
 import org.cardamomwharf.http.call
 import org.cardamomwharf.http.startJettyHttpClient
-import org.cardamomwharf.platform.FieldNames
+import org.cardamomwharf.platform.HeaderNames
 import org.cardamomwharf.platform.standin.BackendStandin
 import kotlin.random.Random
 
@@ -78,9 +78,9 @@
         val startedAtMs = world.clock.nowMs()
         val end = caller.call(callOf(to, "/$service/$id", SoakCall(id, "${random.nextInt(KEYS)}", body)))
         val answer = (end as? HttpResult.Completed)?.response
-        val isOwn = answer != null && answer.findHeader(FieldNames.REQUEST_ID) == id &&
-            answer.findHeader(FieldNames.SIGNATURE) == BackendStandin.signatureOf(id) &&
-            answer.body.decodeToString() == BackendStandin.bodyOf(id, service)
+        val isOwn = answer != null && answer.findHeader(HeaderNames.REQUEST_ID) == id &&
+            answer.findHeader(HeaderNames.SIGNATURE) == BackendStandin.createSignature(id) &&
+            answer.body.decodeToString() == BackendStandin.createBody(id, service)
         return CallRecord(
             id = id,
             instance = to.name,
--- a/cardamomwharf-soak/src/main/kotlin/org/cardamomwharf/soak/StoreTroubles.kt
+++ b/cardamomwharf-soak/src/main/kotlin/org/cardamomwharf/soak/StoreTroubles.kt
@@ -5,7 +5,7 @@
 
 import org.cardamomwharf.core.ZoneName
 import org.cardamomwharf.platform.standin.StoreFaults
-import org.cardamomwharf.platform.standin.evacuate
+import org.cardamomwharf.platform.standin.setEvacuated
 
 private const val SLOW_STORE_MS = 400L
 private const val LOST_EVERY = 2
@@ -14,7 +14,7 @@
     fun inject(fault: Fault.OfStore) {
         when (fault) {
             is Fault.StoreTrouble -> disturb("${fault.kind}", fault.forMs) { trouble(fault) }
-            is Fault.ForgetHistory -> disturb("history", 0) { world.store.forgetHistory() }
+            is Fault.ForgetHistory -> disturb("history", 0) { world.store.clearHistory() }
             is Fault.Reconfigure -> world.reconfigure()
             is Fault.Evacuate -> evacuate(world.gateways[fault.target % world.gateways.size].zone, fault.forMs)
         }
@@ -24,16 +24,16 @@
         world.store.faults = when (fault.kind) {
             StoreKind.REFUSING -> StoreFaults(isRefusing = true)
             StoreKind.SLOW -> StoreFaults(delayMs = SLOW_STORE_MS)
-            StoreKind.LOSING -> StoreFaults(lostEvery = LOST_EVERY)
+            StoreKind.LOSING -> StoreFaults(lostResponseInterval = LOST_EVERY)
         }
         Thread.sleep(fault.forMs)
         world.store.faults = StoreFaults()
     }
 
     private fun evacuate(zone: String, forMs: Long) {
-        world.store.evacuate(ZoneName(zone), true)
+        world.store.setEvacuated(ZoneName(zone), true)
         Thread.sleep(forMs)
-        world.store.evacuate(ZoneName(zone), false)
+        world.store.setEvacuated(ZoneName(zone), false)
     }
 
     private fun disturb(what: String, forMs: Long, act: () -> Unit) =
