--- a/cardamomwharf-cli/src/main/kotlin/org/cardamomwharf/cli/Commands.kt
+++ b/cardamomwharf-cli/src/main/kotlin/org/cardamomwharf/cli/Commands.kt
@@ -1,5 +1,5 @@
 /*
- * The subcommands with their options. Each has its own options only; what most of them share is in SharedOptions.
+ * The subcommands and their own options; shared options are declared in WharfCommand and EnvironmentCommand.
  */
 package org.cardamomwharf.cli
 
@@ -40,48 +40,50 @@
 internal class SubmitCommand :
     EnvironmentCommand("submit", "Submit a document to trial. Example: wharf submit --file document.yaml") {
     private val file by option(ArgType.String, "file", description = "Document in YAML").required()
-    private val expected by option(ArgType.Int, "expect", description = "Trial version that must be in force")
+    private val expected by option(ArgType.Int, "expect", description = "Trial version that must be current")
 
     override fun run(): Result<Report, CommandError> =
-        readFile(file).flatMap { environments().submit(it, versionOf(expected), act()) }
+        readFile(file).flatMap { environments().submit(it, toDocumentVersion(expected), createAction()) }
 }
 
 @OptIn(ExperimentalCli::class)
 internal class PromoteCommand :
-    EnvironmentCommand("promote", "Promote a tried version. Example: wharf promote --trial 3 --expect 7") {
+    EnvironmentCommand("promote", "Promote a trial version. Example: wharf promote --trial 3 --expect 7") {
     private val trial by option(ArgType.Int, "trial", description = "Trial version to promote").required()
-    private val expected by option(ArgType.Int, "expect", description = "Production version that must be in force")
+    private val expected by option(ArgType.Int, "expect", description = "Production version that must be current")
 
     override fun run(): Result<Report, CommandError> =
-        environments().promote(DocumentVersion(trial.toLong()), versionOf(expected), act())
+        environments().promote(DocumentVersion(trial.toLong()), toDocumentVersion(expected), createAction())
 }
 
 @OptIn(ExperimentalCli::class)
 internal class DrainCommand :
     EnvironmentCommand("drain", "Drain a zone. Example: wharf drain --zone mazowsze-a --service stan") {
     private val zone by option(ArgType.String, "zone", description = "Zone to drain").required()
-    private val service by option(ArgType.String, "service", description = "Only this service")
-    private val startsAt by option(ArgType.Int, "starts-at", description = "Start, seconds since 1970").default(0)
-    private val endsAt by option(ArgType.Int, "ends-at", description = "End, seconds since 1970").default(0)
+    private val service by option(ArgType.String, "service", description = "Drain only this service")
+    private val startsAt by option(ArgType.Int, "starts-at", description = "Start, Unix time in seconds").default(0)
+    private val endsAt by option(ArgType.Int, "ends-at", description = "End, Unix time in seconds").default(0)
 
     override fun run(): Result<Report, CommandError> {
         val drain = Drain(ZoneName(zone), service?.let(::ServiceName), startsAt.toLong(), endsAt.toLong())
-        return environments().changeDrains("drain $zone", act()) { drains -> (drains - drain) + drain }
+        return environments().changeDrains("drain $zone", createAction()) { drains -> (drains - drain) + drain }
     }
 }
 
 @OptIn(ExperimentalCli::class)
 internal class UndrainCommand :
     EnvironmentCommand("undrain", "End the drains of a zone. Example: wharf undrain --zone mazowsze-a") {
-    private val zone by option(ArgType.String, "zone", description = "Zone to serve again").required()
+    private val zone by option(ArgType.String, "zone", description = "Zone to undrain").required()
 
     override fun run(): Result<Report, CommandError> =
-        environments().changeDrains("undrain $zone", act()) { drains -> drains.filter { it.zone.value != zone } }
+        environments().changeDrains("undrain $zone", createAction()) { drains ->
+            drains.filter { it.zone.value != zone }
+        }
 }
 
 @OptIn(ExperimentalCli::class)
 internal class HistoryCommand :
-    EnvironmentCommand("history", "Show accepted versions. Example: wharf history --environment trial") {
+    EnvironmentCommand("history", "List the accepted versions. Example: wharf history --environment trial") {
     private val environment by option(ArgType.String, "environment", description = "trial or production")
         .default(EnvironmentName.PRODUCTION.value)
 
@@ -107,24 +109,25 @@
 @OptIn(ExperimentalCli::class)
 internal class StatusCommand :
     WharfCommand("status", "Show entry instances. Example: wharf status --entries 127.0.0.1:8201,127.0.0.2:8201") {
-    private val entries by option(ArgType.String, "entries", description = "Admin addresses, by comma").required()
+    private val entries by option(ArgType.String, "entries", description = "Admin addresses, comma-separated")
+        .required()
 
     override fun run(): Result<Report, CommandError> =
-        useCaller { EntryQueries(it).status(entries.split(',')) }
+        useClient { EntryQueries(it).status(entries.split(',')) }
 }
 
 @OptIn(ExperimentalCli::class)
 internal class ExplainCommand :
-    WharfCommand("explain", "Say why a client is sent where it is. Example: wharf explain --entry 127.0.0.1:8201 ...") {
-    private val entry by option(ArgType.String, "entry", description = "Admin address").required()
+    WharfCommand("explain", "Explain the ranking for a client. Example: wharf explain --entry 127.0.0.1:8201 ...") {
+    private val entry by option(ArgType.String, "entry", description = "Admin address of an entry instance").required()
     private val service by option(ArgType.String, "service", description = "Service").required()
     private val client by option(ArgType.String, "client", description = "Client address").required()
 
     override fun run(): Result<Report, CommandError> =
-        useCaller { EntryQueries(it).explain(entry, service, client) }
+        useClient { EntryQueries(it).explain(entry, service, client) }
 }
 
-private fun versionOf(number: Int?): DocumentVersion? = number?.let { DocumentVersion(it.toLong()) }
+private fun toDocumentVersion(number: Int?): DocumentVersion? = number?.let { DocumentVersion(it.toLong()) }
 
 private fun readFile(file: String) =
     readDocument(Path.of(file)).mapError { CommandError.Invalid(file, it) }.flatMap { Ok(it) }
--- a/cardamomwharf-cli/src/main/kotlin/org/cardamomwharf/cli/DocumentChange.kt
+++ b/cardamomwharf-cli/src/main/kotlin/org/cardamomwharf/cli/DocumentChange.kt
@@ -1,5 +1,5 @@
 /*
- * What a change from one stored document to the next means for the caps.
+ * Compares a stored document with its successor: whether their caps are equal, and which zones disappear unstopped.
  */
 package org.cardamomwharf.cli
 
@@ -11,21 +11,21 @@
 import org.cardamomwharf.repository.DocumentArchive
 import org.cardamomwharf.repository.RepositoryError
 
-/** Returns true when both documents divide the caps alike; false when one of them can't be read. */
+/** Returns true when both documents have equal cap parameters; false when either of them can't be read. */
 internal fun DocumentArchive.haveSameCaps(hash: String, nextHash: String): Boolean {
     if (hash == nextHash) return true
-    val terms = readDocument(hash).get()?.document?.capParameters()
-    return terms != null && terms == readDocument(nextHash).get()?.document?.capParameters()
+    val parameters = readDocument(hash).get()?.document?.capParameters()
+    return parameters != null && parameters == readDocument(nextHash).get()?.document?.capParameters()
 }
 
-/** Returns the zones that the next document leaves out without saying that they were stopped. */
+/** Returns the zones that the next document removes without listing them in its `stoppedZones`. */
 internal fun DocumentArchive.findUnstoppedZones(
     hash: String,
     nextHash: String,
 ): Result<List<String>, RepositoryError> =
     readDocument(hash).flatMap { before ->
         readDocument(nextHash).map { next ->
-            val kept = next.document.regions.flatMap { it.zones } + next.document.stoppedZones
-            before.document.regions.flatMap { it.zones }.filter { it !in kept }.map { it.value }
+            val knownZones = next.document.regions.flatMap { it.zones } + next.document.stoppedZones
+            before.document.regions.flatMap { it.zones }.filter { it !in knownZones }.map { it.value }
         }
     }
--- a/cardamomwharf-cli/src/main/kotlin/org/cardamomwharf/cli/EntryQueries.kt
+++ b/cardamomwharf-cli/src/main/kotlin/org/cardamomwharf/cli/EntryQueries.kt
@@ -1,5 +1,5 @@
 /*
- * The commands that ask entry instances: status and explain.
+ * Queries the admin API of entry instances for the commands `status` and `explain`.
  */
 package org.cardamomwharf.cli
 
@@ -22,42 +22,42 @@
 import org.cardamomwharf.http.HttpResult
 import org.cardamomwharf.http.call
 
-private const val LIMIT_MS = 3_000L
+private const val TIMEOUT_MS = 3_000L
 
-/** Represents the questions to entry instances. */
-public class EntryQueries(private val caller: HttpClient) {
-    /** Returns the state of the instances with the admin addresses [addresses]. */
+/** Queries the admin API of entry instances. */
+public class EntryQueries(private val httpClient: HttpClient) {
+    /** Returns the status of the instances at the admin addresses [addresses]. */
     public fun status(addresses: List<String>): Result<Report, CommandError> {
-        val answers = addresses.map { it to ask("http://$it/status").get() }
-        val reached = answers.mapNotNull { it.second }
+        val statuses = addresses.map { it to fetchJson("http://$it/status").get() }
+        val reached = statuses.mapNotNull { it.second }
         if (reached.isEmpty()) return Err(CommandError.Unreachable(addresses.joinToString()))
-        val lines = answers.map { (address, answer) ->
-            answer?.let { statusLines(it.jsonObject) } ?: "$address  doesn't answer"
+        val lines = statuses.map { (address, status) ->
+            status?.let { formatStatus(it.jsonObject) } ?: "$address  no response"
         }
         return Ok(Report(lines.joinToString("\n"), JsonArray(reached)))
     }
 
-    /** Returns why [client] gets its ranking for [service] from the instance at [address]. */
+    /** Returns how the instance at [address] ranks entry instances for [client] and [service], and why. */
     public fun explain(address: String, service: String, client: String): Result<Report, CommandError> =
-        ask("http://$address/explain?service=$service&client=$client")
-            .map { Report(explainLines(it.jsonObject), it) }
+        fetchJson("http://$address/explain?service=$service&client=$client")
+            .map { Report(formatExplanation(it.jsonObject), it) }
 
-    private fun ask(url: String): Result<JsonElement, CommandError> {
-        val end = caller.call(HttpCall("GET", url, timeoutMs = LIMIT_MS))
+    private fun fetchJson(url: String): Result<JsonElement, CommandError> {
+        val result = httpClient.call(HttpCall("GET", url, timeoutMs = TIMEOUT_MS))
         return when {
-            end !is HttpResult.Completed -> Err(CommandError.Unreachable(url))
-            end.response.status != StatusCode.OK -> Err(CommandError.Missing("such service or client block"))
-            else -> Ok(Json.parseToJsonElement(end.response.body.decodeToString()))
+            result !is HttpResult.Completed -> Err(CommandError.Unreachable(url))
+            result.response.status != StatusCode.OK -> Err(CommandError.Missing("such service or client block"))
+            else -> Ok(Json.parseToJsonElement(result.response.body.decodeToString()))
         }
     }
 }
 
-private fun statusLines(status: JsonObject): String {
-    val marks = listOf("isJoining" to "joining", "isLeaving" to "leaving", "isStoreDown" to "store down")
+private fun formatStatus(status: JsonObject): String {
+    val flags = listOf("isJoining" to "joining", "isLeaving" to "leaving", "isStoreDown" to "store down")
         .filter { (key, _) -> status.field(key) == "true" }
         .joinToString("") { ", " + it.second }
-    val head = "${status.field("instance")}  ${status.field("zone")}  document ${status.field("documentVersion")}" +
-        "  cap parts ${status.field("heldCapParts")}  open ${status.field("openRequests")}$marks"
+    val summary = "${status.field("instance")}  ${status.field("zone")}  document ${status.field("documentVersion")}" +
+        "  cap parts ${status.field("heldCapParts")}  open ${status.field("openRequests")}$flags"
     val services = status.getValue("services").jsonArray.map { it.jsonObject }.map { service ->
         "  ${service.field("service")}: ${service.field("freeSlots")} of ${service.field("totalSlots")} slots free, " +
             "${service.field("waiting")} waiting, ${service.field("shiftedPermille")} permille shifted"
@@ -65,21 +65,22 @@
     val leaving = status.getValue("servers").jsonArray.map { it.jsonObject }
         .filter { it.field("isLeaving") == "true" }
         .map { "  ${it.field("server")} is leaving, ${it.field("inFlight")} in flight" }
-    val awaited = status.getValue("capRaisesAwait").jsonArray.map { it.jsonPrimitive.content }
-    val raises = if (awaited.isEmpty()) emptyList() else listOf("  raised caps wait for ${awaited.joinToString()}")
-    return (listOf(head) + services + leaving + raises).joinToString("\n")
+    val pendingZones = status.getValue("capRaisesAwait").jsonArray.map { it.jsonPrimitive.content }
+    val pendingRaises =
+        if (pendingZones.isEmpty()) emptyList() else listOf("  raised caps wait for ${pendingZones.joinToString()}")
+    return (listOf(summary) + services + leaving + pendingRaises).joinToString("\n")
 }
 
-private fun explainLines(explanation: JsonObject): String {
-    val head = "Client ${explanation.field("client")} belongs to ${explanation.field("clientZone")}; " +
+private fun formatExplanation(explanation: JsonObject): String {
+    val summary = "Client ${explanation.field("client")} belongs to ${explanation.field("clientZone")}; " +
         "objective ${explanation.field("objective")}, document ${explanation.field("documentVersion")}, " +
         "${explanation.field("shiftedPermille")} permille of the region's clients are shifted."
-    val places = explanation.getValue("placements").jsonArray.map { it.jsonObject }.map { place ->
-        val mark = if (place.field("isAnswered") == "true") "*" else " "
-        "$mark ${place.field("instance")}  ${place.field("zone")}  ${place.field("tier")}, " +
-            "${place.field("freeSlots")} free slots"
+    val placements = explanation.getValue("placements").jsonArray.map { it.jsonObject }.map { placement ->
+        val mark = if (placement.field("isAnswered") == "true") "*" else " "
+        "$mark ${placement.field("instance")}  ${placement.field("zone")}  ${placement.field("tier")}, " +
+            "${placement.field("freeSlots")} free slots"
     }
-    return (listOf(head) + places).joinToString("\n")
+    return (listOf(summary) + placements).joinToString("\n")
 }
 
 private fun JsonObject.field(name: String): String = (get(name) as? JsonPrimitive)?.jsonPrimitive?.content.orEmpty()
--- a/cardamomwharf-cli/src/main/kotlin/org/cardamomwharf/cli/Environments.kt
+++ b/cardamomwharf-cli/src/main/kotlin/org/cardamomwharf/cli/Environments.kt
@@ -1,5 +1,5 @@
 /*
- * The commands that read and change environments: submit, promote, drain, undrain, history, diff.
+ * Reads and changes environments, for the commands submit, promote, drain, undrain, history and diff.
  */
 package org.cardamomwharf.cli
 
@@ -23,91 +23,92 @@
 import org.cardamomwharf.repository.HeadEntry
 import org.cardamomwharf.repository.RepositoryError
 
-/** Represents who changes an environment, and under which attempt. */
-public data class OperatorAct(
+/** Represents the author, the time and the attempt id of a change to an environment. */
+public data class OperatorAction(
     public val operator: String,
     public val attempt: AttemptId,
     public val epochSeconds: Long,
 )
 
-/** Represents the environments of a deployment. */
+/** Reads and changes the environments of a deployment. */
 public class Environments(private val heads: EnvironmentHeads, private val archive: DocumentArchive) {
-    /** Stores [document] as the next version of the trial environment; [expected] is null for whatever is newest. */
+    /** Stores [document] as the next version of the trial environment; a null [expected] means the current one. */
     public fun submit(
         document: EnvironmentDocument,
         expected: DocumentVersion?,
-        act: OperatorAct,
+        action: OperatorAction,
     ): Result<Report, CommandError> =
         archive.store(document)
-            .flatMap { hash -> move(hash, EnvironmentName.TRIAL, expected, act, "submit") }
-            .mapError(::commandErrorOf)
-            .map { reportOf("Submitted to trial", it) }
+            .flatMap { hash -> moveHead(hash, EnvironmentName.TRIAL, expected, action, "submit") }
+            .mapError(::commandErrorFor)
+            .map { createReport("Submitted to trial", it) }
 
-    /** Makes version [trialVersion] of trial the next version of production. */
+    /** Makes version [trialVersion] of the trial environment the next version of production. */
     public fun promote(
         trialVersion: DocumentVersion,
         expected: DocumentVersion?,
-        act: OperatorAct,
+        action: OperatorAction,
     ): Result<Report, CommandError> =
         findEntry(EnvironmentName.TRIAL, trialVersion)
-            .flatMap { tried -> checkZones(tried.hash, expected).map { tried } }
-            .flatMap { tried ->
-                val note = "promote trial ${tried.version.value}"
-                move(tried.hash, EnvironmentName.PRODUCTION, expected, act, note).mapError(::commandErrorOf)
+            .flatMap { trialEntry -> checkRemovedZones(trialEntry.hash, expected).map { trialEntry } }
+            .flatMap { trialEntry ->
+                val note = "promote trial ${trialEntry.version.value}"
+                moveHead(trialEntry.hash, EnvironmentName.PRODUCTION, expected, action, note)
+                    .mapError(::commandErrorFor)
             }
-            .map { reportOf("Promoted to production", it) }
+            .map { createReport("Promoted to production", it) }
 
-    /** Checks that every zone that the document under [hash] leaves out was stopped before. */
-    private fun checkZones(hash: String, expected: DocumentVersion?): Result<Unit, CommandError> =
+    /** Checks that every zone that the document with [hash] removes was stopped before. */
+    private fun checkRemovedZones(hash: String, expected: DocumentVersion?): Result<Unit, CommandError> =
         heads.find(EnvironmentName.PRODUCTION)
             .flatMap { head ->
                 val before = head?.entries?.firstOrNull { expected == null || it.version == expected }
                 if (before == null) Ok(emptyList()) else archive.findUnstoppedZones(before.hash, hash)
             }
-            .mapError(::commandErrorOf)
+            .mapError(::commandErrorFor)
             .flatMap { if (it.isEmpty()) Ok(Unit) else Err(CommandError.ZonesNotStopped(it)) }
 
-    /** Changes the drains of production and makes the result its next version. */
+    /** Applies [change] to the drains of production and stores the result as its next version. */
     public fun changeDrains(
         note: String,
-        act: OperatorAct,
+        action: OperatorAction,
         change: (List<Drain>) -> List<Drain>,
     ): Result<Report, CommandError> =
         findNewest(EnvironmentName.PRODUCTION).flatMap { newest ->
             archive.readWithBlocks(newest.hash)
-                .mapError(::commandErrorOf)
+                .mapError(::commandErrorFor)
                 .flatMap { checkDrains(it.copy(drains = change(it.drains))) }
                 .flatMap { document ->
                     archive.store(document)
-                        .flatMap { move(it, EnvironmentName.PRODUCTION, newest.version, act, note) }
-                        .mapError(::commandErrorOf)
+                        .flatMap { moveHead(it, EnvironmentName.PRODUCTION, newest.version, action, note) }
+                        .mapError(::commandErrorFor)
                 }
-                .map { reportOf("In force soon", it) }
+                .map { createReport("In force soon", it) }
         }
 
-    /** Returns the accepted documents of [environment], the newest first. */
+    /** Returns the accepted versions of [environment], newest first. */
     public fun history(environment: EnvironmentName): Result<Report, CommandError> =
-        heads.find(environment).mapError(::commandErrorOf).map { head ->
+        heads.find(environment).mapError(::commandErrorFor).map { head ->
             val entries = head?.entries.orEmpty()
             val lines = entries.joinToString("\n") { entry ->
-                "${entry.version.value}  ${entry.hash.take(SHORT_HASH)}  ${entry.operator}  ${entry.note}"
+                "${entry.version.value}  ${entry.hash.take(SHORT_HASH_CHARACTERS)}  ${entry.operator}  ${entry.note}"
             }
-            Report(lines.ifEmpty { "Nothing was accepted yet." }, Json.encodeToJsonElement(entries))
+            Report(lines.ifEmpty { "No version has been accepted yet." }, Json.encodeToJsonElement(entries))
         }
 
-    /** Returns the whole document of [version] in [environment]. */
+    /** Returns the document of [version], or of the newest version, in [environment] with its client blocks. */
     public fun read(
         environment: EnvironmentName,
         version: DocumentVersion?,
     ): Result<EnvironmentDocument, CommandError> =
         (if (version == null) findNewest(environment) else findEntry(environment, version))
-            .flatMap { archive.readWithBlocks(it.hash).mapError(::commandErrorOf) }
+            .flatMap { archive.readWithBlocks(it.hash).mapError(::commandErrorFor) }
 
-    private fun move(
+    private fun moveHead(
         hash: String,
         environment: EnvironmentName,
         expected: DocumentVersion?,
-        act: OperatorAct,
+        action: OperatorAction,
         note: String,
     ): Result<HeadEntry, RepositoryError> =
         heads.find(environment).flatMap { head ->
@@ -116,37 +117,37 @@
             val change = HeadChange(
                 environment = environment,
                 expected = version,
-                attempt = act.attempt,
-                operator = act.operator,
+                attempt = action.attempt,
+                operator = action.operator,
                 note = note,
-                epochSeconds = act.epochSeconds,
+                epochSeconds = action.epochSeconds,
                 hasSameCaps = before != null && archive.haveSameCaps(before.hash, hash),
             )
             heads.move(hash, change)
         }
 
     private fun findNewest(environment: EnvironmentName): Result<HeadEntry, CommandError> =
-        heads.find(environment).mapError(::commandErrorOf).flatMap { head ->
+        heads.find(environment).mapError(::commandErrorFor).flatMap { head ->
             if (head == null) Err(CommandError.Missing("document in ${environment.value}")) else Ok(head.newest)
         }
 
     private fun findEntry(environment: EnvironmentName, version: DocumentVersion): Result<HeadEntry, CommandError> =
-        heads.find(environment).mapError(::commandErrorOf).flatMap { head ->
+        heads.find(environment).mapError(::commandErrorFor).flatMap { head ->
             val entry = head?.entries?.firstOrNull { it.version == version }
             entry?.let { Ok(it) } ?: Err(CommandError.Missing("version ${version.value} in ${environment.value}"))
         }
 
-    private fun reportOf(verb: String, entry: HeadEntry): Report = Report(
-        "$verb as version ${entry.version.value}, contents ${entry.hash.take(SHORT_HASH)}.",
+    private fun createReport(verb: String, entry: HeadEntry): Report = Report(
+        "$verb as version ${entry.version.value}, contents ${entry.hash.take(SHORT_HASH_CHARACTERS)}.",
         Json.encodeToJsonElement(entry),
     )
 
     private companion object {
-        const val SHORT_HASH = 12
+        const val SHORT_HASH_CHARACTERS = 12
     }
 }
 
 private fun checkDrains(document: EnvironmentDocument): Result<EnvironmentDocument, CommandError> {
-    val faults = document.findDrainProblems()
-    return if (faults.isEmpty()) Ok(document) else Err(CommandError.DrainsInvalid(faults))
+    val problems = document.findDrainProblems()
+    return if (problems.isEmpty()) Ok(document) else Err(CommandError.DrainsInvalid(problems))
 }
--- a/cardamomwharf-cli/src/main/kotlin/org/cardamomwharf/cli/ExitCode.kt
+++ b/cardamomwharf-cli/src/main/kotlin/org/cardamomwharf/cli/ExitCode.kt
@@ -1,5 +1,5 @@
 /*
- * Exit codes by kind of failure, for programs that call the command line.
+ * Exit codes of the command line, one for each kind of failure.
  */
 package org.cardamomwharf.cli
 
@@ -15,6 +15,6 @@
     UNREACHABLE,
     ;
 
-    /** The number that the process ends with; 1 is left to the virtual machine. */
+    /** The exit status of the process; 1 is skipped because the JVM uses it for uncaught exceptions. */
     public val number: Int get() = if (this == OK) 0 else ordinal + 1
 }
--- a/cardamomwharf-cli/src/main/kotlin/org/cardamomwharf/cli/FieldDifference.kt
+++ b/cardamomwharf-cli/src/main/kotlin/org/cardamomwharf/cli/FieldDifference.kt
@@ -1,5 +1,5 @@
 /*
- * The difference between two documents, field by field.
+ * Compares two documents field by field.
  */
 package org.cardamomwharf.cli
 
@@ -12,7 +12,7 @@
 import kotlinx.serialization.json.encodeToJsonElement
 import org.cardamomwharf.core.document.EnvironmentDocument
 
-/** Represents a field that differs; null where it is absent. */
+/** Represents a field that differs between two documents; a value is null where the field is absent. */
 @Serializable
 public data class FieldDifference(
     public val path: String,
@@ -20,7 +20,7 @@
     public val after: String?,
 )
 
-/** Returns the fields that differ between two documents, by path. */
+/** Returns the fields that differ between two documents, sorted by path. */
 public fun compareDocuments(before: EnvironmentDocument, after: EnvironmentDocument): List<FieldDifference> {
     val old = flatten("", Json.encodeToJsonElement(before))
     val new = flatten("", Json.encodeToJsonElement(after))
@@ -32,18 +32,19 @@
 private fun flatten(path: String, element: JsonElement): Map<String, String> = when (element) {
     is JsonObject -> element.entries.flatMap { (key, value) -> flatten(join(path, key), value).entries }
         .associate { it.key to it.value }
-    is JsonArray -> element.flatMapIndexed { index, item -> flatten("$path[${labelOf(item, index)}]", item).entries }
-        .associate { it.key to it.value }
+    is JsonArray ->
+        element.flatMapIndexed { index, item -> flatten("$path[${getItemLabel(item, index)}]", item).entries }
+            .associate { it.key to it.value }
     is JsonPrimitive -> mapOf(path to element.content)
 }
 
 private fun join(path: String, key: String): String = if (path.isEmpty()) key else "$path.$key"
 
-/** Lists are compared by the names of their items, so that an inserted item doesn't shift all others. */
-private fun labelOf(item: JsonElement, index: Int): String {
+/** Returns the name of a list item rather than its index, so that an inserted item leaves the other paths unchanged. */
+private fun getItemLabel(item: JsonElement, index: Int): String {
     val fields = item as? JsonObject
-    val named = listOf("name", "zone", "region", "cidr", "from").firstNotNullOfOrNull { fields?.get(it) }
-    val second = fields?.get("to")
-    val label = (named as? JsonPrimitive)?.content ?: index.toString()
-    return if (second is JsonPrimitive) "$label to ${second.content}" else label
+    val name = listOf("name", "zone", "region", "cidr", "from").firstNotNullOfOrNull { fields?.get(it) }
+    val destination = fields?.get("to")
+    val label = (name as? JsonPrimitive)?.content ?: index.toString()
+    return if (destination is JsonPrimitive) "$label to ${destination.content}" else label
 }
--- a/cardamomwharf-cli/src/main/kotlin/org/cardamomwharf/cli/Main.kt
+++ b/cardamomwharf-cli/src/main/kotlin/org/cardamomwharf/cli/Main.kt
@@ -1,5 +1,5 @@
 /*
- * The operators' command line.
+ * Entry point of `wharf`, the command line for operators.
  */
 package org.cardamomwharf.cli
 
@@ -10,7 +10,7 @@
 import org.cardamomwharf.logging.configureLogs
 import kotlin.system.exitProcess
 
-/** Runs one subcommand. */
+/** Parses the arguments and runs the subcommand they name. */
 @OptIn(ExperimentalCli::class)
 public fun main(args: Array<String>) {
     configureLogs(LogFormat.PLAIN, Level.WARN)
--- a/cardamomwharf-cli/src/main/kotlin/org/cardamomwharf/cli/Report.kt
+++ b/cardamomwharf-cli/src/main/kotlin/org/cardamomwharf/cli/Report.kt
@@ -1,5 +1,5 @@
 /*
- * What a command prints: text for people, or JSON for programs. Failures go to standard error in both forms.
+ * Prints the result of a command as text or as JSON; failures go to standard error in either format.
  */
 package org.cardamomwharf.cli
 
@@ -9,7 +9,7 @@
 import kotlinx.serialization.json.JsonPrimitive
 import kotlinx.serialization.json.buildJsonObject
 
-/** Represents what a command found, in both forms. */
+/** Represents the output of a successful command as text and as JSON. */
 public class Report(public val text: String, public val json: JsonElement)
 
 /** Prints the result of a command and returns its exit code. */
@@ -19,12 +19,12 @@
         ExitCode.OK
     },
     failure = { error ->
-        System.err.println(if (isJson) jsonOf(error).toString() else error.text)
+        System.err.println(if (isJson) formatJson(error).toString() else error.text)
         error.exitCode
     },
 )
 
-private fun jsonOf(error: CommandError) = buildJsonObject {
+private fun formatJson(error: CommandError) = buildJsonObject {
     put("error", JsonPrimitive(error.exitCode.name.lowercase()))
     put("text", JsonPrimitive(error.text))
     if (error is CommandError.Conflict && error.winner != null) {
--- a/cardamomwharf-cli/src/main/kotlin/org/cardamomwharf/cli/WharfCommand.kt
+++ b/cardamomwharf-cli/src/main/kotlin/org/cardamomwharf/cli/WharfCommand.kt
@@ -1,5 +1,5 @@
 /*
- * What all subcommands share: the form of the output, and for most of them the platform's address and the operator.
+ * Base classes of the subcommands: output format and exit code, and for environment commands the platform and operator.
  */
 package org.cardamomwharf.cli
 
@@ -21,13 +21,13 @@
 import java.util.UUID
 import kotlin.system.exitProcess
 
-private const val PLATFORM_LIMIT_MS = 5_000L
+private const val PLATFORM_TIMEOUT_MS = 5_000L
 private const val MS_PER_SECOND = 1_000L
 
-/** Represents a subcommand that ends the process with its exit code. */
+/** Represents a subcommand; it prints its result and exits the process with the exit code of the result. */
 @OptIn(ExperimentalCli::class)
 internal abstract class WharfCommand(name: String, description: String) : Subcommand(name, description) {
-    private val isJson by option(ArgType.Boolean, "json", description = "Print JSON for programs").default(false)
+    private val isJson by option(ArgType.Boolean, "json", description = "Print JSON").default(false)
 
     abstract fun run(): Result<Report, CommandError>
 
@@ -35,18 +35,18 @@
         exitProcess(printResult(run(), isJson).number)
     }
 
-    protected fun <T> useCaller(use: (HttpClient) -> T): T = startJettyHttpClient(HttpClientSettings("wharf")).use(use)
+    protected fun <T> useClient(use: (HttpClient) -> T): T = startJettyHttpClient(HttpClientSettings("wharf")).use(use)
 }
 
 /** Represents a subcommand that reads or changes an environment. */
 @OptIn(ExperimentalCli::class)
 internal abstract class EnvironmentCommand(name: String, description: String) : WharfCommand(name, description) {
     private val platform by option(ArgType.String, "platform", description = "Address of the platform").required()
-    private val operator by option(ArgType.String, "operator", description = "Name that history shows")
+    private val operator by option(ArgType.String, "operator", description = "Operator name recorded in the history")
         .default(System.getProperty("user.name").orEmpty())
-    private val attempt by option(ArgType.String, "attempt", description = "Attempt of an unsettled earlier run")
+    private val attempt by option(ArgType.String, "attempt", description = "Attempt id of an unconfirmed run")
 
-    protected fun act(): OperatorAct = OperatorAct(
+    protected fun createAction(): OperatorAction = OperatorAction(
         operator = operator,
         attempt = AttemptId(attempt ?: UUID.randomUUID().toString()),
         epochSeconds = System.currentTimeMillis() / MS_PER_SECOND,
@@ -54,11 +54,11 @@
 
     protected fun environments(): Environments {
         val address = SocketAddress.parse(platform) ?: run {
-            System.err.println("$platform isn't an address")
+            System.err.println("$platform is not a valid address, expected host:port")
             exitProcess(ExitCode.USAGE.number)
         }
-        val caller = startJettyHttpClient(HttpClientSettings("platform"))
-        val heads = EnvironmentHeads(httpTableService(caller, address, PLATFORM_LIMIT_MS))
-        return Environments(heads, DocumentArchive(httpObjectStore(caller, address, PLATFORM_LIMIT_MS)))
+        val client = startJettyHttpClient(HttpClientSettings("platform"))
+        val heads = EnvironmentHeads(httpTableService(client, address, PLATFORM_TIMEOUT_MS))
+        return Environments(heads, DocumentArchive(httpObjectStore(client, address, PLATFORM_TIMEOUT_MS)))
     }
 }
--- a/cardamomwharf-cli/src/test/kotlin/org/cardamomwharf/cli/serial/SerialFormsTest.kt
+++ b/cardamomwharf-cli/src/test/kotlin/org/cardamomwharf/cli/serial/SerialFormsTest.kt
@@ -1,5 +1,5 @@
 /*
- * Guards printed differences and exit codes against renames in the code.
+ * Checks that the JSON of differences and the exit codes stay the same when code is renamed.
  */
 package org.cardamomwharf.cli.serial
 
@@ -12,7 +12,7 @@
 class SerialFormsTest : FunSpec({
     checkForms("difference", FieldDifference.serializer(), Json)
 
-    test("`exit codes and log formats are those that were recorded`") {
+    test("`exit codes and log formats match the recorded ones`") {
         val codes = ExitCode.entries.map { "${it.name} ${it.number}" }
         compareWithRecorded("enums.txt", codes + LogFormat.entries.map { it.name })
     }
--- a/cardamomwharf-dist/src/test/kotlin/org/cardamomwharf/dist/failures/ProcessFailureTest.kt
+++ b/cardamomwharf-dist/src/test/kotlin/org/cardamomwharf/dist/failures/ProcessFailureTest.kt
@@ -105,7 +105,7 @@
     test("`silent and crossing servers lead to no wrong answer and to no second booking`") {
         Deployment().use { deployment ->
             deployment.start()
-            deployment.faults("stan-mazowsze-a-0", ServerFaults(isCrossing = true))
+            deployment.faults("stan-mazowsze-a-0", ServerFaults(isResponseSwapped = true))
             deployment.faults("zapis-mazowsze-a-0", ServerFaults(isSilent = true))
             val result = deployment.load(seed = 7, seconds = 5) { }
             deployment.checkInvariants(result)
--- a/cardamomwharf-dist/src/test/kotlin/org/cardamomwharf/dist/failures/RegionCutTest.kt
+++ b/cardamomwharf-dist/src/test/kotlin/org/cardamomwharf/dist/failures/RegionCutTest.kt
@@ -12,7 +12,7 @@
 import org.cardamomwharf.dist.support.EntryProcessHandle
 import org.cardamomwharf.dist.support.eventually
 import org.cardamomwharf.dist.support.isKnownRedPlayed
-import org.cardamomwharf.standin.network.WireFault
+import org.cardamomwharf.standin.network.ConnectionFault
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.atomic.AtomicBoolean
 import kotlin.concurrent.thread
@@ -49,14 +49,14 @@
             val watches = deployment.entries.map { VersionWatch(deployment, it) }
             val result = deployment.load(seed = 31, seconds = 14) {
                 Thread.sleep(1_500)
-                deployment.entryWires.getValue(cutOff.name).change(WireFault.CUT)
+                deployment.entryWires.getValue(cutOff.name).changeFault(ConnectionFault.BLACKHOLE)
                 deployment.environments.submit(deployment.document(), null, deployment.act())
                 deployment.environments.promote(DocumentVersion(2), DocumentVersion(1), deployment.act())
                 eventually("the near region has version 2") { deployment.version(near) == 2 }
                 Thread.sleep(AFTER_CUT_MS)
                 deployment.version(cutOff) shouldBe 1
                 deployment.get("http://${cutOff.callerAddress}/run/stan/item/1")?.status shouldBe 200
-                deployment.entryWires.getValue(cutOff.name).change(WireFault.NONE)
+                deployment.entryWires.getValue(cutOff.name).changeFault(ConnectionFault.NONE)
                 eventually("the region that was cut off has version 2") { deployment.version(cutOff) == 2 }
             }
             watches.forEach { it.end() }
@@ -74,7 +74,7 @@
             eventually("both have version 2") { deployment.entries.all { deployment.version(it) == 2 } }
             val fresh = deployment.entries[1]
             fresh.kill()
-            deployment.platformWires.forEach { it.change(WireFault.CUT) }
+            deployment.platformWires.forEach { it.changeFault(ConnectionFault.BLACKHOLE) }
             fresh.start()
             eventually("the document came from the peer") { deployment.version(fresh) == 2 }
         }
--- a/cardamomwharf-dist/src/test/kotlin/org/cardamomwharf/dist/failures/WireFailureTest.kt
+++ b/cardamomwharf-dist/src/test/kotlin/org/cardamomwharf/dist/failures/WireFailureTest.kt
@@ -13,7 +13,7 @@
 import org.cardamomwharf.dist.support.ranOf
 import org.cardamomwharf.dist.support.requestsOf
 import org.cardamomwharf.standin.ServerFaults
-import org.cardamomwharf.standin.network.WireFault
+import org.cardamomwharf.standin.network.ConnectionFault
 
 private const val ROUNDS = 8
 private const val ROUND_MS = 500L
@@ -22,8 +22,8 @@
     test("`servers that answer the request before never bring a caller a wrong answer`") {
         Deployment().use { deployment ->
             deployment.start()
-            deployment.faults("stan-mazowsze-a-0", ServerFaults(isCrossing = true))
-            deployment.faults("zapis-mazowsze-a-0", ServerFaults(isCrossing = true))
+            deployment.faults("stan-mazowsze-a-0", ServerFaults(isResponseSwapped = true))
+            deployment.faults("zapis-mazowsze-a-0", ServerFaults(isResponseSwapped = true))
             val result = deployment.load(seed = 21, seconds = 5) { }
             deployment.checkInvariants(result)
             result.ranOf("stan") shouldBe result.requestsOf("stan")
@@ -36,11 +36,11 @@
             val wires = deployment.serverWires.filterKeys { it.endsWith("-0") }.values
             val result = deployment.load(seed = 22, seconds = 6) {
                 repeat(ROUNDS) { round ->
-                    val fault = if (round % 2 == 0) WireFault.DUPLICATING else WireFault.TRUNCATING
-                    wires.forEach { it.change(fault) }
+                    val fault = if (round % 2 == 0) ConnectionFault.DUPLICATING else ConnectionFault.TRUNCATING
+                    wires.forEach { it.changeFault(fault) }
                     Thread.sleep(ROUND_MS)
                 }
-                wires.forEach { it.change(WireFault.NONE) }
+                wires.forEach { it.changeFault(ConnectionFault.NONE) }
             }
             deployment.checkInvariants(result)
             result.ranOf("stan") shouldBeGreaterThan result.requestsOf("stan") * 9 / 10
@@ -57,8 +57,8 @@
             val result = deployment.load(seed = 23, seconds = 14) {
                 repeat(2) {
                     Thread.sleep(2_000)
-                    deployment.serverWires.values.forEach { it.silence() }
-                    deployment.entryWires.values.forEach { it.silence() }
+                    deployment.serverWires.values.forEach { it.stallConnections() }
+                    deployment.entryWires.values.forEach { it.stallConnections() }
                     Thread.sleep(2_000)
                 }
             }
--- a/cardamomwharf-dist/src/test/kotlin/org/cardamomwharf/dist/support/Deployment.kt
+++ b/cardamomwharf-dist/src/test/kotlin/org/cardamomwharf/dist/support/Deployment.kt
@@ -11,7 +11,7 @@
 import kotlinx.serialization.json.jsonObject
 import kotlinx.serialization.json.jsonPrimitive
 import org.cardamomwharf.cli.Environments
-import org.cardamomwharf.cli.OperatorAct
+import org.cardamomwharf.cli.OperatorAction
 import org.cardamomwharf.core.AttemptId
 import org.cardamomwharf.core.DocumentVersion
 import org.cardamomwharf.core.SocketAddress
@@ -46,7 +46,7 @@
 import org.cardamomwharf.standin.ServerBehaviour
 import org.cardamomwharf.standin.ServerFaults
 import org.cardamomwharf.standin.ServerStandin
-import org.cardamomwharf.standin.network.WireRelay
+import org.cardamomwharf.standin.network.TcpRelay
 import java.nio.file.Files
 import java.nio.file.Path
 import java.util.concurrent.CompletableFuture
@@ -68,7 +68,7 @@
     val platform = PlatformStandin()
     val servers = linkedMapOf<String, ServerStandin>()
     val entries = mutableListOf<EntryProcessHandle>()
-    val serverWires = linkedMapOf<String, WireRelay>()
+    val serverWires = linkedMapOf<String, TcpRelay>()
     val entryWires = linkedMapOf<String, EntryWires>()
     private val folder: Path = Files.createTempDirectory("wharf-test")
     private val platformAddress = requireNotNull(SocketAddress.parse(PLATFORM))
@@ -103,9 +103,9 @@
     }
 
     /** The ways of all entry instances to the platform. */
-    val platformWires: List<WireRelay> get() = entryWires.values.mapNotNull { it.platformRelay }
+    val platformWires: List<TcpRelay> get() = entryWires.values.mapNotNull { it.platformRelay }
 
-    fun act(): OperatorAct = OperatorAct("tester", AttemptId("test-${attempts++}"), 0)
+    fun act(): OperatorAction = OperatorAction("tester", AttemptId("test-${attempts++}"), 0)
 
     private fun startServers(zone: String) {
         for (service in listOf("stan", "zapis")) {
@@ -129,7 +129,7 @@
     }
 
     fun list(instance: PlatformInstance) {
-        platform.fillList(Json.encodeToString(listOf(instance)))
+        platform.addInstances(Json.encodeToString(listOf(instance)))
     }
 
     fun addEntry(zone: String): EntryProcessHandle {
@@ -207,9 +207,9 @@
 
     /** Checks what must hold after any load: whole answers, and no key that ran twice. */
     fun checkInvariants(result: LoadResult) {
-        result.wrongAnswers shouldBe emptyList()
-        result.services.sumOf { it.wrongAnswers } shouldBe 0
-        val runs = servers.values.flatMap { it.counts.countKeys().entries }.groupBy({ it.key }, { it.value })
+        result.wrongResponses shouldBe emptyList()
+        result.services.sumOf { it.wrongResponses } shouldBe 0
+        val runs = servers.values.flatMap { it.counts.countRunsByKey().entries }.groupBy({ it.key }, { it.value })
         runs.filterValues { it.sum() > 1 } shouldBe emptyMap()
     }
 
--- a/cardamomwharf-dist/src/test/kotlin/org/cardamomwharf/dist/support/EntryWires.kt
+++ b/cardamomwharf-dist/src/test/kotlin/org/cardamomwharf/dist/support/EntryWires.kt
@@ -4,26 +4,26 @@
 package org.cardamomwharf.dist.support
 
 import org.cardamomwharf.core.SocketAddress
-import org.cardamomwharf.standin.network.WireFault
-import org.cardamomwharf.standin.network.WireRelay
-import org.cardamomwharf.standin.network.startWireRelay
+import org.cardamomwharf.standin.network.ConnectionFault
+import org.cardamomwharf.standin.network.TcpRelay
+import org.cardamomwharf.standin.network.startTcpRelay
 
 class EntryWires(
     val advertisedPeer: String,
     val platform: String,
-    peerRelay: WireRelay? = null,
-    val platformRelay: WireRelay? = null,
+    peerRelay: TcpRelay? = null,
+    val platformRelay: TcpRelay? = null,
 ) : AutoCloseable {
     private val relays = listOfNotNull(peerRelay, platformRelay)
 
     /** Changes what happens on the way to the instance's peers and to the platform. */
-    fun change(fault: WireFault) {
-        relays.forEach { it.change(fault) }
+    fun changeFault(fault: ConnectionFault) {
+        relays.forEach { it.changeFault(fault) }
     }
 
     /** Makes all connections that are open now silent for good. */
-    fun silence() {
-        relays.forEach { it.silence() }
+    fun stallConnections() {
+        relays.forEach { it.stallConnections() }
     }
 
     override fun close() {
@@ -39,5 +39,5 @@
     return EntryWires("$host:8110", "$host:7010", peer, toPlatform)
 }
 
-fun relay(listen: String, far: String): WireRelay =
-    startWireRelay(requireNotNull(SocketAddress.parse(listen)), requireNotNull(SocketAddress.parse(far)))
+fun relay(listen: String, far: String): TcpRelay =
+    startTcpRelay(requireNotNull(SocketAddress.parse(listen)), requireNotNull(SocketAddress.parse(far)))
--- a/cardamomwharf-dist/src/test/kotlin/org/cardamomwharf/dist/support/LoadCounts.kt
+++ b/cardamomwharf-dist/src/test/kotlin/org/cardamomwharf/dist/support/LoadCounts.kt
@@ -12,4 +12,4 @@
 
 fun LoadResult.requestsOf(service: String): Long = of(service).requests
 
-fun LoadResult.endsOf(service: String): Map<String, Long> = of(service).ends
+fun LoadResult.endsOf(service: String): Map<String, Long> = of(service).outcomes
--- a/cardamomwharf-load/src/main/kotlin/org/cardamomwharf/load/CallerStandin.kt
+++ b/cardamomwharf-load/src/main/kotlin/org/cardamomwharf/load/CallerStandin.kt
@@ -1,7 +1,7 @@
 /*
- * Stands in for a caller. It follows the rules of the caller API: a request that was not run goes to the next
- * instance, a read is repeated once, a booking keeps its key on every try and takes a binding only after it was
- * refused as not run.
+ * A simulated caller that follows the rules of the caller API: it retries a request that was not run at the next
+ * instance, retries a read whose outcome is unknown, sends a booking with the same key on every attempt, and uses a
+ * binding only from a response that refused the request as not run.
  */
 package org.cardamomwharf.load
 
@@ -15,12 +15,12 @@
 import org.cardamomwharf.http.HttpResult
 import org.cardamomwharf.http.call
 
-private const val LARGEST_TRIES = 3
+private const val MAX_ATTEMPTS = 3
 private const val UNREACHED = "unreached"
 private const val BROKEN = "broken"
 
-/** Represents one request of a client. */
-public data class CallerTask(
+/** Represents a request of a client. */
+public data class CallerRequest(
     public val service: String,
     public val kind: RequestKind,
     public val client: String,
@@ -29,90 +29,94 @@
 )
 
 /**
- * Represents how a request ended.
+ * Represents the result of a request after all attempts.
  *
- * @param outcome `ran`, `not-run`, `unknown`, or `unreached` when no instance answered.
- * @param wrong the answer, when it was not the answer to this request.
+ * @param outcome `ran`, `not-run`, `unknown`, `broken` when the connection was lost, or `unreached` when no instance
+ *     could be reached.
+ * @param wrongResponse the response, when it belongs to another request.
  */
-public data class CallerEnd(
+public data class CallerResult(
     public val outcome: String,
     public val reason: String,
-    public val tries: Int,
-    public val wrong: WrongAnswer? = null,
+    public val attempts: Int,
+    public val wrongResponse: WrongResponse? = null,
 )
 
-/** Represents a caller. */
+/** Sends requests as a caller does. */
 public class CallerStandin(
-    private val caller: HttpClient,
+    private val httpClient: HttpClient,
     private val lookups: LookupCache,
     private val clock: Clock,
     private val deadlineMs: Long,
 ) {
-    /** Returns how [task] ended. */
-    public fun run(task: CallerTask): CallerEnd {
-        val endAtMs = clock.nowMs() + deadlineMs
-        val addresses = lookups.find(task.service, task.client)
-        var end = CallerEnd(UNREACHED, UNREACHED, 0)
+    /** Sends [request] until it succeeds, must not be retried, or runs out of time or attempts. */
+    public fun run(request: CallerRequest): CallerResult {
+        val deadlineAtMs = clock.nowMs() + deadlineMs
+        val addresses = lookups.find(request.service, request.client)
+        var result = CallerResult(UNREACHED, UNREACHED, 0)
         var binding: String? = null
-        var next = 0
-        while (end.tries < LARGEST_TRIES && addresses.isNotEmpty() && clock.nowMs() < endAtMs) {
-            val address = addresses[next % addresses.size]
-            val answer = send(address, task, binding, endAtMs - clock.nowMs())
-            end = judge(answer, task, end.tries + 1)
-            if (!mayRepeat(end, task)) return end
-            binding = answer?.findHeader(HeaderNames.BINDING)
-            if (binding == null) next++
+        var nextIndex = 0
+        while (result.attempts < MAX_ATTEMPTS && addresses.isNotEmpty() && clock.nowMs() < deadlineAtMs) {
+            val address = addresses[nextIndex % addresses.size]
+            val response = send(address, request, binding, deadlineAtMs - clock.nowMs())
+            result = toResult(response, request, result.attempts + 1)
+            if (!isRetryable(result, request)) return result
+            binding = response?.findHeader(HeaderNames.BINDING)
+            if (binding == null) nextIndex++
         }
-        return end
+        return result
     }
 
-    private fun mayRepeat(end: CallerEnd, task: CallerTask): Boolean = when (end.outcome) {
+    private fun isRetryable(result: CallerResult, request: CallerRequest): Boolean = when (result.outcome) {
         Outcome.NOT_RUN.code, UNREACHED -> true
-        Outcome.UNKNOWN.code, BROKEN -> task.kind == RequestKind.READ
+        Outcome.UNKNOWN.code, BROKEN -> request.kind == RequestKind.READ
         else -> false
     }
 
-    private fun send(address: String, task: CallerTask, binding: String?, remainingMs: Long): HttpResponse? {
-        val isBooking = task.kind == RequestKind.BOOKING
+    private fun send(address: String, request: CallerRequest, binding: String?, remainingMs: Long): HttpResponse? {
+        val isBooking = request.kind == RequestKind.BOOKING
         val fields = listOfNotNull(
             HttpField(HeaderNames.DEADLINE_MS, remainingMs.coerceAtLeast(1).toString()),
-            HttpField("Wharf-Client", task.client),
-            if (isBooking) HttpField(HeaderNames.IDEMPOTENCY_KEY, task.key) else null,
+            HttpField("Wharf-Client", request.client),
+            if (isBooking) HttpField(HeaderNames.IDEMPOTENCY_KEY, request.key) else null,
             binding?.let { HttpField(HeaderNames.BINDING, it) },
         )
         val call = HttpCall(
             method = if (isBooking) "POST" else "GET",
-            url = "http://$address/run/${task.service}${pathOf(task)}",
+            url = "http://$address/run/${request.service}${getItemPath(request)}",
             headers = fields,
-            body = if (isBooking) "booking ${task.key}".toByteArray() else ByteArray(0),
+            body = if (isBooking) "booking ${request.key}".toByteArray() else ByteArray(0),
             timeoutMs = remainingMs.coerceAtLeast(1),
         )
-        return when (val end = caller.call(call)) {
-            is HttpResult.Completed -> end.response
+        return when (val result = httpClient.call(call)) {
+            is HttpResult.Completed -> result.response
             is HttpResult.NotSent -> null
-            is HttpResult.Lost -> brokenAnswer
+            is HttpResult.Lost -> lostResponse
         }
     }
 
-    private fun judge(answer: HttpResponse?, task: CallerTask, tries: Int): CallerEnd {
-        val outcome = answer?.findHeader(HeaderNames.OUTCOME)
+    private fun toResult(response: HttpResponse?, request: CallerRequest, attempts: Int): CallerResult {
+        val outcome = response?.findHeader(HeaderNames.OUTCOME)
         return when {
-            answer == null -> CallerEnd(UNREACHED, UNREACHED, tries)
-            outcome == null -> CallerEnd(BROKEN, "connection", tries)
-            else -> CallerEnd(outcome, answer.findHeader(HeaderNames.REASON).orEmpty(), tries, findWrong(answer, task))
+            response == null -> CallerResult(UNREACHED, UNREACHED, attempts)
+            outcome == null -> CallerResult(BROKEN, "connection", attempts)
+            else -> {
+                val reason = response.findHeader(HeaderNames.REASON).orEmpty()
+                CallerResult(outcome, reason, attempts, findWrongResponse(response, request))
+            }
         }
     }
 
-    /** An answer that ran must be of this request: backend servers repeat the path in their answer. */
-    private fun findWrong(answer: HttpResponse, task: CallerTask): WrongAnswer? {
-        val isRan = answer.findHeader(HeaderNames.OUTCOME) == Outcome.RAN.code
-        val isOwn = answer.body.decodeToString().contains(" ${pathOf(task)}\n")
-        return if (isRan && !isOwn) wrongAnswerOf(task.service, pathOf(task), answer) else null
+    /** Returns the response if it belongs to another request: server stand-ins repeat the request path in the body. */
+    private fun findWrongResponse(response: HttpResponse, request: CallerRequest): WrongResponse? {
+        val hasRun = response.findHeader(HeaderNames.OUTCOME) == Outcome.RAN.code
+        val isMatching = response.body.decodeToString().contains(" ${getItemPath(request)}\n")
+        return if (hasRun && !isMatching) createWrongResponse(request.service, getItemPath(request), response) else null
     }
 
-    private fun pathOf(task: CallerTask): String = "/item/${task.number}"
+    private fun getItemPath(request: CallerRequest): String = "/item/${request.number}"
 
     private companion object {
-        val brokenAnswer = HttpResponse(0, emptyList(), ByteArray(0))
+        val lostResponse = HttpResponse(0, emptyList(), ByteArray(0))
     }
 }
--- a/cardamomwharf-load/src/main/kotlin/org/cardamomwharf/load/LoadPlan.kt
+++ b/cardamomwharf-load/src/main/kotlin/org/cardamomwharf/load/LoadPlan.kt
@@ -1,9 +1,9 @@
 /*
- * What a load run does: which services are asked at which rate, for how long, and from which client addresses.
+ * The plan of a load run: services and their request rates, duration, deadline and client addresses.
  */
 package org.cardamomwharf.load
 
-/** Represents how the requests of a service are made. */
+/** Represents the kind of the requests for a service. */
 public enum class RequestKind { READ, BOOKING }
 
 /** Represents the load on one service. */
@@ -14,11 +14,11 @@
 )
 
 /**
- * Represents a load run.
+ * Represents the plan of a load run.
  *
- * @param entries caller addresses of entry instances that are asked for the first look-ups.
- * @param clients client addresses that take turns.
- * @param seed seed of everything that varies.
+ * @param entries caller addresses of entry instances, used for the first look-ups.
+ * @param clients client addresses, used in rotation.
+ * @param seed part of the idempotency keys, so that keys of different runs differ.
  */
 public data class LoadPlan(
     public val entries: List<String>,
@@ -31,7 +31,7 @@
     public companion object {
         private const val PARTS = 3
 
-        /** Returns the load written as `service:kind:requestsPerSecond`, or null when [text] isn't one. */
+        /** Parses `service:kind:requestsPerSecond`; returns null when [text] does not have this form. */
         public fun parseService(text: String): ServiceLoadPlan? {
             val parts = text.split(':')
             val kind = RequestKind.entries.firstOrNull { it.name.lowercase() == parts.getOrNull(1) }
--- a/cardamomwharf-load/src/main/kotlin/org/cardamomwharf/load/LoadResult.kt
+++ b/cardamomwharf-load/src/main/kotlin/org/cardamomwharf/load/LoadResult.kt
@@ -1,38 +1,39 @@
 /*
- * What a load run counted, as it is printed and written to files.
+ * The result of a load run, as printed and as written to files.
  */
 package org.cardamomwharf.load
 
+import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import org.HdrHistogram.AbstractHistogram
 import org.cardamomwharf.core.Outcome
 
 private const val MEDIAN = 50.0
-private const val HIGH = 95.0
-private const val VERY_HIGH = 99.0
+private const val P95 = 95.0
+private const val P99 = 99.0
 
-/** Represents the counts of a load run, and a few of its [wrongAnswers] for finding their cause. */
+/** Represents the counts of a load run and a sample of its [wrongResponses]. */
 @Serializable
 public data class LoadResult(
     public val durationMs: Long,
     public val services: List<ServiceResult>,
     public val keysRunTwice: Int = 0,
-    public val wrongAnswers: List<WrongAnswer> = emptyList(),
+    @SerialName("wrongAnswers") public val wrongResponses: List<WrongResponse> = emptyList(),
 )
 
-/** Represents the counts of one service; [ends] are counted by outcome and reason. */
+/** Represents the counts of one service; [outcomes] counts requests by outcome and reason. */
 @Serializable
 public data class ServiceResult(
     public val service: String,
     public val kind: String,
     public val requests: Long,
-    public val tries: Long,
-    public val ends: Map<String, Long>,
-    public val wrongAnswers: Long,
+    @SerialName("tries") public val attempts: Long,
+    @SerialName("ends") public val outcomes: Map<String, Long>,
+    @SerialName("wrongAnswers") public val wrongResponses: Long,
     public val latencyMs: LatencyResult,
 ) {
-    /** The requests that ran. */
-    public val ran: Long get() = ends.filterKeys { it.startsWith(Outcome.RAN.code + " ") }.values.sum()
+    /** The number of requests that ran. */
+    public val ran: Long get() = outcomes.filterKeys { it.startsWith(Outcome.RAN.code + " ") }.values.sum()
 }
 
 /** Represents the latencies of one service in milliseconds. */
@@ -41,27 +42,30 @@
     public val median: Long,
     public val p95: Long,
     public val p99: Long,
-    public val largest: Long,
+    @SerialName("largest") public val max: Long,
 ) {
     public companion object {
-        /** Returns the latencies in [histogram]. */
-        public fun of(histogram: AbstractHistogram): LatencyResult = LatencyResult(
+        /** Returns the percentiles of [histogram]. */
+        public fun fromHistogram(histogram: AbstractHistogram): LatencyResult = LatencyResult(
             median = histogram.getValueAtPercentile(MEDIAN),
-            p95 = histogram.getValueAtPercentile(HIGH),
-            p99 = histogram.getValueAtPercentile(VERY_HIGH),
-            largest = histogram.maxValue,
+            p95 = histogram.getValueAtPercentile(P95),
+            p99 = histogram.getValueAtPercentile(P99),
+            max = histogram.maxValue,
         )
     }
 }
 
-/** Returns the counts as text for people. */
+/** Returns the result as text. */
 public fun LoadResult.toText(): String {
     val lines = services.map { service ->
         val latency = service.latencyMs
-        "${service.service} (${service.kind}): ${service.ran} of ${service.requests} ran, ${service.tries} tries, " +
-            "${service.wrongAnswers} wrong answers, latency median ${latency.median} ms, p95 ${latency.p95} ms, " +
-            "p99 ${latency.p99} ms\n" + service.ends.entries.joinToString("\n") { "    ${it.key}: ${it.value}" }
+        "${service.service} (${service.kind}): ${service.ran} of ${service.requests} ran, " +
+            "${service.attempts} attempts, ${service.wrongResponses} wrong responses, " +
+            "latency median ${latency.median} ms, p95 ${latency.p95} ms, p99 ${latency.p99} ms\n" +
+            service.outcomes.entries.joinToString("\n") { "    ${it.key}: ${it.value}" }
     }
-    val wrong = wrongAnswers.map { "    wrong: ${it.service} ${it.path} got ${it.status} ${it.fields}\n${it.body}" }
-    return (lines + wrong).joinToString("\n") + "\nKeys that ran twice: $keysRunTwice"
+    val samples = wrongResponses.map {
+        "    wrong: ${it.service} ${it.path} got ${it.status} ${it.headers}\n${it.body}"
+    }
+    return (lines + samples).joinToString("\n") + "\nKeys that ran twice: $keysRunTwice"
 }
--- a/cardamomwharf-load/src/main/kotlin/org/cardamomwharf/load/LoadRun.kt
+++ b/cardamomwharf-load/src/main/kotlin/org/cardamomwharf/load/LoadRun.kt
@@ -1,6 +1,6 @@
 /*
- * Runs a plan as an open loop: requests start on time whether or not earlier ones have ended, and their latency counts
- * from the time they should have started.
+ * Runs a plan as an open loop: requests start on schedule even if earlier ones are still open, and their latency is
+ * measured from the scheduled start.
  */
 package org.cardamomwharf.load
 
@@ -13,22 +13,22 @@
 import java.util.concurrent.atomic.LongAdder
 
 private const val THREADS = 256
-private const val LARGEST_LATENCY_MS = 120_000L
-private const val DIGITS = 3
+private const val MAX_LATENCY_MS = 120_000L
+private const val SIGNIFICANT_DIGITS = 3
 private const val MS_PER_SECOND = 1_000L
-private const val LARGEST_SAMPLES = 5
-private const val END_MARGIN_MS = 5_000L
+private const val MAX_SAMPLES = 5
+private const val SHUTDOWN_MARGIN_MS = 5_000L
 
-/** Represents a load run that is under way. */
+/** Runs a load plan and counts the results. */
 public class LoadRun(
     private val plan: LoadPlan,
     private val caller: CallerStandin,
     private val clock: Clock,
 ) {
-    private val tallies = plan.services.associate { it.service to Tally() }
+    private val counters = plan.services.associate { it.service to ServiceCounters() }
     private val pool = Executors.newFixedThreadPool(THREADS) { Thread(it, "caller").apply { isDaemon = true } }
 
-    /** Runs the whole plan and returns what was counted. */
+    /** Runs the plan to its end and returns the result. */
     public fun run(): LoadResult {
         val startMs = clock.nowMs()
         val pacers = plan.services.map { service ->
@@ -36,63 +36,63 @@
         }
         pacers.forEach { it.join() }
         pool.shutdown()
-        pool.awaitTermination(plan.deadlineMs + END_MARGIN_MS, TimeUnit.MILLISECONDS)
+        pool.awaitTermination(plan.deadlineMs + SHUTDOWN_MARGIN_MS, TimeUnit.MILLISECONDS)
         return LoadResult(
             durationMs = plan.durationMs,
-            services = plan.services.map { resultOf(it) },
-            wrongAnswers = tallies.values.flatMap { it.samples() },
+            services = plan.services.map { getResult(it) },
+            wrongResponses = counters.values.flatMap { it.samples() },
         )
     }
 
     private fun pace(service: ServiceLoadPlan, startMs: Long) {
         val total = service.requestsPerSecond * plan.durationMs / MS_PER_SECOND
         for (number in 0 until total) {
-            val dueMs = startMs + number * MS_PER_SECOND / service.requestsPerSecond
-            val waitMs = dueMs - clock.nowMs()
-            if (waitMs > 0) Thread.sleep(waitMs)
-            pool.execute { runOne(service, number, dueMs) }
+            val scheduledAtMs = startMs + number * MS_PER_SECOND / service.requestsPerSecond
+            val delayMs = scheduledAtMs - clock.nowMs()
+            if (delayMs > 0) Thread.sleep(delayMs)
+            pool.execute { runOne(service, number, scheduledAtMs) }
         }
     }
 
-    private fun runOne(service: ServiceLoadPlan, number: Long, dueMs: Long) {
+    private fun runOne(service: ServiceLoadPlan, number: Long, scheduledAtMs: Long) {
         val client = plan.clients[(number % plan.clients.size).toInt()]
         val key = "${service.service}-${plan.seed}-$number"
-        val end = caller.run(CallerTask(service.service, service.kind, client, number, key))
-        tallies.getValue(service.service).note(end, clock.nowMs() - dueMs)
+        val result = caller.run(CallerRequest(service.service, service.kind, client, number, key))
+        counters.getValue(service.service).record(result, clock.nowMs() - scheduledAtMs)
     }
 
-    private fun resultOf(service: ServiceLoadPlan): ServiceResult =
-        tallies.getValue(service.service).result(service)
+    private fun getResult(service: ServiceLoadPlan): ServiceResult =
+        counters.getValue(service.service).result(service)
 
-    private class Tally {
-        private val latency = ConcurrentHistogram(LARGEST_LATENCY_MS, DIGITS)
-        private val ends = ConcurrentHashMap<String, LongAdder>()
-        private val wrong = LongAdder()
-        private val wrongSamples = ArrayBlockingQueue<WrongAnswer>(LARGEST_SAMPLES)
-        private val tries = LongAdder()
+    private class ServiceCounters {
+        private val latency = ConcurrentHistogram(MAX_LATENCY_MS, SIGNIFICANT_DIGITS)
+        private val outcomes = ConcurrentHashMap<String, LongAdder>()
+        private val wrongCount = LongAdder()
+        private val wrongSamples = ArrayBlockingQueue<WrongResponse>(MAX_SAMPLES)
+        private val attempts = LongAdder()
 
-        fun note(end: CallerEnd, tookMs: Long) {
-            latency.recordValue(tookMs.coerceIn(0, LARGEST_LATENCY_MS))
-            ends.computeIfAbsent("${end.outcome} ${end.reason}") { LongAdder() }.increment()
-            tries.add(end.tries.toLong())
-            end.wrong?.let(::noteWrong)
+        fun record(result: CallerResult, latencyMs: Long) {
+            latency.recordValue(latencyMs.coerceIn(0, MAX_LATENCY_MS))
+            outcomes.computeIfAbsent("${result.outcome} ${result.reason}") { LongAdder() }.increment()
+            attempts.add(result.attempts.toLong())
+            result.wrongResponse?.let(::recordWrong)
         }
 
-        private fun noteWrong(answer: WrongAnswer) {
-            wrong.increment()
-            wrongSamples.offer(answer)
+        private fun recordWrong(response: WrongResponse) {
+            wrongCount.increment()
+            wrongSamples.offer(response)
         }
 
-        fun samples(): List<WrongAnswer> = wrongSamples.toList()
+        fun samples(): List<WrongResponse> = wrongSamples.toList()
 
         fun result(service: ServiceLoadPlan): ServiceResult = ServiceResult(
             service = service.service,
             kind = service.kind.name.lowercase(),
             requests = latency.totalCount,
-            tries = tries.sum(),
-            ends = ends.mapValues { it.value.sum() }.toSortedMap(),
-            wrongAnswers = wrong.sum(),
-            latencyMs = LatencyResult.of(latency),
+            attempts = attempts.sum(),
+            outcomes = outcomes.mapValues { it.value.sum() }.toSortedMap(),
+            wrongResponses = wrongCount.sum(),
+            latencyMs = LatencyResult.fromHistogram(latency),
         )
     }
 }
--- a/cardamomwharf-load/src/main/kotlin/org/cardamomwharf/load/LookupCache.kt
+++ b/cardamomwharf-load/src/main/kotlin/org/cardamomwharf/load/LookupCache.kt
@@ -1,6 +1,6 @@
 /*
- * Look-ups as a caller makes them: answers are kept for their time to live, and any entry instance of an earlier answer
- * can be asked for the next one.
+ * Look-ups as a caller makes them: responses are cached for their time to live, and the next look-up goes to any entry
+ * instance of the previous response.
  */
 package org.cardamomwharf.load
 
@@ -16,10 +16,10 @@
 import org.cardamomwharf.http.call
 import java.util.concurrent.ConcurrentHashMap
 
-private const val LOOKUP_LIMIT_MS = 1_000L
+private const val LOOKUP_TIMEOUT_MS = 1_000L
 private val json = Json { ignoreUnknownKeys = true }
 
-/** Represents an entry instance of a look-up answer. */
+/** Represents an entry instance of a look-up response. */
 @Serializable
 public data class FoundInstance(
     public val instance: String,
@@ -27,7 +27,7 @@
     public val address: SocketAddress,
 )
 
-/** Represents a look-up answer. */
+/** Represents a look-up response. */
 @Serializable
 public data class FoundInstances(
     public val documentVersion: Long,
@@ -35,39 +35,39 @@
     public val instances: List<FoundInstance>,
 )
 
-/** Represents the look-ups of all clients of a load run. */
+/** Looks up entry instances for the clients of a load run and caches the responses. */
 public class LookupCache(
-    private val caller: HttpClient,
+    private val httpClient: HttpClient,
     private val clock: Clock,
     private val entries: List<String>,
 ) {
-    private val kept = ConcurrentHashMap<String, Kept>()
+    private val cache = ConcurrentHashMap<String, CachedLookup>()
 
-    /** Returns the ranked addresses for [client], or an empty list when nobody answers. */
+    /** Returns the ranked addresses for [client], or an empty list when no instance responds. */
     public fun find(service: String, client: String): List<String> {
         val key = "$service/$client"
-        val known = kept[key]
-        if (known != null && clock.nowMs() < known.untilMs) return known.addresses
-        val asked = (known?.addresses.orEmpty() + entries).distinct()
-        val found = asked.firstNotNullOfOrNull { ask(it, service, client) }
-        if (found != null) kept[key] = found
-        return found?.addresses ?: known?.addresses.orEmpty()
+        val cached = cache[key]
+        if (cached != null && clock.nowMs() < cached.expiresAtMs) return cached.addresses
+        val candidates = (cached?.addresses.orEmpty() + entries).distinct()
+        val found = candidates.firstNotNullOfOrNull { fetch(it, service, client) }
+        if (found != null) cache[key] = found
+        return found?.addresses ?: cached?.addresses.orEmpty()
     }
 
-    private fun ask(entry: String, service: String, client: String): Kept? {
+    private fun fetch(entry: String, service: String, client: String): CachedLookup? {
         val url = "http://$entry/lookup?service=$service&client=$client"
-        val end = caller.call(HttpCall("GET", url, timeoutMs = LOOKUP_LIMIT_MS))
-        if (end !is HttpResult.Completed || end.response.status != StatusCode.OK) return null
-        return parse(end.response.body.decodeToString())
+        val result = httpClient.call(HttpCall("GET", url, timeoutMs = LOOKUP_TIMEOUT_MS))
+        if (result !is HttpResult.Completed || result.response.status != StatusCode.OK) return null
+        return parse(result.response.body.decodeToString())
     }
 
-    private fun parse(text: String): Kept? =
+    private fun parse(text: String): CachedLookup? =
         try {
             val found = json.decodeFromString<FoundInstances>(text)
-            Kept(found.instances.map { it.address.toString() }, clock.nowMs() + found.cacheTtlMs)
+            CachedLookup(found.instances.map { it.address.toString() }, clock.nowMs() + found.cacheTtlMs)
         } catch (@Suppress("SwallowedException") e: SerializationException) {
             null
         }
 
-    private data class Kept(val addresses: List<String>, val untilMs: Long)
+    private data class CachedLookup(val addresses: List<String>, val expiresAtMs: Long)
 }
--- a/cardamomwharf-load/src/main/kotlin/org/cardamomwharf/load/Main.kt
+++ b/cardamomwharf-load/src/main/kotlin/org/cardamomwharf/load/Main.kt
@@ -1,5 +1,5 @@
 /*
- * The command line of the load and experiment tool.
+ * Entry point of `wharf-load`, the command line that generates load, compares paths and writes reports.
  */
 package org.cardamomwharf.load
 
@@ -30,7 +30,7 @@
 private const val DEFAULT_DEADLINE_MS = 2_000
 private const val MS_PER_SECOND = 1_000L
 
-/** Runs one subcommand. */
+/** Parses the arguments and runs the subcommand they name. */
 @OptIn(ExperimentalCli::class)
 public fun main(args: Array<String>) {
     configureLogs(LogFormat.PLAIN, Level.WARN)
@@ -44,25 +44,28 @@
     "run",
     "Run load. Example: wharf-load run --entries 127.0.0.1:8001 --clients 127.10.0.1 --services stan:read:50",
 ) {
-    private val entries by option(ArgType.String, "entries", description = "Caller addresses, by comma").required()
-    private val clients by option(ArgType.String, "clients", description = "Client addresses, by comma").required()
-    private val services by option(ArgType.String, "services", description = "service:kind:rate, by comma").required()
-    private val seconds by option(ArgType.Int, "seconds", description = "Length of the run").default(DEFAULT_SECONDS)
+    private val entries by option(ArgType.String, "entries", description = "Caller addresses, comma-separated")
+        .required()
+    private val clients by option(ArgType.String, "clients", description = "Client addresses, comma-separated")
+        .required()
+    private val services by option(ArgType.String, "services", description = "service:kind:rate, comma-separated")
+        .required()
+    private val seconds by option(ArgType.Int, "seconds", description = "Duration of the run").default(DEFAULT_SECONDS)
     private val deadlineMs by option(ArgType.Int, "deadline-ms", description = "Deadline of a request")
         .default(DEFAULT_DEADLINE_MS)
-    private val seed by option(ArgType.Int, "seed", description = "Seed; keys are named after it").default(1)
-    private val servers by option(ArgType.String, "servers", description = "Server stand-ins to audit, by comma")
+    private val seed by option(ArgType.Int, "seed", description = "Seed, part of the idempotency keys").default(1)
+    private val servers by option(ArgType.String, "servers", description = "Server stand-ins to audit, comma-separated")
         .default("")
-    private val out by option(ArgType.String, "out", description = "File for the result in JSON")
+    private val out by option(ArgType.String, "out", description = "File for the JSON result")
     private val isStrict by option(ArgType.Boolean, "strict", description = "Fail unless every request ran")
         .default(false)
 
     override fun execute() {
-        val caller = startJettyHttpClient(HttpClientSettings("load"))
-        val result = caller.use { runPlan(it, plan()) }
+        val client = startJettyHttpClient(HttpClientSettings("load"))
+        val result = client.use { runPlan(it, plan()) }
         println(result.toText())
         out?.let { Files.writeString(Path.of(it), Json.encodeToString(result)) }
-        exitProcess(if (isGood(result)) 0 else EXIT_VIOLATION)
+        exitProcess(if (isPassed(result)) 0 else EXIT_VIOLATION)
     }
 
     private fun plan(): LoadPlan = LoadPlan(
@@ -74,21 +77,21 @@
         seed = seed.toLong(),
     )
 
-    private fun runPlan(caller: HttpClient, plan: LoadPlan): LoadResult {
+    private fun runPlan(client: HttpClient, plan: LoadPlan): LoadResult {
         val clock = monotonicClock()
-        val standin = CallerStandin(caller, LookupCache(caller, clock, plan.entries), clock, plan.deadlineMs)
+        val standin = CallerStandin(client, LookupCache(client, clock, plan.entries), clock, plan.deadlineMs)
         val result = LoadRun(plan, standin, clock).run()
-        val audited = servers.split(',').filter { it.isNotEmpty() }
-        return result.copy(keysRunTwice = countKeysRunTwice(caller, audited))
+        val auditedServers = servers.split(',').filter { it.isNotEmpty() }
+        return result.copy(keysRunTwice = countKeysRunTwice(client, auditedServers))
     }
 
-    private fun isGood(result: LoadResult): Boolean {
-        val isWhole = result.services.all { it.wrongAnswers == 0L } && result.keysRunTwice == 0
-        return isWhole && (!isStrict || result.services.all { it.ran == it.requests })
+    private fun isPassed(result: LoadResult): Boolean {
+        val isCorrect = result.services.all { it.wrongResponses == 0L } && result.keysRunTwice == 0
+        return isCorrect && (!isStrict || result.services.all { it.ran == it.requests })
     }
 
     private fun fail(text: String): Nothing {
-        System.err.println("$text isn't service:kind:rate")
+        System.err.println("$text does not have the form service:kind:rate")
         exitProcess(EXIT_USAGE)
     }
 }
--- a/cardamomwharf-load/src/main/kotlin/org/cardamomwharf/load/compare/CompareCommand.kt
+++ b/cardamomwharf-load/src/main/kotlin/org/cardamomwharf/load/compare/CompareCommand.kt
@@ -1,5 +1,5 @@
 /*
- * The subcommand that compares an entry instance with a direct connection.
+ * The subcommand `compare`, which measures the overhead of an entry instance against a direct connection.
  */
 package org.cardamomwharf.load.compare
 
@@ -28,7 +28,7 @@
     private val service by option(ArgType.String, "service", description = "Service of the server").required()
     private val client by option(ArgType.String, "client", description = "Client address").default("127.10.0.1")
     private val rate by option(ArgType.Int, "rate", description = "Pairs of requests per second").default(DEFAULT_RATE)
-    private val pairs by option(ArgType.Int, "pairs", description = "Pairs that count").default(DEFAULT_PAIRS)
+    private val pairs by option(ArgType.Int, "pairs", description = "Measured pairs of requests").default(DEFAULT_PAIRS)
 
     override fun execute() {
         val plan = ComparisonPlan(
@@ -39,13 +39,13 @@
             warmUpPairs = pairs,
             pairs = pairs,
         )
-        val found = startJettyHttpClient(HttpClientSettings("compare")).use { compareWays(it, plan) }
-        println("direct:  " + textOf(found.direct))
-        println("entry:   " + textOf(found.entry))
-        println("median through the entry instance: %.2f times the direct one".format(found.medianRatio))
-        exitProcess(if (found.direct.failures + found.entry.failures == 0) 0 else EXIT_FAILURES)
+        val comparison = startJettyHttpClient(HttpClientSettings("compare")).use { comparePaths(it, plan) }
+        println("direct:  " + describe(comparison.direct))
+        println("entry:   " + describe(comparison.entry))
+        println("median through the entry instance: %.2f times the direct one".format(comparison.medianRatio))
+        exitProcess(if (comparison.direct.failures + comparison.entry.failures == 0) 0 else EXIT_FAILURES)
     }
 
-    private fun textOf(times: WayTimes): String =
+    private fun describe(times: PathTimes): String =
         "median ${times.medianUs} us, p99 ${times.p99Us} us, ${times.failures} failures"
 }
--- a/cardamomwharf-load/src/main/kotlin/org/cardamomwharf/load/report/ReportCommand.kt
+++ b/cardamomwharf-load/src/main/kotlin/org/cardamomwharf/load/report/ReportCommand.kt
@@ -1,5 +1,5 @@
 /*
- * The subcommand that turns result files into a table and a plot.
+ * The subcommand `report`, which writes a table and a plot from result files.
  */
 package org.cardamomwharf.load.report
 
@@ -24,35 +24,36 @@
     "report",
     "Write a table and a plot. Example: wharf-load report --inputs latency.json,headroom.json --out report",
 ) {
-    private val inputs by option(ArgType.String, "inputs", description = "Results of bench policy, by comma").required()
-    private val out by option(ArgType.String, "out", description = "Folder for the report").default("report")
+    private val inputs by option(ArgType.String, "inputs", description = "Results of bench policy, comma-separated")
+        .required()
+    private val out by option(ArgType.String, "out", description = "Directory for the report").default("report")
     private val title by option(ArgType.String, "title", description = "Title of the plot")
         .default("Latency and headroom")
 
     override fun execute() {
         val rows = inputs.split(',').map { readReportRows(Path.of(it)) }.combine().map { it.flatten() }
-        exitProcess(finish(rows))
+        exitProcess(writeOrFail(rows))
     }
 
-    private fun finish(rows: Result<List<ReportRow>, ReportError>): Int = rows.mapBoth(
+    private fun writeOrFail(rows: Result<List<ReportRow>, ReportError>): Int = rows.mapBoth(
         success = { write(it) },
         failure = { error ->
-            System.err.println(textOf(error))
+            System.err.println(describe(error))
             EXIT_INVALID
         },
     )
 
     private fun write(rows: List<ReportRow>): Int {
-        val folder = Path.of(out)
-        Files.createDirectories(folder)
-        Files.writeString(folder.resolve("report.md"), tableOf(rows))
-        writeTradePlot(rows, title, folder.resolve("trade.png"))
-        println("Wrote ${rows.size} rows to $folder.")
+        val directory = Path.of(out)
+        Files.createDirectories(directory)
+        Files.writeString(directory.resolve("report.md"), formatTable(rows))
+        writeTradeOffPlot(rows, title, directory.resolve("trade.png"))
+        println("Wrote ${rows.size} rows to $directory.")
         return 0
     }
 
-    private fun textOf(error: ReportError): String = when (error) {
-        is ReportError.File -> "${error.path}: can't be read"
+    private fun describe(error: ReportError): String = when (error) {
+        is ReportError.File -> "${error.path}: cannot be read"
         is ReportError.Contents -> "${error.path}: ${error.detail}"
     }
 }
--- a/cardamomwharf-load/src/main/kotlin/org/cardamomwharf/load/report/ReportRow.kt
+++ b/cardamomwharf-load/src/main/kotlin/org/cardamomwharf/load/report/ReportRow.kt
@@ -1,5 +1,5 @@
 /*
- * One line of a report: what a service got in one case under one routing. The policy bench writes these.
+ * A row of a report, read from the result files that the policy bench writes.
  */
 package org.cardamomwharf.load.report
 
@@ -16,11 +16,11 @@
 private const val PERCENT = 100.0
 
 /**
- * Represents the result of one service in one case.
+ * Represents the result of one service in one case with one router.
  *
- * @param meanFreePercent free slots of the fullest region, mean over time.
- * @param largestCapPercent fullest second of any partner's cap.
- * @param drainMs time from a drain to the last work in the drained region, null without a drain.
+ * @param meanFreePercent percentage of free slots in the busiest region, averaged over time.
+ * @param largestCapPercent highest usage of any partner's cap within one second.
+ * @param drainMs time from the drain to the end of the last request in the drained region, or null without a drain.
  */
 @Serializable
 public data class ReportRow(
@@ -36,22 +36,22 @@
     public val largestCapPercent: Double,
     public val drainMs: Long? = null,
 ) {
-    /** Requests that ran before their deadline in percent of those offered. */
+    /** The percentage of offered requests that ran before their deadline. */
     public val goodputPercent: Double get() = ranInTime * PERCENT / offered.coerceAtLeast(1)
 }
 
-/** Represents why a report could not be made. */
+/** Represents why a report cannot be created. */
 public sealed interface ReportError {
-    /** A file can't be read or written. */
+    /** The file cannot be read. */
     public data class File(public val path: String) : ReportError
 
-    /** A file doesn't hold results. */
+    /** The file does not contain results. */
     public data class Contents(public val path: String, public val detail: String) : ReportError
 }
 
 private val json = Json { ignoreUnknownKeys = true }
 
-/** Returns the rows in [file]. */
+/** Reads the rows from [file]. */
 public fun readReportRows(file: Path): Result<List<ReportRow>, ReportError> = try {
     Ok(json.decodeFromString<List<ReportRow>>(Files.readString(file)))
 } catch (@Suppress("SwallowedException") e: IOException) {
--- a/cardamomwharf-load/src/main/kotlin/org/cardamomwharf/load/report/ReportTable.kt
+++ b/cardamomwharf-load/src/main/kotlin/org/cardamomwharf/load/report/ReportTable.kt
@@ -1,18 +1,18 @@
 /*
- * Reports as tables in Markdown.
+ * Formats reports as Markdown tables.
  */
 package org.cardamomwharf.load.report
 
-private const val HEAD =
+private const val HEADER =
     "| case | routing | objective | service | goodput % | median ms | p95 ms | free % | cap % | drain ms |"
 
-/** Returns the rows as a table, in the order of cases and routings. */
-public fun tableOf(rows: List<ReportRow>): String {
-    val rule = "|" + " --- |".repeat(HEAD.count { it == '|' } - 1)
-    return (listOf(HEAD, rule) + rows.map(::lineOf)).joinToString("\n", postfix = "\n")
+/** Returns a Markdown table of [rows] in their order. */
+public fun formatTable(rows: List<ReportRow>): String {
+    val separator = "|" + " --- |".repeat(HEADER.count { it == '|' } - 1)
+    return (listOf(HEADER, separator) + rows.map(::formatRow)).joinToString("\n", postfix = "\n")
 }
 
-private fun lineOf(row: ReportRow): String = listOf(
+private fun formatRow(row: ReportRow): String = listOf(
     row.case,
     row.router,
     row.objective,
--- a/cardamomwharf-load/src/main/kotlin/org/cardamomwharf/load/report/TradePlot.kt
+++ b/cardamomwharf-load/src/main/kotlin/org/cardamomwharf/load/report/TradeOffPlot.kt
@@ -1,5 +1,5 @@
 /*
- * Plots the trade between latency and headroom: a point for each service and case, a colour for each objective.
+ * Plots latency against headroom: a point for each service and case, a colour for each router and objective.
  */
 package org.cardamomwharf.load.report
 
@@ -13,16 +13,16 @@
 private const val WIDTH_PX = 900
 private const val HEIGHT_PX = 600
 
-/** Writes the plot of [rows] as a PNG picture to [file]. */
-public fun writeTradePlot(rows: List<ReportRow>, title: String, file: Path) {
-    val chart = newChart(title)
+/** Writes the plot of [rows] to [file] as a PNG image. */
+public fun writeTradeOffPlot(rows: List<ReportRow>, title: String, file: Path) {
+    val chart = createChart(title)
     rows.groupBy { "${it.router}, ${it.objective}" }.forEach { (name, points) ->
         chart.addSeries(name, points.map { it.meanFreePercent }, points.map { it.medianMs.toDouble() })
     }
     BitmapEncoder.saveBitmap(chart, file.toString(), BitmapEncoder.BitmapFormat.PNG)
 }
 
-private fun newChart(title: String): XYChart {
+private fun createChart(title: String): XYChart {
     val chart = XYChartBuilder()
         .width(WIDTH_PX)
         .height(HEIGHT_PX)
--- a/cardamomwharf-load/src/test/kotlin/org/cardamomwharf/load/report/ReportTest.kt
+++ b/cardamomwharf-load/src/test/kotlin/org/cardamomwharf/load/report/ReportTest.kt
@@ -1,5 +1,5 @@
 /*
- * Reports from result files: the table, the plot, and files that can't be used.
+ * Tests reports from result files: the table, the plot, and errors for missing and invalid files.
  */
 package org.cardamomwharf.load.report
 
@@ -15,40 +15,40 @@
 "ranInTime":985,"ends":{},"medianMs":64,"p95Ms":258,"p99Ms":382,"meanFreePercent":26.52,"objective":"latency",
 "largestCapPercent":11.4,"drainMs":null}]"""
 
-private fun inFolder(use: (Path) -> Unit) {
-    val folder = Files.createTempDirectory("wharf-report")
+private fun withTempDirectory(use: (Path) -> Unit) {
+    val directory = Files.createTempDirectory("wharf-report")
     try {
-        use(folder)
+        use(directory)
     } finally {
-        folder.toFile().deleteRecursively()
+        directory.toFile().deleteRecursively()
     }
 }
 
 class ReportTest : FunSpec({
-    test("`results of the policy bench become lines of a table`") {
-        inFolder { folder ->
-            val file = folder.resolve("results.json")
+    test("`results of the policy bench are formatted as rows of a table`") {
+        withTempDirectory { directory ->
+            val file = directory.resolve("results.json")
             Files.writeString(file, RESULTS)
-            val lines = tableOf(readReportRows(file).get().orEmpty()).lines()
+            val lines = formatTable(readReportRows(file).get().orEmpty()).lines()
             lines[2] shouldBe "| steady | cardamomwharf | latency | stan | 98.5 | 64 | 258 | 26.5 | 11 | - |"
         }
     }
 
-    test("`a plot is a picture`") {
-        inFolder { folder ->
-            val file = folder.resolve("results.json")
+    test("`a plot is written as a PNG image`") {
+        withTempDirectory { directory ->
+            val file = directory.resolve("results.json")
             Files.writeString(file, RESULTS)
-            val picture = folder.resolve("trade.png")
-            writeTradePlot(readReportRows(file).get().orEmpty(), "Trade", picture)
-            Files.readAllBytes(picture).drop(1).take(3).map { it.toInt().toChar() }.joinToString("") shouldBe "PNG"
+            val image = directory.resolve("trade.png")
+            writeTradeOffPlot(readReportRows(file).get().orEmpty(), "Trade", image)
+            Files.readAllBytes(image).drop(1).take(3).map { it.toInt().toChar() }.joinToString("") shouldBe "PNG"
         }
     }
 
-    test("`files that aren't there or hold something else are told apart`") {
-        inFolder { folder ->
-            val missing = folder.resolve("missing.json")
+    test("`a missing file and a file with other contents give different errors`") {
+        withTempDirectory { directory ->
+            val missing = directory.resolve("missing.json")
             readReportRows(missing).getError() shouldBe ReportError.File(missing.toString())
-            val other = folder.resolve("other.json")
+            val other = directory.resolve("other.json")
             Files.writeString(other, "{}")
             readReportRows(other).getError().shouldBeInstanceOf<ReportError.Contents>()
         }
--- a/cardamomwharf-load/src/test/kotlin/org/cardamomwharf/load/serial/SerialFormsTest.kt
+++ b/cardamomwharf-load/src/test/kotlin/org/cardamomwharf/load/serial/SerialFormsTest.kt
@@ -1,5 +1,5 @@
 /*
- * Guards the results that load runs write, and what they and reports read, against renames in the code.
+ * Checks that the JSON of load results, look-up responses and report rows stays the same when code is renamed.
  */
 package org.cardamomwharf.load.serial
 
--- a/cardamomwharf-peer/src/test/kotlin/org/cardamomwharf/peer/PeerConnectionTest.kt
+++ b/cardamomwharf-peer/src/test/kotlin/org/cardamomwharf/peer/PeerConnectionTest.kt
@@ -7,14 +7,14 @@
 import io.kotest.matchers.shouldBe
 import org.cardamomwharf.core.Reason
 import org.cardamomwharf.decision.requests.AttemptResult
-import org.cardamomwharf.standin.network.WireFault
+import org.cardamomwharf.standin.network.ConnectionFault
 
 class PeerConnectionTest : FunSpec({
     test("`a hand-over on a silent connection is reported as lost and the next one gets a new connection`") {
         PeerPair().use { pair ->
             val first = pair.handOver("first")
             eventually("the first has a response") { pair.getResponses(first) == listOf("/first") }
-            pair.relay.silence()
+            pair.relay.stallConnections()
             val second = pair.handOver("second")
             eventually("the second has failed") { pair.log.hasFailed(second) }
             pair.log.failures[second] shouldBe AttemptResult.Lost(Reason.CONNECTION_LOST)
@@ -29,7 +29,7 @@
             repeat(2) { round ->
                 val before = pair.handOver("before-$round")
                 eventually("a response before") { pair.getResponses(before).size == 1 }
-                pair.relay.silence()
+                pair.relay.stallConnections()
                 val lost = pair.handOver("lost-$round")
                 eventually("lost") { pair.log.hasFailed(lost) }
                 val after = pair.handOver("after-$round")
@@ -41,12 +41,12 @@
 
     test("`a hand-over to an unreachable instance is reported as lost or not sent and gets no response`") {
         PeerPair().use { pair ->
-            pair.relay.change(WireFault.CUT)
+            pair.relay.changeFault(ConnectionFault.BLACKHOLE)
             val attempt = pair.handOver("cut")
             eventually("the hand-over has failed") { pair.log.hasFailed(attempt) }
             pair.getResponses(attempt) shouldBe emptyList()
             pair.echo.runs[attempt] shouldBe null
-            pair.relay.change(WireFault.NONE)
+            pair.relay.changeFault(ConnectionFault.NONE)
             val next = pair.handOver("next")
             eventually("a response after the cut") { pair.getResponses(next) == listOf("/next") }
         }
@@ -54,7 +54,7 @@
 
     test("`a hand-over with a truncated response is reported as lost`") {
         PeerPair().use { pair ->
-            pair.relay.change(WireFault.TRUNCATING)
+            pair.relay.changeFault(ConnectionFault.TRUNCATING)
             val attempt = pair.handOver("half")
             eventually("the hand-over has failed") { pair.log.hasFailed(attempt) }
             pair.log.failures[attempt] shouldBe AttemptResult.Lost(Reason.CONNECTION_LOST)
@@ -65,13 +65,13 @@
 
     test("`a duplicated response is accepted once and only for its own request`") {
         PeerPair().use { pair ->
-            pair.relay.change(WireFault.DUPLICATING)
+            pair.relay.changeFault(ConnectionFault.DUPLICATING)
             val attempts = (1..20).map { number ->
                 pair.handOver("twice-$number").also { attempt ->
                     eventually("a response has arrived") { pair.getResponses(attempt).isNotEmpty() }
                 }
             }
-            pair.relay.change(WireFault.NONE)
+            pair.relay.changeFault(ConnectionFault.NONE)
             val last = pair.handOver("last")
             eventually("the last has a response") { pair.getResponses(last).isNotEmpty() }
             (attempts + last).forEach { pair.getResponses(it) shouldBe listOf("/${it.value}") }
--- a/cardamomwharf-peer/src/test/kotlin/org/cardamomwharf/peer/PeerPair.kt
+++ b/cardamomwharf-peer/src/test/kotlin/org/cardamomwharf/peer/PeerPair.kt
@@ -9,8 +9,8 @@
 import org.cardamomwharf.core.SocketAddress
 import org.cardamomwharf.core.monotonicClock
 import org.cardamomwharf.decision.requests.AttemptResult
-import org.cardamomwharf.standin.network.WireRelay
-import org.cardamomwharf.standin.network.startWireRelay
+import org.cardamomwharf.standin.network.TcpRelay
+import org.cardamomwharf.standin.network.startTcpRelay
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.atomic.AtomicInteger
@@ -65,7 +65,7 @@
     val echo = EchoingPeer()
     private val farAddress = newAddress()
     private val relayAddress = newAddress()
-    val relay: WireRelay = startWireRelay(relayAddress, farAddress)
+    val relay: TcpRelay = startTcpRelay(relayAddress, farAddress)
     private val settings = PeerSettings(
         pingAfterMs = 100,
         silenceTimeoutMs = 400,
--- a/cardamomwharf-soak/src/main/kotlin/org/cardamomwharf/soak/InstanceFaults.kt
+++ b/cardamomwharf-soak/src/main/kotlin/org/cardamomwharf/soak/InstanceFaults.kt
@@ -3,8 +3,8 @@
  */
 package org.cardamomwharf.soak
 
-import org.cardamomwharf.standin.network.WireFault
-import org.cardamomwharf.standin.network.WireRelay
+import org.cardamomwharf.standin.network.ConnectionFault
+import org.cardamomwharf.standin.network.TcpRelay
 
 private const val RESTART_MS = 300L
 
@@ -56,15 +56,15 @@
 }
 
 /** Changes what happens on [wire] for [forMs]. */
-internal fun cut(wire: WireRelay, cut: Cut, forMs: Long) {
+internal fun cut(wire: TcpRelay, cut: Cut, forMs: Long) {
     when (cut) {
-        Cut.SILENT -> wire.change(WireFault.CUT)
-        Cut.ANSWERS_LOST -> wire.change(WireFault.ANSWERS_LOST)
-        Cut.TRUNCATED -> wire.change(WireFault.TRUNCATING)
-        Cut.DOUBLED -> wire.change(WireFault.DUPLICATING)
-        Cut.DELAYED -> wire.change(WireFault.DELAYED)
+        Cut.SILENT -> wire.changeFault(ConnectionFault.BLACKHOLE)
+        Cut.ANSWERS_LOST -> wire.changeFault(ConnectionFault.RESPONSES_LOST)
+        Cut.TRUNCATED -> wire.changeFault(ConnectionFault.TRUNCATING)
+        Cut.DOUBLED -> wire.changeFault(ConnectionFault.DUPLICATING)
+        Cut.DELAYED -> wire.changeFault(ConnectionFault.DELAYED)
         Cut.RESET -> wire.reset()
     }
     Thread.sleep(forMs)
-    wire.change(WireFault.NONE)
+    wire.changeFault(ConnectionFault.NONE)
 }
--- a/cardamomwharf-soak/src/main/kotlin/org/cardamomwharf/soak/SoakWorld.kt
+++ b/cardamomwharf-soak/src/main/kotlin/org/cardamomwharf/soak/SoakWorld.kt
@@ -15,8 +15,8 @@
 import org.cardamomwharf.platform.standin.StoreStandin
 import org.cardamomwharf.platform.standin.remove
 import org.cardamomwharf.platform.standin.write
-import org.cardamomwharf.standin.network.WireRelay
-import org.cardamomwharf.standin.network.startWireRelay
+import org.cardamomwharf.standin.network.TcpRelay
+import org.cardamomwharf.standin.network.startTcpRelay
 import org.cardamomwharf.steering.desired.CallerLimits
 import org.cardamomwharf.steering.desired.DesiredState
 import org.cardamomwharf.steering.desired.Route
@@ -54,7 +54,7 @@
 const val HOST: String = "shop.example"
 
 /** Represents a backend server that is registered. */
-class SoakServer(val record: ServerRecord, val standin: BackendStandin, val relay: WireRelay, val real: SocketAddress) {
+class SoakServer(val record: ServerRecord, val standin: BackendStandin, val relay: TcpRelay, val real: SocketAddress) {
     @Volatile
     var running: JettyServer? = null
 
@@ -67,12 +67,12 @@
     val clock = monotonicClock()
     val store = StoreStandin()
     val gateways: List<GatewayHandle>
-    val storeWires: List<WireRelay>
+    val storeWires: List<TcpRelay>
     val servers = ConcurrentHashMap<String, SoakServer>()
     private val storeAddress = SocketAddress("127.$network.250.1", STORE_PORT)
     private val storeServer = store.start(storeAddress)
     private val everyStandin = ConcurrentHashMap.newKeySet<BackendStandin>()
-    private val relays = ConcurrentHashMap.newKeySet<WireRelay>()
+    private val relays = ConcurrentHashMap.newKeySet<TcpRelay>()
     private val numbers = AtomicInteger()
     private val version = AtomicInteger()
 
@@ -136,7 +136,7 @@
         return register(recordOf(service, old.record.zone.value, number, old.record.address), old.relay, old.real)
     }
 
-    private fun register(record: ServerRecord, relay: WireRelay, real: SocketAddress): SoakServer {
+    private fun register(record: ServerRecord, relay: TcpRelay, real: SocketAddress): SoakServer {
         val standin = BackendStandin(record.name, record.service.value, SLOTS, clock::nowMs)
         val server = SoakServer(record, standin, relay, real)
         everyStandin.add(standin)
@@ -153,8 +153,8 @@
         server.running?.stop()
     }
 
-    private fun relayOf(listen: SocketAddress, far: SocketAddress): WireRelay =
-        startWireRelay(listen, far).also { relays.add(it) }
+    private fun relayOf(listen: SocketAddress, far: SocketAddress): TcpRelay =
+        startTcpRelay(listen, far).also { relays.add(it) }
 
     override fun close() {
         gateways.forEach { it.thaw() }
--- a/cardamomwharf-standin/src/main/kotlin/org/cardamomwharf/standin/Await.kt
+++ b/cardamomwharf-standin/src/main/kotlin/org/cardamomwharf/standin/Await.kt
@@ -1,5 +1,5 @@
 /*
- * Waits until processes are ready.
+ * Polls URLs until the processes behind them are ready.
  */
 package org.cardamomwharf.standin
 
@@ -11,21 +11,21 @@
 import org.cardamomwharf.http.call
 import org.cardamomwharf.http.startJettyHttpClient
 
-private const val ASK_LIMIT_MS = 500L
-private const val PAUSE_MS = 100L
-private const val TRIES_PER_SECOND = 10
+private const val REQUEST_TIMEOUT_MS = 500L
+private const val POLL_INTERVAL_MS = 100L
+private const val POLLS_PER_SECOND = 10
 
-/** Returns true as soon as all [urls] answer with status 200, or false after about [seconds]. */
+/** Returns true as soon as all [urls] respond with status 200, or false after about [seconds]. */
 public fun awaitUrls(urls: List<String>, seconds: Int): Boolean =
-    startJettyHttpClient(HttpClientSettings("await")).use { caller ->
-        (1..seconds * TRIES_PER_SECOND).any {
-            val isReady = urls.all { url -> isReady(caller, url) }
-            if (!isReady) Thread.sleep(PAUSE_MS)
+    startJettyHttpClient(HttpClientSettings("await")).use { client ->
+        (1..seconds * POLLS_PER_SECOND).any {
+            val isReady = urls.all { url -> isReady(client, url) }
+            if (!isReady) Thread.sleep(POLL_INTERVAL_MS)
             isReady
         }
     }
 
-private fun isReady(caller: HttpClient, url: String): Boolean {
-    val end = caller.call(HttpCall("GET", url, timeoutMs = ASK_LIMIT_MS))
-    return end is HttpResult.Completed && end.response.status == StatusCode.OK
+private fun isReady(client: HttpClient, url: String): Boolean {
+    val result = client.call(HttpCall("GET", url, timeoutMs = REQUEST_TIMEOUT_MS))
+    return result is HttpResult.Completed && result.response.status == StatusCode.OK
 }
--- a/cardamomwharf-standin/src/main/kotlin/org/cardamomwharf/standin/Faults.kt
+++ b/cardamomwharf-standin/src/main/kotlin/org/cardamomwharf/standin/Faults.kt
@@ -1,8 +1,9 @@
 /*
- * Faults that tests and experiments switch on by a PUT to /faults. They are replaced as a whole.
+ * Faults that tests and experiments set with PUT /faults; each request replaces all faults.
  */
 package org.cardamomwharf.standin
 
+import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.json.Json
 import org.http4k.core.Request
@@ -10,11 +11,11 @@
 import org.http4k.core.Status
 
 /**
- * Represents the faults of a stand-in for the platform.
+ * Represents the faults of the platform stand-in.
  *
- * @param isDown every call is refused without effect.
- * @param lostWrites number of coming writes that take effect and whose answer is lost.
- * @param isListStale the instance list stays as it was when this was switched on.
+ * @param isDown every request is refused without effect.
+ * @param lostWrites number of subsequent writes that are applied but whose response is lost.
+ * @param isListStale the instance list is frozen as of the time when this was set.
  */
 @Serializable
 public data class PlatformFaults(
@@ -25,12 +26,12 @@
 )
 
 /**
- * Represents the faults of a stand-in for a backend server.
+ * Represents the faults of a server stand-in.
  *
- * @param isSilent requests are run and never answered.
+ * @param isSilent requests are run but not responded to in time.
  * @param isRefusing requests are refused without being run.
- * @param isHealthLying health and load say that all is well.
- * @param isCrossing each request gets the answer to the one before it.
+ * @param isHealthMisreported the load report and the response headers show an idle server that is not leaving.
+ * @param isResponseSwapped each request gets the response to the previous request.
  */
 @Serializable
 public data class ServerFaults(
@@ -38,8 +39,8 @@
     public val isSilent: Boolean = false,
     public val isRefusing: Boolean = false,
     public val isLeaving: Boolean = false,
-    public val isHealthLying: Boolean = false,
-    public val isCrossing: Boolean = false,
+    @SerialName("isHealthLying") public val isHealthMisreported: Boolean = false,
+    @SerialName("isCrossing") public val isResponseSwapped: Boolean = false,
 )
 
 private val json = Json { ignoreUnknownKeys = false }
--- a/cardamomwharf-standin/src/main/kotlin/org/cardamomwharf/standin/Main.kt
+++ b/cardamomwharf-standin/src/main/kotlin/org/cardamomwharf/standin/Main.kt
@@ -1,5 +1,5 @@
 /*
- * The command line of the stand-ins. Several backend servers may share one process.
+ * Entry point of `wharf-standin`, the command line of the stand-ins. One process can run several backend servers.
  */
 package org.cardamomwharf.standin
 
@@ -19,14 +19,14 @@
 import kotlin.system.exitProcess
 
 private const val EXIT_USAGE = 2
-private const val EXIT_UNREADY = 9
+private const val EXIT_NOT_READY = 9
 private const val DEFAULT_AWAIT_SECONDS = 30
 private const val DEFAULT_SLOTS = 4
 private const val DEFAULT_SERVICE_MS = 10
-private const val DEFAULT_ANSWER_BYTES = 256
+private const val DEFAULT_RESPONSE_BYTES = 256
 private val log = ComponentLog("standin")
 
-/** Starts a stand-in. */
+/** Parses the arguments and runs the subcommand they name. */
 @OptIn(ExperimentalCli::class)
 public fun main(args: Array<String>) {
     configureLogs(LogFormat.PLAIN)
@@ -36,7 +36,7 @@
 }
 
 private fun parseAddress(text: String): SocketAddress = SocketAddress.parse(text) ?: run {
-    log.warn("$text isn't an address")
+    log.warn("$text is not a valid address, expected host:port")
     exitProcess(EXIT_USAGE)
 }
 
@@ -46,47 +46,48 @@
 }
 
 @OptIn(ExperimentalCli::class)
-private class PlatformCommand : Subcommand("platform", "The table service, the object store and the instance list.") {
+private class PlatformCommand : Subcommand("platform", "Run the table service, object store and instance list.") {
     private val listen by option(ArgType.String, "listen", description = "Address, host:port").required()
-    private val instances by option(ArgType.String, "instances", description = "First instance list, JSON file")
+    private val instances by option(ArgType.String, "instances", description = "Initial instance list, JSON file")
 
     override fun execute() {
         val standin = PlatformStandin()
-        instances?.let { standin.fillList(Files.readString(Path.of(it))) }
+        instances?.let { standin.addInstances(Files.readString(Path.of(it))) }
         val server = standin.start(parseAddress(listen))
-        log.info("Platform listens on $listen.")
+        log.info("Platform listening on $listen.")
         serveUntilStopped(listOf(server))
     }
 }
 
 @OptIn(ExperimentalCli::class)
-private class ServerCommand : Subcommand("server", "Backend servers.") {
-    private val listen by option(ArgType.String, "listen", description = "Addresses, host:port, by comma").required()
-    private val names by option(ArgType.String, "name", description = "Names, by comma").required()
-    private val slots by option(ArgType.Int, "slots", description = "Requests at a time").default(DEFAULT_SLOTS)
-    private val serviceMs by option(ArgType.Int, "service-ms", description = "Time of one request")
+private class ServerCommand : Subcommand("server", "Run backend servers.") {
+    private val listen by option(ArgType.String, "listen", description = "Addresses, host:port, comma-separated")
+        .required()
+    private val names by option(ArgType.String, "name", description = "Names, comma-separated").required()
+    private val slots by option(ArgType.Int, "slots", description = "Concurrent requests").default(DEFAULT_SLOTS)
+    private val serviceMs by option(ArgType.Int, "service-ms", description = "Processing time of a request")
         .default(DEFAULT_SERVICE_MS)
-    private val coldMs by option(ArgType.Int, "cold-ms", description = "Time of the cold start").default(0)
-    private val answerBytes by option(ArgType.Int, "answer-bytes", description = "Size of an answer")
-        .default(DEFAULT_ANSWER_BYTES)
+    private val coldMs by option(ArgType.Int, "cold-ms", description = "Duration of the cold start").default(0)
+    private val responseBytes by option(ArgType.Int, "answer-bytes", description = "Response size")
+        .default(DEFAULT_RESPONSE_BYTES)
 
     override fun execute() {
         val servers = names.split(',').zip(listen.split(',')).map { (serverName, address) ->
-            val behaviour = ServerBehaviour(serverName, slots, serviceMs.toLong(), coldMs.toLong(), answerBytes)
+            val behaviour = ServerBehaviour(serverName, slots, serviceMs.toLong(), coldMs.toLong(), responseBytes)
             ServerStandin(behaviour).start(parseAddress(address))
         }
-        log.info("Servers $names listen on $listen.")
+        log.info("Servers $names listening on $listen.")
         serveUntilStopped(servers)
     }
 }
 
 @OptIn(ExperimentalCli::class)
-private class AwaitCommand : Subcommand("await", "Wait until all addresses answer with status 200.") {
-    private val urls by option(ArgType.String, "urls", description = "Addresses to ask, by comma").required()
-    private val seconds by option(ArgType.Int, "seconds", description = "Longest wait").default(DEFAULT_AWAIT_SECONDS)
+private class AwaitCommand : Subcommand("await", "Wait until all URLs respond with status 200.") {
+    private val urls by option(ArgType.String, "urls", description = "URLs to poll, comma-separated").required()
+    private val seconds by option(ArgType.Int, "seconds", description = "Maximum wait").default(DEFAULT_AWAIT_SECONDS)
 
     override fun execute() {
         val isReady = awaitUrls(urls.split(','), seconds)
-        exitProcess(if (isReady) 0 else EXIT_UNREADY)
+        exitProcess(if (isReady) 0 else EXIT_NOT_READY)
     }
 }
--- a/cardamomwharf-standin/src/main/kotlin/org/cardamomwharf/standin/PlatformStandin.kt
+++ b/cardamomwharf-standin/src/main/kotlin/org/cardamomwharf/standin/PlatformStandin.kt
@@ -1,5 +1,5 @@
 /*
- * Stands in for the platform: a transactional table service, an object store and the instance list, in memory.
+ * An in-memory stand-in for the platform: a transactional table service, an object store and the instance list.
  */
 package org.cardamomwharf.standin
 
@@ -24,77 +24,77 @@
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicLong
 
-private const val LARGEST_OBJECT_BYTES = 134_217_728
-private const val LOST_ANSWER_MS = 30_000L
+private const val MAX_OBJECT_BYTES = 134_217_728
+private const val LOST_RESPONSE_DELAY_MS = 30_000L
 
-/** Represents the stand-in with all that it stores. */
+/** Serves the platform protocol from memory. */
 public class PlatformStandin(clock: Clock = monotonicClock()) {
     private val store = StandinStore(clock)
     private val instances = ConcurrentHashMap<String, PlatformInstance>()
 
-    /** Reads since the start. */
+    /** The number of reads since the start. */
     public val reads: AtomicLong = AtomicLong()
 
-    /** Writes since the start. */
+    /** The number of writes since the start. */
     public val writes: AtomicLong = AtomicLong()
 
     @Volatile
     private var faults = PlatformFaults()
 
     @Volatile
-    private var staleList: String? = null
+    private var frozenList: String? = null
 
-    /** Answers calls of the platform's protocol and the admin calls of the stand-in. */
+    /** Handles the platform protocol and the admin requests of the stand-in. */
     public val handler: HttpHandler = routeRequests(
-        Route(Method.GET, "/tables/", faulty(store::readRow)),
-        Route(Method.PUT, "/tables/", faulty(store::writeRow)),
-        Route(Method.DELETE, "/tables/", faulty(store::expireRows)),
-        Route(Method.GET, "/objects/", faulty(store::readObject)),
-        Route(Method.PUT, "/objects/", faulty(store::writeObject)),
-        Route(Method.GET, "/instances", faulty { jsonResponse(StatusCode.OK, staleList ?: listJson()) }),
+        Route(Method.GET, "/tables/", withFaults(store::readRow)),
+        Route(Method.PUT, "/tables/", withFaults(store::writeRow)),
+        Route(Method.DELETE, "/tables/", withFaults(store::expireRows)),
+        Route(Method.GET, "/objects/", withFaults(store::readObject)),
+        Route(Method.PUT, "/objects/", withFaults(store::writeObject)),
+        Route(Method.GET, "/instances", withFaults { jsonResponse(StatusCode.OK, frozenList ?: listJson()) }),
         Route(Method.PUT, "/instances/") { register(it) },
         Route(Method.DELETE, "/instances/") { remove(it) },
         Route(Method.PUT, "/faults") { changeFaults(readPlatformFaults(it)) },
         Route(Method.GET, "/counts") { jsonResponse(StatusCode.OK, """{"reads":$reads,"writes":$writes}""") },
     )
 
-    /** Returns a started server of this stand-in at [address]. */
+    /** Starts an HTTP server for this stand-in at [address]. */
     public fun start(address: SocketAddress): JettyServer =
-        startJettyServer(HttpServerSettings(address, maxBodyBytes = LARGEST_OBJECT_BYTES), handler = handler)
+        startJettyServer(HttpServerSettings(address, maxBodyBytes = MAX_OBJECT_BYTES), handler = handler)
 
-    /** Adds the instances in [listJson] to the list. */
-    public fun fillList(listJson: String) {
+    /** Adds the instances in [listJson], a JSON array, to the instance list. */
+    public fun addInstances(listJson: String) {
         Json.decodeFromString<List<PlatformInstance>>(listJson).forEach { instances[it.name] = it }
     }
 
-    /** Replaces the faults. */
+    /** Replaces the active faults. */
     public fun changeFaults(next: PlatformFaults): Response {
-        staleList = if (next.isListStale) staleList ?: listJson() else null
+        frozenList = if (next.isListStale) frozenList ?: listJson() else null
         faults = next
         return done()
     }
 
-    private fun faulty(inner: HttpHandler): HttpHandler = { request ->
+    private fun withFaults(inner: HttpHandler): HttpHandler = { request ->
         val current = faults
         if (current.delayMs > 0) Thread.sleep(current.delayMs)
         val isWrite = request.method == Method.PUT || request.method == Method.DELETE
         (if (isWrite) writes else reads).incrementAndGet()
         when {
             current.isDown -> Response(Status.SERVICE_UNAVAILABLE)
-            isWrite && takeLostWrite() -> lose(inner, request)
+            isWrite && consumeLostWrite() -> runAndLoseResponse(inner, request)
             else -> inner(request)
         }
     }
 
-    private fun takeLostWrite(): Boolean = synchronized(this) {
-        val left = faults.lostWrites
-        if (left > 0) faults = faults.copy(lostWrites = left - 1)
-        left > 0
+    private fun consumeLostWrite(): Boolean = synchronized(this) {
+        val remaining = faults.lostWrites
+        if (remaining > 0) faults = faults.copy(lostWrites = remaining - 1)
+        remaining > 0
     }
 
-    private fun lose(inner: HttpHandler, request: Request): Response {
+    private fun runAndLoseResponse(inner: HttpHandler, request: Request): Response {
         inner(request)
-        Thread.sleep(LOST_ANSWER_MS)
+        Thread.sleep(LOST_RESPONSE_DELAY_MS)
         return Response(Status.GATEWAY_TIMEOUT)
     }
 
--- a/cardamomwharf-standin/src/main/kotlin/org/cardamomwharf/standin/ServerStandin.kt
+++ b/cardamomwharf-standin/src/main/kotlin/org/cardamomwharf/standin/ServerStandin.kt
@@ -1,6 +1,6 @@
 /*
- * Stands in for a backend server: it has slots, a service time, a cold start, sheds load, reports its load and counts
- * how often it ran each key.
+ * A stand-in for a backend server: it has slots, a processing time and a cold start, sheds and reports load, and counts
+ * the runs of each idempotency key.
  */
 package org.cardamomwharf.standin
 
@@ -23,27 +23,27 @@
 import org.http4k.core.Status
 import java.util.concurrent.atomic.AtomicReference
 
-private const val SILENT_MS = 20_000L
-private const val COLD_FACTOR = 4
-private const val SHED_FACTOR = 2
+private const val NO_RESPONSE_DELAY_MS = 20_000L
+private const val COLD_START_FACTOR = 4
+private const val LOAD_SHEDDING_FACTOR = 2
 
 /**
- * Represents how a backend server behaves.
+ * Represents the behaviour of a server stand-in.
  *
- * @param coldMs time after the start during which a request takes four times as long.
- * @param answerBytes size of an answer.
+ * @param coldMs duration of the cold start, during which a request takes four times as long.
+ * @param responseBytes size of a response.
  */
 public data class ServerBehaviour(
     public val name: String,
     public val slots: Int,
     public val serviceMs: Long,
     public val coldMs: Long = 0,
-    public val answerBytes: Int = 256,
+    public val responseBytes: Int = 256,
 )
 
-/** Represents the stand-in. */
+/** Serves requests as a backend server does, with optional faults. */
 public class ServerStandin(private val behaviour: ServerBehaviour) {
-    /** What the server ran. */
+    /** The counts of requests and runs. */
     public val counts: RunCounts = RunCounts()
     private val clock = monotonicClock()
     private val startedAtMs = clock.nowMs()
@@ -53,72 +53,76 @@
     @Volatile
     private var faults = ServerFaults()
 
-    /** Answers requests, and the admin calls of the stand-in. */
+    /** Handles requests and the admin requests of the stand-in. */
     public val handler: HttpHandler = routeRequests(
         Route(Method.GET, "/wharf/load") { loadResponse() },
         Route(Method.GET, "/wharf/health") { Response(Status.OK).body("well\n") },
-        Route(Method.GET, "/wharf/runs") { jsonResponse(StatusCode.OK, Json.encodeToString(counts.countKeys())) },
+        Route(Method.GET, "/wharf/runs") { jsonResponse(StatusCode.OK, Json.encodeToString(counts.countRunsByKey())) },
         Route(Method.GET, "/wharf/total") { jsonResponse(StatusCode.OK, counts.totalJson()) },
         Route(Method.PUT, "/faults") { changeFaults(readServerFaults(it)) },
         Route(null, "/") { serve(it) },
     )
 
-    /** Returns a started server of this stand-in at [address]. */
+    /** Starts an HTTP server for this stand-in at [address]. */
     public fun start(address: SocketAddress): JettyServer =
         startJettyServer(HttpServerSettings(address), handler = handler)
 
-    /** Replaces the faults. */
+    /** Replaces the active faults. */
     public fun changeFaults(next: ServerFaults): Response {
         faults = next
         return done()
     }
 
     private fun loadResponse(): Response {
-        val isHonest = !faults.isHealthLying
-        val shown = if (isHonest) counts.inFlight else 0
-        val isLeaving = isHonest && faults.isLeaving
-        return jsonResponse(StatusCode.OK, """{"inFlight":$shown,"isLeaving":$isLeaving}""")
+        val isAccurate = !faults.isHealthMisreported
+        val reportedInFlight = if (isAccurate) counts.inFlight else 0
+        val isLeaving = isAccurate && faults.isLeaving
+        return jsonResponse(StatusCode.OK, """{"inFlight":$reportedInFlight,"isLeaving":$isLeaving}""")
     }
 
     private fun serve(request: Request): Response {
         val current = faults
-        val taken = counts.enter()
+        val openNow = counts.startRequest()
         try {
-            if (current.isRefusing || taken > behaviour.slots * SHED_FACTOR) return refuse(request, current)
+            if (current.isRefusing || openNow > behaviour.slots * LOAD_SHEDDING_FACTOR) return refuse(request, current)
             return run(request, current)
         } finally {
-            counts.leave()
+            counts.endRequest()
         }
     }
 
     private fun refuse(request: Request, current: ServerFaults): Response =
-        mark(Response(Status.SERVICE_UNAVAILABLE), current)
+        addLeavingHeader(Response(Status.SERVICE_UNAVAILABLE), current)
             .header(HeaderNames.ATTEMPT, request.header(HeaderNames.ATTEMPT).orEmpty())
             .header(HeaderNames.REFUSED, "true")
             .header(HeaderNames.RETRY_AFTER, "1")
 
     private fun run(request: Request, current: ServerFaults): Response {
-        counts.note(request.header(HeaderNames.IDEMPOTENCY_KEY))
+        counts.recordRun(request.header(HeaderNames.IDEMPOTENCY_KEY))
         Thread.sleep(serviceMs() + current.delayMs)
-        if (current.isSilent) Thread.sleep(SILENT_MS)
-        val before = lastRequest.getAndSet(request) ?: request
-        return answerTo(if (current.isCrossing) before else request, current)
+        if (current.isSilent) Thread.sleep(NO_RESPONSE_DELAY_MS)
+        val previous = lastRequest.getAndSet(request) ?: request
+        return respond(if (current.isResponseSwapped) previous else request, current)
     }
 
-    private fun answerTo(request: Request, current: ServerFaults): Response =
-        mark(Response(Status.OK), current)
+    private fun respond(request: Request, current: ServerFaults): Response =
+        addLeavingHeader(Response(Status.OK), current)
             .header("Content-Type", "text/plain")
             .header(HeaderNames.ATTEMPT, request.header(HeaderNames.ATTEMPT).orEmpty())
-            .body(bodyFor(request))
+            .body(createBody(request))
 
-    private fun mark(response: Response, current: ServerFaults): Response =
-        if (current.isLeaving && !current.isHealthLying) response.header(HeaderNames.LEAVING, "true") else response
+    private fun addLeavingHeader(response: Response, current: ServerFaults): Response =
+        if (current.isLeaving && !current.isHealthMisreported) {
+            response.header(HeaderNames.LEAVING, "true")
+        } else {
+            response
+        }
 
     private fun serviceMs(): Long {
         val isCold = clock.nowMs() - startedAtMs < behaviour.coldMs
-        return if (isCold) behaviour.serviceMs * COLD_FACTOR else behaviour.serviceMs
+        return if (isCold) behaviour.serviceMs * COLD_START_FACTOR else behaviour.serviceMs
     }
 
-    private fun bodyFor(request: Request): String =
-        "${behaviour.name} ${request.method} ${request.uri.path}\n".padEnd(behaviour.answerBytes, '.')
+    private fun createBody(request: Request): String =
+        "${behaviour.name} ${request.method} ${request.uri.path}\n".padEnd(behaviour.responseBytes, '.')
 }
--- a/cardamomwharf-standin/src/main/kotlin/org/cardamomwharf/standin/StandinStore.kt
+++ b/cardamomwharf-standin/src/main/kotlin/org/cardamomwharf/standin/StandinStore.kt
@@ -1,5 +1,5 @@
 /*
- * The rows and objects of the stand-in for the platform.
+ * The in-memory rows and objects of the platform stand-in.
  */
 package org.cardamomwharf.standin
 
@@ -31,22 +31,22 @@
         }
     }
 
-    /** Deletes rows of one table by the time since they were written. */
+    /** Deletes the rows of a table that have not been written for the requested time, up to the requested limit. */
     fun expireRows(request: Request): Response = synchronized(rows) {
         val seconds = request.query("unwrittenForSeconds")?.toLongOrNull()
         val limit = request.query("limit")?.toIntOrNull()
         if (seconds == null || limit == null) return Response(Status.BAD_REQUEST)
-        val writtenUntilMs = clock.nowMs() - seconds * MS_PER_SECOND
-        val old = rows.entries
-            .filter { it.key.startsWith("${request.uri.path}/") && it.value.writtenAtMs <= writtenUntilMs }
+        val writtenBeforeMs = clock.nowMs() - seconds * MS_PER_SECOND
+        val expired = rows.entries
+            .filter { it.key.startsWith("${request.uri.path}/") && it.value.writtenAtMs <= writtenBeforeMs }
             .take(limit)
-        old.forEach { rows.remove(it.key) }
-        Response(Status.OK).body(old.size.toString())
+        expired.forEach { rows.remove(it.key) }
+        Response(Status.OK).body(expired.size.toString())
     }
 
     private fun isAllowed(request: Request, current: StoredRow?): Boolean {
-        val wanted = request.header("If-Match")
-        return if (wanted == null) current == null else current?.version == wanted
+        val expectedVersion = request.header("If-Match")
+        return if (expectedVersion == null) current == null else current?.version == expectedVersion
     }
 
     private fun replaceRow(request: Request): Response {
--- a/cardamomwharf-standin/src/main/kotlin/org/cardamomwharf/standin/network/RelayedConnection.kt
+++ b/cardamomwharf-standin/src/main/kotlin/org/cardamomwharf/standin/network/RelayedConnection.kt
@@ -1,5 +1,5 @@
 /*
- * One connection that a relay carries, from both sides.
+ * A relayed connection: the client socket and the socket to the target.
  */
 package org.cardamomwharf.standin.network
 
@@ -8,24 +8,24 @@
 
 private const val CHUNK_BYTES = 16_384
 
-/** Delay of each piece; longer than the work of a stand-in, shorter than time-outs. */
+/** Delay of each chunk; longer than the processing time of a stand-in, shorter than the timeouts. */
 private const val DELAY_MS = 150L
 
 internal class RelayedConnection(
-    private val near: Socket,
-    private val away: Socket,
+    private val clientSocket: Socket,
+    private val targetSocket: Socket,
     private val onClose: (RelayedConnection) -> Unit,
 ) {
     @Volatile
-    var isSilent: Boolean = false
+    var isStalled: Boolean = false
 
-    /** Carries bytes from [source] to [sink] until one of them is closed. */
-    fun pump(source: Socket, sink: Socket, findFault: () -> WireFault) {
+    /** Forwards bytes from [source] to [sink] until one of them is closed, then closes the connection. */
+    fun pump(source: Socket, sink: Socket, getFault: () -> ConnectionFault) {
         val chunk = ByteArray(CHUNK_BYTES)
         try {
             while (true) {
                 val count = source.getInputStream().read(chunk)
-                if (count < 0 || !carry(chunk, count, sink, findFault())) break
+                if (count < 0 || !forward(chunk, count, sink, getFault())) break
             }
         } catch (@Suppress("SwallowedException") e: IOException) {
             close()
@@ -33,21 +33,21 @@
         close()
     }
 
-    /** Returns false when the connection ends here. */
-    private fun carry(chunk: ByteArray, count: Int, sink: Socket, fault: WireFault): Boolean {
-        if (isSilent || fault == WireFault.ANSWERS_LOST) return true
-        if (fault == WireFault.DELAYED) Thread.sleep(DELAY_MS)
+    /** Forwards a chunk as [fault] allows; returns false when the connection must be closed. */
+    private fun forward(chunk: ByteArray, count: Int, sink: Socket, fault: ConnectionFault): Boolean {
+        if (isStalled || fault == ConnectionFault.RESPONSES_LOST) return true
+        if (fault == ConnectionFault.DELAYED) Thread.sleep(DELAY_MS)
         val output = sink.getOutputStream()
-        val carried = if (fault == WireFault.TRUNCATING) count / 2 else count
-        output.write(chunk, 0, carried)
-        if (fault == WireFault.DUPLICATING) output.write(chunk, 0, count)
+        val forwardedBytes = if (fault == ConnectionFault.TRUNCATING) count / 2 else count
+        output.write(chunk, 0, forwardedBytes)
+        if (fault == ConnectionFault.DUPLICATING) output.write(chunk, 0, count)
         output.flush()
-        return fault != WireFault.TRUNCATING
+        return fault != ConnectionFault.TRUNCATING
     }
 
     fun close() {
-        near.close()
-        away.close()
+        clientSocket.close()
+        targetSocket.close()
         onClose(this)
     }
 }
--- a/cardamomwharf-standin/src/test/kotlin/org/cardamomwharf/standin/ClaimRowsTest.kt
+++ b/cardamomwharf-standin/src/test/kotlin/org/cardamomwharf/standin/ClaimRowsTest.kt
@@ -1,5 +1,5 @@
 /*
- * Claim rows over the platform's protocol: kept while they are young, deleted by the time since their last change.
+ * Tests that claim rows expire by the time since their last write, over the platform protocol.
  */
 package org.cardamomwharf.standin
 
@@ -15,25 +15,25 @@
 import org.cardamomwharf.repository.PlatformError
 import org.cardamomwharf.repository.httpTableService
 
-private const val LIMIT_MS = 5_000L
+private const val TIMEOUT_MS = 5_000L
 private const val DAY_SECONDS = 86_400L
 
-private class SetClock(var now: Long = 0) : Clock {
+private class ManualClock(var now: Long = 0) : Clock {
     override fun nowMs(): Long = now
 }
 
 class ClaimRowsTest : FunSpec({
-    val clock = SetClock()
+    val clock = ManualClock()
     val platform = PlatformStandin(clock)
     val server = platform.start(SocketAddress("127.0.5.1", 0))
-    val caller = startJettyHttpClient(HttpClientSettings("test"))
-    val claims = ClaimTable(httpTableService(caller, SocketAddress("127.0.5.1", server.port), LIMIT_MS))
+    val client = startJettyHttpClient(HttpClientSettings("test"))
+    val claims = ClaimTable(httpTableService(client, SocketAddress("127.0.5.1", server.port), TIMEOUT_MS))
     afterSpec {
-        caller.close()
+        client.close()
         server.stop()
     }
 
-    test("`only rows that weren't written for long are deleted, and no more than asked for`") {
+    test("`only rows that have not been written for the given time are deleted, up to the limit`") {
         listOf("a", "b", "c").forEach { claims.insert(it, "claimed").get() }
         clock.now = (DAY_SECONDS - 1) * 1_000
         claims.replace("c", "done", claims.read("c").get()?.version.orEmpty())
@@ -45,7 +45,7 @@
         listOf("a", "b").forEach { claims.read(it).get() shouldBe null }
     }
 
-    test("`while the service is down nothing is deleted, and that is said`") {
+    test("`while the service is down, expiry deletes nothing and returns an error`") {
         platform.changeFaults(PlatformFaults(isDown = true))
         claims.expire(DAY_SECONDS, limit = 10).getError() shouldBe PlatformError.Rejected(503)
         platform.changeFaults(PlatformFaults())
--- a/cardamomwharf-standin/src/test/kotlin/org/cardamomwharf/standin/serial/SerialFormsTest.kt
+++ b/cardamomwharf-standin/src/test/kotlin/org/cardamomwharf/standin/serial/SerialFormsTest.kt
@@ -1,5 +1,5 @@
 /*
- * Guards the bodies that switch faults on against renames in the code.
+ * Checks that the JSON bodies of PUT /faults stay the same when code is renamed.
  */
 package org.cardamomwharf.standin.serial
 
