--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/Duty.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/BackgroundTask.kt
@@ -11,7 +11,7 @@
 private const val PAUSE_MS = 500L
 
 /** Repeats [step] on a thread called [name] until it returns false. */
-internal fun startDuty(name: String, log: DecisionLog, step: () -> Boolean) {
+internal fun startBackgroundTask(name: String, log: DecisionLog, step: () -> Boolean) {
     val repeat = {
         while (attempt(name, log, step) ?: pause()) Unit
     }
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/GatewayProcess.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/GatewayProcess.kt
@@ -20,26 +20,26 @@
 import org.cardamomwharf.forward.proxy.createForwardingHandler
 import org.cardamomwharf.forward.server.ConnectionPoolSettings
 import org.cardamomwharf.forward.server.startConnectionPool
-import org.cardamomwharf.gateway.directory.DirectoryWatch
-import org.cardamomwharf.gateway.directory.directoryHandler
-import org.cardamomwharf.gateway.directory.readyHandler
+import org.cardamomwharf.gateway.directory.DirectoryScopeLog
+import org.cardamomwharf.gateway.directory.createDirectoryHandler
+import org.cardamomwharf.gateway.directory.createReadinessHandler
 import org.cardamomwharf.gateway.logs.DecisionLog
-import org.cardamomwharf.gateway.logs.LendingLog
+import org.cardamomwharf.gateway.logs.SpilloverLog
 import org.cardamomwharf.gateway.metrics.GatewayMetrics
 import org.cardamomwharf.gateway.metrics.ProcessState
+import org.cardamomwharf.gateway.peers.InstanceRegistration
 import org.cardamomwharf.gateway.peers.KnownVersions
 import org.cardamomwharf.gateway.peers.PeerHeartbeats
-import org.cardamomwharf.gateway.peers.PeerRoster
+import org.cardamomwharf.gateway.peers.PeerList
 import org.cardamomwharf.gateway.peers.PeerState
-import org.cardamomwharf.gateway.peers.Registration
-import org.cardamomwharf.gateway.peers.askPeerState
-import org.cardamomwharf.gateway.peers.peerStateHandler
+import org.cardamomwharf.gateway.peers.createPeerStateHandler
+import org.cardamomwharf.gateway.peers.fetchPeerState
 import org.cardamomwharf.gateway.settings.GatewaySettings
 import org.cardamomwharf.gateway.settings.readGatewaySettings
-import org.cardamomwharf.gateway.store.PeerDirectory
-import org.cardamomwharf.gateway.store.StateListener
-import org.cardamomwharf.gateway.store.StateWatch
-import org.cardamomwharf.gateway.store.StoreRelay
+import org.cardamomwharf.gateway.store.PeerClient
+import org.cardamomwharf.gateway.store.PeerStateSync
+import org.cardamomwharf.gateway.store.StoreListener
+import org.cardamomwharf.gateway.store.StoreWatcher
 import org.cardamomwharf.http.HttpClientSettings
 import org.cardamomwharf.http.startJettyHttpClient
 import org.cardamomwharf.platform.createPlatformStore
@@ -59,25 +59,25 @@
 private const val PEERS = "peers"
 
 /** Silence after which an instance counts as gone; below the users' seven seconds with the way of the news. */
-private const val SILENCE_MS = 4_000L
+private const val SILENCE_TIMEOUT_MS = 4_000L
 
 /** Pause between adjustments of what is lent, and looks at idle connections. */
 private const val TICK_MS = 200L
 
 /** Ticks between log lines about the state of the process: five seconds. */
-private const val TICKS_PER_STATE = 25
+private const val TICKS_PER_STATE_LOG = 25
 
 /** Ticks between log lines about lending: one second, half the window in which the users measure shifts. */
-private const val TICKS_PER_LENDING = 5
+private const val TICKS_PER_SPILLOVER_LOG = 5
 
 /** Represents a running gateway process. */
 internal class GatewayProcess(private val settings: GatewaySettings) {
     private val clock = monotonicClock()
     private val log = DecisionLog(clock)
-    private val watchTools = WatchTools(clock, log)
+    private val watchTools = TaskContext(clock, log)
     private val metrics = GatewayMetrics()
-    private val place = settings.toPlace()
-    private val terms = settings.toTerms()
+    private val place = settings.toLocation()
+    private val terms = settings.toParameters()
     private val steering = SynchronizedSteering(Steering(place, terms), clock)
     private val own = InstanceRecord(
         settings.instance,
@@ -85,22 +85,22 @@
         settings.addresses.caller,
         SocketAddress(settings.addresses.host, settings.peerPort),
     )
-    private val book = InstanceRegistry(own, Incarnation(System.currentTimeMillis()), SILENCE_MS)
+    private val registry = InstanceRegistry(own, Incarnation(System.currentTimeMillis()), SILENCE_TIMEOUT_MS)
     private val caller = startJettyHttpClient(HttpClientSettings("store", maxConnections = 8, maxThreads = 6))
-    private val relay: StoreRelay = StoreRelay(own, peerDirectory(), watchTools, ::shareBudgets)
-    private val roster = PeerRoster(own, book, clock)
-    private val heartbeats: PeerHeartbeats = PeerHeartbeats(own, place, book, roster, watchTools, relay)
+    private val peerStateSync: PeerStateSync = PeerStateSync(own, createPeerClient(), watchTools, ::updateLimitSharing)
+    private val peers = PeerList(own, registry, clock)
+    private val heartbeats: PeerHeartbeats = PeerHeartbeats(own, place, registry, peers, watchTools, peerStateSync)
     private val store = openStore()
-    private val watch: StateWatch = StateWatch(
+    private val watch: StoreWatcher = StoreWatcher(
         store,
         steering,
         watchTools,
         terms.restoreGraceMs,
-        relay,
-        stateListener()
+        peerStateSync,
+        createStoreListener()
     )
-    private val frontSettings = AsyncHttpServerSettings()
-    private val threads = startHttpThreads(frontSettings)
+    private val serverSettings = AsyncHttpServerSettings()
+    private val threads = startHttpThreads(serverSettings)
     private val pool = startConnectionPool(ConnectionPoolSettings(), threads.executor, clock) { server, tookMs ->
         steering.withLock { decisions, _ ->
             decisions.servers.find(server)?.let { decisions.roundTripTimes.record(it, tookMs) }
@@ -110,17 +110,17 @@
         log.record(trace)
         metrics.record(trace)
     }
-    private val lendingLog = LendingLog(steering, log)
-    private val state = ProcessState(tools, pool, steering, book, clock)
-    private val front = createAsyncHttpServer(frontSettings, threads, listeners())
+    private val spilloverLog = SpilloverLog(steering, log)
+    private val state = ProcessState(tools, pool, steering, registry, clock)
+    private val front = createAsyncHttpServer(serverSettings, threads, listeners())
     private var ticks = 0
 
     /** Starts all parts. After a fault nothing is served, and the process has to end. */
-    fun start(): Result<Unit, StartFault> = try {
-        relay.start(watch)
+    fun start(): Result<Unit, StartError> = try {
+        peerStateSync.start(watch)
         watch.start()
         heartbeats.start()
-        Registration(store, own, roster, log).start()
+        InstanceRegistration(store, own, peers, log).start()
         scheduleTick()
         front.start()
         log.event("start") {
@@ -130,7 +130,7 @@
         Ok(Unit)
     } catch (e: IOException) {
         log.event("start-failed") { put("error", e.toString()) }
-        Err(StartFault.Listening(e))
+        Err(StartError.Listening(e))
     }
 
     /** Reads the settings in [file] again and says what would change; they hold from the next start. */
@@ -149,43 +149,43 @@
 
     private fun listeners(): List<HttpListener> {
         val metricsAddress = SocketAddress(settings.addresses.host, settings.metricsPort)
-        val directoryWatch = DirectoryWatch(log, metrics)
-        val directory = directoryHandler(place, directoryWatch) { synchronized(book) { book.serving(clock.nowMs()) } }
+        val directoryWatch = DirectoryScopeLog(log, metrics)
+        val directory = createDirectoryHandler(place, directoryWatch) { synchronized(registry) { registry.serving(clock.nowMs()) } }
         return listOf(
             HttpListener(CALLERS, settings.addresses.caller, createForwardingHandler(tools)),
-            HttpListener(READY, settings.addresses.ready, readyHandler { !tools.isStopping && watch.isKnown }),
+            HttpListener(READY, settings.addresses.ready, createReadinessHandler { !tools.isStopping && watch.isKnown }),
             HttpListener(DIRECTORY, settings.addresses.directory, directory),
-            HttpListener(PEERS, own.peerAddress, peerStateHandler(watch::stateAfter)),
+            HttpListener(PEERS, own.peerAddress, createPeerStateHandler(watch::stateSince)),
             HttpListener(METRICS, metricsAddress, metrics.handler(state::read)),
         )
     }
 
     private fun openStore(): DeploymentStore = createPlatformStore(caller, settings.addresses.store) { table, key ->
-        metrics.countUnreadable(table)
+        metrics.countUnreadableRow(table)
         log.event("unreadable-row") {
             put("table", table)
             put("key", key)
         }
     }
 
-    private fun peerDirectory() = object : PeerDirectory {
-        override fun running(): List<InstanceRecord> = roster.running()
+    private fun createPeerClient() = object : PeerClient {
+        override fun running(): List<InstanceRecord> = peers.running()
 
-        override fun any(): InstanceRecord? = heartbeats.anyPeer()
+        override fun any(): InstanceRecord? = heartbeats.randomPeer()
 
         override fun ask(peer: InstanceRecord, known: KnownVersions): PeerState? =
-            askPeerState(caller, peer.peerAddress, known)
+            fetchPeerState(caller, peer.peerAddress, known)
     }
 
-    private fun shareBudgets() {
-        val sharing = roster.sharing() ?: return
+    private fun updateLimitSharing() {
+        val sharing = peers.sharing() ?: return
         steering.withLock { decisions, _ -> decisions.setLiveInstances(sharing.associate { it.name to it.zone }) }
     }
 
-    private fun stateListener() = object : StateListener {
+    private fun createStoreListener() = object : StoreListener {
         override fun onCallerLimits(limits: CallerLimits) = front.setIdleTimeout(CALLERS, limits.idleTimeoutMs)
 
-        override fun onChange() = heartbeats.tellChange()
+        override fun onChange() = heartbeats.notifyChange()
     }
 
     private fun scheduleTick() {
@@ -197,8 +197,8 @@
             steering.withLock { decisions, nowMs -> decisions.adjustSpillover(nowMs) }
             watch.expire()
             pool.closeExpired()
-            if (++ticks % TICKS_PER_LENDING == 0) lendingLog.write()
-            if (ticks % TICKS_PER_STATE == 0) {
+            if (++ticks % TICKS_PER_SPILLOVER_LOG == 0) spilloverLog.write()
+            if (ticks % TICKS_PER_STATE_LOG == 0) {
                 log.event("state") { state.read().forEach { (name, value) -> put(name, value) } }
             }
         }
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/GracefulStop.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/GracefulStop.kt
@@ -9,20 +9,20 @@
 import org.cardamomwharf.forward.proxy.ForwardingContext
 
 /** Part of the time to stop for which new requests are still taken; callers keep addresses for some seconds. */
-private const val TAKING_SHARE = 0.5
+private const val ACCEPT_FRACTION = 0.5
 
 /** Part of the time to stop after which the process ends whatever is open. */
-private const val ENDING_SHARE = 0.9
+private const val DEADLINE_FRACTION = 0.9
 
 /** Pause between looks at what is still open. */
 private const val LOOK_MS = 20L
 
 internal class GracefulStop(
-    private val watch: WatchTools,
+    private val watch: TaskContext,
     private val tools: ForwardingContext,
     private val front: AsyncHttpServer,
     private val stopMs: Long,
-    private val takingMs: Long = (stopMs * TAKING_SHARE).toLong(),
+    private val acceptMs: Long = (stopMs * ACCEPT_FRACTION).toLong(),
 ) {
     /**
      * Stops taking requests at [listener]; returns when its last connection is closed or the time to stop is nearly
@@ -34,9 +34,9 @@
         watch.log.event("stop") { put("underWay", tools.requestsInFlight) }
         tools.isStopping = true
         tellOthers()
-        waitUntil(startedAtMs + takingMs) { false }
+        waitUntil(startedAtMs + acceptMs) { false }
         front.closeListener(listener)
-        waitUntil(startedAtMs + (stopMs * ENDING_SHARE).toLong()) {
+        waitUntil(startedAtMs + (stopMs * DEADLINE_FRACTION).toLong()) {
             front.closeIdleConnections(listener)
             front.countConnections(listener) == 0
         }
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/StartFault.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/StartError.kt
@@ -5,7 +5,7 @@
 
 import java.io.IOException
 
-internal sealed interface StartFault {
+internal sealed interface StartError {
     /** An address is taken or isn't one of this machine's. */
-    data class Listening(val cause: IOException) : StartFault
+    data class Listening(val cause: IOException) : StartError
 }
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/WatchTools.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/TaskContext.kt
@@ -7,4 +7,4 @@
 import org.cardamomwharf.gateway.logs.DecisionLog
 
 /** Represents the clock and the log of a process. */
-internal data class WatchTools(val clock: Clock, val log: DecisionLog)
+internal data class TaskContext(val clock: Clock, val log: DecisionLog)
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/directory/DirectoryHandler.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/directory/DirectoryHandler.kt
@@ -17,15 +17,15 @@
 import java.nio.ByteBuffer
 
 /** Time for which callers keep an answer; short, so that they leave an instance that stops before it ends. */
-private const val KEPT_S = 2
+private const val CACHE_TTL_S = 2
 
 /** Largest number of addresses that a caller takes. */
-private const val LARGEST_ADDRESSES = 64
+private const val MAX_ADDRESSES = 64
 
 /** Returns the handler for the directory. */
-internal fun directoryHandler(
+internal fun createDirectoryHandler(
     place: InstanceLocation,
-    watch: DirectoryWatch,
+    watch: DirectoryScopeLog,
     serving: () -> List<InstanceRecord>,
 ): AsyncHandler =
     AsyncHandler { request, response, callback ->
@@ -33,14 +33,14 @@
         val asked = decodeCallerLocation(query::getValue)
         val choice = chooseInstances(serving(), place.regions, asked.zone, asked.region)
         watch.note(asked.zone?.takeIf { it in place.regions }, choice)
-        val chosen = choice.instances.take(LARGEST_ADDRESSES)
-        val body = encodeDirectoryResponse(chosen.map { it.callerAddress }, KEPT_S)
+        val chosen = choice.instances.take(MAX_ADDRESSES)
+        val body = encodeDirectoryResponse(chosen.map { it.callerAddress }, CACHE_TTL_S)
         response.headers.put(HttpHeader.CONTENT_TYPE, "application/json")
         write(StatusCode.OK, body, response, callback)
     }
 
 /** Returns the handler for the question whether this instance is ready. */
-internal fun readyHandler(isReady: () -> Boolean): AsyncHandler = AsyncHandler { _, response, callback ->
+internal fun createReadinessHandler(isReady: () -> Boolean): AsyncHandler = AsyncHandler { _, response, callback ->
     val status = if (isReady()) StatusCode.OK else StatusCode.UNAVAILABLE
     write(status, if (status == StatusCode.OK) "ready\n" else "not ready\n", response, callback)
 }
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/directory/DirectoryWatch.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/directory/DirectoryScopeLog.kt
@@ -12,12 +12,12 @@
 import org.cardamomwharf.steering.instances.DirectoryScope
 import java.util.concurrent.ConcurrentHashMap
 
-internal class DirectoryWatch(private val log: DecisionLog, private val metrics: GatewayMetrics) {
+internal class DirectoryScopeLog(private val log: DecisionLog, private val metrics: GatewayMetrics) {
     private val scopes = ConcurrentHashMap<ZoneName, DirectoryScope>()
 
     /** Counts the answer to a caller in [zone] and writes a line when its scope is another than before. */
     fun note(zone: ZoneName?, choice: DirectoryChoice) {
-        metrics.countDirectoryAnswer(choice.scope)
+        metrics.countDirectoryResponse(choice.scope)
         if (zone == null) return
         val before = scopes.put(zone, choice.scope)
         if (before == choice.scope) return
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/logs/DecisionLog.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/logs/DecisionLog.kt
@@ -16,18 +16,18 @@
 import org.cardamomwharf.forward.proxy.TraceSink
 
 /** Lines each second about requests that were answered in time; enough for a sample of every route. */
-private const val GOOD_LINES_PER_SECOND = 10
+private const val SUCCESS_LINES_PER_SECOND = 10
 
 /** Lines each second about requests that were not; more than an instance fails outside of outages. */
-private const val FAILED_LINES_PER_SECOND = 150
-private const val SMALLEST_FAILURE = 400
+private const val FAILURE_LINES_PER_SECOND = 150
+private const val MIN_FAILURE_STATUS = 400
 private const val MS_PER_SECOND = 1_000L
 
 /** Represents the log of decisions. */
 public class DecisionLog(private val clock: Clock) : TraceSink {
     private val logger = LogManager.getLogger("cardamomwharf.decisions")
-    private val good = LineAllowance(GOOD_LINES_PER_SECOND)
-    private val failed = LineAllowance(FAILED_LINES_PER_SECOND)
+    private val good = LineRateLimiter(SUCCESS_LINES_PER_SECOND)
+    private val failed = LineRateLimiter(FAILURE_LINES_PER_SECOND)
 
     /** Writes a line about [event] with what [fill] adds. */
     public fun event(event: String, fill: JsonObjectBuilder.() -> Unit = {}) {
@@ -41,7 +41,7 @@
     }
 
     override fun record(trace: RequestTrace) {
-        val isFailed = trace.status == 0 || trace.status >= SMALLEST_FAILURE || trace.attempts.size > 1
+        val isFailed = trace.status == 0 || trace.status >= MIN_FAILURE_STATUS || trace.attempts.size > 1
         val allowance = if (isFailed) failed else good
         val skipped = allowance.take(clock.nowMs()) ?: return
         event("request") { fillRequest(trace, skipped) }
@@ -58,10 +58,10 @@
         put("tookMs", trace.tookMs)
         put("leftMs", trace.remainingMs)
         if (skipped > 0) put("linesSkipped", skipped)
-        putJsonArray("tries") { trace.attempts.forEach { attempt -> addJsonObject { fillTry(attempt) } } }
+        putJsonArray("tries") { trace.attempts.forEach { attempt -> addJsonObject { fillAttempt(attempt) } } }
     }
 
-    private fun JsonObjectBuilder.fillTry(attempt: AttemptTrace) {
+    private fun JsonObjectBuilder.fillAttempt(attempt: AttemptTrace) {
         put("server", attempt.placement.server.value)
         put("warmth", attempt.placement.warmth.name)
         put("predictedMs", attempt.placement.predictedMs.toLong())
@@ -74,7 +74,7 @@
     }
 
     /** Counts lines of the current second. */
-    private class LineAllowance(private val perSecond: Int) {
+    private class LineRateLimiter(private val perSecond: Int) {
         private var second = 0L
         private var used = 0
         private var skipped = 0L
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/logs/LendingLog.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/logs/SpilloverLog.kt
@@ -8,7 +8,7 @@
 import kotlinx.serialization.json.putJsonObject
 import org.cardamomwharf.forward.proxy.SynchronizedSteering
 
-internal class LendingLog(private val steering: SynchronizedSteering, private val log: DecisionLog) {
+internal class SpilloverLog(private val steering: SynchronizedSteering, private val log: DecisionLog) {
     /** Writes the tries since the last call. */
     fun write() {
         val reports = steering.withLock { decisions, _ ->
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/metrics/GatewayMetrics.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/metrics/GatewayMetrics.kt
@@ -26,7 +26,7 @@
         .labelNames("service", "reason").register(registry)
     private val sends = Counter.builder().name("wharf_sends_total").help("Tries by the region that they went to.")
         .labelNames("service", "region", "choice").register(registry)
-    private val directoryAnswers = Counter.builder().name("wharf_directory_answers_total")
+    private val directoryResponses = Counter.builder().name("wharf_directory_answers_total")
         .help("Answers of the directory by how far the named instances are.").labelNames("scope").register(registry)
     private val unreadable = Counter.builder().name("wharf_unreadable_rows_total").help("Rows that can't be read.")
         .labelNames("table").register(registry)
@@ -45,11 +45,11 @@
         latency.labelValues(trace.service).observe(trace.tookMs / MS_PER_SECOND)
     }
 
-    fun countDirectoryAnswer(scope: DirectoryScope) {
-        directoryAnswers.labelValues(scope.code).inc()
+    fun countDirectoryResponse(scope: DirectoryScope) {
+        directoryResponses.labelValues(scope.code).inc()
     }
 
-    fun countUnreadable(table: String) {
+    fun countUnreadableRow(table: String) {
         unreadable.labelValues(table).inc()
     }
 
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/metrics/ProcessState.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/metrics/ProcessState.kt
@@ -15,7 +15,7 @@
     private val tools: ForwardingContext,
     private val pool: ConnectionPool,
     private val steering: SynchronizedSteering,
-    private val book: InstanceRegistry,
+    private val registry: InstanceRegistry,
     private val clock: Clock,
 ) {
     /** Returns the numbers by name. */
@@ -27,7 +27,7 @@
             "serverConnections" to pool.openConnections.toLong(),
             "serverConnectionsOpened" to pool.openedCount.get().toLong(),
             "desiredVersion" to steering.withLock { decisions, _ -> decisions.routes.desired?.version?.value ?: 0L },
-            "instances" to synchronized(book) { book.running(clock.nowMs()) }.size.toLong(),
+            "instances" to synchronized(registry) { registry.running(clock.nowMs()) }.size.toLong(),
         )
     }
 }
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/HeartbeatCodec.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/HeartbeatCodec.kt
@@ -26,16 +26,16 @@
 private const val NAME_SEPARATOR = '\n'
 
 /** Numbers of each instance in the list of numbers: incarnation, count, and 1 for one that is leaving. */
-private const val NUMBERS_EACH = 3
+private const val NUMBERS_PER_INSTANCE = 3
 private const val COUNT_OFFSET = 1
 private const val LEAVING_OFFSET = 2
 
 /** Returns the bytes of a datagram with [message]. */
 @OptIn(ExperimentalSerializationApi::class)
 internal fun encodeHeartbeats(message: HeartbeatMessage): ByteArray {
-    val numbers = LongArray(message.counts.size * NUMBERS_EACH)
+    val numbers = LongArray(message.counts.size * NUMBERS_PER_INSTANCE)
     message.counts.forEachIndexed { index, counted ->
-        val at = index * NUMBERS_EACH
+        val at = index * NUMBERS_PER_INSTANCE
         numbers[at] = counted.incarnation.value
         numbers[at + COUNT_OFFSET] = counted.count
         numbers[at + LEAVING_OFFSET] = if (counted.isLeaving) 1 else 0
@@ -82,9 +82,9 @@
 ) {
     fun counts(): List<HeartbeatCount> {
         val split = if (names.isEmpty()) emptyList() else names.split(NAME_SEPARATOR)
-        if (numbers.size != split.size * NUMBERS_EACH) return emptyList()
+        if (numbers.size != split.size * NUMBERS_PER_INSTANCE) return emptyList()
         return split.mapIndexed { index, name ->
-            val at = index * NUMBERS_EACH
+            val at = index * NUMBERS_PER_INSTANCE
             val isLeaving = numbers[at + LEAVING_OFFSET] != 0L
             HeartbeatCount(InstanceName(name), Incarnation(numbers[at]), numbers[at + COUNT_OFFSET], isLeaving)
         }
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/PeerDatagrams.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/HeartbeatSocket.kt
@@ -17,16 +17,16 @@
 import java.nio.channels.DatagramChannel
 
 /** Size of the largest datagram. */
-private const val LARGEST_DATAGRAM_BYTES = 65_507
+private const val MAX_DATAGRAM_BYTES = 65_507
 
 /** Pause after a failure to receive, so that a broken socket doesn't take the processor. */
 private const val RETRY_MS = 500L
 
 /** Sends and receives heartbeats at one address. */
-internal class PeerDatagrams(private val address: SocketAddress, private val log: DecisionLog) {
+internal class HeartbeatSocket(private val address: SocketAddress, private val log: DecisionLog) {
     private val channel = DatagramChannel.open(StandardProtocolFamily.INET)
-    private val received = ByteBuffer.allocate(LARGEST_DATAGRAM_BYTES)
-    private var isReadingOthers = false
+    private val received = ByteBuffer.allocate(MAX_DATAGRAM_BYTES)
+    private var isReceivingInvalid = false
 
     @Volatile
     private var isFailing = false
@@ -47,10 +47,10 @@
         received.clear()
         if (!receiveBytes()) return null
         val message = decodeHeartbeats(received.array().copyOf(received.position()))
-        if (message == null && !isReadingOthers) {
+        if (message == null && !isReceivingInvalid) {
             log.event("heartbeat-unreadable") { put("bytes", received.position()) }
         }
-        isReadingOthers = message == null
+        isReceivingInvalid = message == null
         return message
     }
 
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/PeerFrame.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/PeerFrame.kt
@@ -8,21 +8,21 @@
 import java.util.zip.CRC32
 
 /** Begins each frame: the letters CWP and the version of the messages. */
-private const val MARK = 0x43575002
-private const val HEAD_BYTES = Int.SIZE_BYTES + Int.SIZE_BYTES
+private const val FRAME_MAGIC = 0x43575002
+private const val HEADER_BYTES = Int.SIZE_BYTES + Int.SIZE_BYTES
 
 /** Returns [payload] in a frame. */
 internal fun frame(payload: ByteArray): ByteArray =
-    ByteBuffer.allocate(HEAD_BYTES + payload.size).putInt(MARK).putInt(checksumOf(payload)).put(payload).array()
+    ByteBuffer.allocate(HEADER_BYTES + payload.size).putInt(FRAME_MAGIC).putInt(computeChecksum(payload)).put(payload).array()
 
 /** Returns the payload of [framed], or null when it isn't a whole frame of ours. */
 internal fun unframe(framed: ByteArray): ByteArray? {
-    if (framed.size < HEAD_BYTES) return null
+    if (framed.size < HEADER_BYTES) return null
     val buffer = ByteBuffer.wrap(framed)
     val mark = buffer.getInt()
     val checksum = buffer.getInt()
-    val payload = framed.copyOfRange(HEAD_BYTES, framed.size)
-    return if (mark == MARK && checksum == checksumOf(payload)) payload else null
+    val payload = framed.copyOfRange(HEADER_BYTES, framed.size)
+    return if (mark == FRAME_MAGIC && checksum == computeChecksum(payload)) payload else null
 }
 
-private fun checksumOf(bytes: ByteArray): Int = CRC32().apply { update(bytes) }.value.toInt()
+private fun computeChecksum(bytes: ByteArray): Int = CRC32().apply { update(bytes) }.value.toInt()
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/PeerHeartbeats.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/PeerHeartbeats.kt
@@ -3,8 +3,8 @@
  */
 package org.cardamomwharf.gateway.peers
 
-import org.cardamomwharf.gateway.WatchTools
-import org.cardamomwharf.gateway.startDuty
+import org.cardamomwharf.gateway.TaskContext
+import org.cardamomwharf.gateway.startBackgroundTask
 import org.cardamomwharf.steering.InstanceLocation
 import org.cardamomwharf.steering.instances.HeartbeatExchange
 import org.cardamomwharf.steering.instances.InstanceRecord
@@ -16,90 +16,90 @@
 import kotlin.random.Random
 
 /** Time between heartbeats; several fit into the silence after which an instance counts as gone. */
-private const val BEAT_MS = 500L
+private const val HEARTBEAT_INTERVAL_MS = 500L
 
 /** One question in this many goes to another region although the own one has instances. */
-private const val NEAR_OF = 3
+private const val OTHER_REGION_ONE_IN = 3
 
 /** Connects heartbeats with what this process knows of the store. */
-internal interface HeartbeatNews {
+internal interface HeartbeatListener {
     /** Returns what to tell about the store, or null when another instance follows it for this one. */
-    fun toTell(): StoreStatus?
+    fun statusToSend(): StoreStatus?
 
     /** Takes what the instance [from] tells about the store. */
     fun take(from: InstanceRecord, news: StoreStatus)
 
     /** Is called with each own heartbeat. */
-    fun onBeat()
+    fun onHeartbeat()
 }
 
 /** Represents the heartbeats of this process. */
 internal class PeerHeartbeats(
     private val own: InstanceRecord,
     private val place: InstanceLocation,
-    private val book: InstanceRegistry,
-    private val roster: PeerRoster,
-    private val tools: WatchTools,
-    private val news: HeartbeatNews,
+    private val registry: InstanceRegistry,
+    private val peers: PeerList,
+    private val tools: TaskContext,
+    private val news: HeartbeatListener,
 ) {
     private val clock = tools.clock
-    private val exchange = HeartbeatExchange(place, book, WatcherElection(own))
+    private val exchange = HeartbeatExchange(place, registry, WatcherElection(own))
     private val changes = ArrayBlockingQueue<Unit>(1)
-    private val datagrams = PeerDatagrams(own.peerAddress, tools.log)
+    private val datagrams = HeartbeatSocket(own.peerAddress, tools.log)
     private var number = 0
     private var nextAtMs = 0L
 
     fun start() {
         datagrams.open()
         nextAtMs = clock.nowMs()
-        startDuty("peers", tools.log, ::sendNext)
-        startDuty("peers-receive", tools.log, ::receive)
+        startBackgroundTask("peers", tools.log, ::sendNext)
+        startBackgroundTask("peers-receive", tools.log, ::receive)
     }
 
     /** Tells the zone and other zones soon that something changed in the store. */
-    fun tellChange() {
+    fun notifyChange() {
         changes.offer(Unit)
     }
 
     /** Tells all instances that this one is stopping. */
     fun announceLeaving() {
-        datagrams.send(synchronized(book) { exchange.leave(roster.others()) })
+        datagrams.send(synchronized(registry) { exchange.leave(peers.others()) })
     }
 
     /** Returns an instance to ask for something, one of the own region where there is one, or null. */
-    fun anyPeer(): InstanceRecord? {
-        val (near, far) = roster.others().partition { place.regions[it.zone] == place.region }
-        return near.randomOrNull()?.takeIf { Random.nextInt(NEAR_OF) > 0 } ?: far.randomOrNull() ?: near.randomOrNull()
+    fun randomPeer(): InstanceRecord? {
+        val (near, far) = peers.others().partition { place.regions[it.zone] == place.region }
+        return near.randomOrNull()?.takeIf { Random.nextInt(OTHER_REGION_ONE_IN) > 0 } ?: far.randomOrNull() ?: near.randomOrNull()
     }
 
     /** Waits for the next beat or a change before it, and sends it. */
     private fun sendNext(): Boolean {
         val waitMs = nextAtMs - clock.nowMs()
         if (waitMs > 0 && changes.poll(waitMs, TimeUnit.MILLISECONDS) != null) {
-            news.toTell()?.let { tell(it) }
+            news.statusToSend()?.let { tell(it) }
         } else {
-            nextAtMs = clock.nowMs() + BEAT_MS
+            nextAtMs = clock.nowMs() + HEARTBEAT_INTERVAL_MS
             beat(number++)
         }
         return true
     }
 
     private fun beat(number: Int) {
-        news.onBeat()
-        val told = news.toTell()
-        val others = roster.others()
-        synchronized(book) { exchange.nextHeartbeats(number, others, told, clock.nowMs()) }
+        news.onHeartbeat()
+        val told = news.statusToSend()
+        val others = peers.others()
+        synchronized(registry) { exchange.nextHeartbeats(number, others, told, clock.nowMs()) }
             .forEach { datagrams.send(it) }
     }
 
     private fun tell(told: StoreStatus) {
-        val others = roster.others()
-        datagrams.send(synchronized(book) { exchange.changeNotification(others, told, clock.nowMs()) })
+        val others = peers.others()
+        datagrams.send(synchronized(registry) { exchange.changeNotification(others, told, clock.nowMs()) })
     }
 
     private fun receive(): Boolean {
         val message = datagrams.receive() ?: return true
-        synchronized(book) { exchange.receive(message, clock.nowMs()) }
+        synchronized(registry) { exchange.receive(message, clock.nowMs()) }
         message.storeStatus?.let { news.take(message.sender.record, it) }
         return true
     }
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/PeerRoster.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/PeerList.kt
@@ -8,12 +8,12 @@
 import org.cardamomwharf.steering.instances.InstanceRegistry
 
 /** Time after a start for which listed instances count as running; their heartbeats need several rounds to arrive. */
-private const val SETTLING_MS = 3_000L
+private const val STARTUP_GRACE_MS = 3_000L
 
 /** Represents the instances that are known besides [own]. */
-internal class PeerRoster(
+internal class PeerList(
     private val own: InstanceRecord,
-    private val book: InstanceRegistry,
+    private val registry: InstanceRegistry,
     private val clock: Clock,
 ) {
     private val startedAtMs = clock.nowMs()
@@ -23,14 +23,14 @@
     private var listed: List<InstanceRecord>? = null
 
     /** Takes the instances that the store lists. */
-    fun introduce(records: Collection<InstanceRecord>) {
+    fun setListed(records: Collection<InstanceRecord>) {
         val others = records.filter { it.name != own.name }
         listed = others
-        synchronized(book) { book.addAddresses(others) }
+        synchronized(registry) { registry.addAddresses(others) }
     }
 
     /** Returns the instances that run, this one included. */
-    fun running(): List<InstanceRecord> = synchronized(book) { book.running(clock.nowMs()) }
+    fun running(): List<InstanceRecord> = synchronized(registry) { registry.running(clock.nowMs()) }
 
     /** Returns all other instances that may run. */
     fun others(): List<InstanceRecord> =
@@ -41,7 +41,7 @@
      * their heartbeats had time to arrive.
      */
     fun sharing(): Collection<InstanceRecord>? {
-        val isSettled = clock.nowMs() - startedAtMs >= SETTLING_MS
+        val isSettled = clock.nowMs() - startedAtMs >= STARTUP_GRACE_MS
         return if (isSettled) running() else listed?.let { (it + running()).associateBy { one -> one.name }.values }
     }
 }
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/PeerState.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/PeerState.kt
@@ -6,6 +6,7 @@
 package org.cardamomwharf.gateway.peers
 
 import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.Cbor
 import kotlinx.serialization.decodeFromByteArray
@@ -24,20 +25,21 @@
 import java.nio.ByteBuffer
 
 /** Time for a call to another instance; several times the longest way there and back. */
-private const val CALL_LIMIT_MS = 400L
+private const val CALL_TIMEOUT_MS = 400L
 private const val ORDERS = "orders"
 private const val SERVERS = "servers"
 
 /**
  * Represents what an instance knows of the store; tables that the asking one knows as well are left out.
  *
- * @param graceLeftMs rest of the time for which backend servers that lapsed during an outage are kept.
+ * @param remainingGraceMs rest of the time for which backend servers that lapsed during an outage are kept.
  */
 @Serializable
 internal data class PeerState(
     val orders: TableUpdate<OperatorOrder>? = null,
     val servers: TableUpdate<ServerRecord>? = null,
-    val graceLeftMs: Long = 0,
+    @SerialName("graceLeftMs")
+    val remainingGraceMs: Long = 0,
 )
 
 /** Represents the versions that an instance knows already. */
@@ -48,7 +50,7 @@
 
 /** Returns the handler that gives other instances what [snapshot] says beyond the versions that they know. */
 @OptIn(ExperimentalSerializationApi::class)
-internal fun peerStateHandler(snapshot: (KnownVersions) -> PeerState): AsyncHandler =
+internal fun createPeerStateHandler(snapshot: (KnownVersions) -> PeerState): AsyncHandler =
     AsyncHandler { request, response, callback ->
         val query = Request.extractQueryParameters(request)
         val known = KnownVersions(
@@ -61,9 +63,9 @@
 
 /** Asks the instance at [peer] for what it knows beyond [known]; returns null when it doesn't answer usefully. */
 @OptIn(ExperimentalSerializationApi::class)
-internal fun askPeerState(caller: HttpClient, peer: SocketAddress, known: KnownVersions): PeerState? {
+internal fun fetchPeerState(caller: HttpClient, peer: SocketAddress, known: KnownVersions): PeerState? {
     val url = "http://$peer/state?$ORDERS=${known.orders}&$SERVERS=${known.servers}"
-    val end = caller.call(HttpCall("GET", url, timeoutMs = CALL_LIMIT_MS))
+    val end = caller.call(HttpCall("GET", url, timeoutMs = CALL_TIMEOUT_MS))
     val answer = (end as? HttpResult.Completed)?.response?.takeIf { it.status == StatusCode.OK } ?: return null
     return unframe(answer.body)?.let { cbor.decodeFromByteArray<PeerState>(it) }
 }
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/selftest/SelfTest.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/selftest/SelfTest.kt
@@ -36,8 +36,8 @@
 private const val HOST = "127.0.0.1"
 private const val TRIES = 100
 private const val PAUSE_MS = 50L
-private const val CALL_MS = 1_000L
-private const val WANTED_ANSWERS = 20
+private const val CALL_TIMEOUT_MS = 1_000L
+private const val REQUIRED_RESPONSES = 20
 private val service = ServiceName("s")
 private val zone = ZoneName("z")
 
@@ -48,35 +48,35 @@
     BackendStandin(ServerName("s-1"), service.value, SLOTS) { 0 }.start(backend)
     val store = StoreStandin()
     store.write(desired)
-    store.write(serverAt(backend))
+    store.write(createServerRecord(backend))
     store.start(SocketAddress(HOST, ports.store))
-    val process = GatewayProcess(settingsOf(ports))
+    val process = GatewayProcess(createSettings(ports))
     if (process.start().isErr) return false
     val caller = startJettyHttpClient(HttpClientSettings("self-test"))
     val answered = (1..TRIES).asSequence()
         .filter { isServed(caller, ports.caller, it) }
-        .take(WANTED_ANSWERS)
+        .take(REQUIRED_RESPONSES)
         .count()
     listOf(
         "${ports.directory}/resolve?name=a&region=r&zone=z",
         "${ports.ready}/readyz",
         "${ports.metrics}/metrics",
-    ).forEach { caller.call(HttpCall("GET", "http://$HOST:$it", timeoutMs = CALL_MS)) }
+    ).forEach { caller.call(HttpCall("GET", "http://$HOST:$it", timeoutMs = CALL_TIMEOUT_MS)) }
     process.stop()
-    return answered == WANTED_ANSWERS
+    return answered == REQUIRED_RESPONSES
 }
 
 private fun isServed(caller: HttpClient, port: Int, number: Int): Boolean {
     val headers = listOf(HttpField(HeaderNames.REQUEST_ID, "self-$number"), HttpField(HeaderNames.AFFINITY_KEY, "k"))
     val body = if (number % 2 == 0) ByteArray(0) else "body".toByteArray()
     val method = if (body.isEmpty()) "GET" else "POST"
-    val end = caller.call(HttpCall(method, "http://$HOST:$port/p/$number", headers, body, CALL_MS))
+    val end = caller.call(HttpCall(method, "http://$HOST:$port/p/$number", headers, body, CALL_TIMEOUT_MS))
     val isServed = (end as? HttpResult.Completed)?.response?.status == StatusCode.OK
     if (!isServed) Thread.sleep(PAUSE_MS)
     return isServed
 }
 
-private fun serverAt(address: SocketAddress) = ServerRecord(
+private fun createServerRecord(address: SocketAddress) = ServerRecord(
     name = ServerName("s-1"),
     service = service,
     address = address,
@@ -88,7 +88,7 @@
 )
 
 /** Reads the settings from text as a start does, so that the classes of the reader are recorded too. */
-private fun settingsOf(ports: SelfTestPorts): GatewaySettings = parseGatewaySettings(
+private fun createSettings(ports: SelfTestPorts): GatewaySettings = parseGatewaySettings(
     """
     instance: "self"
     zone: "${zone.value}"
@@ -126,8 +126,8 @@
 private fun freePort(): Int = ServerSocket(0).use { it.localPort }
 
 private const val SLOTS = 4
-private const val LARGEST_HEAD_BYTES = 16_384
-private const val LARGEST_BODY_BYTES = 65_536L
+private const val MAX_HEADER_BYTES = 16_384
+private const val MAX_BODY_BYTES = 65_536L
 private const val HEAD_TIMEOUT_MS = 3_000L
 private const val IDLE_TIMEOUT_MS = 15_000L
 
@@ -149,5 +149,5 @@
         ),
     ),
     services = mapOf(service to ServiceTerms(service, "/h", SLOTS, coldStartMs = 0, coldPerSecond = 1.0)),
-    callerLimits = CallerLimits(LARGEST_HEAD_BYTES, LARGEST_BODY_BYTES, HEAD_TIMEOUT_MS, IDLE_TIMEOUT_MS),
+    callerLimits = CallerLimits(MAX_HEADER_BYTES, MAX_BODY_BYTES, HEAD_TIMEOUT_MS, IDLE_TIMEOUT_MS),
 )
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/settings/GatewaySettings.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/settings/GatewaySettings.kt
@@ -28,12 +28,12 @@
     public val bounds: GatewayBounds,
 ) {
     /** Returns the place of this instance. */
-    public fun toPlace(): InstanceLocation = InstanceLocation(instance, zone, zones)
+    public fun toLocation(): InstanceLocation = InstanceLocation(instance, zone, zones)
 
     /** Returns the terms of the decisions. */
-    public fun toTerms(): SteeringParameters = SteeringParameters(
+    public fun toParameters(): SteeringParameters = SteeringParameters(
         retryBudget = RetryBudgetParameters(bounds.retryRatio, bounds.retryAllowance, bounds.retryWindowMs),
-        maxShift = bounds.largestShift,
+        maxShift = bounds.maxShift,
     )
 }
 
@@ -52,12 +52,12 @@
  * @param stopMs time from the signal to stop until the process is killed.
  * @param retryRatio repeats allowed for each request.
  * @param retryAllowance repeats allowed in each window besides.
- * @param largestShift largest change of the share of a region's requests that run elsewhere.
+ * @param maxShift largest change of the share of a region's requests that run elsewhere.
  */
 public data class GatewayBounds(
     public val stopMs: Long,
     public val retryRatio: Double,
     public val retryAllowance: Int,
     public val retryWindowMs: Long,
-    public val largestShift: Double,
+    public val maxShift: Double,
 )
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/settings/GatewaySettingsReader.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/settings/GatewaySettingsReader.kt
@@ -21,10 +21,10 @@
 import java.nio.file.Path
 
 private const val MS_PER_SECOND = 1_000
-private const val LARGEST_SECONDS = 3_600.0
-private const val LARGEST_ALLOWANCE = 1_000_000L
-private const val LARGEST_RATIO = 10.0
-private val nowhere = SocketAddress("0.0.0.0", 1)
+private const val MAX_SECONDS = 3_600.0
+private const val MAX_RETRY_ALLOWANCE = 1_000_000L
+private const val MAX_RETRY_RATIO = 10.0
+private val placeholderAddress = SocketAddress("0.0.0.0", 1)
 
 /** Returns the settings in [file], or every problem of them. */
 public fun readGatewaySettings(file: Path): Result<GatewaySettings, List<Problem>> =
@@ -42,7 +42,7 @@
         zones = sections("zones", isRequired = true) { ZoneName(it.text("name")) to RegionName(it.text("region")) }
             .toMap(),
         addresses = section("addresses", isRequired = true) { it.readAddresses(problems) }
-            ?: GatewayAddresses(nowhere, nowhere, nowhere, nowhere, ""),
+            ?: GatewayAddresses(placeholderAddress, placeholderAddress, placeholderAddress, placeholderAddress, ""),
         peerPort = ports.first,
         metricsPort = ports.last,
         bounds = section("bounds", isRequired = true) { it.readBounds() } ?: GatewayBounds(0, 0.0, 0, 0, 0.0),
@@ -71,15 +71,15 @@
     if (address == null && text.isNotEmpty()) {
         problems.report(ProblemKind.WRONG_TYPE, getPath(key), "$text isn't an IP number and port")
     }
-    return address ?: nowhere
+    return address ?: placeholderAddress
 }
 
 private fun YamlFields.readBounds() = GatewayBounds(
     stopMs = ms("stopS"),
-    retryRatio = decimal("retryRatio", LARGEST_RATIO),
-    retryAllowance = integer("retryAllowance", 0..LARGEST_ALLOWANCE).toInt(),
+    retryRatio = decimal("retryRatio", MAX_RETRY_RATIO),
+    retryAllowance = integer("retryAllowance", 0..MAX_RETRY_ALLOWANCE).toInt(),
     retryWindowMs = ms("retryWindowS"),
-    largestShift = decimal("largestShift", 1.0),
+    maxShift = decimal("largestShift", 1.0),
 )
 
-private fun YamlFields.ms(key: String): Long = (decimal(key, LARGEST_SECONDS) * MS_PER_SECOND).toLong()
+private fun YamlFields.ms(key: String): Long = (decimal(key, MAX_SECONDS) * MS_PER_SECOND).toLong()
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/store/StoreRelay.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/store/PeerStateSync.kt
@@ -4,11 +4,11 @@
  */
 package org.cardamomwharf.gateway.store
 
-import org.cardamomwharf.gateway.WatchTools
-import org.cardamomwharf.gateway.peers.HeartbeatNews
+import org.cardamomwharf.gateway.TaskContext
+import org.cardamomwharf.gateway.peers.HeartbeatListener
 import org.cardamomwharf.gateway.peers.KnownVersions
 import org.cardamomwharf.gateway.peers.PeerState
-import org.cardamomwharf.gateway.startDuty
+import org.cardamomwharf.gateway.startBackgroundTask
 import org.cardamomwharf.steering.instances.InstanceRecord
 import org.cardamomwharf.steering.instances.WatcherElection
 import org.cardamomwharf.steering.store.StoreStatus
@@ -19,10 +19,10 @@
 private const val LOOK_MS = 250L
 
 /** Instances asked in one look, so that a silent one doesn't delay the others for long. */
-private const val MOST_ASKED = 2
+private const val MAX_PEERS_PER_CHECK = 2
 
 /** Finds and asks other instances. */
-internal interface PeerDirectory {
+internal interface PeerClient {
     /** Returns the instances that run, this one included. */
     fun running(): List<InstanceRecord>
 
@@ -33,51 +33,51 @@
     fun ask(peer: InstanceRecord, known: KnownVersions): PeerState?
 }
 
-internal class StoreRelay(
+internal class PeerStateSync(
     own: InstanceRecord,
-    private val peers: PeerDirectory,
-    private val tools: WatchTools,
-    private val onBeat: () -> Unit,
-) : WatchDuty, HeartbeatNews {
+    private val peers: PeerClient,
+    private val tools: TaskContext,
+    private val onHeartbeat: () -> Unit,
+) : WatcherRole, HeartbeatListener {
     private val choice = WatcherElection(own)
     private val wake = ArrayBlockingQueue<Unit>(1)
-    private lateinit var watch: StateWatch
+    private lateinit var watch: StoreWatcher
 
     /** Starts to ask others for what [watch] doesn't know. */
-    fun start(watch: StateWatch) {
+    fun start(watch: StoreWatcher) {
         this.watch = watch
-        startDuty("relay", tools.log, ::askAhead)
+        startBackgroundTask("relay", tools.log, ::fetchNewerState)
     }
 
-    override fun isReader(): Boolean {
+    override fun isWatcher(): Boolean {
         val running = peers.running()
         return synchronized(choice) { choice.isWatcher(running, tools.clock.nowMs()) }
     }
 
-    override fun onAway() {
+    override fun onStoreUnavailable() {
         peers.any()?.let(::ask)
     }
 
-    override fun toTell(): StoreStatus? = if (isReader()) watch.news() else null
+    override fun statusToSend(): StoreStatus? = if (isWatcher()) watch.news() else null
 
     override fun take(from: InstanceRecord, news: StoreStatus) {
         synchronized(choice) { choice.receive(from, news, tools.clock.nowMs()) }
         if (news.content.isAheadOf(watch.content)) wake.offer(Unit)
     }
 
-    override fun onBeat() = onBeat.invoke()
+    override fun onHeartbeat() = onHeartbeat.invoke()
 
-    private fun askAhead(): Boolean {
+    private fun fetchNewerState(): Boolean {
         wake.poll(LOOK_MS, TimeUnit.MILLISECONDS)
         val ahead = synchronized(choice) { choice.instancesAheadOf(watch.content, tools.clock.nowMs()) }
-        ahead.take(MOST_ASKED).any { ask(it) }
+        ahead.take(MAX_PEERS_PER_CHECK).any { ask(it) }
         return true
     }
 
     /** Returns true when [peer] told something. */
     private fun ask(peer: InstanceRecord): Boolean {
         val state = peers.ask(peer, watch.known) ?: return false
-        watch.takeFromPeer(state)
+        watch.applyFromPeer(state)
         return true
     }
 }
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/store/StateWatch.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/store/StoreWatcher.kt
@@ -6,7 +6,7 @@
 import kotlinx.serialization.json.put
 import org.cardamomwharf.core.ZoneName
 import org.cardamomwharf.forward.proxy.SynchronizedSteering
-import org.cardamomwharf.gateway.WatchTools
+import org.cardamomwharf.gateway.TaskContext
 import org.cardamomwharf.gateway.peers.KnownVersions
 import org.cardamomwharf.gateway.peers.PeerState
 import org.cardamomwharf.steering.desired.CallerLimits
@@ -18,7 +18,7 @@
 import org.cardamomwharf.steering.store.TableChange
 
 /** Is told what follows from the store beyond the decisions. */
-internal interface StateListener {
+internal interface StoreListener {
     /** New limits for callers are in force. */
     fun onCallerLimits(limits: CallerLimits)
 
@@ -26,13 +26,13 @@
     fun onChange()
 }
 
-internal class StateWatch(
+internal class StoreWatcher(
     store: DeploymentStore,
     private val steering: SynchronizedSteering,
-    tools: WatchTools,
+    tools: TaskContext,
     restoreGraceMs: Long,
-    duty: WatchDuty,
-    private val listener: StateListener,
+    duty: WatcherRole,
+    private val listener: StoreListener,
 ) {
     private val log = tools.log
     private val clock = tools.clock
@@ -68,16 +68,16 @@
     }
 
     /** Returns what is known beyond [known], for another instance. */
-    fun stateAfter(known: KnownVersions): PeerState = PeerState(
-        orders.known.readingAfter(known.orders),
-        servers.known.readingAfter(known.servers),
-        servers.known.graceLeftMs(),
+    fun stateSince(known: KnownVersions): PeerState = PeerState(
+        orders.known.updateSince(known.orders),
+        servers.known.updateSince(known.servers),
+        servers.known.remainingGraceMs(),
     )
 
     /** Takes what another instance knows of the store. */
-    fun takeFromPeer(state: PeerState) {
-        state.orders?.let { orders.known.takeFromPeer(it, 0) }
-        state.servers?.let { servers.known.takeFromPeer(it, state.graceLeftMs) }
+    fun applyFromPeer(state: PeerState) {
+        state.orders?.let { orders.known.applyFromPeer(it, 0) }
+        state.servers?.let { servers.known.applyFromPeer(it, state.remainingGraceMs) }
         if (state.orders != null || state.servers != null) {
             log.event("state-from-peer") {
                 put("orders", state.orders?.version)
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/store/GuardedBelief.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/store/SynchronizedTable.kt
@@ -5,17 +5,17 @@
 package org.cardamomwharf.gateway.store
 
 import kotlinx.serialization.json.put
-import org.cardamomwharf.gateway.WatchTools
+import org.cardamomwharf.gateway.TaskContext
 import org.cardamomwharf.steering.store.CachedTable
 import org.cardamomwharf.steering.store.TableChange
 import org.cardamomwharf.steering.store.TableUpdate
 
 /** Length at which values are cut in log lines. */
-private const val LONGEST_TEXT = 300
+private const val MAX_VALUE_CHARACTERS = 300
 
-internal class GuardedBelief<T>(
+internal class SynchronizedTable<T>(
     private val name: String,
-    private val tools: WatchTools,
+    private val tools: TaskContext,
     restoreGraceMs: Long,
     private val onChange: (List<TableChange<T>>) -> Unit,
 ) {
@@ -33,14 +33,14 @@
     val contentVersion: Long get() = synchronized(belief) { belief.contentVersion }
 
     /** Returns what is known when it is newer than [version], or null. */
-    fun readingAfter(version: Long): TableUpdate<T>? =
+    fun updateSince(version: Long): TableUpdate<T>? =
         synchronized(belief) { if (isKnown && belief.version > version) belief.updateSince(version) else null }
 
     /** Returns the rest of the grace period for entries that lapsed during an outage. */
-    fun graceLeftMs(): Long = synchronized(belief) { belief.gracePeriod.remainingMs(tools.clock.nowMs()) }
+    fun remainingGraceMs(): Long = synchronized(belief) { belief.gracePeriod.remainingMs(tools.clock.nowMs()) }
 
     /** Notes that the store answers again after an outage. */
-    fun beginGrace() {
+    fun startGracePeriod() {
         if (isKnown) synchronized(belief) { belief.gracePeriod.start(tools.clock.nowMs()) }
     }
 
@@ -53,9 +53,9 @@
     }
 
     /** Takes what another instance knows, with the rest of its grace period. */
-    fun takeFromPeer(reading: TableUpdate<T>, graceLeftMs: Long) {
+    fun applyFromPeer(reading: TableUpdate<T>, remainingGraceMs: Long) {
         publish {
-            belief.gracePeriod.extend(graceLeftMs, tools.clock.nowMs())
+            belief.gracePeriod.extend(remainingGraceMs, tools.clock.nowMs())
             belief.apply(reading, tools.clock.nowMs())
         }
         isKnown = true
@@ -76,7 +76,7 @@
         put("table", name)
         put("key", change.key)
         put("version", change.version)
-        put("before", change.before?.toString()?.take(LONGEST_TEXT))
-        put("after", change.after?.toString()?.take(LONGEST_TEXT))
+        put("before", change.before?.toString()?.take(MAX_VALUE_CHARACTERS))
+        put("after", change.after?.toString()?.take(MAX_VALUE_CHARACTERS))
     }
 }
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/store/WatchDuty.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/store/WatcherRole.kt
@@ -3,10 +3,10 @@
  */
 package org.cardamomwharf.gateway.store
 
-internal interface WatchDuty {
+internal interface WatcherRole {
     /** Returns true when this instance has to follow the store itself. */
-    fun isReader(): Boolean
+    fun isWatcher(): Boolean
 
     /** Is called after each failed call to the store. */
-    fun onAway()
+    fun onStoreUnavailable()
 }
--- a/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/DutyTest.kt
+++ b/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/BackgroundTaskTest.kt
@@ -10,18 +10,18 @@
 import java.util.concurrent.ArrayBlockingQueue
 import java.util.concurrent.TimeUnit
 
-private const val LIMIT_S = 20L
+private const val TIMEOUT_S = 20L
 private const val STEPS = 4
 
-class DutyTest : FunSpec({
+class BackgroundTaskTest : FunSpec({
     test("`a step that fails unexpectedly does not end its duty`") {
         val steps = ArrayBlockingQueue<Int>(STEPS + 1)
         var number = 0
-        startDuty("test", DecisionLog(monotonicClock())) {
+        startBackgroundTask("test", DecisionLog(monotonicClock())) {
             steps.add(number)
             check(number++ != 1) { "the second step fails" }
             number < STEPS
         }
-        List(STEPS) { steps.poll(LIMIT_S, TimeUnit.SECONDS) } shouldBe (0 until STEPS).toList()
+        List(STEPS) { steps.poll(TIMEOUT_S, TimeUnit.SECONDS) } shouldBe (0 until STEPS).toList()
     }
 })
--- a/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/CallerLimitsTest.kt
+++ b/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/CallerLimitsTest.kt
@@ -30,7 +30,7 @@
 private const val HOST = "127.0.7.1"
 private const val CALLER_PORT = 8_000
 private const val LIMIT_MS = 20_000
-private const val LARGEST_BODY = 1_000L
+private const val MAX_BODY_BYTES = 1_000L
 private const val TRIES = 200
 private const val PAUSE_MS = 50L
 
@@ -46,7 +46,7 @@
                 Route("r", "h", "/r/", true, listOf(WeightedService(service, 1.0)), 1_000, 500, 1, 2, true, emptySet()),
             ),
             services = mapOf(service to ServiceTerms(service, "/health", 10, 0, 1.0)),
-            callerLimits = CallerLimits(16_384, LARGEST_BODY, 3_000, 15_000),
+            callerLimits = CallerLimits(16_384, MAX_BODY_BYTES, 3_000, 15_000),
         ),
     )
     store.write(
@@ -106,7 +106,7 @@
 
     test("`a body over the limit is refused whatever its framing, and never reaches a backend server`") {
         val before = backend.runs.size
-        val body = "x".repeat(LARGEST_BODY.toInt() + 1)
+        val body = "x".repeat(MAX_BODY_BYTES.toInt() + 1)
         statuses(request("/r/large", "Content-Length: ${body.length}\r\n", body)) shouldBe listOf(413)
         val chunk = "${body.length.toString(16)}\r\n$body\r\n0\r\n\r\n"
         statuses(request("/r/large", "Transfer-Encoding: chunked\r\n", chunk)) shouldBe listOf(413)
--- a/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/GracefulStopTest.kt
+++ b/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/GracefulStopTest.kt
@@ -32,7 +32,7 @@
 import kotlin.concurrent.thread
 
 private const val LISTENER = "callers"
-private const val LIMIT_S = 30L
+private const val TIMEOUT_S = 30L
 private const val STOP_MS = 20_000L
 
 class GracefulStopTest : FunSpec({
@@ -44,12 +44,12 @@
         val steering = SynchronizedSteering(Steering(place, parameters), clock)
         val pool = startConnectionPool(ConnectionPoolSettings(), threads.executor, clock)
         val tools = ForwardingContext(steering, pool, threads.scheduler, clock) { }
-        val isArrived = CountDownLatch(1)
-        val mayAnswer = CountDownLatch(1)
+        val arrived = CountDownLatch(1)
+        val responseAllowed = CountDownLatch(1)
         val handler = AsyncHandler { _, response, callback ->
-            isArrived.countDown()
+            arrived.countDown()
             thread {
-                mayAnswer.await(LIMIT_S, TimeUnit.SECONDS)
+                responseAllowed.await(TIMEOUT_S, TimeUnit.SECONDS)
                 response.write(true, ByteBuffer.wrap("late".toByteArray()), callback)
             }
         }
@@ -61,17 +61,17 @@
         front.start()
         val socket = Socket("127.0.0.1", front.getPort(LISTENER))
         socket.getOutputStream().write("GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n".toByteArray())
-        isArrived.await(LIMIT_S, TimeUnit.SECONDS) shouldBe true
-        val isStopped = CountDownLatch(1)
-        val stop = GracefulStop(WatchTools(clock, DecisionLog(clock)), tools, front, STOP_MS, takingMs = 0)
+        arrived.await(TIMEOUT_S, TimeUnit.SECONDS) shouldBe true
+        val stopped = CountDownLatch(1)
+        val stop = GracefulStop(TaskContext(clock, DecisionLog(clock)), tools, front, STOP_MS, acceptMs = 0)
         thread {
             stop.run(LISTENER) { }
-            isStopped.countDown()
+            stopped.countDown()
         }
-        isStopped.await(1, TimeUnit.SECONDS) shouldBe false
-        mayAnswer.countDown()
+        stopped.await(1, TimeUnit.SECONDS) shouldBe false
+        responseAllowed.countDown()
         socket.getInputStream().bufferedReader().readText() shouldStartWith "HTTP/1.1 200"
-        isStopped.await(LIMIT_S, TimeUnit.SECONDS) shouldBe true
+        stopped.await(TIMEOUT_S, TimeUnit.SECONDS) shouldBe true
         front.stop()
     }
 })
--- a/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/StartFaultTest.kt
+++ b/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/StartErrorTest.kt
@@ -36,16 +36,16 @@
     """.trimIndent(),
 ).getOrThrow { IllegalStateException(it.toString()) }
 
-class StartFaultTest : FunSpec({
+class StartErrorTest : FunSpec({
     test("`a start whose address for heartbeats is taken is a fault`") {
         DatagramSocket(InetSocketAddress(HOST, PEER_PORT)).use {
-            GatewayProcess(settings).start().getError().shouldBeInstanceOf<StartFault.Listening>()
+            GatewayProcess(settings).start().getError().shouldBeInstanceOf<StartError.Listening>()
         }
     }
 
     test("`a start whose address for callers is taken is a fault`") {
         ServerSocket(CALLER_PORT, BACKLOG, InetAddress.getByName(HOST)).use {
-            GatewayProcess(settings).start().getError().shouldBeInstanceOf<StartFault.Listening>()
+            GatewayProcess(settings).start().getError().shouldBeInstanceOf<StartError.Listening>()
         }
     }
 })
--- a/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/peers/HeartbeatCodecTest.kt
+++ b/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/peers/HeartbeatCodecTest.kt
@@ -22,7 +22,7 @@
 import org.cardamomwharf.steering.store.ContentVersions
 import org.cardamomwharf.steering.store.StoreStatus
 
-private const val LARGEST_DATAGRAM_BYTES = 65_507
+private const val MAX_DATAGRAM_BYTES = 65_507
 
 class HeartbeatCodecTest : FunSpec({
     fun beat(name: String) = Heartbeat(
@@ -48,7 +48,7 @@
 
     test("`the largest message fits into a datagram`") {
         val message = HeartbeatMessage(beat("a"), List(16) { beat("b$it") }, counts(600))
-        encodeHeartbeats(message).size shouldBeLessThan LARGEST_DATAGRAM_BYTES
+        encodeHeartbeats(message).size shouldBeLessThan MAX_DATAGRAM_BYTES
     }
 
     test("`bytes of strangers and cut datagrams are never taken for a message`") {
--- a/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/serial/SerialFormsTest.kt
+++ b/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/serial/SerialFormsTest.kt
@@ -25,7 +25,7 @@
 import org.cardamomwharf.forward.proxy.AttemptTrace
 import org.cardamomwharf.forward.proxy.RequestTrace
 import org.cardamomwharf.forward.server.CallFailure
-import org.cardamomwharf.gateway.directory.DirectoryWatch
+import org.cardamomwharf.gateway.directory.DirectoryScopeLog
 import org.cardamomwharf.gateway.logs.DecisionLog
 import org.cardamomwharf.gateway.metrics.GatewayMetrics
 import org.cardamomwharf.gateway.peers.PeerState
@@ -110,7 +110,7 @@
     test("`lines of the log of decisions are those that were recorded`") {
         val lines = linesOf { log ->
             sampleTraces().forEach(log::record)
-            val watch = DirectoryWatch(log, GatewayMetrics())
+            val watch = DirectoryScopeLog(log, GatewayMetrics())
             DirectoryScope.entries.forEach { watch.note(ZoneName("z"), DirectoryChoice(it, emptyList())) }
         }
         compareWithRecorded("log-lines.txt", lines)
--- a/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/settings/GatewaySettingsTest.kt
+++ b/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/settings/GatewaySettingsTest.kt
@@ -12,7 +12,7 @@
 import org.cardamomwharf.core.RegionName
 import org.cardamomwharf.core.ZoneName
 
-private val GOOD = """
+private val VALID_SETTINGS = """
     instance: "front-a-1"
     zone: "a"
     zones:
@@ -35,7 +35,7 @@
 
 class GatewaySettingsTest : FunSpec({
     test("`good settings are read whole`") {
-        val settings = parseGatewaySettings(GOOD).getOrElse { null }.shouldNotBeNull()
+        val settings = parseGatewaySettings(VALID_SETTINGS).getOrElse { null }.shouldNotBeNull()
         settings.zones shouldBe mapOf(ZoneName("a") to RegionName("north"), ZoneName("b") to RegionName("south"))
         settings.peerPort shouldBe 7_200
         settings.metricsPort shouldBe 7_215
@@ -43,7 +43,7 @@
     }
 
     test("`every fault is named with its field`") {
-        val text = GOOD.replace("10.200.1.7:8384", "nowhere").replace("[7200, 7215]", "[7215, 7200]")
+        val text = VALID_SETTINGS.replace("10.200.1.7:8384", "nowhere").replace("[7200, 7215]", "[7215, 7200]")
             .replace("retryRatio: 0.2", "retryRatio: -1")
         val paths = parseGatewaySettings(text).getError().shouldNotBeNull().map { it.path }
         paths shouldContain "addresses.store"
--- a/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/store/TableWatcherTest.kt
+++ b/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/store/TableWatcherTest.kt
@@ -9,7 +9,7 @@
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
 import org.cardamomwharf.core.monotonicClock
-import org.cardamomwharf.gateway.WatchTools
+import org.cardamomwharf.gateway.TaskContext
 import org.cardamomwharf.gateway.logs.DecisionLog
 import org.cardamomwharf.steering.store.StoreError
 import org.cardamomwharf.steering.store.StoreTable
@@ -19,7 +19,7 @@
 import java.util.concurrent.LinkedBlockingQueue
 import java.util.concurrent.TimeUnit
 
-private const val LIMIT_S = 30L
+private const val TIMEOUT_S = 30L
 
 /** Answers reads and waits from two scripts; a script that has run out keeps the caller waiting. */
 private class ScriptedTable(
@@ -42,17 +42,17 @@
 
     fun watch(table: StoreTable<String>, whenAway: () -> Unit = {}): BlockingQueue<String> {
         val seen = LinkedBlockingQueue<String>()
-        val tools = WatchTools(clock, DecisionLog(clock))
-        val duty = object : WatchDuty {
-            override fun isReader(): Boolean = true
+        val tools = TaskContext(clock, DecisionLog(clock))
+        val duty = object : WatcherRole {
+            override fun isWatcher(): Boolean = true
 
-            override fun onAway() = whenAway()
+            override fun onStoreUnavailable() = whenAway()
         }
         TableWatcher("test", table, tools, 0, duty) { changes -> changes.forEach { seen.add("${it.after}") } }.start()
         return seen
     }
 
-    fun BlockingQueue<String>.next() = poll(LIMIT_S, TimeUnit.SECONDS)
+    fun BlockingQueue<String>.next() = poll(TIMEOUT_S, TimeUnit.SECONDS)
 
     test("`a table is read again until the reading isn't older than what is known`") {
         val quiet = Ok(TableUpdate(emptyList<TableEntry<String>>(), 9, isWhole = false))
