--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/BackgroundTask.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/BackgroundTask.kt
@@ -1,26 +1,26 @@
 /*
- * Work that a process repeats for as long as it runs. A step that fails unexpectedly is logged and the work goes on: a
- * process without one of its duties would look alive and act on what it knew before.
+ * Runs repeated background tasks. A failed step is logged and the task continues: a process that lost one of its tasks
+ * would appear healthy but act on outdated state.
  */
 package org.cardamomwharf.gateway
 
 import kotlinx.serialization.json.put
 import org.cardamomwharf.gateway.logs.DecisionLog
 
-/** Pause after a step that failed, so that one that always fails doesn't take the processor. */
-private const val PAUSE_MS = 500L
+/** Delay after a failed step, so that a step that always fails doesn't occupy a processor. */
+private const val FAILURE_DELAY_MS = 500L
 
-/** Repeats [step] on a thread called [name] until it returns false. */
+/** Repeats [step] on a daemon thread named [name] until it returns false. */
 internal fun startBackgroundTask(name: String, log: DecisionLog, step: () -> Boolean) {
     val repeat = {
-        while (attempt(name, log, step) ?: pause()) Unit
+        while (runOrLogFailure(name, log, step) ?: delayAfterFailure()) Unit
     }
     Thread(repeat, name).apply { isDaemon = true }.start()
 }
 
-/** Returns what [step] returns, or null when it failed, which is logged as a failure of the duty [name]. */
-@Suppress("TooGenericExceptionCaught") // Whatever a step throws, the duty has to go on.
-internal fun <T : Any> attempt(name: String, log: DecisionLog, step: () -> T): T? = try {
+/** Returns the result of [step], or logs its failure under the task name [name] and returns null. */
+@Suppress("TooGenericExceptionCaught") // The task has to continue whatever a step throws.
+internal fun <T : Any> runOrLogFailure(name: String, log: DecisionLog, step: () -> T): T? = try {
     step()
 } catch (e: Exception) {
     log.event("duty-failed") {
@@ -31,7 +31,7 @@
     null
 }
 
-private fun pause(): Boolean {
-    Thread.sleep(PAUSE_MS)
+private fun delayAfterFailure(): Boolean {
+    Thread.sleep(FAILURE_DELAY_MS)
     return true
 }
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/GatewayProcess.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/GatewayProcess.kt
@@ -1,5 +1,5 @@
 /*
- * Puts the parts of a gateway process together.
+ * Assembles, starts and stops the components of a gateway process.
  */
 package org.cardamomwharf.gateway
 
@@ -58,27 +58,27 @@
 private const val METRICS = "metrics"
 private const val PEERS = "peers"
 
-/** Silence after which an instance counts as gone; below the users' seven seconds with the way of the news. */
+/** Silence after which an instance counts as failed; with propagation this stays below the required seven seconds. */
 private const val SILENCE_TIMEOUT_MS = 4_000L
 
-/** Pause between adjustments of what is lent, and looks at idle connections. */
+/** Interval of spillover adjustments and of checks for idle connections. */
 private const val TICK_MS = 200L
 
-/** Ticks between log lines about the state of the process: five seconds. */
+/** Ticks between log lines with the process state: five seconds. */
 private const val TICKS_PER_STATE_LOG = 25
 
-/** Ticks between log lines about lending: one second, half the window in which the users measure shifts. */
+/** Ticks between log lines about spillover: one second, half the window over which shifts are measured. */
 private const val TICKS_PER_SPILLOVER_LOG = 5
 
 /** Represents a running gateway process. */
 internal class GatewayProcess(private val settings: GatewaySettings) {
     private val clock = monotonicClock()
     private val log = DecisionLog(clock)
-    private val watchTools = TaskContext(clock, log)
+    private val taskContext = TaskContext(clock, log)
     private val metrics = GatewayMetrics()
-    private val place = settings.toLocation()
-    private val terms = settings.toParameters()
-    private val steering = SynchronizedSteering(Steering(place, terms), clock)
+    private val location = settings.toLocation()
+    private val parameters = settings.toParameters()
+    private val steering = SynchronizedSteering(Steering(location, parameters), clock)
     private val own = InstanceRecord(
         settings.instance,
         settings.zone,
@@ -86,43 +86,43 @@
         SocketAddress(settings.addresses.host, settings.peerPort),
     )
     private val registry = InstanceRegistry(own, Incarnation(System.currentTimeMillis()), SILENCE_TIMEOUT_MS)
-    private val caller = startJettyHttpClient(HttpClientSettings("store", maxConnections = 8, maxThreads = 6))
-    private val peerStateSync: PeerStateSync = PeerStateSync(own, createPeerClient(), watchTools, ::updateLimitSharing)
+    private val client = startJettyHttpClient(HttpClientSettings("store", maxConnections = 8, maxThreads = 6))
+    private val peerStateSync: PeerStateSync = PeerStateSync(own, createPeerClient(), taskContext, ::updateLimitSharing)
     private val peers = PeerList(own, registry, clock)
-    private val heartbeats: PeerHeartbeats = PeerHeartbeats(own, place, registry, peers, watchTools, peerStateSync)
+    private val heartbeats: PeerHeartbeats = PeerHeartbeats(own, location, registry, peers, taskContext, peerStateSync)
     private val store = openStore()
-    private val watch: StoreWatcher = StoreWatcher(
+    private val storeWatcher: StoreWatcher = StoreWatcher(
         store,
         steering,
-        watchTools,
-        terms.restoreGraceMs,
+        taskContext,
+        parameters.restoreGraceMs,
         peerStateSync,
         createStoreListener()
     )
     private val serverSettings = AsyncHttpServerSettings()
     private val threads = startHttpThreads(serverSettings)
-    private val pool = startConnectionPool(ConnectionPoolSettings(), threads.executor, clock) { server, tookMs ->
+    private val pool = startConnectionPool(ConnectionPoolSettings(), threads.executor, clock) { name, tookMs ->
         steering.withLock { decisions, _ ->
-            decisions.servers.find(server)?.let { decisions.roundTripTimes.record(it, tookMs) }
+            decisions.servers.find(name)?.let { decisions.roundTripTimes.record(it, tookMs) }
         }
     }
-    private val tools = ForwardingContext(steering, pool, threads.scheduler, clock) { trace ->
+    private val forwarding = ForwardingContext(steering, pool, threads.scheduler, clock) { trace ->
         log.record(trace)
         metrics.record(trace)
     }
     private val spilloverLog = SpilloverLog(steering, log)
-    private val state = ProcessState(tools, pool, steering, registry, clock)
-    private val front = createAsyncHttpServer(serverSettings, threads, listeners())
+    private val state = ProcessState(forwarding, pool, steering, registry, clock)
+    private val server = createAsyncHttpServer(serverSettings, threads, createListeners())
     private var ticks = 0
 
-    /** Starts all parts. After a fault nothing is served, and the process has to end. */
+    /** Starts all components. After an error nothing is served, and the process has to exit. */
     fun start(): Result<Unit, StartError> = try {
-        peerStateSync.start(watch)
-        watch.start()
+        peerStateSync.start(storeWatcher)
+        storeWatcher.start()
         heartbeats.start()
         InstanceRegistration(store, own, peers, log).start()
         scheduleTick()
-        front.start()
+        server.start()
         log.event("start") {
             put("instance", settings.instance.value)
             put("zone", settings.zone.value)
@@ -130,37 +130,44 @@
         Ok(Unit)
     } catch (e: IOException) {
         log.event("start-failed") { put("error", e.toString()) }
-        Err(StartError.Listening(e))
+        Err(StartError.BindFailed(e))
     }
 
-    /** Reads the settings in [file] again and says what would change; they hold from the next start. */
+    /** Validates the settings in [file] and logs whether they changed; changes take effect at the next start. */
     fun reload(file: Path) {
-        val next = readGatewaySettings(file)
+        val newSettings = readGatewaySettings(file)
         log.event("reload") {
-            put("valid", next.isOk)
-            put("changed", next.getOrElse { null }?.let { it != settings })
+            put("valid", newSettings.isOk)
+            put("changed", newSettings.getOrElse { null }?.let { it != settings })
         }
     }
 
-    /** Ends the process without cutting off a request. */
+    /** Stops the process without interrupting requests. */
     fun stop() {
-        GracefulStop(watchTools, tools, front, settings.bounds.stopMs).run(CALLERS) { heartbeats.announceLeaving() }
+        GracefulStop(taskContext, forwarding, server, settings.bounds.stopMs)
+            .run(CALLERS) { heartbeats.announceLeaving() }
     }
 
-    private fun listeners(): List<HttpListener> {
+    private fun createListeners(): List<HttpListener> {
         val metricsAddress = SocketAddress(settings.addresses.host, settings.metricsPort)
-        val directoryWatch = DirectoryScopeLog(log, metrics)
-        val directory = createDirectoryHandler(place, directoryWatch) { synchronized(registry) { registry.serving(clock.nowMs()) } }
+        val scopeLog = DirectoryScopeLog(log, metrics)
+        val directory = createDirectoryHandler(location, scopeLog) {
+            synchronized(registry) { registry.serving(clock.nowMs()) }
+        }
         return listOf(
-            HttpListener(CALLERS, settings.addresses.caller, createForwardingHandler(tools)),
-            HttpListener(READY, settings.addresses.ready, createReadinessHandler { !tools.isStopping && watch.isKnown }),
+            HttpListener(CALLERS, settings.addresses.caller, createForwardingHandler(forwarding)),
+            HttpListener(
+                READY,
+                settings.addresses.ready,
+                createReadinessHandler { !forwarding.isStopping && storeWatcher.isReady },
+            ),
             HttpListener(DIRECTORY, settings.addresses.directory, directory),
-            HttpListener(PEERS, own.peerAddress, createPeerStateHandler(watch::stateSince)),
+            HttpListener(PEERS, own.peerAddress, createPeerStateHandler(storeWatcher::stateSince)),
             HttpListener(METRICS, metricsAddress, metrics.handler(state::read)),
         )
     }
 
-    private fun openStore(): DeploymentStore = createPlatformStore(caller, settings.addresses.store) { table, key ->
+    private fun openStore(): DeploymentStore = createPlatformStore(client, settings.addresses.store) { table, key ->
         metrics.countUnreadableRow(table)
         log.event("unreadable-row") {
             put("table", table)
@@ -169,21 +176,21 @@
     }
 
     private fun createPeerClient() = object : PeerClient {
-        override fun running(): List<InstanceRecord> = peers.running()
+        override fun runningInstances(): List<InstanceRecord> = peers.running()
 
-        override fun any(): InstanceRecord? = heartbeats.randomPeer()
+        override fun randomPeer(): InstanceRecord? = heartbeats.randomPeer()
 
-        override fun ask(peer: InstanceRecord, known: KnownVersions): PeerState? =
-            fetchPeerState(caller, peer.peerAddress, known)
+        override fun fetchState(peer: InstanceRecord, known: KnownVersions): PeerState? =
+            fetchPeerState(client, peer.peerAddress, known)
     }
 
     private fun updateLimitSharing() {
-        val sharing = peers.sharing() ?: return
-        steering.withLock { decisions, _ -> decisions.setLiveInstances(sharing.associate { it.name to it.zone }) }
+        val instances = peers.instancesSharingLimits() ?: return
+        steering.withLock { decisions, _ -> decisions.setLiveInstances(instances.associate { it.name to it.zone }) }
     }
 
     private fun createStoreListener() = object : StoreListener {
-        override fun onCallerLimits(limits: CallerLimits) = front.setIdleTimeout(CALLERS, limits.idleTimeoutMs)
+        override fun onCallerLimits(limits: CallerLimits) = server.setIdleTimeout(CALLERS, limits.idleTimeoutMs)
 
         override fun onChange() = heartbeats.notifyChange()
     }
@@ -193,9 +200,9 @@
     }
 
     private fun tick() {
-        attempt("tick", log) {
+        runOrLogFailure("tick", log) {
             steering.withLock { decisions, nowMs -> decisions.adjustSpillover(nowMs) }
-            watch.expire()
+            storeWatcher.expire()
             pool.closeExpired()
             if (++ticks % TICKS_PER_SPILLOVER_LOG == 0) spilloverLog.write()
             if (ticks % TICKS_PER_STATE_LOG == 0) {
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/GracefulStop.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/GracefulStop.kt
@@ -1,6 +1,6 @@
 /*
- * Ends a process so that no request is cut off: callers and other instances are told, requests are taken for a while
- * from callers that don't know yet, then what is under way is finished.
+ * Stops a process without interrupting requests: it notifies callers and other instances, accepts new requests for a
+ * while from callers that haven't noticed yet, then waits for the requests in flight.
  */
 package org.cardamomwharf.gateway
 
@@ -8,45 +8,45 @@
 import org.cardamomwharf.forward.listener.AsyncHttpServer
 import org.cardamomwharf.forward.proxy.ForwardingContext
 
-/** Part of the time to stop for which new requests are still taken; callers keep addresses for some seconds. */
+/** Fraction of the stop timeout during which new requests are accepted; callers cache addresses for some seconds. */
 private const val ACCEPT_FRACTION = 0.5
 
-/** Part of the time to stop after which the process ends whatever is open. */
+/** Fraction of the stop timeout after which the process exits even if connections are open. */
 private const val DEADLINE_FRACTION = 0.9
 
-/** Pause between looks at what is still open. */
-private const val LOOK_MS = 20L
+/** Interval between checks for open connections. */
+private const val POLL_INTERVAL_MS = 20L
 
 internal class GracefulStop(
-    private val watch: TaskContext,
-    private val tools: ForwardingContext,
-    private val front: AsyncHttpServer,
+    private val context: TaskContext,
+    private val forwarding: ForwardingContext,
+    private val server: AsyncHttpServer,
     private val stopMs: Long,
     private val acceptMs: Long = (stopMs * ACCEPT_FRACTION).toLong(),
 ) {
     /**
-     * Stops taking requests at [listener]; returns when its last connection is closed or the time to stop is nearly
-     * over. Counting requests isn't enough: one may just be arriving on a connection, and the last answer may not
-     * have left.
+     * Stops accepting requests at [listener]; returns when its last connection is closed or the stop timeout has almost
+     * expired. Waits for connections, not requests: a request may be arriving on a connection, and the last response
+     * may not have been sent yet.
      */
-    fun run(listener: String, tellOthers: () -> Unit) {
-        val startedAtMs = watch.clock.nowMs()
-        watch.log.event("stop") { put("underWay", tools.requestsInFlight) }
-        tools.isStopping = true
-        tellOthers()
+    fun run(listener: String, notifyPeers: () -> Unit) {
+        val startedAtMs = context.clock.nowMs()
+        context.log.event("stop") { put("underWay", forwarding.requestsInFlight) }
+        forwarding.isStopping = true
+        notifyPeers()
         waitUntil(startedAtMs + acceptMs) { false }
-        front.closeListener(listener)
+        server.closeListener(listener)
         waitUntil(startedAtMs + (stopMs * DEADLINE_FRACTION).toLong()) {
-            front.closeIdleConnections(listener)
-            front.countConnections(listener) == 0
+            server.closeIdleConnections(listener)
+            server.countConnections(listener) == 0
         }
-        watch.log.event("stopped") {
-            put("underWay", tools.requestsInFlight)
-            put("tookMs", watch.clock.nowMs() - startedAtMs)
+        context.log.event("stopped") {
+            put("underWay", forwarding.requestsInFlight)
+            put("tookMs", context.clock.nowMs() - startedAtMs)
         }
     }
 
-    private fun waitUntil(endMs: Long, isDone: () -> Boolean) {
-        while (!isDone() && watch.clock.nowMs() < endMs) Thread.sleep(LOOK_MS)
+    private fun waitUntil(deadlineMs: Long, isDone: () -> Boolean) {
+        while (!isDone() && context.clock.nowMs() < deadlineMs) Thread.sleep(POLL_INTERVAL_MS)
     }
 }
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/Main.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/Main.kt
@@ -26,23 +26,23 @@
 private const val EXIT_SELF_TEST = 4
 private const val EXIT_START = 5
 
-/** Starts the daemon, or prints every problem of its settings. */
+/** Starts the daemon, or prints all problems found in its settings. */
 public fun main(args: Array<String>) {
     val parser = ArgParser("wharf-gateway")
     val file by parser.option(ArgType.String, "settings", description = "Settings file in YAML")
     val variable by parser.option(
         ArgType.String,
         "settings-variable",
-        description = "Environment variable that holds the path of the settings file",
+        description = "Environment variable with the path of the settings file",
     )
-    val isCheck by parser.option(ArgType.Boolean, "check", description = "Only check the settings").default(false)
+    val isCheck by parser.option(ArgType.Boolean, "check", description = "Check the settings and exit").default(false)
     val isSelfTest by parser.option(ArgType.Boolean, "self-test", description = "Serve a few requests on loopback")
         .default(false)
     parser.parse(args)
     if (isSelfTest) selfTest()
     val path = file ?: variable?.let { System.getenv(it) }
     if (path == null) {
-        System.err.println("wharf-gateway: give --settings or --settings-variable")
+        System.err.println("wharf-gateway: --settings or --settings-variable is required")
         exitProcess(EXIT_USAGE)
     }
     readGatewaySettings(Path.of(path))
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/StartError.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/StartError.kt
@@ -1,11 +1,11 @@
 /*
- * Why a process could not start.
+ * Errors that prevent a gateway process from starting.
  */
 package org.cardamomwharf.gateway
 
 import java.io.IOException
 
 internal sealed interface StartError {
-    /** An address is taken or isn't one of this machine's. */
-    data class Listening(val cause: IOException) : StartError
+    /** An address is in use or doesn't belong to this machine. */
+    data class BindFailed(val cause: IOException) : StartError
 }
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/directory/DirectoryHandler.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/directory/DirectoryHandler.kt
@@ -1,5 +1,5 @@
 /*
- * Answers callers that ask which instances to use, and the platform's question whether this instance is ready.
+ * HTTP handlers for the directory, which lists the instances that a caller should use, and for the readiness probe.
  */
 package org.cardamomwharf.gateway.directory
 
@@ -16,30 +16,30 @@
 import org.eclipse.jetty.util.Callback
 import java.nio.ByteBuffer
 
-/** Time for which callers keep an answer; short, so that they leave an instance that stops before it ends. */
+/** Cache lifetime of a response at callers; short, so that they leave a stopping instance before it exits. */
 private const val CACHE_TTL_S = 2
 
-/** Largest number of addresses that a caller takes. */
+/** Maximum number of addresses that a caller accepts. */
 private const val MAX_ADDRESSES = 64
 
-/** Returns the handler for the directory. */
+/** Returns the handler that lists the instances closest to a caller, out of those returned by [serving]. */
 internal fun createDirectoryHandler(
-    place: InstanceLocation,
-    watch: DirectoryScopeLog,
+    location: InstanceLocation,
+    scopeLog: DirectoryScopeLog,
     serving: () -> List<InstanceRecord>,
 ): AsyncHandler =
     AsyncHandler { request, response, callback ->
         val query = Request.extractQueryParameters(request)
-        val asked = decodeCallerLocation(query::getValue)
-        val choice = chooseInstances(serving(), place.regions, asked.zone, asked.region)
-        watch.note(asked.zone?.takeIf { it in place.regions }, choice)
+        val callerLocation = decodeCallerLocation(query::getValue)
+        val choice = chooseInstances(serving(), location.regions, callerLocation.zone, callerLocation.region)
+        scopeLog.record(callerLocation.zone?.takeIf { it in location.regions }, choice)
         val chosen = choice.instances.take(MAX_ADDRESSES)
         val body = encodeDirectoryResponse(chosen.map { it.callerAddress }, CACHE_TTL_S)
         response.headers.put(HttpHeader.CONTENT_TYPE, "application/json")
         write(StatusCode.OK, body, response, callback)
     }
 
-/** Returns the handler for the question whether this instance is ready. */
+/** Returns the handler of the readiness probe. */
 internal fun createReadinessHandler(isReady: () -> Boolean): AsyncHandler = AsyncHandler { _, response, callback ->
     val status = if (isReady()) StatusCode.OK else StatusCode.UNAVAILABLE
     write(status, if (status == StatusCode.OK) "ready\n" else "not ready\n", response, callback)
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/directory/DirectoryScopeLog.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/directory/DirectoryScopeLog.kt
@@ -1,6 +1,6 @@
 /*
- * Notes how far away the instances are that callers were named, so that callers who run in another region because
- * their own was believed to be gone can be told from requests that were lent.
+ * Records how far away the instances are that the directory lists. This distinguishes callers that run in another
+ * region because their own region seemed unavailable from requests that spilled over.
  */
 package org.cardamomwharf.gateway.directory
 
@@ -15,8 +15,8 @@
 internal class DirectoryScopeLog(private val log: DecisionLog, private val metrics: GatewayMetrics) {
     private val scopes = ConcurrentHashMap<ZoneName, DirectoryScope>()
 
-    /** Counts the answer to a caller in [zone] and writes a line when its scope is another than before. */
-    fun note(zone: ZoneName?, choice: DirectoryChoice) {
+    /** Counts the response to a caller in [zone] and logs a change of its scope. */
+    fun record(zone: ZoneName?, choice: DirectoryChoice) {
         metrics.countDirectoryResponse(choice.scope)
         if (zone == null) return
         val before = scopes.put(zone, choice.scope)
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/logs/DecisionLog.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/logs/DecisionLog.kt
@@ -1,6 +1,6 @@
 /*
- * One structured line for each decision. Lines about requests are bounded: requests that failed have a large part of
- * their own, others a small one, and what finds no room is counted. Writing never waits.
+ * Writes one structured line for each decision. Lines about requests are rate-limited, with a large limit for failed
+ * requests and a small one for the others, and skipped lines are counted. Writing never blocks.
  */
 package org.cardamomwharf.gateway.logs
 
@@ -15,39 +15,39 @@
 import org.cardamomwharf.forward.proxy.RequestTrace
 import org.cardamomwharf.forward.proxy.TraceSink
 
-/** Lines each second about requests that were answered in time; enough for a sample of every route. */
+/** Lines per second about successful requests; enough for a sample of every route. */
 private const val SUCCESS_LINES_PER_SECOND = 10
 
-/** Lines each second about requests that were not; more than an instance fails outside of outages. */
+/** Lines per second about failed or retried requests; exceeds the failure rate of an instance outside of outages. */
 private const val FAILURE_LINES_PER_SECOND = 150
 private const val MIN_FAILURE_STATUS = 400
 private const val MS_PER_SECOND = 1_000L
 
-/** Represents the log of decisions. */
+/** Represents the decision log. */
 public class DecisionLog(private val clock: Clock) : TraceSink {
     private val logger = LogManager.getLogger("cardamomwharf.decisions")
-    private val good = LineRateLimiter(SUCCESS_LINES_PER_SECOND)
-    private val failed = LineRateLimiter(FAILURE_LINES_PER_SECOND)
+    private val successLimiter = LineRateLimiter(SUCCESS_LINES_PER_SECOND)
+    private val failureLimiter = LineRateLimiter(FAILURE_LINES_PER_SECOND)
 
-    /** Writes a line about [event] with what [fill] adds. */
-    public fun event(event: String, fill: JsonObjectBuilder.() -> Unit = {}) {
+    /** Writes a line about [event] with the fields added by [addFields]. */
+    public fun event(event: String, addFields: JsonObjectBuilder.() -> Unit = {}) {
         logger.info(
             buildJsonObject {
                 put("atMs", clock.nowMs())
                 put("event", event)
-                fill()
+                addFields()
             }.toString(),
         )
     }
 
     override fun record(trace: RequestTrace) {
-        val isFailed = trace.status == 0 || trace.status >= MIN_FAILURE_STATUS || trace.attempts.size > 1
-        val allowance = if (isFailed) failed else good
-        val skipped = allowance.take(clock.nowMs()) ?: return
-        event("request") { fillRequest(trace, skipped) }
+        val isFailedOrRetried = trace.status == 0 || trace.status >= MIN_FAILURE_STATUS || trace.attempts.size > 1
+        val limiter = if (isFailedOrRetried) failureLimiter else successLimiter
+        val skipped = limiter.tryAcquire(clock.nowMs()) ?: return
+        event("request") { addRequestFields(trace, skipped) }
     }
 
-    private fun JsonObjectBuilder.fillRequest(trace: RequestTrace, skipped: Long) {
+    private fun JsonObjectBuilder.addRequestFields(trace: RequestTrace, skipped: Long) {
         put("id", trace.requestId)
         put("route", trace.route)
         put("service", trace.service)
@@ -58,10 +58,10 @@
         put("tookMs", trace.tookMs)
         put("leftMs", trace.remainingMs)
         if (skipped > 0) put("linesSkipped", skipped)
-        putJsonArray("tries") { trace.attempts.forEach { attempt -> addJsonObject { fillAttempt(attempt) } } }
+        putJsonArray("tries") { trace.attempts.forEach { attempt -> addJsonObject { addAttemptFields(attempt) } } }
     }
 
-    private fun JsonObjectBuilder.fillAttempt(attempt: AttemptTrace) {
+    private fun JsonObjectBuilder.addAttemptFields(attempt: AttemptTrace) {
         put("server", attempt.placement.server.value)
         put("warmth", attempt.placement.warmth.name)
         put("predictedMs", attempt.placement.predictedMs.toLong())
@@ -73,15 +73,15 @@
         put("tookMs", attempt.tookMs)
     }
 
-    /** Counts lines of the current second. */
+    /** Limits the lines written per second. */
     private class LineRateLimiter(private val perSecond: Int) {
         private var second = 0L
         private var used = 0
         private var skipped = 0L
 
-        /** Returns the lines skipped since the last one, or null when there is no room for this one. */
+        /** Returns the number of lines skipped since the last written one, or null when the limit is reached. */
         @Synchronized
-        fun take(nowMs: Long): Long? {
+        fun tryAcquire(nowMs: Long): Long? {
             val current = nowMs / MS_PER_SECOND
             if (current != second) {
                 second = current
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/logs/SpilloverLog.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/logs/SpilloverLog.kt
@@ -1,6 +1,6 @@
 /*
- * Writes what is lent to other regions, one line a second for each service that got requests. The lines of all
- * instances of a region together show how fast the regions change in which its requests run, and why.
+ * Logs spillover to other regions, one line per second for each service that received requests. The lines of all
+ * instances of a region together show how fast the regions that serve its requests change, and why.
  */
 package org.cardamomwharf.gateway.logs
 
@@ -9,7 +9,7 @@
 import org.cardamomwharf.forward.proxy.SynchronizedSteering
 
 internal class SpilloverLog(private val steering: SynchronizedSteering, private val log: DecisionLog) {
-    /** Writes the tries since the last call. */
+    /** Logs the attempts since the last call. */
     fun write() {
         val reports = steering.withLock { decisions, _ ->
             decisions.spillover.reports().also { decisions.spillover.clearCounts() }
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/metrics/GatewayMetrics.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/metrics/GatewayMetrics.kt
@@ -1,5 +1,5 @@
 /*
- * The metrics of a gateway process: a counter for each outcome, refusal and repeat with its reason, and latencies.
+ * The metrics of a gateway process: outcomes, refusals and retries by reason, and latencies.
  */
 package org.cardamomwharf.gateway.metrics
 
@@ -20,15 +20,15 @@
 /** Represents the metrics of one process. */
 internal class GatewayMetrics : TraceSink {
     private val registry = PrometheusRegistry()
-    private val answers = Counter.builder().name("wharf_answers_total").help("Final answers.")
+    private val responses = Counter.builder().name("wharf_answers_total").help("Final answers.")
         .labelNames("service", "outcome", "status").register(registry)
-    private val repeats = Counter.builder().name("wharf_repeats_total").help("Tries that were followed by another.")
+    private val retries = Counter.builder().name("wharf_repeats_total").help("Tries that were followed by another.")
         .labelNames("service", "reason").register(registry)
-    private val sends = Counter.builder().name("wharf_sends_total").help("Tries by the region that they went to.")
+    private val attempts = Counter.builder().name("wharf_sends_total").help("Tries by the region that they went to.")
         .labelNames("service", "region", "choice").register(registry)
     private val directoryResponses = Counter.builder().name("wharf_directory_answers_total")
         .help("Answers of the directory by how far the named instances are.").labelNames("scope").register(registry)
-    private val unreadable = Counter.builder().name("wharf_unreadable_rows_total").help("Rows that can't be read.")
+    private val unreadableRows = Counter.builder().name("wharf_unreadable_rows_total").help("Rows that can't be read.")
         .labelNames("table").register(registry)
     private val latency = Histogram.builder().name("wharf_request_seconds").help("Time until the final answer.")
         .labelNames("service").classicOnly().register(registry)
@@ -36,11 +36,11 @@
         .labelNames("what").register(registry)
 
     override fun record(trace: RequestTrace) {
-        answers.labelValues(trace.service, trace.outcome, trace.status.toString()).inc()
-        trace.attempts.dropLast(1).forEach { repeats.labelValues(trace.service, it.outcome).inc() }
+        responses.labelValues(trace.service, trace.outcome, trace.status.toString()).inc()
+        trace.attempts.dropLast(1).forEach { retries.labelValues(trace.service, it.outcome).inc() }
         trace.attempts.forEach {
             val placement = it.placement
-            sends.labelValues(trace.service, placement.region?.value.orEmpty(), placement.choice.code).inc()
+            attempts.labelValues(trace.service, placement.region?.value.orEmpty(), placement.choice.code).inc()
         }
         latency.labelValues(trace.service).observe(trace.tookMs / MS_PER_SECOND)
     }
@@ -50,12 +50,12 @@
     }
 
     fun countUnreadableRow(table: String) {
-        unreadable.labelValues(table).inc()
+        unreadableRows.labelValues(table).inc()
     }
 
-    /** Returns the handler that shows all metrics with the numbers that [readState] returns. */
+    /** Returns the handler that exposes all metrics, including the values returned by [readState]. */
     fun handler(readState: () -> Map<String, Long>): AsyncHandler = AsyncHandler { _, response, callback ->
-        readState().forEach { (what, value) -> state.labelValues(what).set(value.toDouble()) }
+        readState().forEach { (name, value) -> state.labelValues(name).set(value.toDouble()) }
         val bytes = ByteArrayOutputStream()
         PrometheusTextFormatWriter(false).write(bytes, registry.scrape())
         response.write(true, ByteBuffer.wrap(bytes.toByteArray()), callback)
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/metrics/ProcessState.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/metrics/ProcessState.kt
@@ -1,5 +1,5 @@
 /*
- * The state of the process in numbers, for the log and for metrics.
+ * Collects the state of the process as numbers for the decision log and the metrics.
  */
 package org.cardamomwharf.gateway.metrics
 
@@ -12,18 +12,18 @@
 private const val BYTES_PER_KB = 1_024
 
 internal class ProcessState(
-    private val tools: ForwardingContext,
+    private val forwarding: ForwardingContext,
     private val pool: ConnectionPool,
     private val steering: SynchronizedSteering,
     private val registry: InstanceRegistry,
     private val clock: Clock,
 ) {
-    /** Returns the numbers by name. */
+    /** Returns the values by name. */
     fun read(): Map<String, Long> {
         val runtime = Runtime.getRuntime()
         return mapOf(
             "heapUsedKb" to (runtime.totalMemory() - runtime.freeMemory()) / BYTES_PER_KB,
-            "requestsUnderWay" to tools.requestsInFlight.toLong(),
+            "requestsUnderWay" to forwarding.requestsInFlight.toLong(),
             "serverConnections" to pool.openConnections.toLong(),
             "serverConnectionsOpened" to pool.openedCount.get().toLong(),
             "desiredVersion" to steering.withLock { decisions, _ -> decisions.routes.desired?.version?.value ?: 0L },
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/HeartbeatCodec.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/HeartbeatCodec.kt
@@ -1,10 +1,11 @@
 /*
- * The datagrams that carry heartbeats. Counts stand in two lists of their own, because most of what is told are counts
- * and a list of numbers is read much faster than a list of objects.
+ * Encodes and decodes heartbeat datagrams. Heartbeat counts have two lists of their own, one of names and one of
+ * numbers: they are most of the content, and a list of numbers decodes much faster than a list of objects.
  */
 package org.cardamomwharf.gateway.peers
 
 import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import kotlinx.serialization.cbor.Cbor
 import kotlinx.serialization.decodeFromByteArray
@@ -22,23 +23,23 @@
 @OptIn(ExperimentalSerializationApi::class)
 private val cbor = Cbor { ignoreUnknownKeys = true }
 
-/** Separates names; it can't occur in them. */
+/** Separates names; doesn't occur in names. */
 private const val NAME_SEPARATOR = '\n'
 
-/** Numbers of each instance in the list of numbers: incarnation, count, and 1 for one that is leaving. */
+/** Numbers per instance in the list of numbers: incarnation, heartbeat count, and 1 if the instance is leaving. */
 private const val NUMBERS_PER_INSTANCE = 3
 private const val COUNT_OFFSET = 1
 private const val LEAVING_OFFSET = 2
 
-/** Returns the bytes of a datagram with [message]. */
+/** Encodes [message] as a datagram. */
 @OptIn(ExperimentalSerializationApi::class)
 internal fun encodeHeartbeats(message: HeartbeatMessage): ByteArray {
     val numbers = LongArray(message.counts.size * NUMBERS_PER_INSTANCE)
-    message.counts.forEachIndexed { index, counted ->
-        val at = index * NUMBERS_PER_INSTANCE
-        numbers[at] = counted.incarnation.value
-        numbers[at + COUNT_OFFSET] = counted.count
-        numbers[at + LEAVING_OFFSET] = if (counted.isLeaving) 1 else 0
+    message.counts.forEachIndexed { index, heartbeat ->
+        val offset = index * NUMBERS_PER_INSTANCE
+        numbers[offset] = heartbeat.incarnation.value
+        numbers[offset + COUNT_OFFSET] = heartbeat.count
+        numbers[offset + LEAVING_OFFSET] = if (heartbeat.isLeaving) 1 else 0
     }
     val names = message.counts.joinToString(NAME_SEPARATOR.toString()) { it.name.value }
     val wire = WireMessage(
@@ -51,13 +52,13 @@
     return frame(cbor.encodeToByteArray(wire))
 }
 
-/** Returns the message in a datagram; null when it isn't one of ours, since anybody may send to the port. */
+/** Decodes a datagram; returns null when it isn't a valid heartbeat, as any process may send to the port. */
 @OptIn(ExperimentalSerializationApi::class)
 internal fun decodeHeartbeats(bytes: ByteArray): HeartbeatMessage? {
     val payload = unframe(bytes) ?: return null
     val wire = cbor.decodeFromByteArray<WireMessage>(payload)
     return wire.sender.toHeartbeat()?.let { sender ->
-        HeartbeatMessage(sender, wire.introduced.mapNotNull { it.toHeartbeat() }, wire.counts(), wire.news)
+        HeartbeatMessage(sender, wire.newInstances.mapNotNull { it.toHeartbeat() }, wire.toCounts(), wire.storeStatus)
     }
 }
 
@@ -75,18 +76,20 @@
 @Serializable
 private class WireMessage(
     val sender: WireHeartbeat,
-    val introduced: List<WireHeartbeat> = emptyList(),
+    @SerialName("introduced")
+    val newInstances: List<WireHeartbeat> = emptyList(),
     val names: String = "",
     val numbers: LongArray = LongArray(0),
-    val news: StoreStatus? = null,
+    @SerialName("news")
+    val storeStatus: StoreStatus? = null,
 ) {
-    fun counts(): List<HeartbeatCount> {
-        val split = if (names.isEmpty()) emptyList() else names.split(NAME_SEPARATOR)
-        if (numbers.size != split.size * NUMBERS_PER_INSTANCE) return emptyList()
-        return split.mapIndexed { index, name ->
-            val at = index * NUMBERS_PER_INSTANCE
-            val isLeaving = numbers[at + LEAVING_OFFSET] != 0L
-            HeartbeatCount(InstanceName(name), Incarnation(numbers[at]), numbers[at + COUNT_OFFSET], isLeaving)
+    fun toCounts(): List<HeartbeatCount> {
+        val nameList = if (names.isEmpty()) emptyList() else names.split(NAME_SEPARATOR)
+        if (numbers.size != nameList.size * NUMBERS_PER_INSTANCE) return emptyList()
+        return nameList.mapIndexed { index, name ->
+            val offset = index * NUMBERS_PER_INSTANCE
+            val isLeaving = numbers[offset + LEAVING_OFFSET] != 0L
+            HeartbeatCount(InstanceName(name), Incarnation(numbers[offset]), numbers[offset + COUNT_OFFSET], isLeaving)
         }
     }
 }
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/HeartbeatSocket.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/HeartbeatSocket.kt
@@ -1,6 +1,7 @@
 /*
- * The socket for heartbeats. Blocking sockets take a third of the processor time that Ktor's take here: an instance
- * sends few datagrams, and each costs Ktor several hand-overs between threads and a selector that wakes twice a second.
+ * The UDP socket for heartbeats. A blocking socket uses a third of the processor time of a Ktor socket here: an
+ * instance sends few datagrams, and in Ktor each costs several thread hand-offs and a selector that wakes up twice a
+ * second.
  */
 package org.cardamomwharf.gateway.peers
 
@@ -16,58 +17,57 @@
 import java.nio.ByteBuffer
 import java.nio.channels.DatagramChannel
 
-/** Size of the largest datagram. */
 private const val MAX_DATAGRAM_BYTES = 65_507
 
-/** Pause after a failure to receive, so that a broken socket doesn't take the processor. */
-private const val RETRY_MS = 500L
+/** Delay after a receive error, so that a broken socket doesn't occupy a processor. */
+private const val RETRY_DELAY_MS = 500L
 
 /** Sends and receives heartbeats at one address. */
 internal class HeartbeatSocket(private val address: SocketAddress, private val log: DecisionLog) {
     private val channel = DatagramChannel.open(StandardProtocolFamily.INET)
-    private val received = ByteBuffer.allocate(MAX_DATAGRAM_BYTES)
+    private val buffer = ByteBuffer.allocate(MAX_DATAGRAM_BYTES)
     private var isReceivingInvalid = false
 
     @Volatile
-    private var isFailing = false
+    private var isSendFailing = false
 
-    /** Binds the socket; throws IOException when the address is taken. */
+    /** Binds the socket; throws IOException when the address is in use. */
     fun open() {
         channel.bind(InetSocketAddress(address.host, address.port))
     }
 
-    /** Sends [sent] to each of its receivers. */
-    fun send(sent: OutgoingHeartbeat) {
-        val bytes = ByteBuffer.wrap(encodeHeartbeats(sent.message))
-        sent.recipients.forEach { sendTo(it, bytes.duplicate()) }
+    /** Sends [heartbeat] to each of its recipients. */
+    fun send(heartbeat: OutgoingHeartbeat) {
+        val bytes = ByteBuffer.wrap(encodeHeartbeats(heartbeat.message))
+        heartbeat.recipients.forEach { sendTo(it, bytes.duplicate()) }
     }
 
-    /** Waits for a datagram and returns its message, or null when it isn't one of ours. */
+    /** Waits for a datagram and returns its message, or null when it isn't a valid heartbeat. */
     fun receive(): HeartbeatMessage? {
-        received.clear()
+        buffer.clear()
         if (!receiveBytes()) return null
-        val message = decodeHeartbeats(received.array().copyOf(received.position()))
+        val message = decodeHeartbeats(buffer.array().copyOf(buffer.position()))
         if (message == null && !isReceivingInvalid) {
-            log.event("heartbeat-unreadable") { put("bytes", received.position()) }
+            log.event("heartbeat-unreadable") { put("bytes", buffer.position()) }
         }
         isReceivingInvalid = message == null
         return message
     }
 
-    /** Sends one datagram; a failure costs no more than a lost datagram and is logged when it begins. */
+    /** Sends one datagram; a failure is treated as a lost datagram, and only the first of several is logged. */
     private fun sendTo(peer: InstanceRecord, bytes: ByteBuffer) = try {
         channel.send(bytes, InetSocketAddress(peer.peerAddress.host, peer.peerAddress.port))
-        isFailing = false
+        isSendFailing = false
     } catch (e: IOException) {
-        if (!isFailing) log.event("heartbeat-failed") { put("error", e.toString()) }
-        isFailing = true
+        if (!isSendFailing) log.event("heartbeat-failed") { put("error", e.toString()) }
+        isSendFailing = true
     }
 
     private fun receiveBytes(): Boolean = try {
-        channel.receive(received) != null
+        channel.receive(buffer) != null
     } catch (e: IOException) {
         log.event("heartbeat-failed") { put("error", e.toString()) }
-        Thread.sleep(RETRY_MS)
+        Thread.sleep(RETRY_DELAY_MS)
         false
     }
 }
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/InstanceRegistration.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/InstanceRegistration.kt
@@ -1,5 +1,5 @@
 /*
- * Makes this instance known to the others through the store, and the others to it.
+ * Registers this instance in the store and reads the other registered instances.
  */
 package org.cardamomwharf.gateway.peers
 
@@ -9,8 +9,8 @@
 import org.cardamomwharf.steering.instances.InstanceRecord
 import org.cardamomwharf.steering.store.DeploymentStore
 
-/** Pause before the instances are read or registered again after a failure. */
-private const val RETRY_MS = 500L
+/** Delay before the instances are read again or the registration is retried. */
+private const val RETRY_DELAY_MS = 500L
 
 internal class InstanceRegistration(
     private val store: DeploymentStore,
@@ -20,16 +20,16 @@
 ) {
     fun start() {
         startBackgroundTask("register", log) {
-            val isDue = !isDone()
-            if (isDue) Thread.sleep(RETRY_MS)
-            isDue
+            val isRetryDue = !ensureRegistered()
+            if (isRetryDue) Thread.sleep(RETRY_DELAY_MS)
+            isRetryDue
         }
     }
 
-    /** Reads which instances registered, and registers this one when it isn't listed as it is. */
-    private fun isDone(): Boolean {
-        val listed = store.instances.read().getOrElse { null }?.entries ?: return false
-        peers.setListed(listed.mapNotNull { it.value })
-        return listed.any { it.value == own } || store.register(own).isOk
+    /** Reads the registered instances and registers this one if needed; returns true when its record is up to date. */
+    private fun ensureRegistered(): Boolean {
+        val registered = store.instances.read().getOrElse { null }?.entries ?: return false
+        peers.setRegistered(registered.mapNotNull { it.value })
+        return registered.any { it.value == own } || store.register(own).isOk
     }
 }
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/PeerHeartbeats.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/PeerHeartbeats.kt
@@ -1,5 +1,5 @@
 /*
- * Sends and receives heartbeats, on a thread for each.
+ * Sends and receives heartbeats, each on a thread of its own.
  */
 package org.cardamomwharf.gateway.peers
 
@@ -15,92 +15,82 @@
 import java.util.concurrent.TimeUnit
 import kotlin.random.Random
 
-/** Time between heartbeats; several fit into the silence after which an instance counts as gone. */
+/** Interval of heartbeats; several fit into the silence after which an instance counts as failed. */
 private const val HEARTBEAT_INTERVAL_MS = 500L
 
-/** One question in this many goes to another region although the own one has instances. */
+/** One in this many picks is an instance of another region although the own region has instances. */
 private const val OTHER_REGION_ONE_IN = 3
 
-/** Connects heartbeats with what this process knows of the store. */
-internal interface HeartbeatListener {
-    /** Returns what to tell about the store, or null when another instance follows it for this one. */
-    fun statusToSend(): StoreStatus?
-
-    /** Takes what the instance [from] tells about the store. */
-    fun take(from: InstanceRecord, news: StoreStatus)
-
-    /** Is called with each own heartbeat. */
-    fun onHeartbeat()
-}
-
-/** Represents the heartbeats of this process. */
+/** Exchanges heartbeats with other instances. */
 internal class PeerHeartbeats(
     private val own: InstanceRecord,
-    private val place: InstanceLocation,
+    private val location: InstanceLocation,
     private val registry: InstanceRegistry,
     private val peers: PeerList,
-    private val tools: TaskContext,
-    private val news: HeartbeatListener,
+    private val context: TaskContext,
+    private val listener: HeartbeatListener,
 ) {
-    private val clock = tools.clock
-    private val exchange = HeartbeatExchange(place, registry, WatcherElection(own))
-    private val changes = ArrayBlockingQueue<Unit>(1)
-    private val datagrams = HeartbeatSocket(own.peerAddress, tools.log)
-    private var number = 0
+    private val clock = context.clock
+    private val exchange = HeartbeatExchange(location, registry, WatcherElection(own))
+    private val changeSignal = ArrayBlockingQueue<Unit>(1)
+    private val socket = HeartbeatSocket(own.peerAddress, context.log)
+    private var heartbeatNumber = 0
     private var nextAtMs = 0L
 
     fun start() {
-        datagrams.open()
+        socket.open()
         nextAtMs = clock.nowMs()
-        startBackgroundTask("peers", tools.log, ::sendNext)
-        startBackgroundTask("peers-receive", tools.log, ::receive)
+        startBackgroundTask("peers", context.log, ::sendNext)
+        startBackgroundTask("peers-receive", context.log, ::receive)
     }
 
-    /** Tells the zone and other zones soon that something changed in the store. */
+    /** Requests an early notification of a store change to the own zone and other zones. */
     fun notifyChange() {
-        changes.offer(Unit)
+        changeSignal.offer(Unit)
     }
 
-    /** Tells all instances that this one is stopping. */
+    /** Notifies all instances that this one is stopping. */
     fun announceLeaving() {
-        datagrams.send(synchronized(registry) { exchange.leave(peers.others()) })
+        socket.send(synchronized(registry) { exchange.leave(peers.others()) })
     }
 
-    /** Returns an instance to ask for something, one of the own region where there is one, or null. */
+    /** Returns a random other instance, preferably of the own region, or null when none is known. */
     fun randomPeer(): InstanceRecord? {
-        val (near, far) = peers.others().partition { place.regions[it.zone] == place.region }
-        return near.randomOrNull()?.takeIf { Random.nextInt(OTHER_REGION_ONE_IN) > 0 } ?: far.randomOrNull() ?: near.randomOrNull()
+        val (sameRegion, otherRegions) = peers.others().partition { location.regions[it.zone] == location.region }
+        return sameRegion.randomOrNull()?.takeIf { Random.nextInt(OTHER_REGION_ONE_IN) > 0 }
+            ?: otherRegions.randomOrNull()
+            ?: sameRegion.randomOrNull()
     }
 
-    /** Waits for the next beat or a change before it, and sends it. */
+    /** Waits until the next heartbeat is due or a change occurs, and sends the heartbeat or a change notification. */
     private fun sendNext(): Boolean {
         val waitMs = nextAtMs - clock.nowMs()
-        if (waitMs > 0 && changes.poll(waitMs, TimeUnit.MILLISECONDS) != null) {
-            news.statusToSend()?.let { tell(it) }
+        if (waitMs > 0 && changeSignal.poll(waitMs, TimeUnit.MILLISECONDS) != null) {
+            listener.statusToSend()?.let { sendNotification(it) }
         } else {
             nextAtMs = clock.nowMs() + HEARTBEAT_INTERVAL_MS
-            beat(number++)
+            sendHeartbeat(heartbeatNumber++)
         }
         return true
     }
 
-    private fun beat(number: Int) {
-        news.onHeartbeat()
-        val told = news.statusToSend()
+    private fun sendHeartbeat(number: Int) {
+        listener.onHeartbeat()
+        val status = listener.statusToSend()
         val others = peers.others()
-        synchronized(registry) { exchange.nextHeartbeats(number, others, told, clock.nowMs()) }
-            .forEach { datagrams.send(it) }
+        synchronized(registry) { exchange.nextHeartbeats(number, others, status, clock.nowMs()) }
+            .forEach { socket.send(it) }
     }
 
-    private fun tell(told: StoreStatus) {
+    private fun sendNotification(status: StoreStatus) {
         val others = peers.others()
-        datagrams.send(synchronized(registry) { exchange.changeNotification(others, told, clock.nowMs()) })
+        socket.send(synchronized(registry) { exchange.changeNotification(others, status, clock.nowMs()) })
     }
 
     private fun receive(): Boolean {
-        val message = datagrams.receive() ?: return true
+        val message = socket.receive() ?: return true
         synchronized(registry) { exchange.receive(message, clock.nowMs()) }
-        message.storeStatus?.let { news.take(message.sender.record, it) }
+        message.storeStatus?.let { listener.onStatusReceived(message.sender.record, it) }
         return true
     }
 }
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/PeerList.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/PeerList.kt
@@ -1,5 +1,5 @@
 /*
- * The other instances as the store lists them and as heartbeats tell.
+ * Lists the other instances, both as registered in the store and as known from heartbeats.
  */
 package org.cardamomwharf.gateway.peers
 
@@ -7,10 +7,10 @@
 import org.cardamomwharf.steering.instances.InstanceRecord
 import org.cardamomwharf.steering.instances.InstanceRegistry
 
-/** Time after a start for which listed instances count as running; their heartbeats need several rounds to arrive. */
+/** Time after the start in which registered instances count as running; heartbeats need several rounds to arrive. */
 private const val STARTUP_GRACE_MS = 3_000L
 
-/** Represents the instances that are known besides [own]. */
+/** Represents the instances that are known, as seen by the instance [own]. */
 internal class PeerList(
     private val own: InstanceRecord,
     private val registry: InstanceRegistry,
@@ -18,30 +18,34 @@
 ) {
     private val startedAtMs = clock.nowMs()
 
-    /** The instances that the store lists, or null before they were read. */
+    /** The other instances registered in the store, or null before they were read. */
     @Volatile
-    private var listed: List<InstanceRecord>? = null
+    private var registered: List<InstanceRecord>? = null
 
-    /** Takes the instances that the store lists. */
-    fun setListed(records: Collection<InstanceRecord>) {
+    /** Replaces the registered instances by [records]. */
+    fun setRegistered(records: Collection<InstanceRecord>) {
         val others = records.filter { it.name != own.name }
-        listed = others
+        registered = others
         synchronized(registry) { registry.addAddresses(others) }
     }
 
-    /** Returns the instances that run, this one included. */
+    /** Returns the running instances including this one. */
     fun running(): List<InstanceRecord> = synchronized(registry) { registry.running(clock.nowMs()) }
 
-    /** Returns all other instances that may run. */
+    /** Returns all other instances that may be running. */
     fun others(): List<InstanceRecord> =
-        (listed.orEmpty() + running()).associateBy { it.name }.values.filter { it.name != own.name }
+        (registered.orEmpty() + running()).associateBy { it.name }.values.filter { it.name != own.name }
 
     /**
-     * Returns the instances that share limits, or null while they aren't known. Listed instances count as running until
-     * their heartbeats had time to arrive.
+     * Returns the instances that share limits, or null while they aren't known. After the start, registered instances
+     * count as running until their heartbeats had time to arrive.
      */
-    fun sharing(): Collection<InstanceRecord>? {
-        val isSettled = clock.nowMs() - startedAtMs >= STARTUP_GRACE_MS
-        return if (isSettled) running() else listed?.let { (it + running()).associateBy { one -> one.name }.values }
+    fun instancesSharingLimits(): Collection<InstanceRecord>? {
+        val isStartupOver = clock.nowMs() - startedAtMs >= STARTUP_GRACE_MS
+        return if (isStartupOver) {
+            running()
+        } else {
+            registered?.let { (it + running()).associateBy { record -> record.name }.values }
+        }
     }
 }
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/PeerState.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/PeerState.kt
@@ -1,7 +1,7 @@
 /*
- * Instances give each other what they know of the store: one that follows it gives the others of its zone what changed,
- * and any gives what it knows to one that can't reach the store. Everything carries the version of the store, so
- * nothing older wins.
+ * Exchanges the store state between instances: an instance that watches the store sends changes to the others of its
+ * zone, and any instance sends its state to one that can't reach the store. All data carries the version of the store,
+ * so older data never replaces newer data.
  */
 package org.cardamomwharf.gateway.peers
 
@@ -24,15 +24,15 @@
 import org.eclipse.jetty.server.Request
 import java.nio.ByteBuffer
 
-/** Time for a call to another instance; several times the longest way there and back. */
+/** Timeout of a call to another instance; several times the longest round-trip time. */
 private const val CALL_TIMEOUT_MS = 400L
 private const val ORDERS = "orders"
 private const val SERVERS = "servers"
 
 /**
- * Represents what an instance knows of the store; tables that the asking one knows as well are left out.
+ * Represents the store state of an instance; tables without changes for the requesting instance are omitted.
  *
- * @param remainingGraceMs rest of the time for which backend servers that lapsed during an outage are kept.
+ * @param remainingGraceMs remaining time for which backend servers that expired during an outage are kept.
  */
 @Serializable
 internal data class PeerState(
@@ -42,13 +42,13 @@
     val remainingGraceMs: Long = 0,
 )
 
-/** Represents the versions that an instance knows already. */
+/** Represents the table versions that an instance already has. */
 internal data class KnownVersions(val orders: Long, val servers: Long)
 
 @OptIn(ExperimentalSerializationApi::class)
 private val cbor = Cbor { ignoreUnknownKeys = true }
 
-/** Returns the handler that gives other instances what [snapshot] says beyond the versions that they know. */
+/** Returns the handler that sends other instances the [snapshot] of changes since the versions that they have. */
 @OptIn(ExperimentalSerializationApi::class)
 internal fun createPeerStateHandler(snapshot: (KnownVersions) -> PeerState): AsyncHandler =
     AsyncHandler { request, response, callback ->
@@ -61,11 +61,11 @@
         response.write(true, ByteBuffer.wrap(frame(cbor.encodeToByteArray(snapshot(known)))), callback)
     }
 
-/** Asks the instance at [peer] for what it knows beyond [known]; returns null when it doesn't answer usefully. */
+/** Fetches changes since [known] from the instance at [peer]; returns null without a valid response. */
 @OptIn(ExperimentalSerializationApi::class)
-internal fun fetchPeerState(caller: HttpClient, peer: SocketAddress, known: KnownVersions): PeerState? {
+internal fun fetchPeerState(client: HttpClient, peer: SocketAddress, known: KnownVersions): PeerState? {
     val url = "http://$peer/state?$ORDERS=${known.orders}&$SERVERS=${known.servers}"
-    val end = caller.call(HttpCall("GET", url, timeoutMs = CALL_TIMEOUT_MS))
-    val answer = (end as? HttpResult.Completed)?.response?.takeIf { it.status == StatusCode.OK } ?: return null
-    return unframe(answer.body)?.let { cbor.decodeFromByteArray<PeerState>(it) }
+    val result = client.call(HttpCall("GET", url, timeoutMs = CALL_TIMEOUT_MS))
+    val response = (result as? HttpResult.Completed)?.response?.takeIf { it.status == StatusCode.OK } ?: return null
+    return unframe(response.body)?.let { cbor.decodeFromByteArray<PeerState>(it) }
 }
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/selftest/SelfTest.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/selftest/SelfTest.kt
@@ -1,6 +1,6 @@
 /*
- * Runs a gateway against a small store and a backend server in the same process, on loopback, and sends requests
- * through it. The build uses it to record which classes a start needs, so that starts are short.
+ * Runs a gateway with a stand-in store and a stand-in backend server in one process, on loopback, and sends requests
+ * through it. The build uses it to record the classes needed at startup, which shortens later starts.
  */
 package org.cardamomwharf.gateway.selftest
 
@@ -34,14 +34,14 @@
 import java.net.ServerSocket
 
 private const val HOST = "127.0.0.1"
-private const val TRIES = 100
-private const val PAUSE_MS = 50L
+private const val MAX_REQUESTS = 100
+private const val RETRY_DELAY_MS = 50L
 private const val CALL_TIMEOUT_MS = 1_000L
 private const val REQUIRED_RESPONSES = 20
 private val service = ServiceName("s")
 private val zone = ZoneName("z")
 
-/** Returns true when requests were served through a gateway in this process. */
+/** Returns true when a gateway in this process served the required number of requests. */
 internal fun runSelfTest(): Boolean {
     val ports = freePorts()
     val backend = SocketAddress(HOST, ports.backend)
@@ -52,27 +52,27 @@
     store.start(SocketAddress(HOST, ports.store))
     val process = GatewayProcess(createSettings(ports))
     if (process.start().isErr) return false
-    val caller = startJettyHttpClient(HttpClientSettings("self-test"))
-    val answered = (1..TRIES).asSequence()
-        .filter { isServed(caller, ports.caller, it) }
+    val client = startJettyHttpClient(HttpClientSettings("self-test"))
+    val servedCount = (1..MAX_REQUESTS).asSequence()
+        .filter { isServed(client, ports.caller, it) }
         .take(REQUIRED_RESPONSES)
         .count()
     listOf(
         "${ports.directory}/resolve?name=a&region=r&zone=z",
         "${ports.ready}/readyz",
         "${ports.metrics}/metrics",
-    ).forEach { caller.call(HttpCall("GET", "http://$HOST:$it", timeoutMs = CALL_TIMEOUT_MS)) }
+    ).forEach { client.call(HttpCall("GET", "http://$HOST:$it", timeoutMs = CALL_TIMEOUT_MS)) }
     process.stop()
-    return answered == REQUIRED_RESPONSES
+    return servedCount == REQUIRED_RESPONSES
 }
 
-private fun isServed(caller: HttpClient, port: Int, number: Int): Boolean {
+private fun isServed(client: HttpClient, port: Int, number: Int): Boolean {
     val headers = listOf(HttpField(HeaderNames.REQUEST_ID, "self-$number"), HttpField(HeaderNames.AFFINITY_KEY, "k"))
     val body = if (number % 2 == 0) ByteArray(0) else "body".toByteArray()
     val method = if (body.isEmpty()) "GET" else "POST"
-    val end = caller.call(HttpCall(method, "http://$HOST:$port/p/$number", headers, body, CALL_TIMEOUT_MS))
-    val isServed = (end as? HttpResult.Completed)?.response?.status == StatusCode.OK
-    if (!isServed) Thread.sleep(PAUSE_MS)
+    val result = client.call(HttpCall(method, "http://$HOST:$port/p/$number", headers, body, CALL_TIMEOUT_MS))
+    val isServed = (result as? HttpResult.Completed)?.response?.status == StatusCode.OK
+    if (!isServed) Thread.sleep(RETRY_DELAY_MS)
     return isServed
 }
 
@@ -87,7 +87,7 @@
     coldRemainingMs = 0,
 )
 
-/** Reads the settings from text as a start does, so that the classes of the reader are recorded too. */
+/** Parses the settings from text as a normal start does, so that the parser classes are recorded too. */
 private fun createSettings(ports: SelfTestPorts): GatewaySettings = parseGatewaySettings(
     """
     instance: "self"
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/settings/GatewaySettings.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/settings/GatewaySettings.kt
@@ -12,9 +12,9 @@
 import org.cardamomwharf.steering.limits.RetryBudgetParameters
 
 /**
- * Represents the settings.
+ * Represents the settings of a gateway process.
  *
- * @param zones all availability zones with their regions.
+ * @param zones region of each availability zone.
  * @param peerPort port for heartbeats between instances.
  * @param metricsPort port for metrics.
  */
@@ -27,17 +27,17 @@
     public val metricsPort: Int,
     public val bounds: GatewayBounds,
 ) {
-    /** Returns the place of this instance. */
+    /** Returns the location of this instance. */
     public fun toLocation(): InstanceLocation = InstanceLocation(instance, zone, zones)
 
-    /** Returns the terms of the decisions. */
+    /** Returns the parameters of steering. */
     public fun toParameters(): SteeringParameters = SteeringParameters(
         retryBudget = RetryBudgetParameters(bounds.retryRatio, bounds.retryAllowance, bounds.retryWindowMs),
         maxShift = bounds.maxShift,
     )
 }
 
-/** Represents where a process listens and whom it calls. */
+/** Represents the addresses that a process listens on, and the address of the store. */
 public data class GatewayAddresses(
     public val caller: SocketAddress,
     public val ready: SocketAddress,
@@ -47,12 +47,12 @@
 )
 
 /**
- * Represents what the users set as bounds.
+ * Represents the configured bounds.
  *
- * @param stopMs time from the signal to stop until the process is killed.
- * @param retryRatio repeats allowed for each request.
- * @param retryAllowance repeats allowed in each window besides.
- * @param maxShift largest change of the share of a region's requests that run elsewhere.
+ * @param stopMs time from the stop signal until the process is killed.
+ * @param retryRatio retries allowed per request.
+ * @param retryAllowance additional retries allowed per window.
+ * @param maxShift maximum change of the share of a region's requests that run in other regions.
  */
 public data class GatewayBounds(
     public val stopMs: Long,
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/settings/GatewaySettingsReader.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/settings/GatewaySettingsReader.kt
@@ -1,5 +1,5 @@
 /*
- * Reads the settings of a gateway process from YAML and gives either the settings or every problem of them.
+ * Reads the settings of a gateway process from YAML and returns either the settings or all problems found.
  */
 package org.cardamomwharf.gateway.settings
 
@@ -26,11 +26,11 @@
 private const val MAX_RETRY_RATIO = 10.0
 private val placeholderAddress = SocketAddress("0.0.0.0", 1)
 
-/** Returns the settings in [file], or every problem of them. */
+/** Reads the settings in [file]; returns all problems when they are invalid. */
 public fun readGatewaySettings(file: Path): Result<GatewaySettings, List<Problem>> =
     readText(file).flatMap(::parseGatewaySettings)
 
-/** Returns the settings in the YAML [text], or every problem of them. */
+/** Parses the settings in the YAML [text]; returns all problems when they are invalid. */
 public fun parseGatewaySettings(text: String): Result<GatewaySettings, List<Problem>> =
     readYaml(text) { fields, problems -> fields.readSettings(problems) }
 
@@ -49,37 +49,37 @@
     )
 }
 
-/** Returns the ports that are free for traffic between instances; heartbeats take the first, metrics the last. */
+/** Returns the range of ports for internal traffic; heartbeats use the first, metrics the last. */
 private fun YamlFields.readPorts(problems: ProblemCollector): IntRange {
     val ports = textList("internalPorts").map { it.toIntOrNull() ?: 0 }
     if (ports.size == 2 && ports.all { it > 0 } && ports[0] < ports[1]) return ports[0]..ports[1]
-    problems.report(ProblemKind.WRONG_TYPE, getPath("internalPorts"), "must be two rising port numbers")
+    problems.report(ProblemKind.WRONG_TYPE, getPath("internalPorts"), "must be two ascending port numbers")
     return 1..2
 }
 
 private fun YamlFields.readAddresses(problems: ProblemCollector) = GatewayAddresses(
-    caller = address("caller", problems),
-    ready = address("ready", problems),
-    directory = address("directory", problems),
-    store = address("store", problems),
+    caller = readAddress("caller", problems),
+    ready = readAddress("ready", problems),
+    directory = readAddress("directory", problems),
+    store = readAddress("store", problems),
     host = text("host"),
 )
 
-private fun YamlFields.address(key: String, problems: ProblemCollector): SocketAddress {
+private fun YamlFields.readAddress(key: String, problems: ProblemCollector): SocketAddress {
     val text = text(key)
     val address = SocketAddress.parse(text)
     if (address == null && text.isNotEmpty()) {
-        problems.report(ProblemKind.WRONG_TYPE, getPath(key), "$text isn't an IP number and port")
+        problems.report(ProblemKind.WRONG_TYPE, getPath(key), "$text isn't an IP address and port")
     }
     return address ?: placeholderAddress
 }
 
 private fun YamlFields.readBounds() = GatewayBounds(
-    stopMs = ms("stopS"),
+    stopMs = milliseconds("stopS"),
     retryRatio = decimal("retryRatio", MAX_RETRY_RATIO),
     retryAllowance = integer("retryAllowance", 0..MAX_RETRY_ALLOWANCE).toInt(),
-    retryWindowMs = ms("retryWindowS"),
+    retryWindowMs = milliseconds("retryWindowS"),
     maxShift = decimal("largestShift", 1.0),
 )
 
-private fun YamlFields.ms(key: String): Long = (decimal(key, MAX_SECONDS) * MS_PER_SECOND).toLong()
+private fun YamlFields.milliseconds(key: String): Long = (decimal(key, MAX_SECONDS) * MS_PER_SECOND).toLong()
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/store/StoreWatcher.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/store/StoreWatcher.kt
@@ -1,5 +1,5 @@
 /*
- * Brings what operators and backend servers write in the store into the decisions.
+ * Watches the tables of the store that operators and backend servers write, and applies their changes to steering.
  */
 package org.cardamomwharf.gateway.store
 
@@ -9,7 +9,6 @@
 import org.cardamomwharf.gateway.TaskContext
 import org.cardamomwharf.gateway.peers.KnownVersions
 import org.cardamomwharf.gateway.peers.PeerState
-import org.cardamomwharf.steering.desired.CallerLimits
 import org.cardamomwharf.steering.servers.ServerRecord
 import org.cardamomwharf.steering.store.ContentVersions
 import org.cardamomwharf.steering.store.DeploymentStore
@@ -17,33 +16,24 @@
 import org.cardamomwharf.steering.store.StoreStatus
 import org.cardamomwharf.steering.store.TableChange
 
-/** Is told what follows from the store beyond the decisions. */
-internal interface StoreListener {
-    /** New limits for callers are in force. */
-    fun onCallerLimits(limits: CallerLimits)
-
-    /** Something changed. */
-    fun onChange()
-}
-
 internal class StoreWatcher(
     store: DeploymentStore,
     private val steering: SynchronizedSteering,
-    tools: TaskContext,
+    context: TaskContext,
     restoreGraceMs: Long,
-    duty: WatcherRole,
+    role: WatcherRole,
     private val listener: StoreListener,
 ) {
-    private val log = tools.log
-    private val clock = tools.clock
-    private val evacuated = HashSet<ZoneName>()
+    private val log = context.log
+    private val clock = context.clock
+    private val evacuatedZones = HashSet<ZoneName>()
     private val orders: TableWatcher<OperatorOrder> =
-        TableWatcher("orders", store.orders, tools, 0, duty, ::applyOrders)
+        TableWatcher("orders", store.orders, context, 0, role, ::applyOrders)
     private val servers: TableWatcher<ServerRecord> =
-        TableWatcher("servers", store.servers, tools, restoreGraceMs, duty, ::applyServers)
+        TableWatcher("servers", store.servers, context, restoreGraceMs, role, ::applyServers)
 
     /** True when the orders and the backend servers have been read. */
-    val isKnown: Boolean get() = orders.known.isKnown && servers.known.isKnown
+    val isReady: Boolean get() = orders.table.isLoaded && servers.table.isLoaded
 
     fun start() {
         orders.start()
@@ -51,33 +41,34 @@
     }
 
     fun expire() {
-        servers.known.expire()
+        servers.table.expire()
     }
 
-    /** The versions up to which everything is known. */
-    val known: KnownVersions get() = KnownVersions(orders.known.version, servers.known.version)
+    /** Table versions up to which all changes are known. */
+    val knownVersions: KnownVersions get() = KnownVersions(orders.table.version, servers.table.version)
 
-    /** The newest entries that are known. */
-    val content: ContentVersions get() = ContentVersions(orders.known.contentVersion, servers.known.contentVersion)
+    /** Versions of the newest known entries. */
+    val contentVersions: ContentVersions
+        get() = ContentVersions(orders.table.contentVersion, servers.table.contentVersion)
 
-    /** Returns what other instances are told about the store. */
-    fun news(): StoreStatus {
+    /** Returns the store status that is reported to other instances. */
+    fun status(): StoreStatus {
         val nowMs = clock.nowMs()
         val silentForMs = maxOf(orders.silentForMs(nowMs), servers.silentForMs(nowMs))
-        return StoreStatus(content, silentForMs, orders.isFailing || servers.isFailing)
+        return StoreStatus(contentVersions, silentForMs, orders.isFailing || servers.isFailing)
     }
 
-    /** Returns what is known beyond [known], for another instance. */
+    /** Returns the changes since [known] for another instance. */
     fun stateSince(known: KnownVersions): PeerState = PeerState(
-        orders.known.updateSince(known.orders),
-        servers.known.updateSince(known.servers),
-        servers.known.remainingGraceMs(),
+        orders.table.updateSince(known.orders),
+        servers.table.updateSince(known.servers),
+        servers.table.remainingGraceMs(),
     )
 
-    /** Takes what another instance knows of the store. */
+    /** Applies the store state received from another instance. */
     fun applyFromPeer(state: PeerState) {
-        state.orders?.let { orders.known.applyFromPeer(it, 0) }
-        state.servers?.let { servers.known.applyFromPeer(it, state.remainingGraceMs) }
+        state.orders?.let { orders.table.applyFromPeer(it, 0) }
+        state.servers?.let { servers.table.applyFromPeer(it, state.remainingGraceMs) }
         if (state.orders != null || state.servers != null) {
             log.event("state-from-peer") {
                 put("orders", state.orders?.version)
@@ -94,14 +85,14 @@
     @Synchronized
     private fun applyOrders(changes: List<TableChange<OperatorOrder>>) {
         changes.forEach { change ->
-            (change.before as? OperatorOrder.Evacuation)?.let { evacuated.remove(it.zone) }
+            (change.before as? OperatorOrder.Evacuation)?.let { evacuatedZones.remove(it.zone) }
             when (val order = change.after) {
-                is OperatorOrder.Evacuation -> evacuated.add(order.zone)
+                is OperatorOrder.Evacuation -> evacuatedZones.add(order.zone)
                 is OperatorOrder.Desired -> adopt(order)
                 null -> Unit
             }
         }
-        val zones = evacuated.toSet()
+        val zones = evacuatedZones.toSet()
         steering.withLock { decisions, nowMs -> decisions.evacuate(zones, nowMs) }
         listener.onChange()
     }
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/store/SynchronizedTable.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/store/SynchronizedTable.kt
@@ -1,6 +1,6 @@
 /*
- * What a process believes of one table, shared between the threads that learn of changes. Each change is logged and
- * handed on under one lock, so that changes of two threads are handed on in their order.
+ * A cached table of the store, shared between the threads that receive changes. Each change is logged and published
+ * under one lock, so that changes of two threads are published in order.
  */
 package org.cardamomwharf.gateway.store
 
@@ -10,69 +10,69 @@
 import org.cardamomwharf.steering.store.TableChange
 import org.cardamomwharf.steering.store.TableUpdate
 
-/** Length at which values are cut in log lines. */
+/** Length to which values are truncated in log lines. */
 private const val MAX_VALUE_CHARACTERS = 300
 
 internal class SynchronizedTable<T>(
     private val name: String,
-    private val tools: TaskContext,
+    private val context: TaskContext,
     restoreGraceMs: Long,
     private val onChange: (List<TableChange<T>>) -> Unit,
 ) {
-    private val belief = CachedTable<T>(restoreGraceMs)
+    private val table = CachedTable<T>(restoreGraceMs)
 
-    /** True when the table was read once, here or by another instance. */
+    /** True once the table has been read, by this instance or by another one. */
     @Volatile
-    var isKnown = false
+    var isLoaded = false
         private set
 
-    /** Version of the store up to which everything is known. */
-    val version: Long get() = synchronized(belief) { belief.version }
+    /** Version of the store up to which all changes are known. */
+    val version: Long get() = synchronized(table) { table.version }
 
-    /** Newest version of an entry that is known. */
-    val contentVersion: Long get() = synchronized(belief) { belief.contentVersion }
+    /** Version of the newest known entry. */
+    val contentVersion: Long get() = synchronized(table) { table.contentVersion }
 
-    /** Returns what is known when it is newer than [version], or null. */
+    /** Returns the changes since [version], or null when there are none. */
     fun updateSince(version: Long): TableUpdate<T>? =
-        synchronized(belief) { if (isKnown && belief.version > version) belief.updateSince(version) else null }
+        synchronized(table) { if (isLoaded && table.version > version) table.updateSince(version) else null }
 
-    /** Returns the rest of the grace period for entries that lapsed during an outage. */
-    fun remainingGraceMs(): Long = synchronized(belief) { belief.gracePeriod.remainingMs(tools.clock.nowMs()) }
+    /** Returns the remaining grace period of entries that expired during an outage. */
+    fun remainingGraceMs(): Long = synchronized(table) { table.gracePeriod.remainingMs(context.clock.nowMs()) }
 
-    /** Notes that the store answers again after an outage. */
+    /** Starts the grace period when the store is available again after an outage. */
     fun startGracePeriod() {
-        if (isKnown) synchronized(belief) { belief.gracePeriod.start(tools.clock.nowMs()) }
+        if (isLoaded) synchronized(table) { table.gracePeriod.start(context.clock.nowMs()) }
     }
 
-    /** Takes a reading of the store; returns false when it is older than what is known and must be read again. */
-    fun take(reading: TableUpdate<T>): Boolean = synchronized(belief) {
-        val isStale = belief.isStale(reading)
-        publish { belief.apply(reading, tools.clock.nowMs()) }
-        isKnown = true
+    /** Applies [update]; returns false when it is older than the cached state and the table must be read again. */
+    fun apply(update: TableUpdate<T>): Boolean = synchronized(table) {
+        val isStale = table.isStale(update)
+        publish { table.apply(update, context.clock.nowMs()) }
+        isLoaded = true
         !isStale
     }
 
-    /** Takes what another instance knows, with the rest of its grace period. */
-    fun applyFromPeer(reading: TableUpdate<T>, remainingGraceMs: Long) {
+    /** Applies [update] received from another instance, with the remaining grace period there. */
+    fun applyFromPeer(update: TableUpdate<T>, remainingGraceMs: Long) {
         publish {
-            belief.gracePeriod.extend(remainingGraceMs, tools.clock.nowMs())
-            belief.apply(reading, tools.clock.nowMs())
+            table.gracePeriod.extend(remainingGraceMs, context.clock.nowMs())
+            table.apply(update, context.clock.nowMs())
         }
-        isKnown = true
+        isLoaded = true
     }
 
-    /** Removes entries whose grace period is over; due a few times a second. */
-    fun expire() = publish { belief.expire(tools.clock.nowMs()) }
+    /** Removes entries whose grace period is over; must be called a few times per second. */
+    fun expire() = publish { table.expire(context.clock.nowMs()) }
 
-    private fun publish(change: () -> List<TableChange<T>>) = synchronized(belief) {
-        val changes = change()
+    private fun publish(applyChange: () -> List<TableChange<T>>) = synchronized(table) {
+        val changes = applyChange()
         if (changes.isNotEmpty()) {
             changes.forEach(::log)
             onChange(changes)
         }
     }
 
-    private fun log(change: TableChange<T>) = tools.log.event("belief") {
+    private fun log(change: TableChange<T>) = context.log.event("belief") {
         put("table", name)
         put("key", change.key)
         put("version", change.version)
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/store/TableWatcher.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/store/TableWatcher.kt
@@ -1,7 +1,7 @@
 /*
- * Follows one table of the store on a thread of its own and hands changes on. When the store no longer has the history,
- * the table is read whole. While the store is away the watcher keeps what it knows and asks again. While another
- * instance follows the store for this one, the watcher only takes what that instance tells.
+ * Watches one table of the store on a thread of its own and publishes the changes. When the store no longer has the
+ * history, the whole table is read. While the store is unavailable the watcher keeps the cached state and retries.
+ * While another instance watches the store for this one, the watcher only receives the changes from that instance.
  */
 package org.cardamomwharf.gateway.store
 
@@ -16,35 +16,35 @@
 import org.cardamomwharf.steering.store.TableUpdate
 import kotlin.random.Random
 
-/** Longest wait for a change; a silent connection is noticed after it, within the users' stable window. */
+/** Timeout of a long poll; bounds the time until a dead connection is noticed, within the required stable window. */
 private const val LONG_POLL_TIMEOUT_MS = 2_500L
 
-/** Pause between two answers with changes, so that changes in quick succession share a call. */
-private const val PAUSE_MS = 150L
+/** Delay after a response with changes, so that changes in quick succession share a call. */
+private const val BATCH_DELAY_MS = 150L
 
-/** First pause after a failed call; doubles up to the longest. */
-private const val MIN_RETRY_DELAY_MS = 50L
+/** Base of the retry delay, which doubles with each failed call up to the maximum. */
+private const val BASE_RETRY_DELAY_MS = 50L
 
-/** Longest pause after failed calls; well below the bounds for changes in the settings. */
+/** Maximum retry delay; well below the bounds for changes in the settings. */
 private const val MAX_RETRY_DELAY_MS = 800L
 
-/** Pause between looks whether this instance has to follow the store; a small part of the bounds for changes. */
+/** Interval of checks whether this instance has to watch the store; a small part of the bounds for changes. */
 private const val ROLE_CHECK_INTERVAL_MS = 150L
 
 internal class TableWatcher<T>(
     private val name: String,
-    private val table: StoreTable<T>,
-    tools: TaskContext,
+    private val storeTable: StoreTable<T>,
+    context: TaskContext,
     restoreGraceMs: Long,
-    private val duty: WatcherRole,
+    private val role: WatcherRole,
     onChange: (List<TableChange<T>>) -> Unit,
 ) {
-    private val clock = tools.clock
-    private val log = tools.log
+    private val clock = context.clock
+    private val log = context.log
     private var isFullReadDue = true
 
-    /** What is known of the table. */
-    val known: SynchronizedTable<T> = SynchronizedTable(name, tools, restoreGraceMs, onChange)
+    /** The cached table. */
+    val table: SynchronizedTable<T> = SynchronizedTable(name, context, restoreGraceMs, onChange)
 
     @Volatile
     private var failures = 0
@@ -55,33 +55,35 @@
     /** True when the latest call to the store failed. */
     val isFailing: Boolean get() = failures > 0
 
-    /** Returns the time since the store last answered; very long before the first answer. */
-    fun silentForMs(nowMs: Long): Long = if (lastResponseAtMs == Long.MIN_VALUE) Long.MAX_VALUE else nowMs - lastResponseAtMs
+    /** Returns the time since the last response of the store, or Long.MAX_VALUE before the first one. */
+    fun silentForMs(nowMs: Long): Long =
+        if (lastResponseAtMs == Long.MIN_VALUE) Long.MAX_VALUE else nowMs - lastResponseAtMs
 
     fun start() {
         startBackgroundTask("watch-$name", log) {
-            if (known.isKnown && !duty.isWatcher()) Thread.sleep(ROLE_CHECK_INTERVAL_MS) else readOnce()
+            if (table.isLoaded && !role.isWatcher()) Thread.sleep(ROLE_CHECK_INTERVAL_MS) else readOnce()
             true
         }
     }
 
     private fun readOnce() {
-        val result = if (isFullReadDue) table.read() else table.awaitChanges(known.version, LONG_POLL_TIMEOUT_MS)
-        result.onSuccess { take(it) }.onFailure { fail(it) }
+        val result =
+            if (isFullReadDue) storeTable.read() else storeTable.awaitChanges(table.version, LONG_POLL_TIMEOUT_MS)
+        result.onSuccess { applyUpdate(it) }.onFailure { handleFailure(it) }
     }
 
-    private fun take(reading: TableUpdate<T>) {
+    private fun applyUpdate(update: TableUpdate<T>) {
         lastResponseAtMs = clock.nowMs()
         if (failures > 0) recordRestored()
-        isFullReadDue = !known.take(reading)
-        if (isFullReadDue) logStale(reading)
-        if (reading.entries.isNotEmpty()) Thread.sleep(PAUSE_MS)
+        isFullReadDue = !table.apply(update)
+        if (isFullReadDue) logStale(update)
+        if (update.entries.isNotEmpty()) Thread.sleep(BATCH_DELAY_MS)
     }
 
-    private fun logStale(reading: TableUpdate<T>) = log.event("store-stale") {
+    private fun logStale(update: TableUpdate<T>) = log.event("store-stale") {
         put("table", name)
-        put("version", reading.version)
-        put("known", known.version)
+        put("version", update.version)
+        put("known", table.version)
     }
 
     private fun recordRestored() {
@@ -90,14 +92,14 @@
             put("failures", failures)
         }
         failures = 0
-        known.startGracePeriod()
+        table.startGracePeriod()
     }
 
-    private fun fail(error: StoreError) {
+    private fun handleFailure(error: StoreError) {
         if (error == StoreError.HISTORY_GONE) {
             log.event("store-history-gone") {
                 put("table", name)
-                put("version", known.version)
+                put("version", table.version)
             }
             isFullReadDue = true
             return
@@ -106,12 +108,12 @@
             log.event("store-lost") {
                 put("table", name)
                 put("error", error.code)
-                put("version", known.version)
+                put("version", table.version)
             }
         }
-        duty.onStoreUnavailable()
-        val pauseMs = (MIN_RETRY_DELAY_MS shl minOf(failures, MAX_DOUBLINGS)).coerceAtMost(MAX_RETRY_DELAY_MS)
-        Thread.sleep(pauseMs / 2 + Random.nextLong(pauseMs / 2 + 1))
+        role.onStoreUnavailable()
+        val delayMs = (BASE_RETRY_DELAY_MS shl minOf(failures, MAX_DOUBLINGS)).coerceAtMost(MAX_RETRY_DELAY_MS)
+        Thread.sleep(delayMs / 2 + Random.nextLong(delayMs / 2 + 1))
     }
 
     private companion object {
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/store/WatcherRole.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/store/WatcherRole.kt
@@ -1,12 +1,12 @@
 /*
- * What a watcher asks about its part among the instances.
+ * The role of this instance in watching the store.
  */
 package org.cardamomwharf.gateway.store
 
 internal interface WatcherRole {
-    /** Returns true when this instance has to follow the store itself. */
+    /** Returns true when this instance has to watch the store itself. */
     fun isWatcher(): Boolean
 
-    /** Is called after each failed call to the store. */
+    /** Called after each failed call to the store. */
     fun onStoreUnavailable()
 }
--- a/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/BackgroundTaskTest.kt
+++ b/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/BackgroundTaskTest.kt
@@ -1,5 +1,5 @@
 /*
- * A duty goes on after a step that fails, and ends when a step says so.
+ * Tests that a background task continues after a failed step, and ends when a step returns false.
  */
 package org.cardamomwharf.gateway
 
@@ -14,7 +14,7 @@
 private const val STEPS = 4
 
 class BackgroundTaskTest : FunSpec({
-    test("`a step that fails unexpectedly does not end its duty`") {
+    test("`a step that fails unexpectedly does not end its task`") {
         val steps = ArrayBlockingQueue<Int>(STEPS + 1)
         var number = 0
         startBackgroundTask("test", DecisionLog(monotonicClock())) {
--- a/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/CallerLimitsTest.kt
+++ b/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/CallerLimitsTest.kt
@@ -1,6 +1,6 @@
 /*
- * What a whole gateway answers to requests that are too large, ambiguous or have no route, and before it knows its
- * configuration. The store and the backend server are stand-ins.
+ * Tests how a whole gateway responds to requests that are too large, ambiguous or have no route, and to requests before
+ * the configuration is loaded. The store and the backend server are stand-ins.
  */
 package org.cardamomwharf.gateway
 
@@ -29,10 +29,10 @@
 
 private const val HOST = "127.0.7.1"
 private const val CALLER_PORT = 8_000
-private const val LIMIT_MS = 20_000
+private const val TIMEOUT_MS = 20_000
 private const val MAX_BODY_BYTES = 1_000L
-private const val TRIES = 200
-private const val PAUSE_MS = 50L
+private const val MAX_ATTEMPTS = 200
+private const val RETRY_DELAY_MS = 50L
 
 class CallerLimitsTest : FunSpec({
     val service = ServiceName("reads")
@@ -77,9 +77,9 @@
         servers.forEach { it.stop() }
     }
 
-    /** Sends [text] and returns the statuses of all answers until the connection is closed. */
+    /** Sends [text] and returns the statuses of all responses until the connection is closed. */
     fun statuses(text: String): List<Int> = Socket(HOST, CALLER_PORT).use { socket ->
-        socket.soTimeout = LIMIT_MS
+        socket.soTimeout = TIMEOUT_MS
         socket.getOutputStream().write(text.toByteArray())
         Regex("HTTP/1\\.1 (\\d+)").findAll(socket.getInputStream().bufferedReader().readText())
             .map { it.groupValues[1].toInt() }.toList()
@@ -90,21 +90,21 @@
         return "POST $path HTTP/1.1\r\nHost: h\r\nX-Request-Id: ${path.length}\r\n$close$fields\r\n$body"
     }
 
-    test("`before the configuration is known every request is refused, and served soon after`") {
+    test("`requests are refused until the configuration is loaded and served soon after`") {
         statuses(request("/r/a", "Content-Length: 0\r\n")) shouldBe listOf(503)
         store.faults = StoreFaults()
-        val first = (1..TRIES).firstOrNull {
-            Thread.sleep(PAUSE_MS)
+        val first = (1..MAX_ATTEMPTS).firstOrNull {
+            Thread.sleep(RETRY_DELAY_MS)
             statuses(request("/r/a", "Content-Length: 0\r\n")) == listOf(200)
         }
         (first != null) shouldBe true
     }
 
-    test("`a path without a route gets 404`") {
+    test("`a path without a route gets status 404`") {
         statuses(request("/other/", "Content-Length: 0\r\n")) shouldBe listOf(404)
     }
 
-    test("`a body over the limit is refused whatever its framing, and never reaches a backend server`") {
+    test("`a body over the limit is refused with either framing and never reaches a backend server`") {
         val before = backend.runs.size
         val body = "x".repeat(MAX_BODY_BYTES.toInt() + 1)
         statuses(request("/r/large", "Content-Length: ${body.length}\r\n", body)) shouldBe listOf(413)
@@ -113,11 +113,11 @@
         backend.runs.drop(before) shouldHaveSize 0
     }
 
-    test("`a head over the limit is refused`") {
+    test("`headers over the limit are refused`") {
         statuses(request("/r/a", "X-Long: ${"x".repeat(20_000)}\r\nContent-Length: 0\r\n")) shouldBe listOf(431)
     }
 
-    test("`two lengths, or a length beside chunks, are refused and nothing behind them is run`") {
+    test("`two content lengths, or a content length with chunks, are refused and nothing after them runs`") {
         val before = backend.runs.size
         val hidden = request("/r/hidden", "Content-Length: 0\r\n")
         val twice = request("/r/a", "Content-Length: 0\r\nContent-Length: ${hidden.length}\r\n", hidden, isLast = false)
@@ -127,9 +127,10 @@
         backend.runs.drop(before).filter { "hidden" in it.path } shouldHaveSize 0
     }
 
-    test("`requests that are sent ahead on one connection are answered in order`") {
-        val ahead = request("/r/a", "Content-Length: 0\r\n", isLast = false) + request("/r/bc", "Content-Length: 0\r\n")
-        statuses(ahead) shouldBe listOf(200, 200)
+    test("`pipelined requests on one connection are answered in order`") {
+        val pipelined =
+            request("/r/a", "Content-Length: 0\r\n", isLast = false) + request("/r/bc", "Content-Length: 0\r\n")
+        statuses(pipelined) shouldBe listOf(200, 200)
         backend.runs.map { it.path } shouldContain "/r/bc"
     }
 })
--- a/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/GracefulStopTest.kt
+++ b/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/GracefulStopTest.kt
@@ -1,5 +1,5 @@
 /*
- * What a planned stop leaves to finish.
+ * Tests that a planned stop waits for requests that have arrived.
  */
 package org.cardamomwharf.gateway
 
@@ -36,14 +36,14 @@
 private const val STOP_MS = 20_000L
 
 class GracefulStopTest : FunSpec({
-    test("`a stop waits for a request that has arrived and isn't counted yet`") {
+    test("`a stop waits for a request that has arrived but isn't counted yet`") {
         val clock = monotonicClock()
         val threads = startHttpThreads(AsyncHttpServerSettings())
-        val place = InstanceLocation(InstanceName("i"), ZoneName("z"), mapOf(ZoneName("z") to RegionName("r")))
+        val location = InstanceLocation(InstanceName("i"), ZoneName("z"), mapOf(ZoneName("z") to RegionName("r")))
         val parameters = SteeringParameters(RetryBudgetParameters(0.2, 10, 10_000))
-        val steering = SynchronizedSteering(Steering(place, parameters), clock)
+        val steering = SynchronizedSteering(Steering(location, parameters), clock)
         val pool = startConnectionPool(ConnectionPoolSettings(), threads.executor, clock)
-        val tools = ForwardingContext(steering, pool, threads.scheduler, clock) { }
+        val forwarding = ForwardingContext(steering, pool, threads.scheduler, clock) { }
         val arrived = CountDownLatch(1)
         val responseAllowed = CountDownLatch(1)
         val handler = AsyncHandler { _, response, callback ->
@@ -53,17 +53,17 @@
                 response.write(true, ByteBuffer.wrap("late".toByteArray()), callback)
             }
         }
-        val front = createAsyncHttpServer(
+        val server = createAsyncHttpServer(
             AsyncHttpServerSettings(),
             threads,
             listOf(HttpListener(LISTENER, SocketAddress("127.0.0.1", 0), handler)),
         )
-        front.start()
-        val socket = Socket("127.0.0.1", front.getPort(LISTENER))
+        server.start()
+        val socket = Socket("127.0.0.1", server.getPort(LISTENER))
         socket.getOutputStream().write("GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n".toByteArray())
         arrived.await(TIMEOUT_S, TimeUnit.SECONDS) shouldBe true
         val stopped = CountDownLatch(1)
-        val stop = GracefulStop(TaskContext(clock, DecisionLog(clock)), tools, front, STOP_MS, acceptMs = 0)
+        val stop = GracefulStop(TaskContext(clock, DecisionLog(clock)), forwarding, server, STOP_MS, acceptMs = 0)
         thread {
             stop.run(LISTENER) { }
             stopped.countDown()
@@ -72,6 +72,6 @@
         responseAllowed.countDown()
         socket.getInputStream().bufferedReader().readText() shouldStartWith "HTTP/1.1 200"
         stopped.await(TIMEOUT_S, TimeUnit.SECONDS) shouldBe true
-        front.stop()
+        server.stop()
     }
 })
--- a/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/StartErrorTest.kt
+++ b/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/StartErrorTest.kt
@@ -1,5 +1,6 @@
 /*
- * A process whose addresses are taken says so and starts nothing that looks alive.
+ * Guards against a process that keeps running although its addresses are in use: the start has to return an error and
+ * must not leave a process that appears healthy.
  */
 package org.cardamomwharf.gateway
 
@@ -37,15 +38,15 @@
 ).getOrThrow { IllegalStateException(it.toString()) }
 
 class StartErrorTest : FunSpec({
-    test("`a start whose address for heartbeats is taken is a fault`") {
+    test("`a start fails when the heartbeat address is in use`") {
         DatagramSocket(InetSocketAddress(HOST, PEER_PORT)).use {
-            GatewayProcess(settings).start().getError().shouldBeInstanceOf<StartError.Listening>()
+            GatewayProcess(settings).start().getError().shouldBeInstanceOf<StartError.BindFailed>()
         }
     }
 
-    test("`a start whose address for callers is taken is a fault`") {
+    test("`a start fails when the address for callers is in use`") {
         ServerSocket(CALLER_PORT, BACKLOG, InetAddress.getByName(HOST)).use {
-            GatewayProcess(settings).start().getError().shouldBeInstanceOf<StartError.Listening>()
+            GatewayProcess(settings).start().getError().shouldBeInstanceOf<StartError.BindFailed>()
         }
     }
 })
--- a/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/peers/HeartbeatCodecTest.kt
+++ b/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/peers/HeartbeatCodecTest.kt
@@ -1,5 +1,5 @@
 /*
- * Datagrams with heartbeats survive the way, and what isn't one harms nobody.
+ * Tests that heartbeat datagrams survive encoding and decoding, and that invalid datagrams are rejected.
  */
 package org.cardamomwharf.gateway.peers
 
@@ -25,7 +25,7 @@
 private const val MAX_DATAGRAM_BYTES = 65_507
 
 class HeartbeatCodecTest : FunSpec({
-    fun beat(name: String) = Heartbeat(
+    fun heartbeat(name: String) = Heartbeat(
         InstanceRecord(InstanceName(name), ZoneName("z"), SocketAddress("10.0.0.1", 80), SocketAddress("10.0.0.1", 90)),
         Incarnation(1_700_000_000_000),
         7,
@@ -36,28 +36,28 @@
         HeartbeatCount(InstanceName("front-zone-$it"), Incarnation(1_700_000_000_000 + it), it.toLong(), it % 2 == 0)
     }
 
-    test("`a message with all its parts is read as it was written`") {
-        val news = StoreStatus(ContentVersions(3, 4), 250, isFailing = true)
-        val message = HeartbeatMessage(beat("a"), listOf(beat("b"), beat("c")), counts(95), news)
+    test("`a message with all fields is decoded as it was encoded`") {
+        val status = StoreStatus(ContentVersions(3, 4), 250, isFailing = true)
+        val message = HeartbeatMessage(heartbeat("a"), listOf(heartbeat("b"), heartbeat("c")), counts(95), status)
         decodeHeartbeats(encodeHeartbeats(message)) shouldBe message
     }
 
-    test("`a message that tells nothing of others is read as it was written`") {
-        decodeHeartbeats(encodeHeartbeats(HeartbeatMessage(beat("a")))) shouldBe HeartbeatMessage(beat("a"))
+    test("`a message without data about other instances is decoded as it was encoded`") {
+        decodeHeartbeats(encodeHeartbeats(HeartbeatMessage(heartbeat("a")))) shouldBe HeartbeatMessage(heartbeat("a"))
     }
 
     test("`the largest message fits into a datagram`") {
-        val message = HeartbeatMessage(beat("a"), List(16) { beat("b$it") }, counts(600))
+        val message = HeartbeatMessage(heartbeat("a"), List(16) { heartbeat("b$it") }, counts(600))
         encodeHeartbeats(message).size shouldBeLessThan MAX_DATAGRAM_BYTES
     }
 
-    test("`bytes of strangers and cut datagrams are never taken for a message`") {
+    test("`random bytes, truncated and corrupted datagrams are rejected`") {
         checkAll(2_000, Arb.byteArray(Arb.int(0..200), Arb.byte())) { decodeHeartbeats(it) shouldBe null }
-        val whole = encodeHeartbeats(HeartbeatMessage(beat("a"), counts = counts(3)))
+        val whole = encodeHeartbeats(HeartbeatMessage(heartbeat("a"), counts = counts(3)))
         whole.indices.forEach { decodeHeartbeats(whole.copyOf(it)) shouldBe null }
         whole.indices.forEach { index ->
-            val damaged = whole.copyOf().also { it[index] = (it[index] + 1).toByte() }
-            decodeHeartbeats(damaged) shouldBe null
+            val corrupted = whole.copyOf().also { it[index] = (it[index] + 1).toByte() }
+            decodeHeartbeats(corrupted) shouldBe null
         }
     }
 })
--- a/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/serial/SerialFormsTest.kt
+++ b/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/serial/SerialFormsTest.kt
@@ -1,5 +1,6 @@
 /*
- * Guards the bytes between instances, the names of metrics, log lines and codes of enums against renames in the code.
+ * Guards the bytes exchanged between instances, the names of metrics and log lines, and the codes of enums against
+ * changes through renames in the code.
  */
 @file:OptIn(ExperimentalSerializationApi::class)
 
@@ -74,8 +75,8 @@
     sampleTrace(warmth, choice, if (choice == RegionChoice.HOME) null else "r")
 }
 
-/** Returns the lines that [write] writes to the log of decisions. */
-private fun linesOf(write: (DecisionLog) -> Unit): List<String> {
+/** Returns the lines that [write] writes to the decision log. */
+private fun captureLines(write: (DecisionLog) -> Unit): List<String> {
     val lines = ArrayList<String>()
     val appender = object : AbstractAppender("recorded", null, null, true, Property.EMPTY_ARRAY) {
         override fun append(event: LogEvent) {
@@ -101,17 +102,17 @@
             HeartbeatCount(InstanceName("d"), Incarnation(1), 2, true),
             HeartbeatCount(InstanceName("e"), Incarnation(3), 4, false),
         )
-        val news = StoreStatus(ContentVersions(7, 8), 9, isFailing = true)
-        val message = HeartbeatMessage(heartbeat("a"), listOf(heartbeat("b"), heartbeat("c")), counts, news)
+        val status = StoreStatus(ContentVersions(7, 8), 9, isFailing = true)
+        val message = HeartbeatMessage(heartbeat("a"), listOf(heartbeat("b"), heartbeat("c")), counts, status)
         val recorded = compareWithRecorded("datagram.txt", listOf(HexFormat.of().formatHex(encodeHeartbeats(message))))
         decodeHeartbeats(HexFormat.of().parseHex(recorded.single())) shouldBe message
     }
 
-    test("`lines of the log of decisions are those that were recorded`") {
-        val lines = linesOf { log ->
+    test("`lines of the decision log are those that were recorded`") {
+        val lines = captureLines { log ->
             sampleTraces().forEach(log::record)
-            val watch = DirectoryScopeLog(log, GatewayMetrics())
-            DirectoryScope.entries.forEach { watch.note(ZoneName("z"), DirectoryChoice(it, emptyList())) }
+            val scopeLog = DirectoryScopeLog(log, GatewayMetrics())
+            DirectoryScope.entries.forEach { scopeLog.record(ZoneName("z"), DirectoryChoice(it, emptyList())) }
         }
         compareWithRecorded("log-lines.txt", lines)
     }
--- a/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/settings/GatewaySettingsTest.kt
+++ b/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/settings/GatewaySettingsTest.kt
@@ -1,5 +1,5 @@
 /*
- * The settings of a gateway, as the template gives them and with faults.
+ * Tests the settings of a gateway, both as in the template and with errors.
  */
 package org.cardamomwharf.gateway.settings
 
@@ -34,7 +34,7 @@
 """.trimIndent()
 
 class GatewaySettingsTest : FunSpec({
-    test("`good settings are read whole`") {
+    test("`valid settings are read completely`") {
         val settings = parseGatewaySettings(VALID_SETTINGS).getOrElse { null }.shouldNotBeNull()
         settings.zones shouldBe mapOf(ZoneName("a") to RegionName("north"), ZoneName("b") to RegionName("south"))
         settings.peerPort shouldBe 7_200
@@ -42,7 +42,7 @@
         settings.bounds.stopMs shouldBe 6_000
     }
 
-    test("`every fault is named with its field`") {
+    test("`every problem names its field`") {
         val text = VALID_SETTINGS.replace("10.200.1.7:8384", "nowhere").replace("[7200, 7215]", "[7215, 7200]")
             .replace("retryRatio: 0.2", "retryRatio: -1")
         val paths = parseGatewaySettings(text).getError().shouldNotBeNull().map { it.path }
--- a/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/store/TableWatcherTest.kt
+++ b/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/store/TableWatcherTest.kt
@@ -1,5 +1,5 @@
 /*
- * Following a table of a store that loses its history, answers with old readings or is away.
+ * Tests the watcher of a table whose store loses its history, returns outdated updates or is unavailable.
  */
 package org.cardamomwharf.gateway.store
 
@@ -21,7 +21,7 @@
 
 private const val TIMEOUT_S = 30L
 
-/** Answers reads and waits from two scripts; a script that has run out keeps the caller waiting. */
+/** Returns scripted results for reads and long polls; blocks when a script has run out. */
 private class ScriptedTable(
     reads: List<Result<TableUpdate<String>, StoreError>>,
     waits: List<Result<TableUpdate<String>, StoreError>>,
@@ -40,21 +40,21 @@
     fun whole(version: Long, value: String) =
         Ok(TableUpdate(listOf(TableEntry("a", version, value)), version, isWhole = true))
 
-    fun watch(table: StoreTable<String>, whenAway: () -> Unit = {}): BlockingQueue<String> {
+    fun watch(table: StoreTable<String>, whenUnavailable: () -> Unit = {}): BlockingQueue<String> {
         val seen = LinkedBlockingQueue<String>()
-        val tools = TaskContext(clock, DecisionLog(clock))
-        val duty = object : WatcherRole {
+        val context = TaskContext(clock, DecisionLog(clock))
+        val role = object : WatcherRole {
             override fun isWatcher(): Boolean = true
 
-            override fun onStoreUnavailable() = whenAway()
+            override fun onStoreUnavailable() = whenUnavailable()
         }
-        TableWatcher("test", table, tools, 0, duty) { changes -> changes.forEach { seen.add("${it.after}") } }.start()
+        TableWatcher("test", table, context, 0, role) { changes -> changes.forEach { seen.add("${it.after}") } }.start()
         return seen
     }
 
     fun BlockingQueue<String>.next() = poll(TIMEOUT_S, TimeUnit.SECONDS)
 
-    test("`a table is read again until the reading isn't older than what is known`") {
+    test("`a table is read again until the update isn't older than the cached state`") {
         val quiet = Ok(TableUpdate(emptyList<TableEntry<String>>(), 9, isWhole = false))
         val table = ScriptedTable(
             reads = listOf(whole(1, "first"), whole(4, "old"), whole(5, "old"), whole(10, "newest")),
@@ -65,14 +65,14 @@
         seen.next() shouldBe "newest"
     }
 
-    test("`while the store is away another instance is asked, and the table is read when it is back`") {
-        val asked = LinkedBlockingQueue<Unit>()
+    test("`while the store is unavailable another instance is queried, and the table is read once it is available`") {
+        val peerQueries = LinkedBlockingQueue<Unit>()
         val table = ScriptedTable(
             reads = listOf(Err(StoreError.TIMEOUT), Err(StoreError.REFUSED), whole(3, "back")),
             waits = emptyList(),
         )
-        val seen = watch(table) { asked.add(Unit) }
+        val seen = watch(table) { peerQueries.add(Unit) }
         seen.next() shouldBe "back"
-        asked.size shouldBe 2
+        peerQueries.size shouldBe 2
     }
 })
