--- /dev/null
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/BackgroundTask.kt
@@ -0,0 +1,37 @@
+/*
+ * Runs repeated background tasks. A failed step is logged and the task continues: a process that lost one of its tasks
+ * would appear healthy but act on outdated state.
+ */
+package org.cardamomwharf.gateway
+
+import kotlinx.serialization.json.put
+import org.cardamomwharf.gateway.logs.DecisionLog
+
+/** Delay after a failed step, so that a step that always fails doesn't occupy a processor. */
+private const val FAILURE_DELAY_MS = 500L
+
+/** Repeats [step] on a daemon thread named [name] until it returns false. */
+internal fun startBackgroundTask(name: String, log: DecisionLog, step: () -> Boolean) {
+    val repeat = {
+        while (runOrLogFailure(name, log, step) ?: delayAfterFailure()) Unit
+    }
+    Thread(repeat, name).apply { isDaemon = true }.start()
+}
+
+/** Returns the result of [step], or logs its failure under the task name [name] and returns null. */
+@Suppress("TooGenericExceptionCaught") // The task has to continue whatever a step throws.
+internal fun <T : Any> runOrLogFailure(name: String, log: DecisionLog, step: () -> T): T? = try {
+    step()
+} catch (e: Exception) {
+    log.event("duty-failed") {
+        put("duty", name)
+        put("error", e.toString())
+        put("at", e.stackTrace.firstOrNull()?.toString())
+    }
+    null
+}
+
+private fun delayAfterFailure(): Boolean {
+    Thread.sleep(FAILURE_DELAY_MS)
+    return true
+}
--- a/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/settings/GatewaySettingsTest.kt
+++ b/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/settings/GatewaySettingsTest.kt
@@ -1,5 +1,5 @@
 /*
- * The settings of a gateway, as the template gives them and with faults.
+ * Tests the settings of a gateway, both as in the template and with errors.
  */
 package org.cardamomwharf.gateway.settings
 
@@ -12,7 +12,7 @@
 import org.cardamomwharf.core.RegionName
 import org.cardamomwharf.core.ZoneName
 
-private val GOOD = """
+private val VALID_SETTINGS = """
     instance: "front-a-1"
     zone: "a"
     zones:
@@ -34,16 +34,16 @@
 """.trimIndent()
 
 class GatewaySettingsTest : FunSpec({
-    test("`good settings are read whole`") {
-        val settings = parseGatewaySettings(GOOD).getOrElse { null }.shouldNotBeNull()
+    test("`valid settings are read completely`") {
+        val settings = parseGatewaySettings(VALID_SETTINGS).getOrElse { null }.shouldNotBeNull()
         settings.zones shouldBe mapOf(ZoneName("a") to RegionName("north"), ZoneName("b") to RegionName("south"))
         settings.peerPort shouldBe 7_200
         settings.metricsPort shouldBe 7_215
         settings.bounds.stopMs shouldBe 6_000
     }
 
-    test("`every fault is named with its field`") {
-        val text = GOOD.replace("10.200.1.7:8384", "nowhere").replace("[7200, 7215]", "[7215, 7200]")
+    test("`every problem names its field`") {
+        val text = VALID_SETTINGS.replace("10.200.1.7:8384", "nowhere").replace("[7200, 7215]", "[7215, 7200]")
             .replace("retryRatio: 0.2", "retryRatio: -1")
         val paths = parseGatewaySettings(text).getError().shouldNotBeNull().map { it.path }
         paths shouldContain "addresses.store"
