--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/EntryProcess.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/EntryProcess.kt
@@ -1,5 +1,5 @@
 /*
- * Puts the parts of an entry process together and stops them in order.
+ * Wires the components of an entry process and shuts them down in order.
  */
 package org.cardamomwharf.entry
 
@@ -9,29 +9,29 @@
 import org.cardamomwharf.decision.membership.Member
 import org.cardamomwharf.decision.newEntryState
 import org.cardamomwharf.entry.admin.AdminApi
+import org.cardamomwharf.entry.claims.ClaimClient
 import org.cardamomwharf.entry.claims.ClaimExpirer
-import org.cardamomwharf.entry.claims.ClaimKeeper
 import org.cardamomwharf.entry.claims.ClaimThreads
 import org.cardamomwharf.entry.claims.ClaimWorkers
-import org.cardamomwharf.entry.documents.DocumentKeeper
+import org.cardamomwharf.entry.documents.DocumentManager
 import org.cardamomwharf.entry.forwarding.Forwarder
-import org.cardamomwharf.entry.forwarding.ServerCallers
+import org.cardamomwharf.entry.forwarding.ServerHttpClients
 import org.cardamomwharf.entry.loop.DecisionLoop
-import org.cardamomwharf.entry.loop.EffectParts
+import org.cardamomwharf.entry.loop.EffectHandlers
 import org.cardamomwharf.entry.loop.EffectRouter
-import org.cardamomwharf.entry.loop.EventRing
+import org.cardamomwharf.entry.loop.EventQueue
 import org.cardamomwharf.entry.metrics.EntryMetrics
 import org.cardamomwharf.entry.peers.EntryPeerHandler
-import org.cardamomwharf.entry.peers.HandOverDesk
-import org.cardamomwharf.entry.peers.HandOverResults
-import org.cardamomwharf.entry.peers.HandedAttempts
-import org.cardamomwharf.entry.peers.LoanBook
+import org.cardamomwharf.entry.peers.HandOverResultHandler
+import org.cardamomwharf.entry.peers.IncomingHandOvers
+import org.cardamomwharf.entry.peers.LoanReplySenders
+import org.cardamomwharf.entry.peers.OutgoingHandOvers
 import org.cardamomwharf.entry.peers.PeerSender
 import org.cardamomwharf.entry.polling.PlatformPollers
-import org.cardamomwharf.entry.polling.PolledParts
+import org.cardamomwharf.entry.polling.PollingClients
 import org.cardamomwharf.entry.requests.CallerApi
-import org.cardamomwharf.entry.requests.CallerTools
-import org.cardamomwharf.entry.requests.RequestBook
+import org.cardamomwharf.entry.requests.CallerApiContext
+import org.cardamomwharf.entry.requests.RequestRegistry
 import org.cardamomwharf.entry.settings.EntrySettings
 import org.cardamomwharf.http.HttpClientSettings
 import org.cardamomwharf.http.HttpServerSettings
@@ -51,26 +51,26 @@
 
 private const val CALLER_THREADS = 512
 private const val ADMIN_THREADS = 16
-private const val SETTLE_POLL_MS = 100L
-private const val SETTLE_LIMIT_MS = 5_000L
+private const val FINAL_WRITE_POLL_MS = 100L
+private const val FINAL_WRITE_TIMEOUT_MS = 5_000L
 private val log = ComponentLog("entry")
 
 /** Represents a running entry process. */
 public class EntryProcess internal constructor(private val settings: EntrySettings) {
     private val clock = monotonicClock()
-    private val ring = EventRing()
+    private val eventQueue = EventQueue()
     private val metrics = EntryMetrics()
-    private val book = RequestBook()
-    private val platformCaller = startJettyHttpClient(HttpClientSettings("platform"))
-    private val tables =
-        httpTableService(platformCaller, settings.addresses.platform, settings.times.platformLimitMs)
-    private val objects =
-        httpObjectStore(platformCaller, settings.addresses.platform, settings.times.platformLimitMs)
-    private val keeper = DocumentKeeper(DocumentArchive(objects), ring)
-    private val callers = ServerCallers(
-        kept = startJettyHttpClient(HttpClientSettings("servers")),
-        fresh = startJettyHttpClient(HttpClientSettings("servers-new", isConnectionReused = false)),
-        reports = startJettyHttpClient(HttpClientSettings("servers-reports")),
+    private val requestRegistry = RequestRegistry()
+    private val platformClient = startJettyHttpClient(HttpClientSettings("platform"))
+    private val tableService =
+        httpTableService(platformClient, settings.addresses.platform, settings.times.platformTimeoutMs)
+    private val objectStore =
+        httpObjectStore(platformClient, settings.addresses.platform, settings.times.platformTimeoutMs)
+    private val documentManager = DocumentManager(DocumentArchive(objectStore), eventQueue)
+    private val serverClients = ServerHttpClients(
+        pooled = startJettyHttpClient(HttpClientSettings("servers")),
+        unpooled = startJettyHttpClient(HttpClientSettings("servers-new", isConnectionReused = false)),
+        loadReports = startJettyHttpClient(HttpClientSettings("servers-reports")),
     )
     private val member = Member(
         settings.name,
@@ -79,76 +79,89 @@
         settings.addresses.caller,
         settings.addresses.advertisedPeer,
     )
-    private val loop = DecisionLoop(
+    private val decisionLoop = DecisionLoop(
         newEntryState(member, settings.membership, settings.limits, clock.nowMs()),
-        ring,
+        eventQueue,
         clock,
         settings.times,
     )
-    private val claims = ClaimWorkers(ClaimKeeper(ClaimTable(tables)), ring)
-    private val expirer = ClaimExpirer(ClaimTable(tables), ring, metrics)
-    private val loans = LoanBook()
-    private val handed = HandedAttempts()
-    private val forwarder = Forwarder(callers, book, ring, clock)
-    private val node: PeerNode = startPeers()
-    private val peers = PeerSender(node, book, handed, ring, clock, metrics)
-    private val admin = startAdmin()
+    private val claimWorkers = ClaimWorkers(ClaimClient(ClaimTable(tableService)), eventQueue)
+    private val claimExpirer = ClaimExpirer(ClaimTable(tableService), eventQueue, metrics)
+    private val loanReplySenders = LoanReplySenders()
+    private val outgoingHandOvers = OutgoingHandOvers()
+    private val forwarder = Forwarder(serverClients, requestRegistry, eventQueue, clock)
+    private val peerNode: PeerNode = createPeerNode()
+    private val peerSender = PeerSender(peerNode, requestRegistry, outgoingHandOvers, eventQueue, clock, metrics)
+    private val admin = startAdminServer()
     private var callerServer: JettyServer? = null
 
-    private fun startPeers(): PeerNode {
-        val desk = HandOverDesk(book, ring, clock)
-        val handler =
-            EntryPeerHandler(ring, HandOverResults(ring, book, handed), desk, keeper, loans) { peers.askBlocks(it) }
+    private fun createPeerNode(): PeerNode {
+        val incomingHandOvers = IncomingHandOvers(requestRegistry, eventQueue, clock)
+        val handler = EntryPeerHandler(
+            eventQueue,
+            HandOverResultHandler(eventQueue, requestRegistry, outgoingHandOvers),
+            incomingHandOvers,
+            documentManager,
+            loanReplySenders,
+        ) { peerSender.requestBlocks(it) }
         return startPeerNode(settings.addresses.peer, PeerSettings(), clock, handler)
     }
 
-    private fun startAdmin(): JettyServer {
-        val api = AdminApi(loop, ring, keeper, metrics, clock)
+    private fun startAdminServer(): JettyServer {
+        val api = AdminApi(decisionLoop, eventQueue, documentManager, metrics, clock)
         val server = HttpServerSettings(settings.addresses.admin, maxThreads = ADMIN_THREADS)
         return startJettyServer(server, handler = api.handler)
     }
 
     internal fun start() {
-        keeper.start()
-        claims.start()
-        expirer.start()
-        loop.start(
-            EffectRouter(EffectParts(book, forwarder, peers, ClaimThreads(claims, expirer), keeper, loans), metrics)
+        documentManager.start()
+        claimWorkers.start()
+        claimExpirer.start()
+        val handlers = EffectHandlers(
+            requestRegistry,
+            forwarder,
+            peerSender,
+            ClaimThreads(claimWorkers, claimExpirer),
+            documentManager,
+            loanReplySenders,
         )
-        val list =
-            httpInstanceList(platformCaller, settings.addresses.platform, settings.times.platformLimitMs)
-        PlatformPollers(settings, PolledParts(EnvironmentHeads(tables), list, callers.reports), loop, ring).start()
+        decisionLoop.start(EffectRouter(handlers, metrics))
+        val instanceList =
+            httpInstanceList(platformClient, settings.addresses.platform, settings.times.platformTimeoutMs)
+        val clients = PollingClients(EnvironmentHeads(tableService), instanceList, serverClients.loadReports)
+        PlatformPollers(settings, clients, decisionLoop, eventQueue).start()
         callerServer = startCallerServer()
         log.info("${settings.name.value} listens on ${settings.addresses.caller} in ${settings.zone.value}.")
     }
 
     private fun startCallerServer(): JettyServer {
-        val api = CallerApi(settings, loop, ring, book, keeper, CallerTools(clock, metrics))
+        val context = CallerApiContext(clock, metrics)
+        val api = CallerApi(settings, decisionLoop, eventQueue, requestRegistry, documentManager, context)
         val server = HttpServerSettings(settings.addresses.caller, maxThreads = CALLER_THREADS)
         return startJettyServer(server, onRefusal = metrics::countRefusal, handler = api.handler)
     }
 
-    /** Leaves gracefully: finishes what is open, writes the claims that are not settled, and stops all parts. */
+    /** Shuts down gracefully: completes open requests, writes pending final claim states and stops all components. */
     public fun stop() {
         log.info("${settings.name.value} is leaving.")
-        ring.put(EntryEvent.LeaveRequested)
+        eventQueue.put(EntryEvent.LeaveRequested)
         callerServer?.disableKeepAlive()
-        val isDone = loop.awaitExit(settings.times.exitLimitMs)
-        awaitSettled()
+        val isComplete = decisionLoop.awaitExit(settings.times.exitTimeoutMs)
+        awaitFinalWrites()
         callerServer?.stop()
         admin.stop()
-        node.close()
-        log.info("${settings.name.value} has left${if (isDone) "" else " with open requests"}.")
+        peerNode.close()
+        log.info("${settings.name.value} has left${if (isComplete) "" else " with open requests"}.")
     }
 
-    /** Waits until the decisions ask to exit by themselves. */
+    /** Waits until the decision logic requests the exit of the process. */
     public fun awaitExit() {
-        loop.awaitExit(Long.MAX_VALUE)
+        decisionLoop.awaitExit(Long.MAX_VALUE)
     }
 
-    private fun awaitSettled() {
-        val endMs = clock.nowMs() + SETTLE_LIMIT_MS
-        while (claims.unsettled > 0 && clock.nowMs() < endMs) Thread.sleep(SETTLE_POLL_MS)
+    private fun awaitFinalWrites() {
+        val deadlineMs = clock.nowMs() + FINAL_WRITE_TIMEOUT_MS
+        while (claimWorkers.pendingFinalWriteCount > 0 && clock.nowMs() < deadlineMs) Thread.sleep(FINAL_WRITE_POLL_MS)
     }
 }
 
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/Main.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/Main.kt
@@ -1,5 +1,5 @@
 /*
- * The command line of the entry daemon.
+ * Command line of the entry daemon.
  */
 package org.cardamomwharf.entry
 
@@ -18,7 +18,7 @@
 
 private const val EXIT_SETTINGS = 3
 
-/** Starts the daemon, or prints every problem of its settings. */
+/** Starts the daemon, or prints all problems found in its settings. */
 public fun main(args: Array<String>) {
     val parser = ArgParser("wharf-entry")
     val file by parser.option(ArgType.String, "settings", description = "Settings file in YAML").required()
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/admin/AdminApi.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/admin/AdminApi.kt
@@ -1,5 +1,5 @@
 /*
- * What operators and the platform ask an entry instance, on an address of its own.
+ * HTTP API for operators and the platform, served on a separate address.
  */
 package org.cardamomwharf.entry.admin
 
@@ -9,9 +9,9 @@
 import org.cardamomwharf.core.ServiceName
 import org.cardamomwharf.core.StatusCode
 import org.cardamomwharf.decision.EntryEvent
-import org.cardamomwharf.entry.documents.DocumentKeeper
+import org.cardamomwharf.entry.documents.DocumentManager
 import org.cardamomwharf.entry.loop.DecisionLoop
-import org.cardamomwharf.entry.loop.EventRing
+import org.cardamomwharf.entry.loop.EventQueue
 import org.cardamomwharf.entry.metrics.EntryMetrics
 import org.cardamomwharf.http.Route
 import org.cardamomwharf.http.jsonResponse
@@ -22,32 +22,32 @@
 import org.http4k.core.Response
 import org.http4k.core.Status
 
-private const val LARGEST_SILENCE_MS = 2_000L
+private const val MAX_DECISION_GAP_MS = 2_000L
 
-/** Represents the API for operators. */
+/** Handles requests of operators and the platform. */
 public class AdminApi(
-    private val loop: DecisionLoop,
-    private val ring: EventRing,
-    private val keeper: DocumentKeeper,
+    private val decisionLoop: DecisionLoop,
+    private val eventQueue: EventQueue,
+    private val documentManager: DocumentManager,
     private val metrics: EntryMetrics,
     private val clock: Clock,
 ) {
-    /** Answers the calls of operators. */
+    /** The HTTP handler of the API. */
     public val handler: HttpHandler = routeRequests(
         Route(Method.GET, "/health") { health() },
         Route(Method.GET, "/ready") { ready() },
-        Route(Method.GET, "/metrics") { Response(Status.OK).body(metrics.write(loop.snapshot, clock.nowMs())) },
+        Route(Method.GET, "/metrics") { Response(Status.OK).body(metrics.write(decisionLoop.snapshot, clock.nowMs())) },
         Route(Method.GET, "/status") { jsonResponse(StatusCode.OK, Json.encodeToString(status())) },
         Route(Method.GET, "/explain", ::explain),
         Route(Method.POST, "/leave") { leave() },
     )
 
     private fun health(): Response {
-        val silentMs = clock.nowMs() - loop.snapshot.takenAtMs
-        return if (silentMs < LARGEST_SILENCE_MS) {
+        val snapshotAgeMs = clock.nowMs() - decisionLoop.snapshot.takenAtMs
+        return if (snapshotAgeMs < MAX_DECISION_GAP_MS) {
             Response(Status.OK).body("well\n")
         } else {
-            Response(Status.SERVICE_UNAVAILABLE).body("no decision for $silentMs ms\n")
+            Response(Status.SERVICE_UNAVAILABLE).body("no decision for $snapshotAgeMs ms\n")
         }
     }
 
@@ -57,13 +57,13 @@
         return Response(if (isReady) Status.OK else Status.SERVICE_UNAVAILABLE).body("ready: $isReady\n")
     }
 
-    private fun status(): StatusReport = statusOf(loop.snapshot, clock.nowMs())
+    private fun status(): StatusReport = createStatusReport(decisionLoop.snapshot, clock.nowMs())
 
     private fun explain(request: Request): Response {
-        val view = loop.snapshot.view
+        val view = decisionLoop.snapshot.view
         val service = view?.index?.services?.get(ServiceName(request.query("service").orEmpty()))
         val address = request.query("client").orEmpty()
-        val zone = keeper.findZone(address)
+        val zone = documentManager.findZone(address)
         if (view == null || service == null || zone == null) {
             return Response(Status.NOT_FOUND).body("no document, service or client block\n")
         }
@@ -71,7 +71,7 @@
     }
 
     private fun leave(): Response {
-        ring.put(EntryEvent.LeaveRequested)
+        eventQueue.put(EntryEvent.LeaveRequested)
         return Response(Status.OK).body("leaving\n")
     }
 }
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/admin/Explanation.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/admin/Explanation.kt
@@ -1,8 +1,9 @@
 /*
- * Says why a client gets its ranking: the split that chose the region, and the place of every candidate.
+ * Explains the ranking of instances for a client: the shift that chose the region, and the rank of every candidate.
  */
 package org.cardamomwharf.entry.admin
 
+import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import org.cardamomwharf.core.ZoneName
 import org.cardamomwharf.core.document.Service
@@ -10,7 +11,7 @@
 import org.cardamomwharf.decision.lookup.rank
 import org.cardamomwharf.decision.lookup.rankAll
 
-/** Represents why a client gets its ranking. */
+/** Represents the explanation of the ranking for one client. */
 @Serializable
 public data class Explanation(
     public val service: String,
@@ -23,19 +24,20 @@
     public val placements: List<PlacementReport>,
 )
 
-/** Represents the place of one candidate, best first. */
+/** Represents one candidate of the ranking. */
 @Serializable
 public data class PlacementReport(
     public val instance: String,
     public val zone: String,
     public val tier: String,
     public val freeSlots: Int,
-    public val isAnswered: Boolean,
+    @SerialName("isAnswered")
+    public val isInLookupResponse: Boolean,
 )
 
-/** Returns why the client at [address] in [zone] gets its ranking for [service]. */
+/** Returns the explanation of the ranking for [service] and the client at [address] in [zone]. */
 public fun explain(view: LookupView, service: Service, zone: ZoneName, address: String): Explanation {
-    val answered = view.rank(service, zone, address).map { it.candidate.member.name }.toSet()
+    val returnedNames = view.rank(service, zone, address).map { it.candidate.member.name }.toSet()
     val split = view.splits[service.name]
     return Explanation(
         service = service.name.value,
@@ -52,7 +54,7 @@
                 zone = member.zone.value,
                 tier = placement.tier.name.lowercase().replace('_', '-'),
                 freeSlots = placement.freeSlots,
-                isAnswered = member.name in answered,
+                isInLookupResponse = member.name in returnedNames,
             )
         },
     )
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/admin/StatusReport.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/admin/StatusReport.kt
@@ -1,8 +1,9 @@
 /*
- * The state of an instance as operators see it.
+ * Status of an instance, served to operators as JSON.
  */
 package org.cardamomwharf.entry.admin
 
+import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import org.cardamomwharf.decision.computeLoads
 import org.cardamomwharf.decision.membership.findLivePeers
@@ -10,7 +11,7 @@
 import org.cardamomwharf.decision.membership.isJoining
 import org.cardamomwharf.entry.loop.Snapshot
 
-/** Represents the state of one instance. */
+/** Represents the status of one instance. */
 @Serializable
 public data class StatusReport(
     public val instance: String,
@@ -21,10 +22,12 @@
     public val isLeaving: Boolean,
     public val isStoreDown: Boolean,
     public val livePeers: List<String>,
-    public val zonesHeard: List<String>,
+    @SerialName("zonesHeard")
+    public val remoteZones: List<String>,
     public val heldCapParts: Int,
     public val capEpoch: Long,
-    public val capRaisesAwait: List<String>,
+    @SerialName("capRaisesAwait")
+    public val zonesAwaitedForCapRaise: List<String>,
     public val openRequests: Int,
     public val services: List<ServiceStatus>,
     public val servers: List<ServerStatus>,
@@ -40,7 +43,7 @@
     public val shiftedPermille: Int,
 )
 
-/** Represents a backend server of the zone as one instance sees it. */
+/** Represents the status of a backend server of the zone in the view of one instance. */
 @Serializable
 public data class ServerStatus(
     public val server: String,
@@ -50,8 +53,8 @@
     public val failures: Int,
 )
 
-/** Returns the state in [snapshot]. */
-public fun statusOf(snapshot: Snapshot, nowMs: Long): StatusReport {
+/** Returns the status report for [snapshot]. */
+public fun createStatusReport(snapshot: Snapshot, nowMs: Long): StatusReport {
     val state = snapshot.state
     val self = state.membership.self
     return StatusReport(
@@ -63,10 +66,10 @@
         isLeaving = state.leave != null,
         isStoreDown = state.store.isDown(nowMs),
         livePeers = state.membership.findLivePeers(nowMs).map { it.member.name.value },
-        zonesHeard = state.membership.findRemoteZones(nowMs).map { it.zone.value }.sorted(),
+        remoteZones = state.membership.findRemoteZones(nowMs).map { it.zone.value }.sorted(),
         heldCapParts = state.ownership.capParts.size,
         capEpoch = state.capTransition.newest.value,
-        capRaisesAwait = state.capTransition.awaitedZones.map { it.value }.sorted(),
+        zonesAwaitedForCapRaise = state.capTransition.awaitedZones.map { it.value }.sorted(),
         openRequests = state.requests.open.size,
         services = listServices(snapshot, nowMs),
         servers = listServers(snapshot),
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/claims/ClaimReplies.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/claims/ClaimReplies.kt
@@ -1,5 +1,5 @@
 /*
- * Turns answers of the table service into replies for the decisions.
+ * Converts results of the table service to replies for the decision logic.
  */
 package org.cardamomwharf.entry.claims
 
@@ -13,25 +13,25 @@
 import org.cardamomwharf.repository.TableRow
 import org.cardamomwharf.repository.TableWrite
 
-internal fun replyOfWrite(written: Result<TableWrite, PlatformError>): ClaimReply = written.mapBoth(
+internal fun createWriteReply(result: Result<TableWrite, PlatformError>): ClaimReply = result.mapBoth(
     success = { write ->
         when (write) {
             is TableWrite.Written -> ClaimReply.Written
-            is TableWrite.Conflict -> write.row?.let(::existing) ?: ClaimReply.Absent
+            is TableWrite.Conflict -> write.row?.let(::createExistingReply) ?: ClaimReply.Absent
         }
     },
-    failure = ::replyOfError,
+    failure = ::createErrorReply,
 )
 
-internal fun replyOfRead(read: Result<TableRow?, PlatformError>): ClaimReply = read.mapBoth(
-    success = { row -> row?.let(::existing) ?: ClaimReply.Absent },
-    failure = ::replyOfError,
+internal fun createReadReply(result: Result<TableRow?, PlatformError>): ClaimReply = result.mapBoth(
+    success = { row -> row?.let(::createExistingReply) ?: ClaimReply.Absent },
+    failure = ::createErrorReply,
 )
 
-private fun replyOfError(error: PlatformError): ClaimReply =
+private fun createErrorReply(error: PlatformError): ClaimReply =
     if (error is PlatformError.Unreachable) ClaimReply.Unavailable else ClaimReply.Lost
 
-private fun existing(row: TableRow): ClaimReply =
+private fun createExistingReply(row: TableRow): ClaimReply =
     try {
         ClaimReply.Exists(Json.decodeFromString<ClaimRow>(row.value), row.version)
     } catch (@Suppress("SwallowedException") e: SerializationException) {
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/claims/ClaimThreads.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/claims/ClaimThreads.kt
@@ -1,7 +1,7 @@
 /*
- * The threads that wait for the table service on behalf of claims.
+ * Groups the background threads that access claims in the table service.
  */
 package org.cardamomwharf.entry.claims
 
-/** Represents the threads that call the table service about claims. */
+/** Holds the workers for single claims and the thread that expires old ones. */
 public class ClaimThreads(public val workers: ClaimWorkers, public val expirer: ClaimExpirer)
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/claims/ClaimWorkers.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/claims/ClaimWorkers.kt
@@ -1,6 +1,6 @@
 /*
- * The threads that wait for the table service. Each has a bounded ring; a claim that finds no room is answered as
- * unavailable at once. Final states are written again until they are in or have been tried long enough.
+ * Worker threads for calls to the table service. The queues are bounded: if the call queue is full, a claim gets the
+ * reply `Unavailable` at once. Writes of final states are retried up to a maximum number of attempts.
  */
 package org.cardamomwharf.entry.claims
 
@@ -10,45 +10,45 @@
 import org.cardamomwharf.decision.claims.ClaimReply
 import org.cardamomwharf.decision.claims.ClaimRow
 import org.cardamomwharf.decision.claims.ClaimState
-import org.cardamomwharf.entry.loop.EventRing
+import org.cardamomwharf.entry.loop.EventQueue
 import java.util.concurrent.ArrayBlockingQueue
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicInteger
 
-private const val WORKERS = 16
-private const val RING_CAPACITY = 64
-private const val SETTLE_CAPACITY = 4_096
-private const val SETTLE_WORKERS = 4
-private const val SETTLE_PAUSE_MS = 500L
-private const val LARGEST_SETTLE_TRIES = 120
+private const val WORKER_COUNT = 16
+private const val QUEUE_CAPACITY_PER_WORKER = 64
+private const val FINAL_WRITE_QUEUE_CAPACITY = 4_096
+private const val FINAL_WRITE_WORKER_COUNT = 4
+private const val FINAL_WRITE_RETRY_DELAY_MS = 500L
+private const val MAX_FINAL_WRITE_ATTEMPTS = 120
 
-/** Represents the threads that make calls about claims. */
-public class ClaimWorkers(private val keeper: ClaimKeeper, private val ring: EventRing) {
-    private val calls = ArrayBlockingQueue<EntryEffect.ClaimEffect>(WORKERS * RING_CAPACITY)
-    private val settlements = ArrayBlockingQueue<Settlement>(SETTLE_CAPACITY)
-    private val open = AtomicInteger()
+/** Executes claim effects on worker threads. */
+public class ClaimWorkers(private val claimClient: ClaimClient, private val eventQueue: EventQueue) {
+    private val callQueue = ArrayBlockingQueue<EntryEffect.ClaimEffect>(WORKER_COUNT * QUEUE_CAPACITY_PER_WORKER)
+    private val finalWriteQueue = ArrayBlockingQueue<FinalWrite>(FINAL_WRITE_QUEUE_CAPACITY)
+    private val pendingCount = AtomicInteger()
 
-    /** The number of final states that are not in the table service yet. */
-    public val unsettled: Int get() = open.get()
+    /** The number of final states that have not been written to the table service yet. */
+    public val pendingFinalWriteCount: Int get() = pendingCount.get()
 
-    /** Starts the threads. */
+    /** Starts the worker threads. */
     public fun start() {
-        repeat(WORKERS) { startThread("claims-$it") { call(calls.take()) } }
-        repeat(SETTLE_WORKERS) { startThread("settling-$it") { settle(settlements.take()) } }
+        repeat(WORKER_COUNT) { startThread("claims-$it") { call(callQueue.take()) } }
+        repeat(FINAL_WRITE_WORKER_COUNT) { startThread("settling-$it") { writeFinalState(finalWriteQueue.take()) } }
     }
 
-    /** Takes [effect]. */
-    public fun take(effect: EntryEffect.ClaimEffect) {
-        val row = finalRowOf(effect)
+    /** Enqueues [effect] for a worker thread. */
+    public fun submit(effect: EntryEffect.ClaimEffect) {
+        val row = createFinalRow(effect)
         if (row != null) {
-            open.incrementAndGet()
-            if (!settlements.offer(Settlement(effect, row))) open.decrementAndGet()
-        } else if (!calls.offer(effect)) {
+            pendingCount.incrementAndGet()
+            if (!finalWriteQueue.offer(FinalWrite(effect, row))) pendingCount.decrementAndGet()
+        } else if (!callQueue.offer(effect)) {
             report(effect.request, ClaimReply.Unavailable)
         }
     }
 
-    private fun finalRowOf(effect: EntryEffect.ClaimEffect): ClaimRow? = when (effect) {
+    private fun createFinalRow(effect: EntryEffect.ClaimEffect): ClaimRow? = when (effect) {
         is EntryEffect.ReleaseClaim -> ClaimRow(effect.attempt, effect.fingerprint, ClaimState.RELEASED)
         is EntryEffect.RecordResponse -> ClaimRow(effect.attempt, effect.fingerprint, ClaimState.DONE, effect.response)
         else -> null
@@ -56,27 +56,27 @@
 
     private fun call(effect: EntryEffect.ClaimEffect) {
         val reply = when (effect) {
-            is EntryEffect.InsertClaim -> keeper.insert(effect)
-            is EntryEffect.ReadClaim -> keeper.read(effect)
-            is EntryEffect.ReplaceClaim -> keeper.replace(effect)
+            is EntryEffect.InsertClaim -> claimClient.insert(effect)
+            is EntryEffect.ReadClaim -> claimClient.read(effect)
+            is EntryEffect.ReplaceClaim -> claimClient.replace(effect)
             is EntryEffect.ReleaseClaim, is EntryEffect.RecordResponse -> ClaimReply.Lost
         }
         report(effect.request, reply)
     }
 
     private fun report(request: RequestId, reply: ClaimReply) {
-        ring.put(EntryEvent.ClaimReplyReceived(request, reply))
+        eventQueue.put(EntryEvent.ClaimReplyReceived(request, reply))
     }
 
-    private fun settle(settlement: Settlement) {
-        val isDone = keeper.settle(settlement.effect, settlement.row)
-        if (isDone || settlement.tries >= LARGEST_SETTLE_TRIES) {
-            open.decrementAndGet()
+    private fun writeFinalState(finalWrite: FinalWrite) {
+        val isComplete = claimClient.writeFinalState(finalWrite.effect, finalWrite.row)
+        if (isComplete || finalWrite.attempts >= MAX_FINAL_WRITE_ATTEMPTS) {
+            pendingCount.decrementAndGet()
             return
         }
-        TimeUnit.MILLISECONDS.sleep(SETTLE_PAUSE_MS)
-        val again = settlement.copy(tries = settlement.tries + 1)
-        if (!settlements.offer(again)) open.decrementAndGet()
+        TimeUnit.MILLISECONDS.sleep(FINAL_WRITE_RETRY_DELAY_MS)
+        val retry = finalWrite.copy(attempts = finalWrite.attempts + 1)
+        if (!finalWriteQueue.offer(retry)) pendingCount.decrementAndGet()
     }
 
     private fun startThread(name: String, work: () -> Unit) {
@@ -85,9 +85,9 @@
         thread.start()
     }
 
-    private data class Settlement(
+    private data class FinalWrite(
         val effect: EntryEffect.ClaimEffect,
         val row: ClaimRow,
-        val tries: Int = 0,
+        val attempts: Int = 0,
     )
 }
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/documents/BlockShelf.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/documents/ClientBlockCache.kt
@@ -1,5 +1,5 @@
 /*
- * Keeps the client blocks of the newest document, so that a change that leaves them alone fetches none.
+ * Cache of the client blocks of the latest document, so that a document with the same blocks does not fetch them again.
  */
 package org.cardamomwharf.entry.documents
 
@@ -8,19 +8,19 @@
 import org.cardamomwharf.repository.DocumentArchive
 import org.cardamomwharf.repository.decodeBlocks
 
-internal class BlockShelf(private val archive: DocumentArchive) {
+internal class ClientBlockCache(private val archive: DocumentArchive) {
     @Volatile
-    private var kept: Blocks? = null
+    private var cached: Blocks? = null
 
-    /** Returns the blocks under [hash], kept here or fetched from the store, or null. */
+    /** Returns the blocks with the given [hash] from the cache or the object store, or null if neither has them. */
     fun find(hash: String): Blocks? =
-        kept?.takeIf { it.hash == hash } ?: archive.readBlocks(hash).get()?.let { put(hash, it) }
+        cached?.takeIf { it.hash == hash } ?: archive.readBlocks(hash).get()?.let { put(hash, it) }
 
-    fun findContents(hash: String): ByteArray? = kept?.takeIf { it.hash == hash }?.contents
+    fun findContents(hash: String): ByteArray? = cached?.takeIf { it.hash == hash }?.contents
 
     fun put(hash: String, contents: ByteArray): Blocks {
         val blocks = Blocks(hash, contents, ClientBlockTable.build(decodeBlocks(contents)))
-        kept = blocks
+        cached = blocks
         return blocks
     }
 
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/documents/DocumentThread.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/documents/DocumentThread.kt
@@ -1,22 +1,22 @@
 /*
- * The thread that fetches and checks documents, with a bounded ring in front of it.
+ * Background thread that fetches and verifies documents, with a bounded task queue.
  */
 package org.cardamomwharf.entry.documents
 
 import java.util.concurrent.ArrayBlockingQueue
 
-private const val RING_CAPACITY = 64
+private const val QUEUE_CAPACITY = 64
 
 internal class DocumentThread(private val onFull: () -> Unit) {
-    private val duties = ArrayBlockingQueue<() -> Unit>(RING_CAPACITY)
+    private val tasks = ArrayBlockingQueue<() -> Unit>(QUEUE_CAPACITY)
 
     fun start() {
-        val thread = Thread({ while (!Thread.interrupted()) duties.take().invoke() }, "documents")
+        val thread = Thread({ while (!Thread.interrupted()) tasks.take().invoke() }, "documents")
         thread.isDaemon = true
         thread.start()
     }
 
-    fun submit(duty: () -> Unit) {
-        if (!duties.offer(duty)) onFull()
+    fun submit(task: () -> Unit) {
+        if (!tasks.offer(task)) onFull()
     }
 }
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/forwarding/AttemptResults.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/forwarding/AttemptResults.kt
@@ -1,6 +1,6 @@
 /*
- * Decides from the end of a call what it means for the request. Only what the backend server itself marked as refused
- * counts as not run; any other status is an answer.
+ * Converts HTTP results to attempt results. A request counts as not executed only if it could not be sent or if the
+ * backend server marked the response as refused; a response with any other status completes the attempt.
  */
 package org.cardamomwharf.entry.forwarding
 
@@ -17,14 +17,15 @@
 
 private const val MS_PER_SECOND = 1_000L
 
-/** Returns what [end] means for [attempt]. */
-public fun attemptResultOf(end: HttpResult, attempt: AttemptId, isIdempotent: Boolean): AttemptResult = when (end) {
-    is HttpResult.NotSent -> AttemptResult.NotSent(Reason.SERVER_UNREACHABLE)
-    is HttpResult.Lost -> AttemptResult.Lost(reasonOf(end.failure))
-    is HttpResult.Completed -> judge(end.response, attempt, isIdempotent)
-}
+/** Returns the result of [attempt] for the given HTTP [result]. */
+public fun createAttemptResult(result: HttpResult, attempt: AttemptId, isIdempotent: Boolean): AttemptResult =
+    when (result) {
+        is HttpResult.NotSent -> AttemptResult.NotSent(Reason.SERVER_UNREACHABLE)
+        is HttpResult.Lost -> AttemptResult.Lost(getLossReason(result.failure))
+        is HttpResult.Completed -> interpretResponse(result.response, attempt, isIdempotent)
+    }
 
-private fun reasonOf(failure: HttpFailure): Reason = when (failure) {
+private fun getLossReason(failure: HttpFailure): Reason = when (failure) {
     HttpFailure.TIMEOUT -> Reason.DEADLINE_PASSED_RUNNING
     HttpFailure.CANCELLED -> Reason.DEADLINE_PASSED_RUNNING
     HttpFailure.TOO_LARGE -> Reason.ANSWER_TOO_LARGE
@@ -32,25 +33,25 @@
     HttpFailure.CONNECT, HttpFailure.CLOSED -> Reason.CONNECTION_LOST
 }
 
-private fun judge(answer: HttpResponse, attempt: AttemptId, isIdempotent: Boolean): AttemptResult {
-    val isLeaving = answer.findHeader(HeaderNames.LEAVING) == "true"
-    val named = answer.findHeader(HeaderNames.ATTEMPT)
-    val isNamed = named != null
+private fun interpretResponse(response: HttpResponse, attempt: AttemptId, isIdempotent: Boolean): AttemptResult {
+    val isLeaving = response.findHeader(HeaderNames.LEAVING) == "true"
+    val attemptId = response.findHeader(HeaderNames.ATTEMPT)
+    val hasAttemptId = attemptId != null
     return when {
-        isNamed && named != attempt.value -> AttemptResult.Lost(Reason.ANSWER_CROSSED)
-        answer.findHeader(HeaderNames.REFUSED) == "true" ->
-            AttemptResult.Refused(Reason.SERVER_REFUSED, retryAfterMs(answer), isLeaving, isNamed)
-        isIdempotent -> AttemptResult.Completed(null, isLeaving, isNamed)
-        else -> AttemptResult.Completed(handedAnswerOf(answer).toRecorded(), isLeaving, isNamed)
+        hasAttemptId && attemptId != attempt.value -> AttemptResult.Lost(Reason.ANSWER_CROSSED)
+        response.findHeader(HeaderNames.REFUSED) == "true" ->
+            AttemptResult.Refused(Reason.SERVER_REFUSED, retryAfterMs(response), isLeaving, hasAttemptId)
+        isIdempotent -> AttemptResult.Completed(null, isLeaving, hasAttemptId)
+        else -> AttemptResult.Completed(createHandedOverResponse(response).toRecorded(), isLeaving, hasAttemptId)
     }
 }
 
-private fun retryAfterMs(answer: HttpResponse): Long =
-    (answer.findHeader(HeaderNames.RETRY_AFTER)?.toLongOrNull() ?: 0) * MS_PER_SECOND
+private fun retryAfterMs(response: HttpResponse): Long =
+    (response.findHeader(HeaderNames.RETRY_AFTER)?.toLongOrNull() ?: 0) * MS_PER_SECOND
 
-/** Returns [answer] as it is handed to callers and peers. */
-public fun handedAnswerOf(answer: HttpResponse): HandedOverResponse = HandedOverResponse(
-    status = answer.status,
-    fields = answer.headers.map { HandedOverField(it.name, it.value) },
-    body = answer.body,
+/** Returns [response] in the form that is passed to callers and peers. */
+public fun createHandedOverResponse(response: HttpResponse): HandedOverResponse = HandedOverResponse(
+    status = response.status,
+    fields = response.headers.map { HandedOverField(it.name, it.value) },
+    body = response.body,
 )
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/forwarding/Forwarder.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/forwarding/Forwarder.kt
@@ -1,6 +1,6 @@
 /*
- * Sends requests to backend servers. Requests that must not be repeated go over a new connection each, all others over
- * kept ones; the end of each attempt is reported once.
+ * Forwards requests to backend servers. Requests that must not be repeated use a new connection each, all others use
+ * pooled connections. The result of each attempt is reported once.
  */
 package org.cardamomwharf.entry.forwarding
 
@@ -11,9 +11,9 @@
 import org.cardamomwharf.decision.EntryEffect
 import org.cardamomwharf.decision.EntryEvent
 import org.cardamomwharf.decision.requests.AttemptResult
-import org.cardamomwharf.entry.loop.EventRing
-import org.cardamomwharf.entry.requests.BookedRequest
-import org.cardamomwharf.entry.requests.RequestBook
+import org.cardamomwharf.entry.loop.EventQueue
+import org.cardamomwharf.entry.requests.RegisteredRequest
+import org.cardamomwharf.entry.requests.RequestRegistry
 import org.cardamomwharf.http.HttpCall
 import org.cardamomwharf.http.HttpClient
 import org.cardamomwharf.http.HttpField
@@ -23,68 +23,69 @@
 import java.util.concurrent.ConcurrentHashMap
 
 /**
- * Represents the clients for backend servers.
+ * Holds the HTTP clients for backend servers.
  *
- * @param kept shares its connections among requests.
- * @param fresh opens a connection for each request.
- * @param reports asks for load reports; their answers name no attempt and must never share a connection with requests.
+ * @param pooled reuses connections for multiple requests.
+ * @param unpooled opens a new connection for each request.
+ * @param loadReports fetches load reports; the responses have no attempt ID and must never share a connection with
+ *     requests.
  */
-public class ServerCallers(
-    public val kept: HttpClient,
-    public val fresh: HttpClient,
-    public val reports: HttpClient,
+public class ServerHttpClients(
+    public val pooled: HttpClient,
+    public val unpooled: HttpClient,
+    public val loadReports: HttpClient,
 )
 
-/** Represents the sender of requests to backend servers. */
+/** Forwards requests to backend servers. */
 public class Forwarder(
-    private val callers: ServerCallers,
-    private val book: RequestBook,
-    private val ring: EventRing,
+    private val clients: ServerHttpClients,
+    private val requestRegistry: RequestRegistry,
+    private val eventQueue: EventQueue,
     private val clock: Clock,
 ) {
-    private val flights = ConcurrentHashMap<AttemptId, CompletableFuture<PendingCall>>()
+    private val pendingCalls = ConcurrentHashMap<AttemptId, CompletableFuture<PendingCall>>()
 
     /** Starts the attempt of [effect]. */
     public fun forward(effect: EntryEffect.Forward) {
-        val request = book.find(effect.request)
+        val request = requestRegistry.find(effect.request)
         if (request == null) {
-            ring.put(EntryEvent.AttemptEnded(effect.attempt, AttemptResult.NotSent(Reason.BUSY)))
+            eventQueue.put(EntryEvent.AttemptEnded(effect.attempt, AttemptResult.NotSent(Reason.BUSY)))
             return
         }
-        val caller = if (effect.isFreshConnection) callers.fresh else callers.kept
-        val flight = CompletableFuture<PendingCall>()
-        flights[effect.attempt] = flight
-        flight.complete(caller.start(callOf(effect, request)) { end(effect.attempt, request, it) })
+        val client = if (effect.isFreshConnection) clients.unpooled else clients.pooled
+        val pendingCall = CompletableFuture<PendingCall>()
+        pendingCalls[effect.attempt] = pendingCall
+        pendingCall.complete(client.start(createCall(effect, request)) { complete(effect.attempt, request, it) })
     }
 
-    /** Stops the attempt; returns false when it doesn't run here. */
+    /** Cancels the attempt; returns false if it has no pending call in this process. */
     public fun cancel(attempt: AttemptId): Boolean {
-        val flight = flights.remove(attempt)
-        flight?.thenAccept { it.cancel() }
-        return flight != null
+        val pendingCall = pendingCalls.remove(attempt)
+        pendingCall?.thenAccept { it.cancel() }
+        return pendingCall != null
     }
 
-    private fun callOf(effect: EntryEffect.Forward, request: BookedRequest): HttpCall {
+    private fun createCall(effect: EntryEffect.Forward, request: RegisteredRequest): HttpCall {
         val remainingMs = (request.spec.deadlineAtMs - clock.nowMs()).coerceAtLeast(1)
-        val own = listOf(
+        val wharfFields = listOf(
             HttpField(HeaderNames.DEADLINE_MS, remainingMs.toString()),
             HttpField(HeaderNames.ATTEMPT, effect.attempt.value),
         )
         return HttpCall(
-            method = request.handed.method,
-            url = "http://${effect.address}${request.handed.pathAndQuery}",
-            headers = request.handed.fields.map { HttpField(it.name, it.value) } + own,
-            body = request.handed.body,
+            method = request.forwardedRequest.method,
+            url = "http://${effect.address}${request.forwardedRequest.pathAndQuery}",
+            headers = request.forwardedRequest.fields.map { HttpField(it.name, it.value) } + wharfFields,
+            body = request.forwardedRequest.body,
             timeoutMs = remainingMs,
         )
     }
 
-    private fun end(attempt: AttemptId, request: BookedRequest, end: HttpResult) {
-        flights.remove(attempt)
-        val result = attemptResultOf(end, attempt, request.spec.isIdempotent)
-        if (result is AttemptResult.Completed && end is HttpResult.Completed) {
-            book.keep(request.spec.id, attempt, handedAnswerOf(end.response))
+    private fun complete(attempt: AttemptId, request: RegisteredRequest, httpResult: HttpResult) {
+        pendingCalls.remove(attempt)
+        val result = createAttemptResult(httpResult, attempt, request.spec.isIdempotent)
+        if (result is AttemptResult.Completed && httpResult is HttpResult.Completed) {
+            requestRegistry.storeResponse(request.spec.id, attempt, createHandedOverResponse(httpResult.response))
         }
-        ring.put(EntryEvent.AttemptEnded(attempt, result))
+        eventQueue.put(EntryEvent.AttemptEnded(attempt, result))
     }
 }
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/loop/DecisionLoop.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/loop/DecisionLoop.kt
@@ -1,6 +1,6 @@
 /*
- * The one thread that decides. It takes events from the ring, steps the state, gives the effects to their runner, and
- * publishes the view that look-ups are answered from.
+ * Event loop on a single thread. It polls events from the queue, computes the next state, passes the effects to their
+ * runner, and publishes snapshots of the state and of the view for look-ups.
  */
 package org.cardamomwharf.entry.loop
 
@@ -16,67 +16,68 @@
 
 private const val MS_PER_SECOND = 1_000L
 
-/** Represents what the decision thread shows to other threads. */
+/** Represents the state that the decision thread publishes to other threads. */
 public class Snapshot(
     public val state: EntryState,
     public val view: LookupView?,
     public val takenAtMs: Long,
 )
 
-/** Represents the receiver of effects; it must not block. */
+/** Executes effects; it must not block. */
 public fun interface EffectRunner {
-    /** Does [effect]. */
+    /** Executes [effect]. */
     public fun run(effect: EntryEffect)
 }
 
-/** Represents the decision thread. */
+/** Runs the decision logic on its own thread. */
 public class DecisionLoop(
     private var state: EntryState,
-    private val ring: EventRing,
+    private val eventQueue: EventQueue,
     private val clock: Clock,
     private val times: EntryTimes,
 ) {
-    private val exit = CountDownLatch(1)
-    private var tickedAtMs = clock.nowMs()
-    private var publishedAtMs = 0L
+    private val exitLatch = CountDownLatch(1)
+    private var lastTickAtMs = clock.nowMs()
+    private var lastPublishAtMs = 0L
 
-    /** The newest state that was published. */
+    /** The latest published snapshot. */
     @Volatile
     public var snapshot: Snapshot = Snapshot(state, null, clock.nowMs())
         private set
 
-    /** Starts the thread. */
+    /** Starts the decision thread. */
     public fun start(runner: EffectRunner) {
-        val thread = Thread({ loop(runner) }, "decisions")
+        val thread = Thread({ runLoop(runner) }, "decisions")
         thread.isDaemon = true
         thread.start()
     }
 
-    /** Waits until the decisions ask to exit, at most [limitMs]; returns false when the time was up. */
-    public fun awaitExit(limitMs: Long): Boolean = exit.await(limitMs, java.util.concurrent.TimeUnit.MILLISECONDS)
+    /** Waits for the exit effect for at most [timeoutMs]; returns false on a timeout. */
+    public fun awaitExit(timeoutMs: Long): Boolean =
+        exitLatch.await(timeoutMs, java.util.concurrent.TimeUnit.MILLISECONDS)
 
-    private fun loop(runner: EffectRunner) {
-        while (exit.count > 0) {
-            val event = ring.poll(nextTickMs())
-            if (event != null) decide(event, runner)
-            if (nextTickMs() <= 0) tick(runner)
+    private fun runLoop(runner: EffectRunner) {
+        while (exitLatch.count > 0) {
+            val event = eventQueue.poll(getMsUntilNextTick())
+            if (event != null) processEvent(event, runner)
+            if (getMsUntilNextTick() <= 0) tick(runner)
         }
     }
 
-    private fun nextTickMs(): Long = (tickedAtMs + times.tickMs - clock.nowMs()).coerceAtLeast(0)
+    private fun getMsUntilNextTick(): Long = (lastTickAtMs + times.tickIntervalMs - clock.nowMs()).coerceAtLeast(0)
 
     private fun tick(runner: EffectRunner) {
-        tickedAtMs = clock.nowMs()
-        decide(EntryEvent.Tick(System.currentTimeMillis() / MS_PER_SECOND), runner)
-        if (tickedAtMs - publishedAtMs >= times.viewMs) publish()
+        lastTickAtMs = clock.nowMs()
+        processEvent(EntryEvent.Tick(System.currentTimeMillis() / MS_PER_SECOND), runner)
+        if (lastTickAtMs - lastPublishAtMs >= times.viewIntervalMs) publish()
     }
 
-    private fun decide(event: EntryEvent, runner: EffectRunner) {
+    private fun processEvent(event: EntryEvent, runner: EffectRunner) {
         val step = step(state, event, clock.nowMs())
         state = step.state
         if (needsPublishing(step.effects)) publish()
         for (effect in step.effects) {
-            if (effect is EntryEffect.Exit) exit.countDown() else runner.run(effect)
+            if (effect is EntryEffect.Exit) exitLatch.countDown() else runner.run(effect)
         }
     }
 
@@ -85,7 +86,7 @@
 
     private fun publish() {
         val nowMs = clock.nowMs()
-        publishedAtMs = nowMs
+        lastPublishAtMs = nowMs
         snapshot = Snapshot(state, createLookupView(state, nowMs), nowMs)
     }
 }
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/loop/EffectRouter.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/loop/EffectRouter.kt
@@ -1,68 +1,68 @@
 /*
- * Gives each effect to the part that does it. Nothing here waits.
+ * Dispatches each effect to the component that executes it, without blocking.
  */
 package org.cardamomwharf.entry.loop
 
 import org.cardamomwharf.decision.EntryEffect
 import org.cardamomwharf.entry.claims.ClaimThreads
-import org.cardamomwharf.entry.documents.DocumentKeeper
+import org.cardamomwharf.entry.documents.DocumentManager
 import org.cardamomwharf.entry.forwarding.Forwarder
 import org.cardamomwharf.entry.metrics.EntryMetrics
-import org.cardamomwharf.entry.peers.LoanBook
+import org.cardamomwharf.entry.peers.LoanReplySenders
 import org.cardamomwharf.entry.peers.PeerSender
-import org.cardamomwharf.entry.requests.RequestBook
+import org.cardamomwharf.entry.requests.RequestRegistry
 import org.cardamomwharf.peer.PeerMessage
 
-/** Represents the parts that do effects. */
-public class EffectParts(
-    public val book: RequestBook,
+/** Holds the components that execute effects. */
+public class EffectHandlers(
+    public val requestRegistry: RequestRegistry,
     public val forwarder: Forwarder,
     public val peers: PeerSender,
-    public val claims: ClaimThreads,
-    public val documents: DocumentKeeper,
-    public val loans: LoanBook,
+    public val claimThreads: ClaimThreads,
+    public val documentManager: DocumentManager,
+    public val loanReplySenders: LoanReplySenders,
 )
 
-/** Represents the way from effects to parts. */
-public class EffectRouter(private val parts: EffectParts, private val metrics: EntryMetrics) : EffectRunner {
+/** Dispatches effects to [handlers]. */
+public class EffectRouter(private val handlers: EffectHandlers, private val metrics: EntryMetrics) : EffectRunner {
     override fun run(effect: EntryEffect) {
         when (effect) {
-            is EntryEffect.ClaimEffect -> parts.claims.workers.take(effect)
-            is EntryEffect.ExpireClaims -> parts.claims.expirer.take(effect)
-            is EntryEffect.Forward -> parts.forwarder.forward(effect)
-            is EntryEffect.HandOver -> parts.peers.handOver(effect)
-            is EntryEffect.GrantCredit -> parts.peers.grantCredit(effect.attempt)
+            is EntryEffect.ClaimEffect -> handlers.claimThreads.workers.submit(effect)
+            is EntryEffect.ExpireClaims -> handlers.claimThreads.expirer.submit(effect)
+            is EntryEffect.Forward -> handlers.forwarder.forward(effect)
+            is EntryEffect.HandOver -> handlers.peers.handOver(effect)
+            is EntryEffect.GrantCredit -> handlers.peers.grantCredit(effect.attempt)
             is EntryEffect.Cancel -> cancel(effect)
-            is EntryEffect.Respond -> answer(effect)
+            is EntryEffect.Respond -> respond(effect)
             is EntryEffect.CountRetry -> metrics.countRetry(effect.service, effect.reason)
-            is EntryEffect.FetchDocument -> parts.documents.fetch(effect.head)
-            is EntryEffect.FetchDocumentFromPeer -> parts.peers.askDocument(effect.address)
-            is EntryEffect.DocumentAdopted -> parts.documents.putInForce(effect.head)
-            else -> tell(effect)
+            is EntryEffect.FetchDocument -> handlers.documentManager.fetch(effect.head)
+            is EntryEffect.FetchDocumentFromPeer -> handlers.peers.requestDocument(effect.address)
+            is EntryEffect.DocumentAdopted -> handlers.documentManager.activate(effect.head)
+            else -> sendToPeers(effect)
         }
     }
 
-    private fun tell(effect: EntryEffect) {
+    private fun sendToPeers(effect: EntryEffect) {
         when (effect) {
             is EntryEffect.SendHeartbeat ->
-                parts.peers.sendAll(effect.addresses, PeerMessage.HeartbeatMessage(effect.heartbeat))
+                handlers.peers.sendAll(effect.addresses, PeerMessage.HeartbeatMessage(effect.heartbeat))
             is EntryEffect.SendSummary ->
-                parts.peers.sendAll(effect.addresses, PeerMessage.SummaryMessage(effect.summary, isRelayed = false))
+                handlers.peers.sendAll(effect.addresses, PeerMessage.SummaryMessage(effect.summary, isRelayed = false))
             is EntryEffect.RelaySummary ->
-                parts.peers.sendAll(effect.addresses, PeerMessage.SummaryMessage(effect.summary, isRelayed = true))
+                handlers.peers.sendAll(effect.addresses, PeerMessage.SummaryMessage(effect.summary, isRelayed = true))
             is EntryEffect.RequestLoan ->
-                parts.peers.send(effect.peer.address, PeerMessage.LoanRequestMessage(effect.loan))
-            is EntryEffect.ReplyToLoanRequest -> parts.loans.answer(effect.borrower, effect.grant)
+                handlers.peers.send(effect.peer.address, PeerMessage.LoanRequestMessage(effect.loan))
+            is EntryEffect.ReplyToLoanRequest -> handlers.loanReplySenders.reply(effect.borrower, effect.grant)
             else -> Unit
         }
     }
 
     private fun cancel(effect: EntryEffect.Cancel) {
-        if (!parts.forwarder.cancel(effect.attempt)) parts.peers.cancel(effect.attempt)
+        if (!handlers.forwarder.cancel(effect.attempt)) handlers.peers.cancel(effect.attempt)
     }
 
-    private fun answer(effect: EntryEffect.Respond) {
-        parts.book.find(effect.request)?.let { metrics.countAnswer(it.spec.service, effect.reason) }
-        parts.book.finish(effect)
+    private fun respond(effect: EntryEffect.Respond) {
+        handlers.requestRegistry.find(effect.request)?.let { metrics.countResponse(it.spec.service, effect.reason) }
+        handlers.requestRegistry.complete(effect)
     }
 }
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/metrics/EntryMetrics.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/metrics/EntryMetrics.kt
@@ -1,6 +1,6 @@
 /*
- * The metrics of an entry process: a counter for each refusal and retry reason, latencies by service, and gauges of
- * slots, shares and the document.
+ * Prometheus metrics of an entry process: counters by refusal and retry reason, latencies by service, and gauges for
+ * slots, cap parts and the document.
  */
 package org.cardamomwharf.entry.metrics
 
@@ -17,35 +17,35 @@
 
 private const val MS_PER_SECOND = 1_000.0
 
-/** Represents the metrics of one process. */
+/** Records the metrics of one process. */
 public class EntryMetrics {
     private val registry = PrometheusRegistry()
-    private val answers = counter("wharf_answers_total", "Final answers.", "service", "outcome", "reason")
+    private val responses = counter("wharf_answers_total", "Final answers.", "service", "outcome", "reason")
     private val refusals = counter("wharf_refusals_total", "Requests refused before a decision.", "reason")
     private val retries = counter("wharf_retries_total", "Further tries of requests.", "service", "reason")
     private val lookups = counter("wharf_lookups_total", "Look-ups answered.", "service")
-    private val drops = counter("wharf_peer_drops_total", "Messages to peers that found no room.")
-    private val expired = counter("wharf_claims_expired_total", "Claim rows that were deleted for their age.")
+    private val peerDrops = counter("wharf_peer_drops_total", "Messages to peers that found no room.")
+    private val expiredClaims = counter("wharf_claims_expired_total", "Claim rows that were deleted for their age.")
     private val latency = Histogram.builder()
         .name("wharf_request_seconds").help("Time until the final answer.").labelNames("service").register(registry)
-    private val free = gauge("wharf_slots_free", "Free slots of owned backend servers.", "service")
-    private val total = gauge("wharf_slots_owned", "Slots of owned backend servers.", "service")
-    private val shares = gauge("wharf_cap_parts", "Parts of the zone's cap shares that this instance holds.")
-    private val version = gauge("wharf_document_version", "Version of the document in force.")
-    private val age = gauge("wharf_document_age_seconds", "Time since the document was adopted.")
-    private val peers = gauge("wharf_live_peers", "Live peers of the own zone.")
+    private val freeSlots = gauge("wharf_slots_free", "Free slots of owned backend servers.", "service")
+    private val ownedSlots = gauge("wharf_slots_owned", "Slots of owned backend servers.", "service")
+    private val capParts = gauge("wharf_cap_parts", "Parts of the zone's cap shares that this instance holds.")
+    private val documentVersion = gauge("wharf_document_version", "Version of the document in force.")
+    private val documentAge = gauge("wharf_document_age_seconds", "Time since the document was adopted.")
+    private val livePeers = gauge("wharf_live_peers", "Live peers of the own zone.")
 
-    /** Counts a final answer. */
-    public fun countAnswer(service: ServiceName, reason: Reason) {
-        answers.labelValues(service.value, reason.outcome.code, reason.code).inc()
+    /** Counts a final response. */
+    public fun countResponse(service: ServiceName, reason: Reason) {
+        responses.labelValues(service.value, reason.outcome.code, reason.code).inc()
     }
 
-    /** Counts a request that was refused before a decision. */
+    /** Counts a request that was refused before it reached the decision loop. */
     public fun countRefusal(reason: Reason) {
         refusals.labelValues(reason.code).inc()
     }
 
-    /** Counts a further try. */
+    /** Counts a retry. */
     public fun countRetry(service: ServiceName, reason: Reason) {
         retries.labelValues(service.value, reason.code).inc()
     }
@@ -55,35 +55,35 @@
         lookups.labelValues(service.value).inc()
     }
 
-    /** Counts a message to a peer that found no room. */
-    public fun countDrop() {
-        drops.inc()
+    /** Counts a message to a peer that was dropped because the send queue was full. */
+    public fun countPeerDrop() {
+        peerDrops.inc()
     }
 
-    /** Counts claim rows that were deleted for their age. */
+    /** Counts claim rows that were deleted because of their age. */
     public fun countExpired(rows: Int) {
-        expired.inc(rows.toDouble())
+        expiredClaims.inc(rows.toDouble())
     }
 
-    /** Notes the time until a final answer. */
-    public fun observe(service: ServiceName, tookMs: Long) {
-        latency.labelValues(service.value).observe(tookMs / MS_PER_SECOND)
+    /** Records the time until the final response. */
+    public fun observeLatency(service: ServiceName, durationMs: Long) {
+        latency.labelValues(service.value).observe(durationMs / MS_PER_SECOND)
     }
 
-    /** Returns all metrics in the text format of Prometheus, with gauges as of [snapshot]. */
+    /** Returns all metrics in the Prometheus text format, with gauges computed from [snapshot]. */
     public fun write(snapshot: Snapshot, nowMs: Long): String {
         val state = snapshot.state
         for (load in state.computeLoads(nowMs)) {
-            free.labelValues(load.service.value).set(load.freeSlots.toDouble())
-            total.labelValues(load.service.value).set(load.totalSlots.toDouble())
+            freeSlots.labelValues(load.service.value).set(load.freeSlots.toDouble())
+            ownedSlots.labelValues(load.service.value).set(load.totalSlots.toDouble())
         }
-        shares.set(state.ownership.capParts.size.toDouble())
-        version.set(state.adoption.version.value.toDouble())
-        age.set((nowMs - state.adoption.adoptedAtMs) / MS_PER_SECOND)
-        peers.set(state.membership.peers.size.toDouble())
-        val out = ByteArrayOutputStream()
-        PrometheusTextFormatWriter.create().write(out, registry.scrape())
-        return out.toString(Charsets.UTF_8)
+        capParts.set(state.ownership.capParts.size.toDouble())
+        documentVersion.set(state.adoption.version.value.toDouble())
+        documentAge.set((nowMs - state.adoption.adoptedAtMs) / MS_PER_SECOND)
+        livePeers.set(state.membership.peers.size.toDouble())
+        val output = ByteArrayOutputStream()
+        PrometheusTextFormatWriter.create().write(output, registry.scrape())
+        return output.toString(Charsets.UTF_8)
     }
 
     private fun counter(name: String, help: String, vararg labels: String): Counter =
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/peers/EntryPeerHandler.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/peers/EntryPeerHandler.kt
@@ -1,55 +1,57 @@
 /*
- * Turns the messages of peers into events.
+ * Handles messages of peers by enqueuing events and calling the components that own the data.
  */
 package org.cardamomwharf.entry.peers
 
 import org.cardamomwharf.core.AttemptId
 import org.cardamomwharf.decision.EntryEvent
 import org.cardamomwharf.decision.requests.AttemptResult
-import org.cardamomwharf.entry.documents.DocumentKeeper
-import org.cardamomwharf.entry.loop.EventRing
+import org.cardamomwharf.entry.documents.DocumentManager
+import org.cardamomwharf.entry.loop.EventQueue
 import org.cardamomwharf.peer.PeerHandler
 import org.cardamomwharf.peer.PeerMessage
 import org.cardamomwharf.peer.ReplySender
 
-/** Represents the receiver of messages of an entry process. */
+/** Handles the peer messages of an entry process. */
 public class EntryPeerHandler(
-    private val ring: EventRing,
-    private val results: HandOverResults,
-    private val desk: HandOverDesk,
-    private val keeper: DocumentKeeper,
-    private val loans: LoanBook,
-    private val askBlocks: (String) -> Unit,
+    private val eventQueue: EventQueue,
+    private val resultHandler: HandOverResultHandler,
+    private val incomingHandOvers: IncomingHandOvers,
+    private val documentManager: DocumentManager,
+    private val loanReplySenders: LoanReplySenders,
+    private val requestBlocks: (String) -> Unit,
 ) : PeerHandler {
     override fun receive(message: PeerMessage, replies: ReplySender) {
         when (message) {
-            is PeerMessage.HeartbeatMessage -> ring.put(EntryEvent.HeartbeatReceived(message.heartbeat))
-            is PeerMessage.SummaryMessage -> ring.put(EntryEvent.SummaryReceived(message.summary, message.isRelayed))
-            is PeerMessage.LoanRequestMessage -> askLoan(message, replies)
-            is PeerMessage.ContentsRequest -> replies.send(keeper.answer(message))
-            is PeerMessage.HandOver -> desk.take(message, replies)
-            is PeerMessage.CreditGrant -> desk.release(message.attempt)
-            is PeerMessage.Cancel -> desk.cancel(message.attempt)
+            is PeerMessage.HeartbeatMessage -> eventQueue.put(EntryEvent.HeartbeatReceived(message.heartbeat))
+            is PeerMessage.SummaryMessage ->
+                eventQueue.put(EntryEvent.SummaryReceived(message.summary, message.isRelayed))
+            is PeerMessage.LoanRequestMessage -> receiveLoanRequest(message, replies)
+            is PeerMessage.ContentsRequest -> replies.send(documentManager.createReply(message))
+            is PeerMessage.HandOver -> incomingHandOvers.receive(message, replies)
+            is PeerMessage.CreditGrant -> incomingHandOvers.sendHeldReply(message.attempt)
+            is PeerMessage.Cancel -> incomingHandOvers.cancel(message.attempt)
             else -> Unit
         }
     }
 
-    private fun askLoan(message: PeerMessage.LoanRequestMessage, replies: ReplySender) {
-        loans.remember(message.request, replies)
-        ring.put(EntryEvent.LoanRequested(message.request))
+    private fun receiveLoanRequest(message: PeerMessage.LoanRequestMessage, replies: ReplySender) {
+        loanReplySenders.register(message.request, replies)
+        eventQueue.put(EntryEvent.LoanRequested(message.request))
     }
 
     override fun receiveReply(message: PeerMessage) {
         when (message) {
-            is PeerMessage.LoanGrantMessage -> ring.put(EntryEvent.LoanReplyReceived(message.grant))
-            is PeerMessage.ContentsReply -> keeper.receive(message, askBlocks)
-            is PeerMessage.CreditRequest -> ring.put(EntryEvent.CreditRequested(message.attempt, message.missingBytes))
-            is PeerMessage.HandOverReply -> results.take(message)
+            is PeerMessage.LoanGrantMessage -> eventQueue.put(EntryEvent.LoanReplyReceived(message.grant))
+            is PeerMessage.ContentsReply -> documentManager.receive(message, requestBlocks)
+            is PeerMessage.CreditRequest ->
+                eventQueue.put(EntryEvent.CreditRequested(message.attempt, message.missingBytes))
+            is PeerMessage.HandOverReply -> resultHandler.receiveReply(message)
             else -> Unit
         }
     }
 
     override fun receiveHandOverFailure(attempt: AttemptId, result: AttemptResult) {
-        results.take(attempt, result)
+        resultHandler.receiveFailure(attempt, result)
     }
 }
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/peers/PeerSender.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/peers/PeerSender.kt
@@ -1,5 +1,5 @@
 /*
- * Sends what the decisions want peers to know, and hands requests over.
+ * Sends messages to peers and hands requests over to them.
  */
 package org.cardamomwharf.entry.peers
 
@@ -11,52 +11,52 @@
 import org.cardamomwharf.decision.EntryEvent
 import org.cardamomwharf.decision.PeerAddress
 import org.cardamomwharf.decision.requests.AttemptResult
-import org.cardamomwharf.entry.loop.EventRing
+import org.cardamomwharf.entry.loop.EventQueue
 import org.cardamomwharf.entry.metrics.EntryMetrics
-import org.cardamomwharf.entry.requests.RequestBook
+import org.cardamomwharf.entry.requests.RequestRegistry
 import org.cardamomwharf.peer.HandOverLimits
 import org.cardamomwharf.peer.PeerMessage
 import org.cardamomwharf.peer.PeerNode
 
-/** Represents the sender of messages to peers. */
+/** Sends messages to peers. */
 public class PeerSender(
-    private val node: PeerNode,
-    private val book: RequestBook,
-    private val attempts: HandedAttempts,
-    private val ring: EventRing,
+    private val peerNode: PeerNode,
+    private val requestRegistry: RequestRegistry,
+    private val handOvers: OutgoingHandOvers,
+    private val eventQueue: EventQueue,
     private val clock: Clock,
     private val metrics: EntryMetrics,
 ) {
-    /** The peer that the document was last asked from. */
+    /** The peer from which the document was last requested. */
     @Volatile
     private var documentSource: SocketAddress? = null
 
     /** Sends [message] to all [addresses]. */
     public fun sendAll(addresses: List<PeerAddress>, message: PeerMessage) {
-        repeat(node.sendAll(addresses.map { it.address }, message)) { metrics.countDrop() }
+        repeat(peerNode.sendAll(addresses.map { it.address }, message)) { metrics.countPeerDrop() }
     }
 
     /** Sends [message] to one peer. */
     public fun send(address: SocketAddress, message: PeerMessage) {
-        if (!node.send(address, message)) metrics.countDrop()
+        if (!peerNode.send(address, message)) metrics.countPeerDrop()
     }
 
-    /** Asks a peer for its document. */
-    public fun askDocument(address: SocketAddress) {
+    /** Requests the document of a peer. */
+    public fun requestDocument(address: SocketAddress) {
         documentSource = address
         send(address, PeerMessage.ContentsRequest())
     }
 
-    /** Asks the peer that had the document for its client blocks. */
-    public fun askBlocks(blocksHash: String) {
+    /** Requests client blocks from the peer from which the document was requested. */
+    public fun requestBlocks(blocksHash: String) {
         documentSource?.let { send(it, PeerMessage.ContentsRequest(blocksHash)) }
     }
 
-    /** Hands a request over. */
+    /** Hands a request over to a peer. */
     public fun handOver(effect: EntryEffect.HandOver) {
-        val request = book.find(effect.request)
+        val request = requestRegistry.find(effect.request)
         if (request == null) {
-            ring.put(EntryEvent.AttemptEnded(effect.attempt, AttemptResult.NotSent(Reason.BUSY)))
+            eventQueue.put(EntryEvent.AttemptEnded(effect.attempt, AttemptResult.NotSent(Reason.BUSY)))
             return
         }
         val limits = HandOverLimits(
@@ -65,19 +65,24 @@
             creditBytes = effect.creditBytes,
             clientZone = request.spec.clientZone,
         )
-        attempts.add(effect.attempt, HandedAttempt(effect.request, effect.address))
-        val message =
-            PeerMessage.HandOver(effect.attempt, effect.claimAttempt, request.spec.service, request.handed, limits)
-        node.handOver(effect.address, message)
+        handOvers.add(effect.attempt, OutgoingHandOver(effect.request, effect.address))
+        val message = PeerMessage.HandOver(
+            effect.attempt,
+            effect.claimAttempt,
+            request.spec.service,
+            request.forwardedRequest,
+            limits,
+        )
+        peerNode.handOver(effect.address, message)
     }
 
-    /** Lets the peer send the whole answer. */
+    /** Allows the peer to send the complete response. */
     public fun grantCredit(attempt: AttemptId) {
-        attempts.find(attempt)?.let { send(it.address, PeerMessage.CreditGrant(attempt)) }
+        handOvers.find(attempt)?.let { send(it.address, PeerMessage.CreditGrant(attempt)) }
     }
 
-    /** Stops a request that was handed over. */
+    /** Cancels a request that was handed over. */
     public fun cancel(attempt: AttemptId) {
-        attempts.end(attempt)?.let { send(it.address, PeerMessage.Cancel(attempt)) }
+        handOvers.remove(attempt)?.let { send(it.address, PeerMessage.Cancel(attempt)) }
     }
 }
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/polling/PlatformPollers.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/polling/PlatformPollers.kt
@@ -1,6 +1,6 @@
 /*
- * What an entry process asks the platform and its backend servers about: the head of the environment, the instance list
- * and the load of the servers that it owns.
+ * Polls the head of the environment and the instance list from the platform, and the load of the owned backend servers
+ * from the servers themselves.
  */
 package org.cardamomwharf.entry.polling
 
@@ -21,7 +21,7 @@
 import org.cardamomwharf.decision.servers.LoadReport
 import org.cardamomwharf.decision.servers.ServerState
 import org.cardamomwharf.entry.loop.DecisionLoop
-import org.cardamomwharf.entry.loop.EventRing
+import org.cardamomwharf.entry.loop.EventQueue
 import org.cardamomwharf.entry.settings.EntrySettings
 import org.cardamomwharf.http.HttpCall
 import org.cardamomwharf.http.HttpClient
@@ -35,39 +35,41 @@
 private const val LOAD_PATH = "/wharf/load"
 private val json = Json { ignoreUnknownKeys = true }
 
-/** Represents whom the pollers ask. */
-public class PolledParts(
+/** Holds the clients that the pollers use. */
+public class PollingClients(
     public val heads: EnvironmentHeads,
-    public val list: InstanceList,
-    public val servers: HttpClient,
+    public val instanceList: InstanceList,
+    public val loadReports: HttpClient,
 )
 
-/** Represents the pollers of an entry process. */
+/** Polls the platform and the owned backend servers, and enqueues the results as events. */
 public class PlatformPollers(
     private val settings: EntrySettings,
-    private val parts: PolledParts,
-    private val loop: DecisionLoop,
-    private val ring: EventRing,
+    private val clients: PollingClients,
+    private val decisionLoop: DecisionLoop,
+    private val eventQueue: EventQueue,
 ) {
     /** Starts all pollers. */
     public fun start() {
-        startPoller("heads", settings.times.headPollMs, ::readHead)
-        startPoller("list", settings.times.listPollMs, ::readList)
-        startPoller("loads", settings.times.loadPollMs, ::readLoads)
+        startPoller("heads", settings.times.headPollIntervalMs, ::pollHead)
+        startPoller("list", settings.times.listPollIntervalMs, ::pollInstanceList)
+        startPoller("loads", settings.times.loadPollIntervalMs, ::pollLoads)
     }
 
-    private fun readHead() {
-        val newest = parts.heads.find(settings.environment).get()?.newest ?: return
-        ring.put(EntryEvent.HeadRead(DocumentHead(newest.version, newest.hash, newest.capEpoch)))
+    private fun pollHead() {
+        val newest = clients.heads.find(settings.environment).get()?.newest ?: return
+        eventQueue.put(EntryEvent.HeadRead(DocumentHead(newest.version, newest.hash, newest.capEpoch)))
     }
 
-    private fun readList() {
-        parts.list.read().onSuccess { instances ->
-            ring.put(EntryEvent.PlatformListRead(instances.mapNotNull(::entryOf), instances.mapNotNull(::serverOf)))
+    private fun pollInstanceList() {
+        clients.instanceList.read().onSuccess { instances ->
+            val entries = instances.mapNotNull(::createListedInstance)
+            val servers = instances.mapNotNull(::createListedServer)
+            eventQueue.put(EntryEvent.PlatformListRead(entries, servers))
         }
     }
 
-    private fun entryOf(instance: PlatformInstance): ListedInstance? {
+    private fun createListedInstance(instance: PlatformInstance): ListedInstance? {
         val caller = SocketAddress.parse(instance.address)
         val peer = SocketAddress.parse(instance.peerAddress)
         if (instance.role != PlatformRole.ENTRY || caller == null || peer == null) return null
@@ -80,7 +82,7 @@
         )
     }
 
-    private fun serverOf(instance: PlatformInstance): ListedServer? {
+    private fun createListedServer(instance: PlatformInstance): ListedServer? {
         val address = SocketAddress.parse(instance.address)
         if (instance.role != PlatformRole.SERVER || address == null) return null
         return ListedServer(
@@ -92,23 +94,23 @@
         )
     }
 
-    private fun readLoads() {
-        val state = loop.snapshot.state
-        state.ownership.servers.mapNotNull { state.servers.servers[it] }.forEach(::readLoad)
+    private fun pollLoads() {
+        val state = decisionLoop.snapshot.state
+        state.ownership.servers.mapNotNull { state.servers.servers[it] }.forEach(::pollLoad)
     }
 
-    private fun readLoad(server: ServerState) {
+    private fun pollLoad(server: ServerState) {
         val url = "http://${server.listed.address}$LOAD_PATH"
-        parts.servers.start(HttpCall("GET", url, timeoutMs = settings.times.loadPollMs)) { end ->
-            if (end is HttpResult.Completed) report(server.name, end.response)
+        clients.loadReports.start(HttpCall("GET", url, timeoutMs = settings.times.loadPollIntervalMs)) { result ->
+            if (result is HttpResult.Completed) reportLoad(server.name, result.response)
         }
     }
 
-    private fun report(server: ServerName, answer: HttpResponse) {
-        if (answer.status != StatusCode.OK) return
+    private fun reportLoad(server: ServerName, response: HttpResponse) {
+        if (response.status != StatusCode.OK) return
         try {
-            val load = json.decodeFromString<LoadReport>(answer.body.decodeToString())
-            ring.put(EntryEvent.LoadReported(server, load))
+            val load = json.decodeFromString<LoadReport>(response.body.decodeToString())
+            eventQueue.put(EntryEvent.LoadReported(server, load))
         } catch (@Suppress("SwallowedException") e: SerializationException) {
             return
         }
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/polling/Poller.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/polling/Poller.kt
@@ -1,5 +1,5 @@
 /*
- * A thread that asks something again and again. The pause varies a little, so that many instances don't ask together.
+ * Periodic polling on a thread of its own, with jitter so that instances do not poll at the same time.
  */
 package org.cardamomwharf.entry.polling
 
@@ -7,11 +7,11 @@
 
 private const val JITTER_DIVISOR = 5
 
-/** Starts a thread named [name] that calls [ask] about every [intervalMs]. */
-public fun startPoller(name: String, intervalMs: Long, ask: () -> Unit) {
+/** Starts a thread named [name] that calls [poll] about every [intervalMs]. */
+public fun startPoller(name: String, intervalMs: Long, poll: () -> Unit) {
     val thread = Thread({
         while (!Thread.interrupted()) {
-            ask()
+            poll()
             Thread.sleep(intervalMs + ThreadLocalRandom.current().nextLong(intervalMs / JITTER_DIVISOR + 1))
         }
     }, name)
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/requests/CallerApi.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/requests/CallerApi.kt
@@ -1,6 +1,6 @@
 /*
- * What callers ask an entry instance: look-ups, which are answered from the published view alone, and requests, which
- * go through the decisions.
+ * HTTP API for callers: look-ups, which are answered from the published view alone, and requests, which are submitted
+ * to the decision loop.
  */
 package org.cardamomwharf.entry.requests
 
@@ -18,9 +18,9 @@
 import org.cardamomwharf.decision.lookup.rank
 import org.cardamomwharf.decision.requests.RequestOrigin
 import org.cardamomwharf.decision.requests.RequestSpec
-import org.cardamomwharf.entry.documents.DocumentKeeper
+import org.cardamomwharf.entry.documents.DocumentManager
 import org.cardamomwharf.entry.loop.DecisionLoop
-import org.cardamomwharf.entry.loop.EventRing
+import org.cardamomwharf.entry.loop.EventQueue
 import org.cardamomwharf.entry.metrics.EntryMetrics
 import org.cardamomwharf.entry.settings.EntrySettings
 import org.cardamomwharf.http.Route
@@ -34,29 +34,29 @@
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.TimeoutException
 
-private const val CLIENT_FIELD = "Wharf-Client"
-private const val ANSWER_MARGIN_MS = 2_000L
+private const val CLIENT_HEADER = "Wharf-Client"
+private const val RESPONSE_MARGIN_MS = 2_000L
 
-/** Represents the API for callers. */
+/** Handles look-ups and requests of callers. */
 public class CallerApi(
     private val settings: EntrySettings,
-    private val loop: DecisionLoop,
-    private val ring: EventRing,
-    private val book: RequestBook,
-    private val keeper: DocumentKeeper,
-    private val tools: CallerTools,
+    private val decisionLoop: DecisionLoop,
+    private val eventQueue: EventQueue,
+    private val requestRegistry: RequestRegistry,
+    private val documentManager: DocumentManager,
+    private val context: CallerApiContext,
 ) {
-    /** Answers look-ups and requests. */
+    /** The HTTP handler of the API. */
     public val handler: HttpHandler = routeRequests(
-        Route(Method.GET, "/lookup", ::lookUp),
-        Route(null, RUN_PREFIX, ::run),
+        Route(Method.GET, "/lookup", ::handleLookup),
+        Route(null, RUN_PREFIX, ::handleRequest),
     )
 
-    private fun lookUp(request: Request): Response {
-        val view = loop.snapshot.view
+    private fun handleLookup(request: Request): Response {
+        val view = decisionLoop.snapshot.view
         val service = view?.index?.services?.get(ServiceName(request.query("service").orEmpty()))
         val address = request.query("client") ?: clientAddress(request)
-        val zone = keeper.findZone(address)
+        val zone = documentManager.findZone(address)
         return when {
             view == null -> refuse(Reason.NO_DOCUMENT)
             service == null -> refuse(Reason.UNKNOWN_SERVICE)
@@ -64,68 +64,70 @@
             else -> {
                 val ranked = view.rank(service, zone, address).map { it.candidate.member }
                 val instances = ranked.map { RankedInstance(it.name, it.incarnation, it.zone, it.callerAddress) }
-                tools.metrics.countLookup(service.name)
-                answer(LookupResponse(service.name, view.version, service.cacheTtlMs, instances))
+                context.metrics.countLookup(service.name)
+                writeLookup(LookupResponse(service.name, view.version, service.cacheTtlMs, instances))
             }
         }
     }
 
-    private fun answer(found: LookupResponse): Response = jsonResponse(StatusCode.OK, Json.encodeToString(found))
+    private fun writeLookup(lookup: LookupResponse): Response = jsonResponse(StatusCode.OK, Json.encodeToString(lookup))
 
-    private fun run(request: Request): Response =
+    private fun handleRequest(request: Request): Response =
         parseRequest(request, settings.times).mapBoth(
-            success = { submit(it, keeper.findZone(clientAddress(request))) },
+            success = { submit(it, documentManager.findZone(clientAddress(request))) },
             failure = { refuse(it) },
         )
 
     private fun submit(parsed: CallerRequest, clientZone: ZoneName?): Response {
-        val startedAtMs = tools.clock.nowMs()
-        val spec = specOf(parsed, clientZone, startedAtMs)
+        val startedAtMs = context.clock.nowMs()
+        val spec = createSpec(parsed, clientZone, startedAtMs)
         val future = CompletableFuture<Response>()
-        val receiver = AnswerReceiver { answer, ran -> future.complete(responseOf(answer, ran, settings.name)) }
-        book.add(BookedRequest(spec, parsed.handed, receiver))
-        if (!ring.offerRequest(EntryEvent.RequestArrived(spec))) {
-            book.remove(spec.id)
+        val receiver = ResponseReceiver { effect, serverResponse ->
+            future.complete(buildResponse(effect, serverResponse, settings.name))
+        }
+        requestRegistry.add(RegisteredRequest(spec, parsed.forwardedRequest, receiver))
+        if (!eventQueue.offerRequest(EntryEvent.RequestArrived(spec))) {
+            requestRegistry.remove(spec.id)
             return refuse(Reason.RING_FULL)
         }
-        val response = await(future, parsed.deadlineMs)
-        tools.metrics.observe(parsed.service, tools.clock.nowMs() - startedAtMs)
+        val response = awaitResponse(future, parsed.deadlineMs)
+        context.metrics.observeLatency(parsed.service, context.clock.nowMs() - startedAtMs)
         return response
     }
 
-    private fun specOf(parsed: CallerRequest, clientZone: ZoneName?, nowMs: Long): RequestSpec {
-        val service = loop.snapshot.view?.index?.services?.get(parsed.service)
+    private fun createSpec(parsed: CallerRequest, clientZone: ZoneName?, nowMs: Long): RequestSpec {
+        val service = decisionLoop.snapshot.view?.index?.services?.get(parsed.service)
         return RequestSpec(
-            id = book.newId(),
+            id = requestRegistry.newId(),
             service = parsed.service,
             origin = RequestOrigin.CALLER,
             isIdempotent = parsed.isSafeMethod || service?.isIdempotent == true,
-            requestBytes = parsed.handed.body.size.toLong(),
+            requestBytes = parsed.forwardedRequest.body.size.toLong(),
             deadlineAtMs = nowMs + parsed.deadlineMs,
             clientZone = clientZone,
             key = parsed.identity.key,
             binding = parsed.identity.binding,
-            fingerprint = parsed.handed.fingerprint,
+            fingerprint = parsed.forwardedRequest.fingerprint,
         )
     }
 
-    private fun await(future: CompletableFuture<Response>, deadlineMs: Long): Response =
+    private fun awaitResponse(future: CompletableFuture<Response>, deadlineMs: Long): Response =
         try {
-            future.get(deadlineMs + ANSWER_MARGIN_MS, TimeUnit.MILLISECONDS)
+            future.get(deadlineMs + RESPONSE_MARGIN_MS, TimeUnit.MILLISECONDS)
         } catch (@Suppress("SwallowedException") e: TimeoutException) {
             refuse(Reason.INTERNAL_ERROR)
         }
 
     private fun clientAddress(request: Request): String {
-        val named = if (settings.isClientHeaderTrusted) request.header(CLIENT_FIELD) else null
-        return named ?: request.source?.address.orEmpty()
+        val headerAddress = if (settings.isClientHeaderTrusted) request.header(CLIENT_HEADER) else null
+        return headerAddress ?: request.source?.address.orEmpty()
     }
 
     private fun refuse(reason: Reason): Response {
-        tools.metrics.countRefusal(reason)
-        return refusalOf(reason, settings.name)
+        context.metrics.countRefusal(reason)
+        return buildRefusal(reason, settings.name)
     }
 }
 
-/** Represents the clock and the metrics that the API uses. */
-public class CallerTools(public val clock: Clock, public val metrics: EntryMetrics)
+/** Holds the clock and the metrics that the API uses. */
+public class CallerApiContext(public val clock: Clock, public val metrics: EntryMetrics)
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/requests/CallerRequest.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/requests/CallerRequest.kt
@@ -1,5 +1,5 @@
 /*
- * A request of a caller, parsed and checked, or the reason why it can't be taken.
+ * Parses and validates HTTP requests of callers.
  */
 package org.cardamomwharf.entry.requests
 
@@ -17,28 +17,28 @@
 import org.http4k.core.Method
 import org.http4k.core.Request
 
-/** The path under which services are reached. */
+/** The path prefix of requests to services. */
 public const val RUN_PREFIX: String = "/run/"
 
-private const val LARGEST_KEY_CHARACTERS = 200
-private val keyPattern = Regex("[!-~]{1,$LARGEST_KEY_CHARACTERS}")
+private const val MAX_KEY_CHARACTERS = 200
+private val keyPattern = Regex("[!-~]{1,$MAX_KEY_CHARACTERS}")
 
-/** Header fields that belong to one connection and are never passed on. */
-private val hopFields = setOf(
+/** Header fields that apply to a single connection or hop and are never forwarded. */
+private val hopByHopFields = setOf(
     "connection", "keep-alive", "proxy-connection", "transfer-encoding", "upgrade", "te", "trailer", "host",
     "content-length", "expect",
     HeaderNames.DEADLINE_MS.lowercase(), HeaderNames.BINDING.lowercase(), HeaderNames.ATTEMPT.lowercase(),
 )
 
 /**
- * Represents a checked request.
+ * Represents a validated request.
  *
- * @param deadlineMs time that is left for the whole answer.
+ * @param deadlineMs time remaining until the complete response is due.
  */
 public class CallerRequest(
     public val service: ServiceName,
     public val isSafeMethod: Boolean,
-    public val handed: HandedOverRequest,
+    public val forwardedRequest: HandedOverRequest,
     public val deadlineMs: Long,
     public val identity: RequestIdentity,
 )
@@ -46,7 +46,7 @@
 /** Represents the idempotency key of a request and the incarnation it is bound to. */
 public data class RequestIdentity(public val key: String?, public val binding: Binding?)
 
-/** Returns the checked request, or the reason for which it is refused. */
+/** Returns the validated request, or the reason why it is refused. */
 public fun parseRequest(request: Request, times: EntryTimes): Result<CallerRequest, Reason> {
     val deadlineMs = readDeadline(request, times)
     val identity = readIdentity(request)
@@ -59,7 +59,7 @@
             CallerRequest(
                 service = ServiceName(service),
                 isSafeMethod = request.method == Method.GET || request.method == Method.HEAD,
-                handed = handedOf(request, service),
+                forwardedRequest = createForwardedRequest(request, service),
                 deadlineMs = deadlineMs,
                 identity = identity,
             ),
@@ -69,30 +69,30 @@
 
 private fun readDeadline(request: Request, times: EntryTimes): Long? {
     val text = request.header(HeaderNames.DEADLINE_MS) ?: return times.defaultDeadlineMs
-    return text.toLongOrNull()?.takeIf { it in 1..times.largestDeadlineMs }
+    return text.toLongOrNull()?.takeIf { it in 1..times.maxDeadlineMs }
 }
 
 private fun readIdentity(request: Request): RequestIdentity? {
     val key = request.header(HeaderNames.IDEMPOTENCY_KEY)
     val bindingText = request.header(HeaderNames.BINDING)
     val binding = bindingText?.let { Binding.parse(it) }
-    val isKeyFine = key == null || keyPattern.matches(key)
-    val isBindingFine = (bindingText == null) == (binding == null)
-    return if (isKeyFine && isBindingFine) RequestIdentity(key, binding) else null
+    val isKeyValid = key == null || keyPattern.matches(key)
+    val isBindingValid = (bindingText == null) == (binding == null)
+    return if (isKeyValid && isBindingValid) RequestIdentity(key, binding) else null
 }
 
-private fun handedOf(request: Request, service: String): HandedOverRequest {
+private fun createForwardedRequest(request: Request, service: String): HandedOverRequest {
     val payload = request.body.payload.duplicate()
     val body = ByteArray(payload.remaining()).also { payload.get(it) }
     val path = request.uri.path.removePrefix(RUN_PREFIX + service).ifEmpty { "/" }
     val query = if (request.uri.query.isEmpty()) "" else "?" + request.uri.query
     val fields = request.headers
-        .filter { it.first.lowercase() !in hopFields }
+        .filter { it.first.lowercase() !in hopByHopFields }
         .map { HandedOverField(it.first, it.second.orEmpty()) }
     val identity = "${request.method} $path$query\n".toByteArray() + body
     return HandedOverRequest(request.method.name, path + query, fields, body, identity.sha256Hex())
 }
 
-/** Returns the fields of an answer that may be passed on. */
-public fun passableFields(fields: List<HandedOverField>): List<HandedOverField> =
-    fields.filter { it.name.lowercase() !in hopFields && !it.name.startsWith("Wharf-", ignoreCase = true) }
+/** Returns the header fields of a response that may be forwarded to the caller. */
+public fun filterForwardableFields(fields: List<HandedOverField>): List<HandedOverField> =
+    fields.filter { it.name.lowercase() !in hopByHopFields && !it.name.startsWith("Wharf-", ignoreCase = true) }
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/requests/CallerResponse.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/requests/CallerResponse.kt
@@ -1,5 +1,5 @@
 /*
- * Turns final answers into HTTP answers. Each names its outcome, its reason and the instance that gave it.
+ * Builds HTTP responses for callers. Each has header fields with its outcome, its reason and the responding instance.
  */
 package org.cardamomwharf.entry.requests
 
@@ -19,48 +19,53 @@
 
 private const val MS_PER_SECOND = 1_000L
 
-/** Returns the HTTP answer for [answer] of the instance [entry]. */
-public fun responseOf(answer: EntryEffect.Respond, ran: HandedOverResponse?, entry: InstanceName): Response {
-    val recorded = answer.recorded
-    val bare = when {
-        ran != null -> relay(ran)
+/** Returns the HTTP response for [effect], sent by the instance [entry]. */
+public fun buildResponse(
+    effect: EntryEffect.Respond,
+    serverResponse: HandedOverResponse?,
+    entry: InstanceName,
+): Response {
+    val recorded = effect.recorded
+    val plainResponse = when {
+        serverResponse != null -> relay(serverResponse)
         recorded != null -> replay(recorded)
-        else -> Response(Status(answer.reason.status, answer.reason.code)).body(answer.reason.code + "\n")
+        else -> Response(Status(effect.reason.status, effect.reason.code)).body(effect.reason.code + "\n")
     }
-    val marked = bare
-        .header(HeaderNames.OUTCOME, answer.reason.outcome.code)
-        .header(HeaderNames.REASON, answer.reason.code)
+    val annotatedResponse = plainResponse
+        .header(HeaderNames.OUTCOME, effect.reason.outcome.code)
+        .header(HeaderNames.REASON, effect.reason.code)
         .header(HeaderNames.ENTRY, entry.value)
-    return withOffer(withRetryAfter(marked, answer), answer)
+    return withOfferedBinding(withRetryAfter(annotatedResponse, effect), effect)
 }
 
-/** Returns the HTTP answer for a request that was refused before it was decided about. */
-public fun refusalOf(reason: Reason, entry: InstanceName): Response =
-    responseOf(EntryEffect.Respond(NO_REQUEST, reason, retryAfterMs = retryAfterMs(reason)), null, entry)
+/** Returns the HTTP response for a request that was refused before it reached the decision loop. */
+public fun buildRefusal(reason: Reason, entry: InstanceName): Response =
+    buildResponse(EntryEffect.Respond(NO_REQUEST, reason, retryAfterMs = retryAfterMs(reason)), null, entry)
 
 private val NO_REQUEST = RequestId(0)
 
 private fun retryAfterMs(reason: Reason): Long = if (reason.isRetryable) MS_PER_SECOND else 0
 
-private fun relay(ran: HandedOverResponse): Response =
-    passableFields(ran.fields).fold(Response(Status(ran.status, "")).body(bodyOf(ran.body))) { built, field ->
-        built.header(field.name, field.value)
-    }
+private fun relay(serverResponse: HandedOverResponse): Response =
+    filterForwardableFields(serverResponse.fields)
+        .fold(Response(Status(serverResponse.status, "")).body(createBody(serverResponse.body))) { response, field ->
+            response.header(field.name, field.value)
+        }
 
 private fun replay(recorded: RecordedResponse): Response =
     Response(Status(recorded.status, ""))
         .header("Content-Type", recorded.contentType)
-        .body(bodyOf(Base64.getDecoder().decode(recorded.bodyBase64)))
+        .body(createBody(Base64.getDecoder().decode(recorded.bodyBase64)))
 
-private fun bodyOf(bytes: ByteArray): Body = Body(ByteBuffer.wrap(bytes))
+private fun createBody(bytes: ByteArray): Body = Body(ByteBuffer.wrap(bytes))
 
-private fun withRetryAfter(response: Response, answer: EntryEffect.Respond): Response {
-    if (answer.reason.outcome != Outcome.NOT_RUN || answer.retryAfterMs <= 0) return response
-    val seconds = (answer.retryAfterMs + MS_PER_SECOND - 1) / MS_PER_SECOND
+private fun withRetryAfter(response: Response, effect: EntryEffect.Respond): Response {
+    if (effect.reason.outcome != Outcome.NOT_RUN || effect.retryAfterMs <= 0) return response
+    val seconds = (effect.retryAfterMs + MS_PER_SECOND - 1) / MS_PER_SECOND
     return response.header(HeaderNames.RETRY_AFTER, seconds.toString())
 }
 
-private fun withOffer(response: Response, answer: EntryEffect.Respond): Response {
-    val offer = answer.offeredBinding ?: return response
-    return response.header(HeaderNames.BINDING, offer.toString())
+private fun withOfferedBinding(response: Response, effect: EntryEffect.Respond): Response {
+    val binding = effect.offeredBinding ?: return response
+    return response.header(HeaderNames.BINDING, binding.toString())
 }
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/settings/EntrySettings.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/settings/EntrySettings.kt
@@ -1,6 +1,5 @@
 /*
- * The settings of one entry process. They say where it is and whom it asks; everything about traffic is in the
- * document.
+ * Settings of one entry process: its location, addresses, intervals and limits. Traffic is configured in the document.
  */
 package org.cardamomwharf.entry.settings
 
@@ -15,7 +14,7 @@
 /**
  * Represents the settings of an entry process.
  *
- * @param isClientHeaderTrusted true when callers' proxies name the client in `Wharf-Client`.
+ * @param isClientHeaderTrusted true if the proxies of callers set the client address in the header `Wharf-Client`.
  */
 public data class EntrySettings(
     public val name: InstanceName,
@@ -32,7 +31,7 @@
 /**
  * Represents the addresses of an entry process and of the platform.
  *
- * @param advertisedPeer where peers reach [peer]; it differs where addresses are translated on the way.
+ * @param advertisedPeer address at which peers reach [peer]; it differs from [peer] behind address translation.
  */
 public data class EntryAddresses(
     public val caller: SocketAddress,
@@ -43,18 +42,18 @@
 )
 
 /**
- * Represents how often an entry process asks others, and how long it waits.
+ * Represents the polling intervals, update intervals and timeouts of an entry process.
  *
- * @param exitLimitMs time after which a leaving process ends even if requests are open.
+ * @param exitTimeoutMs time after which a leaving process exits even if requests are open.
  */
 public data class EntryTimes(
-    public val headPollMs: Long = 5_000,
-    public val listPollMs: Long = 5_000,
-    public val loadPollMs: Long = 1_000,
-    public val platformLimitMs: Long = 1_500,
-    public val tickMs: Long = 20,
-    public val viewMs: Long = 100,
+    public val headPollIntervalMs: Long = 5_000,
+    public val listPollIntervalMs: Long = 5_000,
+    public val loadPollIntervalMs: Long = 1_000,
+    public val platformTimeoutMs: Long = 1_500,
+    public val tickIntervalMs: Long = 20,
+    public val viewIntervalMs: Long = 100,
     public val defaultDeadlineMs: Long = 5_000,
-    public val largestDeadlineMs: Long = 60_000,
-    public val exitLimitMs: Long = 90_000,
+    public val maxDeadlineMs: Long = 60_000,
+    public val exitTimeoutMs: Long = 90_000,
 )
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/settings/EntrySettingsReader.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/settings/EntrySettingsReader.kt
@@ -1,5 +1,5 @@
 /*
- * Reads the settings of an entry process from YAML and gives either the settings or every problem of them.
+ * Reads the settings of an entry process from YAML and reports all problems found in them.
  */
 package org.cardamomwharf.entry.settings
 
@@ -22,15 +22,15 @@
 import org.cardamomwharf.repository.EnvironmentName
 import java.nio.file.Path
 
-private const val LARGEST_MS = 3_600_000L
-private const val LARGEST_COUNT = 100_000L
-private val nowhere = SocketAddress("0.0.0.0", 1)
+private const val MAX_DURATION_MS = 3_600_000L
+private const val MAX_COUNT = 100_000L
+private val placeholderAddress = SocketAddress("0.0.0.0", 1)
 
-/** Returns the settings in [file], or every problem of them. */
+/** Returns the settings in [file], or all problems found in them. */
 public fun readEntrySettings(file: Path): Result<EntrySettings, List<Problem>> =
     readText(file).flatMap(::parseEntrySettings)
 
-/** Returns the settings in the YAML [text], or every problem of them. */
+/** Returns the settings in the YAML [text], or all problems found in them. */
 public fun parseEntrySettings(text: String): Result<EntrySettings, List<Problem>> =
     readYaml(text) { fields, problems -> fields.readSettings(problems) }
 
@@ -57,21 +57,21 @@
     val text = text(key, default)
     val address = SocketAddress.parse(text)
     if (address == null && text.isNotEmpty()) {
-        problems.report(ProblemKind.WRONG_TYPE, getPath(key), "$text isn't an IP number and port")
+        problems.report(ProblemKind.WRONG_TYPE, getPath(key), "$text is not an IP address and port")
     }
-    return address ?: nowhere
+    return address ?: placeholderAddress
 }
 
 private fun YamlFields.readTimes(default: EntryTimes) = EntryTimes(
-    headPollMs = ms("headPollMs", default.headPollMs),
-    listPollMs = ms("listPollMs", default.listPollMs),
-    loadPollMs = ms("loadPollMs", default.loadPollMs),
-    platformLimitMs = ms("platformLimitMs", default.platformLimitMs),
-    tickMs = ms("tickMs", default.tickMs),
-    viewMs = ms("viewMs", default.viewMs),
+    headPollIntervalMs = ms("headPollMs", default.headPollIntervalMs),
+    listPollIntervalMs = ms("listPollMs", default.listPollIntervalMs),
+    loadPollIntervalMs = ms("loadPollMs", default.loadPollIntervalMs),
+    platformTimeoutMs = ms("platformLimitMs", default.platformTimeoutMs),
+    tickIntervalMs = ms("tickMs", default.tickIntervalMs),
+    viewIntervalMs = ms("viewMs", default.viewIntervalMs),
     defaultDeadlineMs = ms("defaultDeadlineMs", default.defaultDeadlineMs),
-    largestDeadlineMs = ms("largestDeadlineMs", default.largestDeadlineMs),
-    exitLimitMs = ms("exitLimitMs", default.exitLimitMs),
+    maxDeadlineMs = ms("largestDeadlineMs", default.maxDeadlineMs),
+    exitTimeoutMs = ms("exitLimitMs", default.exitTimeoutMs),
 )
 
 private fun YamlFields.readLimits(default: EntryLimits) = EntryLimits(
@@ -90,6 +90,6 @@
     summaryMembers = count("summaryMembers", default.summaryMembers),
 )
 
-private fun YamlFields.ms(key: String, default: Long): Long = integer(key, 1..LARGEST_MS, default)
+private fun YamlFields.ms(key: String, default: Long): Long = integer(key, 1..MAX_DURATION_MS, default)
 
-private fun YamlFields.count(key: String, default: Int): Int = integer(key, 1..LARGEST_COUNT, default.toLong()).toInt()
+private fun YamlFields.count(key: String, default: Int): Int = integer(key, 1..MAX_COUNT, default.toLong()).toInt()
--- a/cardamomwharf-entry/src/test/kotlin/org/cardamomwharf/entry/forwarding/AttemptResultsTest.kt
+++ b/cardamomwharf-entry/src/test/kotlin/org/cardamomwharf/entry/forwarding/AttemptResultsTest.kt
@@ -1,5 +1,5 @@
 /*
- * What answers of backend servers mean for the attempt that they meet.
+ * Tests the conversion of responses of backend servers to attempt results.
  */
 package org.cardamomwharf.entry.forwarding
 
@@ -13,23 +13,23 @@
 import org.cardamomwharf.http.HttpResponse
 import org.cardamomwharf.http.HttpResult
 
-private val own = AttemptId("own")
+private val ownAttempt = AttemptId("own")
 
-private fun resultOf(vararg fields: Pair<String, String>): AttemptResult {
-    val answer = HttpResponse(200, fields.map { (name, value) -> HttpField(name, value) }, ByteArray(0))
-    return attemptResultOf(HttpResult.Completed(answer), own, isIdempotent = true)
+private fun createResult(vararg fields: Pair<String, String>): AttemptResult {
+    val response = HttpResponse(200, fields.map { (name, value) -> HttpField(name, value) }, ByteArray(0))
+    return createAttemptResult(HttpResult.Completed(response), ownAttempt, isIdempotent = true)
 }
 
 class AttemptResultsTest : FunSpec({
-    test("`a refusal of another attempt says nothing about this one`") {
-        resultOf(HeaderNames.REFUSED to "true", HeaderNames.ATTEMPT to "other") shouldBe
+    test("`a refusal with the ID of another attempt leaves the outcome of this attempt unknown`") {
+        createResult(HeaderNames.REFUSED to "true", HeaderNames.ATTEMPT to "other") shouldBe
             AttemptResult.Lost(Reason.ANSWER_CROSSED)
     }
 
-    test("`answers and refusals tell whether they name their attempt`") {
-        resultOf(HeaderNames.ATTEMPT to "own") shouldBe AttemptResult.Completed(hasAttemptId = true)
-        resultOf() shouldBe AttemptResult.Completed(hasAttemptId = false)
-        resultOf(HeaderNames.REFUSED to "true", HeaderNames.ATTEMPT to "own") shouldBe
+    test("`completed and refused results record whether the response has the attempt ID`") {
+        createResult(HeaderNames.ATTEMPT to "own") shouldBe AttemptResult.Completed(hasAttemptId = true)
+        createResult() shouldBe AttemptResult.Completed(hasAttemptId = false)
+        createResult(HeaderNames.REFUSED to "true", HeaderNames.ATTEMPT to "own") shouldBe
             AttemptResult.Refused(Reason.SERVER_REFUSED, hasAttemptId = true)
     }
 })
--- a/cardamomwharf-entry/src/test/kotlin/org/cardamomwharf/entry/serial/SerialFormsTest.kt
+++ b/cardamomwharf-entry/src/test/kotlin/org/cardamomwharf/entry/serial/SerialFormsTest.kt
@@ -68,14 +68,14 @@
     test("`names, labels and help texts of metrics are those that were recorded`") {
         val metrics = EntryMetrics()
         for (reason in Reason.entries) {
-            metrics.countAnswer(service, reason)
+            metrics.countResponse(service, reason)
             metrics.countRefusal(reason)
             metrics.countRetry(service, reason)
         }
         metrics.countLookup(service)
-        metrics.countDrop()
+        metrics.countPeerDrop()
         metrics.countExpired(1)
-        metrics.observe(service, 1)
+        metrics.observeLatency(service, 1)
         compareWithRecorded("metrics.txt", listNames(metrics.write(sampleSnapshot(), ANY_MS)))
     }
 })
