--- a/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/Main.kt
+++ b/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/Main.kt
@@ -11,7 +11,7 @@
 import kotlinx.cli.default
 import kotlinx.serialization.encodeToString
 import kotlinx.serialization.json.Json
-import org.cardamomwharf.bench.paths.measurePaths
+import org.cardamomwharf.bench.paths.measureHotPaths
 import org.cardamomwharf.bench.policy.printPolicyBench
 import org.cardamomwharf.bench.process.FleetShape
 import org.cardamomwharf.bench.process.measureProcesses
@@ -21,7 +21,6 @@
 import java.nio.file.Path
 import kotlin.system.exitProcess
 
-/** Runs one subcommand. */
 @OptIn(ExperimentalCli::class)
 public fun main(args: Array<String>) {
     val parser = ArgParser("bench")
@@ -34,13 +33,13 @@
     private val document by option(ArgType.String, "document", description = "Document in YAML")
         .default("examples/wisla/document.yaml")
     private val seed by option(ArgType.Int, "seed", description = "Seed of the run").default(1)
-    private val case by option(ArgType.String, "case", description = "Only this case")
-    private val objective by option(ArgType.Choice<Objective>(), "objective", description = "Instead of the document's")
-    private val out by option(ArgType.String, "out", description = "File for the counts in JSON")
+    private val case by option(ArgType.String, "case", description = "Run only this case")
+    private val objective by option(ArgType.Choice<Objective>(), "objective", description = "Overrides the document")
+    private val out by option(ArgType.String, "out", description = "Output file for the counts in JSON")
 
     override fun execute() {
-        val read = readDocument(Path.of(document)).getOrThrow { IllegalArgumentException(it.joinToString("\n")) }
-        val counts = printPolicyBench(read.copy(objective = objective ?: read.objective), seed.toLong(), case)
+        val parsed = readDocument(Path.of(document)).getOrThrow { IllegalArgumentException(it.joinToString("\n")) }
+        val counts = printPolicyBench(parsed.copy(objective = objective ?: parsed.objective), seed.toLong(), case)
         out?.let { Files.writeString(Path.of(it), Json.encodeToString(counts)) }
     }
 }
@@ -48,19 +47,21 @@
 @OptIn(ExperimentalCli::class)
 private class CheckCommand : Subcommand("check", "Measure the hot paths and compare them with the stated targets.") {
     override fun execute() {
-        val figures = measurePaths()
-        figures.forEach { println(it) }
-        exitProcess(if (figures.all { it.isFine }) 0 else EXIT_ABOVE_BOUND)
+        val results = measureHotPaths()
+        results.forEach { println(it) }
+        exitProcess(if (results.all { it.isWithinBound }) 0 else EXIT_ABOVE_BOUND)
     }
 }
 
 @OptIn(ExperimentalCli::class)
 private class ProcessCommand : Subcommand("process", "Measure the processor time of gateway processes.") {
-    private val instances by option(ArgType.Int, "instances", description = "Processes").default(FleetShape().instances)
-    private val servers by option(ArgType.Int, "servers", description = "Backend servers").default(FleetShape().servers)
-    private val deploy by option(ArgType.String, "deploy", description = "Deploy file with the command")
+    private val instances by option(ArgType.Int, "instances", description = "Number of processes")
+        .default(FleetShape().instances)
+    private val servers by option(ArgType.Int, "servers", description = "Number of backend servers")
+        .default(FleetShape().servers)
+    private val deploy by option(ArgType.String, "deploy", description = "Deploy file that holds the start command")
         .default("deploy/system.toml")
-    private val folder by option(ArgType.String, "folder", description = "Folder for logs")
+    private val folder by option(ArgType.String, "folder", description = "Log folder")
         .default("target/process-cost")
 
     override fun execute() {
--- a/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/paths/ControlBenchmark.kt
+++ b/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/paths/ControlBenchmark.kt
@@ -1,6 +1,5 @@
 /*
- * What an instance does for its membership at several numbers of peers in its zone: hearing heartbeats, ticking,
- * telling.
+ * Benchmarks of the membership protocol of one instance at several numbers of peers in its zone.
  */
 package org.cardamomwharf.bench.paths
 
@@ -23,7 +22,7 @@
 
 private const val FIRST_SEQUENCE = 1_000L
 
-/** Measures the control work of one instance. */
+/** Measures receiving, sending and encoding heartbeats, and periodic ticks. */
 @State(Scope.Thread)
 @BenchmarkMode(Mode.AverageTime)
 @OutputTimeUnit(TimeUnit.MICROSECONDS)
@@ -33,21 +32,21 @@
     public var peers: Int = 0
 
     private lateinit var state: EntryState
-    private lateinit var beat: PeerMessage
+    private lateinit var heartbeat: PeerMessage
     private lateinit var frame: ByteArray
     private var sequence = FIRST_SEQUENCE
 
-    /** Makes the state. */
+    /** Creates the instance state and the encoded heartbeat. */
     @Setup
     public fun prepare() {
         state = sampleState(peers)
-        beat = PeerMessage.HeartbeatMessage(sampleHeartbeat(1, 1))
-        frame = encodeMessage(beat)
+        heartbeat = PeerMessage.HeartbeatMessage(sampleHeartbeat(1, 1))
+        frame = encodeMessage(heartbeat)
     }
 
-    /** Hears one heartbeat. */
+    /** Processes one received heartbeat. */
     @Benchmark
-    public fun hear(): EntryStep {
+    public fun receiveHeartbeat(): EntryStep {
         sequence++
         val number = 1 + (sequence % peers).toInt()
         val next = step(state, EntryEvent.HeartbeatReceived(sampleHeartbeat(number, sequence)), SAMPLE_NOW_MS)
@@ -55,28 +54,26 @@
         return next
     }
 
-    /** Ticks once without a heartbeat being due. */
+    /** Processes a tick at which no heartbeat is due. */
     @Benchmark
     public fun tick(): EntryStep = step(state, EntryEvent.Tick(0), SAMPLE_NOW_MS)
 
-    /** Ticks once with the ownership being looked at again. */
+    /** Processes a tick at which the ownership of servers is recomputed. */
     @Benchmark
-    public fun divide(): EntryStep = step(state, EntryEvent.Tick(0), SAMPLE_NOW_MS + OWNERSHIP_MS)
+    public fun updateOwnership(): EntryStep = step(state, EntryEvent.Tick(0), SAMPLE_NOW_MS + OWNERSHIP_INTERVAL_MS)
 
-    /** Ticks once with a heartbeat and summaries being due. */
+    /** Processes a tick at which a heartbeat and summaries are due. */
     @Benchmark
-    public fun tell(): EntryStep = step(state, EntryEvent.Tick(0), SAMPLE_NOW_MS + HEARTBEAT_MS)
+    public fun sendHeartbeat(): EntryStep = step(state, EntryEvent.Tick(0), SAMPLE_NOW_MS + HEARTBEAT_INTERVAL_MS)
 
-    /** Encodes one heartbeat. */
     @Benchmark
-    public fun encode(): ByteArray = encodeMessage(beat)
+    public fun encode(): ByteArray = encodeMessage(heartbeat)
 
-    /** Decodes one heartbeat. */
     @Benchmark
     public fun decode(): PeerMessage = decodeMessage(frame)
 
     private companion object {
-        const val HEARTBEAT_MS = 2_000L
-        const val OWNERSHIP_MS = 300L
+        const val HEARTBEAT_INTERVAL_MS = 2_000L
+        const val OWNERSHIP_INTERVAL_MS = 300L
     }
 }
--- a/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/paths/FleetSample.kt
+++ b/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/paths/FleetSample.kt
@@ -1,5 +1,5 @@
 /*
- * A made fleet of a given size: a document, a zone full of peers, summaries of other zones, and client blocks.
+ * Generates the benchmark fleet: a document, the peers of one zone and the summaries of the other zones.
  */
 package org.cardamomwharf.bench.paths
 
@@ -45,7 +45,7 @@
 private const val JOIN_STEPS = 10
 private const val STEP_MS = 500L
 private const val SERVICE_MS = 10L
-private const val ANSWER_BYTES = 4_096L
+private const val RESPONSE_BYTES = 4_096L
 private const val TTL_MS = 5_000L
 private const val PORT = 8_000
 private const val ZONE_DELAY_MS = 1.5
@@ -56,7 +56,7 @@
     (1..REGIONS).flatMap { region -> (1..ZONES_PER_REGION).map { ZoneName("zone-$region-$it") } }
 private val services = (1..SERVICES).map { ServiceName("service-$it") }
 
-/** The time of the sample. */
+/** The current time of the sample fleet. */
 public const val SAMPLE_NOW_MS: Long = 100_000
 
 /** Returns a document with 5 regions and 15 zones. */
@@ -65,18 +65,18 @@
     objective = Objective.LATENCY,
     partners = listOf(Partner(PartnerName("one"), CAP, CAP)),
     regions = (1..REGIONS).map { region ->
-        val own = (1..ZONES_PER_REGION).map { ZoneName("zone-$region-$it") }
-        Region(RegionName("region-$region"), PartnerName("one"), own)
+        val regionZones = (1..ZONES_PER_REGION).map { ZoneName("zone-$region-$it") }
+        Region(RegionName("region-$region"), PartnerName("one"), regionZones)
     },
     delays = Delays(ZONE_DELAY_MS, REGION_DELAY_MS, CLIENT_DELAY_MS),
-    links = (1..REGIONS).flatMap { from -> (1..REGIONS).filter { it != from }.map { linkOf(from, it) } },
+    links = (1..REGIONS).flatMap { from -> (1..REGIONS).filter { it != from }.map { createLink(from, it) } },
     services = services.map { name ->
-        Service(name, true, 1, SERVICE_MS, ANSWER_BYTES, TTL_MS, zones.map { Pool(it, 2, SLOTS, SLOTS) })
+        Service(name, true, 1, SERVICE_MS, RESPONSE_BYTES, TTL_MS, zones.map { Pool(it, 2, SLOTS, SLOTS) })
     },
     clientBlocks = emptyList(),
 )
 
-private fun linkOf(from: Int, to: Int) = Link(RegionName("region-$from"), RegionName("region-$to"), CAP)
+private fun createLink(from: Int, to: Int) = Link(RegionName("region-$from"), RegionName("region-$to"), CAP)
 
 /** Returns the member [number] of the first zone. */
 public fun sampleMember(number: Int, zone: ZoneName = zones.first()): Member =
@@ -102,10 +102,10 @@
     return ZoneSummary(zone, 1, DocumentVersion(1), members, loads, CapEpoch.FIRST)
 }
 
-/** Returns the other zones. */
+/** Returns all zones except that of the measured instance. */
 public fun otherZones(): List<ZoneName> = zones.drop(1)
 
-/** Returns an instance that has joined a zone with [peers] others and has heard all zones. */
+/** Returns the state of an instance that has joined a zone with [peers] peers and has a summary of each other zone. */
 public fun sampleState(peers: Int): EntryState {
     val self = sampleMember(0)
     val startMs = SAMPLE_NOW_MS - JOIN_STEPS * STEP_MS
@@ -114,20 +114,20 @@
     val servers = services.flatMap { service ->
         (1..2).map { ListedServer(ServerName("${service.value}-$it"), service, zones.first(), address) }
     }
-    val first = listOf(
+    val initialEvents = listOf(
         EntryEvent.DocumentFetched(DocumentHead(DocumentVersion(1), "1"), sampleDocument()),
         EntryEvent.PlatformListRead(listed, servers),
     )
     var state = newEntryState(self, MembershipSettings(), EntryLimits(), startMs)
-    first.forEach { state = step(state, it, startMs).state }
+    initialEvents.forEach { state = step(state, it, startMs).state }
     for (number in 1..JOIN_STEPS) {
         val nowMs = startMs + number * STEP_MS
         for (peer in 1..peers) {
             val heartbeat = sampleHeartbeat(peer, number.toLong())
-            state = hear(state, EntryEvent.HeartbeatReceived(heartbeat), nowMs)
+            state = applyEvent(state, EntryEvent.HeartbeatReceived(heartbeat), nowMs)
         }
-        otherZones().forEach { state = hear(state, EntryEvent.SummaryReceived(sampleSummary(it), true), nowMs) }
-        state = hear(state, EntryEvent.Tick(0), nowMs)
+        otherZones().forEach { state = applyEvent(state, EntryEvent.SummaryReceived(sampleSummary(it), true), nowMs) }
+        state = applyEvent(state, EntryEvent.Tick(0), nowMs)
     }
     return state
 }
@@ -135,4 +135,4 @@
 private fun listedIn(zone: ZoneName, number: Int) =
     ListedInstance(sampleMember(number, zone).name, zone, address, address)
 
-private fun hear(state: EntryState, event: EntryEvent, nowMs: Long): EntryState = step(state, event, nowMs).state
+private fun applyEvent(state: EntryState, event: EntryEvent, nowMs: Long): EntryState = step(state, event, nowMs).state
--- a/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/paths/LookupBenchmark.kt
+++ b/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/paths/LookupBenchmark.kt
@@ -1,5 +1,5 @@
 /*
- * The look-up of one client at several numbers of client blocks.
+ * Benchmarks of client look-ups at several numbers of client blocks.
  */
 package org.cardamomwharf.bench.paths
 
@@ -21,7 +21,7 @@
 private const val PEERS = 57
 private const val STRIDE = 7_919
 
-/** Measures look-ups. */
+/** Measures the look-up of a client and of its zone. */
 @State(Scope.Thread)
 @BenchmarkMode(Mode.AverageTime)
 @OutputTimeUnit(TimeUnit.MICROSECONDS)
@@ -34,14 +34,14 @@
     private lateinit var table: ClientBlockTable
     private var next = 0
 
-    /** Makes the view and the table. */
+    /** Creates the look-up view and the client block table. */
     @Setup
     public fun prepare() {
         view = requireNotNull(createLookupView(sampleState(PEERS), SAMPLE_NOW_MS))
         table = ClientBlockTable.build(sampleBlocks(blocks).asSequence())
     }
 
-    /** Answers one look-up. */
+    /** Ranks the instances for one client. */
     @Benchmark
     public fun lookUp(): List<Placement> {
         val client = nextAddress()
@@ -55,6 +55,6 @@
 
     private fun nextAddress(): String {
         next = (next + STRIDE) % blocks
-        return addressOf(next)
+        return getBlockAddress(next)
     }
 }
--- a/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/paths/SampleBlocks.kt
+++ b/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/paths/SampleBlocks.kt
@@ -1,5 +1,5 @@
 /*
- * Made client blocks of 256 addresses each.
+ * Generates client blocks for the benchmarks.
  */
 package org.cardamomwharf.bench.paths
 
@@ -14,11 +14,11 @@
 
 /** Returns [count] client blocks of 256 addresses each. */
 public fun sampleBlocks(count: Int): List<ClientBlock> = (0 until count).map { number ->
-    ClientBlock("${addressOf(number)}/$BLOCK_BITS", zones[number % zones.size])
+    ClientBlock("${getBlockAddress(number)}/$BLOCK_BITS", zones[number % zones.size])
 }
 
 /** Returns the first address of the block [number]. */
-public fun addressOf(number: Int): String {
+public fun getBlockAddress(number: Int): String {
     val value = FIRST_ADDRESS + number * BLOCK_SIZE
     return (OCTETS - 1 downTo 0).joinToString(".") { ((value shr (it * OCTET_BITS)) and OCTET_MASK).toString() }
 }
--- a/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/policy/Baselines.kt
+++ b/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/policy/Baselines.kt
@@ -1,82 +1,97 @@
 /*
- * The baselines: the nearest zone only, a random zone, and the zone that a lagging report says is least loaded. Each
- * sends straight to a random server of the zone and tries again at once when it was shed.
+ * The baseline routers: nearest zone, random zone, and the zone with the least load according to delayed reports. Each
+ * sends directly to a random server of the zone and retries at once if the server rejects the request.
  */
 package org.cardamomwharf.bench.policy
 
 import org.cardamomwharf.core.ServiceName
 import org.cardamomwharf.core.ZoneName
 
-private const val SHED = "server-refused"
+private const val REFUSED_REASON = "server-refused"
 
-/** Returns the baselines in [world]. */
-public fun baselinesOf(world: PolicyWorld): List<Router> = listOf(
-    Baseline("nearest zone", world) { request, _ -> request.zone },
+/** Returns the baseline routers for [simulation]. */
+public fun createBaselines(simulation: PolicySimulation): List<Router> = listOf(
+    Baseline("nearest zone", simulation) { request, _ -> request.zone },
     Baseline(
         "random zone",
-        world
-    ) { request, candidates -> candidates[world.time.below(candidates.size)] ?: request.zone },
-    LeastLoaded(world),
+        simulation
+    ) { request, candidates -> candidates[simulation.clock.randomInt(candidates.size)] ?: request.zone },
+    LeastLoaded(simulation),
 )
 
 private open class Baseline(
     override val name: String,
-    protected val world: PolicyWorld,
+    protected val simulation: PolicySimulation,
     private val choose: (PolicyRequest, List<ZoneName>) -> ZoneName,
 ) : Router {
-    override fun route(request: PolicyRequest, onEnd: (PolicyEnd, String) -> Unit) {
-        attempt(request, world.case.clientTries, onEnd)
+    override fun route(request: PolicyRequest, onResult: (RequestResult, String) -> Unit) {
+        attempt(request, simulation.case.clientAttempts, onResult)
     }
 
-    private fun attempt(request: PolicyRequest, triesLeft: Int, onEnd: (PolicyEnd, String) -> Unit) {
-        val zones = candidates(request.service)
+    private fun attempt(request: PolicyRequest, attemptsLeft: Int, onResult: (RequestResult, String) -> Unit) {
+        val zones = findCandidateZones(request.service)
         val zone = choose(request, zones)
-        val servers = world.servers.filter { it.place.zone == zone && it.place.service == request.service }
-        val server = servers[world.time.below(servers.size)]
-        val delayMs = world.clientDelayMs(request.zone, zone)
-        world.time.plan(delayMs) {
-            world.noteShift(request.zone, server)
-            server.take { hasRun -> world.time.plan(delayMs) { end(hasRun, request, triesLeft, onEnd) } }
+        val servers = simulation.servers.filter { it.config.zone == zone && it.config.service == request.service }
+        val server = servers[simulation.clock.randomInt(servers.size)]
+        val delayMs = simulation.clientDelayMs(request.zone, zone)
+        simulation.clock.schedule(delayMs) {
+            simulation.recordShift(request.zone, server)
+            server.submit { hasRun ->
+                simulation.clock.schedule(delayMs) { complete(hasRun, request, attemptsLeft, onResult) }
+            }
         }
     }
 
-    private fun end(hasRun: Boolean, request: PolicyRequest, triesLeft: Int, onEnd: (PolicyEnd, String) -> Unit) {
+    private fun complete(
+        hasRun: Boolean,
+        request: PolicyRequest,
+        attemptsLeft: Int,
+        onResult: (RequestResult, String) -> Unit,
+    ) {
         when {
-            hasRun -> onEnd(PolicyEnd.RAN, "answered")
-            triesLeft > 1 -> attempt(request, triesLeft - 1, onEnd)
-            else -> onEnd(PolicyEnd.NOT_RUN, SHED)
+            hasRun -> onResult(RequestResult.RAN, "answered")
+            attemptsLeft > 1 -> attempt(request, attemptsLeft - 1, onResult)
+            else -> onResult(RequestResult.NOT_RUN, REFUSED_REASON)
         }
     }
 
-    private fun candidates(service: ServiceName): List<ZoneName> =
-        world.zones.filter { world.index.findPool(service, it) != null && !world.index.isDrained(service, it, 0) }
+    private fun findCandidateZones(service: ServiceName): List<ZoneName> =
+        simulation.zones.filter {
+            simulation.index.findPool(service, it) != null && !simulation.index.isDrained(service, it, 0)
+        }
 }
 
-private class LeastLoaded(world: PolicyWorld, private val reports: LaggingReports = LaggingReports(world)) :
-    Baseline("least loaded by report", world, { request, zones -> reports.leastLoaded(request.service, zones) }) {
+private class LeastLoaded(
+    simulation: PolicySimulation,
+    private val reports: DelayedReports = DelayedReports(simulation),
+) : Baseline(
+    "least loaded by report",
+    simulation,
+    { request, zones -> reports.findLeastLoaded(request.service, zones) },
+) {
     override fun start() {
         reports.start()
     }
 }
 
-/** Represents load reports that arrive late. */
-private class LaggingReports(private val world: PolicyWorld) {
-    private var seen: Map<Pair<ServiceName, ZoneName>, Double> = emptyMap()
+/** Represents load reports that arrive after the configured delay. */
+private class DelayedReports(private val simulation: PolicySimulation) {
+    private var latest: Map<Pair<ServiceName, ZoneName>, Double> = emptyMap()
 
     fun start() {
         val measured = measure()
-        world.time.plan(world.case.reportLagMs.toDouble()) {
-            seen = measured
+        simulation.clock.schedule(simulation.case.reportLagMs.toDouble()) {
+            latest = measured
             start()
         }
     }
 
-    fun leastLoaded(service: ServiceName, zones: List<ZoneName>): ZoneName =
-        zones.minBy { seen[service to it] ?: 0.0 }
+    fun findLeastLoaded(service: ServiceName, zones: List<ZoneName>): ZoneName =
+        zones.minBy { latest[service to it] ?: 0.0 }
 
     private fun measure(): Map<Pair<ServiceName, ZoneName>, Double> =
-        world.servers.groupBy { it.place.service to it.place.zone }
+        simulation.servers.groupBy { it.config.service to it.config.zone }
             .mapValues { (_, servers) ->
-                servers.sumOf { world.reportOf(it) } / servers.sumOf { it.place.slots }.toDouble()
+                servers.sumOf { simulation.getReportedLoad(it) } / servers.sumOf { it.config.slots }.toDouble()
             }
 }
--- a/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/policy/PolicyCase.kt
+++ b/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/policy/PolicyCase.kt
@@ -1,29 +1,29 @@
 /*
- * The cases of the policy bench: how much load comes from where, and what fails.
+ * The cases of the policy benchmark: load by region and injected failures.
  */
 package org.cardamomwharf.bench.policy
 
 import org.cardamomwharf.core.RegionName
 
 /**
- * Represents one case.
+ * Represents one benchmark case.
  *
- * @param loadPercent load of each region in percent of the slots it has itself.
- * @param lost region whose servers and entry instances fail at half time.
- * @param drained region whose zones are drained from half time on.
- * @param isLying half of the servers report no load and the others a full one.
- * @param clientTries tries that a client makes without waiting.
+ * @param loadPercent load from each region in percent of its own slots.
+ * @param failedRegion region whose servers and entry instances fail halfway through the run.
+ * @param drainedRegion region whose zones are drained halfway through the run.
+ * @param isReportFalse whether half of the servers report no load and the others full load.
+ * @param clientAttempts attempts that a client makes without a delay between them.
  * @param reportLagMs age of the load reports.
  */
 public data class PolicyCase(
     public val name: String,
     public val loadPercent: Map<RegionName, Int>,
-    public val lost: RegionName? = null,
-    public val drained: RegionName? = null,
+    public val failedRegion: RegionName? = null,
+    public val drainedRegion: RegionName? = null,
     public val isCold: Boolean = false,
     public val isStoreDown: Boolean = false,
-    public val isLying: Boolean = false,
-    public val clientTries: Int = 3,
+    public val isReportFalse: Boolean = false,
+    public val clientAttempts: Int = 3,
     public val reportLagMs: Long = 2_000,
 )
 
@@ -37,13 +37,13 @@
         PolicyCase("one region at 1.5x peak", steady + (first to PEAK_PERCENT)),
         PolicyCase("all at 2x of capacity", regions.associateWith { DOUBLE_PERCENT }),
         PolicyCase("all at 5x of capacity", regions.associateWith { FIVEFOLD_PERCENT }),
-        PolicyCase("region lost", steady, lost = first),
-        PolicyCase("planned drain", regions.associateWith { LIGHT_PERCENT }, drained = first),
+        PolicyCase("region lost", steady, failedRegion = first),
+        PolicyCase("planned drain", regions.associateWith { LIGHT_PERCENT }, drainedRegion = first),
         PolicyCase("cold caches", steady + (first to PEAK_PERCENT), isCold = true),
         PolicyCase("store down", steady, isStoreDown = true),
         PolicyCase("reports lag by 10 s", steady + (first to PEAK_PERCENT), reportLagMs = LONG_LAG_MS),
-        PolicyCase("reports lie", steady + (first to PEAK_PERCENT), isLying = true),
-        PolicyCase("retry storm", regions.associateWith { DOUBLE_PERCENT }, clientTries = STORM_TRIES),
+        PolicyCase("reports lie", steady + (first to PEAK_PERCENT), isReportFalse = true),
+        PolicyCase("retry storm", regions.associateWith { DOUBLE_PERCENT }, clientAttempts = RETRY_STORM_ATTEMPTS),
     )
 }
 
@@ -54,4 +54,4 @@
 private const val DOUBLE_PERCENT = 200
 private const val FIVEFOLD_PERCENT = 500
 private const val LONG_LAG_MS = 10_000L
-private const val STORM_TRIES = 10
+private const val RETRY_STORM_ATTEMPTS = 10
--- a/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/policy/PolicyCount.kt
+++ b/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/policy/PolicyCount.kt
@@ -1,18 +1,19 @@
 /*
- * What a policy run counted of one service.
+ * The measurements of one service in a policy run.
  */
 package org.cardamomwharf.bench.policy
 
+import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
 /**
- * Represents the counts of one service in one run.
+ * Represents the measurements of one service in one run.
  *
- * @param meanFreePercent free slots of the region that is fullest at each moment, mean over time.
- * @param fullestRegionFreePercent free slots of the region that is fullest on the whole, mean over time.
- * @param largestCapPercent fullest second of any partner's cap on shifted requests, over all services.
- * @param leastLinkFreePercent free part of the fullest link in its fullest second, over all services.
- * @param drainMs time from a drain to the last work in the drained region, null without a drain.
+ * @param meanFreePercent mean over time of the free slots of the fullest region in each sample.
+ * @param fullestRegionFreePercent mean over time of the free slots of the region that is fullest on average.
+ * @param largestCapPercent largest use of any partner's cap on shifted requests in one second, over all services.
+ * @param leastLinkFreePercent smallest unused share of any link in one second, over all services.
+ * @param drainMs time from a drain until the drained region was last busy, null without a drain.
  */
 @Serializable
 public data class PolicyCount(
@@ -22,7 +23,8 @@
     public val offered: Long,
     public val ran: Long,
     public val ranInTime: Long,
-    public val ends: Map<String, Long>,
+    @SerialName("ends")
+    public val failures: Map<String, Long>,
     public val medianMs: Long,
     public val p95Ms: Long,
     public val p99Ms: Long,
--- a/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/policy/PolicyReport.kt
+++ b/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/policy/PolicyReport.kt
@@ -1,5 +1,5 @@
 /*
- * Prints policy runs as a table.
+ * Prints the results of policy runs as a table.
  */
 package org.cardamomwharf.bench.policy
 
@@ -8,7 +8,7 @@
 private const val ROW = "%-24s %-23s %-10s %8s %8s %7s %7s %7s %7s %7s %7s %7s %7s  %s"
 private const val PERCENT = 100
 
-/** Returns the counts of all cases with our routing and all baselines, and prints a row for each. */
+/** Returns the measurements of all cases with entry instances and with each baseline, and prints a row for each. */
 public fun printPolicyBench(document: EnvironmentDocument, seed: Long, caseName: String?): List<PolicyCount> {
     println("${document.deployment}, objective ${document.objective.name.lowercase()}, seed $seed; times 10x of real")
     println(
@@ -35,14 +35,15 @@
 }
 
 private fun printCase(document: EnvironmentDocument, case: PolicyCase, seed: Long): List<PolicyCount> {
-    val makers: List<(PolicyWorld) -> Router> =
-        listOf<(PolicyWorld) -> Router>(::WharfRouter) + (0..2).map { index -> { world -> baselinesOf(world)[index] } }
-    val counts = makers.flatMap { runPolicy(document, case, seed, it) }
-    counts.forEach { println(rowOf(it)) }
+    val routerFactories: List<(PolicySimulation) -> Router> =
+        listOf<(PolicySimulation) -> Router>(::EntryInstanceRouter) +
+            (0..2).map { index -> { simulation -> createBaselines(simulation)[index] } }
+    val counts = routerFactories.flatMap { runPolicy(document, case, seed, it) }
+    counts.forEach { println(formatRow(it)) }
     return counts
 }
 
-private fun rowOf(count: PolicyCount): String = ROW.format(
+private fun formatRow(count: PolicyCount): String = ROW.format(
     count.case,
     count.router,
     count.service,
@@ -56,5 +57,5 @@
     "%.0f".format(count.largestCapPercent),
     "%.0f".format(count.leastLinkFreePercent),
     count.drainMs?.toString() ?: "-",
-    count.ends.entries.joinToString { "${it.key} ${it.value}" },
+    count.failures.entries.joinToString { "${it.key} ${it.value}" },
 )
--- a/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/policy/Router.kt
+++ b/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/policy/Router.kt
@@ -1,12 +1,12 @@
 /*
- * How requests get from clients to backend servers: through our decisions, or by one of the baselines.
+ * The interface of routers from clients to backend servers: entry instances or a baseline.
  */
 package org.cardamomwharf.bench.policy
 
 import org.cardamomwharf.core.ServiceName
 import org.cardamomwharf.core.ZoneName
 
-/** Represents a request of a client. */
+/** Represents a client request. */
 public class PolicyRequest(
     public val number: Long,
     public val service: ServiceName,
@@ -16,24 +16,24 @@
     public val deadlineMs: Long,
 )
 
-/** Represents how a request ended for its client. */
-public enum class PolicyEnd { RAN, NOT_RUN, UNKNOWN }
+/** Represents the result of a request as its client sees it. */
+public enum class RequestResult { RAN, NOT_RUN, UNKNOWN }
 
-/** Represents a way of routing. */
+/** Routes requests from clients to backend servers. */
 public interface Router {
-    /** The name in reports. */
+    /** The router name in reports. */
     public val name: String
 
-    /** Makes everything ready at the start of a run. */
+    /** Prepares the router at the start of a run. */
     public fun start() {
         return
     }
 
-    /** Learns of the document that the world has now. */
-    public fun adopt() {
+    /** Adopts the current document of the simulation. */
+    public fun onDocumentChange() {
         return
     }
 
-    /** Routes [request]; [onEnd] is told the end when the client knows it. */
-    public fun route(request: PolicyRequest, onEnd: (PolicyEnd, String) -> Unit)
+    /** Routes [request]; [onResult] receives the result and its reason when they reach the client. */
+    public fun route(request: PolicyRequest, onResult: (RequestResult, String) -> Unit)
 }
--- a/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/process/MeasuredGateway.kt
+++ b/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/process/MeasuredGateway.kt
@@ -1,5 +1,5 @@
 /*
- * A gateway started with the command of the deploy file, whose processor time is read from the system.
+ * Runs a gateway process with the command of the deploy file and reads its processor time from the operating system.
  */
 package org.cardamomwharf.bench.process
 
@@ -8,14 +8,14 @@
 import java.util.concurrent.TimeUnit
 
 private const val SETTINGS_VARIABLE = "CARDAMOMWHARF_SETTINGS"
-private const val KILL_LIMIT_S = 5L
-private val runLine = Regex("""(?m)^run\s*=\s*"([^"]+)"""")
+private const val KILL_TIMEOUT_S = 5L
+private val runCommand = Regex("""(?m)^run\s*=\s*"([^"]+)"""")
 
-/** Returns the words of the command in the deploy file [text]. */
-internal fun commandOf(text: String): List<String> =
-    checkNotNull(runLine.find(text)) { "the deploy file has no line run" }.groupValues[1].split(' ')
+/** Returns the program and arguments of the run command in the deploy file [text]. */
+internal fun readCommand(text: String): List<String> =
+    checkNotNull(runCommand.find(text)) { "the deploy file has no run command" }.groupValues[1].split(' ')
 
-/** Represents an instance at [host] in [zone], one of the [zones]. */
+/** Represents the process of an instance at [host] in [zone]; [zones] maps each zone to its region. */
 internal class MeasuredGateway(
     private val name: String,
     private val zone: String,
@@ -27,10 +27,10 @@
     val readyAddress: String = "$host:8001"
     private lateinit var process: Process
 
-    /** Processor time that the process has used. */
+    /** The processor time that the process has used. */
     val processorMs: Long get() = process.info().totalCpuDuration().map { it.toMillis() }.orElse(0L)
 
-    /** Starts the process with [command]; settings and logs are in [folder]. */
+    /** Starts the process with [command] and writes its settings and log into [folder]. */
     fun start(command: List<String>, folder: Path) {
         val file = folder.resolve("$name.yaml")
         Files.writeString(file, settings())
@@ -41,7 +41,7 @@
     }
 
     fun kill() {
-        process.destroyForcibly().waitFor(KILL_LIMIT_S, TimeUnit.SECONDS)
+        process.destroyForcibly().waitFor(KILL_TIMEOUT_S, TimeUnit.SECONDS)
     }
 
     private fun settings(): String = buildString {
--- a/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/process/SampleFleet.kt
+++ b/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/process/SampleFleet.kt
@@ -1,5 +1,5 @@
 /*
- * The zones, the backend servers and the configuration of a measured fleet.
+ * The zones, backend servers and configuration of the measured fleet.
  */
 package org.cardamomwharf.bench.process
 
@@ -19,29 +19,28 @@
 internal const val PORT: Int = 9_000
 internal const val SLOTS: Int = 8
 
-/** Backend servers that listen; the others only stand in the store. */
+/** The number of backend servers that listen; the others are only registered in the store. */
 internal const val LISTENING_SERVERS: Int = 12
 
-/** Time for a request. */
-internal const val CALL_MS: Long = 2_000
+internal const val CALL_TIMEOUT_MS: Long = 2_000
 internal val service: ServiceName = ServiceName("reads")
 internal val zones: Map<String, String> = mapOf("a1" to "a", "a2" to "a", "b1" to "b", "b2" to "b")
 private const val TARGET_MS = 300L
-private const val LARGEST_CONNECTIONS = 400
+private const val MAX_CONNECTIONS = 400
 private const val COLD_PER_SECOND = 5.0
-private const val LARGEST_HEAD_BYTES = 16_384
-private const val LARGEST_BODY_BYTES = 65_536L
-private const val HEAD_TIMEOUT_MS = 3_000L
+private const val MAX_HEADER_BYTES = 16_384
+private const val MAX_BODY_BYTES = 65_536L
+private const val HEADER_TIMEOUT_MS = 3_000L
 private const val IDLE_TIMEOUT_MS = 15_000L
-private const val LARGEST_BYTE = 250
+private const val MAX_HOST_NUMBER = 250
 
-internal fun recordOf(number: Int): ServerRecord {
+internal fun createServerRecord(number: Int): ServerRecord {
     val isListening = number <= LISTENING_SERVERS
     val zone = if (isListening) zones.keys.elementAt(number % zones.size) else "elsewhere"
     return ServerRecord(
         name = ServerName("s-$number"),
         service = if (isListening) service else ServiceName("other"),
-        address = SocketAddress("127.60.3.${number % LARGEST_BYTE + 1}", PORT),
+        address = SocketAddress("127.60.3.${number % MAX_HOST_NUMBER + 1}", PORT),
         zone = ZoneName(zone),
         slots = SLOTS,
         isDraining = false,
@@ -59,7 +58,7 @@
             prefix = "/reads/",
             isIdempotent = true,
             backends = listOf(WeightedService(service, 1.0)),
-            timeoutMs = CALL_MS,
+            timeoutMs = CALL_TIMEOUT_MS,
             targetLatencyMs = TARGET_MS,
             rank = 1,
             maxAttempts = 2,
@@ -67,9 +66,9 @@
             allowedRegions = emptySet(),
         ),
     ),
-    services = mapOf(service to termsOf(service)),
-    callerLimits = CallerLimits(LARGEST_HEAD_BYTES, LARGEST_BODY_BYTES, HEAD_TIMEOUT_MS, IDLE_TIMEOUT_MS),
+    services = mapOf(service to createServiceTerms(service)),
+    callerLimits = CallerLimits(MAX_HEADER_BYTES, MAX_BODY_BYTES, HEADER_TIMEOUT_MS, IDLE_TIMEOUT_MS),
 )
 
-private fun termsOf(service: ServiceName) =
-    ServiceTerms(service, "/health", LARGEST_CONNECTIONS, coldStartMs = 0, COLD_PER_SECOND)
+private fun createServiceTerms(service: ServiceName) =
+    ServiceTerms(service, "/health", MAX_CONNECTIONS, coldStartMs = 0, COLD_PER_SECOND)
--- a/cardamomwharf-bench/src/test/kotlin/org/cardamomwharf/bench/process/DeployCommandTest.kt
+++ b/cardamomwharf-bench/src/test/kotlin/org/cardamomwharf/bench/process/DeployCommandTest.kt
@@ -1,5 +1,5 @@
 /*
- * The measured command is the one in the deploy file.
+ * Tests that the measured command is read from the deploy file.
  */
 package org.cardamomwharf.bench.process
 
@@ -8,12 +8,12 @@
 import io.kotest.matchers.shouldBe
 
 class DeployCommandTest : FunSpec({
-    test("`the words of the command are taken from the line run`") {
+    test("`the command is read from the run line of the deploy file`") {
         val text = "build = \"mvn package\"\n\n[roles.gateway]\nrun = \"java -Xmx96m -jar a.jar\"\non = \"front\"\n"
-        commandOf(text) shouldBe listOf("java", "-Xmx96m", "-jar", "a.jar")
+        readCommand(text) shouldBe listOf("java", "-Xmx96m", "-jar", "a.jar")
     }
 
-    test("`a file without the line is refused`") {
-        shouldThrow<IllegalStateException> { commandOf("build = \"mvn package\"") }
+    test("`a deploy file without a run line is rejected`") {
+        shouldThrow<IllegalStateException> { readCommand("build = \"mvn package\"") }
     }
 })
--- a/cardamomwharf-bench/src/test/kotlin/org/cardamomwharf/bench/serial/SerialFormsTest.kt
+++ b/cardamomwharf-bench/src/test/kotlin/org/cardamomwharf/bench/serial/SerialFormsTest.kt
@@ -1,17 +1,17 @@
 /*
- * Guards the results that the policy bench writes against renames in the code.
+ * Tests that renames in the code leave the JSON results of the policy benchmark unchanged.
  */
 package org.cardamomwharf.bench.serial
 
 import io.kotest.core.spec.style.FunSpec
 import kotlinx.serialization.json.Json
 import org.cardamomwharf.bench.policy.PolicyCount
-import org.cardamomwharf.bench.policy.PolicyEnd
+import org.cardamomwharf.bench.policy.RequestResult
 
 class SerialFormsTest : FunSpec({
     checkForms("policy-count", PolicyCount.serializer(), Json)
 
-    test("`the ends of requests are those that were recorded`") {
-        compareWithRecorded("enums.txt", PolicyEnd.entries.map { it.name })
+    test("`the names of request results match the recorded names`") {
+        compareWithRecorded("enums.txt", RequestResult.entries.map { it.name })
     }
 })
