--- a/cardamomwharf-soak/src/main/kotlin/org/cardamomwharf/soak/Fault.kt
+++ b/cardamomwharf-soak/src/main/kotlin/org/cardamomwharf/soak/Fault.kt
@@ -1,67 +1,75 @@
 /*
- * What can go wrong in a run. Targets are positions that the run takes modulo the number of its parts.
+ * The faults and planned changes of a soak run. A target is taken modulo the number of instances or servers.
  */
 package org.cardamomwharf.soak
 
-/** Represents something that goes wrong or is changed. */
+/** Represents a fault or a planned change. */
 sealed interface Fault {
-    /** A fault of an instance or its way to the store. */
-    sealed interface OfInstance : Fault
+    /** A fault of an instance or of its connections to the store. */
+    sealed interface InstanceFault : Fault
 
     /** A fault or a planned change of a backend server. */
-    sealed interface OfServer : Fault {
-        /** Position of the server among those that are registered. */
+    sealed interface ServerFault : Fault {
+        /** Index into the registered servers. */
         val target: Int
     }
 
-    /** A fault of the store, or what operators write there. */
-    sealed interface OfStore : Fault
+    /** A fault of the store, or a change that operators write to it. */
+    sealed interface StoreFault : Fault
 
-    /** The process of an instance is killed and starts again. */
-    data class Kill(val target: Int) : OfInstance
+    /** Kills the process of an instance and restarts it. */
+    data class Kill(val target: Int) : InstanceFault
 
-    /** The process of an instance is asked to stop and starts again when it has ended. */
-    data class Stop(val target: Int) : OfInstance
+    /** Stops the process of an instance gracefully and restarts it once it has exited. */
+    data class Stop(val target: Int) : InstanceFault
 
-    /** The process of an instance is paused. */
-    data class Freeze(val target: Int, val forMs: Long) : OfInstance
+    /** Pauses the process of an instance. */
+    data class Pause(val target: Int, val durationMs: Long) : InstanceFault
 
-    /** All processes are killed at the same moment. */
-    data object KillAll : OfInstance
+    /** Kills all instances at the same time and restarts them. */
+    data object KillAll : InstanceFault
 
-    /** The way between an instance and the store changes. */
-    data class CutStore(val target: Int, val cut: Cut, val forMs: Long) : OfInstance
+    /** Injects a fault into the connections between an instance and the store. */
+    data class StoreConnection(
+        val target: Int,
+        val connectionFault: ConnectionFault,
+        val durationMs: Long,
+    ) : InstanceFault
 
-    /** The way between all instances and a backend server changes. */
-    data class CutServer(override val target: Int, val cut: Cut, val forMs: Long) : OfServer
+    /** Injects a fault into the connections between all instances and a backend server. */
+    data class ServerConnection(
+        override val target: Int,
+        val connectionFault: ConnectionFault,
+        val durationMs: Long,
+    ) : ServerFault
 
-    /** The store refuses, is slow, or loses answers. */
-    data class StoreTrouble(val kind: StoreKind, val forMs: Long) : OfStore
+    /** Makes the store refuse requests, respond slowly or lose responses. */
+    data class StoreFailure(val kind: StoreFailureKind, val durationMs: Long) : StoreFault
 
-    /** The store drops its history. */
-    data object ForgetHistory : OfStore
+    /** Drops the history of the store. */
+    data object DropHistory : StoreFault
 
-    /** A backend server says that it leaves, serves on for a while and ends; another takes its place or its address. */
-    data class Leave(override val target: Int, val isAddressReused: Boolean) : OfServer
+    /** Announces that a backend server is leaving, stops it later and starts another in its place or at its address. */
+    data class Leave(override val target: Int, val isAddressReused: Boolean) : ServerFault
 
-    /** A backend server ends without a word and comes back under its name with a new life. */
-    data class Restart(override val target: Int, val forMs: Long) : OfServer
+    /** Stops a backend server without notice and restarts it under the same name. */
+    data class Restart(override val target: Int, val durationMs: Long) : ServerFault
 
-    /** A backend server runs requests and never answers. */
-    data class LoseAnswers(override val target: Int, val forMs: Long) : OfServer
+    /** Makes a backend server run requests without responding. */
+    data class LoseResponses(override val target: Int, val durationMs: Long) : ServerFault
 
-    /** A new configuration is put in force. */
-    data object Reconfigure : OfStore
+    /** Activates a new configuration. */
+    data object Reconfigure : StoreFault
 
-    /** A zone gets nothing for a while. */
-    data class Evacuate(val target: Int, val forMs: Long) : OfStore
+    /** Evacuates a zone temporarily. */
+    data class Evacuate(val target: Int, val durationMs: Long) : StoreFault
 }
 
-/** Represents what happens on a way. */
-enum class Cut { SILENT, ANSWERS_LOST, TRUNCATED, DOUBLED, RESET, DELAYED }
+/** Represents a fault of the connections through a relay. */
+enum class ConnectionFault { SILENT, RESPONSES_LOST, TRUNCATED, DUPLICATED, RESET, DELAYED }
 
-/** Represents what the store does. */
-enum class StoreKind { REFUSING, SLOW, LOSING }
+/** Represents a failure mode of the store. */
+enum class StoreFailureKind { REFUSING, SLOW, LOSING }
 
-/** Represents a fault and the time at which it begins. */
+/** Represents a fault and its start time in the run. */
 data class PlannedFault(val atMs: Long, val fault: Fault)
--- a/cardamomwharf-soak/src/main/kotlin/org/cardamomwharf/soak/GatewayHandle.kt
+++ b/cardamomwharf-soak/src/main/kotlin/org/cardamomwharf/soak/GatewayProcess.kt
@@ -1,5 +1,5 @@
 /*
- * A gateway as a process of its own, which can be killed, paused, stopped and started again.
+ * Runs a gateway as a separate process that can be killed, paused, stopped and restarted.
  */
 package org.cardamomwharf.soak
 
@@ -8,10 +8,10 @@
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.atomic.AtomicInteger
 
-private const val STOP_LIMIT_S = 30L
+private const val STOP_TIMEOUT_S = 30L
 
-/** Represents an instance at [host], whose way to the store begins at [storeAddress]. */
-class GatewayHandle(
+/** Represents the process of an instance at [host] that reaches the store through [storeAddress]. */
+class GatewayProcess(
     val name: String,
     val zone: String,
     private val host: String,
@@ -27,7 +27,7 @@
     @Volatile
     private var process: Process? = null
 
-    /** True while the process runs; one whose addresses are taken ends by itself. */
+    /** Whether the process is running; a process exits if its addresses are in use. */
     val isRunning: Boolean get() = process?.isAlive == true
 
     private val settings = """
@@ -52,7 +52,7 @@
           largestShift: 0.15
     """.trimIndent()
 
-    /** Starts the process unless it runs, as two faults may both start it; its log is appended to a file. */
+    /** Starts the process unless it is running, because two faults may restart it; appends its output to a log file. */
     @Synchronized
     fun start() {
         if (isRunning) return
@@ -69,20 +69,20 @@
             .start()
     }
 
-    /** Asks the process to stop and waits until it has ended. */
+    /** Stops the process gracefully and waits until it has exited. */
     fun stop() {
         val running = process ?: return
         running.destroy()
-        if (!running.waitFor(STOP_LIMIT_S, TimeUnit.SECONDS)) running.destroyForcibly().waitFor()
+        if (!running.waitFor(STOP_TIMEOUT_S, TimeUnit.SECONDS)) running.destroyForcibly().waitFor()
     }
 
     fun kill() {
         process?.destroyForcibly()?.waitFor()
     }
 
-    fun freeze() = signal("-STOP")
+    fun pause() = signal("-STOP")
 
-    fun thaw() = signal("-CONT")
+    fun resume() = signal("-CONT")
 
     private fun signal(name: String) {
         val running = process?.takeIf { it.isAlive } ?: return
--- /dev/null
+++ b/cardamomwharf-soak/src/main/kotlin/org/cardamomwharf/soak/InstanceFaultInjector.kt
@@ -0,0 +1,71 @@
+/*
+ * Injects faults into instances and their connections to the store.
+ */
+package org.cardamomwharf.soak
+
+import org.cardamomwharf.standin.network.WireFault
+import org.cardamomwharf.standin.network.WireRelay
+
+private const val RESTART_MS = 300L
+
+internal class InstanceFaultInjector(private val cluster: SoakCluster, private val record: SoakRecord) {
+    fun inject(fault: Fault.InstanceFault) = when (fault) {
+        is Fault.Kill -> restart(listOf(gateway(fault.target)))
+        is Fault.KillAll -> restart(cluster.gateways)
+        is Fault.Stop -> stop(gateway(fault.target))
+        is Fault.Pause -> pause(gateway(fault.target), fault.durationMs)
+        is Fault.StoreConnection -> injectStoreConnectionFault(fault)
+    }
+
+    private fun gateway(target: Int) = cluster.gateways[target % cluster.gateways.size]
+
+    private fun restart(gateways: List<GatewayProcess>) {
+        gateways.parallelStream().forEach { gateway ->
+            recordDisturbance(gateway.name, SoakRecord.PROCESS, RESTART_MS) {
+                gateway.kill()
+                Thread.sleep(RESTART_MS)
+                gateway.start()
+            }
+        }
+    }
+
+    private fun stop(gateway: GatewayProcess) = synchronized(gateway) {
+        val atMs = cluster.clock.nowMs()
+        recordDisturbance(gateway.name, "planned stop", 0) {
+            gateway.stop()
+            record.stops.add(StopRecord(gateway.name, atMs, cluster.clock.nowMs()))
+            gateway.start()
+        }
+    }
+
+    private fun pause(gateway: GatewayProcess, durationMs: Long) =
+        recordDisturbance(gateway.name, SoakRecord.PROCESS, durationMs) {
+            gateway.pause()
+            Thread.sleep(durationMs)
+            gateway.resume()
+        }
+
+    private fun injectStoreConnectionFault(fault: Fault.StoreConnection) {
+        val index = fault.target % cluster.gateways.size
+        recordDisturbance(cluster.gateways[index].name, "store connection", fault.durationMs) {
+            injectConnectionFault(cluster.storeRelays[index], fault.connectionFault, fault.durationMs)
+        }
+    }
+
+    private fun recordDisturbance(target: String, cause: String, durationMs: Long, action: () -> Unit) =
+        record.recordDisturbance(cluster.clock::nowMs, PlannedDisturbance(target, cause, durationMs), action)
+}
+
+/** Injects [fault] into the connections through [relay] for [durationMs]. */
+internal fun injectConnectionFault(relay: WireRelay, fault: ConnectionFault, durationMs: Long) {
+    when (fault) {
+        ConnectionFault.SILENT -> relay.change(WireFault.CUT)
+        ConnectionFault.RESPONSES_LOST -> relay.change(WireFault.ANSWERS_LOST)
+        ConnectionFault.TRUNCATED -> relay.change(WireFault.TRUNCATING)
+        ConnectionFault.DUPLICATED -> relay.change(WireFault.DUPLICATING)
+        ConnectionFault.DELAYED -> relay.change(WireFault.DELAYED)
+        ConnectionFault.RESET -> relay.reset()
+    }
+    Thread.sleep(durationMs)
+    relay.change(WireFault.NONE)
+}
--- a/cardamomwharf-soak/src/main/kotlin/org/cardamomwharf/soak/Main.kt
+++ b/cardamomwharf-soak/src/main/kotlin/org/cardamomwharf/soak/Main.kt
@@ -1,5 +1,5 @@
 /*
- * The command line of the soak.
+ * The command line of the soak test.
  */
 package org.cardamomwharf.soak
 
@@ -16,11 +16,11 @@
 private const val DEFAULT_SECONDS = 30
 private const val MS_PER_S = 1_000L
 
-/** Networks 127.N that runs use, one for each that plays at the same time. */
+/** The first N of the networks 127.N.0.0/16; each parallel run uses its own. */
 private const val FIRST_NETWORK = 40
-private const val SHOWN_VIOLATIONS = 5
+private const val MAX_PRINTED_VIOLATIONS = 5
 
-/** Plays one seed or several, prints a line for each, and exits with 1 when a promise was broken. */
+/** Runs one or more seeds, prints a line for each, and exits with 1 if a guarantee was violated. */
 fun main(args: Array<String>) {
     val parser = ArgParser("soak")
     val seed by parser.option(ArgType.Int, "seed", description = "Seed of the first run").default(1)
@@ -37,25 +37,25 @@
         pool.submit(
             Callable {
                 val network = networks.take()
-                playSeed(next.toLong(), seconds * MS_PER_S, network, Path.of(out, "seed-$next"))
+                runSeed(next.toLong(), seconds * MS_PER_S, network, Path.of(out, "seed-$next"))
                     .also { networks.put(network) }
             },
         )
     }.map { it.get() }
     pool.shutdown()
-    val red = outcomes.filter { it.violations.isNotEmpty() }
-    println("${outcomes.size - red.size} passed, ${red.size} failed")
-    exitProcess(if (red.isEmpty()) 0 else 1)
+    val failed = outcomes.filter { it.violations.isNotEmpty() }
+    println("${outcomes.size - failed.size} passed, ${failed.size} failed")
+    exitProcess(if (failed.isEmpty()) 0 else 1)
 }
 
-/** Plays [seed] and returns what became of it; logs and the report are in [folder]. */
-fun playSeed(seed: Long, durationMs: Long, network: Int, folder: Path): SoakOutcome {
+/** Runs [seed] and returns the result; logs and the report are written into [folder]. */
+fun runSeed(seed: Long, durationMs: Long, network: Int, folder: Path): SoakOutcome {
     Files.createDirectories(folder)
-    val outcome = SoakRun(seed, durationMs, network, folder).use { it.play() }
+    val outcome = SoakRun(seed, durationMs, network, folder).use { it.run() }
     writeReport(outcome, folder)
-    val served = outcome.calls.count { it.status in successes }
+    val served = outcome.calls.count { it.status in successStatuses }
     val counts = "${outcome.plan.size} faults, $served of ${outcome.calls.size} served"
     println("seed $seed: $counts, ${outcome.violations.size} broken")
-    outcome.violations.take(SHOWN_VIOLATIONS).forEach { println("  ${it.promise}: ${it.detail}") }
+    outcome.violations.take(MAX_PRINTED_VIOLATIONS).forEach { println("  ${it.guarantee}: ${it.detail}") }
     return outcome
 }
--- a/cardamomwharf-soak/src/main/kotlin/org/cardamomwharf/soak/SoakCallers.kt
+++ b/cardamomwharf-soak/src/main/kotlin/org/cardamomwharf/soak/SoakCallers.kt
@@ -1,6 +1,6 @@
 /*
- * Callers of a run. Half of them follow the directory, the others keep to an instance until its connection fails, as
- * clients do that use open connections until the process is gone.
+ * The callers of a run. Half of them use the directory. The others stay with an instance until its connection fails,
+ * like clients that use open connections until the process has exited.
  */
 package org.cardamomwharf.soak
 
@@ -17,26 +17,26 @@
 
 private const val CALLERS = 12
 private const val PAUSE_MS = 25L
-private const val ASK_EVERY_MS = 1_000L
+private const val LOOKUP_INTERVAL_MS = 1_000L
 private const val KEYS = 16
 
-/** One request in this many is a booking. */
-private const val BOOKINGS_OF = 3
+/** On average, one request in this many is a booking. */
+private const val REQUESTS_PER_BOOKING = 3
 
-class SoakCallers(private val world: SoakWorld, private val record: SoakRecord, private val seed: Long) {
+class SoakCallers(private val cluster: SoakCluster, private val record: SoakRecord, private val seed: Long) {
     @Volatile
-    private var isOver = false
+    private var isStopped = false
     private val threads = ArrayList<Thread>()
 
     fun start() {
-        repeat(CALLERS) { number -> launch("caller-$number") { callOn(number) } }
-        world.gateways.forEach { gateway ->
-            launch("probe-${gateway.name}") { VersionProbe(world, record, gateway).run { isOver } }
+        repeat(CALLERS) { number -> launch("caller-$number") { runCaller(number) } }
+        cluster.gateways.forEach { gateway ->
+            launch("probe-${gateway.name}") { VersionProbe(cluster, record, gateway).run { isStopped } }
         }
     }
 
     fun stop() {
-        isOver = true
+        isStopped = true
         threads.forEach { it.join() }
     }
 
@@ -44,53 +44,53 @@
         threads += Thread(run, name).also { it.start() }
     }
 
-    private fun callOn(number: Int) {
+    private fun runCaller(number: Int) {
         val random = Random(seed * CALLERS + number)
-        val isStubborn = number % 2 == 0
-        val caller = startJettyHttpClient(HttpClientSettings("caller-$number", maxThreads = 4))
-        var instance = world.gateways[number % world.gateways.size]
-        var askedAtMs = 0L
+        val isSticky = number % 2 == 0
+        val client = startJettyHttpClient(HttpClientSettings("caller-$number", maxThreads = 4))
+        var instance = cluster.gateways[number % cluster.gateways.size]
+        var lookedUpAtMs = 0L
         var count = 0
-        while (!isOver) {
-            val result = callOnce(caller, instance, "s$number-${count++}", random)
-            val isDue = world.clock.nowMs() - askedAtMs > ASK_EVERY_MS
-            if (result.status == 0 || (isDue && !isStubborn)) {
-                instance = choose(caller, random) ?: world.gateways.random(random)
-                askedAtMs = world.clock.nowMs()
+        while (!isStopped) {
+            val result = sendRequest(client, instance, "s$number-${count++}", random)
+            val isDue = cluster.clock.nowMs() - lookedUpAtMs > LOOKUP_INTERVAL_MS
+            if (result.status == 0 || (isDue && !isSticky)) {
+                instance = lookUpInstance(client, random) ?: cluster.gateways.random(random)
+                lookedUpAtMs = cluster.clock.nowMs()
             }
             Thread.sleep(random.nextLong(PAUSE_MS * 2))
         }
-        caller.close()
+        client.close()
     }
 
-    private fun choose(caller: HttpClient, random: Random): GatewayHandle? {
-        val asked = world.gateways.random(random)
-        val url = "http://${asked.directoryAddress}/resolve?name=$HOST&region=a&zone=a1"
-        val end = caller.call(HttpCall("GET", url, timeoutMs = ASK_EVERY_MS))
-        val text = (end as? HttpResult.Completed)?.response?.body?.decodeToString().orEmpty()
-        return world.gateways.filter { "\"${it.callerAddress}\"" in text }.randomOrNull(random)
+    private fun lookUpInstance(client: HttpClient, random: Random): GatewayProcess? {
+        val directory = cluster.gateways.random(random)
+        val url = "http://${directory.directoryAddress}/resolve?name=$HOST&region=a&zone=a1"
+        val result = client.call(HttpCall("GET", url, timeoutMs = LOOKUP_INTERVAL_MS))
+        val text = (result as? HttpResult.Completed)?.response?.body?.decodeToString().orEmpty()
+        return cluster.gateways.filter { "\"${it.callerAddress}\"" in text }.randomOrNull(random)
     }
 
-    private fun callOnce(caller: HttpClient, to: GatewayHandle, id: String, random: Random): CallRecord {
-        val isBooking = random.nextInt(BOOKINGS_OF) == 0
+    private fun sendRequest(client: HttpClient, gateway: GatewayProcess, id: String, random: Random): CallRecord {
+        val isBooking = random.nextInt(REQUESTS_PER_BOOKING) == 0
         val service = if (isBooking) "bookings" else "reads"
         val body = if (isBooking) "set ${random.nextInt()}".toByteArray() else ByteArray(0)
-        val startedAtMs = world.clock.nowMs()
-        val end = caller.call(callOf(to, "/$service/$id", SoakCall(id, "${random.nextInt(KEYS)}", body)))
-        val answer = (end as? HttpResult.Completed)?.response
-        val isOwn = answer != null && answer.findHeader(FieldNames.REQUEST_ID) == id &&
-            answer.findHeader(FieldNames.SIGNATURE) == BackendStandin.signatureOf(id) &&
-            answer.body.decodeToString() == BackendStandin.bodyOf(id, service)
+        val startedAtMs = cluster.clock.nowMs()
+        val result = client.call(createCall(gateway, "/$service/$id", SoakRequest(id, "${random.nextInt(KEYS)}", body)))
+        val response = (result as? HttpResult.Completed)?.response
+        val isComplete = response != null && response.findHeader(FieldNames.REQUEST_ID) == id &&
+            response.findHeader(FieldNames.SIGNATURE) == BackendStandin.signatureOf(id) &&
+            response.body.decodeToString() == BackendStandin.bodyOf(id, service)
         return CallRecord(
             id = id,
-            instance = to.name,
+            instance = gateway.name,
             path = "/$service/",
             isIdempotent = !isBooking,
             startedAtMs = startedAtMs,
-            endedAtMs = world.clock.nowMs(),
-            status = answer?.status ?: 0,
-            isOwnWholeAnswer = isOwn,
-            isCut = end is HttpResult.Lost && end.failure != HttpFailure.TIMEOUT,
+            endedAtMs = cluster.clock.nowMs(),
+            status = response?.status ?: 0,
+            hasCompleteResponse = isComplete,
+            isConnectionLost = result is HttpResult.Lost && result.failure != HttpFailure.TIMEOUT,
         ).also { record.calls.add(it) }
     }
 }
--- a/cardamomwharf-soak/src/main/kotlin/org/cardamomwharf/soak/SoakWorld.kt
+++ b/cardamomwharf-soak/src/main/kotlin/org/cardamomwharf/soak/SoakCluster.kt
@@ -1,5 +1,5 @@
 /*
- * The parts of a run: a store, backend servers and gateways, with relays on the ways between them.
+ * The cluster of a run: a store, backend servers and gateways, connected through relays.
  */
 package org.cardamomwharf.soak
 
@@ -31,18 +31,18 @@
 private const val SLOTS = 8
 private const val ROUTE_TIMEOUT_MS = 1_000L
 private const val TARGET_MS = 300L
-private const val LARGEST_CONNECTIONS = 300
-private const val COLD_MS = 500L
+private const val MAX_CONNECTIONS = 300
+private const val COLD_START_MS = 500L
 private const val COLD_PER_SECOND = 50.0
-private const val LARGEST_HEAD_BYTES = 16_384
-private const val LARGEST_BODY_BYTES = 65_536L
-private const val HEAD_TIMEOUT_MS = 3_000L
+private const val MAX_HEADER_BYTES = 16_384
+private const val MAX_BODY_BYTES = 65_536L
+private const val HEADER_TIMEOUT_MS = 3_000L
 private const val IDLE_TIMEOUT_MS = 15_000L
 private const val STORE_PORT = 7_000
 private const val SERVER_PORT = 9_000
 
-/** Versions whose routes a configuration holds; older ones are dropped. */
-private const val KEPT_VERSIONS = 6
+/** Number of versions whose routes are in a configuration; routes of older versions are removed. */
+private const val RETAINED_VERSIONS = 6
 
 /** Zones of the backend servers of each service. */
 private val serverZones = listOf("a1", "a1", "a2", "b1")
@@ -50,28 +50,33 @@
 /** Zones of the instances. */
 private val instanceZones = listOf("a1", "a1", "a2", "b1")
 
-/** Host name that callers ask for. */
+/** The host name in the requests of callers. */
 const val HOST: String = "shop.example"
 
-/** Represents a backend server that is registered. */
-class SoakServer(val record: ServerRecord, val standin: BackendStandin, val relay: WireRelay, val real: SocketAddress) {
+/** Represents a registered backend server. */
+class SoakServer(
+    val record: ServerRecord,
+    val standin: BackendStandin,
+    val relay: WireRelay,
+    val address: SocketAddress,
+) {
     @Volatile
     var running: JettyServer? = null
 
-    /** True while the server ends or starts again, so that one change at a time is made. */
-    val isLeaving = AtomicBoolean(false)
+    /** Whether the server is being stopped or restarted; prevents concurrent changes. */
+    val isChanging = AtomicBoolean(false)
 }
 
-/** Represents the parts of one run on the addresses 127.[network].x.y, with logs in [folder]. */
-class SoakWorld(private val network: Int, folder: Path) : AutoCloseable {
+/** Represents the cluster of one run on the addresses 127.[network].x.y, with logs in [folder]. */
+class SoakCluster(private val network: Int, folder: Path) : AutoCloseable {
     val clock = monotonicClock()
     val store = StoreStandin()
-    val gateways: List<GatewayHandle>
-    val storeWires: List<WireRelay>
+    val gateways: List<GatewayProcess>
+    val storeRelays: List<WireRelay>
     val servers = ConcurrentHashMap<String, SoakServer>()
     private val storeAddress = SocketAddress("127.$network.250.1", STORE_PORT)
     private val storeServer = store.start(storeAddress)
-    private val everyStandin = ConcurrentHashMap.newKeySet<BackendStandin>()
+    private val allStandins = ConcurrentHashMap.newKeySet<BackendStandin>()
     private val relays = ConcurrentHashMap.newKeySet<WireRelay>()
     private val numbers = AtomicInteger()
     private val version = AtomicInteger()
@@ -80,84 +85,87 @@
         reconfigure()
         listOf("reads", "bookings").forEach { service -> serverZones.forEach { addServer(service, it) } }
         val hosts = instanceZones.indices.map { "127.$network.1.${it + 1}" }
-        storeWires = hosts.map { relayOf(SocketAddress(it, STORE_PORT), storeAddress) }
+        storeRelays = hosts.map { startRelay(SocketAddress(it, STORE_PORT), storeAddress) }
         gateways = instanceZones.mapIndexed { index, zone ->
-            GatewayHandle("i${index + 1}", zone, hosts[index], "${hosts[index]}:$STORE_PORT", folder)
+            GatewayProcess("i${index + 1}", zone, hosts[index], "${hosts[index]}:$STORE_PORT", folder)
         }
         gateways.forEach { it.start() }
     }
 
-    /** The newest version that is in force. */
+    /** The newest configuration version that was written to the store. */
     val newestVersion: Int get() = version.get()
 
-    /** Returns the server at [position] of those that are registered, counted round, or null without any. */
-    fun find(position: Int): SoakServer? {
-        val known = servers.values.sortedBy { it.record.name.value }
-        return if (known.isEmpty()) null else known[position % known.size]
+    /** Returns the registered server at [position] modulo their number, or null if there is none. */
+    fun findServer(position: Int): SoakServer? {
+        val registered = servers.values.sortedBy { it.record.name.value }
+        return if (registered.isEmpty()) null else registered[position % registered.size]
     }
 
-    /** What all servers ran, by name, ended ones included. */
+    /** Returns the requests that each server ran, by server name and including stopped servers. */
     fun runs(): Map<String, List<BackendRun>> =
-        everyStandin.groupBy({ it.name.value }, { it.runs }).mapValues { it.value.flatten() }
+        allStandins.groupBy({ it.name.value }, { it.runs }).mapValues { it.value.flatten() }
 
-    /** Puts the next version in force, which adds a route of its own. */
+    /** Writes the next configuration version, which adds its own route, and returns its number. */
     @Synchronized
     fun reconfigure(): Int {
         val next = version.incrementAndGet()
-        val probes = (maxOf(1, next - KEPT_VERSIONS + 1)..next).map { routeOf("/v$it/", "reads", isIdempotent = true) }
-        val routes = listOf(routeOf("/reads/", "reads", true), routeOf("/bookings/", "bookings", false)) + probes
+        val probes = (maxOf(1, next - RETAINED_VERSIONS + 1)..next)
+            .map { createRoute("/v$it/", "reads", isIdempotent = true) }
+        val routes =
+            listOf(createRoute("/reads/", "reads", true), createRoute("/bookings/", "bookings", false)) + probes
         store.write(
             DesiredState(
                 version = DocumentVersion(next.toLong()),
                 routes = routes,
                 services = listOf("reads", "bookings").map { ServiceName(it) }
-                    .associateWith { ServiceTerms(it, "/health", LARGEST_CONNECTIONS, COLD_MS, COLD_PER_SECOND) },
-                callerLimits = CallerLimits(LARGEST_HEAD_BYTES, LARGEST_BODY_BYTES, HEAD_TIMEOUT_MS, IDLE_TIMEOUT_MS),
+                    .associateWith { ServiceTerms(it, "/health", MAX_CONNECTIONS, COLD_START_MS, COLD_PER_SECOND) },
+                callerLimits = CallerLimits(MAX_HEADER_BYTES, MAX_BODY_BYTES, HEADER_TIMEOUT_MS, IDLE_TIMEOUT_MS),
             ),
         )
         return next
     }
 
-    /** Returns true when the configuration still has the route of [probed]. */
-    fun isKept(probed: Int): Boolean = probed > newestVersion - KEPT_VERSIONS
+    /** Returns whether the newest configuration has the route of [routeVersion]. */
+    fun hasRoute(routeVersion: Int): Boolean = routeVersion > newestVersion - RETAINED_VERSIONS
 
-    /** Adds a server at a new address. */
+    /** Registers and starts a server at a new address. */
     fun addServer(service: String, zone: String): SoakServer {
         val number = numbers.incrementAndGet()
         val listen = SocketAddress("127.$network.2.$number", SERVER_PORT)
-        val real = SocketAddress("127.$network.3.$number", SERVER_PORT)
-        return register(recordOf(service, zone, number, listen), relayOf(listen, real), real)
+        val address = SocketAddress("127.$network.3.$number", SERVER_PORT)
+        return register(createServerRecord(service, zone, number, listen), startRelay(listen, address), address)
     }
 
-    /** Starts a server of another service where [old] was. */
+    /** Registers and starts a server of another service at the address of [old]. */
     fun reuseAddress(old: SoakServer): SoakServer {
         val service = if (old.record.service.value == "reads") "bookings" else "reads"
         val number = numbers.incrementAndGet()
-        return register(recordOf(service, old.record.zone.value, number, old.record.address), old.relay, old.real)
+        val record = createServerRecord(service, old.record.zone.value, number, old.record.address)
+        return register(record, old.relay, old.address)
     }
 
-    private fun register(record: ServerRecord, relay: WireRelay, real: SocketAddress): SoakServer {
+    private fun register(record: ServerRecord, relay: WireRelay, address: SocketAddress): SoakServer {
         val standin = BackendStandin(record.name, record.service.value, SLOTS, clock::nowMs)
-        val server = SoakServer(record, standin, relay, real)
-        everyStandin.add(standin)
-        server.running = standin.start(real)
+        val server = SoakServer(record, standin, relay, address)
+        allStandins.add(standin)
+        server.running = standin.start(address)
         servers[record.name.value] = server
         store.write(record)
         return server
     }
 
-    /** Ends [server] and removes its entry. */
-    fun end(server: SoakServer) {
+    /** Unregisters and stops [server]. */
+    fun removeServer(server: SoakServer) {
         store.remove(server.record.name)
         servers.remove(server.record.name.value)
         server.running?.stop()
     }
 
-    private fun relayOf(listen: SocketAddress, far: SocketAddress): WireRelay =
-        startWireRelay(listen, far).also { relays.add(it) }
+    private fun startRelay(listen: SocketAddress, target: SocketAddress): WireRelay =
+        startWireRelay(listen, target).also { relays.add(it) }
 
     override fun close() {
-        gateways.forEach { it.thaw() }
+        gateways.forEach { it.resume() }
         gateways.forEach { it.kill() }
         relays.forEach { it.close() }
         servers.values.forEach { it.running?.stop() }
@@ -165,7 +173,7 @@
     }
 }
 
-private fun recordOf(service: String, zone: String, number: Int, listen: SocketAddress) = ServerRecord(
+private fun createServerRecord(service: String, zone: String, number: Int, listen: SocketAddress) = ServerRecord(
     name = ServerName("$service-$number"),
     service = ServiceName(service),
     address = listen,
@@ -176,7 +184,7 @@
     coldRemainingMs = 0,
 )
 
-private fun routeOf(prefix: String, service: String, isIdempotent: Boolean) = Route(
+private fun createRoute(prefix: String, service: String, isIdempotent: Boolean) = Route(
     name = prefix.trim('/'),
     host = HOST,
     prefix = prefix,
--- a/cardamomwharf-soak/src/main/kotlin/org/cardamomwharf/soak/SoakRecord.kt
+++ b/cardamomwharf-soak/src/main/kotlin/org/cardamomwharf/soak/SoakRecord.kt
@@ -1,17 +1,17 @@
 /*
- * What callers saw and what was done to the system in a run; the checks judge it afterwards.
+ * Records caller results and disturbances of the system during a run for the checks that follow.
  */
 package org.cardamomwharf.soak
 
 import java.util.concurrent.ConcurrentLinkedQueue
 
 /**
- * Represents one request of a caller.
+ * Represents a caller request and its result.
  *
  * @param instance the instance that it was sent to.
- * @param status status of the answer, or 0 without one.
- * @param isOwnWholeAnswer true when a success carried the whole answer to this request.
- * @param isCut true when the connection ended without an answer.
+ * @param status the response status, or 0 without a response.
+ * @param hasCompleteResponse whether a successful response was the complete response to this request.
+ * @param isConnectionLost whether the connection closed without a response.
  */
 data class CallRecord(
     val id: String,
@@ -21,24 +21,24 @@
     val startedAtMs: Long,
     val endedAtMs: Long,
     val status: Int,
-    val isOwnWholeAnswer: Boolean,
-    val isCut: Boolean,
+    val hasCompleteResponse: Boolean,
+    val isConnectionLost: Boolean,
 )
 
-/** Represents a time in which [who] was disturbed; no promise with a time bound holds for it then and shortly after. */
-data class Disturbance(val who: String, val what: String, val fromMs: Long, val toMs: Long)
+/** Represents a period in which [target] was disturbed; no time bound applies to it then and shortly after. */
+data class Disturbance(val target: String, val cause: String, val fromMs: Long, val toMs: Long)
 
-/** Represents what is about to be disturbed, and for how long at least. */
-data class Disturbed(val who: String, val what: String, val forMs: Long)
+/** Represents a disturbance about to start and its minimum duration. */
+data class PlannedDisturbance(val target: String, val cause: String, val durationMs: Long)
 
-/** Represents that a backend server said it was leaving. */
+/** Represents the time at which a backend server announced that it was leaving. */
 data class LeaveRecord(val server: String, val atMs: Long)
 
-/** Represents that an instance was asked to stop, and when its process had ended. */
+/** Represents a graceful stop of an instance, from the signal until the exit of its process. */
 data class StopRecord(val instance: String, val atMs: Long, val endedAtMs: Long)
 
-/** Time within which every fault has ended. */
-internal const val FAULT_LIMIT_S: Long = 60
+/** Time within which every fault must have ended after the run. */
+internal const val FAULT_TIMEOUT_S: Long = 60
 private const val MS_PER_S = 1_000L
 
 /** Collects records from all threads of a run. */
@@ -49,30 +49,30 @@
     val stops = ConcurrentLinkedQueue<StopRecord>()
     val regressions = ConcurrentLinkedQueue<String>()
 
-    /** Runs [act] and notes what was disturbed from its beginning to its end, on the clock [now]. */
-    fun disturb(now: () -> Long, disturbed: Disturbed, act: () -> Unit) {
+    /** Runs [action] and records [planned] as a disturbance for its duration on the clock [now]. */
+    fun recordDisturbance(now: () -> Long, planned: PlannedDisturbance, action: () -> Unit) {
         val fromMs = now()
-        val latestMs = fromMs + disturbed.forMs + FAULT_LIMIT_S * MS_PER_S
-        val open = Disturbance(disturbed.who, disturbed.what, fromMs, latestMs)
+        val latestEndMs = fromMs + planned.durationMs + FAULT_TIMEOUT_S * MS_PER_S
+        val open = Disturbance(planned.target, planned.cause, fromMs, latestEndMs)
         disturbances.add(open)
-        act()
+        action()
         disturbances.add(open.copy(toMs = now()))
         disturbances.remove(open)
     }
 
-    /** Returns true when the process of [instance] was neither killed nor paused from [fromMs] to [toMs]. */
+    /** Returns whether the process of [instance] was neither killed nor paused from [fromMs] to [toMs]. */
     fun isRunning(instance: String, fromMs: Long, toMs: Long): Boolean =
-        disturbances.none { it.who == instance && it.what == PROCESS && it.fromMs <= toMs && it.toMs >= fromMs }
+        disturbances.none { it.target == instance && it.cause == PROCESS && it.fromMs <= toMs && it.toMs >= fromMs }
 
-    /** Returns true when [who] was not disturbed from [fromMs] to [toMs]. */
-    fun isCalm(who: String, fromMs: Long, toMs: Long): Boolean =
-        disturbances.none { it.who == who && it.fromMs <= toMs && it.toMs >= fromMs }
+    /** Returns whether [target] was not disturbed from [fromMs] to [toMs]. */
+    fun isUndisturbed(target: String, fromMs: Long, toMs: Long): Boolean =
+        disturbances.none { it.target == target && it.fromMs <= toMs && it.toMs >= fromMs }
 
     companion object {
-        /** Name of the store in disturbances. */
+        /** The target name of the store. */
         const val STORE = "store"
 
-        /** What is disturbed when a process is killed or paused. */
+        /** The cause for a process that is killed or paused. */
         const val PROCESS = "process"
     }
 }
--- a/cardamomwharf-soak/src/main/kotlin/org/cardamomwharf/soak/SoakCall.kt
+++ b/cardamomwharf-soak/src/main/kotlin/org/cardamomwharf/soak/SoakRequest.kt
@@ -1,5 +1,5 @@
 /*
- * The requests of callers.
+ * Builds the HTTP requests of callers.
  */
 package org.cardamomwharf.soak
 
@@ -7,17 +7,16 @@
 import org.cardamomwharf.http.HttpField
 import org.cardamomwharf.platform.FieldNames
 
-/** Time after which a caller gives up. */
-private const val CALL_LIMIT_MS = 2_500L
+private const val CALL_TIMEOUT_MS = 2_500L
 
-/** Time that a caller names. */
+/** The deadline that a caller sends in its request. */
 private const val DEADLINE_MS = 2_000L
 
-/** Represents a request; one with a body is sent by POST. */
-internal class SoakCall(val id: String, val key: String, val body: ByteArray = ByteArray(0))
+/** Represents a caller request, sent with POST if it has a body and with GET otherwise. */
+internal class SoakRequest(val id: String, val key: String, val body: ByteArray = ByteArray(0))
 
 /** Returns the call that sends [request] for [path] to [gateway]. */
-internal fun callOf(gateway: GatewayHandle, path: String, request: SoakCall): HttpCall {
+internal fun createCall(gateway: GatewayProcess, path: String, request: SoakRequest): HttpCall {
     val fields = listOf(
         HttpField("Host", HOST),
         HttpField(FieldNames.REQUEST_ID, request.id),
@@ -25,5 +24,5 @@
         HttpField(FieldNames.DEADLINE_MS, "$DEADLINE_MS"),
     )
     val method = if (request.body.isEmpty()) "GET" else "POST"
-    return HttpCall(method, "http://${gateway.callerAddress}$path", fields, request.body, CALL_LIMIT_MS)
+    return HttpCall(method, "http://${gateway.callerAddress}$path", fields, request.body, CALL_TIMEOUT_MS)
 }
--- a/cardamomwharf-soak/src/main/kotlin/org/cardamomwharf/soak/SoakRun.kt
+++ b/cardamomwharf-soak/src/main/kotlin/org/cardamomwharf/soak/SoakRun.kt
@@ -1,5 +1,5 @@
 /*
- * Plays one run: starts the parts, injects the planned faults, keeps callers going, and checks what they saw.
+ * Executes a soak run: starts the cluster and callers, injects the planned faults and checks the recorded results.
  */
 package org.cardamomwharf.soak
 
@@ -7,14 +7,14 @@
 import java.util.concurrent.Executors
 import java.util.concurrent.TimeUnit
 
-private const val START_MS = 3_000L
+private const val STARTUP_MS = 3_000L
 private const val FAULT_THREADS = 16
-private const val SETTLE_MS = 1_500L
+private const val REQUEST_COMPLETION_MS = 1_500L
 
 /**
- * Represents the outcome of a run.
+ * Represents the result of a run.
  *
- * @param calls what callers saw; times are on the clock of the run.
+ * @param calls caller requests and their results; times are on the clock of the run.
  */
 data class SoakOutcome(
     val seed: Long,
@@ -25,39 +25,45 @@
 )
 
 class SoakRun(private val seed: Long, private val durationMs: Long, network: Int, folder: Path) : AutoCloseable {
-    private val plan = planOf(seed, durationMs)
-    private val world = SoakWorld(network, folder)
+    private val plan = createFaultPlan(seed, durationMs)
+    private val cluster = SoakCluster(network, folder)
     private val record = SoakRecord()
     private val executor = Executors.newScheduledThreadPool(FAULT_THREADS)
-    private val instanceFaults = InstanceFaults(world, record)
-    private val serverFaults = ServerFaults(world, record)
-    private val storeFaults = StoreTroubles(world, record)
+    private val instanceFaultInjector = InstanceFaultInjector(cluster, record)
+    private val serverFaultInjector = ServerFaultInjector(cluster, record)
+    private val storeFaultInjector = StoreFaultInjector(cluster, record)
 
-    /** Plays the run and returns what became of it. */
-    fun play(): SoakOutcome {
-        Thread.sleep(START_MS)
-        check(world.gateways.all { it.isRunning }) { "an instance of seed $seed did not start; see its log" }
-        val startedAtMs = world.clock.nowMs()
-        val callers = SoakCallers(world, record, seed)
+    /** Executes the run and returns its result. */
+    fun run(): SoakOutcome {
+        Thread.sleep(STARTUP_MS)
+        check(cluster.gateways.all { it.isRunning }) { "an instance of seed $seed did not start; see its log" }
+        val startedAtMs = cluster.clock.nowMs()
+        val callers = SoakCallers(cluster, record, seed)
         callers.start()
         plan.forEach { planned -> executor.schedule({ inject(planned.fault) }, planned.atMs, TimeUnit.MILLISECONDS) }
         Thread.sleep(durationMs)
         executor.shutdown()
-        check(executor.awaitTermination(FAULT_LIMIT_S, TimeUnit.SECONDS)) { "a fault of seed $seed did not end" }
+        check(executor.awaitTermination(FAULT_TIMEOUT_S, TimeUnit.SECONDS)) { "a fault of seed $seed did not end" }
         callers.stop()
-        Thread.sleep(SETTLE_MS)
-        val calmFromMs = record.disturbances.maxOfOrNull { it.toMs } ?: startedAtMs
-        return SoakOutcome(seed, plan, startedAtMs, record.calls.toList(), checkRun(record, world.runs(), calmFromMs))
+        Thread.sleep(REQUEST_COMPLETION_MS)
+        val faultsEndedAtMs = record.disturbances.maxOfOrNull { it.toMs } ?: startedAtMs
+        return SoakOutcome(
+            seed,
+            plan,
+            startedAtMs,
+            record.calls.toList(),
+            checkRun(record, cluster.runs(), faultsEndedAtMs),
+        )
     }
 
     private fun inject(fault: Fault) = when (fault) {
-        is Fault.OfInstance -> instanceFaults.inject(fault)
-        is Fault.OfServer -> serverFaults.inject(fault)
-        is Fault.OfStore -> storeFaults.inject(fault)
+        is Fault.InstanceFault -> instanceFaultInjector.inject(fault)
+        is Fault.ServerFault -> serverFaultInjector.inject(fault)
+        is Fault.StoreFault -> storeFaultInjector.inject(fault)
     }
 
     override fun close() {
         executor.shutdownNow()
-        world.close()
+        cluster.close()
     }
 }
--- a/cardamomwharf-soak/src/test/kotlin/org/cardamomwharf/soak/SoakTest.kt
+++ b/cardamomwharf-soak/src/test/kotlin/org/cardamomwharf/soak/SoakTest.kt
@@ -1,5 +1,5 @@
 /*
- * Short runs with real processes: each seed that ever failed, with its cause, and one that plays every time.
+ * Short runs with real processes: one seed that failed before, with its cause, and one other seed.
  */
 package org.cardamomwharf.soak
 
@@ -12,13 +12,13 @@
 private const val DURATION_MS = 30_000L
 
 class SoakTest : FunSpec({
-    fun play(seed: Long) {
-        val outcome = playSeed(seed, DURATION_MS, NETWORK, Path.of("target", "soak", "seed-$seed"))
+    fun run(seed: Long) {
+        val outcome = runSeed(seed, DURATION_MS, NETWORK, Path.of("target", "soak", "seed-$seed"))
         outcome.violations.shouldBeEmpty()
         outcome.calls.count { it.status == 200 } shouldBeGreaterThan 0
     }
 
-    test("`seed 3, which failed - a stop cut off a request that arrived as the process ended`") { play(3) }
+    test("`seed 3 passes - a stop interrupted a request that arrived as the process exited`") { run(3) }
 
-    test("`seed 11 keeps every promise`") { play(11) }
+    test("`seed 11 violates no guarantee`") { run(11) }
 })
