--- a/cardamomwharf-dist/src/test/kotlin/org/cardamomwharf/dist/failures/RegionCutTest.kt
+++ b/cardamomwharf-dist/src/test/kotlin/org/cardamomwharf/dist/failures/RegionCutTest.kt
@@ -1,6 +1,6 @@
 /*
- * A region is cut off from the other and from the platform while callers go on. Each serves what it can, the newer
- * document reaches the cut one only afterwards, and nothing goes back or runs twice.
+ * Cuts a region off from the other region and the platform under load. Both regions must continue to serve, the cut
+ * region must adopt the newer document after it is reconnected, no version may decrease and no booking may run twice.
  */
 package org.cardamomwharf.dist.failures
 
@@ -9,9 +9,9 @@
 import io.kotest.matchers.shouldBe
 import org.cardamomwharf.core.DocumentVersion
 import org.cardamomwharf.dist.support.Deployment
-import org.cardamomwharf.dist.support.EntryProcessHandle
+import org.cardamomwharf.dist.support.EntryProcess
 import org.cardamomwharf.dist.support.eventually
-import org.cardamomwharf.dist.support.isKnownRedPlayed
+import org.cardamomwharf.dist.support.isKnownRedEnabled
 import org.cardamomwharf.standin.network.WireFault
 import java.util.concurrent.CopyOnWriteArrayList
 import java.util.concurrent.atomic.AtomicBoolean
@@ -20,63 +20,63 @@
 private const val SAMPLE_MS = 100L
 private const val AFTER_CUT_MS = 3_000L
 
-/** Notes the document version of an instance over and over. */
-private class VersionWatch(private val deployment: Deployment, private val entry: EntryProcessHandle) {
-    val seen = CopyOnWriteArrayList<Int>()
+/** Periodically records the document version of an instance. */
+private class VersionRecorder(private val deployment: Deployment, private val entry: EntryProcess) {
+    val versions = CopyOnWriteArrayList<Int>()
     private val isDone = AtomicBoolean()
     private val watcher = thread(isDaemon = true) {
         while (!isDone.get()) {
-            deployment.version(entry)?.let { seen += it }
+            deployment.getDocumentVersion(entry)?.let { versions += it }
             Thread.sleep(SAMPLE_MS)
         }
     }
 
-    fun end() {
+    fun stop() {
         isDone.set(true)
         watcher.join()
     }
 }
 
 class RegionCutTest : FunSpec({
-    val aRegionThatIsCut =
-        "`a region that is cut off serves on and follows the newer document once it is back`"
+    val cutRegionTestName =
+        "`a region that is cut off continues to serve and adopts the newer document once it is reconnected`"
 
-    test(aRegionThatIsCut).config(enabled = isKnownRedPlayed) {
+    test(cutRegionTestName).config(enabled = isKnownRedEnabled) {
         Deployment(listOf("mazowsze-a", "malopolska-a"), isRelayed = true).use { deployment ->
             deployment.start(entriesPerZone = 1)
-            val near = deployment.entries[0]
+            val connected = deployment.entries[0]
             val cutOff = deployment.entries[1]
-            val watches = deployment.entries.map { VersionWatch(deployment, it) }
-            val result = deployment.load(seed = 31, seconds = 14) {
+            val recorders = deployment.entries.map { VersionRecorder(deployment, it) }
+            val result = deployment.runLoad(seed = 31, seconds = 14) {
                 Thread.sleep(1_500)
-                deployment.entryWires.getValue(cutOff.name).change(WireFault.CUT)
-                deployment.environments.submit(deployment.document(), null, deployment.act())
-                deployment.environments.promote(DocumentVersion(2), DocumentVersion(1), deployment.act())
-                eventually("the near region has version 2") { deployment.version(near) == 2 }
+                deployment.entryConnections.getValue(cutOff.name).change(WireFault.CUT)
+                deployment.environments.submit(deployment.document(), null, deployment.createAct())
+                deployment.environments.promote(DocumentVersion(2), DocumentVersion(1), deployment.createAct())
+                eventually("the connected region has version 2") { deployment.getDocumentVersion(connected) == 2 }
                 Thread.sleep(AFTER_CUT_MS)
-                deployment.version(cutOff) shouldBe 1
+                deployment.getDocumentVersion(cutOff) shouldBe 1
                 deployment.get("http://${cutOff.callerAddress}/run/stan/item/1")?.status shouldBe 200
-                deployment.entryWires.getValue(cutOff.name).change(WireFault.NONE)
-                eventually("the region that was cut off has version 2") { deployment.version(cutOff) == 2 }
+                deployment.entryConnections.getValue(cutOff.name).change(WireFault.NONE)
+                eventually("the region that was cut off has version 2") { deployment.getDocumentVersion(cutOff) == 2 }
             }
-            watches.forEach { it.end() }
-            watches.forEach { watch -> watch.seen shouldBe watch.seen.sorted() }
+            recorders.forEach { it.stop() }
+            recorders.forEach { recorder -> recorder.versions shouldBe recorder.versions.sorted() }
             deployment.checkInvariants(result)
             result.services.forEach { it.ran shouldBeGreaterThan it.requests * 8 / 10 }
         }
     }
 
-    test("`an instance that starts anew while cut off from the platform learns the document from a peer of its zone`") {
+    test("`an instance restarted while cut off from the platform fetches the document from a peer of its zone`") {
         Deployment(isRelayed = true).use { deployment ->
             deployment.start(entriesPerZone = 2)
-            deployment.environments.submit(deployment.document(), null, deployment.act())
-            deployment.environments.promote(DocumentVersion(2), DocumentVersion(1), deployment.act())
-            eventually("both have version 2") { deployment.entries.all { deployment.version(it) == 2 } }
-            val fresh = deployment.entries[1]
-            fresh.kill()
-            deployment.platformWires.forEach { it.change(WireFault.CUT) }
-            fresh.start()
-            eventually("the document came from the peer") { deployment.version(fresh) == 2 }
+            deployment.environments.submit(deployment.document(), null, deployment.createAct())
+            deployment.environments.promote(DocumentVersion(2), DocumentVersion(1), deployment.createAct())
+            eventually("both have version 2") { deployment.entries.all { deployment.getDocumentVersion(it) == 2 } }
+            val restarted = deployment.entries[1]
+            restarted.kill()
+            deployment.platformRelays.forEach { it.change(WireFault.CUT) }
+            restarted.start()
+            eventually("the document came from the peer") { deployment.getDocumentVersion(restarted) == 2 }
         }
     }
 })
--- a/cardamomwharf-dist/src/test/kotlin/org/cardamomwharf/dist/failures/WireFailureTest.kt
+++ b/cardamomwharf-dist/src/test/kotlin/org/cardamomwharf/dist/failures/WireFailureTest.kt
@@ -1,6 +1,6 @@
 /*
- * Connections between real entry processes, the platform and backend servers go silent, bring answers twice or cut them
- * short. Callers get whole answers to their own requests, and no booking runs twice.
+ * Injects faults into the connections of entry processes: silence, duplicated and truncated responses. Callers must
+ * receive only complete responses to their own requests, and no booking may run twice.
  */
 package org.cardamomwharf.dist.failures
 
@@ -9,9 +9,9 @@
 import io.kotest.matchers.longs.shouldBeGreaterThan
 import io.kotest.matchers.shouldBe
 import org.cardamomwharf.dist.support.Deployment
-import org.cardamomwharf.dist.support.isKnownRedPlayed
-import org.cardamomwharf.dist.support.ranOf
-import org.cardamomwharf.dist.support.requestsOf
+import org.cardamomwharf.dist.support.getRanCount
+import org.cardamomwharf.dist.support.getRequestCount
+import org.cardamomwharf.dist.support.isKnownRedEnabled
 import org.cardamomwharf.standin.ServerFaults
 import org.cardamomwharf.standin.network.WireFault
 
@@ -19,56 +19,56 @@
 private const val ROUND_MS = 500L
 
 class WireFailureTest : FunSpec({
-    test("`servers that answer the request before never bring a caller a wrong answer`") {
+    test("`servers that respond to the previous request never cause a wrong response to a caller`") {
         Deployment().use { deployment ->
             deployment.start()
-            deployment.faults("stan-mazowsze-a-0", ServerFaults(isCrossing = true))
-            deployment.faults("zapis-mazowsze-a-0", ServerFaults(isCrossing = true))
-            val result = deployment.load(seed = 21, seconds = 5) { }
+            deployment.setFaults("stan-mazowsze-a-0", ServerFaults(isCrossing = true))
+            deployment.setFaults("zapis-mazowsze-a-0", ServerFaults(isCrossing = true))
+            val result = deployment.runLoad(seed = 21, seconds = 5) { }
             deployment.checkInvariants(result)
-            result.ranOf("stan") shouldBe result.requestsOf("stan")
+            result.getRanCount("stan") shouldBe result.getRequestCount("stan")
         }
     }
 
-    test("`answers that arrive twice or end in the middle reach no caller as a whole answer`") {
+    test("`no caller receives a duplicated or truncated response as a complete one`") {
         Deployment(isRelayed = true).use { deployment ->
             deployment.start()
-            val wires = deployment.serverWires.filterKeys { it.endsWith("-0") }.values
-            val result = deployment.load(seed = 22, seconds = 6) {
+            val relays = deployment.serverRelays.filterKeys { it.endsWith("-0") }.values
+            val result = deployment.runLoad(seed = 22, seconds = 6) {
                 repeat(ROUNDS) { round ->
                     val fault = if (round % 2 == 0) WireFault.DUPLICATING else WireFault.TRUNCATING
-                    wires.forEach { it.change(fault) }
+                    relays.forEach { it.change(fault) }
                     Thread.sleep(ROUND_MS)
                 }
-                wires.forEach { it.change(WireFault.NONE) }
+                relays.forEach { it.change(WireFault.NONE) }
             }
             deployment.checkInvariants(result)
-            result.ranOf("stan") shouldBeGreaterThan result.requestsOf("stan") * 9 / 10
-            result.ranOf("zapis") shouldBeGreaterThan result.requestsOf("zapis") / 2
+            result.getRanCount("stan") shouldBeGreaterThan result.getRequestCount("stan") * 9 / 10
+            result.getRanCount("zapis") shouldBeGreaterThan result.getRequestCount("zapis") / 2
         }
     }
 
-    val whenEveryOpenConnectionGoes =
+    val silentConnectionsTestName =
         "`when every open connection goes silent, twice, new ones take over and no booking runs twice`"
 
-    test(whenEveryOpenConnectionGoes).config(enabled = isKnownRedPlayed) {
+    test(silentConnectionsTestName).config(enabled = isKnownRedEnabled) {
         Deployment(isRelayed = true).use { deployment ->
             deployment.start()
-            val result = deployment.load(seed = 23, seconds = 14) {
+            val result = deployment.runLoad(seed = 23, seconds = 14) {
                 repeat(2) {
                     Thread.sleep(2_000)
-                    deployment.serverWires.values.forEach { it.silence() }
-                    deployment.entryWires.values.forEach { it.silence() }
+                    deployment.serverRelays.values.forEach { it.silence() }
+                    deployment.entryConnections.values.forEach { it.silence() }
                     Thread.sleep(2_000)
                 }
             }
             deployment.checkInvariants(result)
-            result.ranOf("stan") shouldBeGreaterThan result.requestsOf("stan") * 8 / 10
-            result.ranOf("zapis") shouldBeGreaterThan result.requestsOf("zapis") * 8 / 10
-            val after = deployment.load(seed = 24, seconds = 3) { }
+            result.getRanCount("stan") shouldBeGreaterThan result.getRequestCount("stan") * 8 / 10
+            result.getRanCount("zapis") shouldBeGreaterThan result.getRequestCount("zapis") * 8 / 10
+            val after = deployment.runLoad(seed = 24, seconds = 3) { }
             deployment.checkInvariants(after)
-            after.ranOf("stan") shouldBe after.requestsOf("stan")
-            after.ranOf("zapis") shouldBe after.requestsOf("zapis")
+            after.getRanCount("stan") shouldBe after.getRequestCount("stan")
+            after.getRanCount("zapis") shouldBe after.getRequestCount("zapis")
             deployment.servers.values.sumOf { it.counts.countTotal() } shouldBeGreaterThan 0
         }
     }
--- a/cardamomwharf-dist/src/test/kotlin/org/cardamomwharf/dist/operators/CapChangeTest.kt
+++ b/cardamomwharf-dist/src/test/kotlin/org/cardamomwharf/dist/operators/CapChangeTest.kt
@@ -1,6 +1,6 @@
 /*
- * Operators change caps and zones: each change of the caps gets its epoch, racing operators get one winner, and no zone
- * is left out before its instances were stopped.
+ * Tests that each change of the caps starts a new epoch, that only one of several concurrent changes succeeds, and that
+ * a zone can't be removed before its instances are stopped.
  */
 package org.cardamomwharf.dist.operators
 
@@ -21,12 +21,12 @@
 import org.cardamomwharf.repository.HeadEntry
 import java.util.concurrent.CompletableFuture
 
-private val droppedZone = ZoneName("pomorze-b")
+private val removedZone = ZoneName("pomorze-b")
 
 private fun Deployment.accept(document: EnvironmentDocument, expected: Long): Result<Report, CommandError> {
-    environments.submit(document, null, act()).getOrThrow { IllegalStateException(it.text) }
-    val tried = requireNotNull(heads(EnvironmentName.TRIAL).get()).newest.version
-    return environments.promote(tried, DocumentVersion(expected), act())
+    environments.submit(document, null, createAct()).getOrThrow { IllegalStateException(it.text) }
+    val trialVersion = requireNotNull(heads(EnvironmentName.TRIAL).get()).newest.version
+    return environments.promote(trialVersion, DocumentVersion(expected), createAct())
 }
 
 private fun Deployment.newest(): HeadEntry = requireNotNull(heads(EnvironmentName.PRODUCTION).get()).newest
@@ -40,55 +40,56 @@
 )
 
 class CapChangeTest : FunSpec({
-    test("`a change of the caps begins an epoch and any other change keeps it`") {
+    test("`a change of the caps starts a new epoch and any other change keeps the epoch`") {
         Deployment().use { deployment ->
             deployment.startPlatform()
             val first = deployment.document()
             deployment.accept(first, expected = 0).isOk shouldBe true
             deployment.newest().capEpoch.value shouldBe 1
-            deployment.accept(first.copy(drains = listOf(Drain(droppedZone))), expected = 1).isOk shouldBe true
+            deployment.accept(first.copy(drains = listOf(Drain(removedZone))), expected = 1).isOk shouldBe true
             deployment.newest().capEpoch.value shouldBe 1
             deployment.accept(first.withLinkCap(1_000_000), expected = 2).isOk shouldBe true
             deployment.newest().capEpoch.value shouldBe 2
         }
     }
 
-    test("`of operators that change the caps at once one wins and the others are told so`") {
+    test("`of concurrent changes of the caps one succeeds and the others return a conflict`") {
         Deployment().use { deployment ->
             deployment.startPlatform()
             val first = deployment.document()
             deployment.accept(first, expected = 0)
             val caps = listOf(1_000_000L, 2_000_000L, 3_000_000L, 4_000_000L)
-            val tried = caps.map { cap ->
-                deployment.environments.submit(first.withLinkCap(cap), null, deployment.act())
+            val trialVersions = caps.map { cap ->
+                deployment.environments.submit(first.withLinkCap(cap), null, deployment.createAct())
                 requireNotNull(deployment.heads(EnvironmentName.TRIAL).get()).newest.version
             }
-            val acts = tried.map { deployment.act() }
-            val racing = tried.indices.map { index ->
+            val acts = trialVersions.map { deployment.createAct() }
+            val promotions = trialVersions.indices.map { index ->
                 CompletableFuture.supplyAsync {
-                    deployment.environments.promote(tried[index], DocumentVersion(1), acts[index])
+                    deployment.environments.promote(trialVersions[index], DocumentVersion(1), acts[index])
                 }
             }
-            val ends = racing.map { it.get() }
-            ends.count { it.isOk } shouldBe 1
-            ends.mapNotNull { it.getError() }.all { it is CommandError.Conflict } shouldBe true
-            val late = deployment.environments.promote(tried.first(), DocumentVersion(1), deployment.act())
+            val results = promotions.map { it.get() }
+            results.count { it.isOk } shouldBe 1
+            results.mapNotNull { it.getError() }.all { it is CommandError.Conflict } shouldBe true
+            val late = deployment.environments
+                .promote(trialVersions.first(), DocumentVersion(1), deployment.createAct())
             (late.getError() is CommandError.Conflict) shouldBe true
             deployment.newest().version shouldBe DocumentVersion(2)
             deployment.newest().capEpoch.value shouldBe 2
         }
     }
 
-    test("`a zone isn't left out before its instances are said to be stopped`") {
+    test("`a zone can't be removed before its instances are declared stopped`") {
         Deployment().use { deployment ->
             deployment.startPlatform()
             val first = deployment.document()
             deployment.accept(first, expected = 0)
-            val smaller = first.without(droppedZone)
+            val smaller = first.without(removedZone)
             deployment.accept(smaller, expected = 1).getError() shouldBe
-                CommandError.ZonesNotStopped(listOf(droppedZone.value))
+                CommandError.ZonesNotStopped(listOf(removedZone.value))
             deployment.newest().version shouldBe DocumentVersion(1)
-            deployment.accept(smaller.copy(stoppedZones = listOf(droppedZone)), expected = 1).isOk shouldBe true
+            deployment.accept(smaller.copy(stoppedZones = listOf(removedZone)), expected = 1).isOk shouldBe true
         }
     }
 })
--- a/cardamomwharf-dist/src/test/kotlin/org/cardamomwharf/dist/support/Deployment.kt
+++ b/cardamomwharf-dist/src/test/kotlin/org/cardamomwharf/dist/support/Deployment.kt
@@ -1,5 +1,5 @@
 /*
- * A small deployment: stand-ins for the platform and the backend servers in this process, entry instances as processes.
+ * A small test deployment: platform and backend servers run in this process, entry instances as separate processes.
  */
 package org.cardamomwharf.dist.support
 
@@ -52,36 +52,36 @@
 import java.util.concurrent.CompletableFuture
 
 private const val PLATFORM = "127.0.3.250:7000"
-private const val CALL_LIMIT_MS = 5_000L
+private const val CALL_TIMEOUT_MS = 5_000L
 private const val POLL_MS = 100L
-private const val SLOW_MS = 30_000L
-private const val LARGEST_POLLS = 400
+private const val SLOW_SERVICE_MS = 30_000L
+private const val MAX_POLLS = 400
 
-/** A service that no server offers here and whose requests are expected to take long. */
+/** A service without servers whose requests have a long expected service time. */
 const val SLOW_SERVICE: String = "katalog"
 
 class Deployment(
     private val zones: List<String> = listOf("mazowsze-a"),
     private val isRelayed: Boolean = false,
 ) : AutoCloseable {
-    val caller = startJettyHttpClient(HttpClientSettings("test"))
+    val client = startJettyHttpClient(HttpClientSettings("test"))
     val platform = PlatformStandin()
     val servers = linkedMapOf<String, ServerStandin>()
-    val entries = mutableListOf<EntryProcessHandle>()
-    val serverWires = linkedMapOf<String, WireRelay>()
-    val entryWires = linkedMapOf<String, EntryWires>()
+    val entries = mutableListOf<EntryProcess>()
+    val serverRelays = linkedMapOf<String, WireRelay>()
+    val entryConnections = linkedMapOf<String, EntryConnections>()
     private val folder: Path = Files.createTempDirectory("wharf-test")
     private val platformAddress = requireNotNull(SocketAddress.parse(PLATFORM))
     private val running = mutableListOf<JettyServer>()
     private var attempts = 0
-    val heads = EnvironmentHeads(httpTableService(caller, platformAddress, CALL_LIMIT_MS))
-    val environments = Environments(heads, DocumentArchive(httpObjectStore(caller, platformAddress, CALL_LIMIT_MS)))
+    val heads = EnvironmentHeads(httpTableService(client, platformAddress, CALL_TIMEOUT_MS))
+    val environments = Environments(heads, DocumentArchive(httpObjectStore(client, platformAddress, CALL_TIMEOUT_MS)))
 
     fun document(policy: Policy = Policy(slowStartMs = 0, leaveGraceMs = 1_000)): EnvironmentDocument {
         val text = Files.readString(Path.of("../examples/wisla/document.yaml"))
         val whole = parseDocument(text).getOrThrow { IllegalStateException(it.toString()) }
         val services = whole.services.map { it.copy(cacheTtlMs = 500) }
-            .map { if (it.name.value == SLOW_SERVICE) it.copy(expectedServiceMs = SLOW_MS) else it }
+            .map { if (it.name.value == SLOW_SERVICE) it.copy(expectedServiceMs = SLOW_SERVICE_MS) else it }
         return whole.copy(policy = policy, services = services)
     }
 
@@ -92,20 +92,20 @@
     fun start(entriesPerZone: Int = 2) {
         startPlatform()
         zones.forEach(::startServers)
-        environments.submit(document(), null, act()).getOrThrow { IllegalStateException(it.text) }
+        environments.submit(document(), null, createAct()).getOrThrow { IllegalStateException(it.text) }
         environments.promote(
             DocumentVersion(1),
             DocumentVersion.NONE,
-            act()
+            createAct()
         ).getOrThrow { IllegalStateException(it.text) }
         for (zone in zones) repeat(entriesPerZone) { addEntry(zone) }
         awaitReady()
     }
 
-    /** The ways of all entry instances to the platform. */
-    val platformWires: List<WireRelay> get() = entryWires.values.mapNotNull { it.platformRelay }
+    /** The relays between the entry instances and the platform. */
+    val platformRelays: List<WireRelay> get() = entryConnections.values.mapNotNull { it.platformRelay }
 
-    fun act(): OperatorAct = OperatorAct("tester", AttemptId("test-${attempts++}"), 0)
+    fun createAct(): OperatorAct = OperatorAct("tester", AttemptId("test-${attempts++}"), 0)
 
     private fun startServers(zone: String) {
         for (service in listOf("stan", "zapis")) {
@@ -115,52 +115,69 @@
                 val standin = ServerStandin(ServerBehaviour(name, slots = 8, serviceMs = 5))
                 running += standin.start(requireNotNull(SocketAddress.parse(address)))
                 servers[name] = standin
-                list(PlatformInstance(name, PlatformRole.SERVER, zone, wireTo(name, address), service = service))
+                addToPlatformList(
+                    PlatformInstance(
+                        name,
+                        PlatformRole.SERVER,
+                        zone,
+                        getServerAddress(name, address),
+                        service = service,
+                    ),
+                )
             }
         }
     }
 
-    /** Returns where instances reach the server at [address]. */
-    private fun wireTo(server: String, address: String): String {
+    /** Returns the address at which instances reach the server at [address], through a relay if [isRelayed]. */
+    private fun getServerAddress(server: String, address: String): String {
         if (!isRelayed) return address
         val listen = address.replace(":9000", ":9010")
-        serverWires[server] = relay(listen, address)
+        serverRelays[server] = startRelay(listen, address)
         return listen
     }
 
-    fun list(instance: PlatformInstance) {
+    fun addToPlatformList(instance: PlatformInstance) {
         platform.fillList(Json.encodeToString(listOf(instance)))
     }
 
-    fun addEntry(zone: String): EntryProcessHandle {
+    fun addEntry(zone: String): EntryProcess {
         val number = entries.size + 1
         val host = "127.0.3.$number"
-        val wires = if (isRelayed) relayedWires(host, PLATFORM) else straightWires(host, PLATFORM)
-        val entry = EntryProcessHandle("entry-$number", zone, number, folder, wires)
-        entryWires[entry.name] = wires
-        list(PlatformInstance(entry.name, PlatformRole.ENTRY, zone, entry.callerAddress, wires.advertisedPeer))
+        val connections =
+            if (isRelayed) createRelayedConnections(host, PLATFORM) else createDirectConnections(host, PLATFORM)
+        val entry = EntryProcess("entry-$number", zone, number, folder, connections)
+        entryConnections[entry.name] = connections
+        addToPlatformList(
+            PlatformInstance(
+                entry.name,
+                PlatformRole.ENTRY,
+                zone,
+                entry.callerAddress,
+                connections.advertisedPeer,
+            ),
+        )
         entry.start()
         entries += entry
         return entry
     }
 
-    fun awaitReady(wanted: List<EntryProcessHandle> = entries) {
+    fun awaitReady(instances: List<EntryProcess> = entries) {
         eventually("all entries ready") {
-            wanted.all { get("http://${it.adminAddress}/ready")?.status == 200 }
+            instances.all { get("http://${it.adminAddress}/ready")?.status == 200 }
         }
         eventually("all servers owned") {
-            wanted.flatMap { ownedServers(it) }.size == servers.size
+            instances.flatMap { ownedServers(it) }.size == servers.size
         }
-        eventually("all entries listed") { wanted.all { listsZone(it, wanted) } }
+        eventually("all entries listed") { instances.all { isZoneListed(it, instances) } }
     }
 
-    private fun listsZone(entry: EntryProcessHandle, wanted: List<EntryProcessHandle>): Boolean {
-        val answer = get("http://${entry.callerAddress}/lookup?service=stan&client=127.10.0.1") ?: return false
-        val text = answer.body.decodeToString()
-        return wanted.filter { it.zone == entry.zone }.all { "\"${it.name}\"" in text }
+    private fun isZoneListed(entry: EntryProcess, instances: List<EntryProcess>): Boolean {
+        val response = get("http://${entry.callerAddress}/lookup?service=stan&client=127.10.0.1") ?: return false
+        val text = response.body.decodeToString()
+        return instances.filter { it.zone == entry.zone }.all { "\"${it.name}\"" in text }
     }
 
-    private fun ownedServers(entry: EntryProcessHandle): List<String> {
+    private fun ownedServers(entry: EntryProcess): List<String> {
         val status = get("http://${entry.adminAddress}/status") ?: return emptyList()
         val servers = Json.parseToJsonElement(status.body.decodeToString()).jsonObject.getValue("servers")
         return (servers as JsonArray)
@@ -168,7 +185,7 @@
             .map { it.jsonObject.getValue("server").jsonPrimitive.content }
     }
 
-    fun version(entry: EntryProcessHandle): Int? {
+    fun getDocumentVersion(entry: EntryProcess): Int? {
         val status = get("http://${entry.adminAddress}/status") ?: return null
         return Json.parseToJsonElement(status.body.decodeToString())
             .jsonObject.getValue("documentVersion").jsonPrimitive.content.toInt()
@@ -180,12 +197,12 @@
         send("POST", url, body, fields.toList())
 
     private fun send(method: String, url: String, body: String, fields: List<HttpField>): HttpResponse? {
-        val end = caller.call(HttpCall(method, url, fields, body.toByteArray(), CALL_LIMIT_MS))
-        return (end as? HttpResult.Completed)?.response
+        val result = client.call(HttpCall(method, url, fields, body.toByteArray(), CALL_TIMEOUT_MS))
+        return (result as? HttpResult.Completed)?.response
     }
 
-    /** Starts a load of reads and bookings on a thread of its own; the result comes when it has ended. */
-    fun load(seed: Long, seconds: Int, act: () -> Unit): LoadResult {
+    /** Runs [action] during a load of reads and bookings and returns the result of the load. */
+    fun runLoad(seed: Long, seconds: Int, action: () -> Unit): LoadResult {
         val plan = LoadPlan(
             entries = entries.map { it.callerAddress },
             clients = (1..4).map { "127.10.0.$it" },
@@ -198,14 +215,14 @@
             seed = seed,
         )
         val clock = monotonicClock()
-        val lookups = LookupCache(caller, clock, plan.entries)
-        val run = LoadRun(plan, CallerStandin(caller, lookups, clock, plan.deadlineMs), clock)
+        val lookups = LookupCache(client, clock, plan.entries)
+        val run = LoadRun(plan, CallerStandin(client, lookups, clock, plan.deadlineMs), clock)
         val result = CompletableFuture.supplyAsync { run.run() }
-        act()
+        action()
         return result.get()
     }
 
-    /** Checks what must hold after any load: whole answers, and no key that ran twice. */
+    /** Checks that all responses were complete and that no idempotency key ran twice. */
     fun checkInvariants(result: LoadResult) {
         result.wrongAnswers shouldBe emptyList()
         result.services.sumOf { it.wrongAnswers } shouldBe 0
@@ -213,32 +230,32 @@
         runs.filterValues { it.sum() > 1 } shouldBe emptyMap()
     }
 
-    fun faults(faults: PlatformFaults) {
+    fun setFaults(faults: PlatformFaults) {
         platform.changeFaults(faults)
     }
 
-    fun faults(server: String, faults: ServerFaults) {
+    fun setFaults(server: String, faults: ServerFaults) {
         servers.getValue(server).changeFaults(faults)
     }
 
     fun heads(environment: EnvironmentName) = heads.find(environment)
 
     override fun close() {
-        entries.forEach { it.thaw() }
+        entries.forEach { it.resume() }
         entries.forEach { it.kill() }
-        entryWires.values.forEach { it.close() }
-        serverWires.values.forEach { it.close() }
+        entryConnections.values.forEach { it.close() }
+        serverRelays.values.forEach { it.close() }
         running.forEach { it.stop() }
-        caller.close()
+        client.close()
         folder.toFile().deleteRecursively()
     }
 }
 
-/** Waits until [isTrue]; fails after a long time that no healthy run comes near. */
-fun eventually(what: String, isTrue: () -> Boolean) {
-    repeat(LARGEST_POLLS) {
-        if (isTrue()) return
+/** Waits until [condition] holds; fails after a time far longer than any passing run takes. */
+fun eventually(what: String, condition: () -> Boolean) {
+    repeat(MAX_POLLS) {
+        if (condition()) return
         Thread.sleep(POLL_MS)
     }
-    error("never came true: $what")
+    error("condition did not hold in time: $what")
 }
--- a/cardamomwharf-dist/src/test/kotlin/org/cardamomwharf/dist/support/EntryProcessHandle.kt
+++ b/cardamomwharf-dist/src/test/kotlin/org/cardamomwharf/dist/support/EntryProcess.kt
@@ -1,5 +1,5 @@
 /*
- * An entry instance as a process of its own, so that it can be killed, frozen and stopped.
+ * Runs an entry instance as a separate process that can be killed, paused and stopped.
  */
 package org.cardamomwharf.dist.support
 
@@ -7,14 +7,14 @@
 import java.nio.file.Path
 import java.util.concurrent.TimeUnit
 
-private const val STOP_LIMIT_S = 60L
+private const val STOP_TIMEOUT_S = 60L
 
-class EntryProcessHandle(
+class EntryProcess(
     val name: String,
     val zone: String,
     number: Int,
     private val folder: Path,
-    wires: EntryWires,
+    connections: EntryConnections,
 ) {
     val host: String = "127.0.3.$number"
     val callerAddress: String = "$host:8000"
@@ -24,9 +24,9 @@
         zone: $zone
         callerAddress: $callerAddress
         peerAddress: $host:8100
-        advertisedPeerAddress: ${wires.advertisedPeer}
+        advertisedPeerAddress: ${connections.advertisedPeer}
         adminAddress: $adminAddress
-        platformAddress: ${wires.platform}
+        platformAddress: ${connections.platform}
         logFormat: plain
         isClientHeaderTrusted: true
         times:
@@ -58,14 +58,14 @@
         ).redirectErrorStream(true).redirectOutput(ProcessBuilder.Redirect.appendTo(logFile.toFile())).start()
     }
 
-    /** Asks the process to stop gracefully. */
+    /** Stops the process gracefully without waiting for its exit. */
     fun terminate() {
         process?.destroy()
     }
 
-    fun awaitEnd(): Int {
+    fun awaitExit(): Int {
         val running = process ?: return 0
-        if (!running.waitFor(STOP_LIMIT_S, TimeUnit.SECONDS)) running.destroyForcibly()
+        if (!running.waitFor(STOP_TIMEOUT_S, TimeUnit.SECONDS)) running.destroyForcibly()
         return running.waitFor()
     }
 
@@ -73,9 +73,9 @@
         process?.destroyForcibly()?.waitFor()
     }
 
-    fun freeze() = signal("-STOP")
+    fun pause() = signal("-STOP")
 
-    fun thaw() = signal("-CONT")
+    fun resume() = signal("-CONT")
 
     private fun signal(name: String) {
         val pid = process?.pid() ?: return
