--- a/cardamomwharf-dist/src/test/kotlin/org/cardamomwharf/dist/support/Deployment.kt
+++ b/cardamomwharf-dist/src/test/kotlin/org/cardamomwharf/dist/support/Deployment.kt
@@ -79,10 +79,10 @@
 
     fun document(policy: Policy = Policy(slowStartMs = 0, leaveGraceMs = 1_000)): EnvironmentDocument {
         val text = Files.readString(Path.of("../examples/wisla/document.yaml"))
-        val whole = parseDocument(text).getOrThrow { IllegalStateException(it.toString()) }
-        val services = whole.services.map { it.copy(cacheTtlMs = 500) }
+        val parsed = parseDocument(text).getOrThrow { IllegalStateException(it.toString()) }
+        val services = parsed.services.map { it.copy(cacheTtlMs = 500) }
             .map { if (it.name.value == SLOW_SERVICE) it.copy(expectedServiceMs = SLOW_SERVICE_MS) else it }
-        return whole.copy(policy = policy, services = services)
+        return parsed.copy(policy = policy, services = services)
     }
 
     fun startPlatform() {
