--- a/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/policy/SimulatedServer.kt
+++ b/cardamomwharf-bench/src/main/kotlin/org/cardamomwharf/bench/policy/SimulatedServer.kt
@@ -1,6 +1,6 @@
 /*
  * Simulates a backend server in virtual time. It runs one request per slot, queues up to the same number and rejects
- * the rest. With cold caches, the first requests take twice as long.
+ * the rest. After a move its caches are cold, and the first requests take twice as long.
  */
 package org.cardamomwharf.bench.policy
 
