--- a/cardamomwharf-dist/src/test/kotlin/org/cardamomwharf/dist/failures/ProcessFailureTest.kt
+++ b/cardamomwharf-dist/src/test/kotlin/org/cardamomwharf/dist/failures/ProcessFailureTest.kt
@@ -128,10 +128,10 @@
     test("`a promotion whose response was lost is resolved and becomes active on all instances`") {
         Deployment().use { deployment ->
             deployment.start()
-            deployment.environments.submit(deployment.document(), null, deployment.createAct())
+            deployment.environments.submit(deployment.document(), null, deployment.createAction())
             deployment.setFaults(PlatformFaults(lostWrites = 1))
             val promoted = deployment.environments
-                .promote(DocumentVersion(2), DocumentVersion(1), deployment.createAct())
+                .promote(DocumentVersion(2), DocumentVersion(1), deployment.createAction())
             promoted.isOk shouldBe true
             eventually("version 2 is active") { deployment.entries.all { deployment.getDocumentVersion(it) == 2 } }
             deployment.entries.size shouldBeGreaterThan 1
--- a/cardamomwharf-dist/src/test/kotlin/org/cardamomwharf/dist/failures/RegionCutTest.kt
+++ b/cardamomwharf-dist/src/test/kotlin/org/cardamomwharf/dist/failures/RegionCutTest.kt
@@ -50,8 +50,8 @@
             val result = deployment.runLoad(seed = 31, seconds = 14) {
                 Thread.sleep(1_500)
                 deployment.entryConnections.getValue(cutOff.name).change(WireFault.CUT)
-                deployment.environments.submit(deployment.document(), null, deployment.createAct())
-                deployment.environments.promote(DocumentVersion(2), DocumentVersion(1), deployment.createAct())
+                deployment.environments.submit(deployment.document(), null, deployment.createAction())
+                deployment.environments.promote(DocumentVersion(2), DocumentVersion(1), deployment.createAction())
                 eventually("the connected region has version 2") { deployment.getDocumentVersion(connected) == 2 }
                 Thread.sleep(AFTER_CUT_MS)
                 deployment.getDocumentVersion(cutOff) shouldBe 1
@@ -69,8 +69,8 @@
     test("`an instance restarted while cut off from the platform fetches the document from a peer of its zone`") {
         Deployment(isRelayed = true).use { deployment ->
             deployment.start(entriesPerZone = 2)
-            deployment.environments.submit(deployment.document(), null, deployment.createAct())
-            deployment.environments.promote(DocumentVersion(2), DocumentVersion(1), deployment.createAct())
+            deployment.environments.submit(deployment.document(), null, deployment.createAction())
+            deployment.environments.promote(DocumentVersion(2), DocumentVersion(1), deployment.createAction())
             eventually("both have version 2") { deployment.entries.all { deployment.getDocumentVersion(it) == 2 } }
             val restarted = deployment.entries[1]
             restarted.kill()
--- a/cardamomwharf-dist/src/test/kotlin/org/cardamomwharf/dist/operators/CapChangeTest.kt
+++ b/cardamomwharf-dist/src/test/kotlin/org/cardamomwharf/dist/operators/CapChangeTest.kt
@@ -24,9 +24,9 @@
 private val removedZone = ZoneName("pomorze-b")
 
 private fun Deployment.accept(document: EnvironmentDocument, expected: Long): Result<Report, CommandError> {
-    environments.submit(document, null, createAct()).getOrThrow { IllegalStateException(it.text) }
+    environments.submit(document, null, createAction()).getOrThrow { IllegalStateException(it.text) }
     val trialVersion = requireNotNull(heads(EnvironmentName.TRIAL).get()).newest.version
-    return environments.promote(trialVersion, DocumentVersion(expected), createAct())
+    return environments.promote(trialVersion, DocumentVersion(expected), createAction())
 }
 
 private fun Deployment.newest(): HeadEntry = requireNotNull(heads(EnvironmentName.PRODUCTION).get()).newest
@@ -60,20 +60,20 @@
             deployment.accept(first, expected = 0)
             val caps = listOf(1_000_000L, 2_000_000L, 3_000_000L, 4_000_000L)
             val trialVersions = caps.map { cap ->
-                deployment.environments.submit(first.withLinkCap(cap), null, deployment.createAct())
+                deployment.environments.submit(first.withLinkCap(cap), null, deployment.createAction())
                 requireNotNull(deployment.heads(EnvironmentName.TRIAL).get()).newest.version
             }
-            val acts = trialVersions.map { deployment.createAct() }
+            val actions = trialVersions.map { deployment.createAction() }
             val promotions = trialVersions.indices.map { index ->
                 CompletableFuture.supplyAsync {
-                    deployment.environments.promote(trialVersions[index], DocumentVersion(1), acts[index])
+                    deployment.environments.promote(trialVersions[index], DocumentVersion(1), actions[index])
                 }
             }
             val results = promotions.map { it.get() }
             results.count { it.isOk } shouldBe 1
             results.mapNotNull { it.getError() }.all { it is CommandError.Conflict } shouldBe true
             val late = deployment.environments
-                .promote(trialVersions.first(), DocumentVersion(1), deployment.createAct())
+                .promote(trialVersions.first(), DocumentVersion(1), deployment.createAction())
             (late.getError() is CommandError.Conflict) shouldBe true
             deployment.newest().version shouldBe DocumentVersion(2)
             deployment.newest().capEpoch.value shouldBe 2
--- a/cardamomwharf-dist/src/test/kotlin/org/cardamomwharf/dist/session/WholeSessionTest.kt
+++ b/cardamomwharf-dist/src/test/kotlin/org/cardamomwharf/dist/session/WholeSessionTest.kt
@@ -98,16 +98,16 @@
             transcript.record("refusals counted -> " + getRefusalCounters(deployment, entry.adminAddress))
 
             val conflictingPromotion = deployment.environments
-                .promote(DocumentVersion(1), DocumentVersion.NONE, deployment.createAct())
+                .promote(DocumentVersion(1), DocumentVersion.NONE, deployment.createAction())
             transcript.record("promotion that lost the race", conflictingPromotion)
             val invalidDrain = Drain(ZoneName("mazowsze"), startsAtEpochSeconds = 20, endsAtEpochSeconds = 10)
             val rejectedDrain = deployment.environments
-                .changeDrains("drain", deployment.createAct()) { it + invalidDrain }
+                .changeDrains("drain", deployment.createAction()) { it + invalidDrain }
             transcript.record("drain that fits no zone", rejectedDrain)
             val drain = Drain(ZoneName("mazowsze-a"))
             transcript.record(
                 "drain",
-                deployment.environments.changeDrains("drain", deployment.createAct()) { it + drain }
+                deployment.environments.changeDrains("drain", deployment.createAction()) { it + drain }
             )
             eventually("the drain is in force") { deployment.entries.all { deployment.getDocumentVersion(it) == 2 } }
             transcript.record("read while drained", deployment.get("$run/stan/item/2", client))
--- a/cardamomwharf-dist/src/test/kotlin/org/cardamomwharf/dist/support/Deployment.kt
+++ b/cardamomwharf-dist/src/test/kotlin/org/cardamomwharf/dist/support/Deployment.kt
@@ -92,11 +92,11 @@
     fun start(entriesPerZone: Int = 2) {
         startPlatform()
         zones.forEach(::startServers)
-        environments.submit(document(), null, createAct()).getOrThrow { IllegalStateException(it.text) }
+        environments.submit(document(), null, createAction()).getOrThrow { IllegalStateException(it.text) }
         environments.promote(
             DocumentVersion(1),
             DocumentVersion.NONE,
-            createAct()
+            createAction()
         ).getOrThrow { IllegalStateException(it.text) }
         for (zone in zones) repeat(entriesPerZone) { addEntry(zone) }
         awaitReady()
@@ -105,7 +105,7 @@
     /** The relays between the entry instances and the platform. */
     val platformRelays: List<WireRelay> get() = entryConnections.values.mapNotNull { it.platformRelay }
 
-    fun createAct(): OperatorAct = OperatorAct("tester", AttemptId("test-${attempts++}"), 0)
+    fun createAction(): OperatorAct = OperatorAct("tester", AttemptId("test-${attempts++}"), 0)
 
     private fun startServers(zone: String) {
         for (service in listOf("stan", "zapis")) {
