--- a/cardamomwharf-peer/src/test/kotlin/org/cardamomwharf/peer/PeerConnectionTest.kt
+++ b/cardamomwharf-peer/src/test/kotlin/org/cardamomwharf/peer/PeerConnectionTest.kt
@@ -7,7 +7,7 @@
 import io.kotest.matchers.shouldBe
 import org.cardamomwharf.core.Reason
 import org.cardamomwharf.decision.requests.AttemptResult
-import org.cardamomwharf.standin.network.ConnectionFault
+import org.cardamomwharf.standin.network.RelayFault
 
 class PeerConnectionTest : FunSpec({
     test("`a hand-over on a silent connection is reported as lost and the next one gets a new connection`") {
@@ -41,12 +41,12 @@
 
     test("`a hand-over to an unreachable instance is reported as lost or not sent and gets no response`") {
         PeerPair().use { pair ->
-            pair.relay.changeFault(ConnectionFault.BLACKHOLE)
+            pair.relay.changeFault(RelayFault.BLACKHOLE)
             val attempt = pair.handOver("cut")
             eventually("the hand-over has failed") { pair.log.hasFailed(attempt) }
             pair.getResponses(attempt) shouldBe emptyList()
             pair.echo.runs[attempt] shouldBe null
-            pair.relay.changeFault(ConnectionFault.NONE)
+            pair.relay.changeFault(RelayFault.NONE)
             val next = pair.handOver("next")
             eventually("a response after the cut") { pair.getResponses(next) == listOf("/next") }
         }
@@ -54,7 +54,7 @@
 
     test("`a hand-over with a truncated response is reported as lost`") {
         PeerPair().use { pair ->
-            pair.relay.changeFault(ConnectionFault.TRUNCATING)
+            pair.relay.changeFault(RelayFault.TRUNCATING)
             val attempt = pair.handOver("half")
             eventually("the hand-over has failed") { pair.log.hasFailed(attempt) }
             pair.log.failures[attempt] shouldBe AttemptResult.Lost(Reason.CONNECTION_LOST)
@@ -65,13 +65,13 @@
 
     test("`a duplicated response is accepted once and only for its own request`") {
         PeerPair().use { pair ->
-            pair.relay.changeFault(ConnectionFault.DUPLICATING)
+            pair.relay.changeFault(RelayFault.DUPLICATING)
             val attempts = (1..20).map { number ->
                 pair.handOver("twice-$number").also { attempt ->
                     eventually("a response has arrived") { pair.getResponses(attempt).isNotEmpty() }
                 }
             }
-            pair.relay.changeFault(ConnectionFault.NONE)
+            pair.relay.changeFault(RelayFault.NONE)
             val last = pair.handOver("last")
             eventually("the last has a response") { pair.getResponses(last).isNotEmpty() }
             (attempts + last).forEach { pair.getResponses(it) shouldBe listOf("/${it.value}") }
--- a/cardamomwharf-standin/src/main/kotlin/org/cardamomwharf/standin/network/ConnectionFault.kt
+++ b/cardamomwharf-standin/src/main/kotlin/org/cardamomwharf/standin/network/RelayFault.kt
@@ -4,7 +4,7 @@
 package org.cardamomwharf.standin.network
 
 /** Represents the fault that a relay injects. */
-public enum class ConnectionFault {
+public enum class RelayFault {
     /** All bytes are forwarded. */
     NONE,
 
--- a/cardamomwharf-standin/src/main/kotlin/org/cardamomwharf/standin/network/RelayedConnection.kt
+++ b/cardamomwharf-standin/src/main/kotlin/org/cardamomwharf/standin/network/RelayedConnection.kt
@@ -20,7 +20,7 @@
     var isStalled: Boolean = false
 
     /** Forwards bytes from [source] to [sink] until one of them is closed, then closes the connection. */
-    fun pump(source: Socket, sink: Socket, getFault: () -> ConnectionFault) {
+    fun pump(source: Socket, sink: Socket, getFault: () -> RelayFault) {
         val chunk = ByteArray(CHUNK_BYTES)
         try {
             while (true) {
@@ -34,15 +34,15 @@
     }
 
     /** Forwards a chunk as [fault] allows; returns false when the connection must be closed. */
-    private fun forward(chunk: ByteArray, count: Int, sink: Socket, fault: ConnectionFault): Boolean {
-        if (isStalled || fault == ConnectionFault.RESPONSES_LOST) return true
-        if (fault == ConnectionFault.DELAYED) Thread.sleep(DELAY_MS)
+    private fun forward(chunk: ByteArray, count: Int, sink: Socket, fault: RelayFault): Boolean {
+        if (isStalled || fault == RelayFault.RESPONSES_LOST) return true
+        if (fault == RelayFault.DELAYED) Thread.sleep(DELAY_MS)
         val output = sink.getOutputStream()
-        val forwardedBytes = if (fault == ConnectionFault.TRUNCATING) count / 2 else count
+        val forwardedBytes = if (fault == RelayFault.TRUNCATING) count / 2 else count
         output.write(chunk, 0, forwardedBytes)
-        if (fault == ConnectionFault.DUPLICATING) output.write(chunk, 0, count)
+        if (fault == RelayFault.DUPLICATING) output.write(chunk, 0, count)
         output.flush()
-        return fault != ConnectionFault.TRUNCATING
+        return fault != RelayFault.TRUNCATING
     }
 
     fun close() {
--- a/cardamomwharf-standin/src/main/kotlin/org/cardamomwharf/standin/network/TcpRelay.kt
+++ b/cardamomwharf-standin/src/main/kotlin/org/cardamomwharf/standin/network/TcpRelay.kt
@@ -21,7 +21,7 @@
     private val connections = ConcurrentHashMap.newKeySet<RelayedConnection>()
 
     @Volatile
-    private var fault = ConnectionFault.NONE
+    private var fault = RelayFault.NONE
 
     /** The number of open connections. */
     public val openConnections: Int get() = connections.size
@@ -31,9 +31,9 @@
     }
 
     /** Sets the fault for all bytes from now on. */
-    public fun changeFault(next: ConnectionFault) {
+    public fun changeFault(next: RelayFault) {
         fault = next
-        if (next == ConnectionFault.BLACKHOLE) stallConnections()
+        if (next == RelayFault.BLACKHOLE) stallConnections()
     }
 
     /** Stops forwarding on all open connections without closing them; later connections work. */
@@ -59,11 +59,11 @@
     private fun relay(clientSocket: Socket) {
         val targetSocket = Socket()
         val connection = RelayedConnection(clientSocket, targetSocket) { connections.remove(it) }
-        connection.isStalled = fault == ConnectionFault.BLACKHOLE
+        connection.isStalled = fault == RelayFault.BLACKHOLE
         connections.add(connection)
         try {
             targetSocket.connect(InetSocketAddress(target.host, target.port), CONNECT_TIMEOUT_MS)
-            startThread("relay-out") { connection.pump(clientSocket, targetSocket) { ConnectionFault.NONE } }
+            startThread("relay-out") { connection.pump(clientSocket, targetSocket) { RelayFault.NONE } }
             startThread("relay-back") { connection.pump(targetSocket, clientSocket) { fault } }
         } catch (@Suppress("SwallowedException") e: IOException) {
             connection.close()
