Read the epoch of the store and log its changes

The plays of the restored store couldn't tell whether a reading was outdated or from after a restore: both were logged as store-stale. No decision uses the epoch yet.

--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/store/TableWatcher.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/store/TableWatcher.kt
@@ -43,6 +43,9 @@
     private val log = context.log
     private var isFullReadDue = true
 
+    /** Epoch of the latest response, or null before the first one. */
+    private var epoch: Long? = null
+
     /** The cached table. */
     val table: SynchronizedTable<T> = SynchronizedTable(name, context, restoreGraceMs, onChange)
 
@@ -74,12 +77,25 @@
 
     private fun applyUpdate(update: TableUpdate<T>) {
         lastResponseAtMs = clock.nowMs()
+        logEpoch(update)
         if (failures > 0) recordRestored()
         isFullReadDue = !table.apply(update)
         if (isFullReadDue) logStale(update)
         if (update.entries.isNotEmpty()) Thread.sleep(BATCH_DELAY_MS)
     }
 
+    private fun logEpoch(update: TableUpdate<T>) {
+        if (update.epoch == epoch) return
+        log.event("store-epoch") {
+            put("table", name)
+            put("before", epoch)
+            put("after", update.epoch)
+            put("version", update.version)
+            put("known", table.version)
+        }
+        epoch = update.epoch
+    }
+
     private fun logStale(update: TableUpdate<T>) = log.event("store-stale") {
         put("table", name)
         put("version", update.version)
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/store/CachedTable.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/store/CachedTable.kt
@@ -16,12 +16,14 @@
  *
  * @param version latest version of the store at the time of reading.
  * @param isWhole true when the entries are the whole table, so that every missing key has been removed.
+ * @param epoch epoch of the store, which rises each time the store is restored from a copy; 0 when it isn't known.
  */
 @Serializable
 public data class TableUpdate<T>(
     public val entries: List<TableEntry<T>>,
     public val version: Long,
     public val isWhole: Boolean,
+    public val epoch: Long = 0,
 )
 
 /** Represents a change of a cached entry. */
