Compare versions of the store only within one epoch

A change got a version number that had been given out before, so instances that had seen the number took it for known, and watchers discarded whole readings until the numbers had passed the old ones.

A version is now a pair of the store's epoch and the number in it, wherever it is kept, told, asked for or compared. A table starts another epoch only with a whole reading, changes after a version of another epoch count as history that is gone, and reports of watchers that state no epoch aren't relied upon.

--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/GatewayProcess.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/GatewayProcess.kt
@@ -119,7 +119,8 @@
 
     /** Starts all components. After an error nothing is served, and the process has to exit. */
     fun start(): Result<Unit, StartError> = try {
-        peerStateSync.start(storeWatcher)
+        peerStateSync.attach(storeWatcher)
+        peerStateSync.start()
         storeWatcher.start()
         heartbeats.start()
         InstanceRegistration(store, own, peers, log).start()
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/HeartbeatCodec.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/HeartbeatCodec.kt
@@ -18,7 +18,9 @@
 import org.cardamomwharf.steering.instances.HeartbeatCount
 import org.cardamomwharf.steering.instances.HeartbeatMessage
 import org.cardamomwharf.steering.instances.InstanceRecord
+import org.cardamomwharf.steering.store.ContentVersions
 import org.cardamomwharf.steering.store.StoreStatus
+import org.cardamomwharf.steering.store.StoreVersion
 
 @OptIn(ExperimentalSerializationApi::class)
 private val cbor = Cbor { ignoreUnknownKeys = true }
@@ -47,7 +49,7 @@
         message.newInstances.map { it.toWire() },
         names,
         numbers,
-        message.storeStatus,
+        message.storeStatus?.toWire(),
     )
     return frame(cbor.encodeToByteArray(wire))
 }
@@ -58,7 +60,8 @@
     val payload = unframe(bytes) ?: return null
     val wire = cbor.decodeFromByteArray<WireMessage>(payload)
     return wire.sender.toHeartbeat()?.let { sender ->
-        HeartbeatMessage(sender, wire.newInstances.mapNotNull { it.toHeartbeat() }, wire.toCounts(), wire.storeStatus)
+        val newInstances = wire.newInstances.mapNotNull { it.toHeartbeat() }
+        HeartbeatMessage(sender, newInstances, wire.toCounts(), wire.storeStatus?.toStatus())
     }
 }
 
@@ -81,7 +84,7 @@
     val names: String = "",
     val numbers: LongArray = LongArray(0),
     @SerialName("news")
-    val storeStatus: StoreStatus? = null,
+    val storeStatus: WireStatus? = null,
 ) {
     fun toCounts(): List<HeartbeatCount> {
         val nameList = if (names.isEmpty()) emptyList() else names.split(NAME_SEPARATOR)
@@ -94,6 +97,36 @@
     }
 }
 
+@Serializable
+private class WireStatus(val content: WireVersions, val silentForMs: Long, val isFailing: Boolean) {
+    /**
+     * Processes of an earlier release state no epochs and miss changes after a restore of the store, so other instances
+     * don't rely on them.
+     */
+    fun toStatus(): StoreStatus {
+        val versions = ContentVersions(
+            StoreVersion(content.ordersEpoch ?: 0, content.orders),
+            StoreVersion(content.serversEpoch ?: 0, content.servers),
+        )
+        val hasEpochs = content.ordersEpoch != null && content.serversEpoch != null
+        return StoreStatus(versions, silentForMs, isFailing || !hasEpochs)
+    }
+}
+
+@Serializable
+private class WireVersions(
+    val orders: Long,
+    val servers: Long,
+    val ordersEpoch: Long? = null,
+    val serversEpoch: Long? = null,
+)
+
+private fun StoreStatus.toWire() = WireStatus(
+    WireVersions(content.orders.number, content.servers.number, content.orders.epoch, content.servers.epoch),
+    silentForMs,
+    isFailing,
+)
+
 private fun Heartbeat.toWire() = WireHeartbeat(
     record.name.value,
     record.zone.value,
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/PeerState.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/PeerState.kt
@@ -20,8 +20,10 @@
 import org.cardamomwharf.http.call
 import org.cardamomwharf.steering.servers.ServerRecord
 import org.cardamomwharf.steering.store.OperatorOrder
+import org.cardamomwharf.steering.store.StoreVersion
 import org.cardamomwharf.steering.store.TableUpdate
 import org.eclipse.jetty.server.Request
+import org.eclipse.jetty.util.Fields
 import java.nio.ByteBuffer
 
 /** Timeout of a call to another instance; several times the longest round-trip time. */
@@ -29,6 +31,9 @@
 private const val ORDERS = "orders"
 private const val SERVERS = "servers"
 
+/** Follows the name of a table in the parameter with the epoch of its version. */
+private const val EPOCH_SUFFIX = "Epoch"
+
 /**
  * Represents the store state of an instance; tables without changes for the requesting instance are omitted.
  *
@@ -43,7 +48,7 @@
 )
 
 /** Represents the table versions that an instance already has. */
-internal data class KnownVersions(val orders: Long, val servers: Long)
+internal data class KnownVersions(val orders: StoreVersion, val servers: StoreVersion)
 
 @OptIn(ExperimentalSerializationApi::class)
 private val cbor = Cbor { ignoreUnknownKeys = true }
@@ -53,10 +58,7 @@
 internal fun createPeerStateHandler(snapshot: (KnownVersions) -> PeerState): AsyncHandler =
     AsyncHandler { request, response, callback ->
         val query = Request.extractQueryParameters(request)
-        val known = KnownVersions(
-            query.getValue(ORDERS)?.toLongOrNull() ?: -1,
-            query.getValue(SERVERS)?.toLongOrNull() ?: -1,
-        )
+        val known = KnownVersions(readVersion(query, ORDERS), readVersion(query, SERVERS))
         response.status = StatusCode.OK
         response.write(true, ByteBuffer.wrap(frame(cbor.encodeToByteArray(snapshot(known)))), callback)
     }
@@ -64,8 +66,15 @@
 /** Fetches changes since [known] from the instance at [peer]; returns null without a valid response. */
 @OptIn(ExperimentalSerializationApi::class)
 internal fun fetchPeerState(client: HttpClient, peer: SocketAddress, known: KnownVersions): PeerState? {
-    val url = "http://$peer/state?$ORDERS=${known.orders}&$SERVERS=${known.servers}"
+    val url = "http://$peer/state?$ORDERS=${known.orders.number}&$SERVERS=${known.servers.number}" +
+        "&$ORDERS$EPOCH_SUFFIX=${known.orders.epoch}&$SERVERS$EPOCH_SUFFIX=${known.servers.epoch}"
     val result = client.call(HttpCall("GET", url, timeoutMs = CALL_TIMEOUT_MS))
     val response = (result as? HttpResult.Completed)?.response?.takeIf { it.status == StatusCode.OK } ?: return null
     return unframe(response.body)?.let { cbor.decodeFromByteArray<PeerState>(it) }
 }
+
+/** Returns the version of [table] in the parameters; without a number or an epoch the whole table is sent. */
+private fun readVersion(query: Fields, table: String): StoreVersion = StoreVersion(
+    query.getValue(table + EPOCH_SUFFIX)?.toLongOrNull() ?: -1,
+    query.getValue(table)?.toLongOrNull() ?: -1,
+)
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/store/PeerStateSync.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/store/PeerStateSync.kt
@@ -29,10 +29,18 @@
     private val checkSignal = ArrayBlockingQueue<Unit>(1)
     private lateinit var storeWatcher: StoreWatcher
 
-    /** Starts to fetch state that is newer than that of [storeWatcher] from other instances. */
-    fun start(storeWatcher: StoreWatcher) {
+    /** Sets the watcher whose state this instance reports and completes; must be called first. */
+    fun attach(storeWatcher: StoreWatcher) {
         this.storeWatcher = storeWatcher
-        startBackgroundTask("relay", context.log, ::fetchNewerState)
+    }
+
+    /** Starts to fetch newer state from other instances. */
+    fun start() {
+        startBackgroundTask("relay", context.log) {
+            checkSignal.poll(CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS)
+            fetchNewerState()
+            true
+        }
     }
 
     override fun isWatcher(): Boolean {
@@ -53,13 +61,12 @@
 
     override fun onHeartbeat() = onHeartbeat.invoke()
 
-    private fun fetchNewerState(): Boolean {
-        checkSignal.poll(CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS)
+    /** Fetches state from instances that have reported newer content. */
+    fun fetchNewerState() {
         val peersAhead = synchronized(election) {
             election.instancesAheadOf(storeWatcher.contentVersions, context.clock.nowMs())
         }
         peersAhead.take(MAX_PEERS_PER_CHECK).any { fetchFrom(it) }
-        return true
     }
 
     /** Applies newer state from [peer]; returns true when it responded. */
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/store/StoreWatcher.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/store/StoreWatcher.kt
@@ -35,10 +35,10 @@
     /** True when the orders and the backend servers have been read. */
     val isReady: Boolean get() = orders.table.isLoaded && servers.table.isLoaded
 
-    fun start() {
-        orders.start()
-        servers.start()
-    }
+    /** The watchers of the tables. */
+    val tableWatchers: List<TableWatcher<*>> get() = listOf(orders, servers)
+
+    fun start() = tableWatchers.forEach { it.start() }
 
     fun expire() {
         servers.table.expire()
@@ -73,6 +73,7 @@
             log.event("state-from-peer") {
                 put("orders", state.orders?.version)
                 put("servers", state.servers?.version)
+                put("epoch", state.orders?.epoch ?: state.servers?.epoch)
             }
         }
     }
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/store/SynchronizedTable.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/store/SynchronizedTable.kt
@@ -7,6 +7,7 @@
 import kotlinx.serialization.json.put
 import org.cardamomwharf.gateway.TaskContext
 import org.cardamomwharf.steering.store.CachedTable
+import org.cardamomwharf.steering.store.StoreVersion
 import org.cardamomwharf.steering.store.TableChange
 import org.cardamomwharf.steering.store.TableUpdate
 
@@ -27,13 +28,13 @@
         private set
 
     /** Version of the store up to which all changes are known. */
-    val version: Long get() = synchronized(table) { table.version }
+    val version: StoreVersion get() = synchronized(table) { table.version }
 
     /** Version of the newest known entry. */
-    val contentVersion: Long get() = synchronized(table) { table.contentVersion }
+    val contentVersion: StoreVersion get() = synchronized(table) { table.contentVersion }
 
     /** Returns the changes since [version], or null when there are none. */
-    fun updateSince(version: Long): TableUpdate<T>? =
+    fun updateSince(version: StoreVersion): TableUpdate<T>? =
         synchronized(table) { if (isLoaded && table.version > version) table.updateSince(version) else null }
 
     /** Returns the remaining grace period of entries that expired during an outage. */
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/store/TableWatcher.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/store/TableWatcher.kt
@@ -5,8 +5,7 @@
  */
 package org.cardamomwharf.gateway.store
 
-import com.github.michaelbull.result.onFailure
-import com.github.michaelbull.result.onSuccess
+import com.github.michaelbull.result.mapBoth
 import kotlinx.serialization.json.put
 import org.cardamomwharf.gateway.TaskContext
 import org.cardamomwharf.gateway.startBackgroundTask
@@ -64,24 +63,27 @@
 
     fun start() {
         startBackgroundTask("watch-$name", log) {
-            if (table.isLoaded && !role.isWatcher()) Thread.sleep(ROLE_CHECK_INTERVAL_MS) else readOnce()
+            Thread.sleep(step())
             true
         }
     }
 
-    private fun readOnce() {
+    /** Makes one call to the store if this instance has to, and returns the time until the next step. */
+    fun step(): Long = if (table.isLoaded && !role.isWatcher()) ROLE_CHECK_INTERVAL_MS else readOnce()
+
+    private fun readOnce(): Long {
         val result =
             if (isFullReadDue) storeTable.read() else storeTable.awaitChanges(table.version, LONG_POLL_TIMEOUT_MS)
-        result.onSuccess { applyUpdate(it) }.onFailure { handleFailure(it) }
+        return result.mapBoth({ applyUpdate(it) }, { handleFailure(it) })
     }
 
-    private fun applyUpdate(update: TableUpdate<T>) {
+    private fun applyUpdate(update: TableUpdate<T>): Long {
         lastResponseAtMs = clock.nowMs()
         logEpoch(update)
         if (failures > 0) recordRestored()
         isFullReadDue = !table.apply(update)
         if (isFullReadDue) logStale(update)
-        if (update.entries.isNotEmpty()) Thread.sleep(BATCH_DELAY_MS)
+        return if (update.entries.isNotEmpty()) BATCH_DELAY_MS else 0
     }
 
     private fun logEpoch(update: TableUpdate<T>) {
@@ -91,7 +93,7 @@
             put("before", epoch)
             put("after", update.epoch)
             put("version", update.version)
-            put("known", table.version)
+            put("known", table.version.number)
         }
         epoch = update.epoch
     }
@@ -99,7 +101,7 @@
     private fun logStale(update: TableUpdate<T>) = log.event("store-stale") {
         put("table", name)
         put("version", update.version)
-        put("known", table.version)
+        put("known", table.version.number)
     }
 
     private fun recordRestored() {
@@ -111,25 +113,25 @@
         table.startGracePeriod()
     }
 
-    private fun handleFailure(error: StoreError) {
+    private fun handleFailure(error: StoreError): Long {
         if (error == StoreError.HISTORY_GONE) {
             log.event("store-history-gone") {
                 put("table", name)
-                put("version", table.version)
+                put("version", table.version.number)
             }
             isFullReadDue = true
-            return
+            return 0
         }
         if (failures++ == 0) {
             log.event("store-lost") {
                 put("table", name)
                 put("error", error.code)
-                put("version", table.version)
+                put("version", table.version.number)
             }
         }
         role.onStoreUnavailable()
         val delayMs = (BASE_RETRY_DELAY_MS shl minOf(failures, MAX_DOUBLINGS)).coerceAtMost(MAX_RETRY_DELAY_MS)
-        Thread.sleep(delayMs / 2 + Random.nextLong(delayMs / 2 + 1))
+        return delayMs / 2 + Random.nextLong(delayMs / 2 + 1)
     }
 
     private companion object {
--- a/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/peers/HeartbeatCodecTest.kt
+++ b/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/peers/HeartbeatCodecTest.kt
@@ -21,6 +21,7 @@
 import org.cardamomwharf.steering.instances.InstanceRecord
 import org.cardamomwharf.steering.store.ContentVersions
 import org.cardamomwharf.steering.store.StoreStatus
+import org.cardamomwharf.steering.store.StoreVersion
 
 private const val MAX_DATAGRAM_BYTES = 65_507
 
@@ -37,7 +38,7 @@
     }
 
     test("`a message with all fields is decoded as it was encoded`") {
-        val status = StoreStatus(ContentVersions(3, 4), 250, isFailing = true)
+        val status = StoreStatus(ContentVersions(StoreVersion(1, 3), StoreVersion(2, 4)), 250, isFailing = true)
         val message = HeartbeatMessage(heartbeat("a"), listOf(heartbeat("b"), heartbeat("c")), counts(95), status)
         decodeHeartbeats(encodeHeartbeats(message)) shouldBe message
     }
--- a/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/serial/SerialFormsTest.kt
+++ b/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/serial/SerialFormsTest.kt
@@ -47,6 +47,7 @@
 import org.cardamomwharf.steering.store.ContentVersions
 import org.cardamomwharf.steering.store.StoreError
 import org.cardamomwharf.steering.store.StoreStatus
+import org.cardamomwharf.steering.store.StoreVersion
 import java.nio.file.Files
 import java.nio.file.Path
 import java.util.HexFormat
@@ -102,7 +103,7 @@
             HeartbeatCount(InstanceName("d"), Incarnation(1), 2, true),
             HeartbeatCount(InstanceName("e"), Incarnation(3), 4, false),
         )
-        val status = StoreStatus(ContentVersions(7, 8), 9, isFailing = true)
+        val status = StoreStatus(ContentVersions(StoreVersion(1, 7), StoreVersion(2, 8)), 9, isFailing = true)
         val message = HeartbeatMessage(heartbeat("a"), listOf(heartbeat("b"), heartbeat("c")), counts, status)
         val recorded = compareWithRecorded("datagram.txt", listOf(HexFormat.of().formatHex(encodeHeartbeats(message))))
         decodeHeartbeats(HexFormat.of().parseHex(recorded.single())) shouldBe message
--- a/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/store/TableWatcherTest.kt
+++ b/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/store/TableWatcherTest.kt
@@ -13,6 +13,7 @@
 import org.cardamomwharf.gateway.logs.DecisionLog
 import org.cardamomwharf.steering.store.StoreError
 import org.cardamomwharf.steering.store.StoreTable
+import org.cardamomwharf.steering.store.StoreVersion
 import org.cardamomwharf.steering.store.TableEntry
 import org.cardamomwharf.steering.store.TableUpdate
 import java.util.concurrent.BlockingQueue
@@ -31,7 +32,7 @@
 
     override fun read(): Result<TableUpdate<String>, StoreError> = reads.take()
 
-    override fun awaitChanges(afterVersion: Long, waitMs: Long): Result<TableUpdate<String>, StoreError> = waits.take()
+    override fun awaitChanges(afterVersion: StoreVersion, waitMs: Long): Result<TableUpdate<String>, StoreError> = waits.take()
 }
 
 class TableWatcherTest : FunSpec({
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/store/CachedTable.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/store/CachedTable.kt
@@ -2,12 +2,18 @@
  * Cached copy of a table of the store. Every entry carries the version of the transaction that wrote it, and an older
  * entry never replaces a newer one. Entries are kept while the store is unavailable. Entries found to be removed right
  * after an outage are kept for a grace period, because their owners may only have failed to renew them.
+ *
+ * When the store was restored from a copy, its versions are comparable only within the new epoch. The whole table is
+ * then read, and every entry gets its version of the new epoch.
  */
 package org.cardamomwharf.steering.store
 
 import kotlinx.serialization.Serializable
 
-/** Represents an entry of a table; [value] is null when it was removed or is unusable. */
+/**
+ * Represents an entry of a table; [value] is null when it was removed or is unusable. Its version belongs to the epoch
+ * of the table or update that it is part of.
+ */
 @Serializable
 public data class TableEntry<T>(public val key: String, public val version: Long, public val value: T?)
 
@@ -24,7 +30,10 @@
     public val version: Long,
     public val isWhole: Boolean,
     public val epoch: Long = 0,
-)
+) {
+    /** Latest version of the store at the time of reading. */
+    val storeVersion: StoreVersion get() = StoreVersion(epoch, version)
+}
 
 /** Represents a change of a cached entry. */
 public data class TableChange<T>(
@@ -46,14 +55,14 @@
     private val removalsDueAtMs = HashMap<String, Long>()
 
     /** Version from which on all removals are known. */
-    private var completeSinceVersion = Long.MAX_VALUE
+    private var completeSince = StoreVersion(Long.MAX_VALUE, Long.MAX_VALUE)
 
-    /** Latest known version of the store; 0 before the first update. */
-    public var version: Long = 0
+    /** Latest known version of the store; [StoreVersion.NONE] before the first update. */
+    public var version: StoreVersion = StoreVersion.NONE
         private set
 
     /** Latest known version of an entry, including removals; unlike [version], it doesn't grow without changes. */
-    public var contentVersion: Long = 0
+    public var contentVersion: StoreVersion = StoreVersion.NONE
         private set
 
     /** Returns the cached value of [key], or null. */
@@ -63,30 +72,35 @@
      * Returns the update for another process that knows [knownVersion]: the whole table when removals since then may be
      * missing here. Entries kept for the grace period count as removed.
      */
-    public fun updateSince(knownVersion: Long): TableUpdate<T> {
-        val isWhole = knownVersion < completeSinceVersion
+    public fun updateSince(knownVersion: StoreVersion): TableUpdate<T> {
+        val isWhole = knownVersion < completeSince
         val visible = entries.values.map { if (it.key in removalsDueAtMs) it.copy(value = null) else it }
-        val changed = visible.filter { if (isWhole) it.value != null else it.version > knownVersion }
-        return TableUpdate(changed, version, isWhole)
+        val changed = visible.filter { if (isWhole) it.value != null else it.version > knownVersion.number }
+        return TableUpdate(changed, version.number, isWhole, version.epoch)
     }
 
     /**
-     * Returns true when [update] is the whole table at an older version than the cached one; the table has to be read
-     * again.
+     * Returns true when [update] can't be applied, so that the table has to be read again: it is older than the cached
+     * state, or it holds only changes of an epoch whose whole table wasn't read yet.
      */
-    public fun isStale(update: TableUpdate<T>): Boolean = update.isWhole && update.version < version
+    public fun isStale(update: TableUpdate<T>): Boolean = when {
+        update.epoch < version.epoch -> true
+        update.isWhole -> update.storeVersion < version
+        else -> update.epoch > version.epoch
+    }
 
     /** Applies [update] and returns the changes. A stale update changes nothing. */
     public fun apply(update: TableUpdate<T>, nowMs: Long): List<TableChange<T>> {
         if (isStale(update)) return emptyList()
+        if (update.epoch > version.epoch) startEpoch(update)
         val changes = update.entries.mapNotNull { applyEntry(it, nowMs) }.toMutableList()
         if (update.isWhole) {
             val present = update.entries.mapTo(HashSet()) { it.key }
             val absent = entries.values.filter { it.key !in present && it.version <= update.version }
             absent.mapNotNullTo(changes) { applyEntry(TableEntry(it.key, update.version, null), nowMs) }
+            completeSince = minOf(completeSince, update.storeVersion)
         }
-        if (update.isWhole) completeSinceVersion = minOf(completeSinceVersion, update.version)
-        version = maxOf(version, update.version)
+        version = maxOf(version, update.storeVersion)
         return changes
     }
 
@@ -101,9 +115,19 @@
         }
     }
 
+    /** Makes all known entries older than those of [update], the whole table in a later epoch. */
+    private fun startEpoch(update: TableUpdate<T>) {
+        entries.replaceAll { _, entry -> entry.copy(version = 0) }
+        version = StoreVersion(update.epoch, 0)
+        contentVersion = version
+        completeSince = update.storeVersion
+    }
+
     private fun applyEntry(next: TableEntry<T>, nowMs: Long): TableChange<T>? {
         val known = entries[next.key]
-        if (known == null || known.version <= next.version) contentVersion = maxOf(contentVersion, next.version)
+        if (known == null || known.version <= next.version) {
+            contentVersion = maxOf(contentVersion, StoreVersion(version.epoch, next.version))
+        }
         return when {
             known != null && known.version > next.version -> null
             next.value == null && known?.value != null && nowMs < gracePeriod.endsAtMs -> postponeRemoval(known, next)
@@ -129,7 +153,7 @@
             .take(entries.size - MAX_ENTRIES)
             .forEach {
                 entries.remove(it.key)
-                completeSinceVersion = maxOf(completeSinceVersion, it.version)
+                completeSince = maxOf(completeSince, StoreVersion(version.epoch, it.version))
             }
     }
 
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/store/DeploymentStore.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/store/DeploymentStore.kt
@@ -16,8 +16,11 @@
     /** Reads a consistent snapshot of the whole table. */
     public fun read(): Result<TableUpdate<T>, StoreError>
 
-    /** Waits until entries newer than [afterVersion] exist, for at most [waitMs], and returns them. */
-    public fun awaitChanges(afterVersion: Long, waitMs: Long): Result<TableUpdate<T>, StoreError>
+    /**
+     * Waits until entries newer than [afterVersion] exist, for at most [waitMs], and returns them. After a restore of
+     * the store the result is [StoreError.HISTORY_GONE], even if the store has a version with the same number.
+     */
+    public fun awaitChanges(afterVersion: StoreVersion, waitMs: Long): Result<TableUpdate<T>, StoreError>
 }
 
 /** Represents the store. */
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/store/StoreStatus.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/store/StoreStatus.kt
@@ -3,11 +3,8 @@
  */
 package org.cardamomwharf.steering.store
 
-import kotlinx.serialization.Serializable
-
 /** Represents the latest entry versions known to an instance. */
-@Serializable
-public data class ContentVersions(public val orders: Long, public val servers: Long) {
+public data class ContentVersions(public val orders: StoreVersion, public val servers: StoreVersion) {
     /** Returns true when any of these versions is newer than in [other]. */
     public fun isAheadOf(other: ContentVersions): Boolean = orders > other.orders || servers > other.servers
 }
@@ -18,7 +15,6 @@
  * @param silentForMs time since the last response of the store.
  * @param isFailing true when the latest call failed.
  */
-@Serializable
 public data class StoreStatus(
     public val content: ContentVersions,
     public val silentForMs: Long,
--- a/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/instances/FleetHeartbeatTest.kt
+++ b/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/instances/FleetHeartbeatTest.kt
@@ -15,8 +15,10 @@
 import org.cardamomwharf.steering.InstanceLocation
 import org.cardamomwharf.steering.store.ContentVersions
 import org.cardamomwharf.steering.store.StoreStatus
+import org.cardamomwharf.steering.store.StoreVersion
 import kotlin.random.Random
 
+private val CONTENT = ContentVersions(StoreVersion(1, 1), StoreVersion(1, 1))
 private const val TIMEOUT_MS = 4_000L
 private const val HEARTBEAT_INTERVAL_MS = 500L
 private const val STEP_MS = 50L
@@ -124,7 +126,7 @@
     private fun sendHeartbeats(member: Member) {
         val others = listed.filter { it.name != member.record.name }
         val isWatcher = member.election.isWatcher(member.registry.running(nowMs), nowMs)
-        val status = if (isWatcher) StoreStatus(ContentVersions(1, 1), 0, isFailing = false) else null
+        val status = if (isWatcher) StoreStatus(CONTENT, 0, isFailing = false) else null
         member.exchange.nextHeartbeats(member.heartbeatNumber++, others, status, nowMs).forEach { send(member, it) }
     }
 
--- a/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/instances/WatcherElectionTest.kt
+++ b/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/instances/WatcherElectionTest.kt
@@ -11,9 +11,10 @@
 import org.cardamomwharf.core.ZoneName
 import org.cardamomwharf.steering.store.ContentVersions
 import org.cardamomwharf.steering.store.StoreStatus
+import org.cardamomwharf.steering.store.StoreVersion
 
-private val OLD = ContentVersions(orders = 3, servers = 7)
-private val NEW = ContentVersions(orders = 3, servers = 9)
+private val OLD = ContentVersions(orders = StoreVersion(1, 3), servers = StoreVersion(1, 7))
+private val NEW = ContentVersions(orders = StoreVersion(1, 3), servers = StoreVersion(1, 9))
 
 class WatcherElectionTest : FunSpec({
     fun record(name: String, zone: String = "z1") =
--- a/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/store/CachedTableTest.kt
+++ b/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/store/CachedTableTest.kt
@@ -33,7 +33,7 @@
         table.apply(TableUpdate(listOf(TableEntry("a", 1, "x"), TableEntry("b", 2, "y")), 2, isWhole = true), 0)
         table.apply(TableUpdate(listOf(TableEntry("b", 2, "y")), 9, isWhole = true), 0).shouldHaveSize(1)
         table.apply(TableUpdate(listOf(TableEntry("a", 1, "x")), 3, isWhole = true), 0).shouldBeEmpty()
-        table.updateSince(0).entries.map { it.key to it.value } shouldBe listOf("b" to "y")
+        table.updateSince(StoreVersion.NONE).entries.map { it.key to it.value } shouldBe listOf("b" to "y")
     }
 
     test("`an entry that expired during an outage is kept for the grace period and removed if not renewed`") {
