Register again after a restore of the store

An instance registered once. When a restore lost the registrations of all, an instance that started later found nobody and was found by nobody: it named only itself to callers and took the whole of the shared limits. InstanceRegistrationTest is red when the epoch isn't compared: nobody is registered after the restore.

--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/GatewayProcess.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/GatewayProcess.kt
@@ -123,7 +123,7 @@
         peerStateSync.start()
         storeWatcher.start()
         heartbeats.start()
-        InstanceRegistration(store, own, peers, log).start()
+        InstanceRegistration(store, own, peers, log) { storeWatcher.epoch }.start()
         scheduleTick()
         server.start()
         log.event("start") {
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/store/StoreWatcher.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/store/StoreWatcher.kt
@@ -40,6 +40,9 @@
 
     fun start() = tableWatchers.forEach { it.start() }
 
+    /** The latest epoch of the store that is known. */
+    val epoch: Long get() = maxOf(orders.table.version.epoch, servers.table.version.epoch)
+
     fun expire() {
         servers.table.expire()
     }
