Don't follow the copy that a restored store begins with

With versions compared by epoch, the first reading after a restore is accepted, and with it a copy that is some seconds old: servers that had said they were leaving were ready again, servers that were gone came back, servers that had joined and evacuations were missing until they were written again. Requests went to leaving and evacuated servers.

A cached table has a policy for a restore: what the copy lacks is kept for two seconds, what had been removed counts as present only when it is written again or when the store still has it after six seconds, a server that was leaving still is until its next start, and a configuration is never replaced by one with a smaller version. Equal versions of an epoch are the same write, so repeated readings change nothing. The new cases of RestoredStoreTest are red with an empty policy.

--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/GatewayProcess.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/GatewayProcess.kt
@@ -96,7 +96,7 @@
         store,
         steering,
         taskContext,
-        parameters.restoreGraceMs,
+        parameters,
         peerStateSync,
         createStoreListener()
     )
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/store/StoreWatcher.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/store/StoreWatcher.kt
@@ -9,28 +9,46 @@
 import org.cardamomwharf.gateway.TaskContext
 import org.cardamomwharf.gateway.peers.KnownVersions
 import org.cardamomwharf.gateway.peers.PeerState
+import org.cardamomwharf.steering.SteeringParameters
 import org.cardamomwharf.steering.servers.ServerRecord
 import org.cardamomwharf.steering.store.ContentVersions
 import org.cardamomwharf.steering.store.DeploymentStore
 import org.cardamomwharf.steering.store.OperatorOrder
+import org.cardamomwharf.steering.store.RestorePolicy
 import org.cardamomwharf.steering.store.StoreStatus
 import org.cardamomwharf.steering.store.TableChange
+import org.cardamomwharf.steering.store.mergeOrders
+import org.cardamomwharf.steering.store.mergeServers
 
 internal class StoreWatcher(
     store: DeploymentStore,
     private val steering: SynchronizedSteering,
     context: TaskContext,
-    restoreGraceMs: Long,
+    parameters: SteeringParameters,
     role: WatcherRole,
     private val listener: StoreListener,
 ) {
     private val log = context.log
     private val clock = context.clock
     private val evacuatedZones = HashSet<ZoneName>()
-    private val orders: TableWatcher<OperatorOrder> =
-        TableWatcher("orders", store.orders, context, 0, role, ::applyOrders)
-    private val servers: TableWatcher<ServerRecord> =
-        TableWatcher("servers", store.servers, context, restoreGraceMs, role, ::applyServers)
+    private val orders: TableWatcher<OperatorOrder> = TableWatcher(
+        "orders",
+        store.orders,
+        context,
+        outageGraceMs = 0,
+        RestorePolicy(parameters.restoreGraceMs, parameters.revivalDelayMs, ::mergeOrders),
+        role,
+        ::applyOrders,
+    )
+    private val servers: TableWatcher<ServerRecord> = TableWatcher(
+        "servers",
+        store.servers,
+        context,
+        parameters.restoreGraceMs,
+        RestorePolicy(parameters.restoreGraceMs, parameters.revivalDelayMs, ::mergeServers),
+        role,
+        ::applyServers,
+    )
 
     /** True when the orders and the backend servers have been read. */
     val isReady: Boolean get() = orders.table.isLoaded && servers.table.isLoaded
@@ -44,7 +62,7 @@
     val epoch: Long get() = maxOf(orders.table.version.epoch, servers.table.version.epoch)
 
     fun expire() {
-        servers.table.expire()
+        tableWatchers.forEach { it.table.expire() }
     }
 
     /** Table versions up to which all changes are known. */
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/store/SynchronizedTable.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/store/SynchronizedTable.kt
@@ -7,6 +7,7 @@
 import kotlinx.serialization.json.put
 import org.cardamomwharf.gateway.TaskContext
 import org.cardamomwharf.steering.store.CachedTable
+import org.cardamomwharf.steering.store.RestorePolicy
 import org.cardamomwharf.steering.store.StoreVersion
 import org.cardamomwharf.steering.store.TableChange
 import org.cardamomwharf.steering.store.TableUpdate
@@ -17,10 +18,11 @@
 internal class SynchronizedTable<T>(
     private val name: String,
     private val context: TaskContext,
-    restoreGraceMs: Long,
+    outageGraceMs: Long,
+    restorePolicy: RestorePolicy<T>,
     private val onChange: (List<TableChange<T>>) -> Unit,
 ) {
-    private val table = CachedTable<T>(restoreGraceMs)
+    private val table = CachedTable(outageGraceMs, restorePolicy)
 
     /** True once the table has been read, by this instance or by another one. */
     @Volatile
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/store/TableWatcher.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/store/TableWatcher.kt
@@ -9,6 +9,7 @@
 import kotlinx.serialization.json.put
 import org.cardamomwharf.gateway.TaskContext
 import org.cardamomwharf.gateway.startBackgroundTask
+import org.cardamomwharf.steering.store.RestorePolicy
 import org.cardamomwharf.steering.store.StoreError
 import org.cardamomwharf.steering.store.StoreTable
 import org.cardamomwharf.steering.store.TableChange
@@ -34,7 +35,8 @@
     private val name: String,
     private val storeTable: StoreTable<T>,
     context: TaskContext,
-    restoreGraceMs: Long,
+    outageGraceMs: Long,
+    restorePolicy: RestorePolicy<T>,
     private val role: WatcherRole,
     onChange: (List<TableChange<T>>) -> Unit,
 ) {
@@ -46,7 +48,7 @@
     private var epoch: Long? = null
 
     /** The cached table. */
-    val table: SynchronizedTable<T> = SynchronizedTable(name, context, restoreGraceMs, onChange)
+    val table: SynchronizedTable<T> = SynchronizedTable(name, context, outageGraceMs, restorePolicy, onChange)
 
     @Volatile
     private var failures = 0
--- a/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/store/RestoredStoreTest.kt
+++ b/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/store/RestoredStoreTest.kt
@@ -17,6 +17,10 @@
 private const val APPLY_MS = 2_000L
 private const val OUTAGE_MS = 2_000L
 private const val SETTLE_MS = 5_000L
+private const val STEP_MS = 50L
+
+/** Steps within 1.5 s, the interval in which the users' servers write their entries again. */
+private const val HEARTBEAT_STEPS = 30
 
 /** Starts a fleet that knows three versions and two servers; returns it with the copy taken before the third one. */
 private fun startFleet(count: Int, seed: Int): Pair<StoreFleet, StoreCopy> {
@@ -34,12 +38,17 @@
 }
 
 private fun StoreFleet.restore(copy: StoreCopy, whileAway: () -> Unit = {}) {
+    goBack(copy, whileAway)
+    writeAgain()
+}
+
+/** Restores the store from [copy]; nothing is written again yet. */
+private fun StoreFleet.goBack(copy: StoreCopy, whileAway: () -> Unit = {}) {
     setStoreAway(true)
     run(OUTAGE_MS)
     store.restore(copy)
     whileAway()
     setStoreAway(false)
-    writeAgain()
 }
 
 private fun StoreFleet.checkNextChange(expected: Long) {
@@ -53,11 +62,14 @@
         // Guards against instances that miss a change because its version was given out before the restore.
         test("`with $count instances a change with a version that was given out before is in force everywhere`") {
             val (fleet, copy) = startFleet(count, seed = 1)
-            fleet.restore(copy)
+            fleet.changeConfiguration()
             fleet.run(SETTLE_MS)
-            fleet.desiredVersions().distinct() shouldContainExactly listOf(3L)
-            fleet.checkNextChange(4)
+            fleet.goBack(copy)
+            fleet.writeConfigurationAgain()
+            fleet.run(SETTLE_MS)
+            fleet.desiredVersions().distinct() shouldContainExactly listOf(4L)
             fleet.checkNextChange(5)
+            fleet.checkNextChange(6)
         }
     }
 
@@ -140,4 +152,104 @@
         fleet.run(APPLY_MS)
         fleet.instancesUsing("s2").shouldBeEmpty()
     }
+
+    // Guards against requests to servers that had said before the restore that they are leaving.
+    test("`a server that is leaving stays excluded while the restored store calls it ready`") {
+        val (fleet, copy) = startFleet(count = 12, seed = 9)
+        fleet.writeServer(createServerRecord("s1").copy(isDraining = true))
+        fleet.run(SETTLE_MS)
+        fleet.goBack(copy)
+        repeat(HEARTBEAT_STEPS) {
+            fleet.run(STEP_MS)
+            fleet.instancesUsing("s1").shouldBeEmpty()
+        }
+        fleet.writeAgain()
+        fleet.run(SETTLE_MS)
+        fleet.instancesUsing("s1").shouldBeEmpty()
+        fleet.writeServer(createServerRecord("s1", startedAtUnixMs = 2))
+        fleet.run(APPLY_MS)
+        fleet.instancesUsing("s1") shouldBe (0..11).toList()
+    }
+
+    // Guards against requests to servers that were gone before the restore; their addresses may belong to others.
+    test("`a server that is gone isn't used again because the restored store still has it`") {
+        val (fleet, copy) = startFleet(count = 12, seed = 10)
+        fleet.removeServer("s2")
+        fleet.run(SETTLE_MS)
+        fleet.goBack(copy)
+        fleet.writeAgain()
+        repeat(3 * HEARTBEAT_STEPS) {
+            fleet.run(STEP_MS)
+            fleet.instancesUsing("s2").shouldBeEmpty()
+        }
+        fleet.removeServer("s2")
+        fleet.run(2 * SETTLE_MS)
+        fleet.instancesUsing("s2").shouldBeEmpty()
+    }
+
+    test("`a server that was believed gone is used as soon as it writes its entry again`") {
+        val (fleet, copy) = startFleet(count = 12, seed = 11)
+        fleet.removeServer("s2")
+        fleet.run(SETTLE_MS)
+        fleet.restore(copy)
+        fleet.run(APPLY_MS)
+        fleet.writeServer(createServerRecord("s2", "b1").copy(slots = 5))
+        fleet.run(APPLY_MS)
+        fleet.instancesUsing("s2") shouldBe (0..11).toList()
+    }
+
+    test("`a server that was believed gone is used when the store keeps its entry`") {
+        val (fleet, copy) = startFleet(count = 12, seed = 12)
+        fleet.removeServer("s2")
+        fleet.run(SETTLE_MS)
+        fleet.restore(copy)
+        fleet.run(2 * SETTLE_MS)
+        fleet.instancesUsing("s2") shouldBe (0..11).toList()
+    }
+
+    // Guards against refusals because servers that joined after the copy was made are missing in it.
+    test("`a server that the restored store lacks is used until it writes its entry again`") {
+        val (fleet, copy) = startFleet(count = 12, seed = 13)
+        fleet.writeServer(createServerRecord("s3", "c1"))
+        fleet.run(SETTLE_MS)
+        fleet.store.restore(copy)
+        repeat(HEARTBEAT_STEPS) {
+            fleet.run(STEP_MS)
+            fleet.instancesUsing("s3") shouldBe (0..11).toList()
+        }
+        fleet.writeAgain()
+        fleet.run(SETTLE_MS)
+        fleet.instancesUsing("s3") shouldBe (0..11).toList()
+    }
+
+    // Guards against requests to an evacuated zone because the copy was made before its evacuation.
+    test("`an evacuation that the restored store lacks stays in force until it is written again`") {
+        val (fleet, copy) = startFleet(count = 12, seed = 14)
+        fleet.evacuate("a1", isEvacuated = true)
+        fleet.run(SETTLE_MS)
+        fleet.goBack(copy)
+        repeat(HEARTBEAT_STEPS) {
+            fleet.run(STEP_MS)
+            fleet.instancesUsing("s1").shouldBeEmpty()
+        }
+        fleet.evacuate("a1", isEvacuated = true)
+        fleet.run(SETTLE_MS)
+        fleet.instancesUsing("s1").shouldBeEmpty()
+        fleet.evacuate("a1", isEvacuated = false)
+        fleet.run(SETTLE_MS)
+        fleet.instancesUsing("s1") shouldBe (0..11).toList()
+    }
+
+    test("`a configuration in force is never replaced by an older one from the restored store`") {
+        val (fleet, copy) = startFleet(count = 12, seed = 15)
+        fleet.goBack(copy)
+        fleet.run(APPLY_MS)
+        fleet.desiredVersions().distinct() shouldContainExactly listOf(3L)
+        fleet.cut(0..3, isCut = true)
+        fleet.restart(4..4)
+        fleet.run(APPLY_MS)
+        fleet.writeAgain()
+        fleet.run(APPLY_MS)
+        fleet.desiredVersions().distinct() shouldContainExactly listOf(3L)
+    }
 })
--- a/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/store/TableWatcherTest.kt
+++ b/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/store/TableWatcherTest.kt
@@ -11,6 +11,7 @@
 import org.cardamomwharf.core.monotonicClock
 import org.cardamomwharf.gateway.TaskContext
 import org.cardamomwharf.gateway.logs.DecisionLog
+import org.cardamomwharf.steering.store.RestorePolicy
 import org.cardamomwharf.steering.store.StoreError
 import org.cardamomwharf.steering.store.StoreTable
 import org.cardamomwharf.steering.store.StoreVersion
@@ -49,7 +50,7 @@
 
             override fun onStoreUnavailable() = whenUnavailable()
         }
-        TableWatcher("test", table, context, 0, role) { changes -> changes.forEach { seen.add("${it.after}") } }.start()
+        TableWatcher("test", table, context, 0, RestorePolicy(0, 0) { _, next -> next }, role) { changes -> changes.forEach { seen.add("${it.after}") } }.start()
         return seen
     }
 
--- a/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/support/StoreFleet.kt
+++ b/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/support/StoreFleet.kt
@@ -117,10 +117,13 @@
 
     /** Writes again what the operators and the servers wrote last, as they do after a restore. */
     fun writeAgain() {
-        if (latest > 0) store.write(createDesiredState(latest))
+        writeConfigurationAgain()
         latestServers.values.forEach { store.write(it) }
     }
 
+    /** Writes the latest configuration again. */
+    fun writeConfigurationAgain() = store.write(createDesiredState(latest))
+
     /** Cuts the instances at [indices] off from the store; with [isAll] also from the others. */
     fun cut(indices: IntRange, isCut: Boolean, isAll: Boolean = false) = indices.forEach {
         members[it].client.isCutOff = isCut
@@ -163,7 +166,7 @@
             createPlatformStore(client, storeAddress) { _, _ -> },
             steering,
             context,
-            parameters.restoreGraceMs,
+            parameters,
             sync,
             this,
         ).also(sync::attach)
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/SteeringParameters.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/SteeringParameters.kt
@@ -15,8 +15,16 @@
      * settings.
      */
     public val maxShift: Double = 0.15,
-    /** Time for which entries that expired during an outage of the store are kept; the users require two seconds. */
+    /**
+     * Time for which entries that expired during an outage of the store, or that a restored store lacks, are kept; the
+     * users require two seconds.
+     */
     public val restoreGraceMs: Long = 2_000,
+    /**
+     * Time after a restore of the store for which entries that had been removed before don't count as present: four
+     * intervals in which the users' servers write their entries; the store removes servers silent for three.
+     */
+    public val revivalDelayMs: Long = 6_000,
     /** Weight of a new observation in moving averages; the last ten observations make up most of the value. */
     public val smoothingFactor: Double = 0.1,
     /** Time constant after which a load report carries little weight; a few service times. */
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/store/CachedTable.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/store/CachedTable.kt
@@ -4,7 +4,9 @@
  * after an outage are kept for a grace period, because their owners may only have failed to renew them.
  *
  * When the store was restored from a copy, its versions are comparable only within the new epoch. The whole table is
- * then read, and every entry gets its version of the new epoch.
+ * then read, and every entry gets its version of the new epoch. What was known before the restore is newer than the
+ * copy until the owners of the entries have written them again, so the copy neither removes nor revives an entry at
+ * once.
  */
 package org.cardamomwharf.steering.store
 
@@ -46,14 +48,17 @@
 /**
  * Represents the cached contents of a table.
  *
- * @param restoreGraceMs time after an outage for which removed entries are kept.
+ * @param outageGraceMs time after an outage for which removed entries are kept.
  */
-public class CachedTable<T>(restoreGraceMs: Long) {
+public class CachedTable<T>(outageGraceMs: Long, private val restorePolicy: RestorePolicy<T>) {
     /** The grace period after an outage, in which removed entries are kept. */
-    public val gracePeriod: GracePeriod = GracePeriod(restoreGraceMs)
+    public val gracePeriod: GracePeriod = GracePeriod(outageGraceMs)
     private val entries = HashMap<String, TableEntry<T>>()
     private val removalsDueAtMs = HashMap<String, Long>()
 
+    /** Times at which entries that were removed before a restore and are in the copy count as present. */
+    private val revivalsDueAtMs = HashMap<String, Long>()
+
     /** Version from which on all removals are known. */
     private var completeSince = StoreVersion(Long.MAX_VALUE, Long.MAX_VALUE)
 
@@ -66,7 +71,7 @@
         private set
 
     /** Returns the cached value of [key], or null. */
-    public fun find(key: String): T? = entries[key]?.value
+    public fun find(key: String): T? = if (key in revivalsDueAtMs) null else entries[key]?.value
 
     /**
      * Returns the update for another process that knows [knownVersion]: the whole table when removals since then may be
@@ -92,8 +97,10 @@
     /** Applies [update] and returns the changes. A stale update changes nothing. */
     public fun apply(update: TableUpdate<T>, nowMs: Long): List<TableChange<T>> {
         if (isStale(update)) return emptyList()
-        if (update.epoch > version.epoch) startEpoch(update)
-        val changes = update.entries.mapNotNull { applyEntry(it, nowMs) }.toMutableList()
+        val isRestored = update.epoch > version.epoch
+        if (isRestored) startEpoch(update, nowMs)
+        val next = if (isRestored) update.entries.map(::mergeRestored) else update.entries
+        val changes = next.mapNotNull { applyEntry(it, nowMs) }.toMutableList()
         if (update.isWhole) {
             val present = update.entries.mapTo(HashSet()) { it.key }
             val absent = entries.values.filter { it.key !in present && it.version <= update.version }
@@ -104,47 +111,78 @@
         return changes
     }
 
-    /** Removes the entries whose grace period has ended and returns the changes. */
+    /**
+     * Removes the entries whose grace period has ended, adds the ones that are believed to be back, and returns the
+     * changes.
+     */
     public fun expire(nowMs: Long): List<TableChange<T>> {
         val expired = removalsDueAtMs.filterValues { it <= nowMs }.keys.toList()
-        return expired.mapNotNull { key ->
+        val removals = expired.mapNotNull { key ->
             removalsDueAtMs.remove(key)
             val entry = entries[key] ?: return@mapNotNull null
             entries[key] = entry.copy(value = null)
             TableChange(key, entry.version, entry.value, null)
         }
+        val revived = revivalsDueAtMs.filterValues { it <= nowMs }.keys.toList()
+        return removals + revived.mapNotNull { key ->
+            revivalsDueAtMs.remove(key)
+            entries[key]?.takeIf { it.value != null }?.let { TableChange(key, it.version, null, it.value) }
+        }
     }
 
     /** Makes all known entries older than those of [update], the whole table in a later epoch. */
-    private fun startEpoch(update: TableUpdate<T>) {
+    private fun startEpoch(update: TableUpdate<T>, nowMs: Long) {
+        if (version != StoreVersion.NONE) {
+            gracePeriod.start(nowMs, restorePolicy.missingGraceMs)
+            update.entries.filter { isRemoved(it.key) }
+                .forEach { revivalsDueAtMs[it.key] = nowMs + restorePolicy.revivalDelayMs }
+        }
         entries.replaceAll { _, entry -> entry.copy(version = 0) }
         version = StoreVersion(update.epoch, 0)
         contentVersion = version
         completeSince = update.storeVersion
     }
 
+    private fun isRemoved(key: String): Boolean =
+        entries[key]?.let { it.value == null || key in revivalsDueAtMs } == true
+
+    private fun mergeRestored(restored: TableEntry<T>): TableEntry<T> {
+        val known = find(restored.key)
+        val value = restored.value
+        return if (known == null || value == null) restored else restored.copy(value = restorePolicy.merge(known, value))
+    }
+
     private fun applyEntry(next: TableEntry<T>, nowMs: Long): TableChange<T>? {
         val known = entries[next.key]
         if (known == null || known.version <= next.version) {
             contentVersion = maxOf(contentVersion, StoreVersion(version.epoch, next.version))
         }
         return when {
-            known != null && known.version > next.version -> null
-            next.value == null && known?.value != null && nowMs < gracePeriod.endsAtMs -> postponeRemoval(known, next)
-            else -> replace(known, next)
+            known != null && known.version >= next.version -> null
+            known?.version == 0L && next.key in revivalsDueAtMs -> postponeRevival(next)
+            next.value == null && find(next.key) != null && nowMs < gracePeriod.endsAtMs ->
+                known?.let { postponeRemoval(it, next) }
+            else -> replace(next)
         }
     }
 
+    private fun postponeRevival(next: TableEntry<T>): TableChange<T>? {
+        entries[next.key] = next
+        return null
+    }
+
     private fun postponeRemoval(known: TableEntry<T>, removal: TableEntry<T>): TableChange<T>? {
         entries[known.key] = known.copy(version = removal.version)
         removalsDueAtMs.putIfAbsent(known.key, gracePeriod.endsAtMs)
         return null
     }
 
-    private fun replace(known: TableEntry<T>?, next: TableEntry<T>): TableChange<T>? {
+    private fun replace(next: TableEntry<T>): TableChange<T>? {
+        val before = find(next.key)
+        revivalsDueAtMs.remove(next.key)
         if (next.value == null) purgeOldTombstones() else removalsDueAtMs.remove(next.key)
         entries[next.key] = next
-        return if (known?.value == next.value) null else TableChange(next.key, next.version, known?.value, next.value)
+        return if (before == next.value) null else TableChange(next.key, next.version, before, next.value)
     }
 
     private fun purgeOldTombstones() {
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/store/GracePeriod.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/store/GracePeriod.kt
@@ -17,8 +17,11 @@
     public fun remainingMs(nowMs: Long): Long = if (nowMs < endsAtMs) endsAtMs - nowMs else 0
 
     /** Starts the grace period when the store responds again after an outage. */
-    public fun start(nowMs: Long) {
-        endsAtMs = nowMs + durationMs
+    public fun start(nowMs: Long): Unit = start(nowMs, durationMs)
+
+    /** Starts a grace period of [durationMs], unless it already lasts longer. */
+    internal fun start(nowMs: Long, durationMs: Long) {
+        endsAtMs = maxOf(endsAtMs, nowMs + durationMs)
     }
 
     /** Extends the grace period to that of another process, which lasts for another [peerRemainingMs]. */
