Block requests that crash server after server

A broken connection counted against the server only, the request was sent to the next one, and no instance knew what others had seen.

A request is now recognised by its method, address, credentials and body. An instance whose server broke off reports the request to two instances chosen by it, which count distinct crashed servers. At two, all instances are asked for answers to it; an answer anywhere clears it. At three it is blocked on all instances for a minute: callers get 503 with the time left, at once. After that one instance after the other may try it; an answer lifts the block for all, another crash renews it for ten times as long. Heartbeats carry the blocks, so instances that start learn of them. All maps are bounded. Reports cost two datagrams for a broken connection, so the sum over instances stays small at any size.

--- a/cardamomwharf-core/src/main/kotlin/org/cardamomwharf/core/Hashing.kt
+++ b/cardamomwharf-core/src/main/kotlin/org/cardamomwharf/core/Hashing.kt
@@ -7,6 +7,7 @@
 import com.dynatrace.hash4j.hashing.Hashing
 import java.io.InputStream
 import java.io.OutputStream
+import java.nio.ByteBuffer
 import java.security.DigestInputStream
 import java.security.MessageDigest
 import java.util.HexFormat
@@ -25,6 +26,13 @@
 /** Returns the 64-bit XXH3 hash of [text], which is the same on every machine. */
 public fun hash64(text: String): Long = Hashing.xxh3_64().hashCharsToLong(text)
 
+/** Returns the 64-bit XXH3 hash of the remaining bytes of [bytes], which is the same on every machine. */
+public fun hash64(bytes: ByteBuffer): Long {
+    val copy = ByteArray(bytes.remaining())
+    bytes.duplicate().get(copy)
+    return Hashing.xxh3_64().hashBytesToLong(copy)
+}
+
 /** Returns the hash of the pair of hashes [first] and [second], which is the same on every machine. */
 public fun combineHashes(first: Long, second: Long): Long {
     var mixed = first xor second * GOLDEN_RATIO
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/AttemptOutcomes.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/AttemptOutcomes.kt
@@ -4,6 +4,7 @@
 package org.cardamomwharf.forward.proxy
 
 import org.cardamomwharf.core.StatusCode
+import org.cardamomwharf.forward.server.CallFailure
 import org.cardamomwharf.forward.server.CallResult
 import org.cardamomwharf.platform.HeaderNames
 import org.cardamomwharf.steering.requests.AttemptOutcome
@@ -28,6 +29,10 @@
     }
 }
 
+/** Returns true when the backend server closed or reset the connection instead of responding. */
+internal fun isBrokenOff(result: CallResult): Boolean =
+    result is CallResult.Lost && (result.cause == CallFailure.RESET || result.cause == CallFailure.TRUNCATED)
+
 internal fun describe(result: CallResult): String = when (result) {
     is CallResult.NotSent -> result.cause.code
     is CallResult.Lost -> result.cause.code
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/RequestForwarder.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/RequestForwarder.kt
@@ -25,7 +25,7 @@
     private val context: ForwardingContext,
     private val request: Request,
     private val responses: ResponseSender,
-    private val spec: RequestSpec,
+    private var spec: RequestSpec,
 ) {
     private val endPoint = request.connectionMetaData.connection.endPoint as? CallerEndPoint
     private val placements = ArrayList<Placement.Send>()
@@ -40,6 +40,9 @@
     /** Starts the first attempt. */
     fun start(body: ByteBuffer?) {
         this.body = body
+        val fingerprint = fingerprintOf(request.method, request.httpURI.pathQuery, request.headers, body)
+        spec = spec.copy(fingerprint = fingerprint)
+        responses.fingerprint = spec.fingerprint
         context.inFlight.incrementAndGet()
         request.addIdleTimeoutListener { false }
         val remainingMs = (spec.deadlineAtMs - context.clock.nowMs()).coerceAtLeast(0)
@@ -77,7 +80,7 @@
     private fun onCallResult(placement: Placement.Send, result: CallResult) {
         val next = synchronized(this) {
             if (isFinished || placement !== placements.last()) return
-            val report = recordAttempt(toAttemptOutcome(result), describe(result))
+            val report = recordAttempt(toAttemptOutcome(result), describe(result), isBrokenOff(result))
             val serverReport = (result as? CallResult.Completed)?.response?.report
                 ?.takeIf { report.outcome != AttemptOutcome.MISDIRECTED }
             if (serverReport?.isLimitMalformed == true) context.reportListener.onMalformedLimit(placement.server)
@@ -85,6 +88,7 @@
                 serverReport?.let { steering.recordServerReport(placement.server, it, nowMs) }
                     ?.let { context.reportListener.onLimitChange(it) }
                 steering.completeAttempt(spec, placements, report, nowMs)
+                    .also { if (steering.crashingRequests.hasOutgoing) context.reportListener.onCrashReports() }
             }
         }
         takeNextStep(next, (result as? CallResult.Completed)?.response)
@@ -121,10 +125,14 @@
         pending?.cancel()
     }
 
-    private fun recordAttempt(outcome: AttemptOutcome, detail: String): AttemptReport {
+    private fun recordAttempt(
+        outcome: AttemptOutcome,
+        detail: String,
+        isBrokenOff: Boolean = false,
+    ): AttemptReport {
         val tookMs = context.clock.nowMs() - sentAtMs
         attempts.add(AttemptTrace(placements.last(), outcome.code, detail, tookMs))
-        return AttemptReport(outcome, mayHaveExecuted, tookMs)
+        return AttemptReport(outcome, mayHaveExecuted, tookMs, isBrokenOff)
             .also { mayHaveExecuted = mayHaveExecuted || !outcome.isNotExecuted }
     }
 
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/RequestTrace.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/RequestTrace.kt
@@ -11,6 +11,7 @@
  * @param key affinity key of the request, or null.
  * @param outcome code of the final response.
  * @param status status of the final response; 0 if the caller disconnected before.
+ * @param fingerprint hash of what the caller sent, the same when the request comes again; 0 if it isn't known.
  */
 public data class RequestTrace(
     public val requestId: String,
@@ -23,6 +24,7 @@
     public val tookMs: Long,
     public val remainingMs: Long,
     public val attempts: List<AttemptTrace>,
+    public val fingerprint: Long = 0,
 )
 
 /** Represents an attempt with the placement that chose its backend server. */
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/ResponseSender.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/ResponseSender.kt
@@ -19,6 +19,9 @@
     private val spec: RequestSpec,
     private val desiredVersion: Long,
 ) {
+    /** Fingerprint of the request, once its body is known. */
+    var fingerprint: Long = 0
+
     /** Relays [serverResponse], unless its status would tell the caller that the request was not executed. */
     fun relay(serverResponse: ServerResponse, attempts: List<AttemptTrace>) {
         if (serverResponse.status in notExecutedStatuses) {
@@ -57,6 +60,7 @@
                 tookMs = nowMs - spec.arrivedAtMs,
                 remainingMs = spec.deadlineAtMs - nowMs,
                 attempts = attempts,
+                fingerprint = fingerprint,
             ),
         )
     }
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/ServerReportListener.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/ServerReportListener.kt
@@ -13,6 +13,9 @@
 
     /** Called when a limit announced by [server] can't be decoded. */
     public fun onMalformedLimit(server: ServerName)
+
+    /** Called when there are messages for other instances about requests that crash backend servers. */
+    public fun onCrashReports()
 }
 
 /** Ignores all statements. */
@@ -20,4 +23,6 @@
     override fun onLimitChange(change: LimitChange) = Unit
 
     override fun onMalformedLimit(server: ServerName) = Unit
+
+    override fun onCrashReports() = Unit
 }
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/GatewayProcess.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/GatewayProcess.kt
@@ -28,6 +28,7 @@
 import org.cardamomwharf.gateway.logs.SpilloverLog
 import org.cardamomwharf.gateway.metrics.GatewayMetrics
 import org.cardamomwharf.gateway.metrics.ProcessState
+import org.cardamomwharf.gateway.peers.CrashExchange
 import org.cardamomwharf.gateway.peers.InstanceRegistration
 import org.cardamomwharf.gateway.peers.KnownVersions
 import org.cardamomwharf.gateway.peers.PeerHeartbeats
@@ -90,7 +91,15 @@
     private val client = startJettyHttpClient(HttpClientSettings("store", maxConnections = 8, maxThreads = 6))
     private val peerStateSync: PeerStateSync = PeerStateSync(own, createPeerClient(), taskContext, ::updateLimitSharing)
     private val peers = PeerList(own, registry, clock)
-    private val heartbeats: PeerHeartbeats = PeerHeartbeats(own, location, registry, peers, taskContext, peerStateSync)
+    private val heartbeats: PeerHeartbeats = PeerHeartbeats(
+        own,
+        location,
+        registry,
+        peers,
+        taskContext,
+        peerStateSync,
+        CrashExchange(steering, log, metrics),
+    )
     private val store = openStore()
     private val storeWatcher: StoreWatcher = StoreWatcher(
         store,
@@ -107,7 +116,7 @@
             decisions.servers.find(name)?.let { decisions.roundTripTimes.record(it, tookMs) }
         }
     }
-    private val reportLog = ServerReportLog(log, metrics)
+    private val reportLog = ServerReportLog(log, metrics, heartbeats::notifyCrashes)
     private val forwarding = ForwardingContext(steering, pool, threads.scheduler, clock, reportLog) { trace ->
         log.record(trace)
         metrics.record(trace)
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/logs/DecisionLog.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/logs/DecisionLog.kt
@@ -14,6 +14,8 @@
 import org.cardamomwharf.forward.proxy.AttemptTrace
 import org.cardamomwharf.forward.proxy.RequestTrace
 import org.cardamomwharf.forward.proxy.TraceSink
+import org.cardamomwharf.steering.requests.AttemptOutcome
+import org.cardamomwharf.steering.requests.RefusalReason
 
 /** Lines per second about successful requests; enough for a sample of every route. */
 private const val SUCCESS_LINES_PER_SECOND = 10
@@ -22,6 +24,10 @@
 private const val FAILURE_LINES_PER_SECOND = 150
 private const val MIN_FAILURE_STATUS = 400
 private const val MS_PER_SECOND = 1_000L
+private const val HEXADECIMAL = 16
+
+/** Outcomes of requests that may crash backend servers; their lines carry the fingerprint of the request. */
+private val crashOutcomes = setOf(AttemptOutcome.LOST.code, RefusalReason.CRASHES_SERVERS.code)
 
 /** Represents the decision log. */
 public class DecisionLog(private val clock: Clock) : TraceSink {
@@ -58,6 +64,9 @@
         put("tookMs", trace.tookMs)
         put("leftMs", trace.remainingMs)
         if (skipped > 0) put("linesSkipped", skipped)
+        if (trace.outcome in crashOutcomes || trace.attempts.any { it.outcome in crashOutcomes }) {
+            put("fingerprint", trace.fingerprint.toULong().toString(HEXADECIMAL))
+        }
         putJsonArray("tries") { trace.attempts.forEach { attempt -> addJsonObject { addAttemptFields(attempt) } } }
     }
 
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/logs/ServerReportLog.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/logs/ServerReportLog.kt
@@ -9,8 +9,11 @@
 import org.cardamomwharf.gateway.metrics.GatewayMetrics
 import org.cardamomwharf.steering.servers.LimitChange
 
-internal class ServerReportLog(private val log: DecisionLog, private val metrics: GatewayMetrics) :
-    ServerReportListener {
+internal class ServerReportLog(
+    private val log: DecisionLog,
+    private val metrics: GatewayMetrics,
+    private val tellOthers: () -> Unit,
+) : ServerReportListener {
     override fun onLimitChange(change: LimitChange) {
         metrics.countServerReport(if (change.afterPerSecond == null) "limit-ended" else "limit")
         log.event("server-limit") {
@@ -24,4 +27,6 @@
         metrics.countServerReport("limit-malformed")
         log.event("server-limit-malformed") { put("server", server.value) }
     }
+
+    override fun onCrashReports() = tellOthers()
 }
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/metrics/GatewayMetrics.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/metrics/GatewayMetrics.kt
@@ -33,6 +33,8 @@
     private val serverReports = Counter.builder().name("wharf_server_reports_total")
         .help("Changed or malformed statements of backend servers about themselves.").labelNames("statement")
         .register(registry)
+    private val blocks = Counter.builder().name("wharf_crashing_requests_total")
+        .help("Requests that crash backend servers, by what became of them.").labelNames("change").register(registry)
     private val latency = Histogram.builder().name("wharf_request_seconds").help("Time until the final answer.")
         .labelNames("service").classicOnly().register(registry)
     private val state = Gauge.builder().name("wharf_state").help("Numbers of what this process knows and holds.")
@@ -60,6 +62,10 @@
         serverReports.labelValues(statement).inc()
     }
 
+    fun countBlock(change: String) {
+        blocks.labelValues(change).inc()
+    }
+
     /** Returns the handler that exposes all metrics, including the values returned by [readState]. */
     fun handler(readState: () -> Map<String, Long>): AsyncHandler = AsyncHandler { _, response, callback ->
         readState().forEach { (name, value) -> state.labelValues(name).set(value.toDouble()) }
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/HeartbeatCodec.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/HeartbeatCodec.kt
@@ -14,6 +14,7 @@
 import org.cardamomwharf.core.InstanceName
 import org.cardamomwharf.core.SocketAddress
 import org.cardamomwharf.core.ZoneName
+import org.cardamomwharf.steering.crashes.CrashMessage
 import org.cardamomwharf.steering.instances.Heartbeat
 import org.cardamomwharf.steering.instances.HeartbeatCount
 import org.cardamomwharf.steering.instances.HeartbeatMessage
@@ -50,6 +51,7 @@
         names,
         numbers,
         message.storeStatus?.toWire(),
+        message.crashes,
     )
     return frame(cbor.encodeToByteArray(wire))
 }
@@ -61,7 +63,7 @@
     val wire = cbor.decodeFromByteArray<WireMessage>(payload)
     return wire.sender.toHeartbeat()?.let { sender ->
         val newInstances = wire.newInstances.mapNotNull { it.toHeartbeat() }
-        HeartbeatMessage(sender, newInstances, wire.toCounts(), wire.storeStatus?.toStatus())
+        HeartbeatMessage(sender, newInstances, wire.toCounts(), wire.storeStatus?.toStatus(), wire.crashes)
     }
 }
 
@@ -85,6 +87,7 @@
     val numbers: LongArray = LongArray(0),
     @SerialName("news")
     val storeStatus: WireStatus? = null,
+    val crashes: CrashMessage? = null,
 ) {
     fun toCounts(): List<HeartbeatCount> {
         val nameList = if (names.isEmpty()) emptyList() else names.split(NAME_SEPARATOR)
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/PeerHeartbeats.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/PeerHeartbeats.kt
@@ -6,13 +6,17 @@
 import org.cardamomwharf.gateway.TaskContext
 import org.cardamomwharf.gateway.startBackgroundTask
 import org.cardamomwharf.steering.InstanceLocation
+import org.cardamomwharf.steering.crashes.CrashMessage
 import org.cardamomwharf.steering.instances.HeartbeatExchange
+import org.cardamomwharf.steering.instances.HeartbeatMessage
 import org.cardamomwharf.steering.instances.InstanceRecord
 import org.cardamomwharf.steering.instances.InstanceRegistry
+import org.cardamomwharf.steering.instances.OutgoingHeartbeat
 import org.cardamomwharf.steering.instances.WatcherElection
 import org.cardamomwharf.steering.store.StoreStatus
 import java.util.concurrent.ArrayBlockingQueue
 import java.util.concurrent.TimeUnit
+import java.util.concurrent.atomic.AtomicBoolean
 import kotlin.random.Random
 
 /** Interval of heartbeats; several fit into the silence after which an instance counts as failed. */
@@ -29,10 +33,12 @@
     private val peers: PeerList,
     private val context: TaskContext,
     private val listener: HeartbeatListener,
+    private val crashes: CrashExchange,
 ) {
     private val clock = context.clock
     private val exchange = HeartbeatExchange(location, registry, WatcherElection(own))
-    private val changeSignal = ArrayBlockingQueue<Unit>(1)
+    private val signal = ArrayBlockingQueue<Unit>(1)
+    private val isStoreChanged = AtomicBoolean()
     private val socket = HeartbeatSocket(own.peerAddress, context.log)
     private var heartbeatNumber = 0
     private var nextAtMs = 0L
@@ -46,7 +52,13 @@
 
     /** Requests an early notification of a store change to the own zone and other zones. */
     fun notifyChange() {
-        changeSignal.offer(Unit)
+        isStoreChanged.set(true)
+        signal.offer(Unit)
+    }
+
+    /** Requests that messages about crashed backend servers are sent soon. */
+    fun notifyCrashes() {
+        signal.offer(Unit)
     }
 
     /** Notifies all instances that this one is stopping. */
@@ -65,21 +77,30 @@
     /** Waits until the next heartbeat is due or a change occurs, and sends the heartbeat or a change notification. */
     private fun sendNext(): Boolean {
         val waitMs = nextAtMs - clock.nowMs()
-        if (waitMs > 0 && changeSignal.poll(waitMs, TimeUnit.MILLISECONDS) != null) {
-            listener.statusToSend()?.let { sendNotification(it) }
+        if (waitMs > 0 && signal.poll(waitMs, TimeUnit.MILLISECONDS) != null) {
+            if (isStoreChanged.getAndSet(false)) listener.statusToSend()?.let { sendNotification(it) }
         } else {
             nextAtMs = clock.nowMs() + HEARTBEAT_INTERVAL_MS
             sendHeartbeat(heartbeatNumber++)
         }
+        sendCrashes()
         return true
     }
 
+    private fun sendCrashes() = crashes.takeOutgoing().forEach { outgoing ->
+        val names = outgoing.recipients
+        val recipients = peers.others().filter { names == null || it.name in names }
+        val own = synchronized(registry) { registry.own }
+        socket.send(OutgoingHeartbeat(recipients, HeartbeatMessage(own, crashes = outgoing.message)))
+    }
+
     private fun sendHeartbeat(number: Int) {
         listener.onHeartbeat()
         val status = listener.statusToSend()
         val others = peers.others()
+        val blocks = crashes.regularMessage()
         synchronized(registry) { exchange.nextHeartbeats(number, others, status, clock.nowMs()) }
-            .forEach { socket.send(it) }
+            .forEach { socket.send(it.copy(message = it.message.copy(crashes = blocks))) }
     }
 
     private fun sendNotification(status: StoreStatus) {
@@ -91,6 +112,12 @@
         val message = socket.receive() ?: return true
         synchronized(registry) { exchange.receive(message, clock.nowMs()) }
         message.storeStatus?.let { listener.onStatusReceived(message.sender.record, it) }
+        message.crashes?.let { receiveCrashes(it) }
         return true
     }
+
+    private fun receiveCrashes(message: CrashMessage) {
+        crashes.receive(message)
+        notifyCrashes()
+    }
 }
--- a/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/peers/HeartbeatCodecTest.kt
+++ b/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/peers/HeartbeatCodecTest.kt
@@ -15,6 +15,9 @@
 import org.cardamomwharf.core.InstanceName
 import org.cardamomwharf.core.SocketAddress
 import org.cardamomwharf.core.ZoneName
+import org.cardamomwharf.steering.crashes.BlockNotice
+import org.cardamomwharf.steering.crashes.CrashMessage
+import org.cardamomwharf.steering.crashes.CrashReport
 import org.cardamomwharf.steering.instances.Heartbeat
 import org.cardamomwharf.steering.instances.HeartbeatCount
 import org.cardamomwharf.steering.instances.HeartbeatMessage
@@ -22,9 +25,24 @@
 import org.cardamomwharf.steering.store.ContentVersions
 import org.cardamomwharf.steering.store.StoreStatus
 import org.cardamomwharf.steering.store.StoreVersion
+import java.util.HexFormat
 
 private const val MAX_DATAGRAM_BYTES = 65_507
 
+/** A heartbeat of the release before, which states no epochs; its watcher isn't failing. */
+private val earlierRelease: ByteArray = frame(
+    HexFormat.of().parseHex(
+        "bf6673656e646572bf646e616d656161647a6f6e65637a2d616663616c6c65726b31302e302e302e313a383064706565726b" +
+            "31302e302e302e323a39306b696e6361726e6174696f6e0565636f756e74066969734c656176696e67f5ff6a696e74726f64" +
+            "756365649fbf646e616d656162647a6f6e65637a2d626663616c6c65726b31302e302e302e313a383064706565726b31302e" +
+            "302e302e323a39306b696e6361726e6174696f6e0565636f756e74066969734c656176696e67f5ffbf646e616d656163647a" +
+            "6f6e65637a2d636663616c6c65726b31302e302e302e313a383064706565726b31302e302e302e323a39306b696e6361726e" +
+            "6174696f6e0565636f756e74066969734c656176696e67f5ffff656e616d657363640a65676e756d626572739f0102010304" +
+            "00ff646e657773bf67636f6e74656e74bf666f726465727307677365727665727308ff6b73696c656e74466f724d73096969" +
+            "734661696c696e67f4ffff",
+    ),
+)
+
 class HeartbeatCodecTest : FunSpec({
     fun heartbeat(name: String) = Heartbeat(
         InstanceRecord(InstanceName(name), ZoneName("z"), SocketAddress("10.0.0.1", 80), SocketAddress("10.0.0.1", 90)),
@@ -43,6 +61,21 @@
         decodeHeartbeats(encodeHeartbeats(message)) shouldBe message
     }
 
+    test("`a message about crashed servers is decoded as it was encoded`") {
+        val crashes = CrashMessage(
+            reports = listOf(CrashReport(Long.MIN_VALUE, 2)),
+            suspects = listOf(3),
+            answered = listOf(-4),
+            blocks = listOf(BlockNotice(5, serial = 6, failures = 7, remainingMs = 8, isLifted = true)),
+        )
+        val message = HeartbeatMessage(heartbeat("a"), crashes = crashes)
+        decodeHeartbeats(encodeHeartbeats(message)) shouldBe message
+    }
+
+    test("`the status of a watcher that states no epochs counts as failing`") {
+        decodeHeartbeats(earlierRelease)?.storeStatus?.isFailing shouldBe true
+    }
+
     test("`a message without data about other instances is decoded as it was encoded`") {
         decodeHeartbeats(encodeHeartbeats(HeartbeatMessage(heartbeat("a")))) shouldBe HeartbeatMessage(heartbeat("a"))
     }
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/Steering.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/Steering.kt
@@ -7,6 +7,7 @@
 import org.cardamomwharf.core.InstanceName
 import org.cardamomwharf.core.ServerName
 import org.cardamomwharf.core.ZoneName
+import org.cardamomwharf.steering.crashes.CrashingRequests
 import org.cardamomwharf.steering.desired.ActiveRoutes
 import org.cardamomwharf.steering.limits.AnnouncedLimits
 import org.cardamomwharf.steering.limits.LimitSharing
@@ -29,6 +30,8 @@
 
 /** Makes the routing decisions of one instance. */
 public class Steering(location: InstanceLocation, parameters: SteeringParameters) {
+    private val instance = location.instance
+
     /** The known backend servers. */
     public val servers: ServerRegistry = ServerRegistry(location, parameters)
 
@@ -42,6 +45,9 @@
 
     /** The spillover of requests to other regions. */
     public val spillover: RegionSpillover = RegionSpillover(location, servers, parameters.maxShift)
+
+    /** The requests that crash backend servers. */
+    public val crashingRequests: CrashingRequests = CrashingRequests(location.instance)
     private val candidates = CandidateServers(servers, routes, limitSharing, parameters)
     private val announcedLimits = AnnouncedLimits(limitSharing)
     private val serverSelector = ServerSelector(parameters, candidates, spillover, announcedLimits, roundTripTimes)
@@ -62,13 +68,19 @@
      */
     public fun setLiveInstances(live: Map<InstanceName, ZoneName>, nowMs: Long) {
         limitSharing.update(live, nowMs)
+        crashingRequests.setInstances(live.keys + instance)
     }
 
     /** Selects the server for the first attempt of [spec]. */
     public fun place(spec: RequestSpec, nowMs: Long): Placement {
         retryBudgets.getForService(spec.service).recordRequest(nowMs)
+        val blockedForMs = crashingRequests.remainingMs(spec.fingerprint, nowMs)
+        if (blockedForMs > 0) return Placement.Refuse(RefusalReason.CRASHES_SERVERS, blockedForMs)
         val placement = serverSelector.select(spec, emptySet(), nowMs)
-        if (placement is Placement.Send) serverSelector.recordRequestSent(spec, placement, nowMs)
+        if (placement is Placement.Send) {
+            crashingRequests.recordSent(spec.fingerprint, nowMs)
+            serverSelector.recordRequestSent(spec, placement, nowMs)
+        }
         return placement
     }
 
@@ -91,6 +103,12 @@
     /** Records the outcome of an attempt without deciding on a next step. */
     public fun recordOutcome(spec: RequestSpec, send: Placement.Send, report: AttemptReport, nowMs: Long) {
         serverSelector.recordOutcome(spec, send, report, nowMs)
+        val startedAtUnixMs = servers.find(send.server)?.record?.startedAtUnixMs ?: 0
+        when {
+            report.isBrokenOff ->
+                crashingRequests.recordCrash(spec.fingerprint, send.server, startedAtUnixMs, nowMs)
+            report.outcome == AttemptOutcome.ANSWERED -> crashingRequests.recordAnswer(spec.fingerprint, nowMs)
+        }
     }
 
     /**
@@ -128,7 +146,8 @@
         outcome: AttemptOutcome,
         nowMs: Long,
     ): NextStep.Retry? {
-        val isRetryable = spec.route.isIdempotent || outcome.isNotExecuted
+        val isRetryable = (spec.route.isIdempotent || outcome.isNotExecuted) &&
+            !crashingRequests.isBlocked(spec.fingerprint)
         if (!isRetryable || attempts.size >= spec.route.maxAttempts) return null
         val excluded = attempts.mapTo(HashSet()) { it.server }
         val next = serverSelector.select(spec, excluded, nowMs) as? Placement.Send
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/instances/HeartbeatMessage.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/instances/HeartbeatMessage.kt
@@ -3,6 +3,7 @@
  */
 package org.cardamomwharf.steering.instances
 
+import org.cardamomwharf.steering.crashes.CrashMessage
 import org.cardamomwharf.steering.store.StoreStatus
 
 /**
@@ -12,12 +13,14 @@
  * @param newInstances heartbeats of instances that may be unknown to the receiver, with their addresses.
  * @param counts heartbeat counts of instances that most others know.
  * @param storeStatus status of the store, if the sender watches it.
+ * @param crashes what the sender knows about requests that crash backend servers, or null for nothing.
  */
 public data class HeartbeatMessage(
     public val sender: Heartbeat,
     public val newInstances: List<Heartbeat> = emptyList(),
     public val counts: List<HeartbeatCount> = emptyList(),
     public val storeStatus: StoreStatus? = null,
+    public val crashes: CrashMessage? = null,
 )
 
 /** Represents a [message] to send to [recipients]. */
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/requests/RequestSpec.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/requests/RequestSpec.kt
@@ -7,6 +7,7 @@
 import org.cardamomwharf.core.ServerName
 import org.cardamomwharf.core.ServiceName
 import org.cardamomwharf.core.SocketAddress
+import org.cardamomwharf.core.hash64
 import org.cardamomwharf.steering.desired.Route
 import org.cardamomwharf.steering.placement.Warmth
 
@@ -15,6 +16,7 @@
  *
  * @param affinityKey key of the object that the request is about, or null.
  * @param deadlineAtMs time of the caller's or the route's deadline, whichever is earlier.
+ * @param fingerprint hash of what the caller sends, the same when the request comes again under another ID.
  */
 public data class RequestSpec(
     public val id: String,
@@ -23,6 +25,7 @@
     public val affinityKey: String?,
     public val arrivedAtMs: Long,
     public val deadlineAtMs: Long,
+    public val fingerprint: Long = hash64(id),
 )
 
 /** Represents the decision where to send a request. */
@@ -76,6 +79,9 @@
     /** Every backend server announces a limit, and this instance's part of it is used up. */
     SERVER_LIMIT("server-limit"),
 
+    /** The request has crashed several backend servers. */
+    CRASHES_SERVERS("crashes-servers"),
+
     /** Backend servers refused the request, and no attempt is left. */
     SHED("shed"),
 
