--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/RequestForwarder.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/RequestForwarder.kt
@@ -88,7 +88,7 @@
                 serverReport?.let { steering.recordServerReport(placement.server, it, nowMs) }
                     ?.let { context.reportListener.onLimitChange(it) }
                 steering.completeAttempt(spec, placements, report, nowMs)
-                    .also { if (steering.crashingRequests.hasOutgoing) context.reportListener.onCrashReports() }
+                    .also { if (steering.crashingRequests.outbox.hasMessages) context.reportListener.onCrashReports() }
             }
         }
         takeNextStep(next, (result as? CallResult.Completed)?.response)
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/GatewayProcess.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/GatewayProcess.kt
@@ -91,15 +91,8 @@
     private val client = startJettyHttpClient(HttpClientSettings("store", maxConnections = 8, maxThreads = 6))
     private val peerStateSync: PeerStateSync = PeerStateSync(own, createPeerClient(), taskContext, ::updateLimitSharing)
     private val peers = PeerList(own, registry, clock)
-    private val heartbeats: PeerHeartbeats = PeerHeartbeats(
-        own,
-        location,
-        registry,
-        peers,
-        taskContext,
-        peerStateSync,
-        CrashExchange(steering, log, metrics),
-    )
+    private val heartbeats: PeerHeartbeats =
+        PeerHeartbeats(location, peers, taskContext, peerStateSync, CrashExchange(steering, log, metrics))
     private val store = openStore()
     private val storeWatcher: StoreWatcher = StoreWatcher(
         store,
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/CrashExchange.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/CrashExchange.kt
@@ -20,7 +20,7 @@
     /** Returns the messages to send at once. */
     fun takeOutgoing(): List<OutgoingCrashMessage> {
         val (messages, changes) = steering.withLock { decisions, _ ->
-            decisions.crashingRequests.takeOutgoing() to decisions.crashingRequests.takeChanges()
+            decisions.crashingRequests.outbox.run { takeMessages() to takeChanges() }
         }
         changes.forEach(::record)
         return messages
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/PeerHeartbeats.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/PeerHeartbeats.kt
@@ -6,11 +6,9 @@
 import org.cardamomwharf.gateway.TaskContext
 import org.cardamomwharf.gateway.startBackgroundTask
 import org.cardamomwharf.steering.InstanceLocation
-import org.cardamomwharf.steering.crashes.CrashMessage
 import org.cardamomwharf.steering.instances.HeartbeatExchange
 import org.cardamomwharf.steering.instances.HeartbeatMessage
 import org.cardamomwharf.steering.instances.InstanceRecord
-import org.cardamomwharf.steering.instances.InstanceRegistry
 import org.cardamomwharf.steering.instances.OutgoingHeartbeat
 import org.cardamomwharf.steering.instances.WatcherElection
 import org.cardamomwharf.steering.store.StoreStatus
@@ -27,19 +25,18 @@
 
 /** Exchanges heartbeats with other instances. */
 internal class PeerHeartbeats(
-    private val own: InstanceRecord,
     private val location: InstanceLocation,
-    private val registry: InstanceRegistry,
     private val peers: PeerList,
     private val context: TaskContext,
     private val listener: HeartbeatListener,
     private val crashes: CrashExchange,
 ) {
     private val clock = context.clock
-    private val exchange = HeartbeatExchange(location, registry, WatcherElection(own))
+    private val registry = peers.registry
+    private val exchange = HeartbeatExchange(location, registry, WatcherElection(peers.own))
     private val signal = ArrayBlockingQueue<Unit>(1)
     private val isStoreChanged = AtomicBoolean()
-    private val socket = HeartbeatSocket(own.peerAddress, context.log)
+    private val socket = HeartbeatSocket(peers.own.peerAddress, context.log)
     private var heartbeatNumber = 0
     private var nextAtMs = 0L
 
@@ -112,12 +109,10 @@
         val message = socket.receive() ?: return true
         synchronized(registry) { exchange.receive(message, clock.nowMs()) }
         message.storeStatus?.let { listener.onStatusReceived(message.sender.record, it) }
-        message.crashes?.let { receiveCrashes(it) }
+        message.crashes?.let {
+            crashes.receive(it)
+            notifyCrashes()
+        }
         return true
     }
-
-    private fun receiveCrashes(message: CrashMessage) {
-        crashes.receive(message)
-        notifyCrashes()
-    }
 }
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/store/StoreWatcher.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/store/StoreWatcher.kt
@@ -35,8 +35,7 @@
         "orders",
         store.orders,
         context,
-        outageGraceMs = 0,
-        RestorePolicy(parameters.restoreGraceMs, parameters.revivalDelayMs, ::mergeOrders),
+        RestorePolicy(outageGraceMs = 0, parameters.restoreGraceMs, parameters.revivalDelayMs, ::mergeOrders),
         role,
         ::applyOrders,
     )
@@ -44,8 +43,12 @@
         "servers",
         store.servers,
         context,
-        parameters.restoreGraceMs,
-        RestorePolicy(parameters.restoreGraceMs, parameters.revivalDelayMs, ::mergeServers),
+        RestorePolicy(
+            parameters.restoreGraceMs,
+            parameters.restoreGraceMs,
+            parameters.revivalDelayMs,
+            ::mergeServers,
+        ),
         role,
         ::applyServers,
     )
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/store/SynchronizedTable.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/store/SynchronizedTable.kt
@@ -18,11 +18,10 @@
 internal class SynchronizedTable<T>(
     private val name: String,
     private val context: TaskContext,
-    outageGraceMs: Long,
     restorePolicy: RestorePolicy<T>,
     private val onChange: (List<TableChange<T>>) -> Unit,
 ) {
-    private val table = CachedTable(outageGraceMs, restorePolicy)
+    private val table = CachedTable(restorePolicy)
 
     /** True once the table has been read, by this instance or by another one. */
     @Volatile
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/store/TableWatcher.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/store/TableWatcher.kt
@@ -35,7 +35,6 @@
     private val name: String,
     private val storeTable: StoreTable<T>,
     context: TaskContext,
-    outageGraceMs: Long,
     restorePolicy: RestorePolicy<T>,
     private val role: WatcherRole,
     onChange: (List<TableChange<T>>) -> Unit,
@@ -48,7 +47,7 @@
     private var epoch: Long? = null
 
     /** The cached table. */
-    val table: SynchronizedTable<T> = SynchronizedTable(name, context, outageGraceMs, restorePolicy, onChange)
+    val table: SynchronizedTable<T> = SynchronizedTable(name, context, restorePolicy, onChange)
 
     @Volatile
     private var failures = 0
--- a/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/store/TableWatcherTest.kt
+++ b/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/store/TableWatcherTest.kt
@@ -33,7 +33,8 @@
 
     override fun read(): Result<TableUpdate<String>, StoreError> = reads.take()
 
-    override fun awaitChanges(afterVersion: StoreVersion, waitMs: Long): Result<TableUpdate<String>, StoreError> = waits.take()
+    override fun awaitChanges(afterVersion: StoreVersion, waitMs: Long): Result<TableUpdate<String>, StoreError> =
+        waits.take()
 }
 
 class TableWatcherTest : FunSpec({
@@ -50,7 +51,9 @@
 
             override fun onStoreUnavailable() = whenUnavailable()
         }
-        TableWatcher("test", table, context, 0, RestorePolicy(0, 0) { _, next -> next }, role) { changes -> changes.forEach { seen.add("${it.after}") } }.start()
+        TableWatcher("test", table, context, RestorePolicy(0, 0, 0) { _, next -> next }, role) { changes ->
+            changes.forEach { seen.add("${it.after}") }
+        }.start()
         return seen
     }
 
--- a/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/support/StoreFleet.kt
+++ b/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/support/StoreFleet.kt
@@ -135,7 +135,7 @@
 
     /** Returns the versions of the configurations in force. */
     fun desiredVersions(): List<Long?> =
-        members.map { member -> member.steering.withLock { it, _ -> it.routes.desired?.version?.value } }
+        members.map { member -> member.steering.withLock { steering, _ -> steering.routes.desired?.version?.value } }
 
     /** Returns the indices of the instances that may send requests to the server [name]. */
     fun instancesUsing(name: String): List<Int> = members.indices.filter { index ->
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/crashes/BoundedMap.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/crashes/BoundedMap.kt
@@ -4,7 +4,9 @@
 package org.cardamomwharf.steering.crashes
 
 /** Keeps at most [maxEntries] entries; the one that was set or read least recently is evicted first. */
-internal class BoundedMap<K, V>(private val maxEntries: Int) : LinkedHashMap<K, V>(INITIAL_CAPACITY, LOAD_FACTOR, true) {
+internal class BoundedMap<K, V>(
+    private val maxEntries: Int,
+) : LinkedHashMap<K, V>(INITIAL_CAPACITY, LOAD_FACTOR, true) {
     override fun removeEldestEntry(eldest: MutableMap.MutableEntry<K, V>): Boolean = size > maxEntries
 
     private companion object {
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/crashes/RequestBlocks.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/crashes/RequestBlocks.kt
@@ -13,7 +13,7 @@
 /** Failures after which blocks last no longer: about 17 hours. */
 private const val MAX_FAILURES = 4
 
-/** Time between the tries of two instances after a block; longer than most requests and the message about the result. */
+/** Time between the tries of two instances after a block; longer than most requests and the notice of the result. */
 private const val TRY_INTERVAL_MS = 2_000L
 
 /** Time after which a try whose result is unknown no longer prevents another one; the longest deadline of the users. */
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/store/CachedTable.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/store/CachedTable.kt
@@ -45,14 +45,10 @@
     public val after: T?
 )
 
-/**
- * Represents the cached contents of a table.
- *
- * @param outageGraceMs time after an outage for which removed entries are kept.
- */
-public class CachedTable<T>(outageGraceMs: Long, private val restorePolicy: RestorePolicy<T>) {
+/** Represents the cached contents of a table. */
+public class CachedTable<T>(private val restorePolicy: RestorePolicy<T>) {
     /** The grace period after an outage, in which removed entries are kept. */
-    public val gracePeriod: GracePeriod = GracePeriod(outageGraceMs)
+    public val gracePeriod: GracePeriod = GracePeriod(restorePolicy.outageGraceMs)
     private val entries = HashMap<String, TableEntry<T>>()
     private val removalsDueAtMs = HashMap<String, Long>()
 
@@ -99,7 +95,8 @@
         if (isStale(update)) return emptyList()
         val isRestored = update.epoch > version.epoch
         if (isRestored) startEpoch(update, nowMs)
-        val next = if (isRestored) update.entries.map(::mergeRestored) else update.entries
+        val next =
+            if (isRestored) update.entries.map { restorePolicy.mergeEntry(find(it.key), it) } else update.entries
         val changes = next.mapNotNull { applyEntry(it, nowMs) }.toMutableList()
         if (update.isWhole) {
             val present = update.entries.mapTo(HashSet()) { it.key }
@@ -134,7 +131,7 @@
     private fun startEpoch(update: TableUpdate<T>, nowMs: Long) {
         if (version != StoreVersion.NONE) {
             gracePeriod.start(nowMs, restorePolicy.missingGraceMs)
-            update.entries.filter { isRemoved(it.key) }
+            update.entries.filter { it.key in entries && find(it.key) == null }
                 .forEach { revivalsDueAtMs[it.key] = nowMs + restorePolicy.revivalDelayMs }
         }
         entries.replaceAll { _, entry -> entry.copy(version = 0) }
@@ -143,15 +140,6 @@
         completeSince = update.storeVersion
     }
 
-    private fun isRemoved(key: String): Boolean =
-        entries[key]?.let { it.value == null || key in revivalsDueAtMs } == true
-
-    private fun mergeRestored(restored: TableEntry<T>): TableEntry<T> {
-        val known = find(restored.key)
-        val value = restored.value
-        return if (known == null || value == null) restored else restored.copy(value = restorePolicy.merge(known, value))
-    }
-
     private fun applyEntry(next: TableEntry<T>, nowMs: Long): TableChange<T>? {
         val known = entries[next.key]
         if (known == null || known.version <= next.version) {
@@ -159,18 +147,13 @@
         }
         return when {
             known != null && known.version >= next.version -> null
-            known?.version == 0L && next.key in revivalsDueAtMs -> postponeRevival(next)
+            known?.version == 0L && next.key in revivalsDueAtMs -> null.also { entries[next.key] = next }
             next.value == null && find(next.key) != null && nowMs < gracePeriod.endsAtMs ->
                 known?.let { postponeRemoval(it, next) }
             else -> replace(next)
         }
     }
 
-    private fun postponeRevival(next: TableEntry<T>): TableChange<T>? {
-        entries[next.key] = next
-        return null
-    }
-
     private fun postponeRemoval(known: TableEntry<T>, removal: TableEntry<T>): TableChange<T>? {
         entries[known.key] = known.copy(version = removal.version)
         removalsDueAtMs.putIfAbsent(known.key, gracePeriod.endsAtMs)
--- a/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/crashes/CrashingRequestsTest.kt
+++ b/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/crashes/CrashingRequestsTest.kt
@@ -141,8 +141,8 @@
         repeat(20_000) { number ->
             repeat(3) { requests.recordCrash(number.toLong(), ServerName("s$it"), 1, number.toLong()) }
             requests.recordCrash(-number.toLong(), ServerName("s"), 1, number.toLong())
-            requests.takeOutgoing()
-            requests.takeChanges()
+            requests.outbox.takeMessages()
+            requests.outbox.takeChanges()
         }
         requests.trackedCount shouldBeLessThanOrEqualTo 4_096 * 2 + 1_024
     }
--- a/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/store/CachedTableTest.kt
+++ b/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/store/CachedTableTest.kt
@@ -9,7 +9,7 @@
 import io.kotest.matchers.shouldBe
 
 class CachedTableTest : FunSpec({
-    fun createTable() = CachedTable<String>(outageGraceMs = 2_000, RestorePolicy(2_000, 6_000) { _, next -> next })
+    fun createTable() = CachedTable<String>(RestorePolicy(2_000, 2_000, 6_000) { _, next -> next })
     fun update(key: String, version: Long, value: String?) =
         TableUpdate(listOf(TableEntry(key, version, value)), version, isWhole = false)
 
--- a/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/support/CrashFleet.kt
+++ b/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/support/CrashFleet.kt
@@ -6,7 +6,6 @@
 package org.cardamomwharf.steering.support
 
 import org.cardamomwharf.core.InstanceName
-import org.cardamomwharf.core.ServerName
 import org.cardamomwharf.core.ZoneName
 import org.cardamomwharf.core.hash64
 import org.cardamomwharf.steering.InstanceLocation
@@ -51,7 +50,8 @@
 ) {
     private val random = Random(seed)
     private val zones = ZONES.keys.toList()
-    private val servers = zones.flatMap { zone -> (1..SERVERS_PER_ZONE).map { ServerModel("${zone.value}-s$it", zone) } }
+    private val servers = zones
+        .flatMap { zone -> (1..SERVERS_PER_ZONE).map { ServerModel("${zone.value}-s$it", zone) } }
         .associateBy { it.name }
     private val instances = Array(count) { createInstance(it) }
     private val reachable = BooleanArray(count) { true }
@@ -174,7 +174,7 @@
         outcomes.merge(path to outcome, 1, Int::plus)
     }
 
-    private fun sendMessages(index: Int) = instances[index].crashingRequests.takeOutgoing().forEach { outgoing ->
+    private fun sendMessages(index: Int) = instances[index].crashingRequests.outbox.takeMessages().forEach { outgoing ->
         instances.indices.filter { it != index && (outgoing.recipients == null || nameOf(it) in outgoing.recipients) }
             .forEach { deliver(index, it, outgoing.message) }
     }
