Refuse requests that a planned stop would cut off

Another operator reported that requests which came late in a planned stop were passed on and cut off without an answer at its end, bookings among them. It can happen here: a request whose head or body arrives slowly keeps its connection open, and was sent to a server at any time until the process ended, nine tenths of the time to stop. A second attempt was made just as late.

The stop tells steering until when callers may not have noticed it and when the process ends. After the first time a request is sent, or sent again, only if its deadline passes before the end; before it, if twice the predicted time does. Others are refused at once, which is true and lets the caller go to another instance.

--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/ForwardingHandler.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/ForwardingHandler.kt
@@ -14,6 +14,7 @@
 import org.cardamomwharf.steering.desired.Route
 import org.cardamomwharf.steering.requests.RefusalReason
 import org.cardamomwharf.steering.requests.RequestSpec
+import org.cardamomwharf.steering.requests.StopPlan
 import org.eclipse.jetty.http.HttpException
 import org.eclipse.jetty.http.HttpHeader
 import org.eclipse.jetty.io.Content
@@ -53,6 +54,13 @@
     /** True when this process is stopping; responses then close their connection. */
     @Volatile
     public var isStopping: Boolean = false
+        private set
+
+    /** Begins to stop according to [plan]. */
+    public fun beginStop(plan: StopPlan) {
+        isStopping = true
+        steering.withLock { decisions, _ -> decisions.stopPlan = plan }
+    }
 }
 
 /** Returns the handler that forwards requests of callers to backend servers. */
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/GracefulStop.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/GracefulStop.kt
@@ -1,12 +1,14 @@
 /*
  * Stops a process without interrupting requests: it notifies callers and other instances, accepts new requests for a
- * while from callers that haven't noticed yet, then waits for the requests in flight.
+ * while from callers that haven't noticed yet, then waits for the requests in flight. A request that may not end before
+ * the process isn't sent to a backend server.
  */
 package org.cardamomwharf.gateway
 
 import kotlinx.serialization.json.put
 import org.cardamomwharf.forward.listener.AsyncHttpServer
 import org.cardamomwharf.forward.proxy.ForwardingContext
+import org.cardamomwharf.steering.requests.StopPlan
 
 /** Fraction of the stop timeout during which new requests are accepted; callers cache addresses for some seconds. */
 private const val ACCEPT_FRACTION = 0.5
@@ -32,11 +34,12 @@
     fun run(listener: String, notifyPeers: () -> Unit) {
         val startedAtMs = context.clock.nowMs()
         context.log.event("stop") { put("underWay", forwarding.requestsInFlight) }
-        forwarding.isStopping = true
+        val plan = StopPlan(startedAtMs + acceptMs, startedAtMs + (stopMs * DEADLINE_FRACTION).toLong())
+        forwarding.beginStop(plan)
         notifyPeers()
-        waitUntil(startedAtMs + acceptMs) { false }
+        waitUntil(plan.acceptUntilMs) { false }
         server.closeListener(listener)
-        waitUntil(startedAtMs + (stopMs * DEADLINE_FRACTION).toLong()) {
+        waitUntil(plan.endsAtMs) {
             server.closeIdleConnections(listener)
             server.countConnections(listener) == 0
         }
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/Steering.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/Steering.kt
@@ -22,6 +22,9 @@
 import org.cardamomwharf.steering.requests.Placement
 import org.cardamomwharf.steering.requests.RefusalReason
 import org.cardamomwharf.steering.requests.RequestSpec
+import org.cardamomwharf.steering.requests.StopPlan
+import org.cardamomwharf.steering.requests.allows
+import org.cardamomwharf.steering.requests.finalStepOf
 import org.cardamomwharf.steering.servers.LimitChange
 import org.cardamomwharf.steering.servers.ServerRecord
 import org.cardamomwharf.steering.servers.ServerRegistry
@@ -46,6 +49,9 @@
     /** The spillover of requests to other regions. */
     public val spillover: RegionSpillover = RegionSpillover(location, servers, parameters.maxShift)
 
+    /** The plan of the stop of this process, or null while it isn't stopping. */
+    public var stopPlan: StopPlan? = null
+
     /** The requests that crash backend servers. */
     public val crashingRequests: CrashingRequests = CrashingRequests(location.instance)
     private val candidates = CandidateServers(servers, routes, limitSharing, parameters)
@@ -75,13 +81,12 @@
     public fun place(spec: RequestSpec, nowMs: Long): Placement {
         retryBudgets.getForService(spec.service).recordRequest(nowMs)
         val blockedForMs = crashingRequests.remainingMs(spec.fingerprint, nowMs)
-        if (blockedForMs > 0) return Placement.Refuse(RefusalReason.CRASHES_SERVERS, blockedForMs)
-        val placement = serverSelector.select(spec, emptySet(), nowMs)
-        if (placement is Placement.Send) {
-            crashingRequests.recordSent(spec.fingerprint, nowMs)
-            serverSelector.recordRequestSent(spec, placement, nowMs)
+        val placement = if (blockedForMs > 0) {
+            Placement.Refuse(RefusalReason.CRASHES_SERVERS, blockedForMs)
+        } else {
+            serverSelector.select(spec, emptySet(), nowMs)
         }
-        return placement
+        return if (placement is Placement.Send) confirm(spec, placement, nowMs) else placement
     }
 
     /**
@@ -97,7 +102,7 @@
     ): NextStep {
         recordOutcome(spec, attempts.last(), report, nowMs)
         val retry = if (report.outcome.isFinal) null else planRetry(spec, attempts, report.outcome, nowMs)
-        return retry ?: finalStep(spec, report)
+        return retry ?: finalStepOf(report, serverSelector.retryAfterMs(spec.id, 0.0))
     }
 
     /** Records the outcome of an attempt without deciding on a next step. */
@@ -126,19 +131,15 @@
         spillover.adjust(nowMs)
     }
 
-    /** Returns the final response step. The request is refused only when no attempt may have executed it. */
-    private fun finalStep(spec: RequestSpec, report: AttemptReport): NextStep = when (report.outcome) {
-        AttemptOutcome.ANSWERED, AttemptOutcome.FAILED, AttemptOutcome.CALLER_GONE -> NextStep.RelayResponse
-        AttemptOutcome.TIMED_OUT -> NextStep.ReportTimeout
-        AttemptOutcome.LOST -> NextStep.ReportUnknown
-        AttemptOutcome.SHED, AttemptOutcome.MISDIRECTED, AttemptOutcome.NOT_SENT -> if (report.mayHaveRun) {
-            NextStep.ReportUnknown
+    /** Records that the request is sent, unless this process stops before the response can be expected. */
+    private fun confirm(spec: RequestSpec, send: Placement.Send, nowMs: Long): Placement =
+        if (stopPlan.allows(spec, send, nowMs)) {
+            crashingRequests.recordSent(spec.fingerprint, nowMs)
+            serverSelector.recordRequestSent(spec, send, nowMs)
+            send
         } else {
-            val isUnsent = report.outcome == AttemptOutcome.NOT_SENT
-            val reason = if (isUnsent) RefusalReason.UNREACHABLE else RefusalReason.SHED
-            NextStep.Refuse(reason, serverSelector.retryAfterMs(spec.id, 0.0))
+            Placement.Refuse(RefusalReason.STOPPING, serverSelector.retryAfterMs(spec.id, 0.0))
         }
-    }
 
     private fun planRetry(
         spec: RequestSpec,
@@ -151,7 +152,8 @@
         if (!isRetryable || attempts.size >= spec.route.maxAttempts) return null
         val excluded = attempts.mapTo(HashSet()) { it.server }
         val next = serverSelector.select(spec, excluded, nowMs) as? Placement.Send
-        val isInTime = next != null && nowMs + next.predictedMs <= spec.deadlineAtMs
+        val isInTime = next != null && nowMs + next.predictedMs <= spec.deadlineAtMs &&
+            stopPlan.allows(spec, next, nowMs)
         val isAllowed = isInTime &&
             (
                 outcome == AttemptOutcome.NOT_SENT ||
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/requests/RequestSpec.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/requests/RequestSpec.kt
@@ -88,6 +88,9 @@
     /** No byte was sent to a backend server, and no attempt is left. */
     UNREACHABLE("unreachable"),
 
+    /** This process stops before the response can be expected. */
+    STOPPING("stopping"),
+
     /** Too little time was left when the request arrived. */
     TOO_LATE("too-late"),
 }
