--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/PeerList.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/PeerList.kt
@@ -10,7 +10,7 @@
 /** Time after the start in which registered instances count as running; heartbeats need several rounds to arrive. */
 private const val STARTUP_GRACE_MS = 3_000L
 
-/** Represents the instances that are known, as seen by the instance [own]; access to [registry] is synchronized on it. */
+/** Represents the instances known to the instance [own]; access to [registry] is synchronized on it. */
 internal class PeerList(
     val own: InstanceRecord,
     val registry: InstanceRegistry,
