Bound what heartbeats carry about blocked requests

Each heartbeat carried up to 32 requests that were ever blocked, lifted ones included, for as long as they were kept: up to 2 KB for each receiver twice a second, as long as the process ran. They now carry eight at most, and lifted ones for five seconds.

--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/crashes/CrashingRequests.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/crashes/CrashingRequests.kt
@@ -17,8 +17,8 @@
 /** Crashed servers after which all instances are asked for answers to the request. */
 private const val SUSPECT_CRASHES = 2
 
-/** Maximum number of blocked requests in one message. */
-private const val MAX_NOTICES = 32
+/** Maximum number of blocked requests in one heartbeat; keeps it small. */
+private const val MAX_NOTICES = 8
 
 /** Keeps what the instance [self] knows about requests that crash servers. */
 public class CrashingRequests(self: InstanceName) {
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/crashes/RequestBlocks.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/crashes/RequestBlocks.kt
@@ -19,6 +19,9 @@
 /** Time after which a try whose result is unknown no longer prevents another one; the longest deadline of the users. */
 private const val TRY_TIMEOUT_MS = 30_000L
 
+/** Time for which regular messages tell that a block is lifted; several heartbeats. */
+private const val TELL_LIFTED_MS = 5_000L
+
 /** Maximum number of requests that are blocked or were; about 100 KB. */
 private const val MAX_BLOCKS = 1_024
 
@@ -79,9 +82,10 @@
         return true
     }
 
-    /** Returns the notices of the [count] requests that were blocked, lifted or refused last. */
+    /** Returns the notices of up to [count] requests that are blocked, or were until a few seconds ago. */
     fun latest(count: Int, nowMs: Long): List<BlockNotice> =
-        blocks.keys.toList().takeLast(count).map { noticeOf(it, nowMs) }
+        blocks.filterValues { !it.isLifted || nowMs - it.endsAtMs < TELL_LIFTED_MS }.keys.toList().takeLast(count)
+            .map { noticeOf(it, nowMs) }
 
     private fun noticeOf(fingerprint: Long, nowMs: Long): BlockNotice = blocks.getValue(fingerprint).let {
         BlockNotice(fingerprint, it.serial, it.failures, (it.endsAtMs - nowMs).coerceAtLeast(0), it.isLifted)
--- a/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/crashes/CrashingRequestsTest.kt
+++ b/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/crashes/CrashingRequestsTest.kt
@@ -147,6 +147,15 @@
         requests.trackedCount shouldBeLessThanOrEqualTo 4_096 * 2 + 1_024
     }
 
+    test("`heartbeats carry few blocked requests, and lifted ones only for a while`") {
+        val requests = CrashingRequests(InstanceName("i"))
+        repeat(20) { number -> repeat(3) { requests.recordCrash(number.toLong(), ServerName("s$it"), 1, 0) } }
+        requests.regularMessage(0)?.blocks.orEmpty() shouldHaveSize 8
+        repeat(20) { requests.recordAnswer(it.toLong(), 1_000) }
+        requests.regularMessage(2_000)?.blocks.orEmpty().all { it.isLifted } shouldBe true
+        requests.regularMessage(7_000) shouldBe null
+    }
+
     test("`reports about one crash count once, and an answer clears them`") {
         val requests = CrashingRequests(InstanceName("i"))
         repeat(5) { requests.recordCrash(7, ServerName("s"), 1, 0) }
