Choose the ports of the review's scripts so that they don't collide

Two processes of one script got the same port once, and the gateway didn't start. The ports are now distinct, free for TCP and UDP, and outside the range of outgoing connections. Temporary files are deleted.

--- a/review/harness/Harness.java
+++ b/review/harness/Harness.java
@@ -7,7 +7,8 @@
 import java.io.InputStream;
 import java.io.OutputStream;
 import java.io.PrintWriter;
-import java.net.InetAddress;
+import java.net.BindException;
+import java.net.DatagramSocket;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -16,10 +17,13 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.Base64;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Random;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -35,6 +39,11 @@
     static final int HELD = 0;
     static final int BROKEN = 1;
     static final int NOT_RUN = 2;
+    private static final int FIRST_PORT = 20_000;
+    private static final int PORTS = 12_000;
+    private static final int PORT_ATTEMPTS = 1_000;
+    private static final Random RANDOM = new Random();
+    private static final Set<Integer> USED_PORTS = new HashSet<>();
 
     private final long startedNs = System.nanoTime();
     private final PrintWriter record;
@@ -100,11 +109,20 @@
         int run(Harness harness) throws Exception;
     }
 
-    static int freePort(String host) throws IOException {
-        try (ServerSocket socket = new ServerSocket()) {
-            socket.bind(new InetSocketAddress(host, 0));
-            return socket.getLocalPort();
+    /** Returns a port of [host] that is free for TCP and UDP, outside the range that the system gives to clients. */
+    static synchronized int freePort(String host) throws IOException {
+        for (int attempt = 0; attempt < PORT_ATTEMPTS; attempt++) {
+            int port = FIRST_PORT + RANDOM.nextInt(PORTS);
+            if (!USED_PORTS.add(port)) continue;
+            InetSocketAddress address = new InetSocketAddress(host, port);
+            try (ServerSocket tcp = new ServerSocket(); DatagramSocket udp = new DatagramSocket(address)) {
+                tcp.bind(address);
+                return port;
+            } catch (BindException e) {
+                // Another process has the port.
+            }
         }
+        throw new IOException("no free port");
     }
 
     static void sleep(long ms) {
@@ -519,8 +537,10 @@
 
     @Override
     public void close() throws Exception {
-        if (process == null) return;
-        process.destroyForcibly().waitFor(5, TimeUnit.SECONDS);
+        if (process != null) process.destroyForcibly().waitFor(5, TimeUnit.SECONDS);
+        Files.deleteIfExists(log);
+        Files.deleteIfExists(settings);
+        Files.deleteIfExists(settings.getParent());
     }
 }
 
