Disturb one server of eight in the cases of the store's outage

Cause: the scripts of cases 2 and 4 disturbed one server of three, more than the share that the site file has for servers that leave or crash.

Done: both run eight servers of each service and more callers.

--- a/review/2/LeavingServer.java
+++ b/review/2/LeavingServer.java
@@ -10,6 +10,8 @@
     /** Time for which the store is down. */
     private static final long DOWN_MS = 8_000;
     private static final long WORK_MS = 640;
+    /** Servers of each service; one of them leaves, at most the share of 0.13 that the site has. */
+    private static final int SERVERS = 8;
     /** Time for which the server serves beyond the drain time before it exits. */
     private static final long STAY_MS = 2_000;
 
@@ -20,10 +22,10 @@
     private static int play(Harness harness) throws Exception {
         Store store = harness.keep(new Store());
         Relay relay = harness.keep(new Relay(store.address));
-        Deployment deployment = new Deployment(harness, 3, 2, store, relay.address);
+        Deployment deployment = new Deployment(harness, SERVERS, 2, store, relay.address);
         Upstream leaving = deployment.bookers.get(0);
         deployment.bookers.forEach(server -> server.workMs = WORK_MS);
-        deployment.startTraffic(8, 400);
+        deployment.startTraffic(16, 266);
         Harness.sleep(Deployment.STABLE_WINDOW_MS + 500);
         if (leaving.arrivals.isEmpty()) return Harness.NOT_RUN;
 
