Give message heads buffers of the size that they need

Cause: generateHead wrote the head with the fields that are added into a buffer as large as the limit for the head without them, and repeated the call on HEADER_OVERFLOW without end, on the selector thread of the caller port. Same cause: the limit of the configuration wasn't applied, and response heads above 8192 bytes, accepted up to 16384, didn't fit the buffer for callers. Ruled out: Jetty's maxResponseHeaderSize; with it a response whose head outgrows the first buffer is reported as sent and never written (trial).

--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/listener/AsyncHttpServer.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/listener/AsyncHttpServer.kt
@@ -10,7 +10,6 @@
 import org.eclipse.jetty.io.ByteBufferPool
 import org.eclipse.jetty.server.Handler
 import org.eclipse.jetty.server.HttpConfiguration
-import org.eclipse.jetty.server.HttpConnectionFactory
 import org.eclipse.jetty.server.Request
 import org.eclipse.jetty.server.Response
 import org.eclipse.jetty.server.Server
@@ -79,6 +78,11 @@
         connectors.getValue(name).idleTimeout = idleTimeoutMs
     }
 
+    /** Sets the maximum size of a request head on connections of the listener [name] that are opened from now on. */
+    public fun setMaxHeadBytes(name: String, maxHeadBytes: Int) {
+        connectors.getValue(name).setMaxHeadBytes(maxHeadBytes)
+    }
+
     /** Closes the listener [name]; open connections and those in the accept queue are still served. */
     public fun closeListener(name: String) {
         connectors.getValue(name).close()
@@ -144,7 +148,7 @@
         httpCompliance = HttpCompliance.RFC9110
         uriCompliance = UriCompliance.UNSAFE
     }
-    return GracefulCloseConnector(server, HttpConnectionFactory(configuration)).apply {
+    return GracefulCloseConnector(server, configuration).apply {
         name = listener.name
         host = listener.address.host
         port = listener.address.port
--- /dev/null
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/listener/CallerConnectionFactory.kt
@@ -0,0 +1,31 @@
+/*
+ * Creates connections that each have a configuration of their own, so that the buffer for a response head can have the
+ * size that the response needs. In Jetty 12.1.5, a response whose head outgrows the buffer reports success and is never
+ * written.
+ */
+package org.cardamomwharf.forward.listener
+
+import org.cardamomwharf.forward.headBytesOf
+import org.eclipse.jetty.io.Connection
+import org.eclipse.jetty.io.EndPoint
+import org.eclipse.jetty.server.Connector
+import org.eclipse.jetty.server.HttpConfiguration
+import org.eclipse.jetty.server.HttpConnectionFactory
+import org.eclipse.jetty.server.Response
+import org.eclipse.jetty.server.internal.HttpConnection
+
+internal class CallerConnectionFactory(configuration: HttpConfiguration) : HttpConnectionFactory(configuration) {
+    override fun newConnection(connector: Connector, endPoint: EndPoint): Connection {
+        val connection = HttpConnection(HttpConfiguration(httpConfiguration), connector, endPoint)
+        connection.isUseInputDirectByteBuffers = isUseInputDirectByteBuffers
+        connection.isUseOutputDirectByteBuffers = isUseOutputDirectByteBuffers
+        return configure(connection, connector, endPoint)
+    }
+}
+
+/** Enlarges the buffer for the head of this response if it doesn't fit; must be called before the response is written. */
+internal fun Response.reserveHead() {
+    val configuration = request.connectionMetaData.httpConfiguration
+    val neededBytes = headBytesOf(headers)
+    if (neededBytes > configuration.responseHeaderSize) configuration.responseHeaderSize = neededBytes
+}
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/listener/GracefulCloseConnector.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/listener/GracefulCloseConnector.kt
@@ -4,11 +4,12 @@
  */
 package org.cardamomwharf.forward.listener
 
+import org.cardamomwharf.forward.effectiveHeadBytes
 import org.eclipse.jetty.io.EndPoint
 import org.eclipse.jetty.io.ManagedSelector
 import org.eclipse.jetty.io.SelectorManager
 import org.eclipse.jetty.io.SocketChannelEndPoint
-import org.eclipse.jetty.server.HttpConnectionFactory
+import org.eclipse.jetty.server.HttpConfiguration
 import org.eclipse.jetty.server.Server
 import org.eclipse.jetty.server.ServerConnector
 import org.eclipse.jetty.server.internal.HttpConnection
@@ -24,13 +25,18 @@
 /** Time without input after which a connection counts as idle; a request may be in transit until then. */
 private const val IDLE_MS = 250L
 
-internal class GracefulCloseConnector(server: Server, factory: HttpConnectionFactory) :
-    ServerConnector(server, null, null, null, 0, 1, factory) {
+internal class GracefulCloseConnector(server: Server, private val configuration: HttpConfiguration) :
+    ServerConnector(server, null, null, null, 0, 1, CallerConnectionFactory(configuration)) {
     private val pendingCount = AtomicInteger()
 
     /** Number of connections that are open or accepted. */
     val connectionCount: Int get() = pendingCount.get() + connectedEndPoints.size
 
+    /** Sets the maximum size of a request head on connections that are opened from now on. */
+    fun setMaxHeadBytes(maxHeadBytes: Int) {
+        configuration.requestHeaderSize = effectiveHeadBytes(maxHeadBytes)
+    }
+
     /** Accepts the connections in the accept queue, then closes the socket. */
     override fun close() {
         super.close()
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/RequestForwarder.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/RequestForwarder.kt
@@ -4,12 +4,18 @@
  */
 package org.cardamomwharf.forward.proxy
 
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.map
+import com.github.michaelbull.result.onFailure
+import com.github.michaelbull.result.onSuccess
 import org.cardamomwharf.core.StatusCode
 import org.cardamomwharf.forward.listener.CallerEndPoint
 import org.cardamomwharf.forward.server.CallResult
+import org.cardamomwharf.forward.server.HeadError
 import org.cardamomwharf.forward.server.ServerCall
 import org.cardamomwharf.forward.server.ServerRequest
 import org.cardamomwharf.forward.server.ServerResponse
+import org.cardamomwharf.forward.server.createServerRequest
 import org.cardamomwharf.platform.HeaderNames
 import org.cardamomwharf.steering.requests.AttemptOutcome
 import org.cardamomwharf.steering.requests.AttemptReport
@@ -63,18 +69,29 @@
             }
             placements.add(placement)
             sentAtMs = context.clock.nowMs()
-            ServerCall(placement.server, placement.address, requestFor(placement)) { onCallResult(placement, it) }
-                .also { call = it }
+            requestFor(placement).map { request ->
+                ServerCall(placement.server, placement.address, request) { onCallResult(placement, it) }
+                    .also { call = it }
+            }
+        }
+        next.onSuccess { context.pool.send(it) }.onFailure(::onUnwritable)
+    }
+
+    private fun onUnwritable(error: HeadError) {
+        val next = synchronized(this) {
+            if (isFinished) return
+            val report = recordAttempt(AttemptOutcome.UNWRITABLE, error.toString())
+            context.steering.withLock { steering, nowMs -> steering.completeAttempt(spec, placements, report, nowMs) }
         }
-        context.pool.send(next)
+        takeNextStep(next, null)
     }
 
-    private fun requestFor(placement: Placement.Send): ServerRequest {
+    private fun requestFor(placement: Placement.Send): Result<ServerRequest, HeadError> {
         val remainingMs = (spec.deadlineAtMs - context.clock.nowMs()).coerceAtLeast(1)
         val fields = removeHopByHopFields(request.headers)
             .put(HeaderNames.DEADLINE_MS, remainingMs.toString())
             .put(HeaderNames.EXPECTED_SERVER, placement.server.value)
-        return ServerRequest(spec.id, request.method, request.httpURI.pathQuery, fields, body)
+        return createServerRequest(spec.id, request.method, request.httpURI.pathQuery, fields, body)
     }
 
     private fun onCallResult(placement: Placement.Send, result: CallResult) {
@@ -102,6 +119,7 @@
             NextStep.ReportUnknown -> finish {
                 responses.reply(LocalReply(StatusCode.BAD_GATEWAY, "unknown"), attempts)
             }
+            NextStep.RejectRequest -> finish { responses.reply(unwritableReply, attempts) }
             NextStep.ReportTimeout -> finish { responses.reply(timeoutReply, attempts) }
         }
     }
@@ -149,5 +167,6 @@
 
     private companion object {
         val timeoutReply = LocalReply(StatusCode.GATEWAY_TIMEOUT, AttemptOutcome.TIMED_OUT.code)
+        val unwritableReply = LocalReply(StatusCode.BAD_REQUEST, AttemptOutcome.UNWRITABLE.code)
     }
 }
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/ResponseWriter.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/ResponseWriter.kt
@@ -3,6 +3,7 @@
  */
 package org.cardamomwharf.forward.proxy
 
+import org.cardamomwharf.forward.listener.reserveHead
 import org.cardamomwharf.forward.server.ServerResponse
 import org.cardamomwharf.platform.HeaderNames
 import org.eclipse.jetty.http.HttpFields
@@ -62,6 +63,7 @@
 private fun write(body: ByteArray, isClosing: Boolean, response: Response, done: Callback) {
     if (isClosing) response.headers.put(HttpHeader.CONNECTION, "close")
     response.headers.put(HttpHeader.CONTENT_LENGTH, body.size.toLong())
+    response.reserveHead()
     response.write(true, ByteBuffer.wrap(body), done)
 }
 
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/ConnectionPool.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/ConnectionPool.kt
@@ -28,6 +28,7 @@
  *
  * @param connectTimeoutMs connect timeout; longer than any round trip, shorter than most target latencies.
  * @param idleTimeoutMs idle time of a connection when the backend server announces no timeout.
+ * @param maxResponseHeadBytes maximum size of a response head.
  * @param maxResponseBytes maximum size of a response body.
  * @param maxBufferedBytes maximum size of all response bodies that are being read; their buffers may take twice this
  *   size in a heap of 96 MB.
@@ -35,7 +36,7 @@
 public data class ConnectionPoolSettings(
     public val connectTimeoutMs: Long = 400,
     public val idleTimeoutMs: Long = 4_000,
-    public val maxHeadBytes: Int = 16_384,
+    public val maxResponseHeadBytes: Int = 32_768,
     public val maxResponseBytes: Int = 2_097_152,
     public val maxBufferedBytes: Long = 16_777_216,
 )
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/RequestHead.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/RequestHead.kt
@@ -3,6 +3,11 @@
  */
 package org.cardamomwharf.forward.server
 
+import com.github.michaelbull.result.Err
+import com.github.michaelbull.result.Ok
+import com.github.michaelbull.result.Result
+import org.cardamomwharf.forward.headBytesOf
+import org.eclipse.jetty.http.HttpException
 import org.eclipse.jetty.http.HttpFields
 import org.eclipse.jetty.http.HttpGenerator
 import org.eclipse.jetty.http.HttpHeader
@@ -12,18 +17,31 @@
 import org.eclipse.jetty.util.BufferUtil
 import java.nio.ByteBuffer
 
-/** Returns the head of [request] with at most [maxBytes] bytes. */
-internal fun generateHead(request: ServerRequest, maxBytes: Int): ByteBuffer {
-    val length = request.body?.remaining()?.toLong()
-    val fields = HttpFields.build(request.fields)
-    length?.let { fields.put(HttpHeader.CONTENT_LENGTH, it) }
-    val uri = HttpURI.from(request.target)
-    val meta = MetaData.Request(request.method, uri, HttpVersion.HTTP_1_1, fields, length ?: 0L)
-    val head = BufferUtil.allocate(maxBytes)
-    val generator = HttpGenerator()
-    var result = generator.generateRequest(meta, null, null, request.body?.duplicate(), true)
-    while (result != HttpGenerator.Result.FLUSH && result != HttpGenerator.Result.DONE) {
-        result = generator.generateRequest(meta, head, null, request.body?.duplicate(), true)
-    }
-    return head
+/** Represents why a head can't be generated. */
+public sealed interface HeadError {
+    /** The generator didn't complete the head and returned [result]. */
+    public data class Incomplete(public val result: String) : HeadError
+
+    /** A part of the request can't be expressed in HTTP/1.1. */
+    public data class Invalid(public val cause: RuntimeException) : HeadError
+}
+
+/** Returns the head of a request to [target] with [fields] and the length of [body]. */
+internal fun generateHead(
+    method: String,
+    target: String,
+    fields: HttpFields,
+    body: ByteBuffer?,
+): Result<ByteBuffer, HeadError> = try {
+    val length = body?.remaining()?.toLong()
+    val allFields = HttpFields.build(fields)
+    length?.let { allFields.put(HttpHeader.CONTENT_LENGTH, it) }
+    val meta = MetaData.Request(method, HttpURI.from(target), HttpVersion.HTTP_1_1, allFields, length ?: 0L)
+    val head = BufferUtil.allocate(method.length + target.length + headBytesOf(allFields))
+    val result = HttpGenerator().generateRequest(meta, head, null, body?.duplicate(), true)
+    if (result == HttpGenerator.Result.FLUSH) Ok(head) else Err(HeadError.Incomplete(result.name))
+} catch (e: IllegalArgumentException) {
+    Err(HeadError.Invalid(e))
+} catch (e: HttpException.RuntimeException) {
+    Err(HeadError.Invalid(e))
 }
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/ResponseReader.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/ResponseReader.kt
@@ -36,7 +36,7 @@
     fun recordRead(count: Int) {
         readBytes += count
         val framingBytes = readBytes - body.size
-        val isFramed = framingBytes <= 2L * settings.maxHeadBytes + FRAMING_BYTES_PER_BODY_BYTE * body.size
+        val isFramed = framingBytes <= 2L * settings.maxResponseHeadBytes + FRAMING_BYTES_PER_BODY_BYTE * body.size
         if (!isComplete && !isFramed && failure == null) failure = CallFailure.TOO_LARGE
     }
 
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/ServerCall.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/ServerCall.kt
@@ -3,6 +3,8 @@
  */
 package org.cardamomwharf.forward.server
 
+import com.github.michaelbull.result.Result
+import com.github.michaelbull.result.map
 import org.cardamomwharf.core.ServerName
 import org.cardamomwharf.core.SocketAddress
 import org.eclipse.jetty.http.HttpFields
@@ -10,14 +12,21 @@
 import java.util.concurrent.atomic.AtomicBoolean
 
 /** Represents a request to a backend server; the response must repeat its [id]. */
-public class ServerRequest(
+public class ServerRequest internal constructor(
     public val id: String,
-    public val method: String,
-    public val target: String,
-    public val fields: HttpFields,
-    public val body: ByteBuffer?,
+    internal val head: ByteBuffer,
+    internal val body: ByteBuffer?,
 )
 
+/** Returns a request, or why its head can't be generated. */
+public fun createServerRequest(
+    id: String,
+    method: String,
+    target: String,
+    fields: HttpFields,
+    body: ByteBuffer?,
+): Result<ServerRequest, HeadError> = generateHead(method, target, fields, body).map { ServerRequest(id, it, body) }
+
 /**
  * Represents a call to a backend server.
  *
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/ServerConnection.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/ServerConnection.kt
@@ -25,7 +25,7 @@
     val key: ServerKey = pending.key
     private var firstCall: ServerCall? = pending.call
     private val reader = ResponseReader(settings, pool.bufferedBytes)
-    private val parser = HttpParser(reader, settings.maxHeadBytes).apply { headerCacheSize = 0 }
+    private val parser = HttpParser(reader, settings.maxResponseHeadBytes).apply { headerCacheSize = 0 }
     private val input: ByteBuffer = BufferUtil.allocate(INPUT_BYTES)
     private var call: ServerCall? = null
     private var skipped = 0
@@ -66,7 +66,7 @@
         }
         next.attach(this)
         return try {
-            val head = generateHead(next.request, settings.maxHeadBytes)
+            val head = next.request.head.duplicate()
             val body = next.request.body?.duplicate() ?: EMPTY
             isWritten = true // The response may be read on another thread before flush returns.
             if (!endPoint.flush(head, body)) {
--- a/cardamomwharf-forward/src/test/kotlin/org/cardamomwharf/forward/listener/ClosedListenerTest.kt
+++ b/cardamomwharf-forward/src/test/kotlin/org/cardamomwharf/forward/listener/ClosedListenerTest.kt
@@ -11,7 +11,7 @@
 import org.cardamomwharf.core.SocketAddress
 import org.eclipse.jetty.io.ManagedSelector
 import org.eclipse.jetty.server.Handler
-import org.eclipse.jetty.server.HttpConnectionFactory
+import org.eclipse.jetty.server.HttpConfiguration
 import org.eclipse.jetty.server.Request
 import org.eclipse.jetty.server.Response
 import org.eclipse.jetty.server.Server
@@ -63,7 +63,7 @@
 
     test("`connections in the accept queue are counted immediately and served after the close`") {
         val server = Server()
-        val connector = GracefulCloseConnector(server, HttpConnectionFactory())
+        val connector = GracefulCloseConnector(server, HttpConfiguration())
         connector.host = HOST
         server.addConnector(connector)
         server.handler = object : Handler.Abstract.NonBlocking() {
--- a/cardamomwharf-forward/src/test/kotlin/org/cardamomwharf/forward/server/ConnectionPoolTest.kt
+++ b/cardamomwharf-forward/src/test/kotlin/org/cardamomwharf/forward/server/ConnectionPoolTest.kt
@@ -3,6 +3,7 @@
  */
 package org.cardamomwharf.forward.server
 
+import com.github.michaelbull.result.getOrThrow
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
@@ -34,7 +35,7 @@
 
     fun start(address: SocketAddress, id: String, end: CompletableFuture<CallResult>): ServerCall {
         val fields = HttpFields.build().put("Host", "h").put(HeaderNames.REQUEST_ID, id)
-        val request = ServerRequest(id, "GET", "/x", fields, null)
+        val request = createServerRequest(id, "GET", "/x", fields, null).getOrThrow { error(it) }
         val call = ServerCall(ServerName("s"), address, request) { end.complete(it) }
         pool.send(call)
         return call
--- a/cardamomwharf-forward/src/test/kotlin/org/cardamomwharf/forward/server/UnlimitedResponseTest.kt
+++ b/cardamomwharf-forward/src/test/kotlin/org/cardamomwharf/forward/server/UnlimitedResponseTest.kt
@@ -4,6 +4,7 @@
  */
 package org.cardamomwharf.forward.server
 
+import com.github.michaelbull.result.getOrThrow
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
@@ -52,7 +53,7 @@
     fun start(pool: ConnectionPool, address: SocketAddress): CompletableFuture<CallResult> {
         val fields = HttpFields.build().put("Host", "h").put(HeaderNames.REQUEST_ID, "a")
         val end = CompletableFuture<CallResult>()
-        val request = ServerRequest("a", "GET", "/x", fields, null)
+        val request = createServerRequest("a", "GET", "/x", fields, null).getOrThrow { error(it) }
         pool.send(ServerCall(ServerName("s"), address, request) { end.complete(it) })
         return end
     }
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/GatewayProcess.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/GatewayProcess.kt
@@ -197,7 +197,10 @@
     }
 
     private fun createStoreListener() = object : StoreListener {
-        override fun onCallerLimits(limits: CallerLimits) = server.setIdleTimeout(CALLERS, limits.idleTimeoutMs)
+        override fun onCallerLimits(limits: CallerLimits) {
+            server.setIdleTimeout(CALLERS, limits.idleTimeoutMs)
+            server.setMaxHeadBytes(CALLERS, limits.largestHeadBytes)
+        }
 
         override fun onChange() = heartbeats.notifyChange()
     }
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/requests/AttemptOutcome.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/requests/AttemptOutcome.kt
@@ -25,6 +25,9 @@
     /** No byte of the request was sent. */
     NOT_SENT("not-sent", true),
 
+    /** The request can't be written as HTTP/1.1 to any backend server. */
+    UNWRITABLE("unwritable", true),
+
     /** The request was sent, and no complete response arrived. */
     LOST("lost", false),
 
@@ -36,7 +39,8 @@
     ;
 
     /** True when no retry may follow. */
-    public val isFinal: Boolean get() = this == ANSWERED || this == TIMED_OUT || this == CALLER_GONE
+    public val isFinal: Boolean
+        get() = this == ANSWERED || this == TIMED_OUT || this == CALLER_GONE || this == UNWRITABLE
 }
 
 /** Represents the step after an attempt. */
@@ -53,6 +57,9 @@
     /** The caller receives an error, because the request may have been executed. */
     public data object ReportUnknown : NextStep
 
+    /** The caller receives an error, because no backend server can be sent the request. */
+    public data object RejectRequest : NextStep
+
     /** The caller receives a timeout response. */
     public data object ReportTimeout : NextStep
 }
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/requests/FinalStep.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/requests/FinalStep.kt
@@ -11,6 +11,7 @@
  */
 internal fun finalStepOf(report: AttemptReport, retryAfterMs: Long): NextStep = when (report.outcome) {
     AttemptOutcome.ANSWERED, AttemptOutcome.FAILED, AttemptOutcome.CALLER_GONE -> NextStep.RelayResponse
+    AttemptOutcome.UNWRITABLE -> NextStep.RejectRequest
     AttemptOutcome.TIMED_OUT -> NextStep.ReportTimeout
     AttemptOutcome.LOST -> NextStep.ReportUnknown
     AttemptOutcome.SHED, AttemptOutcome.MISDIRECTED, AttemptOutcome.NOT_SENT -> if (report.mayHaveRun) {
