--- a/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/support/CrashFleet.kt
+++ b/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/support/CrashFleet.kt
@@ -165,6 +165,7 @@
             NextStep.RelayResponse -> count(request.path, "answered")
             is NextStep.Refuse -> end(request.path, next.reason)
             NextStep.ReportUnknown, NextStep.ReportTimeout -> count(request.path, "lost")
+            NextStep.RejectRequest -> count(request.path, "unwritable")
         }
     }
 
