Send nothing to servers that say in a response that they are leaving

Cause: Server-Leaving wasn't decoded and markLeaving was called by nothing; only the store's entry excluded a server. Now the report of any answer to a request of its own marks the start that the request was sent to, before the answer is passed on; the mark outlives the entry and ends with a later start. A 421 isn't the server's own.

--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/RequestForwarder.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/RequestForwarder.kt
@@ -102,8 +102,8 @@
                 ?.takeIf { report.outcome != AttemptOutcome.MISDIRECTED }
             if (serverReport?.isLimitMalformed == true) context.reportListener.onMalformedLimit(placement.server)
             context.steering.withLock { steering, nowMs ->
-                serverReport?.let { steering.recordServerReport(placement.server, it, nowMs) }
-                    ?.let { context.reportListener.onLimitChange(it) }
+                serverReport?.let { steering.recordServerReport(placement, it, nowMs) }
+                    ?.let { context.reportListener.onChange(placement.server, it) }
                 steering.completeAttempt(spec, placements, report, nowMs)
                     .also { if (steering.crashingRequests.outbox.hasMessages) context.reportListener.onCrashReports() }
             }
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/ServerReportListener.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/ServerReportListener.kt
@@ -4,12 +4,12 @@
 package org.cardamomwharf.forward.proxy
 
 import org.cardamomwharf.core.ServerName
-import org.cardamomwharf.steering.servers.LimitChange
+import org.cardamomwharf.steering.servers.ServerReportChange
 
 /** Receives notable statements of backend servers. Calls must not block. */
 public interface ServerReportListener {
-    /** Called when a backend server announces another limit, or none any more. */
-    public fun onLimitChange(change: LimitChange)
+    /** Called after each report of [server] with what it changed. */
+    public fun onChange(server: ServerName, change: ServerReportChange)
 
     /** Called when a limit announced by [server] can't be decoded. */
     public fun onMalformedLimit(server: ServerName)
@@ -20,7 +20,7 @@
 
 /** Ignores all statements. */
 internal object IgnoredServerReports : ServerReportListener {
-    override fun onLimitChange(change: LimitChange) = Unit
+    override fun onChange(server: ServerName, change: ServerReportChange) = Unit
 
     override fun onMalformedLimit(server: ServerName) = Unit
 
--- a/cardamomwharf-forward/src/test/kotlin/org/cardamomwharf/forward/support/ForwardingGateway.kt
+++ b/cardamomwharf-forward/src/test/kotlin/org/cardamomwharf/forward/support/ForwardingGateway.kt
@@ -1,6 +1,6 @@
 /*
- * The caller port of a gateway for tests: listener, steering and pool as in the real process, in front of one scripted
- * backend server.
+ * The caller port of a gateway for tests: listener, steering and pool as in the real process, in front of scripted
+ * backend servers.
  */
 package org.cardamomwharf.forward.support
 
@@ -45,8 +45,8 @@
 /** The shortest field; most writers add a space. */
 private const val EMPTY_FIELD = "c:\r\n"
 
-/** Forwards requests of callers for the path /r/ to the server at [server]. */
-internal class ForwardingGateway(server: SocketAddress) : AutoCloseable {
+/** Forwards requests of callers for the path /r/ to the servers at [servers]. */
+internal class ForwardingGateway(vararg servers: SocketAddress) : AutoCloseable {
     private val clock = monotonicClock()
     private val steering = Steering(
         InstanceLocation(InstanceName("i"), zone, mapOf(zone to RegionName("r"))),
@@ -62,12 +62,16 @@
 
     init {
         val parts = listOf(WeightedService(service, 1.0))
-        val route = Route("r", "h", "/r/", true, parts, ROUTE_TIMEOUT_MS, ROUTE_TIMEOUT_MS, 1, 1, true, emptySet())
+        val route = Route("r", "h", "/r/", true, parts, ROUTE_TIMEOUT_MS, ROUTE_TIMEOUT_MS, 1, 2, true, emptySet())
         val terms = ServiceTerms(service, "/health", 10, 0, 1.0)
         val limits = CallerLimits(settings.maxHeadBytes, BODY_BYTES, ROUTE_TIMEOUT_MS, settings.idleTimeoutMs)
         steering.routes.adopt(DesiredState(DocumentVersion(1), listOf(route), mapOf(service to terms), limits))
-        val record = ServerRecord(ServerName("server-0001"), service, server, zone, 64, false, 1, 0)
-        steering.applyServers(listOf(TableChange("server-0001", 1, null, record)), clock.nowMs())
+        val changes = servers.mapIndexed { index, address ->
+            val name = "server-000$index"
+            TableChange(name, 1, null, ServerRecord(ServerName(name), service, address, zone, 64, false, 1, 0))
+        }
+        steering.setLiveInstances(emptyMap(), clock.nowMs())
+        steering.applyServers(changes, clock.nowMs())
         http.start()
     }
 
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/logs/ServerReportLog.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/logs/ServerReportLog.kt
@@ -8,13 +8,22 @@
 import org.cardamomwharf.forward.proxy.ServerReportListener
 import org.cardamomwharf.gateway.metrics.GatewayMetrics
 import org.cardamomwharf.steering.servers.LimitChange
+import org.cardamomwharf.steering.servers.ServerReportChange
 
 internal class ServerReportLog(
     private val log: DecisionLog,
     private val metrics: GatewayMetrics,
     private val tellOthers: () -> Unit,
 ) : ServerReportListener {
-    override fun onLimitChange(change: LimitChange) {
+    override fun onChange(server: ServerName, change: ServerReportChange) {
+        if (change.isLeaving) {
+            metrics.countServerReport("leaving")
+            log.event("server-leaving") { put("server", server.value) }
+        }
+        change.limit?.let(::recordLimit)
+    }
+
+    private fun recordLimit(change: LimitChange) {
         metrics.countServerReport(if (change.afterPerSecond == null) "limit-ended" else "limit")
         log.event("server-limit") {
             put("server", change.server.value)
--- a/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/serial/SerialFormsTest.kt
+++ b/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/serial/SerialFormsTest.kt
@@ -64,7 +64,7 @@
     Heartbeat(InstanceRecord(InstanceName(name), ZoneName("z-$name"), address, peerAddress), Incarnation(5), 6, true)
 
 private fun sampleTrace(warmth: Warmth, choice: RegionChoice, region: String?): RequestTrace {
-    val placement = Placement.Send(ServerName("s"), address, warmth, 1.0, 2.0, region?.let(::RegionName), choice)
+    val placement = Placement.Send(ServerName("s"), address, warmth, 1.0, 2.0, region?.let(::RegionName), choice, 1)
     val first = AttemptTrace(placement, AttemptOutcome.SHED.code, "detail", 3)
     return RequestTrace(
         "id", "route", "service", "key", 4, "outcome", 503, 5, 6,
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/Steering.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/Steering.kt
@@ -5,7 +5,6 @@
 package org.cardamomwharf.steering
 
 import org.cardamomwharf.core.InstanceName
-import org.cardamomwharf.core.ServerName
 import org.cardamomwharf.core.ZoneName
 import org.cardamomwharf.steering.crashes.CrashingRequests
 import org.cardamomwharf.steering.desired.ActiveRoutes
@@ -25,10 +24,10 @@
 import org.cardamomwharf.steering.requests.StopPlan
 import org.cardamomwharf.steering.requests.allows
 import org.cardamomwharf.steering.requests.finalStepOf
-import org.cardamomwharf.steering.servers.LimitChange
 import org.cardamomwharf.steering.servers.ServerRecord
 import org.cardamomwharf.steering.servers.ServerRegistry
 import org.cardamomwharf.steering.servers.ServerReport
+import org.cardamomwharf.steering.servers.ServerReportChange
 import org.cardamomwharf.steering.store.TableChange
 
 /** Makes the routing decisions of one instance. */
@@ -117,13 +116,15 @@
     }
 
     /**
-     * Records what [server] states about itself in a response that belongs to a request, and returns the change of its
-     * limit, or null if the limit is the same.
+     * Records what the server of [send] states about itself in a response that belongs to a request, and returns what
+     * changed by it.
      */
-    public fun recordServerReport(server: ServerName, report: ServerReport, nowMs: Long): LimitChange? {
-        val known = servers.find(server) ?: return null
+    public fun recordServerReport(send: Placement.Send, report: ServerReport, nowMs: Long): ServerReportChange {
+        val isLeaving = report.isLeaving && servers.markLeaving(send.server, send.startedAtUnixMs)
+        val known = servers.find(send.server) ?: return ServerReportChange(isLeaving = isLeaving)
         report.load?.let { known.load.recordLoadReport(it, nowMs) }
-        return if (report.isLimitMalformed) null else announcedLimits.set(known, report.limitPerSecond, nowMs)
+        val limit = if (report.isLimitMalformed) null else announcedLimits.set(known, report.limitPerSecond, nowMs)
+        return ServerReportChange(limit, isLeaving)
     }
 
     /** Adjusts the shares of requests sent to other regions. Has to be called a few times per second. */
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/ServerSelector.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/ServerSelector.kt
@@ -80,6 +80,7 @@
             load,
             best.server.region,
             choice,
+            record.startedAtUnixMs,
         )
     }
 
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/requests/RequestSpec.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/requests/RequestSpec.kt
@@ -35,6 +35,7 @@
      *
      * @param region region of the server, or null when its zone isn't listed.
      * @param choice reason for choosing the region.
+     * @param startedAtUnixMs start time of the server; what its response states is true for this start only.
      */
     public data class Send(
         public val server: ServerName,
@@ -44,6 +45,7 @@
         public val load: Double,
         public val region: RegionName?,
         public val choice: RegionChoice,
+        public val startedAtUnixMs: Long,
     ) : Placement
 
     /** The request is refused; the caller may retry after [retryAfterMs]. */
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/servers/ServerRegistry.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/servers/ServerRegistry.kt
@@ -17,7 +17,7 @@
     private val byName = HashMap<ServerName, KnownServer>()
     private val byService = HashMap<ServiceName, MutableList<KnownServer>>()
     private var evacuated: Set<ZoneName> = emptySet()
-    private val leaving = HashSet<ServerName>()
+    private val leaving = LeavingServers()
 
     /** Returns the server with the given [name], or null. */
     public fun find(name: ServerName): KnownServer? = byName[name]
@@ -25,9 +25,9 @@
     /** Returns all servers of [service], including leaving ones. */
     public fun findByService(service: ServiceName): List<KnownServer> = byService[service].orEmpty()
 
-    /** Returns true when neither the store nor the operators exclude [server] from new requests. */
+    /** Returns true when neither the store, the operators nor the server itself exclude [server] from new requests. */
     public fun isEligible(server: KnownServer): Boolean =
-        !server.record.isDraining && server.record.name !in leaving && server.record.zone !in evacuated
+        !server.record.isDraining && server.record !in leaving && server.record.zone !in evacuated
 
     /** Applies [changes] of the store. */
     public fun apply(changes: List<TableChange<ServerRecord>>, coldStartMs: (ServiceName) -> Long, nowMs: Long) {
@@ -41,10 +41,11 @@
         }
     }
 
-    /** Marks the server with the given [name], which has announced that it is leaving. */
-    public fun markLeaving(name: ServerName) {
-        if (name in byName) leaving.add(name)
-    }
+    /**
+     * Records that the server with the given [name] has announced that it is leaving. Nothing but a later start than
+     * [startedAtUnixMs] makes it eligible again. Returns false when that was known.
+     */
+    public fun markLeaving(name: ServerName, startedAtUnixMs: Long): Boolean = leaving.add(name, startedAtUnixMs)
 
     /**
      * Sets the evacuated zones, whose servers receive no requests. Servers of a zone that is no longer evacuated count
@@ -78,7 +79,6 @@
             return add(record, coldStartMs, nowMs)
         }
         if (server.record.startedAtUnixMs != record.startedAtUnixMs) {
-            leaving.remove(record.name)
             server.reset()
             server.coldUntilMs = nowMs + maxOf(record.coldRemainingMs, coldStartMs)
         } else if (record.coldRemainingMs != server.record.coldRemainingMs) {
@@ -91,8 +91,8 @@
         before.service != after.service || before.zone != after.zone || before.address != after.address
 
     private fun remove(name: ServerName) {
-        leaving.remove(name)
         val server = byName.remove(name) ?: return
+        leaving.onRemoved(server.record)
         byService[server.record.service]?.remove(server)
     }
 }
--- a/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/support/LimitFleet.kt
+++ b/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/support/LimitFleet.kt
@@ -97,7 +97,7 @@
         val isLimited = sent.server == limited
         if (isLimited) receive(name, nowMs)
         val limit = if (isLimited) limitAt(nowMs) else null
-        steering.recordServerReport(sent.server, ServerReport(limitPerSecond = limit), nowMs)
+        steering.recordServerReport(sent, ServerReport(limitPerSecond = limit), nowMs)
         if (limit != null) toldAtMs.putIfAbsent(name, nowMs)
         steering.recordOutcome(spec, sent, AttemptReport(AttemptOutcome.ANSWERED, false, TOOK_MS), nowMs)
     }
