Limit what the client of the store and of other instances reads

Reported by others: bytes that are no answer, without end, filled the memory of the machine that had called. Here answers of backend servers have limits; the client for the store and other instances had none for heads, empty lines, interim responses, extensions of chunks and trailers, and an interim response took its connection for good.

--- a/cardamomwharf-http/src/main/kotlin/org/cardamomwharf/http/JettyHttpClient.kt
+++ b/cardamomwharf-http/src/main/kotlin/org/cardamomwharf/http/JettyHttpClient.kt
@@ -8,13 +8,19 @@
 import org.eclipse.jetty.client.BufferingResponseListener
 import org.eclipse.jetty.client.BytesRequestContent
 import org.eclipse.jetty.client.Request
+import org.eclipse.jetty.client.Response
 import org.eclipse.jetty.client.Result
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP
 import org.eclipse.jetty.http.HttpHeader
 import org.eclipse.jetty.http.HttpMethod
+import org.eclipse.jetty.http.HttpStatus
 import org.eclipse.jetty.io.ClientConnector
+import org.eclipse.jetty.io.EndPoint
+import org.eclipse.jetty.io.ManagedSelector
 import org.eclipse.jetty.util.thread.QueuedThreadPool
+import java.io.IOException
 import java.nio.channels.SelectableChannel
+import java.nio.channels.SelectionKey
 import java.nio.channels.SocketChannel
 import java.util.concurrent.CancellationException
 import java.util.concurrent.TimeUnit
@@ -22,6 +28,15 @@
 import java.util.concurrent.atomic.AtomicBoolean
 import org.eclipse.jetty.client.HttpClient as JettyClient
 
+/** Maximum size of a response head, in bytes; Jetty's client has no limit of its own. */
+private const val MAX_RESPONSE_HEAD_BYTES = 32_768
+
+/** Maximum size of a request head, in bytes; larger than the heads that the servers of this project accept. */
+private const val MAX_REQUEST_HEAD_BYTES = 32_768
+
+/** Maximum size of a response with its head and framing, in bytes: four times the largest body. */
+private const val MAX_FRAMED_RESPONSE_BYTES = 16_777_216L
+
 /** Returns a started HTTP client. */
 public fun startJettyHttpClient(settings: HttpClientSettings): HttpClient {
     val threads = QueuedThreadPool(settings.maxThreads)
@@ -33,6 +48,8 @@
         maxConnectionsPerDestination = settings.maxConnections
         isFollowRedirects = false
         userAgentField = null
+        maxResponseHeadersSize = MAX_RESPONSE_HEAD_BYTES
+        maxRequestHeadersSize = MAX_REQUEST_HEAD_BYTES
     }
     client.start()
     client.contentDecoderFactories.clear()
@@ -40,7 +57,7 @@
     return JettyHttpClient(client, settings.isConnectionReused)
 }
 
-/** Opens connections with TCP keep-alive, which detects lost connections. */
+/** Opens connections with TCP keep-alive, which detects lost connections, and with a limit of each response. */
 private class KeepAliveConnector : ClientConnector() {
     init {
         selectors = 1
@@ -51,6 +68,9 @@
         super.configure(selectable)
         (selectable as? SocketChannel)?.let(::enableTcpKeepAlive)
     }
+
+    override fun newEndPoint(selectable: SelectableChannel, selector: ManagedSelector, key: SelectionKey): EndPoint =
+        LimitedEndPoint(selectable as SocketChannel, selector, key, scheduler, MAX_FRAMED_RESPONSE_BYTES)
 }
 
 private class JettyHttpClient(private val client: JettyClient, private val isConnectionReused: Boolean) : HttpClient {
@@ -89,6 +109,12 @@
     private val isRequestBegun: AtomicBoolean,
     private val onResult: (HttpResult) -> Unit,
 ) : BufferingResponseListener(maxBytes) {
+    /** Ends the call at an interim response: no call asks for one, and Jetty doesn't read on after it. */
+    override fun onHeaders(response: Response) {
+        if (response.status < HttpStatus.OK_200) response.abort(IOException("interim response ${response.status}"))
+        super.onHeaders(response)
+    }
+
     override fun onComplete(result: Result) {
         onResult(if (result.isFailed) createFailed(result) else createCompleted(result))
     }
