Read one buffer of a connection for each event of its selector

Callers could see: with six callers that sent a chunk's extension without end, another one got no answer for 20 s. Cause: Jetty reads and parses on the selector's thread for as long as a fill returns bytes. The caller's end point now returns one buffer for each event; connections to backend servers wait for the next event after each buffer too.

--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/listener/CallerEndPoint.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/listener/CallerEndPoint.kt
@@ -1,7 +1,9 @@
 /*
  * End point of a caller's connection that detects a disconnect while a response is pending. Jetty reads from a
  * connection only when it expects a request, so it doesn't detect a disconnect before that. Bytes that arrive meanwhile
- * belong to the next request and are buffered for Jetty.
+ * belong to the next request and are buffered for Jetty. Jetty reads and parses on the selector's thread for as long as
+ * input is available, so one buffer is passed on for each event, and a caller that sends without end can't keep the
+ * thread from the others.
  */
 package org.cardamomwharf.forward.listener
 
@@ -27,6 +29,9 @@
     private var buffered: ByteBuffer? = null
     private var isInputEnded = false
 
+    @Volatile
+    private var isBufferRead = false
+
     /** True while a response is pending. */
     val isWatchingDisconnect: Boolean get() = synchronized(lock) { onDisconnect != null }
 
@@ -42,12 +47,18 @@
         fillInterest.onFail(stoppedWatching)
     }
 
+    override fun onSelected(): Runnable? {
+        isBufferRead = false
+        return super.onSelected()
+    }
+
     override fun fill(buffer: ByteBuffer): Int = synchronized(lock) {
         val early = buffered
         when {
             early != null -> readBuffered(early, buffer)
             isInputEnded -> -1
-            else -> super.fill(buffer)
+            isBufferRead -> 0
+            else -> super.fill(buffer).also { isBufferRead = it > 0 }
         }
     }
 
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/ServerConnection.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/ServerConnection.kt
@@ -88,11 +88,7 @@
     )
 
     override fun onFillable() {
-        val result = synchronized(this) {
-            var latest: ReadResult
-            do latest = readOnce() while (latest === ReadResult.More)
-            latest
-        }
+        val result = synchronized(this) { readOnce() }
         if (result is ReadResult.Finished) result.action()
     }
 
@@ -101,14 +97,17 @@
         val count = endPoint.fill(input)
         if (count < 0) parser.atEOF()
         when {
-            count == 0 -> ReadResult.Waiting.also { fillInterested() }
+            count == 0 -> awaitMore()
             call == null -> ReadResult.Finished { discard() }
-            else -> parse() ?: if (count < 0) ReadResult.Finished { fail(CallFailure.TRUNCATED) } else ReadResult.More
+            else -> parse() ?: if (count < 0) ReadResult.Finished { fail(CallFailure.TRUNCATED) } else awaitMore()
         }
     } catch (@Suppress("SwallowedException") e: IOException) {
         ReadResult.Finished { fail(CallFailure.RESET) }
     }
 
+    /** Leaves the thread to other connections after each buffer, also when more input is available. */
+    private fun awaitMore(): ReadResult = ReadResult.Waiting.also { fillInterested() }
+
     private fun parse(): ReadResult? {
         val id = call?.request?.id
         val count = input.remaining()
@@ -165,10 +164,7 @@
 
     /** Represents the result of one read from the connection. */
     private sealed interface ReadResult {
-        /** More input may be available. */
-        data object More : ReadResult
-
-        /** No input is available; the connection waits for more. */
+        /** The connection waits for more input. */
         data object Waiting : ReadResult
 
         /** The call or the connection ended; [action] runs outside the lock. */
