--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/listener/CallerConnectionFactory.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/listener/CallerConnectionFactory.kt
@@ -23,7 +23,7 @@
     }
 }
 
-/** Enlarges the buffer for the head of this response if it doesn't fit; must be called before the response is written. */
+/** Enlarges the buffer for the head of this response if needed; must be called before the response is written. */
 internal fun Response.reserveHead() {
     val configuration = request.connectionMetaData.httpConfiguration
     val neededBytes = headBytesOf(headers)
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/RequestForwarder.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/RequestForwarder.kt
@@ -69,8 +69,9 @@
             }
             placements.add(placement)
             sentAtMs = context.clock.nowMs()
-            requestFor(placement).map { request ->
-                ServerCall(placement.server, placement.address, request) { onCallResult(placement, it) }
+            val remainingMs = (spec.deadlineAtMs - sentAtMs).coerceAtLeast(1)
+            createAttempt(request, spec.id, placement, remainingMs, body).map { attempt ->
+                ServerCall(placement.server, placement.address, attempt) { onCallResult(placement, it) }
                     .also { call = it }
             }
         }
@@ -86,14 +87,6 @@
         takeNextStep(next, null)
     }
 
-    private fun requestFor(placement: Placement.Send): Result<ServerRequest, HeadError> {
-        val remainingMs = (spec.deadlineAtMs - context.clock.nowMs()).coerceAtLeast(1)
-        val fields = removeHopByHopFields(request.headers)
-            .put(HeaderNames.DEADLINE_MS, remainingMs.toString())
-            .put(HeaderNames.EXPECTED_SERVER, placement.server.value)
-        return createServerRequest(spec.id, request.method, request.httpURI.pathQuery, fields, body)
-    }
-
     private fun onCallResult(placement: Placement.Send, result: CallResult) {
         val next = synchronized(this) {
             if (isFinished || placement !== placements.last()) return
@@ -170,3 +163,17 @@
         val unwritableReply = LocalReply(StatusCode.BAD_REQUEST, AttemptOutcome.UNWRITABLE.code)
     }
 }
+
+/** Returns the request to send to the server of [placement], which may take [remainingMs]. */
+private fun createAttempt(
+    request: Request,
+    id: String,
+    placement: Placement.Send,
+    remainingMs: Long,
+    body: ByteBuffer?,
+): Result<ServerRequest, HeadError> {
+    val fields = removeHopByHopFields(request.headers)
+        .put(HeaderNames.DEADLINE_MS, remainingMs.toString())
+        .put(HeaderNames.EXPECTED_SERVER, placement.server.value)
+    return createServerRequest(id, request.method, request.httpURI.pathQuery, fields, body)
+}
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/RequestHead.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/RequestHead.kt
@@ -17,15 +17,6 @@
 import org.eclipse.jetty.util.BufferUtil
 import java.nio.ByteBuffer
 
-/** Represents why a head can't be generated. */
-public sealed interface HeadError {
-    /** The generator didn't complete the head and returned [result]. */
-    public data class Incomplete(public val result: String) : HeadError
-
-    /** A part of the request can't be expressed in HTTP/1.1. */
-    public data class Invalid(public val cause: RuntimeException) : HeadError
-}
-
 /** Returns the head of a request to [target] with [fields] and the length of [body]. */
 internal fun generateHead(
     method: String,
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/ServerConnection.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/ServerConnection.kt
@@ -88,27 +88,26 @@
     )
 
     override fun onFillable() {
-        val result = synchronized(this) { readOnce() }
-        if (result is ReadResult.Finished) result.action()
+        // The thread is left to other connections after each buffer, also when more input is available.
+        val finished = synchronized(this) { readOnce().also { if (it == null) fillInterested() } }
+        finished?.action?.invoke()
     }
 
-    private fun readOnce(): ReadResult = try {
+    /** Reads one buffer and returns what ends the call or the connection, or null while more input is due. */
+    private fun readOnce(): Finished? = try {
         BufferUtil.clear(input)
         val count = endPoint.fill(input)
         if (count < 0) parser.atEOF()
         when {
-            count == 0 -> awaitMore()
-            call == null -> ReadResult.Finished { discard() }
-            else -> parse() ?: if (count < 0) ReadResult.Finished { fail(CallFailure.TRUNCATED) } else awaitMore()
+            count == 0 -> null
+            call == null -> Finished { discard() }
+            else -> parse() ?: if (count < 0) Finished { fail(CallFailure.TRUNCATED) } else null
         }
     } catch (@Suppress("SwallowedException") e: IOException) {
-        ReadResult.Finished { fail(CallFailure.RESET) }
+        Finished { fail(CallFailure.RESET) }
     }
 
-    /** Leaves the thread to other connections after each buffer, also when more input is available. */
-    private fun awaitMore(): ReadResult = ReadResult.Waiting.also { fillInterested() }
-
-    private fun parse(): ReadResult? {
+    private fun parse(): Finished? {
         val id = call?.request?.id
         val count = input.remaining()
         parser.parseNext(input)
@@ -121,9 +120,9 @@
         }
         val failure = reader.failure
         return when {
-            failure != null -> ReadResult.Finished { fail(failure) }
+            failure != null -> Finished { fail(failure) }
             !reader.isComplete -> null
-            reader.isMismatched(id) -> ReadResult.Finished { fail(CallFailure.FOREIGN) }
+            reader.isMismatched(id) -> Finished { fail(CallFailure.FOREIGN) }
             else -> {
                 val endedCall = checkNotNull(call)
                 val response = reader.toResponse()
@@ -132,7 +131,7 @@
                 call = null
                 reader.reset()
                 if (isReusableNow) fillInterested()
-                ReadResult.Finished {
+                Finished {
                     if (isReusableNow) pool.onIdle(this) else discard()
                     endedCall.complete(validateResponse(response, endedCall.request.id))
                 }
@@ -162,14 +161,8 @@
         endedCall?.complete(CallResult.Lost(CallFailure.RESET))
     }
 
-    /** Represents the result of one read from the connection. */
-    private sealed interface ReadResult {
-        /** The connection waits for more input. */
-        data object Waiting : ReadResult
-
-        /** The call or the connection ended; [action] runs outside the lock. */
-        class Finished(val action: () -> Unit) : ReadResult
-    }
+    /** Represents the end of the call or of the connection; [action] runs outside the lock. */
+    private class Finished(val action: () -> Unit)
 
     private companion object {
         const val INPUT_BYTES = 16_384
