Exclude leaving servers whose entry states an earlier start

A restored store begins with a copy that may state an earlier start of a server that has since said that it leaves. Its entry made the server eligible again. Only a later start does now. The new case of LeavingServerTest failed before (["s1", "s2"] used where only s2 may be).

--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/servers/LeavingServers.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/servers/LeavingServers.kt
@@ -17,8 +17,9 @@
 internal class LeavingServers {
     private val startsAtUnixMs = LinkedHashMap<ServerName, Long>()
 
-    /** Returns true when the server of [record] announced that it is leaving since the start that the record states. */
-    operator fun contains(record: ServerRecord): Boolean = startsAtUnixMs[record.name] == record.startedAtUnixMs
+    /** Returns true when the server of [record] announced that it is leaving, since the start there or a later one. */
+    operator fun contains(record: ServerRecord): Boolean =
+        startsAtUnixMs[record.name].let { it != null && it >= record.startedAtUnixMs }
 
     /** Adds the server, and returns false when it was known to be leaving since this start or a later one. */
     fun add(name: ServerName, startedAtUnixMs: Long): Boolean {
--- a/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/servers/LeavingServerTest.kt
+++ b/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/servers/LeavingServerTest.kt
@@ -67,6 +67,15 @@
         steering.serversUsed(100_000) shouldBe setOf("s2")
     }
 
+    // Guards against the copy that a restored store begins with, from before the latest start of the server.
+    test("`an entry with an earlier start doesn't make the server eligible`") {
+        val latest = leaving.copy(startedAtUnixMs = 5)
+        val steering = createSteering(latest, other)
+        steering.servers.markLeaving(latest.name, latest.startedAtUnixMs)
+        steering.applyServers(listOf(TableChange("s1", 2, latest, leaving)), 0)
+        steering.serversUsed(100_000) shouldBe setOf("s2")
+    }
+
     test("`a server that starts again under its name is eligible, and so is another one at its address`") {
         val restarted = createInformed()
         restarted.applyServers(listOf(TableChange("s1", 2, leaving, leaving.copy(startedAtUnixMs = 2))), 0)
