--- a/cardamomwharf-core/src/main/kotlin/org/cardamomwharf/core/Identifiers.kt
+++ b/cardamomwharf-core/src/main/kotlin/org/cardamomwharf/core/Identifiers.kt
@@ -21,6 +21,11 @@
 @JvmInline
 public value class ZoneName(public val value: String)
 
+/** Represents the name of a team, a customer whose callers authenticate with keys. */
+@Serializable
+@JvmInline
+public value class TeamName(public val value: String)
+
 /** Represents the name of a partner. */
 @Serializable
 @JvmInline
--- a/cardamomwharf-core/src/main/kotlin/org/cardamomwharf/core/StatusCode.kt
+++ b/cardamomwharf-core/src/main/kotlin/org/cardamomwharf/core/StatusCode.kt
@@ -17,6 +17,9 @@
     /** 400 Bad Request. */
     public const val BAD_REQUEST: Int = 400
 
+    /** 401 Unauthorized. */
+    public const val UNAUTHORIZED: Int = 401
+
     /** 404 Not Found. */
     public const val NOT_FOUND: Int = 404
 
@@ -35,6 +38,9 @@
     /** 422 Unprocessable Content. */
     public const val UNPROCESSABLE: Int = 422
 
+    /** 429 Too Many Requests. */
+    public const val TOO_MANY_REQUESTS: Int = 429
+
     /** 431 Request Header Fields Too Large. */
     public const val HEAD_TOO_LARGE: Int = 431
 
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/ResponseSender.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/ResponseSender.kt
@@ -32,7 +32,9 @@
     }
 
     fun refuse(reason: RefusalReason, retryAfterMs: Long, attempts: List<AttemptTrace>) {
-        reply(LocalReply(StatusCode.UNAVAILABLE, reason.code, retryAfterMs), attempts)
+        val isTeamLimit = reason == RefusalReason.TEAM_LIMIT
+        val status = if (isTeamLimit) StatusCode.TOO_MANY_REQUESTS else StatusCode.UNAVAILABLE
+        reply(LocalReply(status, reason.code, retryAfterMs), attempts)
     }
 
     fun reply(reply: LocalReply, attempts: List<AttemptTrace>, isClosing: Boolean = context.isStopping) {
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/settings/GatewaySettings.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/settings/GatewaySettings.kt
@@ -9,7 +9,9 @@
 import org.cardamomwharf.core.ZoneName
 import org.cardamomwharf.steering.InstanceLocation
 import org.cardamomwharf.steering.SteeringParameters
+import org.cardamomwharf.steering.hedging.HedgingParameters
 import org.cardamomwharf.steering.limits.RetryBudgetParameters
+import org.cardamomwharf.steering.teams.TeamParameters
 
 /**
  * Represents the settings of a gateway process.
@@ -17,6 +19,9 @@
  * @param zones region of each availability zone.
  * @param peerPort port for heartbeats between instances.
  * @param metricsPort port for metrics.
+ * @param machine capacity of the machine, or null if it isn't stated.
+ * @param teams bounds for the keys and limits of teams.
+ * @param hedging limits on hedged requests.
  */
 public data class GatewaySettings(
     public val instance: InstanceName,
@@ -26,6 +31,9 @@
     public val peerPort: Int,
     public val metricsPort: Int,
     public val bounds: GatewayBounds,
+    public val machine: MachineCapacity? = null,
+    public val teams: TeamParameters = TeamParameters(),
+    public val hedging: HedgingParameters = HedgingParameters(),
 ) {
     /** Returns the location of this instance. */
     public fun toLocation(): InstanceLocation = InstanceLocation(instance, zone, zones)
@@ -34,9 +42,14 @@
     public fun toParameters(): SteeringParameters = SteeringParameters(
         retryBudget = RetryBudgetParameters(bounds.retryRatio, bounds.retryAllowance, bounds.retryWindowMs),
         maxShift = bounds.maxShift,
+        teams = teams,
+        hedging = hedging,
     )
 }
 
+/** Represents the memory of the machine that a process may use, and the bandwidth of its link. */
+public data class MachineCapacity(public val memoryMb: Long, public val linkMbps: Double)
+
 /** Represents the addresses that a process listens on, and the address of the store. */
 public data class GatewayAddresses(
     public val caller: SocketAddress,
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/settings/GatewaySettingsReader.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/settings/GatewaySettingsReader.kt
@@ -18,11 +18,13 @@
 import org.cardamomwharf.document.yaml.section
 import org.cardamomwharf.document.yaml.sections
 import org.cardamomwharf.document.yaml.textList
+import org.cardamomwharf.steering.hedging.HedgingParameters
+import org.cardamomwharf.steering.teams.TeamParameters
 import java.nio.file.Path
 
 private const val MS_PER_SECOND = 1_000
 private const val MAX_SECONDS = 3_600.0
-private const val MAX_RETRY_ALLOWANCE = 1_000_000L
+internal const val MAX_ALLOWANCE = 1_000_000L
 private const val MAX_RETRY_RATIO = 10.0
 private val placeholderAddress = SocketAddress("0.0.0.0", 1)
 
@@ -46,6 +48,10 @@
         peerPort = ports.first,
         metricsPort = ports.last,
         bounds = section("bounds", isRequired = true) { it.readBounds() } ?: GatewayBounds(0, 0.0, 0, 0, 0.0),
+        machine = section("machine", isRequired = false) { it.readMachine() },
+        teams = section("teams", isRequired = false) { it.readTeams() } ?: TeamParameters(),
+        hedging = section("hedging", isRequired = false) { HedgingParameters(it.decimal("maxShare", 1.0)) }
+            ?: HedgingParameters(),
     )
 }
 
@@ -77,9 +83,9 @@
 private fun YamlFields.readBounds() = GatewayBounds(
     stopMs = milliseconds("stopS"),
     retryRatio = decimal("retryRatio", MAX_RETRY_RATIO),
-    retryAllowance = integer("retryAllowance", 0..MAX_RETRY_ALLOWANCE).toInt(),
+    retryAllowance = integer("retryAllowance", 0..MAX_ALLOWANCE).toInt(),
     retryWindowMs = milliseconds("retryWindowS"),
     maxShift = decimal("largestShift", 1.0),
 )
 
-private fun YamlFields.milliseconds(key: String): Long = (decimal(key, MAX_SECONDS) * MS_PER_SECOND).toLong()
+internal fun YamlFields.milliseconds(key: String): Long = (decimal(key, MAX_SECONDS) * MS_PER_SECOND).toLong()
--- a/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/serial/SerialFormsTest.kt
+++ b/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/serial/SerialFormsTest.kt
@@ -33,6 +33,7 @@
 import org.cardamomwharf.gateway.peers.decodeHeartbeats
 import org.cardamomwharf.gateway.peers.encodeHeartbeats
 import org.cardamomwharf.http.HttpFailure
+import org.cardamomwharf.steering.desired.TransferKind
 import org.cardamomwharf.steering.instances.DirectoryChoice
 import org.cardamomwharf.steering.instances.DirectoryScope
 import org.cardamomwharf.steering.instances.Heartbeat
@@ -45,6 +46,7 @@
 import org.cardamomwharf.steering.requests.RefusalReason
 import org.cardamomwharf.steering.requests.RegionChoice
 import org.cardamomwharf.steering.store.ContentVersions
+import org.cardamomwharf.steering.store.OperatorOrder
 import org.cardamomwharf.steering.store.StoreError
 import org.cardamomwharf.steering.store.StoreStatus
 import org.cardamomwharf.steering.store.StoreVersion
@@ -98,6 +100,15 @@
 class SerialFormsTest : FunSpec({
     checkForms("peer-state", PeerState.serializer(), Cbor { ignoreUnknownKeys = true })
 
+    test("`the peer state of a release without teams is read as one that has none`") {
+        val cbor = Cbor { ignoreUnknownKeys = true }
+        val line = Files.readAllLines(Path.of("src/test/resources/golden/peer-state.earlier.txt")).single()
+        val state = cbor.decodeFromByteArray(PeerState.serializer(), HexFormat.of().parseHex(line))
+        val order = state.orders?.entries?.single()?.value as OperatorOrder.Desired
+        order.state.teams shouldBe emptyList()
+        order.state.routes.single().transfer shouldBe TransferKind.SMALL
+    }
+
     test("`datagrams are written and read as recorded`") {
         val counts = listOf(
             HeartbeatCount(InstanceName("d"), Incarnation(1), 2, true),
--- a/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/settings/GatewaySettingsTest.kt
+++ b/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/settings/GatewaySettingsTest.kt
@@ -11,6 +11,8 @@
 import io.kotest.matchers.shouldBe
 import org.cardamomwharf.core.RegionName
 import org.cardamomwharf.core.ZoneName
+import org.cardamomwharf.steering.teams.LimitTolerance
+import org.cardamomwharf.steering.teams.TeamParameters
 
 private val VALID_SETTINGS = """
     instance: "front-a-1"
@@ -33,6 +35,20 @@
       largestShift: 0.15
 """.trimIndent()
 
+private const val OPTIONAL_SETTINGS = """
+machine:
+  memoryMb: 430
+  linkMbps: 7.5
+teams:
+  maxKeyAgeMs: 5000
+  limits:
+    windowS: 5
+    overshoot: 0.1
+    slack: 20
+hedging:
+  maxShare: 0.05
+"""
+
 class GatewaySettingsTest : FunSpec({
     test("`valid settings are read completely`") {
         val settings = parseGatewaySettings(VALID_SETTINGS).getOrElse { null }.shouldNotBeNull()
@@ -42,6 +58,20 @@
         settings.bounds.stopMs shouldBe 6_000
     }
 
+    test("`settings without the optional sections bound no keys and hedge nothing`") {
+        val settings = parseGatewaySettings(VALID_SETTINGS).getOrElse { null }.shouldNotBeNull()
+        settings.machine shouldBe null
+        settings.teams shouldBe TeamParameters()
+        settings.hedging.maxShare shouldBe 0.0
+    }
+
+    test("`the capacity of the machine, the bounds for teams and the limits on hedges are read`") {
+        val settings = parseGatewaySettings(VALID_SETTINGS + OPTIONAL_SETTINGS).getOrElse { null }.shouldNotBeNull()
+        settings.machine shouldBe MachineCapacity(memoryMb = 430, linkMbps = 7.5)
+        settings.teams shouldBe TeamParameters(5_000, LimitTolerance(windowMs = 5_000, overshoot = 0.1, slack = 20))
+        settings.toParameters().hedging.maxShare shouldBe 0.05
+    }
+
     test("`every problem names its field`") {
         val text = VALID_SETTINGS.replace("10.200.1.7:8384", "nowhere").replace("[7200, 7215]", "[7215, 7200]")
             .replace("retryRatio: 0.2", "retryRatio: -1")
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/SteeringParameters.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/SteeringParameters.kt
@@ -4,7 +4,9 @@
  */
 package org.cardamomwharf.steering
 
+import org.cardamomwharf.steering.hedging.HedgingParameters
 import org.cardamomwharf.steering.limits.RetryBudgetParameters
+import org.cardamomwharf.steering.teams.TeamParameters
 
 /** Represents the limits and weights of the routing decisions. */
 public data class SteeringParameters(
@@ -15,6 +17,10 @@
      * settings.
      */
     public val maxShift: Double = 0.15,
+    /** The bounds for teams, from the settings. */
+    public val teams: TeamParameters = TeamParameters(),
+    /** The limits on hedged requests, from the settings. */
+    public val hedging: HedgingParameters = HedgingParameters(),
     /**
      * Time for which entries that expired during an outage of the store, or that a restored store lacks, are kept; the
      * users require two seconds.
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/desired/DesiredState.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/desired/DesiredState.kt
@@ -16,8 +16,22 @@
     public val routes: List<Route>,
     public val services: Map<ServiceName, ServiceTerms>,
     public val callerLimits: CallerLimits,
+    public val teams: List<Team> = emptyList(),
 )
 
+/** Represents the amount of data that the requests of a route transfer. */
+@Serializable
+public enum class TransferKind {
+    /** Requests and responses are small. */
+    SMALL,
+
+    /** Requests have large bodies. */
+    UPLOAD,
+
+    /** Responses have large bodies. */
+    DOWNLOAD,
+}
+
 /**
  * Represents a rule for requests to one host whose path starts with [prefix].
  *
@@ -28,6 +42,8 @@
  * @param maxAttempts maximum number of backend servers that one request is sent to.
  * @param isSticky true when a backend server is faster for keys that it has handled before.
  * @param allowedRegions regions that may run the requests; empty when all may.
+ * @param isPublic true when callers need no key of a team.
+ * @param transfer amount of data that the requests transfer.
  */
 @Serializable
 public data class Route(
@@ -42,6 +58,8 @@
     public val maxAttempts: Int,
     public val isSticky: Boolean,
     public val allowedRegions: Set<RegionName>,
+    public val isPublic: Boolean = false,
+    public val transfer: TransferKind = TransferKind.SMALL,
 )
 
 /** Represents a service with its weight in a route. */
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/CandidateServers.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/CandidateServers.kt
@@ -82,11 +82,10 @@
         estimate: ProcessingTimeEstimate,
         nowMs: Long,
     ): Boolean {
-        val allowed = spec.route.allowedRegions
         val expectedColdMs = estimate.coldMs * server.health.slowness(nowMs)
         val maxUnansweredMs = maxOf(MIN_UNANSWERED_MS, (UNANSWERED_FACTOR * expectedColdMs).toLong())
         return servers.isEligible(server) &&
-            (allowed.isEmpty() || server.region in allowed) &&
+            spec.isAllowedIn(server.region) &&
             server.health.isAvailable(server.load.inFlight, nowMs) &&
             server.load.unansweredForMs(nowMs) < maxUnansweredMs
     }
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/requests/RequestSpec.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/requests/RequestSpec.kt
@@ -9,6 +9,7 @@
 import org.cardamomwharf.core.SocketAddress
 import org.cardamomwharf.core.hash64
 import org.cardamomwharf.steering.desired.Route
+import org.cardamomwharf.steering.desired.Team
 import org.cardamomwharf.steering.placement.Warmth
 
 /**
@@ -17,6 +18,7 @@
  * @param affinityKey key of the object that the request is about, or null.
  * @param deadlineAtMs time of the caller's or the route's deadline, whichever is earlier.
  * @param fingerprint hash of what the caller sends, the same when the request comes again under another ID.
+ * @param team team of the caller, or null for a request without one.
  */
 public data class RequestSpec(
     public val id: String,
@@ -26,7 +28,16 @@
     public val arrivedAtMs: Long,
     public val deadlineAtMs: Long,
     public val fingerprint: Long = hash64(id),
-)
+    public val team: Team? = null,
+) {
+    /** Priority under overload; 0 is the highest. That of the team takes precedence over that of the route. */
+    public val rank: Int get() = team?.rank ?: route.rank
+
+    /** Returns true when both the route and the team allow servers in [region] to run the request. */
+    public fun isAllowedIn(region: RegionName?): Boolean =
+        route.allowedRegions.let { it.isEmpty() || region in it } &&
+            team?.allowedRegions.orEmpty().let { it.isEmpty() || region in it }
+}
 
 /** Represents the decision where to send a request. */
 public sealed interface Placement {
@@ -81,6 +92,15 @@
     /** Every backend server announces a limit, and this instance's part of it is used up. */
     SERVER_LIMIT("server-limit"),
 
+    /** The limit of the caller's team is used up. */
+    TEAM_LIMIT("team-limit"),
+
+    /** This instance can't prove that the keys of the teams that it knows are still valid. */
+    UNCONFIRMED_KEYS("unconfirmed-keys"),
+
+    /** The bodies of other requests take all the memory for bodies. */
+    NO_BODY_ROOM("no-body-room"),
+
     /** The request has crashed several backend servers. */
     CRASHES_SERVERS("crashes-servers"),
 
