Authenticate callers by the keys of their teams

Cause: the caller's key and what it stated about its team went on to backend servers, and requests without a known key ran.

Change: an index from key to team is built when a configuration is activated; a request is accepted, gets its team and its route in one decision (RequestAdmission). The key isn't sent on where the configuration has teams; the field with the team is replaced on every request. Public routes need no key. A configuration without teams leaves the field of the key to the servers, as before. The fingerprint of a request contains its team.

--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/ForwardingHandler.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/ForwardingHandler.kt
@@ -1,17 +1,14 @@
 /*
- * Handles requests of callers: finds the route, reads the body, and starts to forward the request.
+ * Handles requests of callers: decides whether they are accepted, reads the body, and starts to forward the request.
  */
 package org.cardamomwharf.forward.proxy
 
 import org.cardamomwharf.core.Clock
-import org.cardamomwharf.core.ServiceName
 import org.cardamomwharf.core.StatusCode
 import org.cardamomwharf.forward.listener.AsyncHandler
 import org.cardamomwharf.forward.server.ConnectionPool
 import org.cardamomwharf.platform.HeaderNames
-import org.cardamomwharf.steering.Steering
 import org.cardamomwharf.steering.desired.DesiredState
-import org.cardamomwharf.steering.desired.Route
 import org.cardamomwharf.steering.requests.RefusalReason
 import org.cardamomwharf.steering.requests.RequestSpec
 import org.cardamomwharf.steering.requests.StopPlan
@@ -31,9 +28,6 @@
 /** Maximum body that is buffered for retries; far above the request bodies of the users. */
 private const val MAX_BUFFERED_BODY_BYTES = 1_048_576L
 
-/** Retry-After delay while no configuration is loaded; the store is read several times within it. */
-private const val NO_STATE_RETRY_MS = 300L
-
 /** Remaining time below which a request can't be served: one round trip within a zone. */
 private const val MIN_REMAINING_MS = 5L
 
@@ -70,25 +64,19 @@
     override fun handle(request: Request, response: Response, callback: Callback) {
         val arrivedAtMs = context.clock.nowMs()
         val id = request.headers.get(HeaderNames.REQUEST_ID)
-        val (desired, found) = context.steering.withLock { steering, _ ->
-            steering.routes.desired to findRoute(steering, request)
-        }
-        when {
-            desired == null -> refuse(request, response, callback, noState())
-            found == null -> refuse(request, response, callback, LocalReply(StatusCode.NOT_FOUND, "no-route"))
-            request.length > maxBodyBytes(desired) ->
-                refuse(request, response, callback, LocalReply(CONTENT_TOO_LARGE, "body-too-large"))
-            else -> readBody(request, response, callback, createSpec(request, id, found, arrivedAtMs), desired)
+        when (val admission = context.steering.withLock { steering, _ -> steering.admit(request) }) {
+            is Admission.Rejected -> refuse(request, response, callback, admission.reply)
+            is Admission.Accepted ->
+                if (request.length > maxBodyBytes(admission.desired)) {
+                    refuse(request, response, callback, LocalReply(CONTENT_TOO_LARGE, "body-too-large"))
+                } else {
+                    val spec = createSpec(request, id, admission, arrivedAtMs)
+                    readBody(request, response, callback, spec, admission.desired)
+                }
         }
     }
 
-    private fun findRoute(steering: Steering, request: Request): RouteMatch? {
-        val host = request.headers.get(HttpHeader.HOST)
-        val route = host?.let { steering.routes.find(it, request.httpURI.path.orEmpty()) }
-        return route?.let { RouteMatch(it, steering.routes.chooseService(it)) }
-    }
-
-    private fun createSpec(request: Request, id: String?, found: RouteMatch, arrivedAtMs: Long): RequestSpec {
+    private fun createSpec(request: Request, id: String?, found: Admission.Accepted, arrivedAtMs: Long): RequestSpec {
         val deadlineMs = request.headers.get(HeaderNames.DEADLINE_MS)?.toDoubleOrNull()?.toLong()
         val timeoutMs = minOf(found.route.timeoutMs, deadlineMs ?: Long.MAX_VALUE)
         return RequestSpec(
@@ -98,6 +86,8 @@
             affinityKey = request.headers.get(HeaderNames.AFFINITY_KEY),
             arrivedAtMs = arrivedAtMs,
             deadlineAtMs = arrivedAtMs + timeoutMs,
+            team = found.team,
+            isKeyRemoved = found.desired.teams.isNotEmpty(),
         )
     }
 
@@ -145,10 +135,6 @@
         writeLocalReply(reply, id, context.isStopping || reply.status == CONTENT_TOO_LARGE, response, callback)
     }
 
-    private fun noState() = LocalReply(StatusCode.UNAVAILABLE, RefusalReason.NO_STATE.code, NO_STATE_RETRY_MS)
-
-    private data class RouteMatch(val route: Route, val service: ServiceName)
-
     private companion object {
         const val CONTENT_TOO_LARGE = 413
         const val REQUEST_TIMEOUT = 408
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/RequestForwarder.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/RequestForwarder.kt
@@ -22,6 +22,7 @@
 import org.cardamomwharf.steering.requests.NextStep
 import org.cardamomwharf.steering.requests.Placement
 import org.cardamomwharf.steering.requests.RequestSpec
+import org.eclipse.jetty.http.HttpFields
 import org.eclipse.jetty.server.Request
 import org.eclipse.jetty.util.thread.Scheduler
 import java.nio.ByteBuffer
@@ -46,7 +47,8 @@
     /** Starts the first attempt. */
     fun start(body: ByteBuffer?) {
         this.body = body
-        val fingerprint = fingerprintOf(request.method, request.httpURI.pathQuery, request.headers, body)
+        val fingerprint =
+            fingerprintOf(request.method, request.httpURI.pathQuery, request.headers, body, spec.team?.name)
         spec = spec.copy(fingerprint = fingerprint)
         responses.fingerprint = spec.fingerprint
         context.inFlight.incrementAndGet()
@@ -70,7 +72,7 @@
             placements.add(placement)
             sentAtMs = context.clock.nowMs()
             val remainingMs = (spec.deadlineAtMs - sentAtMs).coerceAtLeast(1)
-            createAttempt(request, spec.id, placement, remainingMs, body).map { attempt ->
+            createAttempt(request, spec, placement, remainingMs, body).map { attempt ->
                 ServerCall(placement.server, placement.address, attempt) { onCallResult(placement, it) }
                     .also { call = it }
             }
@@ -167,13 +169,21 @@
 /** Returns the request to send to the server of [placement], which may take [remainingMs]. */
 private fun createAttempt(
     request: Request,
-    id: String,
+    spec: RequestSpec,
     placement: Placement.Send,
     remainingMs: Long,
     body: ByteBuffer?,
 ): Result<ServerRequest, HeadError> {
-    val fields = removeHopByHopFields(request.headers)
+    val fields = withTeam(removeHopByHopFields(request.headers), spec)
         .put(HeaderNames.DEADLINE_MS, remainingMs.toString())
         .put(HeaderNames.EXPECTED_SERVER, placement.server.value)
-    return createServerRequest(id, request.method, request.httpURI.pathQuery, fields, body)
+    return createServerRequest(spec.id, request.method, request.httpURI.pathQuery, fields, body)
+}
+
+/** Replaces what the caller states about its team in [fields] by the team that was found. */
+private fun withTeam(fields: HttpFields.Mutable, spec: RequestSpec): HttpFields.Mutable {
+    if (spec.isKeyRemoved) fields.remove(HeaderNames.TEAM_KEY)
+    fields.remove(HeaderNames.TEAM)
+    spec.team?.let { fields.put(HeaderNames.TEAM, it.name.value) }
+    return fields
 }
--- a/cardamomwharf-forward/src/test/kotlin/org/cardamomwharf/forward/proxy/RequestFingerprintTest.kt
+++ b/cardamomwharf-forward/src/test/kotlin/org/cardamomwharf/forward/proxy/RequestFingerprintTest.kt
@@ -6,6 +6,7 @@
 import io.kotest.core.spec.style.FunSpec
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.shouldNotBe
+import org.cardamomwharf.core.TeamName
 import org.cardamomwharf.platform.HeaderNames
 import org.eclipse.jetty.http.HttpFields
 import org.eclipse.jetty.http.HttpHeader
@@ -34,6 +35,12 @@
         fingerprintOf("POST", "/a?b=1", headers("1"), null) shouldNotBe known
     }
 
+    test("`requests of different teams have different fingerprints`") {
+        val ofTeams = listOf("a", "b").map { fingerprintOf("POST", "/a?b=1", headers("1"), body("x"), TeamName(it)) }
+        (ofTeams + known).distinct().size shouldBe 3
+        fingerprintOf("POST", "/a?b=1", headers("2"), body("x"), TeamName("a")) shouldBe ofTeams.first()
+    }
+
     test("`the body can still be read`") {
         val body = body("x")
         fingerprintOf("POST", "/a", headers("1"), body)
--- a/cardamomwharf-forward/src/test/kotlin/org/cardamomwharf/forward/support/ForwardingGateway.kt
+++ b/cardamomwharf-forward/src/test/kotlin/org/cardamomwharf/forward/support/ForwardingGateway.kt
@@ -17,6 +17,7 @@
 import org.cardamomwharf.forward.listener.createAsyncHttpServer
 import org.cardamomwharf.forward.listener.startHttpThreads
 import org.cardamomwharf.forward.proxy.ForwardingContext
+import org.cardamomwharf.forward.proxy.RequestTrace
 import org.cardamomwharf.forward.proxy.SynchronizedSteering
 import org.cardamomwharf.forward.proxy.createForwardingHandler
 import org.cardamomwharf.forward.server.ConnectionPoolSettings
@@ -28,11 +29,13 @@
 import org.cardamomwharf.steering.desired.DesiredState
 import org.cardamomwharf.steering.desired.Route
 import org.cardamomwharf.steering.desired.ServiceTerms
+import org.cardamomwharf.steering.desired.Team
 import org.cardamomwharf.steering.desired.WeightedService
 import org.cardamomwharf.steering.limits.RetryBudgetParameters
 import org.cardamomwharf.steering.servers.ServerRecord
 import org.cardamomwharf.steering.store.TableChange
 import java.net.Socket
+import java.util.concurrent.CopyOnWriteArrayList
 
 private const val HOST = "127.0.0.1"
 private const val CALLERS = "callers"
@@ -45,9 +48,16 @@
 /** The shortest field; most writers add a space. */
 private const val EMPTY_FIELD = "c:\r\n"
 
-/** Forwards requests of callers for the path /r/ to the servers at [servers]. */
-internal class ForwardingGateway(vararg servers: SocketAddress) : AutoCloseable {
+/**
+ * Forwards requests of callers for the paths /r/ and, without a key, /open/ to the servers at [servers].
+ *
+ * @param teams teams of the callers, or null before the first configuration.
+ */
+internal class ForwardingGateway(vararg servers: SocketAddress, teams: List<Team>? = emptyList()) : AutoCloseable {
     private val clock = monotonicClock()
+
+    /** The traces of the requests so far. */
+    val traces = CopyOnWriteArrayList<RequestTrace>()
     private val steering = Steering(
         InstanceLocation(InstanceName("i"), zone, mapOf(zone to RegionName("r"))),
         SteeringParameters(RetryBudgetParameters(ratio = 0.2, allowance = 10, windowMs = 10_000)),
@@ -56,16 +66,12 @@
     private val threads = startHttpThreads(settings)
     private val pool = startConnectionPool(ConnectionPoolSettings(), threads.executor, clock)
     private val context =
-        ForwardingContext(SynchronizedSteering(steering, clock), pool, threads.scheduler, clock) { }
+        ForwardingContext(SynchronizedSteering(steering, clock), pool, threads.scheduler, clock) { traces += it }
     private val listener = HttpListener(CALLERS, SocketAddress(HOST, 0), createForwardingHandler(context))
     private val http = createAsyncHttpServer(settings, threads, listOf(listener))
 
     init {
-        val parts = listOf(WeightedService(service, 1.0))
-        val route = Route("r", "h", "/r/", true, parts, ROUTE_TIMEOUT_MS, ROUTE_TIMEOUT_MS, 1, 2, true, emptySet())
-        val terms = ServiceTerms(service, "/health", 10, 0, 1.0)
-        val limits = CallerLimits(settings.maxHeadBytes, BODY_BYTES, ROUTE_TIMEOUT_MS, settings.idleTimeoutMs)
-        steering.routes.adopt(DesiredState(DocumentVersion(1), listOf(route), mapOf(service to terms), limits))
+        teams?.let { steering.routes.adopt(createDesiredState(it)) }
         val changes = servers.mapIndexed { index, address ->
             val name = "server-000$index"
             TableChange(name, 1, null, ServerRecord(ServerName(name), service, address, zone, 64, false, 1, 0))
@@ -75,6 +81,15 @@
         http.start()
     }
 
+    private fun createDesiredState(teams: List<Team>): DesiredState {
+        val parts = listOf(WeightedService(service, 1.0))
+        val route = Route("r", "h", "/r/", true, parts, ROUTE_TIMEOUT_MS, ROUTE_TIMEOUT_MS, 1, 2, true, emptySet())
+        val routes = listOf(route, route.copy(name = "open", prefix = "/open/", isPublic = true))
+        val terms = ServiceTerms(service, "/health", 10, 0, 1.0)
+        val limits = CallerLimits(settings.maxHeadBytes, BODY_BYTES, ROUTE_TIMEOUT_MS, settings.idleTimeoutMs)
+        return DesiredState(DocumentVersion(1), routes, mapOf(service to terms), limits, teams)
+    }
+
     /** Limits heads as the configuration of an operator does. */
     fun setMaxHeadBytes(maxHeadBytes: Int) = http.setMaxHeadBytes(CALLERS, maxHeadBytes)
 
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/Steering.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/Steering.kt
@@ -29,6 +29,7 @@
 import org.cardamomwharf.steering.servers.ServerReport
 import org.cardamomwharf.steering.servers.ServerReportChange
 import org.cardamomwharf.steering.store.TableChange
+import org.cardamomwharf.steering.teams.CallerAuthentication
 
 /** Makes the routing decisions of one instance. */
 public class Steering(location: InstanceLocation, parameters: SteeringParameters) {
@@ -39,6 +40,9 @@
 
     /** The routes of the active configuration. */
     public val routes: ActiveRoutes = ActiveRoutes()
+
+    /** The authentication of callers. */
+    public val callers: CallerAuthentication = CallerAuthentication(routes)
     private val retryBudgets = RetryBudgets(parameters.retryBudget)
     private val limitSharing = LimitSharing(location)
 
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/desired/ActiveRoutes.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/desired/ActiveRoutes.kt
@@ -7,12 +7,18 @@
 import org.cardamomwharf.core.DocumentVersion
 import org.cardamomwharf.core.ServiceName
 import org.cardamomwharf.steering.placement.WeightedRoundRobin
+import org.cardamomwharf.steering.teams.TeamKeys
+import org.cardamomwharf.steering.teams.createTeamKeys
 
 /** Represents the routes of the active configuration. */
 public class ActiveRoutes {
     /** The active configuration, or null before the first one was received. */
     public var desired: DesiredState? = null
         private set
+
+    /** The keys of the teams of the active configuration. */
+    public var teamKeys: TeamKeys = createTeamKeys(emptyList())
+        private set
     private var table: RouteTable = createRouteTable(emptyList())
     private val splits = HashMap<String, Pair<Route, WeightedRoundRobin>>()
 
@@ -21,6 +27,7 @@
         if (next.version <= (desired?.version ?: DocumentVersion.NONE)) return false
         desired = next
         table = createRouteTable(next.routes)
+        teamKeys = createTeamKeys(next.teams)
         return true
     }
 
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/requests/RequestSpec.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/requests/RequestSpec.kt
@@ -19,6 +19,7 @@
  * @param deadlineAtMs time of the caller's or the route's deadline, whichever is earlier.
  * @param fingerprint hash of what the caller sends, the same when the request comes again under another ID.
  * @param team team of the caller, or null for a request without one.
+ * @param isKeyRemoved true when the key of a caller isn't sent on, because the configuration has teams.
  */
 public data class RequestSpec(
     public val id: String,
@@ -29,6 +30,7 @@
     public val deadlineAtMs: Long,
     public val fingerprint: Long = hash64(id),
     public val team: Team? = null,
+    public val isKeyRemoved: Boolean = false,
 ) {
     /** Priority under overload; 0 is the highest. That of the team takes precedence over that of the route. */
     public val rank: Int get() = team?.rank ?: route.rank
