Use keys only while the configuration is confirmed

Cause: an instance that is out of touch went on with the keys that it knew, also after they were withdrawn.

Change: with a bound for withdrawn keys (TeamParameters.maxKeyAgeMs), a request with a key is accepted and sent on only while the instance can prove that its configuration was the newest at a moment within the bound. Questions to the store prove it, dated when they were sent. The heartbeat counts that a zone's watcher returns serve as questions of the other instances, so no datagram is added; /state carries the same for instances that can't reach the store.

--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/ForwardingHandler.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/ForwardingHandler.kt
@@ -64,7 +64,7 @@
     override fun handle(request: Request, response: Response, callback: Callback) {
         val arrivedAtMs = context.clock.nowMs()
         val id = request.headers.get(HeaderNames.REQUEST_ID)
-        when (val admission = context.steering.withLock { steering, _ -> steering.admit(request) }) {
+        when (val admission = context.steering.withLock { steering, nowMs -> steering.admit(request, nowMs) }) {
             is Admission.Rejected -> refuse(request, response, callback, admission.reply)
             is Admission.Accepted ->
                 if (request.length > maxBodyBytes(admission.desired)) {
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/RequestAdmission.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/RequestAdmission.kt
@@ -35,16 +35,19 @@
 }
 
 /** Returns the decision about [request]. */
-internal fun Steering.admit(request: Request): Admission {
+internal fun Steering.admit(request: Request, nowMs: Long): Admission {
     val desired = routes.desired
     val route = request.headers.get(HttpHeader.HOST)?.let { routes.find(it, request.httpURI.path.orEmpty()) }
     return when {
         desired == null ->
             Admission.Rejected(LocalReply(StatusCode.UNAVAILABLE, RefusalReason.NO_STATE.code, NO_STATE_RETRY_MS))
         route == null -> Admission.Rejected(LocalReply(StatusCode.NOT_FOUND, "no-route"))
-        else -> when (val caller = callers.identify(route, keyOf(request.headers))) {
+        else -> when (val caller = callers.identify(route, keyOf(request.headers), nowMs)) {
             Caller.Anonymous -> Admission.Accepted(desired, route, routes.chooseService(route), null)
             is Caller.Member -> Admission.Accepted(desired, route, routes.chooseService(route), caller.team)
+            is Caller.Unconfirmed -> Admission.Rejected(
+                LocalReply(StatusCode.UNAVAILABLE, caller.refusal.reason.code, caller.refusal.retryAfterMs),
+            )
             Caller.Unknown -> Admission.Rejected(LocalReply(StatusCode.UNAUTHORIZED, "unknown-key"))
         }
     }
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/HeartbeatCodec.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/HeartbeatCodec.kt
@@ -22,6 +22,7 @@
 import org.cardamomwharf.steering.store.ContentVersions
 import org.cardamomwharf.steering.store.StoreStatus
 import org.cardamomwharf.steering.store.StoreVersion
+import org.cardamomwharf.steering.teams.Confirmation
 
 @OptIn(ExperimentalSerializationApi::class)
 private val cbor = Cbor { ignoreUnknownKeys = true }
@@ -52,6 +53,7 @@
         numbers,
         message.storeStatus?.toWire(),
         message.crashes,
+        message.confirmation,
     )
     return frame(cbor.encodeToByteArray(wire))
 }
@@ -63,7 +65,14 @@
     val wire = cbor.decodeFromByteArray<WireMessage>(payload)
     return wire.sender.toHeartbeat()?.let { sender ->
         val newInstances = wire.newInstances.mapNotNull { it.toHeartbeat() }
-        HeartbeatMessage(sender, newInstances, wire.toCounts(), wire.storeStatus?.toStatus(), wire.crashes)
+        HeartbeatMessage(
+            sender,
+            newInstances,
+            wire.toCounts(),
+            wire.storeStatus?.toStatus(),
+            wire.crashes,
+            wire.confirmation,
+        )
     }
 }
 
@@ -88,6 +97,7 @@
     @SerialName("news")
     val storeStatus: WireStatus? = null,
     val crashes: CrashMessage? = null,
+    val confirmation: Confirmation? = null,
 ) {
     fun toCounts(): List<HeartbeatCount> {
         val nameList = if (names.isEmpty()) emptyList() else names.split(NAME_SEPARATOR)
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/PeerHeartbeats.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/PeerHeartbeats.kt
@@ -97,9 +97,12 @@
         val others = peers.others()
         val blocks = crashes.regularMessage()
         synchronized(registry) { exchange.nextHeartbeats(number, others, status, clock.nowMs()) }
-            .forEach { socket.send(it.copy(message = it.message.copy(crashes = blocks))) }
+            .forEach { socket.send(it.copy(message = confirm(it.message).copy(crashes = blocks))) }
     }
 
+    private fun confirm(message: HeartbeatMessage): HeartbeatMessage =
+        if (message.counts.isEmpty()) message else message.copy(confirmation = listener.confirmationToSend())
+
     private fun sendNotification(status: StoreStatus) {
         val others = peers.others()
         socket.send(synchronized(registry) { exchange.changeNotification(others, status, clock.nowMs()) })
@@ -107,8 +110,12 @@
 
     private fun receive(): Boolean {
         val message = socket.receive() ?: return true
-        synchronized(registry) { exchange.receive(message, clock.nowMs()) }
+        val askedAtMs = synchronized(registry) {
+            exchange.receive(message, clock.nowMs())
+            if (message.confirmation == null) null else exchange.askedAtMs(message)
+        }
         message.storeStatus?.let { listener.onStatusReceived(message.sender.record, it) }
+        message.confirmation?.let { if (askedAtMs != null) listener.onConfirmationReceived(it, askedAtMs) }
         message.crashes?.let {
             crashes.receive(it)
             notifyCrashes()
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/PeerState.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/PeerState.kt
@@ -22,6 +22,7 @@
 import org.cardamomwharf.steering.store.OperatorOrder
 import org.cardamomwharf.steering.store.StoreVersion
 import org.cardamomwharf.steering.store.TableUpdate
+import org.cardamomwharf.steering.teams.Confirmation
 import org.eclipse.jetty.server.Request
 import org.eclipse.jetty.util.Fields
 import java.nio.ByteBuffer
@@ -38,6 +39,7 @@
  * Represents the store state of an instance; tables without changes for the requesting instance are omitted.
  *
  * @param remainingGraceMs remaining time for which backend servers that expired during an outage are kept.
+ * @param confirmation age of the configuration, or null when it isn't confirmed.
  */
 @Serializable
 internal data class PeerState(
@@ -45,6 +47,7 @@
     val servers: TableUpdate<ServerRecord>? = null,
     @SerialName("graceLeftMs")
     val remainingGraceMs: Long = 0,
+    val confirmation: Confirmation? = null,
 )
 
 /** Represents the table versions that an instance already has. */
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/store/PeerStateSync.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/store/PeerStateSync.kt
@@ -10,6 +10,7 @@
 import org.cardamomwharf.steering.instances.InstanceRecord
 import org.cardamomwharf.steering.instances.WatcherElection
 import org.cardamomwharf.steering.store.StoreStatus
+import org.cardamomwharf.steering.teams.Confirmation
 import java.util.concurrent.ArrayBlockingQueue
 import java.util.concurrent.TimeUnit
 
@@ -59,20 +60,27 @@
         if (status.content.isAheadOf(storeWatcher.contentVersions)) checkSignal.offer(Unit)
     }
 
+    override fun confirmationToSend(): Confirmation? = storeWatcher.confirmation.toSend()
+
+    override fun onConfirmationReceived(confirmation: Confirmation, askedAtMs: Long) =
+        storeWatcher.confirmation.receive(confirmation, askedAtMs)
+
     override fun onHeartbeat() = onHeartbeat.invoke()
 
-    /** Fetches state from instances that have reported newer content. */
+    /** Fetches state from instances that have reported newer content, or from any one if a confirmation is due. */
     fun fetchNewerState() {
         val peersAhead = synchronized(election) {
             election.instancesAheadOf(storeWatcher.contentVersions, context.clock.nowMs())
         }
         peersAhead.take(MAX_PEERS_PER_CHECK).any { fetchFrom(it) }
+        if (storeWatcher.confirmation.isDue) peers.randomPeer()?.let(::fetchFrom)
     }
 
     /** Applies newer state from [peer]; returns true when it responded. */
     private fun fetchFrom(peer: InstanceRecord): Boolean {
+        val askedAtMs = context.clock.nowMs()
         val state = peers.fetchState(peer, storeWatcher.knownVersions) ?: return false
-        storeWatcher.applyFromPeer(state)
+        storeWatcher.applyFromPeer(state, askedAtMs)
         return true
     }
 }
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/store/StoreWatcher.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/store/StoreWatcher.kt
@@ -19,6 +19,7 @@
 import org.cardamomwharf.steering.store.TableChange
 import org.cardamomwharf.steering.store.mergeOrders
 import org.cardamomwharf.steering.store.mergeServers
+import org.cardamomwharf.steering.teams.createConfirmationTimes
 
 internal class StoreWatcher(
     store: DeploymentStore,
@@ -31,12 +32,19 @@
     private val log = context.log
     private val clock = context.clock
     private val evacuatedZones = HashSet<ZoneName>()
+
+    /** The confirmation of the configuration. */
+    val confirmation: ConfigurationConfirmation = ConfigurationConfirmation(
+        steering,
+        parameters.teams.maxKeyAgeMs?.let(::createConfirmationTimes),
+    )
     private val orders: TableWatcher<OperatorOrder> = TableWatcher(
         "orders",
         store.orders,
         context,
         RestorePolicy(outageGraceMs = 0, parameters.restoreGraceMs, parameters.revivalDelayMs, ::mergeOrders),
         role,
+        confirmation,
         ::applyOrders,
     )
     private val servers: TableWatcher<ServerRecord> = TableWatcher(
@@ -50,7 +58,7 @@
             ::mergeServers,
         ),
         role,
-        ::applyServers,
+        onChange = ::applyServers,
     )
 
     /** True when the orders and the backend servers have been read. */
@@ -79,7 +87,8 @@
     fun status(): StoreStatus {
         val nowMs = clock.nowMs()
         val silentForMs = maxOf(orders.silentForMs(nowMs), servers.silentForMs(nowMs))
-        return StoreStatus(contentVersions, silentForMs, orders.isFailing || servers.isFailing)
+        val isFailing = orders.isFailing || servers.isFailing || confirmation.isUnreliable
+        return StoreStatus(contentVersions, silentForMs, isFailing)
     }
 
     /** Returns the changes since [known] for another instance. */
@@ -87,12 +96,14 @@
         orders.table.updateSince(known.orders),
         servers.table.updateSince(known.servers),
         servers.table.remainingGraceMs(),
+        confirmation.toSend(),
     )
 
-    /** Applies the store state received from another instance. */
-    fun applyFromPeer(state: PeerState) {
+    /** Applies the store state received from another instance, which was asked for it at [askedAtMs]. */
+    fun applyFromPeer(state: PeerState, askedAtMs: Long) {
         state.orders?.let { orders.table.applyFromPeer(it, 0) }
         state.servers?.let { servers.table.applyFromPeer(it, state.remainingGraceMs) }
+        state.confirmation?.let { confirmation.receive(it, askedAtMs) }
         if (state.orders != null || state.servers != null) {
             log.event("state-from-peer") {
                 put("orders", state.orders?.version)
@@ -111,6 +122,7 @@
     private fun applyOrders(changes: List<TableChange<OperatorOrder>>) {
         changes.forEach { change ->
             (change.before as? OperatorOrder.Evacuation)?.let { evacuatedZones.remove(it.zone) }
+            if (change.before is OperatorOrder.Desired) confirmation.isReadable = false
             when (val order = change.after) {
                 is OperatorOrder.Evacuation -> evacuatedZones.add(order.zone)
                 is OperatorOrder.Desired -> adopt(order)
@@ -123,6 +135,7 @@
     }
 
     private fun adopt(order: OperatorOrder.Desired) {
+        confirmation.isReadable = true
         val isAdopted = steering.withLock { decisions, _ -> decisions.routes.adopt(order.state) }
         log.event("desired-state") {
             put("version", order.state.version.value)
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/store/TableWatcher.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/store/TableWatcher.kt
@@ -37,6 +37,7 @@
     context: TaskContext,
     restorePolicy: RestorePolicy<T>,
     private val role: WatcherRole,
+    private val confirmation: TableConfirmation = NoTableConfirmation,
     onChange: (List<TableChange<T>>) -> Unit,
 ) {
     private val clock = context.clock
@@ -70,20 +71,26 @@
     }
 
     /** Makes one call to the store if this instance has to, and returns the time until the next step. */
-    fun step(): Long = if (table.isLoaded && !role.isWatcher()) ROLE_CHECK_INTERVAL_MS else readOnce()
+    fun step(): Long = if (isAsking) readOnce() else ROLE_CHECK_INTERVAL_MS
+
+    /** True when this instance has to ask the store itself. */
+    val isAsking: Boolean get() = !table.isLoaded || role.isWatcher() || confirmation.isOverdue
+
+    /** Time that the next call waits for changes. */
+    val waitMs: Long get() = if (isFullReadDue) 0 else confirmation.limitWait(LONG_POLL_TIMEOUT_MS)
 
     private fun readOnce(): Long {
-        val result =
-            if (isFullReadDue) storeTable.read() else storeTable.awaitChanges(table.version, LONG_POLL_TIMEOUT_MS)
-        return result.mapBoth({ applyUpdate(it) }, { handleFailure(it) })
+        val askedAtMs = clock.nowMs()
+        val result = if (isFullReadDue) storeTable.read() else storeTable.awaitChanges(table.version, waitMs)
+        return result.mapBoth({ applyUpdate(it, askedAtMs) }, { handleFailure(it) })
     }
 
-    private fun applyUpdate(update: TableUpdate<T>): Long {
+    private fun applyUpdate(update: TableUpdate<T>, askedAtMs: Long): Long {
         lastResponseAtMs = clock.nowMs()
         logEpoch(update)
         if (failures > 0) recordRestored()
         isFullReadDue = !table.apply(update)
-        if (isFullReadDue) logStale(update)
+        if (isFullReadDue) logStale(update) else confirmation.onConfirmed(askedAtMs)
         return if (update.entries.isNotEmpty()) BATCH_DELAY_MS else 0
     }
 
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/Steering.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/Steering.kt
@@ -42,7 +42,7 @@
     public val routes: ActiveRoutes = ActiveRoutes()
 
     /** The authentication of callers. */
-    public val callers: CallerAuthentication = CallerAuthentication(routes)
+    public val callers: CallerAuthentication = CallerAuthentication(routes, parameters.teams)
     private val retryBudgets = RetryBudgets(parameters.retryBudget)
     private val limitSharing = LimitSharing(location)
 
@@ -84,7 +84,10 @@
     public fun place(spec: RequestSpec, nowMs: Long): Placement {
         retryBudgets.getForService(spec.service).recordRequest(nowMs)
         val blockedForMs = crashingRequests.remainingMs(spec.fingerprint, nowMs)
-        val placement = if (blockedForMs > 0) {
+        val unconfirmed = callers.refusalFor(spec.team, nowMs)
+        val placement = if (unconfirmed != null) {
+            unconfirmed
+        } else if (blockedForMs > 0) {
             Placement.Refuse(RefusalReason.CRASHES_SERVERS, blockedForMs)
         } else {
             serverSelector.select(spec, emptySet(), nowMs)
@@ -153,7 +156,7 @@
         nowMs: Long,
     ): NextStep.Retry? {
         val isRetryable = (spec.route.isIdempotent || outcome.isNotExecuted) &&
-            !crashingRequests.isBlocked(spec.fingerprint)
+            !crashingRequests.isBlocked(spec.fingerprint) && callers.refusalFor(spec.team, nowMs) == null
         if (!isRetryable || attempts.size >= spec.route.maxAttempts) return null
         val excluded = attempts.mapTo(HashSet()) { it.server }
         val next = serverSelector.select(spec, excluded, nowMs) as? Placement.Send
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/instances/HeartbeatExchange.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/instances/HeartbeatExchange.kt
@@ -47,6 +47,7 @@
 ) {
     /** The instance of the zone that last reported the status of the store. */
     private var lastWatcher: InstanceRecord? = null
+    private val sent = SentHeartbeats()
 
     /**
      * Increments the own heartbeat and returns the messages to send.
@@ -62,6 +63,7 @@
         nowMs: Long,
     ): List<OutgoingHeartbeat> {
         registry.incrementHeartbeat()
+        sent.record(registry.own, nowMs)
         val messages = ArrayList<OutgoingHeartbeat>()
         val zone = others.filter { it.zone == location.zone }
         val (ownRegion, otherRegions) = others.partition { location.regions[it.zone] == location.region }
@@ -108,6 +110,13 @@
         message.counts.forEach { registry.receive(it, nowMs) }
     }
 
+    /**
+     * Returns the time at which the own heartbeat that [message] returns was sent, or null when it returns none of the
+     * latest ones. The sender made the message after it had received that heartbeat.
+     */
+    public fun askedAtMs(message: HeartbeatMessage): Long? =
+        message.counts.firstOrNull { it.name == location.instance }?.let(sent::findTimeMs)
+
     private fun notifyOtherZones(
         others: Collection<InstanceRecord>,
         status: StoreStatus,
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/instances/HeartbeatMessage.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/instances/HeartbeatMessage.kt
@@ -5,6 +5,7 @@
 
 import org.cardamomwharf.steering.crashes.CrashMessage
 import org.cardamomwharf.steering.store.StoreStatus
+import org.cardamomwharf.steering.teams.Confirmation
 
 /**
  * Represents a heartbeat message between two instances.
@@ -13,6 +14,8 @@
  * @param newInstances heartbeats of instances that may be unknown to the receiver, with their addresses.
  * @param counts heartbeat counts of instances that most others know.
  * @param storeStatus status of the store, if the sender watches it.
+ * @param confirmation age of the sender's configuration, for the instances that [counts] names: a count that an
+ * instance has sent is its question, and the message that returns the count is the answer.
  * @param crashes what the sender knows about requests that crash backend servers, or null for nothing.
  */
 public data class HeartbeatMessage(
@@ -21,6 +24,7 @@
     public val counts: List<HeartbeatCount> = emptyList(),
     public val storeStatus: StoreStatus? = null,
     public val crashes: CrashMessage? = null,
+    public val confirmation: Confirmation? = null,
 )
 
 /** Represents a [message] to send to [recipients]. */
--- a/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/teams/CallerAuthenticationTest.kt
+++ b/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/teams/CallerAuthenticationTest.kt
@@ -35,9 +35,9 @@
 
 class CallerAuthenticationTest : FunSpec({
     val routes = ActiveRoutes()
-    val callers = CallerAuthentication(routes)
+    val callers = CallerAuthentication(routes, TeamParameters())
 
-    fun identify(key: String?, of: Route = route) = callers.identify(of, key?.let { TeamKey(it) })
+    fun identify(key: String?, of: Route = route) = callers.identify(of, key?.let { TeamKey(it) }, nowMs = 0)
 
     test("`a configuration without teams requires no key`") {
         routes.adopt(createDesired(1))
