Fail calls whose status no final response has, and skip interim responses

Cause: a server's status of 600 or more was passed on to the caller as it was, and after 101 the call waited for a second response until its deadline (504). 000, 001 and 099 didn't reach the caller: Jetty's parser rejects them. Interim responses (100, 102, 103) without a length failed the call, so their request ended as 502.

Change: a status outside 100 to 599, and 101, is a malformed response: the connection is closed and the request is retried where that is allowed, else answered with 502.

--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/ResponseReader.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/ResponseReader.kt
@@ -52,6 +52,7 @@
     override fun startResponse(version: HttpVersion, status: Int, reason: String?) {
         this.version = version
         this.status = status
+        if (!isStatusAllowed(status)) failure = CallFailure.MALFORMED
     }
 
     override fun parsedHeader(field: HttpField) {
@@ -61,7 +62,7 @@
     override fun headerComplete(): Boolean = false
 
     override fun content(buffer: ByteBuffer): Boolean {
-        failure = body.append(buffer)
+        failure = failure ?: body.append(buffer)
         return failure != null
     }
 
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/ResponseValidation.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/ResponseValidation.kt
@@ -10,7 +10,10 @@
 import org.eclipse.jetty.http.HttpHeader
 import org.eclipse.jetty.http.HttpVersion
 
+private const val MIN_INTERIM_STATUS = 100
+private const val SWITCHING_PROTOCOLS = 101
 private const val MIN_FINAL_STATUS = 200
+private const val MAX_FINAL_STATUS = 599
 private const val MAX_SUCCESS_STATUS = 299
 private const val MS_PER_SECOND = 1_000L
 
@@ -19,19 +22,27 @@
 private val success = MIN_FINAL_STATUS..MAX_SUCCESS_STATUS
 private val keepAlive = Regex("timeout=(\\d+)")
 
+/** Returns true for statuses of final responses, and of interim responses other than the unrequested upgrade. */
+internal fun isStatusAllowed(status: Int): Boolean =
+    status in MIN_INTERIM_STATUS..MAX_FINAL_STATUS && status != SWITCHING_PROTOCOLS
+
+/** True if another response to the same request follows. */
+private val ResponseReader.isInterim: Boolean get() = status < MIN_FINAL_STATUS
+
 /** Returns true if the response is an interim response or names a request other than [id]. */
 internal fun ResponseReader.isMismatched(id: String?): Boolean {
     val responseId = fields.get(HeaderNames.REQUEST_ID)
-    return status < MIN_FINAL_STATUS || (responseId != null && responseId != id)
+    return isInterim || (responseId != null && responseId != id)
 }
 
 /** Returns true if the response is complete, doesn't belong to [id], and another may follow on the connection. */
-internal fun ResponseReader.isSkippable(id: String?): Boolean = isComplete && isMismatched(id) && isPersistent()
+internal fun ResponseReader.isSkippable(id: String?): Boolean =
+    failure == null && isComplete && isMismatched(id) && isPersistent()
 
 /** Returns true if the connection may carry another request after this response. */
 internal fun ResponseReader.isPersistent(): Boolean {
     val isClosing = fields.contains(HttpHeader.CONNECTION, "close")
-    val isFramed = fields.contains(HttpHeader.CONTENT_LENGTH) || fields.contains(HttpHeader.TRANSFER_ENCODING)
+    val isFramed = isInterim || fields.contains(HttpHeader.CONTENT_LENGTH) || fields.contains(HttpHeader.TRANSFER_ENCODING)
     return version == HttpVersion.HTTP_1_1 && !isClosing && isFramed
 }
 
--- a/cardamomwharf-forward/src/test/kotlin/org/cardamomwharf/forward/support/ScriptedServer.kt
+++ b/cardamomwharf-forward/src/test/kotlin/org/cardamomwharf/forward/support/ScriptedServer.kt
@@ -74,3 +74,8 @@
 
 internal fun findRequestId(head: List<String>): String =
     head.first { it.startsWith("X-Request-Id:") }.substringAfter(':').trim()
+
+/** Answers each request without a body until the peer closes the connection. */
+internal fun ScriptedConnection.serveForever() {
+    generateSequence { readHead() }.forEach { send(responseText(findRequestId(it))) }
+}
