Start requests that callers send ahead before their turn

Callers that send further repeatable requests before the first is answered had each of them wait for the whole work of those before.

--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/listener/AsyncHttpServer.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/listener/AsyncHttpServer.kt
@@ -38,6 +38,18 @@
     public fun handle(request: Request, response: Response, callback: Callback)
 }
 
+/**
+ * Handles some requests before their turn: while an earlier request on the same connection is pending. Such a request
+ * has a safe method and no body, and its response is sent in its turn.
+ */
+public interface LookAheadHandler : AsyncHandler {
+    /** Returns true if [request] may be handled before its turn. */
+    public fun mayHandleAhead(request: Request): Boolean
+
+    /** Returns true if requests behind [request] may be handled while it is pending. */
+    public fun mayBeOvertaken(request: Request): Boolean
+}
+
 /**
  * Represents the settings of the server.
  *
@@ -162,7 +174,28 @@
 private class ListenerHandler(private val handlers: Map<String, AsyncHandler>) : Handler.Abstract.NonBlocking() {
     override fun handle(request: Request, response: Response, callback: Callback): Boolean {
         val handler = handlers.getValue(request.connectionMetaData.connector.name)
-        handler.handle(request, response, callback)
+        val endPoint = request.connectionMetaData.connection.endPoint
+        if (handler is LookAheadHandler && endPoint is CallerEndPoint) {
+            handleInTurn(handler, endPoint, response, callback)
+        } else {
+            handler.handle(request, response, callback)
+        }
         return true
     }
+
+    private fun handleInTurn(
+        handler: LookAheadHandler,
+        endPoint: CallerEndPoint,
+        response: Response,
+        callback: Callback,
+    ) {
+        val request = response.request
+        val started = endPoint.takeAhead(request)
+        if (started == null) {
+            handler.handle(request, response, callback)
+        } else {
+            started.deliver(endPoint, response, callback)
+        }
+        endPoint.startAhead(PendingExchange(handler, response))
+    }
 }
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/listener/CallerConnectionFactory.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/listener/CallerConnectionFactory.kt
@@ -6,6 +6,7 @@
 package org.cardamomwharf.forward.listener
 
 import org.cardamomwharf.forward.headBytesOf
+import org.eclipse.jetty.http.HttpHeader
 import org.eclipse.jetty.io.Connection
 import org.eclipse.jetty.io.EndPoint
 import org.eclipse.jetty.server.Connector
@@ -29,3 +30,12 @@
     val neededBytes = headBytesOf(headers)
     if (neededBytes > configuration.responseHeaderSize) configuration.responseHeaderSize = neededBytes
 }
+
+/**
+ * Closes the connection after this response, or after the last response to the requests that were started before their
+ * turn.
+ */
+internal fun Response.closeConnection() {
+    val endPoint = request.connectionMetaData.connection.endPoint as? CallerEndPoint
+    if (request is AheadRequest || endPoint?.hasRequestsAhead != true) headers.put(HttpHeader.CONNECTION, "close")
+}
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/listener/CallerEndPoint.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/listener/CallerEndPoint.kt
@@ -1,14 +1,16 @@
 /*
  * End point of a caller's connection that detects a disconnect while a response is pending. Jetty reads from a
  * connection only when it expects a request, so it doesn't detect a disconnect before that. Bytes that arrive meanwhile
- * belong to the next request and are buffered for Jetty. Jetty reads and parses on the selector's thread for as long as
- * input is available, so one buffer is passed on for each event, and a caller that sends without end can't keep the
- * thread from the others.
+ * belong to the next requests and are buffered for Jetty; some of these requests are handled before their turn. Jetty
+ * reads and parses on the selector's thread for as long as input is available, so one buffer is passed on for each
+ * event, and a caller that sends without end can't keep the thread from the others.
  */
 package org.cardamomwharf.forward.listener
 
 import org.eclipse.jetty.io.ManagedSelector
 import org.eclipse.jetty.io.SocketChannelEndPoint
+import org.eclipse.jetty.server.Request
+import org.eclipse.jetty.server.internal.HttpConnection
 import org.eclipse.jetty.util.BufferUtil
 import org.eclipse.jetty.util.Callback
 import org.eclipse.jetty.util.thread.Invocable
@@ -23,11 +25,17 @@
     selector: ManagedSelector,
     key: SelectionKey,
     scheduler: Scheduler,
-) : SocketChannelEndPoint(channel, selector, key, scheduler) {
+) : SocketChannelEndPoint(channel, selector, key, scheduler), DisconnectSource {
     private val lock = Any()
     private var onDisconnect: (() -> Unit)? = null
-    private var buffered: ByteBuffer? = null
+    private var early: EarlyInput? = null
     private var isInputEnded = false
+    private var pending: PendingExchange? = null
+    private var lookAhead: LookAhead? = null
+    private var isLookAheadOver = false
+
+    /** Buffer into which Jetty read last; it belongs to this connection only while Jetty says it isn't empty. */
+    private var jettyInput: ByteBuffer? = null
 
     @Volatile
     private var isBufferRead = false
@@ -35,39 +43,77 @@
     /** True while a response is pending. */
     val isWatchingDisconnect: Boolean get() = synchronized(lock) { onDisconnect != null }
 
-    /** Calls [action] once if the caller closes the connection before [unwatchDisconnect]. */
-    fun watchDisconnect(action: () -> Unit) {
-        synchronized(lock) { onDisconnect = action }
-        awaitInput()
+    /** True while requests are handled before their turn. */
+    val hasRequestsAhead: Boolean get() = synchronized(lock) { lookAhead?.hasRequests == true }
+
+    /** True while bytes behind the last request are buffered. */
+    val hasEarlyInput: Boolean get() = synchronized(lock) { early != null }
+
+    override fun watchDisconnect(action: () -> Unit) {
+        val isAwaiting = synchronized(lock) {
+            onDisconnect = action
+            early?.isFull != true
+        }
+        if (isAwaiting) awaitInput()
     }
 
-    /** Stops watching; must be called before the response is completed. */
-    fun unwatchDisconnect() {
-        synchronized(lock) { onDisconnect = null }
+    override fun unwatchDisconnect() {
+        synchronized(lock) {
+            onDisconnect = null
+            pending = null
+        }
         fillInterest.onFail(stoppedWatching)
     }
 
+    /** Returns the request that Jetty dispatches as [request] if it was started before its turn. */
+    fun takeAhead(request: Request): AheadExchange? {
+        val next = synchronized(lock) {
+            pending = null
+            lookAhead?.next().also { if (it == null) lookAhead = null }
+        }
+        if (next == null || next.request.isSame(request)) return next
+        next.cancel()
+        cancelAhead()
+        return null
+    }
+
+    /** Starts the requests behind [exchange], whose response is pending; call on the thread that dispatched it. */
+    fun startAhead(exchange: PendingExchange) {
+        val rest = if ((connection as? HttpConnection)?.isRequestBufferEmpty != false) null else jettyInput
+        val found = synchronized(lock) {
+            if (onDisconnect == null || isLookAheadOver) return
+            pending = exchange
+            findAhead(rest)
+        }
+        found.forEach { it.start() }
+    }
+
+    override fun doShutdownOutput() {
+        endLookAhead()
+        super.doShutdownOutput()
+    }
+
+    override fun onClose(cause: Throwable?) {
+        super.onClose(cause)
+        endLookAhead()
+    }
+
     override fun onSelected(): Runnable? {
         isBufferRead = false
         return super.onSelected()
     }
 
     override fun fill(buffer: ByteBuffer): Int = synchronized(lock) {
-        val early = buffered
+        jettyInput = buffer
+        val bytes = early
         when {
-            early != null -> readBuffered(early, buffer)
+            bytes != null -> bytes.moveTo(buffer).also { if (bytes.size == 0) early = null }
             isInputEnded -> -1
             isBufferRead -> 0
             else -> super.fill(buffer).also { isBufferRead = it > 0 }
         }
     }
 
-    private fun readBuffered(early: ByteBuffer, buffer: ByteBuffer): Int {
-        val count = BufferUtil.append(buffer, early)
-        if (!early.hasRemaining()) buffered = null
-        return count
-    }
-
     private fun awaitInput() {
         val callback = object : Callback {
             override fun getInvocationType(): Invocable.InvocationType = Invocable.InvocationType.NON_BLOCKING
@@ -82,33 +128,60 @@
     }
 
     private fun readEarly() {
-        val action = synchronized(lock) {
+        var found = emptyList<AheadExchange>()
+        val isGone = synchronized(lock) {
             if (onDisconnect == null) return
-            val buffer = BufferUtil.allocate(BUFFER_BYTES)
+            val bytes = early ?: EarlyInput()
             val count = try {
-                super.fill(buffer)
+                bytes.append { super.fill(it) }
             } catch (@Suppress("SwallowedException") e: IOException) {
                 -1
             }
-            when {
-                count > 0 -> buffered = buffer
-                count < 0 -> isInputEnded = true
-                else -> awaitInput()
+            if (count > 0) {
+                early = bytes
+                lookAhead?.recordInput(count)
+                found = findAhead(null)
             }
-            if (count < 0) onDisconnect.also { onDisconnect = null } else null
+            if (count >= 0 && !bytes.isFull) awaitInput()
+            isInputEnded = count < 0
+            isInputEnded
+        }
+        if (isGone) notifyDisconnect() else found.forEach { it.start() }
+    }
+
+    /** Returns the requests behind the pending one that are recognized for the first time. */
+    private fun findAhead(rest: ByteBuffer?): List<AheadExchange> {
+        val exchange = pending ?: return emptyList()
+        val bytes = early?.bytes ?: BufferUtil.EMPTY_BUFFER
+        val size = (rest?.remaining() ?: 0) + bytes.remaining()
+        val ahead = lookAhead ?: if (size > 0) createLookAhead(exchange, size) else null
+        lookAhead = ahead
+        if (ahead == null && size > 0) pending = null
+        return ahead?.scan(exchange, rest, bytes).orEmpty()
+    }
+
+    private fun endLookAhead() {
+        synchronized(lock) { isLookAheadOver = true }
+        cancelAhead()
+    }
+
+    private fun cancelAhead() {
+        val cancelled = synchronized(lock) {
+            pending = null
+            lookAhead.also { lookAhead = null }?.removeAll()
         }
-        action?.invoke()
+        cancelled?.forEach { it.cancel() }
     }
 
     private fun notifyDisconnect() {
         synchronized(lock) { onDisconnect.also { onDisconnect = null } }?.invoke()
+        endLookAhead()
     }
 
     /** Records no suppressed exceptions, which would accumulate in the shared instance. */
     private class StoppedWatching : Throwable("the response is ready", null, false, false)
 
     private companion object {
-        const val BUFFER_BYTES = 4_096
         val stoppedWatching = StoppedWatching()
     }
 }
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/listener/GracefulCloseConnector.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/listener/GracefulCloseConnector.kt
@@ -97,5 +97,6 @@
 
 private fun CallerEndPoint.isIdle(): Boolean {
     val parser = (connection as? HttpConnection)?.parser
-    return isFillInterested && !isWatchingDisconnect && idleFor >= IDLE_MS && parser?.isStart != false
+    val isWaiting = isFillInterested && !isWatchingDisconnect && !hasEarlyInput && !hasRequestsAhead
+    return isWaiting && idleFor >= IDLE_MS && parser?.isStart != false
 }
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/RequestForwarder.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/RequestForwarder.kt
@@ -9,7 +9,7 @@
 import com.github.michaelbull.result.onFailure
 import com.github.michaelbull.result.onSuccess
 import org.cardamomwharf.core.StatusCode
-import org.cardamomwharf.forward.listener.CallerEndPoint
+import org.cardamomwharf.forward.listener.disconnectSource
 import org.cardamomwharf.forward.server.CallResult
 import org.cardamomwharf.forward.server.HeadError
 import org.cardamomwharf.forward.server.ServerCall
@@ -33,7 +33,7 @@
     private val responses: ResponseSender,
     private var spec: RequestSpec,
 ) {
-    private val endPoint = request.connectionMetaData.connection.endPoint as? CallerEndPoint
+    private val disconnects = request.disconnectSource
     private val placements = ArrayList<Placement.Send>()
     private val attempts = ArrayList<AttemptTrace>()
     private var body: ByteBuffer? = null
@@ -53,7 +53,7 @@
         request.addIdleTimeoutListener { false }
         val remainingMs = (spec.deadlineAtMs - context.clock.nowMs()).coerceAtLeast(0)
         timer = context.scheduler.schedule(::onTimeout, remainingMs, TimeUnit.MILLISECONDS)
-        endPoint?.watchDisconnect(::onCallerDisconnect)
+        disconnects?.watchDisconnect(::onCallerDisconnect)
         when (val placement = context.steering.withLock { steering, nowMs -> steering.place(spec, nowMs) }) {
             is Placement.Send -> send(placement)
             is Placement.Refuse -> finish { responses.refuse(placement.reason, placement.retryAfterMs, attempts) }
@@ -153,7 +153,7 @@
             isFinished = true
         }
         timer?.cancel()
-        endPoint?.unwatchDisconnect()
+        disconnects?.unwatchDisconnect()
         context.inFlight.decrementAndGet()
         sendFinal()
     }
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/RequestTrace.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/RequestTrace.kt
@@ -12,6 +12,8 @@
  * @param outcome code of the final response.
  * @param status status of the final response; 0 if the caller disconnected before.
  * @param fingerprint hash of what the caller sent, the same when the request comes again; 0 if it isn't known.
+ * @param aheadPosition number of unanswered requests before this one on its connection when it was started; 0 for one
+ *   that was started in its turn.
  */
 public data class RequestTrace(
     public val requestId: String,
@@ -25,6 +27,7 @@
     public val remainingMs: Long,
     public val attempts: List<AttemptTrace>,
     public val fingerprint: Long = 0,
+    public val aheadPosition: Int = 0,
 )
 
 /** Represents an attempt with the placement that chose its backend server. */
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/ResponseSender.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/ResponseSender.kt
@@ -4,6 +4,7 @@
 package org.cardamomwharf.forward.proxy
 
 import org.cardamomwharf.core.StatusCode
+import org.cardamomwharf.forward.listener.aheadPosition
 import org.cardamomwharf.forward.server.ServerResponse
 import org.cardamomwharf.steering.requests.AttemptOutcome
 import org.cardamomwharf.steering.requests.RefusalReason
@@ -63,6 +64,7 @@
                 remainingMs = spec.deadlineAtMs - nowMs,
                 attempts = attempts,
                 fingerprint = fingerprint,
+                aheadPosition = response.request.aheadPosition,
             ),
         )
     }
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/ResponseWriter.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/ResponseWriter.kt
@@ -3,6 +3,7 @@
  */
 package org.cardamomwharf.forward.proxy
 
+import org.cardamomwharf.forward.listener.closeConnection
 import org.cardamomwharf.forward.listener.reserveHead
 import org.cardamomwharf.forward.server.ServerResponse
 import org.cardamomwharf.platform.HeaderNames
@@ -61,7 +62,7 @@
 }
 
 private fun write(body: ByteArray, isClosing: Boolean, response: Response, done: Callback) {
-    if (isClosing) response.headers.put(HttpHeader.CONNECTION, "close")
+    if (isClosing) response.closeConnection()
     response.headers.put(HttpHeader.CONTENT_LENGTH, body.size.toLong())
     response.reserveHead()
     response.write(true, ByteBuffer.wrap(body), done)
