Test requests that callers send ahead, and read buffered input without waiting for more

A head of which Jetty had read one part and the end point had buffered the rest while a response was pending was read only when further bytes arrived: Jetty waits for input without asking the end point again. The end point now reports buffered input itself. Closing the pool of the test gateway before its server saves 5 s a test: the stop waited for the pool's selector thread.

--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/listener/AheadExchange.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/listener/AheadExchange.kt
@@ -83,6 +83,7 @@
             target.status = response.status
             response.headers.forEach { target.headers.add(it) }
             if (endPoint.hasRequestsAhead) target.headers.remove(HttpHeader.CONNECTION)
+            target.reserveHead()
         }
     }
 
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/listener/CallerConnectionFactory.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/listener/CallerConnectionFactory.kt
@@ -24,8 +24,12 @@
     }
 }
 
-/** Enlarges the buffer for the head of this response if needed; must be called before the response is written. */
+/**
+ * Enlarges the buffer for the head of this response if needed; must be called before the response is written. The head of
+ * a response that is held needs the buffer only in its turn.
+ */
 internal fun Response.reserveHead() {
+    if (request is AheadRequest) return
     val configuration = request.connectionMetaData.httpConfiguration
     val neededBytes = headBytesOf(headers)
     if (neededBytes > configuration.responseHeaderSize) configuration.responseHeaderSize = neededBytes
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/listener/CallerEndPoint.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/listener/CallerEndPoint.kt
@@ -88,6 +88,13 @@
         found.forEach { it.start() }
     }
 
+    /** Reports input without waiting for the selector if it is already buffered or has ended. */
+    override fun needsFillInterest() {
+        val isReady = synchronized(lock) { onDisconnect == null && (early != null || isInputEnded) }
+        val executor = (connection as? HttpConnection)?.connector?.executor
+        if (isReady && executor != null) executor.execute { fillInterest.fillable() } else super.needsFillInterest()
+    }
+
     override fun doShutdownOutput() {
         endLookAhead()
         super.doShutdownOutput()
--- a/cardamomwharf-forward/src/test/kotlin/org/cardamomwharf/forward/support/ForwardingGateway.kt
+++ b/cardamomwharf-forward/src/test/kotlin/org/cardamomwharf/forward/support/ForwardingGateway.kt
@@ -17,6 +17,7 @@
 import org.cardamomwharf.forward.listener.createAsyncHttpServer
 import org.cardamomwharf.forward.listener.startHttpThreads
 import org.cardamomwharf.forward.proxy.ForwardingContext
+import org.cardamomwharf.forward.proxy.RequestTrace
 import org.cardamomwharf.forward.proxy.SynchronizedSteering
 import org.cardamomwharf.forward.proxy.createForwardingHandler
 import org.cardamomwharf.forward.server.ConnectionPoolSettings
@@ -30,9 +31,11 @@
 import org.cardamomwharf.steering.desired.ServiceTerms
 import org.cardamomwharf.steering.desired.WeightedService
 import org.cardamomwharf.steering.limits.RetryBudgetParameters
+import org.cardamomwharf.steering.requests.StopPlan
 import org.cardamomwharf.steering.servers.ServerRecord
 import org.cardamomwharf.steering.store.TableChange
 import java.net.Socket
+import java.util.concurrent.LinkedBlockingQueue
 
 private const val HOST = "127.0.0.1"
 private const val CALLERS = "callers"
@@ -45,7 +48,7 @@
 /** The shortest field; most writers add a space. */
 private const val EMPTY_FIELD = "c:\r\n"
 
-/** Forwards requests of callers for the path /r/ to the servers at [servers]. */
+/** Forwards requests of callers for the path /r/, and for /once/, which may run only once, to [servers]. */
 internal class ForwardingGateway(vararg servers: SocketAddress) : AutoCloseable {
     private val clock = monotonicClock()
     private val steering = Steering(
@@ -53,19 +56,23 @@
         SteeringParameters(RetryBudgetParameters(ratio = 0.2, allowance = 10, windowMs = 10_000)),
     )
     private val settings = AsyncHttpServerSettings()
+
+    /** Traces of completed requests. */
+    val traces = LinkedBlockingQueue<RequestTrace>()
     private val threads = startHttpThreads(settings)
     private val pool = startConnectionPool(ConnectionPoolSettings(), threads.executor, clock)
     private val context =
-        ForwardingContext(SynchronizedSteering(steering, clock), pool, threads.scheduler, clock) { }
+        ForwardingContext(SynchronizedSteering(steering, clock), pool, threads.scheduler, clock) { traces.add(it) }
     private val listener = HttpListener(CALLERS, SocketAddress(HOST, 0), createForwardingHandler(context))
     private val http = createAsyncHttpServer(settings, threads, listOf(listener))
 
     init {
         val parts = listOf(WeightedService(service, 1.0))
         val route = Route("r", "h", "/r/", true, parts, ROUTE_TIMEOUT_MS, ROUTE_TIMEOUT_MS, 1, 2, true, emptySet())
+        val onceRoute = route.copy(name = "once", prefix = "/once/", isIdempotent = false)
         val terms = ServiceTerms(service, "/health", 10, 0, 1.0)
         val limits = CallerLimits(settings.maxHeadBytes, BODY_BYTES, ROUTE_TIMEOUT_MS, settings.idleTimeoutMs)
-        steering.routes.adopt(DesiredState(DocumentVersion(1), listOf(route), mapOf(service to terms), limits))
+        steering.routes.adopt(DesiredState(DocumentVersion(1), listOf(route, onceRoute), mapOf(service to terms), limits))
         val changes = servers.mapIndexed { index, address ->
             val name = "server-000$index"
             TableChange(name, 1, null, ServerRecord(ServerName(name), service, address, zone, 64, false, 1, 0))
@@ -78,6 +85,12 @@
     /** Limits heads as the configuration of an operator does. */
     fun setMaxHeadBytes(maxHeadBytes: Int) = http.setMaxHeadBytes(CALLERS, maxHeadBytes)
 
+    /** Begins a graceful stop, which ends after all requests of the test. */
+    fun beginStop() = context.beginStop(StopPlan(Long.MAX_VALUE, Long.MAX_VALUE))
+
+    /** Closes idle connections as a graceful stop does. */
+    fun closeIdleConnections() = http.closeIdleConnections(CALLERS)
+
     /** Opens a connection of a caller. */
     fun connect(): Socket = Socket(HOST, http.getPort(CALLERS)).apply { soTimeout = TIMEOUT_MS }
 
@@ -88,8 +101,8 @@
     }
 
     override fun close() {
+        pool.close() // Its selector occupies one of the threads that the server stops.
         http.stop()
-        pool.close()
     }
 }
 
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/logs/DecisionLog.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/logs/DecisionLog.kt
@@ -64,6 +64,7 @@
         put("tookMs", trace.tookMs)
         put("leftMs", trace.remainingMs)
         if (skipped > 0) put("linesSkipped", skipped)
+        if (trace.aheadPosition > 0) put("ahead", trace.aheadPosition)
         if (trace.outcome in crashOutcomes || trace.attempts.any { it.outcome in crashOutcomes }) {
             put("fingerprint", trace.fingerprint.toULong().toString(HEXADECIMAL))
         }
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/metrics/GatewayMetrics.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/metrics/GatewayMetrics.kt
@@ -35,6 +35,9 @@
         .register(registry)
     private val blocks = Counter.builder().name("wharf_crashing_requests_total")
         .help("Requests that crash backend servers, by what became of them.").labelNames("change").register(registry)
+    private val ahead = Counter.builder().name("wharf_requests_ahead_total")
+        .help("Requests that were started before their turn on the caller's connection, by their final answer.")
+        .labelNames("outcome").register(registry)
     private val latency = Histogram.builder().name("wharf_request_seconds").help("Time until the final answer.")
         .labelNames("service").classicOnly().register(registry)
     private val state = Gauge.builder().name("wharf_state").help("Numbers of what this process knows and holds.")
@@ -42,6 +45,7 @@
 
     override fun record(trace: RequestTrace) {
         responses.labelValues(trace.service, trace.outcome, trace.status.toString()).inc()
+        if (trace.aheadPosition > 0) ahead.labelValues(trace.outcome).inc()
         trace.attempts.dropLast(1).forEach { retries.labelValues(trace.service, it.outcome).inc() }
         trace.attempts.forEach {
             val placement = it.placement
