Keep the requests ahead of a connection in a class of their own

The rule which routes may overtake is now in ForwardingLookAhead, so that ForwardingHandler stays as it was.

--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/listener/AheadExchange.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/listener/AheadExchange.kt
@@ -82,7 +82,7 @@
         private fun writeHead() {
             target.status = response.status
             response.headers.forEach { target.headers.add(it) }
-            if (endPoint.hasRequestsAhead) target.headers.remove(HttpHeader.CONNECTION)
+            if (endPoint.ahead.isNotEmpty) target.headers.remove(HttpHeader.CONNECTION)
             target.reserveHead()
         }
     }
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/listener/AsyncHttpServer.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/listener/AsyncHttpServer.kt
@@ -190,7 +190,7 @@
         callback: Callback,
     ) {
         val request = response.request
-        val started = endPoint.takeAhead(request)
+        val started = endPoint.ahead.take(request)
         if (started == null) {
             handler.handle(request, response, callback)
         } else {
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/listener/CallerConnectionFactory.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/listener/CallerConnectionFactory.kt
@@ -25,8 +25,8 @@
 }
 
 /**
- * Enlarges the buffer for the head of this response if needed; must be called before the response is written. The head of
- * a response that is held needs the buffer only in its turn.
+ * Enlarges the buffer for the head of this response if needed; must be called before the response is written. The head
+ * of a response that is held needs the buffer only in its turn.
  */
 internal fun Response.reserveHead() {
     if (request is AheadRequest) return
@@ -41,5 +41,5 @@
  */
 internal fun Response.closeConnection() {
     val endPoint = request.connectionMetaData.connection.endPoint as? CallerEndPoint
-    if (request is AheadRequest || endPoint?.hasRequestsAhead != true) headers.put(HttpHeader.CONNECTION, "close")
+    if (request is AheadRequest || endPoint?.ahead?.isNotEmpty != true) headers.put(HttpHeader.CONNECTION, "close")
 }
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/listener/CallerEndPoint.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/listener/CallerEndPoint.kt
@@ -9,9 +9,7 @@
 
 import org.eclipse.jetty.io.ManagedSelector
 import org.eclipse.jetty.io.SocketChannelEndPoint
-import org.eclipse.jetty.server.Request
 import org.eclipse.jetty.server.internal.HttpConnection
-import org.eclipse.jetty.util.BufferUtil
 import org.eclipse.jetty.util.Callback
 import org.eclipse.jetty.util.thread.Invocable
 import org.eclipse.jetty.util.thread.Scheduler
@@ -30,9 +28,6 @@
     private var onDisconnect: (() -> Unit)? = null
     private var early: EarlyInput? = null
     private var isInputEnded = false
-    private var pending: PendingExchange? = null
-    private var lookAhead: LookAhead? = null
-    private var isLookAheadOver = false
 
     /** Buffer into which Jetty read last; it belongs to this connection only while Jetty says it isn't empty. */
     private var jettyInput: ByteBuffer? = null
@@ -40,12 +35,22 @@
     @Volatile
     private var isBufferRead = false
 
+    private val whenReadable = object : Callback {
+        override fun getInvocationType(): Invocable.InvocationType = Invocable.InvocationType.NON_BLOCKING
+
+        override fun succeeded() = readEarly()
+
+        override fun failed(cause: Throwable) {
+            if (cause !== stoppedWatching) notifyDisconnect()
+        }
+    }
+
+    /** The requests that are handled before their turn. */
+    val ahead = RequestsAhead()
+
     /** True while a response is pending. */
     val isWatchingDisconnect: Boolean get() = synchronized(lock) { onDisconnect != null }
 
-    /** True while requests are handled before their turn. */
-    val hasRequestsAhead: Boolean get() = synchronized(lock) { lookAhead?.hasRequests == true }
-
     /** True while bytes behind the last request are buffered. */
     val hasEarlyInput: Boolean get() = synchronized(lock) { early != null }
 
@@ -54,36 +59,22 @@
             onDisconnect = action
             early?.isFull != true
         }
-        if (isAwaiting) awaitInput()
+        if (isAwaiting) tryFillInterested(whenReadable)
     }
 
     override fun unwatchDisconnect() {
         synchronized(lock) {
             onDisconnect = null
-            pending = null
+            ahead.pause()
         }
         fillInterest.onFail(stoppedWatching)
     }
 
-    /** Returns the request that Jetty dispatches as [request] if it was started before its turn. */
-    fun takeAhead(request: Request): AheadExchange? {
-        val next = synchronized(lock) {
-            pending = null
-            lookAhead?.next().also { if (it == null) lookAhead = null }
-        }
-        if (next == null || next.request.isSame(request)) return next
-        next.cancel()
-        cancelAhead()
-        return null
-    }
-
-    /** Starts the requests behind [exchange], whose response is pending; call on the thread that dispatched it. */
+    /** Starts the requests behind [exchange] if it is pending; call on the thread that dispatched it. */
     fun startAhead(exchange: PendingExchange) {
         val rest = if ((connection as? HttpConnection)?.isRequestBufferEmpty != false) null else jettyInput
         val found = synchronized(lock) {
-            if (onDisconnect == null || isLookAheadOver) return
-            pending = exchange
-            findAhead(rest)
+            if (onDisconnect == null) emptyList() else ahead.resume(exchange, rest, early?.bytes)
         }
         found.forEach { it.start() }
     }
@@ -96,13 +87,13 @@
     }
 
     override fun doShutdownOutput() {
-        endLookAhead()
+        ahead.end()
         super.doShutdownOutput()
     }
 
     override fun onClose(cause: Throwable?) {
         super.onClose(cause)
-        endLookAhead()
+        ahead.end()
     }
 
     override fun onSelected(): Runnable? {
@@ -121,19 +112,6 @@
         }
     }
 
-    private fun awaitInput() {
-        val callback = object : Callback {
-            override fun getInvocationType(): Invocable.InvocationType = Invocable.InvocationType.NON_BLOCKING
-
-            override fun succeeded() = readEarly()
-
-            override fun failed(cause: Throwable) {
-                if (cause !== stoppedWatching) notifyDisconnect()
-            }
-        }
-        tryFillInterested(callback)
-    }
-
     private fun readEarly() {
         var found = emptyList<AheadExchange>()
         val isGone = synchronized(lock) {
@@ -146,43 +124,18 @@
             }
             if (count > 0) {
                 early = bytes
-                lookAhead?.recordInput(count)
-                found = findAhead(null)
+                found = ahead.recordInput(count, bytes.bytes)
             }
-            if (count >= 0 && !bytes.isFull) awaitInput()
+            if (count >= 0 && !bytes.isFull) tryFillInterested(whenReadable)
             isInputEnded = count < 0
             isInputEnded
         }
         if (isGone) notifyDisconnect() else found.forEach { it.start() }
     }
 
-    /** Returns the requests behind the pending one that are recognized for the first time. */
-    private fun findAhead(rest: ByteBuffer?): List<AheadExchange> {
-        val exchange = pending ?: return emptyList()
-        val bytes = early?.bytes ?: BufferUtil.EMPTY_BUFFER
-        val size = (rest?.remaining() ?: 0) + bytes.remaining()
-        val ahead = lookAhead ?: if (size > 0) createLookAhead(exchange, size) else null
-        lookAhead = ahead
-        if (ahead == null && size > 0) pending = null
-        return ahead?.scan(exchange, rest, bytes).orEmpty()
-    }
-
-    private fun endLookAhead() {
-        synchronized(lock) { isLookAheadOver = true }
-        cancelAhead()
-    }
-
-    private fun cancelAhead() {
-        val cancelled = synchronized(lock) {
-            pending = null
-            lookAhead.also { lookAhead = null }?.removeAll()
-        }
-        cancelled?.forEach { it.cancel() }
-    }
-
     private fun notifyDisconnect() {
         synchronized(lock) { onDisconnect.also { onDisconnect = null } }?.invoke()
-        endLookAhead()
+        ahead.end()
     }
 
     /** Records no suppressed exceptions, which would accumulate in the shared instance. */
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/listener/GracefulCloseConnector.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/listener/GracefulCloseConnector.kt
@@ -97,6 +97,6 @@
 
 private fun CallerEndPoint.isIdle(): Boolean {
     val parser = (connection as? HttpConnection)?.parser
-    val isWaiting = isFillInterested && !isWatchingDisconnect && !hasEarlyInput && !hasRequestsAhead
+    val isWaiting = isFillInterested && !isWatchingDisconnect && !hasEarlyInput && !ahead.isNotEmpty
     return isWaiting && idleFor >= IDLE_MS && parser?.isStart != false
 }
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/listener/LookAhead.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/listener/LookAhead.kt
@@ -1,7 +1,6 @@
 /*
- * The requests of one connection that are handled before their turn. They are recognized in the bytes behind the pending
- * request and leave in the same order when Jetty dispatches them. The first request that may not be handled before its
- * turn ends the look-ahead; it starts anew behind the next request that Jetty dispatches.
+ * Recognizes requests in the bytes behind a pending request and queues them in their order. The first request that may
+ * not be handled before its turn ends the look-ahead; another one starts behind the next request that Jetty dispatches.
  */
 package org.cardamomwharf.forward.listener
 
@@ -68,13 +67,13 @@
     }
 }
 
-/** Returns a look-ahead behind [pending] if requests behind it may overtake it. */
+/** Returns a look-ahead behind [pending] if requests may overtake it. */
 internal fun createLookAhead(pending: PendingExchange, unscannedBytes: Int): LookAhead? {
     val request = pending.response.request
     val metaData = request.connectionMetaData
     val head = RequestHead(request.method, request.httpURI.pathQuery, metaData.httpVersion, request.headers)
-    val isAllowed = head.isSafeAndBodiless && !head.isLast && pending.handler.mayBeOvertaken(request)
-    return if (isAllowed) LookAhead(RequestScanner(metaData.httpConfiguration.requestHeaderSize), unscannedBytes) else null
+    if (!head.isSafeAndBodiless || head.isLast || !pending.handler.mayBeOvertaken(request)) return null
+    return LookAhead(RequestScanner(metaData.httpConfiguration.requestHeaderSize), unscannedBytes)
 }
 
 /** Returns a view of the last [count] bytes of [buffer]. */
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/ForwardingHandler.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/ForwardingHandler.kt
@@ -7,14 +7,12 @@
 import org.cardamomwharf.core.ServiceName
 import org.cardamomwharf.core.StatusCode
 import org.cardamomwharf.forward.listener.AsyncHandler
-import org.cardamomwharf.forward.listener.LookAheadHandler
 import org.cardamomwharf.forward.listener.aheadPosition
 import org.cardamomwharf.forward.server.ConnectionPool
 import org.cardamomwharf.platform.HeaderNames
 import org.cardamomwharf.steering.Steering
 import org.cardamomwharf.steering.desired.DesiredState
 import org.cardamomwharf.steering.desired.Route
-import org.cardamomwharf.steering.desired.TransferKind
 import org.cardamomwharf.steering.requests.RefusalReason
 import org.cardamomwharf.steering.requests.RequestSpec
 import org.cardamomwharf.steering.requests.StopPlan
@@ -67,9 +65,10 @@
 }
 
 /** Returns the handler that forwards requests of callers to backend servers. */
-public fun createForwardingHandler(context: ForwardingContext): AsyncHandler = ForwardingHandler(context)
+public fun createForwardingHandler(context: ForwardingContext): AsyncHandler =
+    ForwardingLookAhead(context, ForwardingHandler(context))
 
-private class ForwardingHandler(private val context: ForwardingContext) : LookAheadHandler {
+private class ForwardingHandler(private val context: ForwardingContext) : AsyncHandler {
     override fun handle(request: Request, response: Response, callback: Callback) {
         val arrivedAtMs = context.clock.nowMs()
         val id = request.headers.get(HeaderNames.REQUEST_ID)
@@ -85,17 +84,6 @@
         }
     }
 
-    /** Large responses aren't fetched before their turn because they would be held in memory. */
-    override fun mayHandleAhead(request: Request): Boolean =
-        !context.isStopping && findPlainRoute(request).let { it == null || (it.isIdempotent && it.transfer == TransferKind.SMALL) }
-
-    override fun mayBeOvertaken(request: Request): Boolean =
-        !context.isStopping && findPlainRoute(request).let { it == null || it.isIdempotent }
-
-    private fun findPlainRoute(request: Request): Route? = request.headers.get(HttpHeader.HOST)?.let { host ->
-        context.steering.withLock { steering, _ -> steering.routes.find(host, request.httpURI.path.orEmpty()) }
-    }
-
     private fun findRoute(steering: Steering, request: Request): RouteMatch? {
         val host = request.headers.get(HttpHeader.HOST)
         val route = host?.let { steering.routes.find(it, request.httpURI.path.orEmpty()) }
@@ -153,9 +141,8 @@
 
     private fun refuse(request: Request, response: Response, callback: Callback, reply: LocalReply) {
         val id = request.headers.get(HeaderNames.REQUEST_ID)
-        context.traceSink.record(
-            RequestTrace(id.orEmpty(), "", "", null, 0, reply.code, reply.status, 0, 0, emptyList(), 0, request.aheadPosition),
-        )
+        val trace = RequestTrace(id.orEmpty(), "", "", null, 0, reply.code, reply.status, 0, 0, emptyList())
+        context.traceSink.record(trace.copy(aheadPosition = request.aheadPosition))
         writeLocalReply(reply, id, context.isStopping || reply.status == CONTENT_TOO_LARGE, response, callback)
     }
 
--- a/cardamomwharf-forward/src/test/kotlin/org/cardamomwharf/forward/listener/LookAheadEndTest.kt
+++ b/cardamomwharf-forward/src/test/kotlin/org/cardamomwharf/forward/listener/LookAheadEndTest.kt
@@ -92,7 +92,9 @@
         }
     }
 
-    test("`responses that were ready before their turn are sent in their order, and the last one closes the connection`") {
+    test(
+        "`responses that were ready before their turn are sent in their order, and the last one closes the connection`"
+    ) {
         withServer { handler, caller, _ ->
             handler.await("b").respond()
             val third = handler.await("c")
--- a/cardamomwharf-forward/src/test/kotlin/org/cardamomwharf/forward/proxy/RequestsAheadTest.kt
+++ b/cardamomwharf-forward/src/test/kotlin/org/cardamomwharf/forward/proxy/RequestsAheadTest.kt
@@ -22,7 +22,8 @@
 private const val UNAVAILABLE = 503
 private const val GATEWAY_TIMEOUT = 504
 private const val WAIT_S = 20L
-private const val SMALL_BYTES = 200
+private const val FLOOD_LINES = 200
+private const val OTHERS = 200
 private const val LARGE_HEAD_BYTES = 15_000
 private const val RAISED_BYTES = 40_000
 
@@ -282,14 +283,21 @@
         withCaller { servers, gateway, caller ->
             caller.send(getText("a"))
             servers.awaitEvents(1)
-            Thread { runCatching { while (true) caller.send("\r\n".repeat(SMALL_BYTES)) } }.apply { isDaemon = true }.start()
-            repeat(SMALL_BYTES) { passAnother(servers, gateway) }
+            floodWithEmptyLines(caller)
+            repeat(OTHERS) { passAnother(servers, gateway) }
             servers.respond("a")
             caller.read() shouldBe CallerResponse("a", OK)
         }
     }
 })
 
+/** Sends until the connection ends. */
+private fun floodWithEmptyLines(caller: CallerConnection) {
+    val lines = "\r\n".repeat(FLOOD_LINES)
+    val flood = Runnable { runCatching { generateSequence { lines }.forEach { caller.send(it) } } }
+    Thread(flood).apply { isDaemon = true }.start()
+}
+
 private fun passAnotherWhileStopping(servers: ManualServers, gateway: ForwardingGateway) {
     servers.respond("other")
     CallerConnection(gateway.connect()).use {
--- a/cardamomwharf-forward/src/test/kotlin/org/cardamomwharf/forward/support/ForwardingGateway.kt
+++ b/cardamomwharf-forward/src/test/kotlin/org/cardamomwharf/forward/support/ForwardingGateway.kt
@@ -72,7 +72,9 @@
         val onceRoute = route.copy(name = "once", prefix = "/once/", isIdempotent = false)
         val terms = ServiceTerms(service, "/health", 10, 0, 1.0)
         val limits = CallerLimits(settings.maxHeadBytes, BODY_BYTES, ROUTE_TIMEOUT_MS, settings.idleTimeoutMs)
-        steering.routes.adopt(DesiredState(DocumentVersion(1), listOf(route, onceRoute), mapOf(service to terms), limits))
+        steering.routes.adopt(
+            DesiredState(DocumentVersion(1), listOf(route, onceRoute), mapOf(service to terms), limits)
+        )
         val changes = servers.mapIndexed { index, address ->
             val name = "server-000$index"
             TableChange(name, 1, null, ServerRecord(ServerName(name), service, address, zone, 64, false, 1, 0))
