--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/listener/CallerConnectionFactory.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/listener/CallerConnectionFactory.kt
@@ -6,6 +6,7 @@
 package org.cardamomwharf.forward.listener
 
 import org.cardamomwharf.forward.headBytesOf
+import org.eclipse.jetty.http.HttpHeader
 import org.eclipse.jetty.io.Connection
 import org.eclipse.jetty.io.EndPoint
 import org.eclipse.jetty.server.Connector
@@ -23,9 +24,22 @@
     }
 }
 
-/** Enlarges the buffer for the head of this response if needed; must be called before the response is written. */
+/**
+ * Enlarges the buffer for the head of this response if needed; must be called before the response is written. The head
+ * of a response that is held needs the buffer only in its turn.
+ */
 internal fun Response.reserveHead() {
+    if (request is AheadRequest) return
     val configuration = request.connectionMetaData.httpConfiguration
     val neededBytes = headBytesOf(headers)
     if (neededBytes > configuration.responseHeaderSize) configuration.responseHeaderSize = neededBytes
 }
+
+/**
+ * Closes the connection after this response, or after the last response to the requests that were started before their
+ * turn.
+ */
+internal fun Response.closeConnection() {
+    val endPoint = request.connectionMetaData.connection.endPoint as? CallerEndPoint
+    if (request is AheadRequest || endPoint?.ahead?.isNotEmpty != true) headers.put(HttpHeader.CONNECTION, "close")
+}
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/ForwardingHandler.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/ForwardingHandler.kt
@@ -6,6 +6,7 @@
 import org.cardamomwharf.core.Clock
 import org.cardamomwharf.core.StatusCode
 import org.cardamomwharf.forward.listener.AsyncHandler
+import org.cardamomwharf.forward.listener.aheadPosition
 import org.cardamomwharf.forward.server.ConnectionPool
 import org.cardamomwharf.platform.HeaderNames
 import org.cardamomwharf.steering.desired.DesiredState
@@ -58,7 +59,8 @@
 }
 
 /** Returns the handler that forwards requests of callers to backend servers. */
-public fun createForwardingHandler(context: ForwardingContext): AsyncHandler = ForwardingHandler(context)
+public fun createForwardingHandler(context: ForwardingContext): AsyncHandler =
+    ForwardingLookAhead(context, ForwardingHandler(context))
 
 private class ForwardingHandler(private val context: ForwardingContext) : AsyncHandler {
     override fun handle(request: Request, response: Response, callback: Callback) {
@@ -129,9 +131,8 @@
 
     private fun refuse(request: Request, response: Response, callback: Callback, reply: LocalReply) {
         val id = request.headers.get(HeaderNames.REQUEST_ID)
-        context.traceSink.record(
-            RequestTrace(id.orEmpty(), "", "", null, 0, reply.code, reply.status, 0, 0, emptyList()),
-        )
+        val trace = RequestTrace(id.orEmpty(), "", "", null, 0, reply.code, reply.status, 0, 0, emptyList())
+        context.traceSink.record(trace.copy(aheadPosition = request.aheadPosition))
         writeLocalReply(reply, id, context.isStopping || reply.status == CONTENT_TOO_LARGE, response, callback)
     }
 
--- a/cardamomwharf-forward/src/test/kotlin/org/cardamomwharf/forward/support/ForwardingGateway.kt
+++ b/cardamomwharf-forward/src/test/kotlin/org/cardamomwharf/forward/support/ForwardingGateway.kt
@@ -32,10 +32,11 @@
 import org.cardamomwharf.steering.desired.Team
 import org.cardamomwharf.steering.desired.WeightedService
 import org.cardamomwharf.steering.limits.RetryBudgetParameters
+import org.cardamomwharf.steering.requests.StopPlan
 import org.cardamomwharf.steering.servers.ServerRecord
 import org.cardamomwharf.steering.store.TableChange
 import java.net.Socket
-import java.util.concurrent.CopyOnWriteArrayList
+import java.util.concurrent.LinkedBlockingQueue
 
 private const val HOST = "127.0.0.1"
 private const val CALLERS = "callers"
@@ -49,24 +50,25 @@
 private const val EMPTY_FIELD = "c:\r\n"
 
 /**
- * Forwards requests of callers for the paths /r/ and, without a key, /open/ to the servers at [servers].
+ * Forwards requests of callers for the paths /r/, /once/, which may run only once, and /open/, which needs no key, to
+ * the servers at [servers].
  *
  * @param teams teams of the callers, or null before the first configuration.
  */
 internal class ForwardingGateway(vararg servers: SocketAddress, teams: List<Team>? = emptyList()) : AutoCloseable {
     private val clock = monotonicClock()
-
-    /** The traces of the requests so far. */
-    val traces = CopyOnWriteArrayList<RequestTrace>()
     private val steering = Steering(
         InstanceLocation(InstanceName("i"), zone, mapOf(zone to RegionName("r"))),
         SteeringParameters(RetryBudgetParameters(ratio = 0.2, allowance = 10, windowMs = 10_000)),
     )
     private val settings = AsyncHttpServerSettings()
+
+    /** Traces of completed requests. */
+    val traces = LinkedBlockingQueue<RequestTrace>()
     private val threads = startHttpThreads(settings)
     private val pool = startConnectionPool(ConnectionPoolSettings(), threads.executor, clock)
     private val context =
-        ForwardingContext(SynchronizedSteering(steering, clock), pool, threads.scheduler, clock) { traces += it }
+        ForwardingContext(SynchronizedSteering(steering, clock), pool, threads.scheduler, clock) { traces.add(it) }
     private val listener = HttpListener(CALLERS, SocketAddress(HOST, 0), createForwardingHandler(context))
     private val http = createAsyncHttpServer(settings, threads, listOf(listener))
 
@@ -84,7 +86,9 @@
     private fun createDesiredState(teams: List<Team>): DesiredState {
         val parts = listOf(WeightedService(service, 1.0))
         val route = Route("r", "h", "/r/", true, parts, ROUTE_TIMEOUT_MS, ROUTE_TIMEOUT_MS, 1, 2, true, emptySet())
-        val routes = listOf(route, route.copy(name = "open", prefix = "/open/", isPublic = true))
+        val openRoute = route.copy(name = "open", prefix = "/open/", isPublic = true)
+        val onceRoute = route.copy(name = "once", prefix = "/once/", isIdempotent = false)
+        val routes = listOf(route, openRoute, onceRoute)
         val terms = ServiceTerms(service, "/health", 10, 0, 1.0)
         val limits = CallerLimits(settings.maxHeadBytes, BODY_BYTES, ROUTE_TIMEOUT_MS, settings.idleTimeoutMs)
         return DesiredState(DocumentVersion(1), routes, mapOf(service to terms), limits, teams)
@@ -93,6 +97,12 @@
     /** Limits heads as the configuration of an operator does. */
     fun setMaxHeadBytes(maxHeadBytes: Int) = http.setMaxHeadBytes(CALLERS, maxHeadBytes)
 
+    /** Begins a graceful stop, which ends after all requests of the test. */
+    fun beginStop() = context.beginStop(StopPlan(Long.MAX_VALUE, Long.MAX_VALUE))
+
+    /** Closes idle connections as a graceful stop does. */
+    fun closeIdleConnections() = http.closeIdleConnections(CALLERS)
+
     /** Opens a connection of a caller. */
     fun connect(): Socket = Socket(HOST, http.getPort(CALLERS)).apply { soTimeout = TIMEOUT_MS }
 
@@ -103,8 +113,8 @@
     }
 
     override fun close() {
+        pool.close() // Its selector occupies one of the threads that the server stops.
         http.stop()
-        pool.close()
     }
 }
 
