Bound the memory of request and response bodies by one budget

Cause: request bodies had no bound in sum, a response was counted only while it was read, and a response of a server that had run was dropped once 16 MB of others were being read.

Change: one budget from the heap and the machine's memory, reserved before a request is sent and given back when the caller has taken the response or left; a part of it is for small bodies only. Requests without room are refused with no-body-room. Whether a request is written is known before its response is parsed. UnlimitedResponseTest takes its limit from the budget, and checks also that it is given back.

--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/ForwardingHandler.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/ForwardingHandler.kt
@@ -3,9 +3,16 @@
  */
 package org.cardamomwharf.forward.proxy
 
+import com.github.michaelbull.result.onFailure
+import com.github.michaelbull.result.onSuccess
 import org.cardamomwharf.core.Clock
 import org.cardamomwharf.core.ServiceName
 import org.cardamomwharf.core.StatusCode
+import org.cardamomwharf.forward.bodies.BodyAdmission
+import org.cardamomwharf.forward.bodies.BodyBound
+import org.cardamomwharf.forward.bodies.BodyBudget
+import org.cardamomwharf.forward.bodies.BodyBuffer
+import org.cardamomwharf.forward.bodies.createBodyBudget
 import org.cardamomwharf.forward.listener.AsyncHandler
 import org.cardamomwharf.forward.server.ConnectionPool
 import org.cardamomwharf.platform.HeaderNames
@@ -15,17 +22,11 @@
 import org.cardamomwharf.steering.requests.RefusalReason
 import org.cardamomwharf.steering.requests.RequestSpec
 import org.cardamomwharf.steering.requests.StopPlan
-import org.eclipse.jetty.http.HttpException
 import org.eclipse.jetty.http.HttpHeader
-import org.eclipse.jetty.io.Content
 import org.eclipse.jetty.server.Request
 import org.eclipse.jetty.server.Response
 import org.eclipse.jetty.util.Callback
 import org.eclipse.jetty.util.thread.Scheduler
-import java.io.IOException
-import java.nio.ByteBuffer
-import java.util.concurrent.CompletionException
-import java.util.concurrent.TimeoutException
 import java.util.concurrent.atomic.AtomicInteger
 
 /** Maximum body that is buffered for retries; far above the request bodies of the users. */
@@ -34,6 +35,9 @@
 /** Retry-After delay while no configuration is loaded; the store is read several times within it. */
 private const val NO_STATE_RETRY_MS = 300L
 
+/** Retry-After delay without room for a body; most of the bodies that are held are gone within it. */
+private const val NO_BODY_ROOM_RETRY_MS = 500L
+
 /** Remaining time below which a request can't be served: one round trip within a zone. */
 private const val MIN_REMAINING_MS = 5L
 
@@ -44,13 +48,18 @@
     internal val scheduler: Scheduler,
     internal val clock: Clock,
     internal val reportListener: ServerReportListener = IgnoredServerReports,
+    private val bodyBudget: BodyBudget = createBodyBudget(Runtime.getRuntime().maxMemory()),
     internal val traceSink: TraceSink,
 ) {
+    internal val bodies = BodyAdmission(bodyBudget)
     internal val inFlight = AtomicInteger()
 
     /** Number of requests without a final response. */
     public val requestsInFlight: Int get() = inFlight.get()
 
+    /** Memory of the bodies that are held for callers and backend servers. */
+    public val bodyBytes: Long get() = bodyBudget.heldBytes
+
     /** True when this process is stopping; responses then close their connection. */
     @Volatile
     public var isStopping: Boolean = false
@@ -108,30 +117,44 @@
         spec: RequestSpec,
         desired: DesiredState,
     ) {
-        val responses = ResponseSender(context, response, callback, spec, desired.version.value)
-        val forwarder = RequestForwarder(context, request, responses, spec)
         val isBodiless = request.length == 0L ||
             (request.length < 0 && !request.headers.contains(HttpHeader.TRANSFER_ENCODING))
+        val isInTime = spec.deadlineAtMs - spec.arrivedAtMs >= MIN_REMAINING_MS
+        val bodies = if (isInTime) context.bodies.admit(spec.route, request.length.coerceAtLeast(0)) else null
+        val responses = ResponseSender(context, response, callback, spec, desired.version.value, bodies)
         when {
-            spec.deadlineAtMs - spec.arrivedAtMs < MIN_REMAINING_MS ->
-                responses.refuse(RefusalReason.TOO_LATE, 0, emptyList())
-            isBodiless -> forwarder.start(null)
-            else -> Content.Source.asByteArrayAsync(request, maxBodyBytes(desired).toInt())
-                .whenComplete { bytes, failure ->
-                    if (failure == null) forwarder.start(ByteBuffer.wrap(bytes)) else rejectBody(responses, failure)
+            !isInTime -> responses.refuse(RefusalReason.TOO_LATE, 0, emptyList())
+            bodies == null -> responses.refuse(
+                RefusalReason.NO_BODY_ROOM,
+                NO_BODY_ROOM_RETRY_MS,
+                emptyList(),
+                isClosing = context.isStopping || !isBodiless,
+            )
+            isBodiless -> RequestForwarder(context, request, responses, spec, bodies.response).start(null)
+            else -> {
+                val forwarder = RequestForwarder(context, request, responses, spec, bodies.response)
+                val body = BodyBuffer(maxBodyBytes(desired).toInt(), BodyBound.ADMISSION)
+                body.reservation = bodies.request
+                val reader = RequestBodyReader(request, body) { end ->
+                    end.onSuccess(forwarder::start).onFailure { rejectBody(responses, it) }
                 }
+                reader.start(context.scheduler, spec.deadlineAtMs - spec.arrivedAtMs)
+            }
         }
     }
 
-    /** Rejects a request whose body was too large or incomplete. */
-    private fun rejectBody(responses: ResponseSender, failure: Throwable) {
-        val cause = if (failure is CompletionException) failure.cause ?: failure else failure
-        val reply = when (cause) {
-            is IOException, is HttpException -> LocalReply(StatusCode.BAD_REQUEST, "body-truncated")
-            is TimeoutException -> LocalReply(REQUEST_TIMEOUT, "body-timeout")
-            else -> LocalReply(CONTENT_TOO_LARGE, "body-too-large")
+    /** Rejects a request whose body was too large or incomplete, or for which there is no room. */
+    private fun rejectBody(responses: ResponseSender, error: BodyError) {
+        when (error) {
+            BodyError.TRUNCATED ->
+                responses.reply(LocalReply(StatusCode.BAD_REQUEST, "body-truncated"), emptyList(), isClosing = true)
+            BodyError.TIMEOUT ->
+                responses.reply(LocalReply(REQUEST_TIMEOUT, "body-timeout"), emptyList(), isClosing = true)
+            BodyError.TOO_LARGE ->
+                responses.reply(LocalReply(CONTENT_TOO_LARGE, "body-too-large"), emptyList(), isClosing = true)
+            BodyError.NO_ROOM ->
+                responses.refuse(RefusalReason.NO_BODY_ROOM, NO_BODY_ROOM_RETRY_MS, emptyList(), isClosing = true)
         }
-        responses.reply(reply, emptyList(), isClosing = true)
     }
 
     private fun maxBodyBytes(desired: DesiredState): Long =
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/RequestForwarder.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/RequestForwarder.kt
@@ -9,6 +9,7 @@
 import com.github.michaelbull.result.onFailure
 import com.github.michaelbull.result.onSuccess
 import org.cardamomwharf.core.StatusCode
+import org.cardamomwharf.forward.bodies.BodyReservation
 import org.cardamomwharf.forward.listener.CallerEndPoint
 import org.cardamomwharf.forward.server.CallResult
 import org.cardamomwharf.forward.server.HeadError
@@ -32,6 +33,7 @@
     private val request: Request,
     private val responses: ResponseSender,
     private var spec: RequestSpec,
+    private val responseRoom: BodyReservation,
 ) {
     private val endPoint = request.connectionMetaData.connection.endPoint as? CallerEndPoint
     private val placements = ArrayList<Placement.Send>()
@@ -71,7 +73,7 @@
             sentAtMs = context.clock.nowMs()
             val remainingMs = (spec.deadlineAtMs - sentAtMs).coerceAtLeast(1)
             createAttempt(request, spec.id, placement, remainingMs, body).map { attempt ->
-                ServerCall(placement.server, placement.address, attempt) { onCallResult(placement, it) }
+                ServerCall(placement.server, placement.address, attempt, responseRoom) { onCallResult(placement, it) }
                     .also { call = it }
             }
         }
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/ResponseSender.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/ResponseSender.kt
@@ -4,6 +4,7 @@
 package org.cardamomwharf.forward.proxy
 
 import org.cardamomwharf.core.StatusCode
+import org.cardamomwharf.forward.bodies.RequestBodies
 import org.cardamomwharf.forward.server.ServerResponse
 import org.cardamomwharf.steering.requests.AttemptOutcome
 import org.cardamomwharf.steering.requests.RefusalReason
@@ -18,6 +19,7 @@
     private val callback: Callback,
     private val spec: RequestSpec,
     private val desiredVersion: Long,
+    private val bodies: RequestBodies? = null,
 ) {
     /** Fingerprint of the request, once its body is known. */
     var fingerprint: Long = 0
@@ -28,23 +30,36 @@
             return reply(LocalReply(StatusCode.BAD_GATEWAY, "unproved-refusal"), attempts)
         }
         trace(AttemptOutcome.ANSWERED.code, serverResponse.status, attempts)
-        writeServerResponse(serverResponse, context.isStopping, response, callback)
+        val size = serverResponse.body.size
+        context.bodies.recordResponse(spec.route, size)
+        bodies?.request?.release()
+        bodies?.response?.shrink(size.toLong())
+        val write = CallerWrite(response, callback) { bodies?.release() }
+        writeServerResponse(serverResponse, context.isStopping, response, write)
+        write.limitTime(context.scheduler)
     }
 
-    fun refuse(reason: RefusalReason, retryAfterMs: Long, attempts: List<AttemptTrace>) {
+    fun refuse(
+        reason: RefusalReason,
+        retryAfterMs: Long,
+        attempts: List<AttemptTrace>,
+        isClosing: Boolean = context.isStopping,
+    ) {
         val isTeamLimit = reason == RefusalReason.TEAM_LIMIT
         val status = if (isTeamLimit) StatusCode.TOO_MANY_REQUESTS else StatusCode.UNAVAILABLE
-        reply(LocalReply(status, reason.code, retryAfterMs), attempts)
+        reply(LocalReply(status, reason.code, retryAfterMs), attempts, isClosing)
     }
 
     fun reply(reply: LocalReply, attempts: List<AttemptTrace>, isClosing: Boolean = context.isStopping) {
         trace(reply.code, reply.status, attempts)
+        bodies?.release()
         writeLocalReply(reply, spec.id.ifEmpty { null }, isClosing, response, callback)
     }
 
     /** Ends the exchange without a response. */
     fun abort(attempts: List<AttemptTrace>) {
         trace(AttemptOutcome.CALLER_GONE.code, 0, attempts)
+        bodies?.release()
         callback.failed(EofException("the caller closed the connection"))
     }
 
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/ConnectionPool.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/ConnectionPool.kt
@@ -21,7 +21,6 @@
 import java.time.Duration
 import java.util.concurrent.Executor
 import java.util.concurrent.atomic.AtomicInteger
-import java.util.concurrent.atomic.AtomicLong
 
 /**
  * Represents the settings of the pool.
@@ -29,16 +28,13 @@
  * @param connectTimeoutMs connect timeout; longer than any round trip, shorter than most target latencies.
  * @param idleTimeoutMs idle time of a connection when the backend server announces no timeout.
  * @param maxResponseHeadBytes maximum size of a response head.
- * @param maxResponseBytes maximum size of a response body.
- * @param maxBufferedBytes maximum size of all response bodies that are being read; their buffers may take twice this
- *   size in a heap of 96 MB.
+ * @param maxResponseBytes maximum size of a response body; that of all together is bounded by their reservations.
  */
 public data class ConnectionPoolSettings(
     public val connectTimeoutMs: Long = 400,
     public val idleTimeoutMs: Long = 4_000,
     public val maxResponseHeadBytes: Int = 32_768,
     public val maxResponseBytes: Int = 2_097_152,
-    public val maxBufferedBytes: Long = 16_777_216,
 )
 
 /** Identifies the backend server and the address that a connection belongs to. */
@@ -62,9 +58,6 @@
     private val idle = IdleConnections()
     private val open = AtomicInteger()
 
-    /** Size of all response bodies that are being read. */
-    internal val bufferedBytes: AtomicLong = AtomicLong()
-
     /** Number of connections opened since the start. */
     public val openedCount: AtomicInteger = AtomicInteger()
     private val connector = KeepAliveConnector().apply {
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/ResponseReader.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/ResponseReader.kt
@@ -4,21 +4,21 @@
  */
 package org.cardamomwharf.forward.server
 
+import org.cardamomwharf.forward.bodies.BodyBound
+import org.cardamomwharf.forward.bodies.BodyBuffer
+import org.cardamomwharf.forward.bodies.BodyBufferError
 import org.eclipse.jetty.http.HttpException
 import org.eclipse.jetty.http.HttpField
 import org.eclipse.jetty.http.HttpFields
+import org.eclipse.jetty.http.HttpHeader
 import org.eclipse.jetty.http.HttpParser
 import org.eclipse.jetty.http.HttpVersion
 import java.nio.ByteBuffer
-import java.util.concurrent.atomic.AtomicLong
 
 /** Framing overhead of a body that is sent in chunks of one byte, rounded up. */
 private const val FRAMING_BYTES_PER_BODY_BYTE = 8
 
-internal class ResponseReader(
-    private val settings: ConnectionPoolSettings,
-    bufferedBytes: AtomicLong,
-) : HttpParser.ResponseHandler {
+internal class ResponseReader(private val settings: ConnectionPoolSettings) : HttpParser.ResponseHandler {
     private var readBytes = 0L
     var status = 0
         private set
@@ -30,7 +30,7 @@
         private set
     var version: HttpVersion = HttpVersion.HTTP_1_1
         private set
-    val body = ResponseBodyBuffer(settings, bufferedBytes)
+    val body = BodyBuffer(settings.maxResponseBytes, BodyBound.RESPONSE)
 
     /** Adds [count] parsed bytes and checks the limit of the framing. */
     fun recordRead(count: Int) {
@@ -56,12 +56,17 @@
 
     override fun parsedHeader(field: HttpField) {
         fields.add(field)
+        if (field.header == HttpHeader.CONTENT_LENGTH) body.declaredBytes = field.value?.toLongOrNull() ?: -1
     }
 
     override fun headerComplete(): Boolean = false
 
     override fun content(buffer: ByteBuffer): Boolean {
-        failure = body.append(buffer)
+        failure = when (body.append(buffer)) {
+            null -> null
+            BodyBufferError.TOO_LARGE -> CallFailure.TOO_LARGE
+            BodyBufferError.NO_ROOM -> CallFailure.NO_ROOM
+        }
         return failure != null
     }
 
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/ServerCall.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/ServerCall.kt
@@ -7,6 +7,7 @@
 import com.github.michaelbull.result.map
 import org.cardamomwharf.core.ServerName
 import org.cardamomwharf.core.SocketAddress
+import org.cardamomwharf.forward.bodies.BodyReservation
 import org.eclipse.jetty.http.HttpFields
 import java.nio.ByteBuffer
 import java.util.concurrent.atomic.AtomicBoolean
@@ -30,12 +31,14 @@
 /**
  * Represents a call to a backend server.
  *
+ * @param reservation room for the body of the response; whoever made it releases it.
  * @param onResult receives the result once, on a thread of the pool.
  */
 public class ServerCall(
     public val server: ServerName,
     public val address: SocketAddress,
     public val request: ServerRequest,
+    internal val reservation: BodyReservation,
     private val onResult: (CallResult) -> Unit,
 ) {
     private val completed = AtomicBoolean(false)
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/ServerConnection.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/ServerConnection.kt
@@ -24,7 +24,7 @@
 ) : AbstractConnection(endPoint, executor) {
     val key: ServerKey = pending.key
     private var firstCall: ServerCall? = pending.call
-    private val reader = ResponseReader(settings, pool.bufferedBytes)
+    private val reader = ResponseReader(settings)
     private val parser = HttpParser(reader, settings.maxResponseHeadBytes).apply { headerCacheSize = 0 }
     private val input: ByteBuffer = BufferUtil.allocate(INPUT_BYTES)
     private var call: ServerCall? = null
@@ -62,17 +62,16 @@
             call = next
             skipped = 0
             reader.reset()
+            reader.body.reservation = next.reservation
             parser.reset()
         }
         next.attach(this)
         return try {
             val head = next.request.head.duplicate()
             val body = next.request.body?.duplicate() ?: EMPTY
-            isWritten = true // The response may be read on another thread before flush returns.
-            if (!endPoint.flush(head, body)) {
-                isWritten = false
-                endPoint.write(whenWritten(), head, body)
-            }
+            // Another thread may read the response before flush returns; under the lock it waits for the result.
+            val isFlushed = synchronized(this) { endPoint.flush(head, body).also { isWritten = it } }
+            if (!isFlushed) endPoint.write(whenWritten(), head, body)
             true
         } catch (@Suppress("SwallowedException") e: IOException) {
             synchronized(this) { call = null }
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/ServerResponse.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/ServerResponse.kt
@@ -46,7 +46,7 @@
     /** The response exceeded the maximum size. */
     TOO_LARGE("too-large"),
 
-    /** The buffers of all responses that are being read reached their maximum size. */
+    /** The bodies of all requests and responses reached their maximum size. */
     NO_ROOM("no-room"),
 
     /** This process cancelled the call. */
--- a/cardamomwharf-forward/src/test/kotlin/org/cardamomwharf/forward/server/ConnectionPoolTest.kt
+++ b/cardamomwharf-forward/src/test/kotlin/org/cardamomwharf/forward/server/ConnectionPoolTest.kt
@@ -10,6 +10,8 @@
 import org.cardamomwharf.core.ServerName
 import org.cardamomwharf.core.SocketAddress
 import org.cardamomwharf.core.monotonicClock
+import org.cardamomwharf.forward.bodies.BodyBudgetSettings
+import org.cardamomwharf.forward.bodies.createBodyBudget
 import org.cardamomwharf.forward.support.ScriptedServer
 import org.cardamomwharf.forward.support.findRequestId
 import org.cardamomwharf.forward.support.responseText
@@ -23,10 +25,12 @@
 import java.util.concurrent.TimeUnit
 
 private const val LIMIT_S = 20L
+private const val BUDGET_BYTES = 1_000_000L
 private const val HOST = "127.0.0.1"
 
 class ConnectionPoolTest : FunSpec({
     val threads = QueuedThreadPool(8).apply { start() }
+    val budget = createBodyBudget(BodyBudgetSettings(BUDGET_BYTES, 0, 0))
     val pool = startConnectionPool(ConnectionPoolSettings(), threads, monotonicClock())
     afterSpec {
         pool.close()
@@ -36,7 +40,11 @@
     fun start(address: SocketAddress, id: String, end: CompletableFuture<CallResult>): ServerCall {
         val fields = HttpFields.build().put("Host", "h").put(HeaderNames.REQUEST_ID, id)
         val request = createServerRequest(id, "GET", "/x", fields, null).getOrThrow { error(it) }
-        val call = ServerCall(ServerName("s"), address, request) { end.complete(it) }
+        val room = checkNotNull(budget.reserve(0, isSmall = false))
+        val call = ServerCall(ServerName("s"), address, request, room) {
+            room.release()
+            end.complete(it)
+        }
         pool.send(call)
         return call
     }
--- a/cardamomwharf-forward/src/test/kotlin/org/cardamomwharf/forward/server/UnlimitedResponseTest.kt
+++ b/cardamomwharf-forward/src/test/kotlin/org/cardamomwharf/forward/server/UnlimitedResponseTest.kt
@@ -11,6 +11,9 @@
 import org.cardamomwharf.core.ServerName
 import org.cardamomwharf.core.SocketAddress
 import org.cardamomwharf.core.monotonicClock
+import org.cardamomwharf.forward.bodies.BodyBudget
+import org.cardamomwharf.forward.bodies.BodyBudgetSettings
+import org.cardamomwharf.forward.bodies.createBodyBudget
 import org.cardamomwharf.forward.support.ScriptedConnection
 import org.cardamomwharf.forward.support.ScriptedServer
 import org.cardamomwharf.forward.support.responseText
@@ -50,11 +53,16 @@
     val threads = QueuedThreadPool(THREADS).apply { start() }
     afterSpec { threads.stop() }
 
-    fun start(pool: ConnectionPool, address: SocketAddress): CompletableFuture<CallResult> {
+    fun start(pool: ConnectionPool, address: SocketAddress, budget: BodyBudget): CompletableFuture<CallResult> {
         val fields = HttpFields.build().put("Host", "h").put(HeaderNames.REQUEST_ID, "a")
         val end = CompletableFuture<CallResult>()
         val request = createServerRequest("a", "GET", "/x", fields, null).getOrThrow { error(it) }
-        pool.send(ServerCall(ServerName("s"), address, request) { end.complete(it) })
+        val room = checkNotNull(budget.reserve(0, isSmall = false))
+        val call = ServerCall(ServerName("s"), address, request, room) {
+            room.release()
+            end.complete(it)
+        }
+        pool.send(call)
         return end
     }
 
@@ -66,18 +74,21 @@
 
     cases.forEach { (part, case) ->
         test("`unlimited bytes in $part fail the call`") {
-            startConnectionPool(ConnectionPoolSettings(), threads, monotonicClock()).use { pool ->
+            val settings = ConnectionPoolSettings()
+            val budget = createBodyBudget(BodyBudgetSettings(settings.maxResponseBytes.toLong(), 0, 0))
+            startConnectionPool(settings, threads, monotonicClock()).use { pool ->
                 ScriptedServer { connection, _ -> sendForever(connection, case) }.use { server ->
-                    start(pool, server.address).get(LIMIT_S, TimeUnit.SECONDS) shouldBe case.end
+                    start(pool, server.address, budget).get(LIMIT_S, TimeUnit.SECONDS) shouldBe case.end
+                    budget.heldBytes shouldBe 0
                 }
             }
         }
     }
 
     test("`responses that are read at the same time share a limit, and a completed one frees its part for the next`") {
-        val settings = ConnectionPoolSettings(maxBufferedBytes = HELD_BYTES)
+        val budget = createBodyBudget(BodyBudgetSettings(HELD_BYTES, 0, 0))
         val mayEnd = CountDownLatch(1)
-        startConnectionPool(settings, threads, monotonicClock()).use { pool ->
+        startConnectionPool(ConnectionPoolSettings(), threads, monotonicClock()).use { pool ->
             ScriptedServer { connection, number ->
                 val response = responseText("a", "x".repeat(BODY_BYTES))
                 generateSequence { connection.readHead() }.forEach { _ ->
@@ -86,12 +97,15 @@
                     connection.send(response.takeLast(1))
                 }
             }.use { server ->
-                val first = start(pool, server.address)
-                while (pool.bufferedBytes.get() < BODY_BYTES - 1) Thread.sleep(POLL_INTERVAL_MS)
-                start(pool, server.address).get(LIMIT_S, TimeUnit.SECONDS) shouldBe CallResult.Lost(CallFailure.NO_ROOM)
+                val first = start(pool, server.address, budget)
+                while (budget.heldBytes < BODY_BYTES - 1) Thread.sleep(POLL_INTERVAL_MS)
+                start(pool, server.address, budget).get(LIMIT_S, TimeUnit.SECONDS) shouldBe
+                    CallResult.Lost(CallFailure.NO_ROOM)
                 mayEnd.countDown()
                 first.get(LIMIT_S, TimeUnit.SECONDS).shouldBeInstanceOf<CallResult.Completed>()
-                start(pool, server.address).get(LIMIT_S, TimeUnit.SECONDS).shouldBeInstanceOf<CallResult.Completed>()
+                start(pool, server.address, budget).get(LIMIT_S, TimeUnit.SECONDS)
+                    .shouldBeInstanceOf<CallResult.Completed>()
+                budget.heldBytes shouldBe 0
             }
         }
     }
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/GatewayProcess.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/GatewayProcess.kt
@@ -11,6 +11,7 @@
 import org.cardamomwharf.core.Incarnation
 import org.cardamomwharf.core.SocketAddress
 import org.cardamomwharf.core.monotonicClock
+import org.cardamomwharf.forward.bodies.createBodyBudget
 import org.cardamomwharf.forward.listener.AsyncHttpServerSettings
 import org.cardamomwharf.forward.listener.HttpListener
 import org.cardamomwharf.forward.listener.createAsyncHttpServer
@@ -110,7 +111,8 @@
         }
     }
     private val reportLog = ServerReportLog(log, metrics, heartbeats::notifyCrashes)
-    private val forwarding = ForwardingContext(steering, pool, threads.scheduler, clock, reportLog) { trace ->
+    private val bodyBudget = createBodyBudget(Runtime.getRuntime().maxMemory(), settings.machine?.memoryMb)
+    private val forwarding = ForwardingContext(steering, pool, threads.scheduler, clock, reportLog, bodyBudget) { trace ->
         log.record(trace)
         metrics.record(trace)
     }
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/metrics/ProcessState.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/metrics/ProcessState.kt
@@ -24,6 +24,7 @@
         return mapOf(
             "heapUsedKb" to (runtime.totalMemory() - runtime.freeMemory()) / BYTES_PER_KB,
             "requestsUnderWay" to forwarding.requestsInFlight.toLong(),
+            "bodyBytes" to forwarding.bodyBytes,
             "serverConnections" to pool.openConnections.toLong(),
             "serverConnectionsOpened" to pool.openedCount.get().toLong(),
             "desiredVersion" to steering.withLock { decisions, _ -> decisions.routes.desired?.version?.value ?: 0L },
