Refuse bodies without room unsent, and test uploads and downloads over loopback

Cause: a refusal or 413 closed the connection over unread input, so callers that were still sending lost it to a reset (seen: broken pipe in LargeUploadTest).

The budget belongs to the pool.

--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/bodies/BodyBudget.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/bodies/BodyBudget.kt
@@ -27,11 +27,13 @@
  * @param generalBytes part for bodies of any size.
  * @param overflowBytes part for responses that are larger than expected.
  * @param smallBytes part for small bodies.
+ * @param writeTimeoutMs maximum time in which a caller takes its response; several times the timeout of a download.
  */
 public data class BodyBudgetSettings(
     public val generalBytes: Long,
     public val overflowBytes: Long,
     public val smallBytes: Long,
+    public val writeTimeoutMs: Long = 30_000,
 ) {
     /** Maximum size of all bodies. */
     public val totalBytes: Long get() = generalBytes + overflowBytes + smallBytes
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/listener/AsyncHttpServer.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/listener/AsyncHttpServer.kt
@@ -43,12 +43,14 @@
  *
  * @param maxHeadBytes maximum size of a request head until the configuration sets one.
  * @param idleTimeoutMs time after which an idle connection is closed, until the configuration sets one.
+ * @param sendBufferBytes size of the system's send buffer of a connection; negative when the system chooses it.
  */
 public data class AsyncHttpServerSettings(
     public val maxHeadBytes: Int = 16_384,
     public val idleTimeoutMs: Long = 60_000,
     public val acceptQueueSize: Int = 512,
     public val maxThreads: Int = 12,
+    public val sendBufferBytes: Int = -1,
 )
 
 /** Represents the server and its listeners. */
@@ -154,6 +156,7 @@
         port = listener.address.port
         idleTimeout = settings.idleTimeoutMs
         acceptQueueSize = settings.acceptQueueSize
+        acceptedSendBufferSize = settings.sendBufferBytes
         reuseAddress = true
     }
 }
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/CallerWrite.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/CallerWrite.kt
@@ -11,9 +11,6 @@
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.TimeoutException
 
-/** Maximum time in which a caller takes its response; several times the longest timeout of a download. */
-internal const val CALLER_WRITE_TIMEOUT_MS: Long = 30_000
-
 /** Completes [callback] after [onEnd] when the write of [response] ends. */
 internal class CallerWrite(
     private val response: Response,
@@ -25,7 +22,7 @@
     private var timer: Scheduler.Task? = null
 
     /** Closes the connection unless the write ends within [timeoutMs]; call when the write was started. */
-    fun limitTime(scheduler: Scheduler, timeoutMs: Long = CALLER_WRITE_TIMEOUT_MS) {
+    fun limitTime(scheduler: Scheduler, timeoutMs: Long) {
         synchronized(this) {
             if (!isEnded) timer = scheduler.schedule(::closeConnection, timeoutMs, TimeUnit.MILLISECONDS)
         }
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/ForwardingHandler.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/ForwardingHandler.kt
@@ -10,9 +10,7 @@
 import org.cardamomwharf.core.StatusCode
 import org.cardamomwharf.forward.bodies.BodyAdmission
 import org.cardamomwharf.forward.bodies.BodyBound
-import org.cardamomwharf.forward.bodies.BodyBudget
 import org.cardamomwharf.forward.bodies.BodyBuffer
-import org.cardamomwharf.forward.bodies.createBodyBudget
 import org.cardamomwharf.forward.listener.AsyncHandler
 import org.cardamomwharf.forward.server.ConnectionPool
 import org.cardamomwharf.platform.HeaderNames
@@ -48,17 +46,16 @@
     internal val scheduler: Scheduler,
     internal val clock: Clock,
     internal val reportListener: ServerReportListener = IgnoredServerReports,
-    private val bodyBudget: BodyBudget = createBodyBudget(Runtime.getRuntime().maxMemory()),
     internal val traceSink: TraceSink,
 ) {
-    internal val bodies = BodyAdmission(bodyBudget)
+    internal val bodies = BodyAdmission(pool.bodyBudget)
     internal val inFlight = AtomicInteger()
 
     /** Number of requests without a final response. */
     public val requestsInFlight: Int get() = inFlight.get()
 
     /** Memory of the bodies that are held for callers and backend servers. */
-    public val bodyBytes: Long get() = bodyBudget.heldBytes
+    public val bodyBytes: Long get() = pool.bodyBudget.heldBytes
 
     /** True when this process is stopping; responses then close their connection. */
     @Volatile
@@ -128,7 +125,7 @@
                 RefusalReason.NO_BODY_ROOM,
                 NO_BODY_ROOM_RETRY_MS,
                 emptyList(),
-                isClosing = context.isStopping || !isBodiless,
+                isBodyUnread = !isBodiless,
             )
             isBodiless -> RequestForwarder(context, request, responses, spec, bodies.response).start(null)
             else -> {
@@ -147,13 +144,13 @@
     private fun rejectBody(responses: ResponseSender, error: BodyError) {
         when (error) {
             BodyError.TRUNCATED ->
-                responses.reply(LocalReply(StatusCode.BAD_REQUEST, "body-truncated"), emptyList(), isClosing = true)
+                responses.reply(LocalReply(StatusCode.BAD_REQUEST, "body-truncated"), emptyList(), isBodyUnread = true)
             BodyError.TIMEOUT ->
                 responses.reply(LocalReply(REQUEST_TIMEOUT, "body-timeout"), emptyList(), isClosing = true)
             BodyError.TOO_LARGE ->
-                responses.reply(LocalReply(CONTENT_TOO_LARGE, "body-too-large"), emptyList(), isClosing = true)
+                responses.reply(LocalReply(CONTENT_TOO_LARGE, "body-too-large"), emptyList(), isBodyUnread = true)
             BodyError.NO_ROOM ->
-                responses.refuse(RefusalReason.NO_BODY_ROOM, NO_BODY_ROOM_RETRY_MS, emptyList(), isClosing = true)
+                responses.refuse(RefusalReason.NO_BODY_ROOM, NO_BODY_ROOM_RETRY_MS, emptyList(), isBodyUnread = true)
         }
     }
 
@@ -165,7 +162,9 @@
         context.traceSink.record(
             RequestTrace(id.orEmpty(), "", "", null, 0, reply.code, reply.status, 0, 0, emptyList()),
         )
-        writeLocalReply(reply, id, context.isStopping || reply.status == CONTENT_TOO_LARGE, response, callback)
+        val isBodyUnread = reply.status == CONTENT_TOO_LARGE
+        val done = if (isBodyUnread) UnreadBody(request, callback, context.scheduler) else callback
+        writeLocalReply(reply, id, context.isStopping || isBodyUnread, response, done)
     }
 
     private fun noState() = LocalReply(StatusCode.UNAVAILABLE, RefusalReason.NO_STATE.code, NO_STATE_RETRY_MS)
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/ResponseSender.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/ResponseSender.kt
@@ -36,24 +36,31 @@
         bodies?.response?.shrink(size.toLong())
         val write = CallerWrite(response, callback) { bodies?.release() }
         writeServerResponse(serverResponse, context.isStopping, response, write)
-        write.limitTime(context.scheduler)
+        write.limitTime(context.scheduler, context.pool.bodyBudget.settings.writeTimeoutMs)
     }
 
     fun refuse(
         reason: RefusalReason,
         retryAfterMs: Long,
         attempts: List<AttemptTrace>,
-        isClosing: Boolean = context.isStopping,
+        isBodyUnread: Boolean = false,
     ) {
         val isTeamLimit = reason == RefusalReason.TEAM_LIMIT
         val status = if (isTeamLimit) StatusCode.TOO_MANY_REQUESTS else StatusCode.UNAVAILABLE
-        reply(LocalReply(status, reason.code, retryAfterMs), attempts, isClosing)
+        reply(LocalReply(status, reason.code, retryAfterMs), attempts, isBodyUnread)
     }
 
-    fun reply(reply: LocalReply, attempts: List<AttemptTrace>, isClosing: Boolean = context.isStopping) {
+    /** Sends [reply]; if [isBodyUnread], the rest of the request's body is dropped and the connection is closed. */
+    fun reply(
+        reply: LocalReply,
+        attempts: List<AttemptTrace>,
+        isBodyUnread: Boolean = false,
+        isClosing: Boolean = isBodyUnread || context.isStopping,
+    ) {
         trace(reply.code, reply.status, attempts)
         bodies?.release()
-        writeLocalReply(reply, spec.id.ifEmpty { null }, isClosing, response, callback)
+        val done = if (isBodyUnread) UnreadBody(response.request, callback, context.scheduler) else callback
+        writeLocalReply(reply, spec.id.ifEmpty { null }, isClosing, response, done)
     }
 
     /** Ends the exchange without a response. */
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/ConnectionPool.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/ConnectionPool.kt
@@ -6,6 +6,8 @@
 import org.cardamomwharf.core.Clock
 import org.cardamomwharf.core.ServerName
 import org.cardamomwharf.core.SocketAddress
+import org.cardamomwharf.forward.bodies.BodyBudget
+import org.cardamomwharf.forward.bodies.createBodyBudget
 import org.cardamomwharf.http.emptySslContextFactory
 import org.cardamomwharf.http.enableTcpKeepAlive
 import org.eclipse.jetty.io.ClientConnector
@@ -53,6 +55,8 @@
     private val settings: ConnectionPoolSettings,
     private val executor: Executor,
     private val clock: Clock,
+    /** Budget of the bodies of the requests and responses on the connections. */
+    public val bodyBudget: BodyBudget,
     private val onConnected: (ServerName, Long) -> Unit,
 ) : AutoCloseable {
     private val idle = IdleConnections()
@@ -165,5 +169,6 @@
     settings: ConnectionPoolSettings,
     executor: Executor,
     clock: Clock,
+    bodyBudget: BodyBudget = createBodyBudget(Runtime.getRuntime().maxMemory()),
     onConnected: (ServerName, Long) -> Unit = { _, _ -> },
-): ConnectionPool = ConnectionPool(settings, executor, clock, onConnected).also { it.start() }
+): ConnectionPool = ConnectionPool(settings, executor, clock, bodyBudget, onConnected).also { it.start() }
--- a/cardamomwharf-forward/src/test/kotlin/org/cardamomwharf/forward/support/ForwardingGateway.kt
+++ b/cardamomwharf-forward/src/test/kotlin/org/cardamomwharf/forward/support/ForwardingGateway.kt
@@ -12,6 +12,8 @@
 import org.cardamomwharf.core.SocketAddress
 import org.cardamomwharf.core.ZoneName
 import org.cardamomwharf.core.monotonicClock
+import org.cardamomwharf.forward.bodies.BodyBudget
+import org.cardamomwharf.forward.bodies.createBodyBudget
 import org.cardamomwharf.forward.listener.AsyncHttpServerSettings
 import org.cardamomwharf.forward.listener.HttpListener
 import org.cardamomwharf.forward.listener.createAsyncHttpServer
@@ -28,16 +30,20 @@
 import org.cardamomwharf.steering.desired.DesiredState
 import org.cardamomwharf.steering.desired.Route
 import org.cardamomwharf.steering.desired.ServiceTerms
+import org.cardamomwharf.steering.desired.TransferKind
 import org.cardamomwharf.steering.desired.WeightedService
 import org.cardamomwharf.steering.limits.RetryBudgetParameters
 import org.cardamomwharf.steering.servers.ServerRecord
 import org.cardamomwharf.steering.store.TableChange
+import java.net.InetSocketAddress
 import java.net.Socket
 
 private const val HOST = "127.0.0.1"
 private const val CALLERS = "callers"
+private const val SLOW_BUFFER_BYTES = 4_096
 private const val TIMEOUT_MS = 20_000
 private const val ROUTE_TIMEOUT_MS = 10_000L
+private const val BUDGET_HEAP_BYTES = 100_663_296L
 private const val BODY_BYTES = 1_048_576L
 private val service = ServiceName("reads")
 private val zone = ZoneName("z")
@@ -45,16 +51,24 @@
 /** The shortest field; most writers add a space. */
 private const val EMPTY_FIELD = "c:\r\n"
 
-/** Forwards requests of callers for the path /r/ to the servers at [servers]. */
-internal class ForwardingGateway(vararg servers: SocketAddress) : AutoCloseable {
+/**
+ * Forwards requests of callers for the paths /r/ and /small/ to the servers at [servers]; those for /r/ transfer what
+ * [transfer] names.
+ */
+internal class ForwardingGateway(
+    vararg servers: SocketAddress,
+    budget: BodyBudget = createBodyBudget(BUDGET_HEAP_BYTES),
+    transfer: TransferKind = TransferKind.SMALL,
+    sendBufferBytes: Int = -1,
+) : AutoCloseable {
     private val clock = monotonicClock()
     private val steering = Steering(
         InstanceLocation(InstanceName("i"), zone, mapOf(zone to RegionName("r"))),
         SteeringParameters(RetryBudgetParameters(ratio = 0.2, allowance = 10, windowMs = 10_000)),
     )
-    private val settings = AsyncHttpServerSettings()
+    private val settings = AsyncHttpServerSettings(sendBufferBytes = sendBufferBytes)
     private val threads = startHttpThreads(settings)
-    private val pool = startConnectionPool(ConnectionPoolSettings(), threads.executor, clock)
+    private val pool = startConnectionPool(ConnectionPoolSettings(), threads.executor, clock, budget)
     private val context =
         ForwardingContext(SynchronizedSteering(steering, clock), pool, threads.scheduler, clock) { }
     private val listener = HttpListener(CALLERS, SocketAddress(HOST, 0), createForwardingHandler(context))
@@ -62,10 +76,17 @@
 
     init {
         val parts = listOf(WeightedService(service, 1.0))
-        val route = Route("r", "h", "/r/", true, parts, ROUTE_TIMEOUT_MS, ROUTE_TIMEOUT_MS, 1, 2, true, emptySet())
+        val small =
+            Route("small", "h", "/small/", true, parts, ROUTE_TIMEOUT_MS, ROUTE_TIMEOUT_MS, 1, 2, true, emptySet())
+        val route = small.copy(
+            name = "r",
+            prefix = "/r/",
+            isIdempotent = transfer != TransferKind.UPLOAD,
+            transfer = transfer,
+        )
         val terms = ServiceTerms(service, "/health", 10, 0, 1.0)
         val limits = CallerLimits(settings.maxHeadBytes, BODY_BYTES, ROUTE_TIMEOUT_MS, settings.idleTimeoutMs)
-        steering.routes.adopt(DesiredState(DocumentVersion(1), listOf(route), mapOf(service to terms), limits))
+        steering.routes.adopt(DesiredState(DocumentVersion(1), listOf(route, small), mapOf(service to terms), limits))
         val changes = servers.mapIndexed { index, address ->
             val name = "server-000$index"
             TableChange(name, 1, null, ServerRecord(ServerName(name), service, address, zone, 64, false, 1, 0))
@@ -78,6 +99,13 @@
     /** Limits heads as the configuration of an operator does. */
     fun setMaxHeadBytes(maxHeadBytes: Int) = http.setMaxHeadBytes(CALLERS, maxHeadBytes)
 
+    /** Opens a connection of a caller that buffers few bytes of a response. */
+    fun connectSlow(): Socket = Socket().apply {
+        soTimeout = TIMEOUT_MS
+        receiveBufferSize = SLOW_BUFFER_BYTES
+        connect(InetSocketAddress(HOST, http.getPort(CALLERS)))
+    }
+
     /** Opens a connection of a caller. */
     fun connect(): Socket = Socket(HOST, http.getPort(CALLERS)).apply { soTimeout = TIMEOUT_MS }
 
--- a/cardamomwharf-forward/src/test/kotlin/org/cardamomwharf/forward/support/ScriptedServer.kt
+++ b/cardamomwharf-forward/src/test/kotlin/org/cardamomwharf/forward/support/ScriptedServer.kt
@@ -5,6 +5,7 @@
 
 import org.cardamomwharf.core.SocketAddress
 import java.net.InetAddress
+import java.net.InetSocketAddress
 import java.net.ServerSocket
 import java.net.Socket
 import java.util.concurrent.CopyOnWriteArrayList
@@ -12,9 +13,15 @@
 
 private const val BACKLOG = 50
 
+/** A large request doesn't fit into the buffers of a connection that isn't read. */
+private const val BUFFER_BYTES = 16_384
+
 /** Passes each connection to [serve], with its number starting at 1. */
 internal class ScriptedServer(private val serve: (ScriptedConnection, Int) -> Unit) : AutoCloseable {
-    private val listener = ServerSocket(0, BACKLOG, InetAddress.getByName("127.0.0.1"))
+    private val listener = ServerSocket().apply {
+        receiveBufferSize = BUFFER_BYTES
+        bind(InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0), BACKLOG)
+    }
     private val connections = CopyOnWriteArrayList<Socket>()
     val accepted = AtomicInteger()
     val address = SocketAddress("127.0.0.1", listener.localPort)
@@ -49,6 +56,10 @@
         return lines.ifEmpty { null }
     }
 
+    /** Reads [count] bytes and returns them; fewer at the end of the stream. */
+    fun readBody(count: Int): String =
+        generateSequence { reader.read() }.takeWhile { it >= 0 }.take(count).map { it.toChar() }.joinToString("")
+
     /** Waits for input and returns true if the peer closed the connection. */
     fun awaitClose(): Boolean = reader.read() < 0
 
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/GatewayProcess.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/GatewayProcess.kt
@@ -105,14 +105,15 @@
     )
     private val serverSettings = AsyncHttpServerSettings()
     private val threads = startHttpThreads(serverSettings)
-    private val pool = startConnectionPool(ConnectionPoolSettings(), threads.executor, clock) { name, tookMs ->
+    private val bodyBudget = createBodyBudget(Runtime.getRuntime().maxMemory(), settings.machine?.memoryMb)
+    private val poolSettings = ConnectionPoolSettings()
+    private val pool = startConnectionPool(poolSettings, threads.executor, clock, bodyBudget) { name, tookMs ->
         steering.withLock { decisions, _ ->
             decisions.servers.find(name)?.let { decisions.roundTripTimes.record(it, tookMs) }
         }
     }
     private val reportLog = ServerReportLog(log, metrics, heartbeats::notifyCrashes)
-    private val bodyBudget = createBodyBudget(Runtime.getRuntime().maxMemory(), settings.machine?.memoryMb)
-    private val forwarding = ForwardingContext(steering, pool, threads.scheduler, clock, reportLog, bodyBudget) { trace ->
+    private val forwarding = ForwardingContext(steering, pool, threads.scheduler, clock, reportLog) { trace ->
         log.record(trace)
         metrics.record(trace)
     }
