--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/RequestForwarder.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/RequestForwarder.kt
@@ -9,6 +9,7 @@
 import com.github.michaelbull.result.onFailure
 import com.github.michaelbull.result.onSuccess
 import org.cardamomwharf.core.StatusCode
+import org.cardamomwharf.forward.bodies.BodyReservation
 import org.cardamomwharf.forward.listener.disconnectSource
 import org.cardamomwharf.forward.server.CallResult
 import org.cardamomwharf.forward.server.HeadError
@@ -33,6 +34,7 @@
     private val request: Request,
     private val responses: ResponseSender,
     private var spec: RequestSpec,
+    private val responseRoom: BodyReservation,
 ) {
     private val disconnects = request.disconnectSource
     private val placements = ArrayList<Placement.Send>()
@@ -73,7 +75,7 @@
             sentAtMs = context.clock.nowMs()
             val remainingMs = (spec.deadlineAtMs - sentAtMs).coerceAtLeast(1)
             createAttempt(request, spec, placement, remainingMs, body).map { attempt ->
-                ServerCall(placement.server, placement.address, attempt) { onCallResult(placement, it) }
+                ServerCall(placement.server, placement.address, attempt, responseRoom) { onCallResult(placement, it) }
                     .also { call = it }
             }
         }
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/ConnectionPool.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/ConnectionPool.kt
@@ -6,6 +6,8 @@
 import org.cardamomwharf.core.Clock
 import org.cardamomwharf.core.ServerName
 import org.cardamomwharf.core.SocketAddress
+import org.cardamomwharf.forward.bodies.BodyBudget
+import org.cardamomwharf.forward.bodies.createBodyBudget
 import org.cardamomwharf.http.emptySslContextFactory
 import org.cardamomwharf.http.enableTcpKeepAlive
 import org.eclipse.jetty.io.ClientConnector
@@ -21,7 +23,6 @@
 import java.time.Duration
 import java.util.concurrent.Executor
 import java.util.concurrent.atomic.AtomicInteger
-import java.util.concurrent.atomic.AtomicLong
 
 /**
  * Represents the settings of the pool.
@@ -29,16 +30,13 @@
  * @param connectTimeoutMs connect timeout; longer than any round trip, shorter than most target latencies.
  * @param idleTimeoutMs idle time of a connection when the backend server announces no timeout.
  * @param maxResponseHeadBytes maximum size of a response head.
- * @param maxResponseBytes maximum size of a response body.
- * @param maxBufferedBytes maximum size of all response bodies that are being read; their buffers may take twice this
- *   size in a heap of 96 MB.
+ * @param maxResponseBytes maximum size of a response body; that of all together is bounded by their reservations.
  */
 public data class ConnectionPoolSettings(
     public val connectTimeoutMs: Long = 400,
     public val idleTimeoutMs: Long = 4_000,
     public val maxResponseHeadBytes: Int = 32_768,
     public val maxResponseBytes: Int = 2_097_152,
-    public val maxBufferedBytes: Long = 16_777_216,
 )
 
 /** Identifies the backend server and the address that a connection belongs to. */
@@ -57,14 +55,13 @@
     private val settings: ConnectionPoolSettings,
     private val executor: Executor,
     private val clock: Clock,
+    /** Budget of the bodies of the requests and responses on the connections. */
+    public val bodyBudget: BodyBudget,
     private val onConnected: (ServerName, Long) -> Unit,
 ) : AutoCloseable {
     private val idle = IdleConnections()
     private val open = AtomicInteger()
 
-    /** Size of all response bodies that are being read. */
-    internal val bufferedBytes: AtomicLong = AtomicLong()
-
     /** Number of connections opened since the start. */
     public val openedCount: AtomicInteger = AtomicInteger()
     private val connector = KeepAliveConnector().apply {
@@ -172,5 +169,6 @@
     settings: ConnectionPoolSettings,
     executor: Executor,
     clock: Clock,
+    bodyBudget: BodyBudget = createBodyBudget(Runtime.getRuntime().maxMemory()),
     onConnected: (ServerName, Long) -> Unit = { _, _ -> },
-): ConnectionPool = ConnectionPool(settings, executor, clock, onConnected).also { it.start() }
+): ConnectionPool = ConnectionPool(settings, executor, clock, bodyBudget, onConnected).also { it.start() }
--- a/cardamomwharf-forward/src/test/kotlin/org/cardamomwharf/forward/support/ForwardingGateway.kt
+++ b/cardamomwharf-forward/src/test/kotlin/org/cardamomwharf/forward/support/ForwardingGateway.kt
@@ -12,6 +12,8 @@
 import org.cardamomwharf.core.SocketAddress
 import org.cardamomwharf.core.ZoneName
 import org.cardamomwharf.core.monotonicClock
+import org.cardamomwharf.forward.bodies.BodyBudget
+import org.cardamomwharf.forward.bodies.createBodyBudget
 import org.cardamomwharf.forward.listener.AsyncHttpServerSettings
 import org.cardamomwharf.forward.listener.HttpListener
 import org.cardamomwharf.forward.listener.createAsyncHttpServer
@@ -30,18 +32,22 @@
 import org.cardamomwharf.steering.desired.Route
 import org.cardamomwharf.steering.desired.ServiceTerms
 import org.cardamomwharf.steering.desired.Team
+import org.cardamomwharf.steering.desired.TransferKind
 import org.cardamomwharf.steering.desired.WeightedService
 import org.cardamomwharf.steering.limits.RetryBudgetParameters
 import org.cardamomwharf.steering.requests.StopPlan
 import org.cardamomwharf.steering.servers.ServerRecord
 import org.cardamomwharf.steering.store.TableChange
+import java.net.InetSocketAddress
 import java.net.Socket
 import java.util.concurrent.LinkedBlockingQueue
 
 private const val HOST = "127.0.0.1"
 private const val CALLERS = "callers"
+private const val SLOW_BUFFER_BYTES = 4_096
 private const val TIMEOUT_MS = 20_000
 private const val ROUTE_TIMEOUT_MS = 10_000L
+private const val BUDGET_HEAP_BYTES = 100_663_296L
 private const val BODY_BYTES = 1_048_576L
 private val service = ServiceName("reads")
 private val zone = ZoneName("z")
@@ -50,23 +56,29 @@
 private const val EMPTY_FIELD = "c:\r\n"
 
 /**
- * Forwards requests of callers for the paths /r/, /once/, which may run only once, and /open/, which needs no key, to
- * the servers at [servers].
+ * Forwards requests of callers to the servers at [servers]: for the paths /r/, which transfer what [transfer] names,
+ * /small/, /once/, which may run only once, and /open/, which needs no key.
  *
  * @param teams teams of the callers, or null before the first configuration.
  */
-internal class ForwardingGateway(vararg servers: SocketAddress, teams: List<Team>? = emptyList()) : AutoCloseable {
+internal class ForwardingGateway(
+    vararg servers: SocketAddress,
+    teams: List<Team>? = emptyList(),
+    budget: BodyBudget = createBodyBudget(BUDGET_HEAP_BYTES),
+    private val transfer: TransferKind = TransferKind.SMALL,
+    sendBufferBytes: Int = -1,
+) : AutoCloseable {
     private val clock = monotonicClock()
     private val steering = Steering(
         InstanceLocation(InstanceName("i"), zone, mapOf(zone to RegionName("r"))),
         SteeringParameters(RetryBudgetParameters(ratio = 0.2, allowance = 10, windowMs = 10_000)),
     )
-    private val settings = AsyncHttpServerSettings()
+    private val settings = AsyncHttpServerSettings(sendBufferBytes = sendBufferBytes)
 
     /** Traces of completed requests. */
     val traces = LinkedBlockingQueue<RequestTrace>()
     private val threads = startHttpThreads(settings)
-    private val pool = startConnectionPool(ConnectionPoolSettings(), threads.executor, clock)
+    private val pool = startConnectionPool(ConnectionPoolSettings(), threads.executor, clock, budget)
     private val context =
         ForwardingContext(SynchronizedSteering(steering, clock), pool, threads.scheduler, clock) { traces.add(it) }
     private val listener = HttpListener(CALLERS, SocketAddress(HOST, 0), createForwardingHandler(context))
@@ -85,10 +97,19 @@
 
     private fun createDesiredState(teams: List<Team>): DesiredState {
         val parts = listOf(WeightedService(service, 1.0))
-        val route = Route("r", "h", "/r/", true, parts, ROUTE_TIMEOUT_MS, ROUTE_TIMEOUT_MS, 1, 2, true, emptySet())
-        val openRoute = route.copy(name = "open", prefix = "/open/", isPublic = true)
-        val onceRoute = route.copy(name = "once", prefix = "/once/", isIdempotent = false)
-        val routes = listOf(route, openRoute, onceRoute)
+        val small =
+            Route("small", "h", "/small/", true, parts, ROUTE_TIMEOUT_MS, ROUTE_TIMEOUT_MS, 1, 2, true, emptySet())
+        val routes = listOf(
+            small.copy(
+                name = "r",
+                prefix = "/r/",
+                isIdempotent = transfer != TransferKind.UPLOAD,
+                transfer = transfer,
+            ),
+            small,
+            small.copy(name = "open", prefix = "/open/", isPublic = true),
+            small.copy(name = "once", prefix = "/once/", isIdempotent = false),
+        )
         val terms = ServiceTerms(service, "/health", 10, 0, 1.0)
         val limits = CallerLimits(settings.maxHeadBytes, BODY_BYTES, ROUTE_TIMEOUT_MS, settings.idleTimeoutMs)
         return DesiredState(DocumentVersion(1), routes, mapOf(service to terms), limits, teams)
@@ -103,6 +124,13 @@
     /** Closes idle connections as a graceful stop does. */
     fun closeIdleConnections() = http.closeIdleConnections(CALLERS)
 
+    /** Opens a connection of a caller that buffers few bytes of a response. */
+    fun connectSlow(): Socket = Socket().apply {
+        soTimeout = TIMEOUT_MS
+        receiveBufferSize = SLOW_BUFFER_BYTES
+        connect(InetSocketAddress(HOST, http.getPort(CALLERS)))
+    }
+
     /** Opens a connection of a caller. */
     fun connect(): Socket = Socket(HOST, http.getPort(CALLERS)).apply { soTimeout = TIMEOUT_MS }
 
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/GatewayProcess.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/GatewayProcess.kt
@@ -11,6 +11,7 @@
 import org.cardamomwharf.core.Incarnation
 import org.cardamomwharf.core.SocketAddress
 import org.cardamomwharf.core.monotonicClock
+import org.cardamomwharf.forward.bodies.createBodyBudget
 import org.cardamomwharf.forward.listener.AsyncHttpServerSettings
 import org.cardamomwharf.forward.listener.HttpListener
 import org.cardamomwharf.forward.listener.createAsyncHttpServer
@@ -104,7 +105,9 @@
     )
     private val serverSettings = AsyncHttpServerSettings()
     private val threads = startHttpThreads(serverSettings)
-    private val pool = startConnectionPool(ConnectionPoolSettings(), threads.executor, clock) { name, tookMs ->
+    private val bodyBudget = createBodyBudget(Runtime.getRuntime().maxMemory(), settings.machine?.memoryMb)
+    private val poolSettings = ConnectionPoolSettings()
+    private val pool = startConnectionPool(poolSettings, threads.executor, clock, bodyBudget) { name, tookMs ->
         steering.withLock { decisions, _ ->
             decisions.servers.find(name)?.let { decisions.roundTripTimes.record(it, tookMs) }
         }
