Weigh the slowdown that servers report, without holding it against them

Servers on machines with other work take 2.5 times as long for 15 % of the time, in periods of 600 ms. The fourth figure of their load reports wasn't used, and the slow responses counted as a slow server for four seconds and raised the route's expected time. A reported slowdown now multiplies the predicted time and fades with a time constant of 300 ms. A response that may have been slowed is learned from only by what the slowdown can't explain. Without the figure nothing changes.

--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/SteeringParameters.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/SteeringParameters.kt
@@ -35,6 +35,11 @@
     public val smoothingFactor: Double = 0.1,
     /** Time constant after which a load report carries little weight; a few service times. */
     public val reportDecayMs: Double = 600.0,
+    /**
+     * Time constant after which a reported slowdown carries little weight; half the time for which the users' machines
+     * stay in one state, about 600 ms.
+     */
+    public val slowdownDecayMs: Double = 300.0,
     /** Cost of sending a request to another zone of the region, as time; its traffic costs about 0.03 of a request. */
     public val zonePenaltyMs: Double = 8.0,
     /** Cost of sending a request to another region, as time; its traffic costs about 0.06 of a request. */
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/CandidateServers.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/CandidateServers.kt
@@ -82,7 +82,7 @@
         estimate: ProcessingTimeEstimate,
         nowMs: Long,
     ): Boolean {
-        val expectedColdMs = estimate.coldMs * server.health.slowness(nowMs)
+        val expectedColdMs = estimate.coldMs * server.health.slowness(nowMs) * server.load.slowdown(nowMs)
         val maxUnansweredMs = maxOf(MIN_UNANSWERED_MS, (UNANSWERED_FACTOR * expectedColdMs).toLong())
         return servers.isEligible(server) &&
             spec.isAllowedIn(server.region) &&
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/RouteEstimates.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/RouteEstimates.kt
@@ -51,7 +51,11 @@
         val estimate = getForRoute(spec.route)
         val slowness = server.health.slowness(nowMs)
         val processingMs = (tookMs - roundTripTimes.estimateMs(server)).coerceAtLeast(1.0)
-        if (send.load < server.slots) {
+        val slowdown = server.load.slowdownSince(nowMs - tookMs)
+        if (slowdown > 1.0) {
+            val expectedMs = if (send.load < server.slots) estimate.coldMs else send.predictedMs
+            recordSlowed(server, processingMs / slowdown / expectedMs, nowMs)
+        } else if (send.load < server.slots) {
             val expectedMs = if (estimate.isWarm(processingMs / slowness)) estimate.warmMs else estimate.coldMs
             server.health.recordSlowness(processingMs / expectedMs, nowMs)
             if (!server.isCold(nowMs)) estimate.record(send.warmth, processingMs / slowness)
@@ -61,6 +65,14 @@
         spec.affinityKey?.let { server.warmKeys.add(it) }
     }
 
+    /**
+     * Records a response that took [factor] times the expected time after what other work on the server's machine may
+     * explain. How much it does explain isn't known, so nothing else is learned from the response.
+     */
+    private fun recordSlowed(server: KnownServer, factor: Double, nowMs: Long) {
+        if (factor > server.health.slowness(nowMs)) server.health.recordSlowness(factor, nowMs)
+    }
+
     private fun recordTimeout(send: Placement.Send, server: KnownServer, tookMs: Long, nowMs: Long) {
         server.health.recordTimeout(nowMs)
         val factor = maxOf(parameters.minTimeoutSlowness, tookMs / send.predictedMs)
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/ServerScorer.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/ServerScorer.kt
@@ -60,10 +60,13 @@
             else -> Warmth.OTHER
         }
         val slowness = server.health.slowness(nowMs)
-        val processingMs = estimate.expectedMs(warmth) * slowness
         val queueLength = (server.load.estimate(nowMs) + 1 - server.slots).coerceAtLeast(0.0)
-        val queueMs = queueLength / server.slots * (estimate.warmMs + estimate.coldMs) / 2 * slowness
-        val times = PredictedTimes(roundTripTimes.estimateMs(server), queueMs, processingMs)
+        val queueMs = queueLength / server.slots * (estimate.warmMs + estimate.coldMs) / 2 * slowness *
+            server.load.slowdown(nowMs)
+        val networkMs = roundTripTimes.estimateMs(server)
+        val startsAtMs = nowMs + (networkMs / 2 + queueMs).toLong()
+        val processingMs = estimate.expectedMs(warmth) * slowness * server.load.slowdown(startsAtMs)
+        val times = PredictedTimes(networkMs, queueMs, processingMs)
         val penaltyMs = distancePenaltyMs(server.distance) +
             parameters.spreadPenaltyFactor * spread(server, rank) * estimate.savedMs +
             server.health.failureRate(nowMs) * spec.route.targetLatencyMs -
