Give each key a region where a region has few servers for its callers

A region with a tenth of the servers and a third of the callers caches fewer keys than are asked for there. Which requests left it was decided by load, so that requests for every key ran in all regions and were cold in each. Where a region lacks 0.6 or more of the slots for its share of the requests, a hash now gives each key a region, the same on all instances, in shares that follow the slots and don't fall below them; credits of one attempt keep the sum to the shares.

--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/Steering.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/Steering.kt
@@ -46,7 +46,7 @@
     public val roundTripTimes: RoundTripTimes = RoundTripTimes()
 
     /** The spillover of requests to other regions. */
-    public val spillover: RegionSpillover = RegionSpillover(location, servers, parameters.maxShift)
+    public val spillover: RegionSpillover = RegionSpillover(location, servers, parameters)
 
     /** The plan of the stop of this process, or null while it isn't stopping. */
     public var stopPlan: StopPlan? = null
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/SteeringParameters.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/SteeringParameters.kt
@@ -17,6 +17,11 @@
      * settings.
      */
     public val maxShift: Double = 0.15,
+    /**
+     * Part of the slots for its share of the requests that a region lacks, from which on each key has a region whose
+     * servers cache it. With fewer missing, the region's servers cache most of its keys. UnevenRegionsTest covers it.
+     */
+    public val keyRegionMinMissingSlots: Double = 0.6,
     /** The bounds for teams, from the settings. */
     public val teams: TeamParameters = TeamParameters(),
     /** The limits on hedged requests, from the settings. */
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/RegionSpillover.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/RegionSpillover.kt
@@ -7,31 +7,52 @@
 import org.cardamomwharf.core.ServiceName
 import org.cardamomwharf.core.hashToUnitInterval
 import org.cardamomwharf.steering.InstanceLocation
+import org.cardamomwharf.steering.SteeringParameters
 import org.cardamomwharf.steering.requests.Placement
 import org.cardamomwharf.steering.requests.RegionChoice
 import org.cardamomwharf.steering.requests.RequestSpec
 import org.cardamomwharf.steering.servers.ServerRegistry
 
+/** Interval at which the slots of the regions are compared; servers join and leave within seconds. */
+private const val SLOT_COMPARISON_INTERVAL_MS = 1_000L
+
 /** Manages the spillover of all routes on this instance. */
 public class RegionSpillover(
     private val location: InstanceLocation,
     private val servers: ServerRegistry,
-    private val maxShift: Double,
+    private val parameters: SteeringParameters,
 ) {
     private val byRoute = HashMap<String, RouteState>()
+    private var slotsComparedAtMs = 0L
 
     internal fun getForRequest(spec: RequestSpec, nowMs: Long): RouteSpillover {
         val state = byRoute.getOrPut(spec.route.name) {
             val initialCredit = hashToUnitInterval("${location.instance.value}/${spec.route.name}")
-            RouteState(RouteSpillover(maxShift, initialSharesFor(spec.service, nowMs), initialCredit), spec.service)
+            val initialShares = initialSharesFor(spec.service, nowMs)
+            val spillover = RouteSpillover(parameters.maxShift, initialShares, initialCredit)
+            RouteState(spillover.also { it.keyShares = keySharesOf(spec.service) }, spec.service)
         }
         state.service = spec.service
         return state.spillover
     }
 
+    /**
+     * Returns the region whose servers are to cache the key of [spec], or null if that isn't fixed: for requests whose
+     * keys save no time, and in regions with enough servers.
+     */
+    internal fun keyRegionOf(spec: RequestSpec, nowMs: Long): KeyRegion? {
+        val spillover = getForRequest(spec, nowMs)
+        if (spillover.keyShares.isEmpty()) return null
+        return keyPositionOf(spec)?.let { KeyRegion(spillover.regionForKey(it)) }
+    }
+
     /** Moves the spillover shares of each route towards their targets. */
     public fun adjust(nowMs: Long) {
         byRoute.values.forEach { it.spillover.adjust(nowMs) }
+        if (nowMs - slotsComparedAtMs >= SLOT_COMPARISON_INTERVAL_MS) {
+            slotsComparedAtMs = nowMs
+            byRoute.values.forEach { it.spillover.keyShares = keySharesOf(it.service) }
+        }
     }
 
     /** Counts an attempt of a request. */
@@ -86,6 +107,15 @@
         }
     }
 
+    /**
+     * Returns the shares of the own region's keys that other regions cache if it lacks most of the slots for its share
+     * of the requests, or none. All instances of a region agree on them.
+     */
+    private fun keySharesOf(service: ServiceName): Map<RegionName?, Double> {
+        val shares = sharesBySlots(service)
+        return if (shares.values.sum() < parameters.keyRegionMinMissingSlots) emptyMap() else shares
+    }
+
     /** Returns the region's share of all requests if all zones get the same. */
     private fun requestShareOf(region: RegionName?): Double =
         location.regions.values.count { it == region }.toDouble() / location.regions.size
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/RouteSpillover.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/RouteSpillover.kt
@@ -31,6 +31,12 @@
  */
 private const val STORED_WINDOW_SHARE = 0.06
 
+/**
+ * Maximum credit, stored or borrowed, of an instance in a region with few servers: one attempt, so that most keys keep
+ * to their regions although few requests arrive between two turns of a region. UnevenRegionsTest covers the value.
+ */
+private const val MAX_KEY_CREDIT = 1.0
+
 /** Maximum stored credit of an instance with many requests. */
 private const val MAX_STORED_CREDIT = 2.0
 
@@ -50,6 +56,12 @@
     private val regions = HashMap<RegionName?, RegionShare>()
     private var adjustedAtMs: Long? = null
 
+    /**
+     * Minimum share of attempts for each other region, which the regions keep for as many keys; empty if keys have no
+     * region.
+     */
+    internal var keyShares: Map<RegionName?, Double> = emptyMap()
+
     init {
         initialShares.forEach { (region, share) -> regions[region] = RegionShare(share, initialCredit) }
     }
@@ -91,6 +103,31 @@
         return others.filter { nextCredit(it) >= maxCredit(nowMs) }.maxByOrNull { nextCredit(it) }
     }
 
+    /**
+     * Returns the score to use for a request whose key has its own region, [keyRegion], or null for the own region of
+     * the instance. A region whose credit has reached the maximum takes other keys as well, and one whose credit is
+     * used up takes none, so that the sum keeps to the shares.
+     */
+    internal fun chooseByKey(others: Collection<ServerScore>, keyRegion: RegionName?, nowMs: Long): ServerScore? {
+        val preferred = others.find { keyRegion != null && it.server.region == keyRegion }
+        if (preferred != null && nextCredit(preferred) >= 1.0 - MAX_KEY_CREDIT) return preferred
+        return others.filter { nextCredit(it) >= maxCredit(nowMs) }.maxByOrNull { nextCredit(it) }
+    }
+
+    /**
+     * Returns the other region that the key at [position] belongs to, or null for the own one. All instances of a
+     * region with similar shares agree on it, and a share that changes moves as few keys as possible.
+     */
+    internal fun regionForKey(position: KeyPosition): RegionName? {
+        val total = share
+        if (position.leaving >= total) return null
+        var end = 0.0
+        return regions.entries.sortedBy { it.key?.value.orEmpty() }.firstOrNull { (_, regionShare) ->
+            end += regionShare.share / total
+            position.region < end
+        }?.key
+    }
+
     /**
      * Records an attempt in the other [region] if [isSpilledOver], else in the own one. A region whose turn has passed
      * can't serve requests at the moment. Its share falls then, so that it doesn't get the whole share back at once
@@ -109,6 +146,10 @@
 
     /** Moves the shares towards their targets, within the allowed shift of all regions together. */
     public fun adjust(nowMs: Long) {
+        keyShares.forEach { (region, minShare) ->
+            val regionShare = regions.getOrPut(region) { RegionShare(0.0, initialCredit) }
+            regionShare.target = regionShare.target.coerceAtLeast(minShare)
+        }
         val elapsedMs = nowMs - (adjustedAtMs ?: nowMs)
         adjustedAtMs = nowMs
         val step = maxShift * USABLE_SHIFT_SHARE * elapsedMs / SHIFT_WINDOW_MS
@@ -123,6 +164,7 @@
         regions[score.server.region]?.let { it.credit + it.share } ?: 0.0
 
     private fun maxCredit(nowMs: Long): Double {
+        if (keyShares.isNotEmpty()) return 1.0 + MAX_KEY_CREDIT
         val stored = STORED_WINDOW_SHARE * attempts.total(nowMs) / regions.size.coerceAtLeast(1)
         return 1.0 + stored.coerceAtMost(MAX_STORED_CREDIT)
     }
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/ServerScorer.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/ServerScorer.kt
@@ -17,6 +17,12 @@
  */
 private const val OTHER_REGION_SPREAD = 0.3
 
+/**
+ * Spread of a server in a region with few servers for a key that belongs to another region, in ranks. The servers cache
+ * fewer keys than their region has, so the request evicts one that is needed. UnevenRegionsTest covers the value.
+ */
+private const val FEW_SERVERS_SPREAD = 1.0
+
 /** Share of a first-choice server's slots up to which it takes late requests; the rest is reserved for its own keys. */
 private const val FIRST_CHOICE_LOAD_SHARE = 0.5
 
@@ -45,15 +51,16 @@
     private val roundTripTimes: RoundTripTimes,
 ) {
     /**
-     * Returns the score of [server], which has the given [rank] for the key within its region; 0 is the first choice.
+     * Returns the score of [server], which has the given [place] for the key.
      */
     fun score(
         spec: RequestSpec,
         estimate: ProcessingTimeEstimate,
         server: KnownServer,
-        rank: Int,
+        place: KeyPlace,
         nowMs: Long,
     ): ServerScore {
+        val rank = place.rank
         val warmth = when {
             spec.affinityKey != null && spec.affinityKey in server.warmKeys -> Warmth.KNOWN
             rank == 0 -> Warmth.FIRST_CHOICE
@@ -68,7 +75,7 @@
         val processingMs = estimate.expectedMs(warmth) * slowness * server.load.slowdown(startsAtMs)
         val times = PredictedTimes(networkMs, queueMs, processingMs)
         val penaltyMs = distancePenaltyMs(server.distance) +
-            parameters.spreadPenaltyFactor * spread(server, rank) * estimate.savedMs +
+            parameters.spreadPenaltyFactor * spread(server, place) * estimate.savedMs +
             server.health.failureRate(nowMs) * spec.route.targetLatencyMs -
             if (server.isUntried && spec.route.isIdempotent) estimate.coldMs else 0.0
         return ServerScore(server, rank, warmth, times, times.totalMs + penaltyMs)
@@ -94,9 +101,19 @@
     fun otherRegionSpreadMs(estimate: ProcessingTimeEstimate): Double =
         parameters.spreadPenaltyFactor * OTHER_REGION_SPREAD * estimate.savedMs
 
-    /** Returns how far the request is from the server whose cache is meant for its key, in ranks. */
-    private fun spread(server: KnownServer, rank: Int): Double =
-        minOf(rank, MAX_PENALIZED_RANK) + (if (server.distance == Distance.OTHER_REGION) OTHER_REGION_SPREAD else 0.0)
+    /**
+     * Returns how far the request is from the server whose cache is meant for its key, in ranks. If the key has no
+     * region, that is a server of the own one.
+     */
+    private fun spread(server: KnownServer, place: KeyPlace): Double {
+        val otherRegion = server.region.takeIf { server.distance == Distance.OTHER_REGION }
+        val regionSpread = when {
+            otherRegion == place.keyRegion?.otherRegion -> 0.0
+            otherRegion == null -> FEW_SERVERS_SPREAD
+            else -> OTHER_REGION_SPREAD
+        }
+        return minOf(place.rank, MAX_PENALIZED_RANK) + regionSpread
+    }
 
     private fun distancePenaltyMs(distance: Distance): Double = when (distance) {
         Distance.SAME_ZONE -> 0.0
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/ServerSelector.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/ServerSelector.kt
@@ -62,8 +62,9 @@
         ready: List<KnownServer>,
         nowMs: Long,
     ): Placement {
-        val scores = candidates.selectByRegion(spec, ready).flatMap { scoreGroup(spec, estimate, it, nowMs) }
-        val cheapest = selectBest(spec, scores, nowMs)
+        val keyRegion = spillover.keyRegionOf(spec, nowMs)
+        val scores = candidates.selectByRegion(spec, ready).flatMap { scoreGroup(spec, estimate, it, keyRegion, nowMs) }
+        val cheapest = selectBest(spec, scores, keyRegion, nowMs)
         val hasOwnRegion = scores.any { it.server.distance != Distance.OTHER_REGION }
         val isSpilledOver = hasOwnRegion && cheapest.server.distance == Distance.OTHER_REGION
         val isUsable = isSpilledOver || scorer.isInTime(spec, cheapest)
@@ -88,18 +89,24 @@
         spec: RequestSpec,
         estimate: ProcessingTimeEstimate,
         group: List<KnownServer>,
+        keyRegion: KeyRegion?,
         nowMs: Long,
     ): List<ServerScore> =
-        group.mapIndexed { index, server -> scorer.score(spec, estimate, server, rank = index, nowMs) }
+        group.mapIndexed { index, server -> scorer.score(spec, estimate, server, KeyPlace(index, keyRegion), nowMs) }
 
     /**
      * Returns the best score of the own region, or of another region when the request spills over or the own region has
      * no server.
      */
-    private fun selectBest(spec: RequestSpec, scores: List<ServerScore>, nowMs: Long): ServerScore {
-        val (own, other) = scores.partition { it.server.distance != Distance.OTHER_REGION }
-        val bestOwn = own.minByOrNull { it.costMs } ?: return other.minBy { it.costMs }
-        val (inTime, late) = other.groupBy { it.server.region }.values.map { group -> group.minBy { it.costMs } }
+    private fun selectBest(
+        spec: RequestSpec,
+        scores: List<ServerScore>,
+        keyRegion: KeyRegion?,
+        nowMs: Long,
+    ): ServerScore {
+        val (own, others) = scores.partition { it.server.distance != Distance.OTHER_REGION }
+        val bestOwn = own.minByOrNull { it.costMs } ?: return others.minBy { it.costMs }
+        val (inTime, late) = others.groupBy { it.server.region }.values.map { group -> group.minBy { it.costMs } }
             .partition { scorer.isInTime(spec, it) }
         val isOwnInTime = scorer.isInTime(spec, bestOwn)
         // A late request would be refused here, so another region is cheaper although keys are evicted there.
@@ -112,7 +119,12 @@
         // When other regions become full, their requests return as fast as the shares fall. Until then a request keeps
         // to its turn although it will be late, unless its deadline would pass.
         val possible = if (isOwnInTime) late.filter { nowMs + it.times.totalMs < spec.deadlineAtMs } else emptyList()
-        return routeSpillover.choose(inTime + possible, cheapest, nowMs) ?: bestOwn
+        val chosen = if (keyRegion == null) {
+            routeSpillover.choose(inTime + possible, cheapest, nowMs)
+        } else {
+            routeSpillover.chooseByKey(inTime + possible, keyRegion.otherRegion, nowMs)
+        }
+        return chosen ?: bestOwn
     }
 
     /**
