--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/GatewayProcess.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/GatewayProcess.kt
@@ -32,6 +32,7 @@
 import org.cardamomwharf.gateway.peers.InstanceRegistration
 import org.cardamomwharf.gateway.peers.KnownVersions
 import org.cardamomwharf.gateway.peers.PeerHeartbeats
+import org.cardamomwharf.gateway.peers.TeamLimitExchange
 import org.cardamomwharf.gateway.peers.PeerList
 import org.cardamomwharf.gateway.peers.PeerState
 import org.cardamomwharf.gateway.peers.createPeerStateHandler
@@ -92,7 +93,14 @@
     private val peerStateSync: PeerStateSync = PeerStateSync(own, createPeerClient(), taskContext, ::updateLimitSharing)
     private val peers = PeerList(own, registry, clock)
     private val heartbeats: PeerHeartbeats =
-        PeerHeartbeats(location, peers, taskContext, peerStateSync, CrashExchange(steering, log, metrics))
+        PeerHeartbeats(
+            location,
+            peers,
+            taskContext,
+            peerStateSync,
+            CrashExchange(steering, log, metrics),
+            TeamLimitExchange(steering, location.zone, log),
+        )
     private val store = openStore()
     private val storeWatcher: StoreWatcher = StoreWatcher(
         store,
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/HeartbeatCodec.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/HeartbeatCodec.kt
@@ -7,6 +7,7 @@
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.cbor.ByteString
 import kotlinx.serialization.cbor.Cbor
 import kotlinx.serialization.decodeFromByteArray
 import kotlinx.serialization.encodeToByteArray
@@ -52,6 +53,7 @@
         numbers,
         message.storeStatus?.toWire(),
         message.crashes,
+        message.teamLimits?.let { encodeTeamLimits(it) },
     )
     return frame(cbor.encodeToByteArray(wire))
 }
@@ -63,7 +65,8 @@
     val wire = cbor.decodeFromByteArray<WireMessage>(payload)
     return wire.sender.toHeartbeat()?.let { sender ->
         val newInstances = wire.newInstances.mapNotNull { it.toHeartbeat() }
-        HeartbeatMessage(sender, newInstances, wire.toCounts(), wire.storeStatus?.toStatus(), wire.crashes)
+        val teamLimits = wire.teamLimits?.let { decodeTeamLimits(it) }
+        HeartbeatMessage(sender, newInstances, wire.toCounts(), wire.storeStatus?.toStatus(), wire.crashes, teamLimits)
     }
 }
 
@@ -78,6 +81,7 @@
     val isLeaving: Boolean,
 )
 
+@OptIn(ExperimentalSerializationApi::class)
 @Serializable
 private class WireMessage(
     val sender: WireHeartbeat,
@@ -88,6 +92,8 @@
     @SerialName("news")
     val storeStatus: WireStatus? = null,
     val crashes: CrashMessage? = null,
+    @ByteString
+    val teamLimits: ByteArray? = null,
 ) {
     fun toCounts(): List<HeartbeatCount> {
         val nameList = if (names.isEmpty()) emptyList() else names.split(NAME_SEPARATOR)
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/PeerHeartbeats.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/PeerHeartbeats.kt
@@ -30,6 +30,7 @@
     private val context: TaskContext,
     private val listener: HeartbeatListener,
     private val crashes: CrashExchange,
+    private val teamLimits: TeamLimitExchange,
 ) {
     private val clock = context.clock
     private val registry = peers.registry
@@ -80,15 +81,20 @@
             nextAtMs = clock.nowMs() + HEARTBEAT_INTERVAL_MS
             sendHeartbeat(heartbeatNumber++)
         }
-        sendCrashes()
+        sendUrgent()
         return true
     }
 
-    private fun sendCrashes() = crashes.takeOutgoing().forEach { outgoing ->
-        val names = outgoing.recipients
-        val recipients = peers.others().filter { names == null || it.name in names }
-        val own = synchronized(registry) { registry.own }
-        socket.send(OutgoingHeartbeat(recipients, HeartbeatMessage(own, crashes = outgoing.message)))
+    private fun sendUrgent() {
+        teamLimits.takePrompt {
+            listener.statusToSend()?.let { synchronized(registry) { exchange.changeNotification(peers.others(), it, clock.nowMs()) } }
+        }.forEach(socket::send)
+        crashes.takeOutgoing().forEach { outgoing ->
+            val names = outgoing.recipients
+            val recipients = peers.others().filter { names == null || it.name in names }
+            val own = synchronized(registry) { registry.own }
+            socket.send(OutgoingHeartbeat(recipients, HeartbeatMessage(own, crashes = outgoing.message)))
+        }
     }
 
     private fun sendHeartbeat(number: Int) {
@@ -96,7 +102,8 @@
         val status = listener.statusToSend()
         val others = peers.others()
         val blocks = crashes.regularMessage()
-        synchronized(registry) { exchange.nextHeartbeats(number, others, status, clock.nowMs()) }
+        val heartbeats = synchronized(registry) { exchange.nextHeartbeats(number, others, status, clock.nowMs()) }
+        teamLimits.addTo(heartbeats, isWatcher = status != null)
             .forEach { socket.send(it.copy(message = it.message.copy(crashes = blocks))) }
     }
 
@@ -113,6 +120,7 @@
             crashes.receive(it)
             notifyCrashes()
         }
+        if (teamLimits.receive(message)) signal.offer(Unit)
         return true
     }
 }
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/Steering.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/Steering.kt
@@ -29,6 +29,7 @@
 import org.cardamomwharf.steering.servers.ServerReport
 import org.cardamomwharf.steering.servers.ServerReportChange
 import org.cardamomwharf.steering.store.TableChange
+import org.cardamomwharf.steering.teams.limits.TeamLimits
 
 /** Makes the routing decisions of one instance. */
 public class Steering(location: InstanceLocation, parameters: SteeringParameters) {
@@ -53,6 +54,9 @@
 
     /** The requests that crash backend servers. */
     public val crashingRequests: CrashingRequests = CrashingRequests(location.instance)
+
+    /** The limits of teams. */
+    public val teamLimits: TeamLimits = TeamLimits(location)
     private val candidates = CandidateServers(servers, routes, limitSharing, parameters)
     private val announcedLimits = AnnouncedLimits(limitSharing)
     private val serverSelector = ServerSelector(parameters, candidates, spillover, announcedLimits, roundTripTimes)
@@ -74,6 +78,7 @@
     public fun setLiveInstances(live: Map<InstanceName, ZoneName>, nowMs: Long) {
         limitSharing.update(live, nowMs)
         crashingRequests.setInstances(live.keys + instance)
+        teamLimits.setInstanceCount(limitSharing.instanceCount, nowMs)
     }
 
     /** Selects the server for the first attempt of [spec]. */
@@ -107,6 +112,7 @@
     /** Records the outcome of an attempt without deciding on a next step. */
     public fun recordOutcome(spec: RequestSpec, send: Placement.Send, report: AttemptReport, nowMs: Long) {
         serverSelector.recordOutcome(spec, send, report, nowMs)
+        if (report.outcome.isNotExecuted) teamLimits.giveBack(spec.team, nowMs)
         val startedAtUnixMs = servers.find(send.server)?.record?.startedAtUnixMs ?: 0
         when {
             report.isBrokenOff ->
@@ -135,13 +141,17 @@
     /** Records that the request is sent, unless this process stops before the response can be expected. */
     private fun confirm(spec: RequestSpec, send: Placement.Send, nowMs: Long): Placement =
         if (stopPlan.allows(spec, send, nowMs)) {
-            crashingRequests.recordSent(spec.fingerprint, nowMs)
-            serverSelector.recordRequestSent(spec, send, nowMs)
-            send
+            teamLimits.acquire(spec.team, spec.id, nowMs)?.let { Placement.Refuse(RefusalReason.TEAM_LIMIT, it) }
+                ?: send.also { recordSent(spec, it, nowMs) }
         } else {
             Placement.Refuse(RefusalReason.STOPPING, serverSelector.retryAfterMs(spec.id, 0.0))
         }
 
+    private fun recordSent(spec: RequestSpec, send: Placement.Send, nowMs: Long) {
+        crashingRequests.recordSent(spec.fingerprint, nowMs)
+        serverSelector.recordRequestSent(spec, send, nowMs)
+    }
+
     private fun planRetry(
         spec: RequestSpec,
         attempts: List<Placement.Send>,
@@ -159,7 +169,8 @@
             (
                 outcome == AttemptOutcome.NOT_SENT ||
                     retryBudgets.getForService(spec.service).tryAcquire(nowMs, limitSharing.instanceCount)
-                )
+                ) &&
+            teamLimits.acquire(spec.team, spec.id, nowMs) == null
         return if (next != null && isAllowed) {
             serverSelector.recordRequestSent(spec, next, nowMs)
             NextStep.Retry(next)
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/instances/HeartbeatMessage.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/instances/HeartbeatMessage.kt
@@ -5,6 +5,7 @@
 
 import org.cardamomwharf.steering.crashes.CrashMessage
 import org.cardamomwharf.steering.store.StoreStatus
+import org.cardamomwharf.steering.teams.limits.TeamLimitMessage
 
 /**
  * Represents a heartbeat message between two instances.
@@ -14,6 +15,7 @@
  * @param counts heartbeat counts of instances that most others know.
  * @param storeStatus status of the store, if the sender watches it.
  * @param crashes what the sender knows about requests that crash backend servers, or null for nothing.
+ * @param teamLimits what the sender knows about the requests of teams with a limit, or null for nothing.
  */
 public data class HeartbeatMessage(
     public val sender: Heartbeat,
@@ -21,6 +23,7 @@
     public val counts: List<HeartbeatCount> = emptyList(),
     public val storeStatus: StoreStatus? = null,
     public val crashes: CrashMessage? = null,
+    public val teamLimits: TeamLimitMessage? = null,
 )
 
 /** Represents a [message] to send to [recipients]. */
--- /dev/null
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/teams/limits/TeamDemand.kt
@@ -0,0 +1,42 @@
+/*
+ * Messages between instances about the requests of teams that have a limit. Counts cover one second, so they read as
+ * rates, and each message replaces the one before: a lost one delays what others know and changes nothing else.
+ */
+package org.cardamomwharf.steering.teams.limits
+
+import org.cardamomwharf.core.TeamName
+import org.cardamomwharf.core.ZoneName
+import org.cardamomwharf.core.hash64
+
+/** Bits of the hash that identifies a team in messages. */
+private const val TEAM_ID_MASK = 0xFFFFFFL
+
+/**
+ * Represents the requests of a team in one second.
+ *
+ * @param teamId hash of the team's name.
+ * @param asked requests that were sent to backend servers or refused because of the team's limit.
+ * @param sent requests that were sent to backend servers.
+ */
+public data class TeamDemand(public val teamId: Int, public val asked: Int, public val sent: Int)
+
+/**
+ * Represents the requests in a zone.
+ *
+ * @param ageMs time since the counts were taken.
+ */
+public data class ZoneDemand(public val zone: ZoneName, public val ageMs: Long, public val teams: List<TeamDemand>)
+
+/**
+ * Represents a message about the requests of teams.
+ *
+ * @param own requests at the sender, or null when the sender doesn't report.
+ * @param zones requests in whole zones, as far as the sender knows.
+ */
+public data class TeamLimitMessage(
+    public val own: List<TeamDemand>? = null,
+    public val zones: List<ZoneDemand> = emptyList(),
+)
+
+/** Returns the number that identifies the team [name] in messages. */
+internal fun teamIdOf(name: TeamName): Int = (hash64(name.value) and TEAM_ID_MASK).toInt()
--- /dev/null
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/teams/limits/TeamShare.kt
@@ -0,0 +1,131 @@
+/*
+ * The part of a team's limit that this instance uses. All instances follow the same known sums: a level that the limit
+ * fills and the sent requests drain, as in a token bucket, gives the rate at which all instances together may send, and
+ * each sends the same fraction of what it is asked. So an instance that sees one request in a minute needs no tokens in
+ * advance. A local bucket bounds what this instance sends before others can know of it.
+ */
+package org.cardamomwharf.steering.teams.limits
+
+import org.cardamomwharf.steering.desired.TeamLimit
+
+/** Time in which the level is used up or restored. */
+private const val LEVEL_TIME_S = 2.0
+
+/** Requests beyond the burst that the level holds; half of the tolerance that the users allow. */
+private const val LEVEL_MARGIN = 8.0
+
+/** Level of a process that has just started and doesn't know what was sent before. */
+private const val INITIAL_LEVEL = 4.0
+
+/** Rate of the local bucket as a multiple of the usual part; a zone that takes over another one's callers needs two. */
+private const val LOCAL_FACTOR = 1.5
+
+/** Time at its rate that the local bucket holds, so that a shift of callers between zones fits in until it is known. */
+private const val LOCAL_BURST_S = 1.0
+
+/** Tokens that the local bucket holds besides; random arrivals of a small team come together. */
+private const val LOCAL_TOKENS = 6.0
+
+/** Tokens of a process that has just started. */
+private const val INITIAL_TOKENS = 2.0
+
+/** Number of updates after which a higher own part is used; the others know of it by then. */
+private const val RISE_UPDATES = 3
+
+/** Interval at which own parts are recorded. */
+private const val RISE_INTERVAL_MS = 500L
+private const val MS_PER_S = 1_000.0
+
+internal class TeamShare(val teamId: Int, var limit: TeamLimit, phase: Double) {
+    private val recentParts = ArrayDeque<Double>()
+    private var partAtMs = Long.MIN_VALUE / 2
+    private var credit = phase
+    private var level = INITIAL_LEVEL
+    private var levelAtMs = Long.MIN_VALUE / 2
+    private var sentPerSecond = 0.0
+    private var tokens = INITIAL_TOKENS
+    private var tokensPerSecond = 0.0
+    private var tokensAtMs = Long.MIN_VALUE / 2
+
+    /** Requests at this instance. */
+    val counter = DemandCounter()
+
+    /** Fraction of the requests that may be sent. */
+    var fraction = 1.0
+        private set
+
+    /** Takes a token and returns true, or returns false when the limit is used up. */
+    fun tryAcquire(nowMs: Long): Boolean {
+        refill(nowMs)
+        val hasCredit = fraction >= 1 || credit + fraction >= 1
+        val isSent = tokens >= 1 && hasCredit
+        if (isSent) tokens--
+        if (fraction < 1 && tokens >= 0 && (isSent || !hasCredit)) credit += if (isSent) fraction - 1 else fraction
+        counter.record(isSent, nowMs)
+        return isSent
+    }
+
+    /** Gives a token back for a request that didn't run. */
+    fun giveBack(nowMs: Long) {
+        tokens++
+        counter.recordReturned(nowMs)
+    }
+
+    /** Returns the time until this instance can expect a token. */
+    fun waitMs(): Double {
+        val levelS = if (level < 0 && limit.requestsPerSecond > 0) -level / limit.requestsPerSecond else 0.0
+        val localS = if (tokens < 1 && tokensPerSecond > 0) (1 - tokens) / tokensPerSecond else 0.0
+        return maxOf(levelS, localS) * MS_PER_S
+    }
+
+    /** Applies what is known of the requests at all instances, or null when nothing recent is known. */
+    fun update(known: KnownDemand?, instanceCount: Int, nowMs: Long) {
+        refill(nowMs)
+        updateLevel(known, nowMs)
+        updateLocal(known, instanceCount, nowMs)
+    }
+
+    private fun updateLevel(known: KnownDemand?, nowMs: Long) {
+        val part = known?.let { reachablePart(it) } ?: 1.0
+        val perSecond = limit.requestsPerSecond * part
+        if (levelAtMs >= 0) level += (perSecond - sentPerSecond) * (nowMs - levelAtMs) / MS_PER_S
+        levelAtMs = nowMs
+        level = level.coerceIn(-limit.requestsPerSecond * LEVEL_TIME_S, (limit.burst + LEVEL_MARGIN) * part)
+        if (known == null) {
+            level = minOf(level, 0.0)
+            return
+        }
+        sentPerSecond = known.sent.toDouble()
+        val target = maxOf(perSecond + level / LEVEL_TIME_S, 0.0)
+        fraction = if (known.asked <= target) 1.0 else target / known.asked
+    }
+
+    /**
+     * Returns the part of the limit that the instances within reach may use: the mean of their usual part and of what
+     * the usual requests of the others leave, so that callers who come from instances that are down find room.
+     */
+    private fun reachablePart(known: KnownDemand): Double {
+        if (known.reserved <= 0) return 1.0
+        val usualPart = known.usual / (known.usual + known.reserved)
+        return (usualPart + maxOf(usualPart, 1 - known.reserved / limit.requestsPerSecond)) / 2
+    }
+
+    private fun updateLocal(known: KnownDemand?, instanceCount: Int, nowMs: Long) {
+        if (instanceCount == 0) return
+        if (nowMs - partAtMs >= RISE_INTERVAL_MS && known != null) {
+            partAtMs = nowMs
+            val own = counter.demand(teamId, nowMs).asked
+            recentParts.addLast(if (known.asked > 0) own.toDouble() / maxOf(known.asked, own) else 0.0)
+            if (recentParts.size > RISE_UPDATES) recentParts.removeFirst()
+        }
+        val ownPart = if (recentParts.size == RISE_UPDATES && known != null) recentParts.min() else 0.0
+        tokensPerSecond = LOCAL_FACTOR * limit.requestsPerSecond * maxOf(1.0 / instanceCount, ownPart)
+    }
+
+    private fun refill(nowMs: Long) {
+        val capacity = tokensPerSecond * LOCAL_BURST_S + LOCAL_TOKENS
+        if (tokensAtMs >= 0) tokens += tokensPerSecond * (nowMs - tokensAtMs) / MS_PER_S
+        tokens = minOf(tokens, capacity)
+        tokensAtMs = nowMs
+    }
+}
