--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/PeerHeartbeats.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/PeerHeartbeats.kt
@@ -87,7 +87,9 @@
 
     private fun sendUrgent() {
         teamLimits.takePrompt {
-            listener.statusToSend()?.let { synchronized(registry) { exchange.changeNotification(peers.others(), it, clock.nowMs()) } }
+            val others = peers.others()
+            listener.statusToSend()
+                ?.let { synchronized(registry) { exchange.changeNotification(others, it, clock.nowMs()) } }
         }.forEach(socket::send)
         crashes.takeOutgoing().forEach { outgoing ->
             val names = outgoing.recipients
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/TeamLimitCodec.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/TeamLimitCodec.kt
@@ -32,6 +32,7 @@
         out.writeNumber(name.size)
         out.write(name)
         out.writeNumber(zone.ageMs.coerceIn(0, Int.MAX_VALUE.toLong()).toInt())
+        out.writeNumber(zone.instanceCount)
         out.writeTeams(zone.teams)
     }
     return out.toByteArray()
@@ -68,7 +69,7 @@
 
 private fun ByteBuffer.readZone(): ZoneDemand {
     val name = ByteArray(readSize()).also { get(it) }
-    return ZoneDemand(ZoneName(name.decodeToString()), readNumber().toLong(), readTeams())
+    return ZoneDemand(ZoneName(name.decodeToString()), readNumber().toLong(), readNumber(), readTeams())
 }
 
 private fun ByteBuffer.readTeams(): List<TeamDemand> = List(readSize()) {
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/TeamLimitExchange.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/TeamLimitExchange.kt
@@ -51,7 +51,7 @@
         val sums = message.teamLimits ?: return false
         val sender = message.sender.record
         steering.withLock { decisions, nowMs -> decisions.teamLimits.receive(sender.name, sender.zone, sums, nowMs) }
-        return sums.own != null
+        return sums.own != null || sender.zone != zone
     }
 
     private fun OutgoingHeartbeat.with(messages: Pair<TeamLimitMessage?, TeamLimitMessage?>): OutgoingHeartbeat {
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/teams/limits/DemandCounter.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/teams/limits/DemandCounter.kt
@@ -1,11 +1,11 @@
 /*
- * Counts the requests of a team at this instance in the last second, in steps of a tenth. The step that is still
- * running doesn't count, so that the counts are those of a whole second.
+ * Counts the requests of a team at this instance in the last interval of heartbeats, in short steps. The step that is
+ * still running doesn't count, so that the counts are those of a whole interval.
  */
 package org.cardamomwharf.steering.teams.limits
 
 private const val STEP_MS = 100L
-private const val STEPS = 10
+private const val STEPS = (DEMAND_WINDOW_MS / STEP_MS).toInt()
 
 internal class DemandCounter {
     private val asked = IntArray(STEPS + 1)
@@ -26,7 +26,7 @@
         sent[index]--
     }
 
-    /** Returns the requests of the team [teamId] in the last second. */
+    /** Returns the requests of the team [teamId] in the last interval. */
     fun demand(teamId: Int, nowMs: Long): TeamDemand {
         val running = advance(nowMs)
         return TeamDemand(
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/teams/limits/DemandTable.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/teams/limits/DemandTable.kt
@@ -13,23 +13,18 @@
 /** Age from which a report no longer counts; three heartbeats were lost, or the instance is down. */
 private const val MAX_REPORT_AGE_MS = 1_600L
 
-/** Age from which a zone is out of reach; three messages between zones were lost. */
-private const val MAX_ZONE_AGE_MS = 3_000L
+/** Age from which a zone is out of reach; messages between zones come every second. */
+private const val MAX_ZONE_AGE_MS = 1_800L
 
 /** Age from which nothing is reserved for a zone; instances without a confirmed configuration have stopped by then. */
-private const val FORGET_ZONE_AFTER_MS = 7_500L
+private const val FORGET_AFTER_MS = 7_500L
 
 /** Time constant with which the usual requests of a zone rise; the time in which random arrivals even out. */
 private const val RISE_MS = 3_000.0
 
 /** Time constant with which they fall; twice the time after which instances without confirmation have stopped. */
 private const val FALL_MS = 10_000.0
-
-/** Time constant of the recent requests of a zone, which are compared with the usual ones. */
-private const val RECENT_MS = 1_000.0
-
-/** Standard deviations by which recent requests may be below the usual ones by chance. */
-private const val NOISE_FACTOR = 2.0
+private const val WINDOWS_PER_S = 1_000.0 / DEMAND_WINDOW_MS
 
 /**
  * Represents the requests per second of a team.
@@ -39,7 +34,7 @@
  * @param usual requests that they usually send.
  * @param reserved requests that instances out of reach may be sending.
  */
-internal data class KnownDemand(val asked: Int, val sent: Int, val usual: Double, val reserved: Double)
+internal data class KnownDemand(val asked: Double, val sent: Double, val usual: Double, val reserved: Double)
 
 internal class DemandTable(private val ownZone: ZoneName) {
     private val reports = HashMap<InstanceName, TimedDemand>()
@@ -54,7 +49,7 @@
     fun receiveZone(demand: ZoneDemand, nowMs: Long) {
         val atMs = nowMs - demand.ageMs
         val state = zones.getOrPut(demand.zone) { ZoneState() }
-        if (atMs > state.atMs) state.replace(demand.teams, atMs)
+        if (atMs > state.atMs) state.replace(demand, atMs)
     }
 
     /** Sums the reports of the own zone. */
@@ -62,60 +57,63 @@
         reports.values.removeIf { nowMs - it.atMs > MAX_REPORT_AGE_MS }
         val sums = reports.values.flatMap { it.teams }.groupBy { it.teamId }
             .map { (id, demands) -> TeamDemand(id, demands.sumOf { it.asked }, demands.sumOf { it.sent }) }
-        return ZoneDemand(ownZone, 0, sums).also { receiveZone(it, nowMs) }
+        return ZoneDemand(ownZone, 0, reports.size, sums).also { receiveZone(it, nowMs) }
     }
 
     /** Returns the requests of all zones, with their ages. */
-    fun zones(nowMs: Long): List<ZoneDemand> = zones.filterValues { nowMs - it.atMs <= FORGET_ZONE_AFTER_MS }
-        .map { (zone, state) -> ZoneDemand(zone, nowMs - state.atMs, state.teams.values.toList()) }
+    fun zones(nowMs: Long): List<ZoneDemand> = zones.filterValues { nowMs - it.atMs <= FORGET_AFTER_MS }
+        .map { (zone, state) ->
+            ZoneDemand(zone, nowMs - state.atMs, state.instanceCount, state.teams.values.toList())
+        }
 
     /** Returns true when the own zone's requests are recent. */
     fun isFresh(nowMs: Long): Boolean = zones[ownZone]?.let { nowMs - it.atMs <= MAX_ZONE_AGE_MS } ?: false
 
     /** Returns the requests of the team [teamId]. */
-    fun known(teamId: Int, nowMs: Long): KnownDemand {
-        val (reachable, silent) = zones.values.filter { nowMs - it.atMs <= FORGET_ZONE_AFTER_MS }
-            .partition { nowMs - it.atMs <= MAX_ZONE_AGE_MS }
-        val usual = reachable.sumOf { it.usual(teamId).sent }
-        val recent = reachable.sumOf { it.usual(teamId).asked }
-        val missing = maxOf(usual - recent - NOISE_FACTOR * sqrt(usual), 0.0)
-        return KnownDemand(
-            asked = reachable.sumOf { it.teams[teamId]?.asked ?: 0 },
-            sent = reachable.sumOf { it.teams[teamId]?.sent ?: 0 },
-            usual = usual - missing,
-            reserved = missing + silent.sumOf { it.usual(teamId).sent },
-        )
-    }
+    fun known(teamId: Int, nowMs: Long): KnownDemand = zones.values
+        .filter { nowMs - it.atMs <= FORGET_AFTER_MS }
+        .map { it.known(teamId, isReachable = nowMs - it.atMs <= MAX_ZONE_AGE_MS) }
+        .fold(KnownDemand(0.0, 0.0, 0.0, 0.0)) { a, b ->
+            KnownDemand(a.asked + b.asked, a.sent + b.sent, a.usual + b.usual, a.reserved + b.reserved)
+        }
 
     private class TimedDemand(val atMs: Long, val teams: List<TeamDemand>)
 
     private class ZoneState {
+        private val usual = HashMap<Int, Double>()
+        private val recentCounts = RecentMaximum(FORGET_AFTER_MS)
         var atMs = Long.MIN_VALUE / 2
+            private set
+        var instanceCount = 0
+            private set
         var teams: Map<Int, TeamDemand> = emptyMap()
-        private val usual = HashMap<Int, UsualDemand>()
-
-        fun usual(teamId: Int): UsualDemand = usual[teamId] ?: UsualDemand()
+            private set
 
-        fun replace(next: List<TeamDemand>, nextAtMs: Long) {
-            val tookMs = if (teams.isEmpty()) 0L else nextAtMs - atMs
-            teams = next.associateBy { it.teamId }
-            next.forEach { usual.getOrPut(it.teamId) { UsualDemand() } }
-            usual.forEach { (id, before) -> before.add(teams[id], tookMs) }
+        fun replace(next: ZoneDemand, nextAtMs: Long) {
+            val rise = 1 - exp((atMs - nextAtMs) / RISE_MS)
+            val fall = 1 - exp((atMs - nextAtMs) / FALL_MS)
+            teams = next.teams.associateBy { it.teamId }
+            next.teams.forEach { usual.putIfAbsent(it.teamId, 0.0) }
+            usual.replaceAll { id, before ->
+                val sent = (teams[id]?.sent ?: 0) * WINDOWS_PER_S
+                before + (sent - before) * (if (sent > before) rise else fall)
+            }
+            instanceCount = next.instanceCount
+            recentCounts.add(instanceCount, nextAtMs)
             atMs = nextAtMs
         }
-    }
-
-    /** Holds moving averages of the requests of a team. */
-    private class UsualDemand {
-        var sent = 0.0
-            private set
-        var asked = 0.0
-            private set
 
-        fun add(demand: TeamDemand?, tookMs: Long) {
-            val nextSent = demand?.sent ?: 0
-            sent += (nextSent - sent) * (1 - exp(-tookMs / (if (nextSent > sent) RISE_MS else FALL_MS)))
-            asked += ((demand?.asked ?: 0) - asked) * (1 - exp(-tookMs / RECENT_MS))
+        fun known(teamId: Int, isReachable: Boolean): KnownDemand {
+            val before = usual[teamId] ?: 0.0
+            if (!isReachable) return KnownDemand(0.0, 0.0, 0.0, before)
+            val now = teams[teamId]
+            val reachablePart = instanceCount.toDouble() / maxOf(recentCounts.value, 1)
+            return KnownDemand(
+                (now?.asked ?: 0) * WINDOWS_PER_S,
+                (now?.sent ?: 0) * WINDOWS_PER_S,
+                before * reachablePart,
+                before * (1 - reachablePart),
+            )
         }
     }
 }
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/teams/limits/TeamDemand.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/teams/limits/TeamDemand.kt
@@ -1,6 +1,6 @@
 /*
- * Messages between instances about the requests of teams that have a limit. Counts cover one second, so they read as
- * rates, and each message replaces the one before: a lost one delays what others know and changes nothing else.
+ * Messages between instances about the requests of teams that have a limit. Counts cover the interval of
+ * heartbeats, and each message replaces the one before: a lost one delays what others know and changes nothing else.
  */
 package org.cardamomwharf.steering.teams.limits
 
@@ -8,11 +8,14 @@
 import org.cardamomwharf.core.ZoneName
 import org.cardamomwharf.core.hash64
 
+/** Time that the counts cover; the interval of heartbeats. */
+public const val DEMAND_WINDOW_MS: Long = 500
+
 /** Bits of the hash that identifies a team in messages. */
 private const val TEAM_ID_MASK = 0xFFFFFFL
 
 /**
- * Represents the requests of a team in one second.
+ * Represents the requests of a team in the last [DEMAND_WINDOW_MS].
  *
  * @param teamId hash of the team's name.
  * @param asked requests that were sent to backend servers or refused because of the team's limit.
@@ -24,8 +27,14 @@
  * Represents the requests in a zone.
  *
  * @param ageMs time since the counts were taken.
+ * @param instanceCount number of instances that the counts are of.
  */
-public data class ZoneDemand(public val zone: ZoneName, public val ageMs: Long, public val teams: List<TeamDemand>)
+public data class ZoneDemand(
+    public val zone: ZoneName,
+    public val ageMs: Long,
+    public val instanceCount: Int,
+    public val teams: List<TeamDemand>,
+)
 
 /**
  * Represents a message about the requests of teams.
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/teams/limits/TeamLimits.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/teams/limits/TeamLimits.kt
@@ -21,6 +21,9 @@
 /** Minimum interval of messages sent at once. */
 private const val PROMPT_INTERVAL_MS = 200L
 
+/** Minimum interval at which the sums are compared with those last sent. */
+private const val CHECK_INTERVAL_MS = 50L
+
 /** Shortest and longest delay after which a caller is told to come back, and how far delays are spread. */
 private const val MIN_RETRY_AFTER_MS = 200.0
 private const val MAX_RETRY_AFTER_MS = 5_000.0
@@ -31,9 +34,10 @@
     private val shares = HashMap<TeamName, TeamShare>()
     private val table = DemandTable(location.zone)
     private var teams: List<Team> = emptyList()
-    private val instanceCounts = ArrayDeque<Pair<Long, Int>>()
+    private val instanceCounts = RecentMaximum(FORGET_INSTANCES_AFTER_MS)
     private val sentFractions = HashMap<Int, Double>()
     private var promptAtMs = Long.MIN_VALUE / 2
+    private var checkedAtMs = Long.MIN_VALUE / 2
 
     /** Changes of the teams that are limited here. */
     public val changes: LimitChanges = LimitChanges()
@@ -43,8 +47,7 @@
 
     /** Sets the number of instances that share the limits. */
     public fun setInstanceCount(count: Int, nowMs: Long) {
-        instanceCounts.removeIf { it.second <= count || nowMs - it.first > FORGET_INSTANCES_AFTER_MS }
-        instanceCounts.addLast(nowMs to count)
+        instanceCounts.add(count, nowMs)
     }
 
     /** Sets the [next] teams of the configuration. */
@@ -100,7 +103,8 @@
 
     /** Returns true when the instance that collects the reports has to tell the others at once. */
     public fun isPromptDue(nowMs: Long): Boolean {
-        if (!isActive || nowMs - promptAtMs < PROMPT_INTERVAL_MS) return false
+        if (!isActive || nowMs - promptAtMs < PROMPT_INTERVAL_MS || nowMs - checkedAtMs < CHECK_INTERVAL_MS) return false
+        checkedAtMs = nowMs
         table.sumOwnZone(nowMs)
         update(nowMs)
         val isDue = shares.values.any { it.fraction < PROMPT_RATIO * (sentFractions[it.teamId] ?: 1.0) }
@@ -109,10 +113,9 @@
     }
 
     private fun update(nowMs: Long) {
-        val count = instanceCounts.maxOfOrNull { it.second } ?: 0
         val isFresh = table.isFresh(nowMs)
         shares.values.forEach { share ->
-            share.update(if (isFresh) table.known(share.teamId, nowMs) else null, count, nowMs)
+            share.update(if (isFresh) table.known(share.teamId, nowMs) else null, instanceCounts.value, nowMs)
         }
     }
 
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/teams/limits/TeamShare.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/teams/limits/TeamShare.kt
@@ -7,12 +7,29 @@
 package org.cardamomwharf.steering.teams.limits
 
 import org.cardamomwharf.steering.desired.TeamLimit
+import kotlin.math.exp
+import kotlin.math.sqrt
 
-/** Time in which the level is used up or restored. */
-private const val LEVEL_TIME_S = 2.0
+/** Time in which the level is used up. */
+private const val USE_TIME_S = 2.0
 
-/** Requests beyond the burst that the level holds; half of the tolerance that the users allow. */
-private const val LEVEL_MARGIN = 8.0
+/** Time in which a negative level is restored; about the time until others know what was sent. */
+private const val RESTORE_TIME_S = 1.0
+
+/** Time at the rate of the limit to which the level may fall. */
+private const val MAX_DEBT_S = 4.0
+
+/** Part of the burst that the level holds; the rest is sent before the others know of it. */
+private const val LEVEL_PART = 0.4
+
+/** Requests that the level holds besides; random arrivals of a small team come together. */
+private const val LEVEL_MARGIN = 10.0
+
+/** Time constant of the requests that are asked; a rise beyond [RISE_DEVIATIONS] counts at once. */
+private const val ASKED_MS = 1_000.0
+
+/** Standard deviations by which a count is above the mean by chance. */
+private const val RISE_DEVIATIONS = 3.0
 
 /** Level of a process that has just started and doesn't know what was sent before. */
 private const val INITIAL_LEVEL = 4.0
@@ -21,13 +38,16 @@
 private const val LOCAL_FACTOR = 1.5
 
 /** Time at its rate that the local bucket holds, so that a shift of callers between zones fits in until it is known. */
-private const val LOCAL_BURST_S = 1.0
+private const val LOCAL_BURST_S = 0.5
 
-/** Tokens that the local bucket holds besides; random arrivals of a small team come together. */
+/** Tokens that the local bucket holds at least; random arrivals of a small team come together. */
 private const val LOCAL_TOKENS = 6.0
 
+/** Minimum rate of the local bucket; a small team's callers may all come to one instance. */
+private const val MIN_TOKENS_PER_SECOND = 0.1
+
 /** Tokens of a process that has just started. */
-private const val INITIAL_TOKENS = 2.0
+private const val INITIAL_TOKENS = 3.0
 
 /** Number of updates after which a higher own part is used; the others know of it by then. */
 private const val RISE_UPDATES = 3
@@ -43,6 +63,7 @@
     private var level = INITIAL_LEVEL
     private var levelAtMs = Long.MIN_VALUE / 2
     private var sentPerSecond = 0.0
+    private var askedPerSecond = 0.0
     private var tokens = INITIAL_TOKENS
     private var tokensPerSecond = 0.0
     private var tokensAtMs = Long.MIN_VALUE / 2
@@ -88,16 +109,26 @@
     private fun updateLevel(known: KnownDemand?, nowMs: Long) {
         val part = known?.let { reachablePart(it) } ?: 1.0
         val perSecond = limit.requestsPerSecond * part
-        if (levelAtMs >= 0) level += (perSecond - sentPerSecond) * (nowMs - levelAtMs) / MS_PER_S
+        val tookMs = nowMs - levelAtMs
+        if (levelAtMs >= 0) level += (perSecond - sentPerSecond) * tookMs / MS_PER_S
         levelAtMs = nowMs
-        level = level.coerceIn(-limit.requestsPerSecond * LEVEL_TIME_S, (limit.burst + LEVEL_MARGIN) * part)
-        if (known == null) {
-            level = minOf(level, 0.0)
-            return
-        }
-        sentPerSecond = known.sent.toDouble()
-        val target = maxOf(perSecond + level / LEVEL_TIME_S, 0.0)
-        fraction = if (known.asked <= target) 1.0 else target / known.asked
+        val highest = limit.burst * LEVEL_PART + LEVEL_MARGIN
+        level = level.coerceIn(-limit.requestsPerSecond * MAX_DEBT_S, highest)
+        if (known == null) return
+        sentPerSecond = known.sent
+        updateAsked(known.asked, tookMs)
+        val target = maxOf(perSecond + extraPerSecond(minOf(level, highest * part)), 0.0)
+        fraction = if (askedPerSecond <= target) 1.0 else target / askedPerSecond
+    }
+
+    /** Returns the requests per second by which [usable] requests of the level are used up or restored. */
+    private fun extraPerSecond(usable: Double): Double =
+        if (usable > 0) (usable + minOf(usable, LEVEL_MARGIN)) / USE_TIME_S else usable / RESTORE_TIME_S
+
+    private fun updateAsked(asked: Double, tookMs: Long) {
+        val deviation = sqrt((askedPerSecond + 1) * MS_PER_S / DEMAND_WINDOW_MS)
+        val weight = if (asked > askedPerSecond + RISE_DEVIATIONS * deviation) 1.0 else 1 - exp(-tookMs / ASKED_MS)
+        askedPerSecond += (asked - askedPerSecond) * weight
     }
 
     /**
@@ -114,16 +145,17 @@
         if (instanceCount == 0) return
         if (nowMs - partAtMs >= RISE_INTERVAL_MS && known != null) {
             partAtMs = nowMs
-            val own = counter.demand(teamId, nowMs).asked
-            recentParts.addLast(if (known.asked > 0) own.toDouble() / maxOf(known.asked, own) else 0.0)
+            val own = counter.demand(teamId, nowMs).asked * MS_PER_S / DEMAND_WINDOW_MS
+            recentParts.addLast(if (known.asked > 0) own / maxOf(known.asked, own) else 0.0)
             if (recentParts.size > RISE_UPDATES) recentParts.removeFirst()
         }
         val ownPart = if (recentParts.size == RISE_UPDATES && known != null) recentParts.min() else 0.0
-        tokensPerSecond = LOCAL_FACTOR * limit.requestsPerSecond * maxOf(1.0 / instanceCount, ownPart)
+        val partPerSecond = LOCAL_FACTOR * limit.requestsPerSecond * maxOf(1.0 / instanceCount, ownPart)
+        tokensPerSecond = maxOf(partPerSecond, MIN_TOKENS_PER_SECOND)
     }
 
     private fun refill(nowMs: Long) {
-        val capacity = tokensPerSecond * LOCAL_BURST_S + LOCAL_TOKENS
+        val capacity = maxOf(tokensPerSecond * LOCAL_BURST_S + INITIAL_TOKENS, LOCAL_TOKENS)
         if (tokensAtMs >= 0) tokens += tokensPerSecond * (nowMs - tokensAtMs) / MS_PER_S
         tokens = minOf(tokens, capacity)
         tokensAtMs = nowMs
--- a/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/support/TeamFleet.kt
+++ b/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/support/TeamFleet.kt
@@ -22,7 +22,7 @@
 private const val OTHER_ZONE_MS = 36L
 
 /** Time after which an instance that is down or out of reach is no longer seen. */
-private const val UNSEEN_AFTER_MS = 2_000L
+private const val UNSEEN_AFTER_MS = 1_500L
 
 /** Time for which an instance without a confirmed configuration still accepts keys. */
 private const val KEY_LEASE_MS = 5_000L
