--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/TeamLimitExchange.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/TeamLimitExchange.kt
@@ -25,21 +25,22 @@
         val (messages, changes) = steering.withLock { decisions, nowMs ->
             val limits = decisions.teamLimits
             limits.setTeams(decisions.routes.desired?.teams.orEmpty())
-            val messages = if (!limits.isActive) null else if (isWatcher) limits.sums(nowMs) else limits.reports(nowMs)
+            val messages = when {
+                !limits.isActive -> null
+                isWatcher -> limits.sums(heartbeats.any { it.isToOtherZones() }, nowMs)
+                else -> limits.reports(nowMs)
+            }
             messages to limits.changes.take(nowMs)
         }
         changes.forEach(::record)
         if (messages == null) return heartbeats
-        return heartbeats.map { heartbeat ->
-            val isReport = heartbeat.message.storeStatus != null || heartbeat.message.counts.isEmpty()
-            if (isReport) heartbeat.with(messages) else heartbeat
-        }
+        return heartbeats.map { if (it.isToRandomInstances()) it else it.with(messages) }
     }
 
     /** Returns the messages to send at once to the recipients of the [notification], or nothing when none are due. */
     fun takePrompt(notification: () -> OutgoingHeartbeat?): List<OutgoingHeartbeat> {
         val messages = steering.withLock { decisions, nowMs ->
-            decisions.teamLimits.takeIf { it.isPromptDue(nowMs) }?.sums(nowMs)
+            decisions.teamLimits.takeIf { it.isPromptDue(nowMs) }?.sums(isToOtherZones = true, nowMs)
         }
         val due = messages?.let { notification() } ?: return emptyList()
         return due.recipients.groupBy { it.zone }.values
@@ -54,6 +55,11 @@
         return sums.own != null || sender.zone != zone
     }
 
+    private fun OutgoingHeartbeat.isToRandomInstances() =
+        message.storeStatus == null && message.counts.isNotEmpty()
+
+    private fun OutgoingHeartbeat.isToOtherZones() = message.storeStatus != null && recipients.any { it.zone != zone }
+
     private fun OutgoingHeartbeat.with(messages: Pair<TeamLimitMessage?, TeamLimitMessage?>): OutgoingHeartbeat {
         val teamLimits = if (recipients.all { it.zone == zone }) messages.first else messages.second
         return copy(message = message.copy(teamLimits = teamLimits))
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/teams/limits/DemandTable.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/teams/limits/DemandTable.kt
@@ -10,21 +10,20 @@
 import kotlin.math.exp
 import kotlin.math.sqrt
 
-/** Age from which a report no longer counts; three heartbeats were lost, or the instance is down. */
-private const val MAX_REPORT_AGE_MS = 1_600L
+/** Age from which a report no longer counts; two heartbeats were lost, or the instance is down. */
+private const val MAX_REPORT_AGE_MS = 1_100L
 
 /** Age from which a zone is out of reach; messages between zones come every second. */
 private const val MAX_ZONE_AGE_MS = 1_800L
 
 /** Age from which nothing is reserved for a zone; instances without a confirmed configuration have stopped by then. */
-private const val FORGET_AFTER_MS = 7_500L
+private const val FORGET_AFTER_MS = 6_000L
 
 /** Time constant with which the usual requests of a zone rise; the time in which random arrivals even out. */
-private const val RISE_MS = 3_000.0
+private const val RISE_MS = 6_000.0
 
 /** Time constant with which they fall; twice the time after which instances without confirmation have stopped. */
 private const val FALL_MS = 10_000.0
-private const val WINDOWS_PER_S = 1_000.0 / DEMAND_WINDOW_MS
 
 /**
  * Represents the requests per second of a team.
@@ -66,6 +65,9 @@
             ZoneDemand(zone, nowMs - state.atMs, state.instanceCount, state.teams.values.toList())
         }
 
+    /** Number of known zones. */
+    val zoneCount: Int get() = zones.size
+
     /** Returns true when the own zone's requests are recent. */
     fun isFresh(nowMs: Long): Boolean = zones[ownZone]?.let { nowMs - it.atMs <= MAX_ZONE_AGE_MS } ?: false
 
@@ -95,7 +97,7 @@
             teams = next.teams.associateBy { it.teamId }
             next.teams.forEach { usual.putIfAbsent(it.teamId, 0.0) }
             usual.replaceAll { id, before ->
-                val sent = (teams[id]?.sent ?: 0) * WINDOWS_PER_S
+                val sent = (teams[id]?.sent ?: 0) * DEMAND_WINDOWS_PER_S
                 before + (sent - before) * (if (sent > before) rise else fall)
             }
             instanceCount = next.instanceCount
@@ -109,8 +111,8 @@
             val now = teams[teamId]
             val reachablePart = instanceCount.toDouble() / maxOf(recentCounts.value, 1)
             return KnownDemand(
-                (now?.asked ?: 0) * WINDOWS_PER_S,
-                (now?.sent ?: 0) * WINDOWS_PER_S,
+                (now?.asked ?: 0) * DEMAND_WINDOWS_PER_S,
+                (now?.sent ?: 0) * DEMAND_WINDOWS_PER_S,
                 before * reachablePart,
                 before * (1 - reachablePart),
             )
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/teams/limits/TeamDemand.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/teams/limits/TeamDemand.kt
@@ -7,10 +7,15 @@
 import org.cardamomwharf.core.TeamName
 import org.cardamomwharf.core.ZoneName
 import org.cardamomwharf.core.hash64
+import kotlin.math.sqrt
 
 /** Time that the counts cover; the interval of heartbeats. */
 public const val DEMAND_WINDOW_MS: Long = 500
 
+/** Standard deviations by which a count is seldom above the mean by chance. */
+private const val RISE_DEVIATIONS = 4.0
+internal const val DEMAND_WINDOWS_PER_S: Double = 1_000.0 / DEMAND_WINDOW_MS
+
 /** Bits of the hash that identifies a team in messages. */
 private const val TEAM_ID_MASK = 0xFFFFFFL
 
@@ -49,3 +54,7 @@
 
 /** Returns the number that identifies the team [name] in messages. */
 internal fun teamIdOf(name: TeamName): Int = (hash64(name.value) and TEAM_ID_MASK).toInt()
+
+/** Returns true when [now] requests per second are more than [before] and not by chance. */
+internal fun isRise(before: Double, now: Double): Boolean =
+    now > before + RISE_DEVIATIONS * sqrt((before + 1) * DEMAND_WINDOWS_PER_S)
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/teams/limits/TeamLimits.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/teams/limits/TeamLimits.kt
@@ -13,11 +13,14 @@
 import org.cardamomwharf.steering.desired.Team
 
 /** Time after which instances that are no longer seen don't count; by then they have stopped to send requests. */
-private const val FORGET_INSTANCES_AFTER_MS = 7_500L
+private const val FORGET_INSTANCES_AFTER_MS = 6_000L
 
 /** Fraction of the one last sent at which the other instances are told at once. */
 private const val PROMPT_RATIO = 0.6
 
+/** Time after which the requests of a team that began to be limited are known well enough to wait for heartbeats. */
+private const val ONSET_MS = 2_000L
+
 /** Minimum interval of messages sent at once. */
 private const val PROMPT_INTERVAL_MS = 200L
 
@@ -35,6 +38,7 @@
     private val table = DemandTable(location.zone)
     private var teams: List<Team> = emptyList()
     private val instanceCounts = RecentMaximum(FORGET_INSTANCES_AFTER_MS)
+    private var sentDemand: Map<Int, TeamDemand> = emptyMap()
     private val sentFractions = HashMap<Int, Double>()
     private var promptAtMs = Long.MIN_VALUE / 2
     private var checkedAtMs = Long.MIN_VALUE / 2
@@ -82,15 +86,15 @@
     }
 
     /**
-     * Returns the message to the instances of the own zone, and the one to other zones, from the instance that collects
-     * the reports.
+     * Returns the message to the instances of the own zone, and the one to other zones or null, from the instance that
+     * collects the reports.
      */
-    public fun sums(nowMs: Long): Pair<TeamLimitMessage?, TeamLimitMessage?> {
-        table.receiveReport(location.instance, ownDemand(nowMs), nowMs)
-        val ownZone = table.sumOwnZone(nowMs)
-        update(nowMs)
+    public fun sums(isToOtherZones: Boolean, nowMs: Long): Pair<TeamLimitMessage?, TeamLimitMessage?> {
+        val ownZone = sumOwnZone(nowMs)
         shares.values.forEach { sentFractions[it.teamId] = it.fraction }
-        return TeamLimitMessage(zones = table.zones(nowMs)) to TeamLimitMessage(zones = listOf(ownZone))
+        if (isToOtherZones) sentDemand = ownZone.teams.associateBy { it.teamId }
+        return TeamLimitMessage(zones = table.zones(nowMs)) to
+            TeamLimitMessage(zones = listOf(ownZone)).takeIf { isToOtherZones }
     }
 
     /** Processes the [message] of the instance [from] in [zone]. */
@@ -105,13 +109,29 @@
     public fun isPromptDue(nowMs: Long): Boolean {
         if (!isActive || nowMs - promptAtMs < PROMPT_INTERVAL_MS || nowMs - checkedAtMs < CHECK_INTERVAL_MS) return false
         checkedAtMs = nowMs
-        table.sumOwnZone(nowMs)
-        update(nowMs)
-        val isDue = shares.values.any { it.fraction < PROMPT_RATIO * (sentFractions[it.teamId] ?: 1.0) }
+        val now = sumOwnZone(nowMs).teams.associateBy { it.teamId }
+        val isDue = shares.values.any { isLimitNews(it, nowMs) || isDemandNews(it, now[it.teamId]) }
         if (isDue) promptAtMs = nowMs
         return isDue
     }
 
+    private fun isLimitNews(share: TeamShare, nowMs: Long): Boolean =
+        share.fraction < PROMPT_RATIO * (sentFractions[share.teamId] ?: 1.0) ||
+            (share.fraction < PROMPT_RATIO && nowMs - share.limitedAtMs < ONSET_MS)
+
+    /** Returns true when the limit would be reached if the requests in all zones rose like those of the own zone. */
+    private fun isDemandNews(share: TeamShare, now: TeamDemand?): Boolean {
+        val beforePerSecond = (sentDemand[share.teamId]?.asked ?: 0) * DEMAND_WINDOWS_PER_S
+        val nowPerSecond = (now?.asked ?: 0) * DEMAND_WINDOWS_PER_S
+        val expected = share.askedPerSecond + (nowPerSecond - beforePerSecond) * table.zoneCount
+        return expected > share.limit.requestsPerSecond && isRise(beforePerSecond, nowPerSecond)
+    }
+
+    private fun sumOwnZone(nowMs: Long): ZoneDemand {
+        table.receiveReport(location.instance, ownDemand(nowMs), nowMs)
+        return table.sumOwnZone(nowMs).also { update(nowMs) }
+    }
+
     private fun update(nowMs: Long) {
         val isFresh = table.isFresh(nowMs)
         shares.values.forEach { share ->
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/teams/limits/TeamShare.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/teams/limits/TeamShare.kt
@@ -10,6 +10,9 @@
 import kotlin.math.exp
 import kotlin.math.sqrt
 
+/** Requests per second that aren't reserved for others; all sides of a divided fleet may send them. */
+private const val UNRESERVED_PER_SECOND = 1.0
+
 /** Time in which the level is used up. */
 private const val USE_TIME_S = 2.0
 
@@ -23,13 +26,13 @@
 private const val LEVEL_PART = 0.4
 
 /** Requests that the level holds besides; random arrivals of a small team come together. */
-private const val LEVEL_MARGIN = 10.0
+private const val LEVEL_MARGIN = 14.0
 
-/** Time constant of the requests that are asked; a rise beyond [RISE_DEVIATIONS] counts at once. */
+/** Time constant of the requests that are asked; a rise beyond chance counts at once. */
 private const val ASKED_MS = 1_000.0
 
-/** Standard deviations by which a count is above the mean by chance. */
-private const val RISE_DEVIATIONS = 3.0
+/** Weight of a count that shows a rise; the interval that it covers began before the rise. */
+private const val RISE_WEIGHT = 1.5
 
 /** Level of a process that has just started and doesn't know what was sent before. */
 private const val INITIAL_LEVEL = 4.0
@@ -63,7 +66,6 @@
     private var level = INITIAL_LEVEL
     private var levelAtMs = Long.MIN_VALUE / 2
     private var sentPerSecond = 0.0
-    private var askedPerSecond = 0.0
     private var tokens = INITIAL_TOKENS
     private var tokensPerSecond = 0.0
     private var tokensAtMs = Long.MIN_VALUE / 2
@@ -75,6 +77,14 @@
     var fraction = 1.0
         private set
 
+    /** Requests that all instances within reach are asked. */
+    var askedPerSecond = 0.0
+        private set
+
+    /** Time at which the requests last began to be limited. */
+    var limitedAtMs = Long.MIN_VALUE / 2
+        private set
+
     /** Takes a token and returns true, or returns false when the limit is used up. */
     fun tryAcquire(nowMs: Long): Boolean {
         refill(nowMs)
@@ -108,7 +118,7 @@
 
     private fun updateLevel(known: KnownDemand?, nowMs: Long) {
         val part = known?.let { reachablePart(it) } ?: 1.0
-        val perSecond = limit.requestsPerSecond * part
+        val perSecond = minOf(limit.requestsPerSecond * part + UNRESERVED_PER_SECOND, limit.requestsPerSecond)
         val tookMs = nowMs - levelAtMs
         if (levelAtMs >= 0) level += (perSecond - sentPerSecond) * tookMs / MS_PER_S
         levelAtMs = nowMs
@@ -118,7 +128,9 @@
         sentPerSecond = known.sent
         updateAsked(known.asked, tookMs)
         val target = maxOf(perSecond + extraPerSecond(minOf(level, highest * part)), 0.0)
-        fraction = if (askedPerSecond <= target) 1.0 else target / askedPerSecond
+        val next = if (askedPerSecond <= target) 1.0 else target / askedPerSecond
+        if (fraction >= 1 && next < 1) limitedAtMs = nowMs
+        fraction = next
     }
 
     /** Returns the requests per second by which [usable] requests of the level are used up or restored. */
@@ -126,8 +138,7 @@
         if (usable > 0) (usable + minOf(usable, LEVEL_MARGIN)) / USE_TIME_S else usable / RESTORE_TIME_S
 
     private fun updateAsked(asked: Double, tookMs: Long) {
-        val deviation = sqrt((askedPerSecond + 1) * MS_PER_S / DEMAND_WINDOW_MS)
-        val weight = if (asked > askedPerSecond + RISE_DEVIATIONS * deviation) 1.0 else 1 - exp(-tookMs / ASKED_MS)
+        val weight = if (isRise(askedPerSecond, asked)) RISE_WEIGHT else 1 - exp(-tookMs / ASKED_MS)
         askedPerSecond += (asked - askedPerSecond) * weight
     }
 
--- a/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/support/TeamFleet.kt
+++ b/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/support/TeamFleet.kt
@@ -130,7 +130,7 @@
     }
 
     private fun sendSums(index: Int, isToOtherZones: Boolean) {
-        val (inZone, outside) = instances[index].sums(nowMs)
+        val (inZone, outside) = instances[index].sums(isToOtherZones, nowMs)
         members[zoneOf(index)].filter { it != index }.forEach { send(index, it, inZone) }
         if (!isToOtherZones) return
         zones.indices.filter { it != zoneOf(index) }.forEach { zone ->
--- a/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/teams/limits/TeamLimitFleetTest.kt
+++ b/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/teams/limits/TeamLimitFleetTest.kt
@@ -46,6 +46,8 @@
         records[it].largestWindow(tolerance.windowMs, fromMs) / limitsNow[it].bound()
     }
     println("$what: highest window / bound: all ${parts.max()}, watched ${watched.map { parts[it] }}")
+    val w = parts.indices.maxBy { parts[it] }
+    println("DBG highest $w: " + (0 until nowMs / 500).map { b -> "%.2f".format(records[w].sentCount(b * 500, b * 500 + 500) * 2 / limits[w].requestsPerSecond) }.drop(36).take(20))
     parts.max() shouldBeLessThanOrEqual 1.0
 }
 
@@ -60,6 +62,8 @@
 private fun TeamFleet.checkRefusals(what: String, indices: Iterable<Int>, fromMs: Long, toMs: Long) {
     val parts = indices.map { records[it].refusedPart(fromMs, toMs) }
     println("$what: refused below the limit: most ${parts.max()}, mean ${parts.average()}")
+    val w = parts.indices.maxBy { parts[it] }
+    println("DBG refused ${indices.toList()[w]}: " + records[indices.toList()[w]].refusedAtMs.filter { it in fromMs until toMs })
     parts.max() shouldBeLessThan REFUSED_PART
 }
 
