--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/teams/limits/DemandTable.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/teams/limits/DemandTable.kt
@@ -71,6 +71,9 @@
     /** Returns true when the own zone's requests are recent. */
     fun isFresh(nowMs: Long): Boolean = zones[ownZone]?.let { nowMs - it.atMs <= MAX_ZONE_AGE_MS } ?: false
 
+    /** Returns the requests per second that the own zone usually sends of the team [teamId]. */
+    fun usualInOwnZone(teamId: Int): Double = zones[ownZone]?.usual(teamId) ?: 0.0
+
     /** Returns the requests of the team [teamId]. */
     fun known(teamId: Int, nowMs: Long): KnownDemand = zones.values
         .filter { nowMs - it.atMs <= FORGET_AFTER_MS }
@@ -105,8 +108,10 @@
             atMs = nextAtMs
         }
 
+        fun usual(teamId: Int): Double = usual[teamId] ?: 0.0
+
         fun known(teamId: Int, isReachable: Boolean): KnownDemand {
-            val before = usual[teamId] ?: 0.0
+            val before = usual(teamId)
             if (!isReachable) return KnownDemand(0.0, 0.0, 0.0, before)
             val now = teams[teamId]
             val reachablePart = instanceCount.toDouble() / maxOf(recentCounts.value, 1)
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/teams/limits/TeamLimits.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/teams/limits/TeamLimits.kt
@@ -121,7 +121,8 @@
 
     /** Returns true when the limit would be reached if the requests in all zones rose like those of the own zone. */
     private fun isDemandNews(share: TeamShare, now: TeamDemand?): Boolean {
-        val beforePerSecond = (sentDemand[share.teamId]?.asked ?: 0) * DEMAND_WINDOWS_PER_S
+        val sentPerSecond = (sentDemand[share.teamId]?.asked ?: 0) * DEMAND_WINDOWS_PER_S
+        val beforePerSecond = maxOf(sentPerSecond, table.usualInOwnZone(share.teamId))
         val nowPerSecond = (now?.asked ?: 0) * DEMAND_WINDOWS_PER_S
         val expected = share.askedPerSecond + (nowPerSecond - beforePerSecond) * table.zoneCount
         return expected > share.limit.requestsPerSecond && isRise(beforePerSecond, nowPerSecond)
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/teams/limits/TeamShare.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/teams/limits/TeamShare.kt
@@ -26,7 +26,7 @@
 private const val LEVEL_PART = 0.4
 
 /** Requests that the level holds besides; random arrivals of a small team come together. */
-private const val LEVEL_MARGIN = 14.0
+private const val LEVEL_MARGIN = 12.0
 
 /** Time constant of the requests that are asked; a rise beyond chance counts at once. */
 private const val ASKED_MS = 1_000.0
