--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/HeartbeatCodec.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/HeartbeatCodec.kt
@@ -7,6 +7,7 @@
 import kotlinx.serialization.ExperimentalSerializationApi
 import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
+import kotlinx.serialization.cbor.ByteString
 import kotlinx.serialization.cbor.Cbor
 import kotlinx.serialization.decodeFromByteArray
 import kotlinx.serialization.encodeToByteArray
@@ -54,6 +55,7 @@
         message.storeStatus?.toWire(),
         message.crashes,
         message.confirmation,
+        message.teamLimits?.let { encodeTeamLimits(it) },
     )
     return frame(cbor.encodeToByteArray(wire))
 }
@@ -72,6 +74,7 @@
             wire.storeStatus?.toStatus(),
             wire.crashes,
             wire.confirmation,
+            wire.teamLimits?.let { decodeTeamLimits(it) },
         )
     }
 }
@@ -87,6 +90,7 @@
     val isLeaving: Boolean,
 )
 
+@OptIn(ExperimentalSerializationApi::class)
 @Serializable
 private class WireMessage(
     val sender: WireHeartbeat,
@@ -98,6 +102,8 @@
     val storeStatus: WireStatus? = null,
     val crashes: CrashMessage? = null,
     val confirmation: Confirmation? = null,
+    @ByteString
+    val teamLimits: ByteArray? = null,
 ) {
     fun toCounts(): List<HeartbeatCount> {
         val nameList = if (names.isEmpty()) emptyList() else names.split(NAME_SEPARATOR)
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/instances/HeartbeatMessage.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/instances/HeartbeatMessage.kt
@@ -6,6 +6,7 @@
 import org.cardamomwharf.steering.crashes.CrashMessage
 import org.cardamomwharf.steering.store.StoreStatus
 import org.cardamomwharf.steering.teams.Confirmation
+import org.cardamomwharf.steering.teams.limits.TeamLimitMessage
 
 /**
  * Represents a heartbeat message between two instances.
@@ -17,6 +18,7 @@
  * @param confirmation age of the sender's configuration, for the instances that [counts] names: a count that an
  * instance has sent is its question, and the message that returns the count is the answer.
  * @param crashes what the sender knows about requests that crash backend servers, or null for nothing.
+ * @param teamLimits what the sender knows about the requests of teams with a limit, or null for nothing.
  */
 public data class HeartbeatMessage(
     public val sender: Heartbeat,
@@ -25,6 +27,7 @@
     public val storeStatus: StoreStatus? = null,
     public val crashes: CrashMessage? = null,
     public val confirmation: Confirmation? = null,
+    public val teamLimits: TeamLimitMessage? = null,
 )
 
 /** Represents a [message] to send to [recipients]. */
