--- a/cardamomwharf-forward/src/test/kotlin/org/cardamomwharf/forward/server/StatusOutOfRangeTest.kt
+++ b/cardamomwharf-forward/src/test/kotlin/org/cardamomwharf/forward/server/StatusOutOfRangeTest.kt
@@ -11,6 +11,8 @@
 import org.cardamomwharf.core.ServerName
 import org.cardamomwharf.core.SocketAddress
 import org.cardamomwharf.core.monotonicClock
+import org.cardamomwharf.forward.bodies.BodyBudgetSettings
+import org.cardamomwharf.forward.bodies.createBodyBudget
 import org.cardamomwharf.forward.support.ScriptedServer
 import org.cardamomwharf.forward.support.responseText
 import org.cardamomwharf.platform.HeaderNames
@@ -21,6 +23,7 @@
 
 private const val LIMIT_S = 20L
 private const val ID = "a"
+private const val BUDGET_BYTES = 1_000_000L
 private val brokenStatuses = listOf("000", "001", "099", "101", "600", "799", "999", "0", "20", "2000", "-20", "abc")
 private val finalStatuses = listOf(200, 204, 302, 404, 500, 599)
 
@@ -28,6 +31,7 @@
 
 class StatusOutOfRangeTest : FunSpec({
     val threads = QueuedThreadPool(8).apply { start() }
+    val budget = createBodyBudget(BodyBudgetSettings(BUDGET_BYTES, 0, 0))
     val pool = startConnectionPool(ConnectionPoolSettings(), threads, monotonicClock())
     afterSpec {
         pool.close()
@@ -38,8 +42,9 @@
         val fields = HttpFields.build().put("Host", "h").put(HeaderNames.REQUEST_ID, ID)
         val request = createServerRequest(ID, "GET", "/x", fields, null).getOrThrow { error(it) }
         val end = CompletableFuture<CallResult>()
-        pool.send(ServerCall(ServerName("s"), address, request) { end.complete(it) })
-        return end.get(LIMIT_S, TimeUnit.SECONDS)
+        val room = checkNotNull(budget.reserve(0, isSmall = true))
+        pool.send(ServerCall(ServerName("s"), address, request, room) { end.complete(it) })
+        return end.get(LIMIT_S, TimeUnit.SECONDS).also { room.release() }
     }
 
     brokenStatuses.forEach { status ->
