Hedge requests that may be repeated, within a share that the operators set

Cause: a few slow answers spoil the figures of callers; operators accept some extra work for requests that may run more than once.

Change: off unless hedging.maxShare of the settings is above 0. A second attempt is sent while the first one is pending beyond the 95th hundredth of its route's recent response times, to a server with a free slot in the own region, while the service has room, within the share, the retry budget and the team's limit. The first answer counts, the other attempt is cancelled. Attempts beyond the first are planned in a class of their own.

--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/RequestForwarder.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/RequestForwarder.kt
@@ -1,11 +1,13 @@
 /*
- * Forwards one request: makes attempts at backend servers one after the other and sends one final response. A final
- * response, the deadline, or a disconnect of the caller ends it, whichever comes first.
+ * Forwards one request: makes attempts at backend servers and sends one final response. An attempt follows another one
+ * that has failed; a hedge is sent while the first attempt is pending, and the first answer counts. A final response,
+ * the deadline, or a disconnect of the caller ends the request, whichever comes first.
  */
 package org.cardamomwharf.forward.proxy
 
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.map
+import com.github.michaelbull.result.mapError
 import com.github.michaelbull.result.onFailure
 import com.github.michaelbull.result.onSuccess
 import org.cardamomwharf.core.StatusCode
@@ -37,13 +39,10 @@
     private val responseRoom: BodyReservation,
 ) {
     private val disconnects = request.disconnectSource
-    private val placements = ArrayList<Placement.Send>()
-    private val attempts = ArrayList<AttemptTrace>()
+    private val sent = SentAttempts()
     private var body: ByteBuffer? = null
-    private var call: ServerCall? = null
-    private var sentAtMs = 0L
     private var timer: Scheduler.Task? = null
-    private var mayHaveExecuted = false
+    private var hedgeTimer: Scheduler.Task? = null
     private var isFinished = false
 
     /** Starts the first attempt. */
@@ -58,108 +57,123 @@
         val remainingMs = (spec.deadlineAtMs - context.clock.nowMs()).coerceAtLeast(0)
         timer = context.scheduler.schedule(::onTimeout, remainingMs, TimeUnit.MILLISECONDS)
         disconnects?.watchDisconnect(::onCallerDisconnect)
-        when (val placement = context.steering.withLock { steering, nowMs -> steering.place(spec, nowMs) }) {
-            is Placement.Send -> send(placement)
-            is Placement.Refuse -> finish { responses.refuse(placement.reason, placement.retryAfterMs, attempts) }
+        val (placement, hedgeDelayMs) = context.steering.withLock { steering, nowMs ->
+            val placement = steering.place(spec, nowMs)
+            placement to (placement as? Placement.Send)?.let { steering.hedges.delayMs(spec, it) }
         }
+        when (placement) {
+            is Placement.Send -> {
+                hedgeTimer = hedgeDelayMs
+                    ?.let { context.scheduler.schedule(::onFirstAttemptLate, it, TimeUnit.MILLISECONDS) }
+                send(placement)
+            }
+            is Placement.Refuse -> finish { responses.refuse(placement.reason, placement.retryAfterMs, sent.traces) }
+        }
+    }
+
+    /** Sends a hedge if the first attempt is still pending and nothing speaks against one. */
+    private fun onFirstAttemptLate() {
+        val placement = synchronized(this) {
+            if (isFinished || !sent.isFirstPending) return
+            context.steering.withLock { steering, nowMs -> steering.hedges.place(spec, sent.placements, nowMs) }
+        }
+        placement?.let { send(it, isHedge = true) }
     }
 
-    private fun send(placement: Placement.Send) {
+    private fun send(placement: Placement.Send, isHedge: Boolean = false) {
         val next = synchronized(this) {
             if (isFinished) {
-                val unsent = AttemptReport(AttemptOutcome.CALLER_GONE, mayHaveExecuted, 0)
+                val unsent = AttemptReport(AttemptOutcome.CALLER_GONE, sent.mayHaveExecuted, 0)
                 context.steering.withLock { steering, nowMs -> steering.recordOutcome(spec, placement, unsent, nowMs) }
                 return
             }
-            placements.add(placement)
-            sentAtMs = context.clock.nowMs()
-            val remainingMs = (spec.deadlineAtMs - sentAtMs).coerceAtLeast(1)
-            createAttempt(request, spec, placement, remainingMs, body).map { attempt ->
-                ServerCall(placement.server, placement.address, attempt, responseRoom) { onCallResult(placement, it) }
-                    .also { call = it }
-            }
+            val attempt = sent.add(placement, isHedge, context.clock.nowMs())
+            val remainingMs = (spec.deadlineAtMs - attempt.sentAtMs).coerceAtLeast(1)
+            createAttempt(request, spec, placement, remainingMs, body)
+                .map { content ->
+                    ServerCall(placement.server, placement.address, content, responseRoom) { onCallResult(attempt, it) }
+                        .also { attempt.call = it }
+                }
+                .mapError { attempt to it }
         }
-        next.onSuccess { context.pool.send(it) }.onFailure(::onUnwritable)
+        next.onSuccess { context.pool.send(it) }.onFailure { (attempt, error) -> onUnwritable(attempt, error) }
     }
 
-    private fun onUnwritable(error: HeadError) {
+    private fun onUnwritable(attempt: SentAttempt, error: HeadError) {
         val next = synchronized(this) {
             if (isFinished) return
-            val report = recordAttempt(AttemptOutcome.UNWRITABLE, error.toString())
-            context.steering.withLock { steering, nowMs -> steering.completeAttempt(spec, placements, report, nowMs) }
+            val report = sent.end(attempt, AttemptOutcome.UNWRITABLE, error.toString(), context.clock.nowMs())
+            complete(attempt, report)
         }
-        takeNextStep(next, null)
+        next?.let { takeNextStep(it, null) }
     }
 
-    private fun onCallResult(placement: Placement.Send, result: CallResult) {
+    private fun onCallResult(attempt: SentAttempt, result: CallResult) {
         val next = synchronized(this) {
-            if (isFinished || placement !== placements.last()) return
-            val report = recordAttempt(toAttemptOutcome(result), describe(result), isBrokenOff(result))
+            if (isFinished || !attempt.isPending) return
+            val report = sent.end(attempt, result, context.clock.nowMs())
+            val placement = attempt.placement
             val serverReport = (result as? CallResult.Completed)?.response?.report
                 ?.takeIf { report.outcome != AttemptOutcome.MISDIRECTED }
             if (serverReport?.isLimitMalformed == true) context.reportListener.onMalformedLimit(placement.server)
             context.steering.withLock { steering, nowMs ->
                 serverReport?.let { steering.recordServerReport(placement, it, nowMs) }
                     ?.let { context.reportListener.onChange(placement.server, it) }
-                steering.completeAttempt(spec, placements, report, nowMs)
+                complete(attempt, report)
                     .also { if (steering.crashingRequests.outbox.hasMessages) context.reportListener.onCrashReports() }
             }
         }
-        takeNextStep(next, (result as? CallResult.Completed)?.response)
+        next?.let { takeNextStep(it, (result as? CallResult.Completed)?.response) }
     }
 
+    /** Returns the next step, or null if another attempt is pending, which may still be answered. */
+    private fun complete(attempt: SentAttempt, report: AttemptReport): NextStep? =
+        context.steering.withLock { steering, nowMs ->
+            if (sent.hasPending && report.outcome != AttemptOutcome.ANSWERED) {
+                steering.recordOutcome(spec, attempt.placement, report, nowMs)
+                null
+            } else {
+                val latestLast = sent.placements.filter { it !== attempt.placement } + attempt.placement
+                steering.completeAttempt(spec, latestLast, report, nowMs)
+            }
+        }
+
     private fun takeNextStep(next: NextStep, response: ServerResponse?) {
         when (next) {
             is NextStep.Retry -> send(next.placement)
-            is NextStep.Refuse -> finish { responses.refuse(next.reason, next.retryAfterMs, attempts) }
-            NextStep.RelayResponse -> finish { responses.relay(checkNotNull(response), attempts) }
+            is NextStep.Refuse -> finish { responses.refuse(next.reason, next.retryAfterMs, sent.traces) }
+            NextStep.RelayResponse -> finish { responses.relay(checkNotNull(response), sent.traces) }
             NextStep.ReportUnknown -> finish {
-                responses.reply(LocalReply(StatusCode.BAD_GATEWAY, "unknown"), attempts)
+                responses.reply(LocalReply(StatusCode.BAD_GATEWAY, "unknown"), sent.traces)
             }
-            NextStep.RejectRequest -> finish { responses.reply(unwritableReply, attempts) }
-            NextStep.ReportTimeout -> finish { responses.reply(timeoutReply, attempts) }
+            NextStep.RejectRequest -> finish { responses.reply(unwritableReply, sent.traces) }
+            NextStep.ReportTimeout -> finish { responses.reply(timeoutReply, sent.traces) }
         }
     }
 
-    private fun onTimeout() = stopEarly(AttemptOutcome.TIMED_OUT) { responses.reply(timeoutReply, attempts) }
+    private fun onTimeout() =
+        finish(AttemptOutcome.TIMED_OUT) { responses.reply(timeoutReply, sent.traces) }
 
-    private fun onCallerDisconnect() = stopEarly(AttemptOutcome.CALLER_GONE) { responses.abort(attempts) }
+    private fun onCallerDisconnect() = finish(AttemptOutcome.CALLER_GONE) { responses.abort(sent.traces) }
 
-    private fun stopEarly(outcome: AttemptOutcome, sendFinal: () -> Unit) {
-        val pending = synchronized(this) {
+    /** Ends the request; attempts that are pending end with [outcome] and are cancelled. */
+    private fun finish(outcome: AttemptOutcome = AttemptOutcome.SUPERSEDED, sendFinal: () -> Unit) {
+        val cancelled = synchronized(this) {
             if (isFinished) return
-            if (attempts.size < placements.size) {
-                val report = recordAttempt(outcome, "")
+            isFinished = true
+            sent.pending.onEach { attempt ->
+                val report = sent.end(attempt, outcome, "", context.clock.nowMs())
                 context.steering.withLock { steering, nowMs ->
-                    steering.recordOutcome(spec, placements.last(), report, nowMs)
+                    steering.recordOutcome(spec, attempt.placement, report, nowMs)
                 }
             }
-            call
-        }
-        finish(sendFinal)
-        pending?.cancel()
-    }
-
-    private fun recordAttempt(
-        outcome: AttemptOutcome,
-        detail: String,
-        isBrokenOff: Boolean = false,
-    ): AttemptReport {
-        val tookMs = context.clock.nowMs() - sentAtMs
-        attempts.add(AttemptTrace(placements.last(), outcome.code, detail, tookMs))
-        return AttemptReport(outcome, mayHaveExecuted, tookMs, isBrokenOff)
-            .also { mayHaveExecuted = mayHaveExecuted || !outcome.isNotExecuted }
-    }
-
-    private fun finish(sendFinal: () -> Unit) {
-        synchronized(this) {
-            if (isFinished) return
-            isFinished = true
         }
         timer?.cancel()
+        hedgeTimer?.cancel()
         disconnects?.unwatchDisconnect()
         context.inFlight.decrementAndGet()
         sendFinal()
+        cancelled.forEach { it.call?.cancel() }
     }
 
     private companion object {
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/RequestTrace.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/RequestTrace.kt
@@ -30,12 +30,17 @@
     public val aheadPosition: Int = 0,
 )
 
-/** Represents an attempt with the placement that chose its backend server. */
+/**
+ * Represents an attempt with the placement that chose its backend server.
+ *
+ * @param isHedge true if the attempt was sent while another one was pending.
+ */
 public data class AttemptTrace(
     public val placement: Placement.Send,
     public val outcome: String,
     public val detail: String,
     public val tookMs: Long,
+    public val isHedge: Boolean = false,
 )
 
 /** Receives the traces of completed requests; must not block. */
--- a/cardamomwharf-forward/src/test/kotlin/org/cardamomwharf/forward/support/ForwardingGateway.kt
+++ b/cardamomwharf-forward/src/test/kotlin/org/cardamomwharf/forward/support/ForwardingGateway.kt
@@ -34,6 +34,7 @@
 import org.cardamomwharf.steering.desired.Team
 import org.cardamomwharf.steering.desired.TransferKind
 import org.cardamomwharf.steering.desired.WeightedService
+import org.cardamomwharf.steering.hedging.HedgingParameters
 import org.cardamomwharf.steering.limits.RetryBudgetParameters
 import org.cardamomwharf.steering.requests.StopPlan
 import org.cardamomwharf.steering.servers.ServerRecord
@@ -67,11 +68,15 @@
     budget: BodyBudget = createBodyBudget(BUDGET_HEAP_BYTES),
     private val transfer: TransferKind = TransferKind.SMALL,
     sendBufferBytes: Int = -1,
+    hedging: HedgingParameters = HedgingParameters(),
 ) : AutoCloseable {
     private val clock = monotonicClock()
     private val steering = Steering(
         InstanceLocation(InstanceName("i"), zone, mapOf(zone to RegionName("r"))),
-        SteeringParameters(RetryBudgetParameters(ratio = 0.2, allowance = 10, windowMs = 10_000)),
+        SteeringParameters(
+            RetryBudgetParameters(ratio = 0.2, allowance = 10, windowMs = 10_000),
+            hedging = hedging,
+        ),
     )
     private val settings = AsyncHttpServerSettings(sendBufferBytes = sendBufferBytes)
 
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/logs/DecisionLog.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/logs/DecisionLog.kt
@@ -81,6 +81,7 @@
         put("end", attempt.outcome)
         put("detail", attempt.detail)
         put("tookMs", attempt.tookMs)
+        if (attempt.isHedge) put("hedge", true)
     }
 
     /** Limits the lines written per second. */
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/metrics/GatewayMetrics.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/metrics/GatewayMetrics.kt
@@ -12,11 +12,15 @@
 import org.cardamomwharf.forward.proxy.RequestTrace
 import org.cardamomwharf.forward.proxy.TraceSink
 import org.cardamomwharf.steering.instances.DirectoryScope
+import org.cardamomwharf.steering.requests.AttemptOutcome
 import java.io.ByteArrayOutputStream
 import java.nio.ByteBuffer
 
 private const val MS_PER_SECOND = 1_000.0
 
+/** Outcomes after which no retry follows, although another attempt of a hedged request may end later. */
+private val notFollowed = setOf(AttemptOutcome.ANSWERED.code, AttemptOutcome.SUPERSEDED.code)
+
 /** Represents the metrics of one process. */
 internal class GatewayMetrics : TraceSink {
     private val registry = PrometheusRegistry()
@@ -38,6 +42,9 @@
     private val ahead = Counter.builder().name("wharf_requests_ahead_total")
         .help("Requests that were started before their turn on the caller's connection, by their final answer.")
         .labelNames("outcome").register(registry)
+    private val hedges = Counter.builder().name("wharf_hedges_total")
+        .help("Tries that were sent while another one was pending, by how they ended.").labelNames("service", "end")
+        .register(registry)
     private val latency = Histogram.builder().name("wharf_request_seconds").help("Time until the final answer.")
         .labelNames("service").classicOnly().register(registry)
     private val state = Gauge.builder().name("wharf_state").help("Numbers of what this process knows and holds.")
@@ -46,7 +53,9 @@
     override fun record(trace: RequestTrace) {
         responses.labelValues(trace.service, trace.outcome, trace.status.toString()).inc()
         if (trace.aheadPosition > 0) ahead.labelValues(trace.outcome).inc()
-        trace.attempts.dropLast(1).forEach { retries.labelValues(trace.service, it.outcome).inc() }
+        trace.attempts.filter { it.isHedge }.forEach { hedges.labelValues(trace.service, it.outcome).inc() }
+        trace.attempts.dropLast(1).filter { it.outcome !in notFollowed }
+            .forEach { retries.labelValues(trace.service, it.outcome).inc() }
         trace.attempts.forEach {
             val placement = it.placement
             attempts.labelValues(trace.service, placement.region?.value.orEmpty(), placement.choice.code).inc()
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/Steering.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/Steering.kt
@@ -8,6 +8,7 @@
 import org.cardamomwharf.core.ZoneName
 import org.cardamomwharf.steering.crashes.CrashingRequests
 import org.cardamomwharf.steering.desired.ActiveRoutes
+import org.cardamomwharf.steering.hedging.HedgePlanner
 import org.cardamomwharf.steering.limits.AnnouncedLimits
 import org.cardamomwharf.steering.limits.LimitSharing
 import org.cardamomwharf.steering.limits.RetryBudgets
@@ -17,6 +18,7 @@
 import org.cardamomwharf.steering.placement.ServerSelector
 import org.cardamomwharf.steering.requests.AttemptOutcome
 import org.cardamomwharf.steering.requests.AttemptReport
+import org.cardamomwharf.steering.requests.FurtherAttempts
 import org.cardamomwharf.steering.requests.NextStep
 import org.cardamomwharf.steering.requests.Placement
 import org.cardamomwharf.steering.requests.RefusalReason
@@ -53,9 +55,6 @@
     /** The spillover of requests to other regions. */
     public val spillover: RegionSpillover = RegionSpillover(location, servers, parameters)
 
-    /** The plan of the stop of this process, or null while it isn't stopping. */
-    public var stopPlan: StopPlan? = null
-
     /** The requests that crash backend servers. */
     public val crashingRequests: CrashingRequests = CrashingRequests(location.instance)
 
@@ -64,6 +63,14 @@
     private val candidates = CandidateServers(servers, routes, limitSharing, parameters)
     private val announcedLimits = AnnouncedLimits(limitSharing)
     private val serverSelector = ServerSelector(parameters, candidates, spillover, announcedLimits, roundTripTimes)
+    private val furtherAttempts =
+        FurtherAttempts(serverSelector, retryBudgets, limitSharing, crashingRequests, callers, teamLimits)
+
+    /** The hedges of requests. */
+    public val hedges: HedgePlanner = HedgePlanner(parameters.hedging, furtherAttempts, servers)
+
+    /** The plan of the stop of this process, or null while it isn't stopping. */
+    public var stopPlan: StopPlan? by furtherAttempts::stopPlan
 
     /** Applies [changes] of the backend servers table. */
     public fun applyServers(changes: List<TableChange<ServerRecord>>, nowMs: Long) {
@@ -112,13 +119,15 @@
         nowMs: Long,
     ): NextStep {
         recordOutcome(spec, attempts.last(), report, nowMs)
-        val retry = if (report.outcome.isFinal) null else planRetry(spec, attempts, report.outcome, nowMs)
-        return retry ?: finalStepOf(report, serverSelector.retryAfterMs(spec.id, 0.0))
+        val retry =
+            if (report.outcome.isFinal) null else furtherAttempts.planRetry(spec, attempts, report.outcome, nowMs)
+        return retry?.let { NextStep.Retry(it) } ?: finalStepOf(report, serverSelector.retryAfterMs(spec.id, 0.0))
     }
 
     /** Records the outcome of an attempt without deciding on a next step. */
     public fun recordOutcome(spec: RequestSpec, send: Placement.Send, report: AttemptReport, nowMs: Long) {
         serverSelector.recordOutcome(spec, send, report, nowMs)
+        hedges.recordOutcome(spec, send, report, nowMs)
         if (report.outcome.isNotExecuted) teamLimits.giveBack(spec.team, nowMs)
         val startedAtUnixMs = servers.find(send.server)?.record?.startedAtUnixMs ?: 0
         when {
@@ -158,31 +167,4 @@
         crashingRequests.recordSent(spec.fingerprint, nowMs)
         serverSelector.recordRequestSent(spec, send, nowMs)
     }
-
-    private fun planRetry(
-        spec: RequestSpec,
-        attempts: List<Placement.Send>,
-        outcome: AttemptOutcome,
-        nowMs: Long,
-    ): NextStep.Retry? {
-        val isRetryable = (spec.route.isIdempotent || outcome.isNotExecuted) &&
-            !crashingRequests.isBlocked(spec.fingerprint) && callers.refusalFor(spec.team, nowMs) == null
-        if (!isRetryable || attempts.size >= spec.route.maxAttempts) return null
-        val excluded = attempts.mapTo(HashSet()) { it.server }
-        val next = serverSelector.select(spec, excluded, nowMs) as? Placement.Send
-        val isInTime = next != null && nowMs + next.predictedMs <= spec.deadlineAtMs &&
-            stopPlan.allows(spec, next, nowMs)
-        val isAllowed = isInTime &&
-            (
-                outcome == AttemptOutcome.NOT_SENT ||
-                    retryBudgets.getForService(spec.service).tryAcquire(nowMs, limitSharing.instanceCount)
-                ) &&
-            teamLimits.acquire(spec.team, spec.id, nowMs) == null
-        return if (next != null && isAllowed) {
-            serverSelector.recordRequestSent(spec, next, nowMs)
-            NextStep.Retry(next)
-        } else {
-            null
-        }
-    }
 }
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/RouteEstimates.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/RouteEstimates.kt
@@ -35,7 +35,7 @@
             AttemptOutcome.MISDIRECTED, AttemptOutcome.NOT_SENT, AttemptOutcome.LOST ->
                 server.health.recordFailure(nowMs)
             AttemptOutcome.TIMED_OUT -> recordTimeout(send, server, report.tookMs, nowMs)
-            AttemptOutcome.CALLER_GONE, AttemptOutcome.UNWRITABLE -> Unit
+            AttemptOutcome.CALLER_GONE, AttemptOutcome.UNWRITABLE, AttemptOutcome.SUPERSEDED -> Unit
         }
     }
 
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/requests/AttemptOutcome.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/requests/AttemptOutcome.kt
@@ -36,11 +36,15 @@
 
     /** The caller closed its connection. */
     CALLER_GONE("caller-gone", false),
+
+    /** Another attempt of the request was answered first. */
+    SUPERSEDED("superseded", false),
     ;
 
     /** True when no retry may follow. */
     public val isFinal: Boolean
-        get() = this == ANSWERED || this == TIMED_OUT || this == CALLER_GONE || this == UNWRITABLE
+        get() = this == ANSWERED || this == TIMED_OUT || this == CALLER_GONE || this == UNWRITABLE ||
+            this == SUPERSEDED
 }
 
 /** Represents the step after an attempt. */
