--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/UnreadBody.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/UnreadBody.kt
@@ -4,6 +4,7 @@
  */
 package org.cardamomwharf.forward.proxy
 
+import org.eclipse.jetty.http.HttpHeader
 import org.eclipse.jetty.io.Content
 import org.eclipse.jetty.server.Request
 import org.eclipse.jetty.util.Callback
@@ -25,6 +26,8 @@
 
     /** Drops the body; the response was written. */
     override fun succeeded() {
+        // A caller that waits for 100 Continue sends no body, and must not be told to send one after the response.
+        if (request.headers.contains(HttpHeader.EXPECT)) return callback.succeeded()
         timer = scheduler.schedule(::end, DROP_TIMEOUT_MS, TimeUnit.MILLISECONDS)
         drop()
     }
--- a/cardamomwharf-forward/src/test/kotlin/org/cardamomwharf/forward/proxy/LargeUploadTest.kt
+++ b/cardamomwharf-forward/src/test/kotlin/org/cardamomwharf/forward/proxy/LargeUploadTest.kt
@@ -127,6 +127,18 @@
         }
     }
 
+    test("`a caller that waits for leave to send a body that is too large gets one response and no such leave`") {
+        ScriptedServer { connection, _ -> answerAll(connection) }.use { server ->
+            ForwardingGateway(server.address, budget = createBudget(), transfer = UPLOAD).use { gateway ->
+                val fields = "Expect: 100-continue\r\nContent-Length: ${LARGEST_BYTES + 1}\r\n"
+                val response = gateway.exchange(head("/r/x", "a", fields))
+                response shouldStartWith "HTTP/1.1 413"
+                response shouldContain "Connection: close"
+                response.split("HTTP/1.1").size shouldBe 2
+            }
+        }
+    }
+
     test("`a caller that leaves or stalls in the middle of its upload holds no memory`") {
         val budget = createBudget()
         val received = AtomicInteger()
