Log and measure the confirmation of keys, and send it with the status of the store

Change: events keys-confirmed and keys-unconfirmed, the state value keyProofAgeMs; confirmations are part of the watcher's status in datagrams and have an interface of their own.

--- a/cardamomwharf-forward/src/test/kotlin/org/cardamomwharf/forward/proxy/TeamKeyForwardingTest.kt
+++ b/cardamomwharf-forward/src/test/kotlin/org/cardamomwharf/forward/proxy/TeamKeyForwardingTest.kt
@@ -40,9 +40,12 @@
     }
     val gateway = ForwardingGateway(server.address, teams = teams)
 
-    /** Returns the lines of the head that the server received about the caller. */
-    fun sentOn(): List<String> =
-        heads.single().filter { it.startsWith("Api-Key", true) || it.startsWith("X-Tenant", true) }
+    /** Removes the only head that the server received and returns its lines about the caller. */
+    fun takeSentOn(): List<String> {
+        val head = heads.single()
+        heads.clear()
+        return head.filter { it.startsWith("Api-Key", true) || it.startsWith("X-Tenant", true) }
+    }
 
     override fun close() {
         gateway.close()
@@ -51,11 +54,11 @@
 }
 
 class TeamKeyForwardingTest : FunSpec({
-    listOf(KEY, "second-key").forEach { key ->
-        test("`the server learns the team of a caller with the key $key, not the key`") {
-            Scene(teams).use {
-                it.gateway.exchange(request("/r/x", "Api-Key: $key")) shouldContain "200 OK"
-                it.sentOn() shouldContainExactly listOf("X-Tenant: weavers")
+    test("`the server learns the team of a caller with one of its keys, not the key`") {
+        Scene(teams).use { scene ->
+            listOf(KEY, "second-key").forEach { key ->
+                scene.gateway.exchange(request("/r/x", "Api-Key: $key")) shouldContain "200 OK"
+                scene.takeSentOn() shouldContainExactly listOf("X-Tenant: weavers")
             }
         }
     }
@@ -65,36 +68,37 @@
         val stated = arrayOf("X-Tenant: dyers", "x-tenant: dyers", "Connection: X-Tenant", "api-key: $KEY")
         Scene(teams).use {
             it.gateway.exchange(request("/r/x", *stated)) shouldContain "200 OK"
-            it.sentOn() shouldContainExactly listOf("X-Tenant: weavers")
+            it.takeSentOn() shouldContainExactly listOf("X-Tenant: weavers")
         }
     }
 
-    listOf(
-        emptyList(),
-        listOf("Api-Key:"),
-        listOf("Api-Key: weavers"),
-        listOf("Api-Key: Bearer $KEY"),
-        listOf("Api-Key: ${KEY.uppercase()}"),
-        listOf("Api-Key: $KEY,key-of-dyers"),
-        listOf("Api-Key: $KEY", "Api-Key: key-of-dyers"),
-        listOf("X-Tenant: weavers"),
-    ).forEach { fields ->
-        test("`a request with $fields holds no known key and is rejected`") {
-            Scene(teams).use {
-                val response = it.gateway.exchange(request("/r/x", *fields.toTypedArray()))
+    test("`a request without a single known key is rejected`") {
+        val forms = listOf(
+            emptyArray(),
+            arrayOf("Api-Key:"),
+            arrayOf("Api-Key: weavers"),
+            arrayOf("Api-Key: Bearer $KEY"),
+            arrayOf("Api-Key: ${KEY.uppercase()}"),
+            arrayOf("Api-Key: $KEY,key-of-dyers"),
+            arrayOf("Api-Key: $KEY", "Api-Key: key-of-dyers"),
+            arrayOf("X-Tenant: weavers"),
+        )
+        Scene(teams).use { scene ->
+            forms.forEach {
+                val response = scene.gateway.exchange(request("/r/x", *it))
                 response shouldContain "401 Unauthorized"
                 response shouldContain "unknown-key"
-                it.heads.shouldBeEmpty()
-                it.gateway.traces.single().run { outcome to status } shouldBe ("unknown-key" to 401)
             }
+            scene.heads.shouldBeEmpty()
+            scene.gateway.traces.map { it.outcome to it.status }.distinct() shouldBe listOf("unknown-key" to 401)
         }
     }
 
     test("`a public route needs no key and passes none on`") {
-        listOf(emptyArray(), arrayOf("Api-Key: $KEY", "X-Tenant: dyers"), arrayOf("Api-Key: nobody's")).forEach {
-            Scene(teams).use { scene ->
+        Scene(teams).use { scene ->
+            listOf(emptyArray(), arrayOf("Api-Key: $KEY", "X-Tenant: dyers"), arrayOf("Api-Key: nobody's")).forEach {
                 scene.gateway.exchange(request("/open/x", *it)) shouldContain "200 OK"
-                scene.sentOn().shouldBeEmpty()
+                scene.takeSentOn().shouldBeEmpty()
             }
         }
     }
@@ -102,7 +106,7 @@
     test("`a configuration without teams leaves the field of the key to the servers, but not that of the team`") {
         Scene(emptyList()).use {
             it.gateway.exchange(request("/r/x", "Api-Key: own", "X-Tenant: dyers")) shouldContain "200 OK"
-            it.sentOn() shouldContainExactly listOf("Api-Key: own")
+            it.takeSentOn() shouldContainExactly listOf("Api-Key: own")
         }
     }
 
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/GatewayProcess.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/GatewayProcess.kt
@@ -24,6 +24,7 @@
 import org.cardamomwharf.gateway.directory.createDirectoryHandler
 import org.cardamomwharf.gateway.directory.createReadinessHandler
 import org.cardamomwharf.gateway.logs.DecisionLog
+import org.cardamomwharf.gateway.logs.KeyConfirmationLog
 import org.cardamomwharf.gateway.logs.ServerReportLog
 import org.cardamomwharf.gateway.logs.SpilloverLog
 import org.cardamomwharf.gateway.metrics.GatewayMetrics
@@ -115,6 +116,7 @@
         metrics.record(trace)
     }
     private val spilloverLog = SpilloverLog(steering, log)
+    private val keyLog = KeyConfirmationLog(clock, log)
     private val state = ProcessState(forwarding, pool, steering, registry, clock)
     private val server = createAsyncHttpServer(serverSettings, threads, createListeners())
     private var ticks = 0
@@ -211,7 +213,10 @@
 
     private fun tick() {
         runOrLogFailure("tick", log) {
-            steering.withLock { decisions, nowMs -> decisions.adjustSpillover(nowMs) }
+            steering.withLock { decisions, nowMs ->
+                decisions.adjustSpillover(nowMs)
+                keyLog.write(decisions.routes, decisions.callers.proof)
+            }
             storeWatcher.expire()
             pool.closeExpired()
             if (++ticks % TICKS_PER_SPILLOVER_LOG == 0) spilloverLog.write()
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/metrics/ProcessState.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/metrics/ProcessState.kt
@@ -21,6 +21,7 @@
     /** Returns the values by name. */
     fun read(): Map<String, Long> {
         val runtime = Runtime.getRuntime()
+        val proofAgeMs = steering.withLock { decisions, nowMs -> decisions.callers.proof.ageMs(nowMs) }
         return mapOf(
             "heapUsedKb" to (runtime.totalMemory() - runtime.freeMemory()) / BYTES_PER_KB,
             "requestsUnderWay" to forwarding.requestsInFlight.toLong(),
@@ -28,6 +29,7 @@
             "serverConnectionsOpened" to pool.openedCount.get().toLong(),
             "desiredVersion" to steering.withLock { decisions, _ -> decisions.routes.desired?.version?.value ?: 0L },
             "instances" to synchronized(registry) { registry.running(clock.nowMs()) }.size.toLong(),
-        )
+            "keyProofAgeMs" to proofAgeMs,
+        ).mapNotNull { (name, value) -> value?.let { name to it } }.toMap()
     }
 }
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/HeartbeatCodec.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/HeartbeatCodec.kt
@@ -51,9 +51,8 @@
         message.newInstances.map { it.toWire() },
         names,
         numbers,
-        message.storeStatus?.toWire(),
+        message.storeStatus?.toWire(message.confirmation),
         message.crashes,
-        message.confirmation,
     )
     return frame(cbor.encodeToByteArray(wire))
 }
@@ -71,7 +70,7 @@
             wire.toCounts(),
             wire.storeStatus?.toStatus(),
             wire.crashes,
-            wire.confirmation,
+            wire.storeStatus?.confirmation,
         )
     }
 }
@@ -97,7 +96,6 @@
     @SerialName("news")
     val storeStatus: WireStatus? = null,
     val crashes: CrashMessage? = null,
-    val confirmation: Confirmation? = null,
 ) {
     fun toCounts(): List<HeartbeatCount> {
         val nameList = if (names.isEmpty()) emptyList() else names.split(NAME_SEPARATOR)
@@ -111,7 +109,12 @@
 }
 
 @Serializable
-private class WireStatus(val content: WireVersions, val silentForMs: Long, val isFailing: Boolean) {
+private class WireStatus(
+    val content: WireVersions,
+    val silentForMs: Long,
+    val isFailing: Boolean,
+    val confirmation: Confirmation? = null,
+) {
     /**
      * Processes of an earlier release state no epochs and miss changes after a restore of the store, so other instances
      * don't rely on them.
@@ -134,10 +137,11 @@
     val serversEpoch: Long? = null,
 )
 
-private fun StoreStatus.toWire() = WireStatus(
+private fun StoreStatus.toWire(confirmation: Confirmation?) = WireStatus(
     WireVersions(content.orders.number, content.servers.number, content.orders.epoch, content.servers.epoch),
     silentForMs,
     isFailing,
+    confirmation,
 )
 
 private fun Heartbeat.toWire() = WireHeartbeat(
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/HeartbeatListener.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/HeartbeatListener.kt
@@ -5,7 +5,6 @@
 
 import org.cardamomwharf.steering.instances.InstanceRecord
 import org.cardamomwharf.steering.store.StoreStatus
-import org.cardamomwharf.steering.teams.Confirmation
 
 /** Supplies the store status for outgoing heartbeats and receives that of other instances. */
 internal interface HeartbeatListener {
@@ -15,14 +14,8 @@
     /** Called with the store status that the instance [from] reports. */
     fun onStatusReceived(from: InstanceRecord, status: StoreStatus)
 
-    /**
-     * Returns what to confirm to the instances whose heartbeats a message returns. Has to be called after the message
-     * was made, because the age in the answer counts from the latest question in it.
-     */
-    fun confirmationToSend(): Confirmation?
-
-    /** Called with the [confirmation] in the answer to a question that was sent at [askedAtMs]. */
-    fun onConfirmationReceived(confirmation: Confirmation, askedAtMs: Long)
+    /** The confirmations of the configuration that heartbeats carry. */
+    val confirmations: ConfirmationExchange
 
     /** Called before each regular heartbeat of this instance. */
     fun onHeartbeat()
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/PeerHeartbeats.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/PeerHeartbeats.kt
@@ -97,12 +97,12 @@
         val others = peers.others()
         val blocks = crashes.regularMessage()
         synchronized(registry) { exchange.nextHeartbeats(number, others, status, clock.nowMs()) }
-            .forEach { socket.send(it.copy(message = confirm(it.message).copy(crashes = blocks))) }
+            .forEach {
+                val confirmation = if (it.message.storeStatus == null) null else listener.confirmations.toSend()
+                socket.send(it.copy(message = it.message.copy(crashes = blocks, confirmation = confirmation)))
+            }
     }
 
-    private fun confirm(message: HeartbeatMessage): HeartbeatMessage =
-        if (message.counts.isEmpty()) message else message.copy(confirmation = listener.confirmationToSend())
-
     private fun sendNotification(status: StoreStatus) {
         val others = peers.others()
         socket.send(synchronized(registry) { exchange.changeNotification(others, status, clock.nowMs()) })
@@ -115,7 +115,7 @@
             if (message.confirmation == null) null else exchange.askedAtMs(message)
         }
         message.storeStatus?.let { listener.onStatusReceived(message.sender.record, it) }
-        message.confirmation?.let { if (askedAtMs != null) listener.onConfirmationReceived(it, askedAtMs) }
+        message.confirmation?.let { if (askedAtMs != null) listener.confirmations.receive(it, askedAtMs) }
         message.crashes?.let {
             crashes.receive(it)
             notifyCrashes()
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/store/ConfigurationConfirmation.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/store/ConfigurationConfirmation.kt
@@ -5,6 +5,7 @@
 package org.cardamomwharf.gateway.store
 
 import org.cardamomwharf.forward.proxy.SynchronizedSteering
+import org.cardamomwharf.gateway.peers.ConfirmationExchange
 import org.cardamomwharf.steering.teams.Confirmation
 import org.cardamomwharf.steering.teams.ConfirmationTimes
 
@@ -12,12 +13,13 @@
 internal class ConfigurationConfirmation(
     private val steering: SynchronizedSteering,
     private val times: ConfirmationTimes?,
-) : TableConfirmation {
+) : ConfirmationExchange {
     /** False while the store holds a configuration that can't be read. */
     @Volatile
     var isReadable = true
 
-    override val isOverdue: Boolean get() = isOlderThan { it.askStoreMs }
+    /** True when the store has to be asked although another instance watches it for this one. */
+    val isOverdue: Boolean get() = isOlderThan { it.askStoreMs }
 
     /** True when other instances have to be asked. */
     val isDue: Boolean get() = isOlderThan { it.askPeersMs }
@@ -25,24 +27,26 @@
     /** True when other instances must not rely on this one to watch the store. */
     val isUnreliable: Boolean get() = isOlderThan { it.watcherMs }
 
-    /** Returns no time when a confirmation is urgent, because a call that doesn't wait is answered at once. */
-    override fun limitWait(maxWaitMs: Long): Long = when {
+    /**
+     * Returns the time that the next call may wait for changes, which is at most [maxWaitMs]; none when a confirmation
+     * is urgent, because a call that doesn't wait is answered at once.
+     */
+    fun limitWait(maxWaitMs: Long): Long = when {
         times == null -> maxWaitMs
         isUnreliable -> 0
         else -> minOf(maxWaitMs, times.storeWaitMs)
     }
 
-    override fun onConfirmed(askedAtMs: Long) {
+    /** Records that the store answered a question about the orders that was sent at [askedAtMs]. */
+    fun onStoreAnswer(askedAtMs: Long) {
         if (times != null && isReadable) steering.withLock { decisions, _ -> decisions.callers.proof.record(askedAtMs) }
     }
 
-    /** Records the [confirmation] of another instance, which was asked for at [askedAtMs]. */
-    fun receive(confirmation: Confirmation, askedAtMs: Long) {
+    override fun receive(confirmation: Confirmation, askedAtMs: Long) {
         if (isReadable) steering.withLock { decisions, _ -> decisions.callers.confirm(confirmation, askedAtMs) }
     }
 
-    /** Returns what this instance can confirm. */
-    fun toSend(): Confirmation? =
+    override fun toSend(): Confirmation? =
         if (times == null) null else steering.withLock { decisions, nowMs -> decisions.callers.confirmation(nowMs) }
 
     private fun isOlderThan(limit: (ConfirmationTimes) -> Long): Boolean =
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/store/PeerStateSync.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/store/PeerStateSync.kt
@@ -5,12 +5,12 @@
 package org.cardamomwharf.gateway.store
 
 import org.cardamomwharf.gateway.TaskContext
+import org.cardamomwharf.gateway.peers.ConfirmationExchange
 import org.cardamomwharf.gateway.peers.HeartbeatListener
 import org.cardamomwharf.gateway.startBackgroundTask
 import org.cardamomwharf.steering.instances.InstanceRecord
 import org.cardamomwharf.steering.instances.WatcherElection
 import org.cardamomwharf.steering.store.StoreStatus
-import org.cardamomwharf.steering.teams.Confirmation
 import java.util.concurrent.ArrayBlockingQueue
 import java.util.concurrent.TimeUnit
 
@@ -60,10 +60,7 @@
         if (status.content.isAheadOf(storeWatcher.contentVersions)) checkSignal.offer(Unit)
     }
 
-    override fun confirmationToSend(): Confirmation? = storeWatcher.confirmation.toSend()
-
-    override fun onConfirmationReceived(confirmation: Confirmation, askedAtMs: Long) =
-        storeWatcher.confirmation.receive(confirmation, askedAtMs)
+    override val confirmations: ConfirmationExchange get() = storeWatcher.confirmation
 
     override fun onHeartbeat() = onHeartbeat.invoke()
 
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/store/StoreWatcher.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/store/StoreWatcher.kt
@@ -43,8 +43,7 @@
         store.orders,
         context,
         RestorePolicy(outageGraceMs = 0, parameters.restoreGraceMs, parameters.revivalDelayMs, ::mergeOrders),
-        role,
-        confirmation,
+        ConfirmingRole(role, confirmation),
         ::applyOrders,
     )
     private val servers: TableWatcher<ServerRecord> = TableWatcher(
@@ -58,7 +57,7 @@
             ::mergeServers,
         ),
         role,
-        onChange = ::applyServers,
+        ::applyServers,
     )
 
     /** True when the orders and the backend servers have been read. */
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/store/TableWatcher.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/store/TableWatcher.kt
@@ -37,7 +37,6 @@
     context: TaskContext,
     restorePolicy: RestorePolicy<T>,
     private val role: WatcherRole,
-    private val confirmation: TableConfirmation = NoTableConfirmation,
     onChange: (List<TableChange<T>>) -> Unit,
 ) {
     private val clock = context.clock
@@ -74,10 +73,10 @@
     fun step(): Long = if (isAsking) readOnce() else ROLE_CHECK_INTERVAL_MS
 
     /** True when this instance has to ask the store itself. */
-    val isAsking: Boolean get() = !table.isLoaded || role.isWatcher() || confirmation.isOverdue
+    val isAsking: Boolean get() = !table.isLoaded || role.isWatcher()
 
     /** Time that the next call waits for changes. */
-    val waitMs: Long get() = if (isFullReadDue) 0 else confirmation.limitWait(LONG_POLL_TIMEOUT_MS)
+    val waitMs: Long get() = if (isFullReadDue) 0 else role.limitWait(LONG_POLL_TIMEOUT_MS)
 
     private fun readOnce(): Long {
         val askedAtMs = clock.nowMs()
@@ -90,7 +89,7 @@
         logEpoch(update)
         if (failures > 0) recordRestored()
         isFullReadDue = !table.apply(update)
-        if (isFullReadDue) logStale(update) else confirmation.onConfirmed(askedAtMs)
+        if (isFullReadDue) logStale(update) else role.onAnswerApplied(askedAtMs)
         return if (update.entries.isNotEmpty()) BATCH_DELAY_MS else 0
     }
 
--- a/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/peers/HeartbeatCodecTest.kt
+++ b/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/peers/HeartbeatCodecTest.kt
@@ -11,6 +11,7 @@
 import io.kotest.property.arbitrary.byteArray
 import io.kotest.property.arbitrary.int
 import io.kotest.property.checkAll
+import org.cardamomwharf.core.DocumentVersion
 import org.cardamomwharf.core.Incarnation
 import org.cardamomwharf.core.InstanceName
 import org.cardamomwharf.core.SocketAddress
@@ -25,6 +26,7 @@
 import org.cardamomwharf.steering.store.ContentVersions
 import org.cardamomwharf.steering.store.StoreStatus
 import org.cardamomwharf.steering.store.StoreVersion
+import org.cardamomwharf.steering.teams.Confirmation
 import java.util.HexFormat
 
 private const val MAX_DATAGRAM_BYTES = 65_507
@@ -57,7 +59,13 @@
 
     test("`a message with all fields is decoded as it was encoded`") {
         val status = StoreStatus(ContentVersions(StoreVersion(1, 3), StoreVersion(2, 4)), 250, isFailing = true)
-        val message = HeartbeatMessage(heartbeat("a"), listOf(heartbeat("b"), heartbeat("c")), counts(95), status)
+        val message = HeartbeatMessage(
+            heartbeat("a"),
+            listOf(heartbeat("b"), heartbeat("c")),
+            counts(95),
+            status,
+            confirmation = Confirmation(DocumentVersion(3), ageMs = 250),
+        )
         decodeHeartbeats(encodeHeartbeats(message)) shouldBe message
     }
 
--- a/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/store/WithdrawnKeyTest.kt
+++ b/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/store/WithdrawnKeyTest.kt
@@ -1,6 +1,6 @@
 /*
- * Tests that no instance uses a key later than the bound after its withdrawal, whatever is cut, slow or paused, and that
- * valid keys are used while nothing is wrong. In virtual time, without a network.
+ * Tests that no instance uses a key later than the bound after its withdrawal, whatever is cut, slow or paused, and
+ * that valid keys are used while nothing is wrong. In virtual time, without a network.
  */
 package org.cardamomwharf.gateway.store
 
@@ -17,6 +17,9 @@
 
 /** Age that a proof usually stays below, so that lost datagrams don't make it too old. */
 private const val USUAL_AGE_MS = 3_500L
+
+/** Delay of datagrams that are held back; almost the bound. */
+private const val LATE_MS = 4_500L
 private const val MINUTE_MS = 60_000L
 private val both = mapOf("w1" to "weavers", "w2" to "weavers", "d1" to "dyers")
 private val withoutW1 = both - "w1"
@@ -30,6 +33,12 @@
         instancesAccepting("w1") shouldContainExactly members.indices.toList()
     }
 
+private fun KeyFleetMember.cutOff(isCut: Boolean, cutStore: () -> Unit) {
+    isSendingCut = isCut
+    isReceivingCut = isCut
+    cutStore()
+}
+
 private fun KeyFleet.membersOfZone(zone: String) = members.filter { it.record.zone.value == zone }
 
 class WithdrawnKeyTest : FunSpec({
@@ -69,9 +78,9 @@
         "is paused" to { isPaused = it },
         "can't send" to { isSendingCut = it },
         "receives nothing" to { isReceivingCut = it },
-        "is cut off" to { isSendingCut = it; isReceivingCut = it; isRefusedByStore = it },
-        "is cut off without notice" to { isSendingCut = it; isReceivingCut = it; isStoreSilent = it },
-        "gets the datagrams late" to { sendDelayMs = if (it) 4_500 else 0 },
+        "is cut off" to { cutOff(it) { isRefusedByStore = it } },
+        "is cut off without notice" to { cutOff(it) { isStoreSilent = it } },
+        "sends datagrams that arrive late" to { sendDelayMs = if (it) LATE_MS else 0 },
     )
     for ((name, set) in faults) {
         for (seed in 1..4) {
@@ -90,7 +99,18 @@
         }
     }
 
-    // Guards against a proof that counts from the arrival of an answer.
+    // Guards against a proof that counts from the arrival of an answer. A single instance hears nothing from others.
+    test("`an instance alone with a store that answers 4 s late uses no withdrawn key`") {
+        for (phaseMs in 0..5_000L step 250) {
+            val fleet = startFleet(count = 1)
+            fleet.storeDelayMs = 4_000
+            fleet.run(SETTLE_MS + phaseMs)
+            fleet.configure(withoutW1)
+            fleet.run(3 * SETTLE_MS)
+            fleet.instancesAccepting("w1").shouldBeEmpty()
+        }
+    }
+
     for (delayMs in listOf(300L, 1_500, 4_000)) {
         test("`a store that answers $delayMs ms late confirms no withdrawn key`") {
             val fleet = startFleet(seed = 9)
--- a/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/support/KeyFleet.kt
+++ b/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/support/KeyFleet.kt
@@ -7,6 +7,7 @@
 import org.cardamomwharf.core.DocumentVersion
 import org.cardamomwharf.core.InstanceName
 import org.cardamomwharf.core.RegionName
+import org.cardamomwharf.core.ServiceName
 import org.cardamomwharf.core.SocketAddress
 import org.cardamomwharf.core.TeamName
 import org.cardamomwharf.core.ZoneName
@@ -17,7 +18,6 @@
 import org.cardamomwharf.steering.desired.Team
 import org.cardamomwharf.steering.desired.TeamKey
 import org.cardamomwharf.steering.desired.WeightedService
-import org.cardamomwharf.core.ServiceName
 import org.cardamomwharf.steering.instances.HeartbeatMessage
 import org.cardamomwharf.steering.instances.InstanceRecord
 import org.cardamomwharf.steering.limits.RetryBudgetParameters
--- a/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/support/KeyFleetMember.kt
+++ b/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/support/KeyFleetMember.kt
@@ -117,7 +117,7 @@
         exchange.receive(message, fleet.nowMs)
         message.storeStatus?.let { sync.onStatusReceived(message.sender.record, it) }
         message.confirmation?.let { sent ->
-            exchange.askedAtMs(message)?.let { sync.onConfirmationReceived(sent, it) }
+            exchange.askedAtMs(message)?.let { sync.confirmations.receive(sent, it) }
         }
     }
 
@@ -148,7 +148,7 @@
     private fun sendHeartbeat() {
         nextHeartbeatAtMs = fleet.nowMs + HEARTBEAT_MS
         exchange.nextHeartbeats(heartbeats++, others(), sync.statusToSend(), fleet.nowMs).forEach {
-            val confirmation = if (it.message.counts.isEmpty()) null else sync.confirmationToSend()
+            val confirmation = if (it.message.storeStatus == null) null else sync.confirmations.toSend()
             fleet.send(this, it.recipients, it.message.copy(confirmation = confirmation))
         }
     }
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/instances/HeartbeatMessage.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/instances/HeartbeatMessage.kt
@@ -14,9 +14,9 @@
  * @param newInstances heartbeats of instances that may be unknown to the receiver, with their addresses.
  * @param counts heartbeat counts of instances that most others know.
  * @param storeStatus status of the store, if the sender watches it.
- * @param confirmation age of the sender's configuration, for the instances that [counts] names: a count that an
- * instance has sent is its question, and the message that returns the count is the answer.
  * @param crashes what the sender knows about requests that crash backend servers, or null for nothing.
+ * @param confirmation age of the configuration, stated with [storeStatus] to the instances that [counts] names: a
+ * count that an instance has sent is its question, and the message that returns the count is the answer.
  */
 public data class HeartbeatMessage(
     public val sender: Heartbeat,
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/teams/CallerAuthentication.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/teams/CallerAuthentication.kt
@@ -54,8 +54,7 @@
 
     /** Returns what this instance can confirm to another one, or null without a bound for withdrawn keys. */
     public fun confirmation(nowMs: Long): Confirmation? {
-        val desired = routes.desired
-        val ageMs = proof.ageMs(nowMs)?.takeIf { proof.isValid(nowMs) }
-        return if (proof.times == null || desired == null || ageMs == null) null else Confirmation(desired.version, ageMs)
+        val ageMs = proof.ageMs(nowMs)?.takeIf { proof.times != null && proof.isValid(nowMs) }
+        return routes.desired?.let { desired -> ageMs?.let { Confirmation(desired.version, it) } }
     }
 }
