Let urgent requests go first while a service is short

The rank of a request was used by no decision: requests with long target latencies filled the queues, and urgent ones with short ones were refused. While more urgent requests of its service are refused, a request may use only a part of its time for waiting, at least a tenth. A server with a free slot takes every request, so no rank is starved. While no more urgent request is refused nothing changes.

--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/SteeringParameters.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/SteeringParameters.kt
@@ -22,6 +22,11 @@
      * servers cache it. With fewer missing, the region's servers cache most of its keys. UnevenRegionsTest covers it.
      */
     public val keyRegionMinMissingSlots: Double = 0.6,
+    /**
+     * Part of a request's time for waiting that it gives up for each share of the more urgent requests of its service
+     * that are refused. UrgencyTest covers the value.
+     */
+    public val urgencyFactor: Double = 4.0,
     /** The bounds for teams, from the settings. */
     public val teams: TeamParameters = TeamParameters(),
     /** The limits on hedged requests, from the settings. */
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/ServerScorer.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/ServerScorer.kt
@@ -84,10 +84,12 @@
     /**
      * Returns true when a request is expected to meet its target latency. A request that can't meet it even without a
      * queue counts as in time on a server with a free slot.
+     *
+     * @param queueShare share of the time for waiting that the request may use.
      */
-    fun isInTime(spec: RequestSpec, score: ServerScore): Boolean {
+    fun isInTime(spec: RequestSpec, score: ServerScore, queueShare: Double): Boolean {
         val remainingMs = spec.route.targetLatencyMs - score.times.processingMs - score.times.networkMs
-        return score.times.queueMs <= remainingMs.coerceAtLeast(0.0)
+        return score.times.queueMs <= queueShare * remainingMs.coerceAtLeast(0.0)
     }
 
     /** Returns true when the server has spare capacity for a request that will be late anyway. */
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/ServerSelector.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/ServerSelector.kt
@@ -10,6 +10,7 @@
 import org.cardamomwharf.steering.Distance
 import org.cardamomwharf.steering.SteeringParameters
 import org.cardamomwharf.steering.limits.AnnouncedLimits
+import org.cardamomwharf.steering.requests.AttemptOutcome
 import org.cardamomwharf.steering.requests.AttemptReport
 import org.cardamomwharf.steering.requests.Placement
 import org.cardamomwharf.steering.requests.RefusalReason
@@ -25,6 +26,7 @@
     roundTripTimes: RoundTripTimes,
 ) {
     private val estimates = RouteEstimates(parameters, roundTripTimes)
+    private val queueAllowance = QueueAllowance(parameters)
     private val scorer = ServerScorer(parameters, roundTripTimes)
 
     fun select(spec: RequestSpec, excluded: Set<ServerName>, nowMs: Long): Placement {
@@ -46,6 +48,7 @@
     }
 
     fun recordOutcome(spec: RequestSpec, send: Placement.Send, report: AttemptReport, nowMs: Long) {
+        if (report.outcome == AttemptOutcome.SHED) queueAllowance.record(spec, isRefused = true, nowMs)
         candidates.find(send.server)?.let { estimates.recordOutcome(spec, send, report, it, nowMs) }
     }
 
@@ -64,11 +67,13 @@
     ): Placement {
         val keyRegion = spillover.keyRegionOf(spec, nowMs)
         val scores = candidates.selectByRegion(spec, ready).flatMap { scoreGroup(spec, estimate, it, keyRegion, nowMs) }
-        val cheapest = selectBest(spec, scores, keyRegion, nowMs)
+        val queueShare = queueAllowance.shareFor(spec, nowMs)
+        val cheapest = selectBest(spec, scores, keyRegion, queueShare, nowMs)
         val hasOwnRegion = scores.any { it.server.distance != Distance.OTHER_REGION }
         val isSpilledOver = hasOwnRegion && cheapest.server.distance == Distance.OTHER_REGION
-        val isUsable = isSpilledOver || scorer.isInTime(spec, cheapest)
+        val isUsable = isSpilledOver || scorer.isInTime(spec, cheapest, queueShare)
         val best = if (isUsable) cheapest else selectForLateRequest(scores, nowMs)
+        queueAllowance.record(spec, isRefused = best == null, nowMs)
         if (best == null) return refuse(spec, RefusalReason.OVERLOAD, cheapest.times.queueMs)
         val record = best.server.record
         val load = best.server.load.estimate(nowMs)
@@ -102,13 +107,14 @@
         spec: RequestSpec,
         scores: List<ServerScore>,
         keyRegion: KeyRegion?,
+        queueShare: Double,
         nowMs: Long,
     ): ServerScore {
         val (own, others) = scores.partition { it.server.distance != Distance.OTHER_REGION }
         val bestOwn = own.minByOrNull { it.costMs } ?: return others.minBy { it.costMs }
         val (inTime, late) = others.groupBy { it.server.region }.values.map { group -> group.minBy { it.costMs } }
-            .partition { scorer.isInTime(spec, it) }
-        val isOwnInTime = scorer.isInTime(spec, bestOwn)
+            .partition { scorer.isInTime(spec, it, queueShare) }
+        val isOwnInTime = scorer.isInTime(spec, bestOwn, queueShare)
         // A late request would be refused here, so another region is cheaper although keys are evicted there.
         val allowanceMs = if (isOwnInTime) 0.0 else scorer.otherRegionSpreadMs(estimates.getForRoute(spec.route))
         val cheapest = inTime.minByOrNull { it.costMs }?.takeIf { it.costMs < bestOwn.costMs + allowanceMs }
