Begin the split of a route at a different position on each instance

Instances that started together all sent their first requests to the heavier service and the next ones to the lighter one: with 112 instances and weights of 90 and 10 the share in 200 requests was off by 0.12. Each instance now begins at a position of its own.

--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/Steering.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/Steering.kt
@@ -6,6 +6,7 @@
 
 import org.cardamomwharf.core.InstanceName
 import org.cardamomwharf.core.ZoneName
+import org.cardamomwharf.core.hashToUnitInterval
 import org.cardamomwharf.steering.crashes.CrashingRequests
 import org.cardamomwharf.steering.desired.ActiveRoutes
 import org.cardamomwharf.steering.limits.AnnouncedLimits
@@ -38,7 +39,7 @@
     public val servers: ServerRegistry = ServerRegistry(location, parameters)
 
     /** The routes of the active configuration. */
-    public val routes: ActiveRoutes = ActiveRoutes()
+    public val routes: ActiveRoutes = ActiveRoutes(hashToUnitInterval("${location.instance.value}/split"))
     private val retryBudgets = RetryBudgets(parameters.retryBudget)
     private val limitSharing = LimitSharing(location)
 
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/desired/ActiveRoutes.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/desired/ActiveRoutes.kt
@@ -8,8 +8,12 @@
 import org.cardamomwharf.core.ServiceName
 import org.cardamomwharf.steering.placement.WeightedRoundRobin
 
-/** Represents the routes of the active configuration. */
-public class ActiveRoutes {
+/**
+ * Represents the routes of the active configuration.
+ *
+ * @param splitPhase position between 0 and 1 at which this instance begins the split of each route.
+ */
+public class ActiveRoutes(private val splitPhase: Double = 0.0) {
     /** The active configuration, or null before the first one was received. */
     public var desired: DesiredState? = null
         private set
@@ -30,7 +34,8 @@
     /** Selects the service of the next request of [route]. */
     public fun chooseService(route: Route): ServiceName {
         val current = splits[route.name]?.takeIf { it.first.backends == route.backends }
-        val (_, split) = current ?: (route to WeightedRoundRobin(route.backends)).also { splits[route.name] = it }
+        val (_, split) = current
+            ?: (route to WeightedRoundRobin(route.backends, splitPhase)).also { splits[route.name] = it }
         return split.next()
     }
 
