--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/GatewayProcess.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/GatewayProcess.kt
@@ -32,9 +32,9 @@
 import org.cardamomwharf.gateway.peers.InstanceRegistration
 import org.cardamomwharf.gateway.peers.KnownVersions
 import org.cardamomwharf.gateway.peers.PeerHeartbeats
-import org.cardamomwharf.gateway.peers.TeamLimitExchange
 import org.cardamomwharf.gateway.peers.PeerList
 import org.cardamomwharf.gateway.peers.PeerState
+import org.cardamomwharf.gateway.peers.TeamLimitExchange
 import org.cardamomwharf.gateway.peers.createPeerStateHandler
 import org.cardamomwharf.gateway.peers.fetchPeerState
 import org.cardamomwharf.gateway.settings.GatewaySettings
