--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/Steering.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/Steering.kt
@@ -6,6 +6,7 @@
 
 import org.cardamomwharf.core.InstanceName
 import org.cardamomwharf.core.ZoneName
+import org.cardamomwharf.core.hashToUnitInterval
 import org.cardamomwharf.steering.crashes.CrashingRequests
 import org.cardamomwharf.steering.desired.ActiveRoutes
 import org.cardamomwharf.steering.hedging.HedgePlanner
@@ -42,7 +43,7 @@
     public val servers: ServerRegistry = ServerRegistry(location, parameters)
 
     /** The routes of the active configuration. */
-    public val routes: ActiveRoutes = ActiveRoutes()
+    public val routes: ActiveRoutes = ActiveRoutes(hashToUnitInterval("${location.instance.value}/split"))
 
     /** The authentication of callers. */
     public val callers: CallerAuthentication = CallerAuthentication(routes, parameters.teams)
