--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/ResponseValidation.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/ResponseValidation.kt
@@ -42,7 +42,8 @@
 /** Returns true if the connection may carry another request after this response. */
 internal fun ResponseReader.isPersistent(): Boolean {
     val isClosing = fields.contains(HttpHeader.CONNECTION, "close")
-    val isFramed = isInterim || fields.contains(HttpHeader.CONTENT_LENGTH) || fields.contains(HttpHeader.TRANSFER_ENCODING)
+    val isFramed =
+        isInterim || fields.contains(HttpHeader.CONTENT_LENGTH) || fields.contains(HttpHeader.TRANSFER_ENCODING)
     return version == HttpVersion.HTTP_1_1 && !isClosing && isFramed
 }
 
--- a/cardamomwharf-forward/src/test/kotlin/org/cardamomwharf/forward/proxy/HedgingTest.kt
+++ b/cardamomwharf-forward/src/test/kotlin/org/cardamomwharf/forward/proxy/HedgingTest.kt
@@ -41,7 +41,9 @@
     val gateway = ForwardingGateway(*servers.map { it.address }.toTypedArray(), hedging = HedgingParameters(maxShare))
 
     /** Sends enough requests for the usual response time to be known. */
-    fun learnUsual() = repeat(USUAL_REQUESTS) { gateway.exchange(requestText("usual-$it")) shouldStartWith "HTTP/1.1 200 " }
+    fun learnUsual() {
+        repeat(USUAL_REQUESTS) { gateway.exchange(requestText("usual-$it")) shouldStartWith "HTTP/1.1 200 " }
+    }
 
     private fun serve(connection: ScriptedConnection) = generateSequence { connection.readHead() }.forEach { head ->
         val id = findRequestId(head)
@@ -49,8 +51,10 @@
     }
 
     /** Returns the trace of the late request. */
-    fun awaitLateTrace(): RequestTrace =
-        generateSequence { checkNotNull(gateway.traces.poll(LIMIT_S, TimeUnit.SECONDS)) }.first { it.requestId == LATE_ID }
+    fun awaitLateTrace(): RequestTrace {
+        val next = { checkNotNull(gateway.traces.poll(LIMIT_S, TimeUnit.SECONDS)) }
+        return generateSequence(next).first { it.requestId == LATE_ID }
+    }
 
     override fun close() {
         gateway.close()
--- a/cardamomwharf-forward/src/test/kotlin/org/cardamomwharf/forward/server/StatusOutOfRangeTest.kt
+++ b/cardamomwharf-forward/src/test/kotlin/org/cardamomwharf/forward/server/StatusOutOfRangeTest.kt
@@ -1,6 +1,6 @@
 /*
- * A backend server in trouble answers with a status that no final response has, such as 000. The call must fail, so that
- * the caller doesn't get the response, and its connection must be closed. Interim responses are skipped.
+ * A backend server in trouble answers with a status that no final response has, such as 000. The call must fail, so
+ * that the caller doesn't get the response, and its connection must be closed. Interim responses are skipped.
  */
 package org.cardamomwharf.forward.server
 
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/requests/FurtherAttempts.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/requests/FurtherAttempts.kt
@@ -34,7 +34,7 @@
         return if (isRetryable) select(spec, attempts, isBudgetUsed, nowMs) { true } else null
     }
 
-    /** Returns where to send [spec] while its [attempts] are pending, among the servers that are [isUsable], or null. */
+    /** Returns where to send [spec] while its [attempts] are pending, if that is [isUsable], or null for nowhere. */
     fun planHedge(
         spec: RequestSpec,
         attempts: List<Placement.Send>,
--- a/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/hedging/HedgePlannerTest.kt
+++ b/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/hedging/HedgePlannerTest.kt
@@ -26,6 +26,7 @@
 import org.cardamomwharf.steering.support.HOME
 import org.cardamomwharf.steering.support.PARAMETERS
 import org.cardamomwharf.steering.support.READS
+import org.cardamomwharf.steering.support.SERVICE
 import org.cardamomwharf.steering.support.ZONES
 import org.cardamomwharf.steering.support.add
 import org.cardamomwharf.steering.support.createServer
@@ -115,9 +116,8 @@
     test("`nothing is hedged while the service is near full`") {
         val steering = createHedging()
         steering.answerUsual()
-        listOf("s1", "s2", "s3").forEach { name ->
-            val server = steering.servers.findByService(READS.backends.single().service).first { it.record.name.value == name }
-            server.load.recordLoadReport(LoadReport(running = 3, waiting = 0, slots = 4), endMs)
+        steering.servers.findByService(SERVICE).forEach {
+            it.load.recordLoadReport(LoadReport(running = 3, waiting = 0, slots = 4), endMs)
         }
         steering.hedgeAt(endMs).second.shouldBeNull()
     }
