--- a/cardamomwharf-forward/src/test/kotlin/org/cardamomwharf/forward/listener/EarlyInputTest.kt
+++ b/cardamomwharf-forward/src/test/kotlin/org/cardamomwharf/forward/listener/EarlyInputTest.kt
@@ -12,7 +12,7 @@
 private const val PIECE_BYTES = 1_000
 private const val READ_BYTES = 700
 
-/** Appends the next bytes of an endless sequence, as many as fit but at most [PIECE_BYTES], and returns their number. */
+/** Appends the next bytes of an endless sequence, as many as fit, and returns their number. */
 private fun appendNext(target: ByteBuffer, start: Int): Int {
     val count = minOf(BufferUtil.space(target), PIECE_BYTES)
     BufferUtil.append(target, ByteBuffer.wrap(ByteArray(count) { (start + it).toByte() }))
