Keep the shares of a region while it has no servers

A region without eligible servers lacks all slots, so its keys were given to other regions and its shares rose until its servers returned. PlacementTest sends no request elsewhere after the return; it was red without the check.

--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/RegionSpillover.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/RegionSpillover.kt
@@ -109,11 +109,13 @@
 
     /**
      * Returns the shares of the own region's keys that other regions cache if it lacks most of the slots for its share
-     * of the requests, or none. All instances of a region agree on them.
+     * of the requests, or none. All instances of a region agree on them. A region without servers has none either, so
+     * that its shares stay as they are until its servers return.
      */
     private fun keySharesOf(service: ServiceName): Map<RegionName?, Double> {
         val shares = sharesBySlots(service)
-        return if (shares.values.sum() < parameters.keyRegionMinMissingSlots) emptyMap() else shares
+        val hasServers = servers.findByService(service).any { it.region == location.region && servers.isEligible(it) }
+        return if (!hasServers || shares.values.sum() < parameters.keyRegionMinMissingSlots) emptyMap() else shares
     }
 
     /** Returns the region's share of all requests if all zones get the same. */
--- a/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/placement/PlacementTest.kt
+++ b/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/placement/PlacementTest.kt
@@ -122,6 +122,25 @@
         (100..120).map { sendAndComplete(it) }.count { it.value.startsWith("far") } shouldBeGreaterThan 5
     }
 
+    test("`a region that had no server for a while keeps its requests when its servers return`") {
+        val zones = listOf(HOME, ZoneName("a2"), ZoneName("b1"), ZoneName("c1"))
+        val servers = zones.flatMap { zone -> (1..2).map { createServer("${zone.value}-$it", zone, slots = 8) } }
+        val steering = createSteering(*servers.toTypedArray())
+        fun sendAndComplete(id: Int): ServerName {
+            val nowMs = id * 100L
+            steering.adjustSpillover(nowMs)
+            val spec = createSpec(id, nowMs = nowMs)
+            val sent = steering.send(spec)
+            steering.completeAttempt(spec, listOf(sent), AttemptReport(AttemptOutcome.ANSWERED, false, 80), nowMs + 80)
+            return sent.server
+        }
+        (1..10).forEach { sendAndComplete(it) }
+        steering.evacuate(setOf(HOME, ZoneName("a2")), 1_050)
+        (11..110).forEach { sendAndComplete(it) }
+        steering.evacuate(emptySet(), 11_050)
+        (150..170).map { sendAndComplete(it) }.count { !it.value.startsWith("a") } shouldBe 0
+    }
+
     test("`a new server gets a request soon`") {
         val steering = createSteering(createServer("s1"), createServer("s2"))
         (1..3).forEach { steering.send(createSpec(it)) }
