--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/HeartbeatCodec.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/peers/HeartbeatCodec.kt
@@ -53,8 +53,8 @@
         numbers,
         message.storeStatus?.toWire(),
         message.crashes,
-        message.teamLimits?.let { encodeTeamLimits(it) },
     )
+    wire.teamLimits = message.teamLimits?.let { encodeTeamLimits(it) }
     return frame(cbor.encodeToByteArray(wire))
 }
 
@@ -92,9 +92,10 @@
     @SerialName("news")
     val storeStatus: WireStatus? = null,
     val crashes: CrashMessage? = null,
-    @ByteString
-    val teamLimits: ByteArray? = null,
 ) {
+    @ByteString
+    var teamLimits: ByteArray? = null
+
     fun toCounts(): List<HeartbeatCount> {
         val nameList = if (names.isEmpty()) emptyList() else names.split(NAME_SEPARATOR)
         if (numbers.size != nameList.size * NUMBERS_PER_INSTANCE) return emptyList()
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/Steering.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/Steering.kt
@@ -138,18 +138,21 @@
         spillover.adjust(nowMs)
     }
 
-    /** Records that the request is sent, unless this process stops before the response can be expected. */
-    private fun confirm(spec: RequestSpec, send: Placement.Send, nowMs: Long): Placement =
-        if (stopPlan.allows(spec, send, nowMs)) {
+    /**
+     * Records that the request is sent, unless this process stops before the response can be expected or the limit of
+     * the team is used up.
+     */
+    private fun confirm(spec: RequestSpec, send: Placement.Send, nowMs: Long): Placement {
+        val refusal = if (stopPlan.allows(spec, send, nowMs)) {
             teamLimits.acquire(spec.team, spec.id, nowMs)?.let { Placement.Refuse(RefusalReason.TEAM_LIMIT, it) }
-                ?: send.also { recordSent(spec, it, nowMs) }
         } else {
             Placement.Refuse(RefusalReason.STOPPING, serverSelector.retryAfterMs(spec.id, 0.0))
         }
-
-    private fun recordSent(spec: RequestSpec, send: Placement.Send, nowMs: Long) {
-        crashingRequests.recordSent(spec.fingerprint, nowMs)
-        serverSelector.recordRequestSent(spec, send, nowMs)
+        if (refusal == null) {
+            crashingRequests.recordSent(spec.fingerprint, nowMs)
+            serverSelector.recordRequestSent(spec, send, nowMs)
+        }
+        return refusal ?: send
     }
 
     private fun planRetry(
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/teams/limits/DemandTable.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/teams/limits/DemandTable.kt
@@ -8,7 +8,6 @@
 import org.cardamomwharf.core.InstanceName
 import org.cardamomwharf.core.ZoneName
 import kotlin.math.exp
-import kotlin.math.sqrt
 
 /** Age from which a report no longer counts; two heartbeats were lost, or the instance is down. */
 private const val MAX_REPORT_AGE_MS = 1_100L
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/teams/limits/TeamShare.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/teams/limits/TeamShare.kt
@@ -6,9 +6,9 @@
  */
 package org.cardamomwharf.steering.teams.limits
 
+import org.cardamomwharf.core.hashToUnitInterval
 import org.cardamomwharf.steering.desired.TeamLimit
 import kotlin.math.exp
-import kotlin.math.sqrt
 
 /** Requests per second that aren't reserved for others; all sides of a divided fleet may send them. */
 private const val UNRESERVED_PER_SECOND = 1.0
@@ -57,6 +57,11 @@
 
 /** Interval at which own parts are recorded. */
 private const val RISE_INTERVAL_MS = 500L
+
+/** Shortest and longest delay after which a caller is told to come back, and how far delays are spread. */
+private const val MIN_RETRY_AFTER_MS = 200.0
+private const val MAX_RETRY_AFTER_MS = 5_000.0
+private const val SPREAD_MS = 1_000.0
 private const val MS_PER_S = 1_000.0
 
 internal class TeamShare(val teamId: Int, var limit: TeamLimit, phase: Double) {
@@ -91,7 +96,7 @@
         val hasCredit = fraction >= 1 || credit + fraction >= 1
         val isSent = tokens >= 1 && hasCredit
         if (isSent) tokens--
-        if (fraction < 1 && tokens >= 0 && (isSent || !hasCredit)) credit += if (isSent) fraction - 1 else fraction
+        if (fraction < 1 && isSent == hasCredit) credit += if (isSent) fraction - 1 else fraction
         counter.record(isSent, nowMs)
         return isSent
     }
@@ -102,11 +107,13 @@
         counter.recordReturned(nowMs)
     }
 
-    /** Returns the time until this instance can expect a token. */
-    fun waitMs(): Double {
-        val levelS = if (level < 0 && limit.requestsPerSecond > 0) -level / limit.requestsPerSecond else 0.0
-        val localS = if (tokens < 1 && tokensPerSecond > 0) (1 - tokens) / tokensPerSecond else 0.0
-        return maxOf(levelS, localS) * MS_PER_S
+    /** Returns the time after which the caller of the request [id] may come back, spread over callers. */
+    fun retryAfterMs(id: String): Long {
+        val levelS = maxOf(-level, 0.0) / limit.requestsPerSecond
+        val localS = if (tokensPerSecond > 0) maxOf(1 - tokens, 0.0) / tokensPerSecond else 0.0
+        val spreadMs = hashToUnitInterval(id) * SPREAD_MS / maxOf(fraction, SPREAD_MS / MAX_RETRY_AFTER_MS)
+        val waitMs = maxOf(levelS * MS_PER_S, localS * MS_PER_S, MIN_RETRY_AFTER_MS)
+        return minOf(waitMs + spreadMs, MAX_RETRY_AFTER_MS).toLong()
     }
 
     /** Applies what is known of the requests at all instances, or null when nothing recent is known. */
