Reserve memory for the response to a hedge on its own

Cause: all attempts of a request shared one reservation, which covers one response at a time. Change: a hedge has its own reservation, which passes on to the request when the hedge wins.

--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/RequestForwarder.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/RequestForwarder.kt
@@ -77,21 +77,23 @@
             if (isFinished || !sent.isFirstPending) return
             context.steering.withLock { steering, nowMs -> steering.hedges.place(spec, sent.placements, nowMs) }
         }
-        placement?.let { send(it, isHedge = true) }
+        placement?.let { send(it, HedgeRoom(responseRoom, context.pool.bodyBudget)) }
     }
 
-    private fun send(placement: Placement.Send, isHedge: Boolean = false) {
+    /** Sends an attempt; [hedgeRoom] is the memory for the response to a hedge. */
+    private fun send(placement: Placement.Send, hedgeRoom: HedgeRoom? = null) {
         val next = synchronized(this) {
             if (isFinished) {
                 val unsent = AttemptReport(AttemptOutcome.CALLER_GONE, sent.mayHaveExecuted, 0)
                 context.steering.withLock { steering, nowMs -> steering.recordOutcome(spec, placement, unsent, nowMs) }
                 return
             }
-            val attempt = sent.add(placement, isHedge, context.clock.nowMs())
+            val attempt = sent.add(placement, hedgeRoom, context.clock.nowMs())
             val remainingMs = (spec.deadlineAtMs - attempt.sentAtMs).coerceAtLeast(1)
+            val room = hedgeRoom?.reservation ?: responseRoom
             createAttempt(request, spec, placement, remainingMs, body)
                 .map { content ->
-                    ServerCall(placement.server, placement.address, content, responseRoom) { onCallResult(attempt, it) }
+                    ServerCall(placement.server, placement.address, content, room) { onCallResult(attempt, it) }
                         .also { attempt.call = it }
                 }
                 .mapError { attempt to it }
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/SentAttempts.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/SentAttempts.kt
@@ -9,8 +9,13 @@
 import org.cardamomwharf.steering.requests.AttemptReport
 import org.cardamomwharf.steering.requests.Placement
 
-/** Represents an attempt; [call] is null if the request couldn't be written. */
-internal class SentAttempt(val placement: Placement.Send, val isHedge: Boolean, val sentAtMs: Long) {
+/**
+ * Represents an attempt.
+ *
+ * @param hedgeRoom memory for the response to a hedge, or null for an attempt that is none.
+ */
+internal class SentAttempt(val placement: Placement.Send, val hedgeRoom: HedgeRoom?, val sentAtMs: Long) {
+    /** The call to the server, or null if the request couldn't be written. */
     var call: ServerCall? = null
     var isPending: Boolean = true
         internal set
@@ -38,12 +43,14 @@
     /** True when the only attempt so far has no outcome yet. */
     val isFirstPending: Boolean get() = attempts.singleOrNull()?.isPending == true
 
-    fun add(placement: Placement.Send, isHedge: Boolean, nowMs: Long): SentAttempt =
-        SentAttempt(placement, isHedge, nowMs).also { attempts.add(it) }
+    fun add(placement: Placement.Send, hedgeRoom: HedgeRoom?, nowMs: Long): SentAttempt =
+        SentAttempt(placement, hedgeRoom, nowMs).also { attempts.add(it) }
 
     /** Ends [attempt] with the [result] of its call. */
-    fun end(attempt: SentAttempt, result: CallResult, nowMs: Long): AttemptReport =
-        end(attempt, toAttemptOutcome(result), describe(result), nowMs, isBrokenOff(result))
+    fun end(attempt: SentAttempt, result: CallResult, nowMs: Long): AttemptReport {
+        if (result is CallResult.Completed) attempt.hedgeRoom?.pass(result.response.body.size.toLong())
+        return end(attempt, toAttemptOutcome(result), describe(result), nowMs, isBrokenOff(result))
+    }
 
     /** Ends [attempt] and returns its report, which tells whether another one may have executed the request. */
     fun end(
@@ -54,8 +61,9 @@
         isBrokenOff: Boolean = false,
     ): AttemptReport {
         attempt.isPending = false
+        attempt.hedgeRoom?.reservation?.release()
         val tookMs = nowMs - attempt.sentAtMs
-        traces.add(AttemptTrace(attempt.placement, outcome.code, detail, tookMs, attempt.isHedge))
+        traces.add(AttemptTrace(attempt.placement, outcome.code, detail, tookMs, isHedge = attempt.hedgeRoom != null))
         val report = AttemptReport(outcome, mayHaveExecuted, tookMs, isBrokenOff)
         mayHaveExecuted = mayHaveExecuted || !outcome.isNotExecuted
         return report
