--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/CandidateServers.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/CandidateServers.kt
@@ -9,6 +9,7 @@
 import org.cardamomwharf.steering.Distance
 import org.cardamomwharf.steering.SteeringParameters
 import org.cardamomwharf.steering.desired.ActiveRoutes
+import org.cardamomwharf.steering.desired.TransferKind
 import org.cardamomwharf.steering.limits.LimitSharing
 import org.cardamomwharf.steering.requests.RequestSpec
 import org.cardamomwharf.steering.servers.KnownServer
@@ -49,14 +50,18 @@
     }
 
     /**
-     * Returns the servers of [ready] to score, grouped by region and ordered by rank for the key. Only the
-     * highest-ranked servers are returned, because only they are likely to have the key cached.
+     * Returns the servers of [ready] to score, in groups that are each ordered by rank for the key. Only the
+     * highest-ranked servers are returned, because only they are likely to have the key cached. The groups are the
+     * regions; for large bodies the own zone is a group of its own, so that they have a server without traffic between
+     * zones.
      */
-    fun selectByRegion(spec: RequestSpec, ready: List<KnownServer>): Collection<List<KnownServer>> {
+    fun selectByGroup(spec: RequestSpec, ready: List<KnownServer>): Collection<List<KnownServer>> {
         val keyHash = hash64("${spec.service.value}/${spec.affinityKey ?: spec.id}")
         val limits = parameters.candidateLimits
         val hasOwnRegion = ready.any { it.distance != Distance.OTHER_REGION }
-        return ready.groupBy { it.region }.values.map { group ->
+        val hasLargeBodies = spec.route.transfer != TransferKind.SMALL
+        val groups = ready.groupBy { it.region to (hasLargeBodies && it.distance == Distance.SAME_ZONE) }
+        return groups.values.map { group ->
             val isOtherRegion = group.first().distance == Distance.OTHER_REGION
             val count = if (isOtherRegion && hasOwnRegion) limits.otherRegionServers else limits.ownRegionServers
             selectFirstChoices(group, keyHash, count)
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/ServerScorer.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/ServerScorer.kt
@@ -5,6 +5,7 @@
 
 import org.cardamomwharf.steering.Distance
 import org.cardamomwharf.steering.SteeringParameters
+import org.cardamomwharf.steering.desired.TransferKind
 import org.cardamomwharf.steering.requests.RequestSpec
 import org.cardamomwharf.steering.servers.KnownServer
 
@@ -74,7 +75,7 @@
         val startsAtMs = nowMs + (networkMs / 2 + queueMs).toLong()
         val processingMs = estimate.expectedMs(warmth) * slowness * server.load.slowdown(startsAtMs)
         val times = PredictedTimes(networkMs, queueMs, processingMs)
-        val penaltyMs = distancePenaltyMs(server.distance) +
+        val penaltyMs = distancePenaltyMs(spec.route.transfer, server.distance) +
             parameters.spreadPenaltyFactor * spread(server, place) * estimate.savedMs +
             server.health.failureRate(nowMs) * spec.route.targetLatencyMs -
             if (server.isUntried && spec.route.isIdempotent) estimate.coldMs else 0.0
@@ -117,9 +118,10 @@
         return minOf(place.rank, MAX_PENALIZED_RANK) + regionSpread
     }
 
-    private fun distancePenaltyMs(distance: Distance): Double = when (distance) {
-        Distance.SAME_ZONE -> 0.0
-        Distance.SAME_REGION -> parameters.zonePenaltyMs
-        Distance.OTHER_REGION -> parameters.regionPenaltyMs
+    private fun distancePenaltyMs(transfer: TransferKind, distance: Distance): Double = when {
+        distance == Distance.SAME_ZONE -> 0.0
+        transfer != TransferKind.SMALL -> parameters.largeBodyPenaltyMs
+        distance == Distance.SAME_REGION -> parameters.zonePenaltyMs
+        else -> parameters.regionPenaltyMs
     }
 }
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/ServerSelector.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/ServerSelector.kt
@@ -66,7 +66,7 @@
         nowMs: Long,
     ): Placement {
         val keyRegion = spillover.keyRegionOf(spec, nowMs)
-        val scores = candidates.selectByRegion(spec, ready).flatMap { scoreGroup(spec, estimate, it, keyRegion, nowMs) }
+        val scores = candidates.selectByGroup(spec, ready).flatMap { scoreGroup(spec, estimate, it, keyRegion, nowMs) }
         val queueShare = queueAllowance.shareFor(spec, nowMs)
         val cheapest = selectBest(spec, scores, keyRegion, queueShare, nowMs)
         val hasOwnRegion = scores.any { it.server.distance != Distance.OTHER_REGION }
