--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/settings/GatewaySettingsReader.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/settings/GatewaySettingsReader.kt
@@ -24,7 +24,7 @@
 
 private const val MS_PER_SECOND = 1_000
 private const val MAX_SECONDS = 3_600.0
-internal const val MAX_ALLOWANCE = 1_000_000L
+internal const val MAX_ALLOWANCE = 1_000_000.0
 private const val MAX_RETRY_RATIO = 10.0
 private val placeholderAddress = SocketAddress("0.0.0.0", 1)
 
@@ -83,7 +83,7 @@
 private fun YamlFields.readBounds() = GatewayBounds(
     stopMs = milliseconds("stopS"),
     retryRatio = decimal("retryRatio", MAX_RETRY_RATIO),
-    retryAllowance = integer("retryAllowance", 0..MAX_ALLOWANCE).toInt(),
+    retryAllowance = decimal("retryAllowance", MAX_ALLOWANCE).toInt(),
     retryWindowMs = milliseconds("retryWindowS"),
     maxShift = decimal("largestShift", 1.0),
 )
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/settings/OptionalSettingsReader.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/settings/OptionalSettingsReader.kt
@@ -8,13 +8,13 @@
 import org.cardamomwharf.steering.teams.LimitTolerance
 import org.cardamomwharf.steering.teams.TeamParameters
 
-private const val MAX_MEMORY_MB = 1_048_576L
+private const val MAX_MEMORY_MB = 1_048_576.0
 private const val MAX_LINK_MBPS = 1_000_000.0
 private const val MAX_KEY_AGE_MS = 3_600_000L
 private const val MAX_LIMIT_OVERSHOOT = 10.0
 
 internal fun YamlFields.readMachine() = MachineCapacity(
-    memoryMb = integer("memoryMb", 1..MAX_MEMORY_MB),
+    memoryMb = decimal("memoryMb", MAX_MEMORY_MB).toLong(),
     linkMbps = decimal("linkMbps", MAX_LINK_MBPS),
 )
 
@@ -26,5 +26,5 @@
 private fun YamlFields.readLimitTolerance() = LimitTolerance(
     windowMs = milliseconds("windowS"),
     overshoot = decimal("overshoot", MAX_LIMIT_OVERSHOOT),
-    slack = integer("slack", 0..MAX_ALLOWANCE).toInt(),
+    slack = decimal("slack", MAX_ALLOWANCE).toInt(),
 )
--- a/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/settings/GatewaySettingsTest.kt
+++ b/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/settings/GatewaySettingsTest.kt
@@ -72,6 +72,16 @@
         settings.toParameters().hedging.maxShare shouldBe 0.05
     }
 
+    // Guards against processes that don't start: the platform states amounts as fractions in some deployments.
+    test("`amounts with a fraction are rounded down`") {
+        val text = VALID_SETTINGS.replace("retryAllowance: 64", "retryAllowance: 35.918") +
+            OPTIONAL_SETTINGS.replace("slack: 20", "slack: 20.7").replace("memoryMb: 430", "memoryMb: 430.5")
+        val settings = parseGatewaySettings(text).getOrElse { null }.shouldNotBeNull()
+        settings.bounds.retryAllowance shouldBe 35
+        settings.teams.limitTolerance.slack shouldBe 20
+        settings.machine?.memoryMb shouldBe 430
+    }
+
     test("`every problem names its field`") {
         val text = VALID_SETTINGS.replace("10.200.1.7:8384", "nowhere").replace("[7200, 7215]", "[7215, 7200]")
             .replace("retryRatio: 0.2", "retryRatio: -1")
