Let a queue in the own zone outweigh the traffic of large bodies

Change: only zones with two or more servers cache keys of large bodies on their own, and the penalty is 60 ms.

--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/SteeringParameters.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/SteeringParameters.kt
@@ -55,10 +55,10 @@
     /** Cost of sending a request to another region, as time; its traffic costs about 0.06 of a request. */
     public val regionPenaltyMs: Double = 40.0,
     /**
-     * Cost of sending a request with a large body, or with a large response, to another zone, as time. About 60 KB cost
-     * forty times as much traffic as a small request.
+     * Cost of sending a request with a large body, or with a large response, to another zone, as time; below a tenth of
+     * the usual target latencies of such requests, so that a queue in the own zone outweighs it.
      */
-    public val largeBodyPenaltyMs: Double = 320.0,
+    public val largeBodyPenaltyMs: Double = 60.0,
     /**
      * Cost of each further rank in a key's server order, as a fraction of the time that a warm key saves. A server
      * caches few keys, so a request on a lower-ranked server also evicts other keys there. LoadPatternTest covers the
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/CandidateServers.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/CandidateServers.kt
@@ -18,6 +18,9 @@
 /** Multiple of the expected cold time without any response after which a server with pending requests is skipped. */
 private const val UNANSWERED_FACTOR = 2.5
 
+/** Number of servers of a zone from which on it caches keys on its own; a single one would get all keys of the zone. */
+private const val MIN_ZONE_SERVERS = 2
+
 /** Minimum time without a response before a server is skipped. */
 private const val MIN_UNANSWERED_MS = 700L
 
@@ -52,15 +55,16 @@
     /**
      * Returns the servers of [ready] to score, in groups that are each ordered by rank for the key. Only the
      * highest-ranked servers are returned, because only they are likely to have the key cached. The groups are the
-     * regions; for large bodies the own zone is a group of its own, so that they have a server without traffic between
-     * zones.
+     * regions; for large bodies the own zone is a group of its own if it has several servers, so that they have one
+     * without traffic between zones.
      */
     fun selectByGroup(spec: RequestSpec, ready: List<KnownServer>): Collection<List<KnownServer>> {
         val keyHash = hash64("${spec.service.value}/${spec.affinityKey ?: spec.id}")
         val limits = parameters.candidateLimits
         val hasOwnRegion = ready.any { it.distance != Distance.OTHER_REGION }
-        val hasLargeBodies = spec.route.transfer != TransferKind.SMALL
-        val groups = ready.groupBy { it.region to (hasLargeBodies && it.distance == Distance.SAME_ZONE) }
+        val hasZoneGroup = spec.route.transfer != TransferKind.SMALL &&
+            ready.count { it.distance == Distance.SAME_ZONE } >= MIN_ZONE_SERVERS
+        val groups = ready.groupBy { it.region to (hasZoneGroup && it.distance == Distance.SAME_ZONE) }
         return groups.values.map { group ->
             val isOtherRegion = group.first().distance == Distance.OTHER_REGION
             val count = if (isOtherRegion && hasOwnRegion) limits.otherRegionServers else limits.ownRegionServers
--- a/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/placement/LargeBodyPlacementTest.kt
+++ b/cardamomwharf-steering/src/test/kotlin/org/cardamomwharf/steering/placement/LargeBodyPlacementTest.kt
@@ -50,6 +50,15 @@
         }
     }
 
+    // A single server of the zone would get all keys and cache few of them.
+    test("`large bodies are spread over the region by their keys when the zone has a single server`") {
+        val zones = (1..KEYS).map { key ->
+            val steering = createSteering(createServer("home"), *Array(3) { createServer("other-$it", OTHER_ZONE) })
+            steering.zoneOf(steering.send(createSpec(key, downloads)))
+        }
+        zones.count { it == OTHER_ZONE } shouldBeGreaterThan KEYS / 4
+    }
+
     test("`small requests are spread over the region by their keys`") {
         val zones = (1..KEYS).map { key -> createRegion().let { it.zoneOf(it.send(createSpec(key))) } }
         zones.count { it == OTHER_ZONE } shouldBeGreaterThan KEYS / 4
