Log which requests and connections a planned stop ends

The outcome connection-closed stands for the former, the line request-interrupted for the latter, and the line stopped counts the connections that the stop closed or that were still open. No decision changes.

--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/listener/AheadRequest.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/listener/AheadRequest.kt
@@ -18,6 +18,9 @@
 
     /** Stops watching; must be called before the response is completed. */
     fun unwatchDisconnect()
+
+    /** True if this process closed the connection as idle. */
+    val isClosedAsIdle: Boolean
 }
 
 /** Source of the disconnect of this request's caller, or null if it can't be detected. */
@@ -34,6 +37,9 @@
     private var onDisconnect: (() -> Unit)? = null
     private var isCancelled = false
 
+    override val isClosedAsIdle: Boolean
+        get() = (metaData.connection.endPoint as? CallerEndPoint)?.isClosedAsIdle == true
+
     override fun getMethod(): String = head.method
 
     override fun getHttpURI(): HttpURI = uri
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/listener/AsyncHttpServer.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/listener/AsyncHttpServer.kt
@@ -105,10 +105,8 @@
     /** Returns the number of connections of the listener [name] that are open or being opened. */
     public fun countConnections(name: String): Int = connectors.getValue(name).connectionCount
 
-    /** Closes the connections of the listener [name] that carry no request and no part of one. */
-    public fun closeIdleConnections(name: String) {
-        connectors.getValue(name).closeIdleConnections()
-    }
+    /** Closes the connections of the listener [name] that carry no request and no part of one; returns their number. */
+    public fun closeIdleConnections(name: String): Int = connectors.getValue(name).closeIdleConnections()
 
     /** Stops the server and closes all connections immediately. */
     public fun stop() {
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/listener/CallerEndPoint.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/listener/CallerEndPoint.kt
@@ -35,15 +35,11 @@
     @Volatile
     private var isBufferRead = false
 
-    private val whenReadable = object : Callback {
-        override fun getInvocationType(): Invocable.InvocationType = Invocable.InvocationType.NON_BLOCKING
-
-        override fun succeeded() = readEarly()
+    @Volatile
+    override var isClosedAsIdle: Boolean = false
+        private set
 
-        override fun failed(cause: Throwable) {
-            if (cause !== stoppedWatching) notifyDisconnect()
-        }
-    }
+    private val whenReadable = EarlyReader()
 
     /** The requests that are handled before their turn. */
     val ahead = RequestsAhead()
@@ -86,6 +82,12 @@
         if (isReady && executor != null) executor.execute { fillInterest.fillable() } else super.needsFillInterest()
     }
 
+    /** Closes the connection because it carries no request. */
+    fun closeAsIdle() {
+        isClosedAsIdle = true
+        close()
+    }
+
     override fun doShutdownOutput() {
         ahead.end()
         super.doShutdownOutput()
@@ -112,32 +114,41 @@
         }
     }
 
-    private fun readEarly() {
-        var found = emptyList<AheadExchange>()
-        val isGone = synchronized(lock) {
-            if (onDisconnect == null) return
-            val bytes = early ?: EarlyInput()
-            val count = try {
-                bytes.append { super.fill(it) }
-            } catch (@Suppress("SwallowedException") e: IOException) {
-                -1
-            }
-            if (count > 0) {
-                early = bytes
-                found = ahead.recordInput(count, bytes.bytes)
-            }
-            if (count >= 0 && !bytes.isFull) tryFillInterested(whenReadable)
-            isInputEnded = count < 0
-            isInputEnded
-        }
-        if (isGone) notifyDisconnect() else found.forEach { it.start() }
-    }
-
     private fun notifyDisconnect() {
         synchronized(lock) { onDisconnect.also { onDisconnect = null } }?.invoke()
         ahead.end()
     }
 
+    /** Reads the bytes that arrive while a response is pending. */
+    private inner class EarlyReader : Callback {
+        override fun getInvocationType(): Invocable.InvocationType = Invocable.InvocationType.NON_BLOCKING
+
+        override fun succeeded() {
+            var found = emptyList<AheadExchange>()
+            val isGone = synchronized(lock) {
+                if (onDisconnect == null) return
+                val bytes = early ?: EarlyInput()
+                val count = try {
+                    bytes.append { super@CallerEndPoint.fill(it) }
+                } catch (@Suppress("SwallowedException") e: IOException) {
+                    -1
+                }
+                if (count > 0) {
+                    early = bytes
+                    found = ahead.recordInput(count, bytes.bytes)
+                }
+                if (count >= 0 && !bytes.isFull) tryFillInterested(this)
+                isInputEnded = count < 0
+                isInputEnded
+            }
+            if (isGone) notifyDisconnect() else found.forEach { it.start() }
+        }
+
+        override fun failed(cause: Throwable) {
+            if (cause !== stoppedWatching) notifyDisconnect()
+        }
+    }
+
     /** Records no suppressed exceptions, which would accumulate in the shared instance. */
     private class StoppedWatching : Throwable("the response is ready", null, false, false)
 
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/listener/GracefulCloseConnector.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/listener/GracefulCloseConnector.kt
@@ -49,10 +49,9 @@
         selectorManager.getBeans(ManagedSelector::class.java).forEach { it.submit { } }
     }
 
-    /** Closes the connections that carry no request and no part of one. */
-    fun closeIdleConnections() {
-        connectedEndPoints.filterIsInstance<CallerEndPoint>().filter { it.isIdle() }.forEach { it.close() }
-    }
+    /** Closes the connections that carry no request and no part of one, and returns their number. */
+    fun closeIdleConnections(): Int =
+        connectedEndPoints.filterIsInstance<CallerEndPoint>().filter { it.isIdle() }.onEach { it.closeAsIdle() }.size
 
     override fun newEndPoint(
         channel: SocketChannel,
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/ForwardingHandler.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/ForwardingHandler.kt
@@ -23,7 +23,7 @@
 import org.eclipse.jetty.server.Response
 import org.eclipse.jetty.util.Callback
 import org.eclipse.jetty.util.thread.Scheduler
-import java.util.concurrent.atomic.AtomicInteger
+import java.util.concurrent.ConcurrentHashMap
 
 /** Maximum body that is buffered for retries; far above the request bodies of the users. */
 private const val MAX_BUFFERED_BODY_BYTES = 1_048_576L
@@ -44,10 +44,10 @@
     internal val traceSink: TraceSink,
 ) {
     internal val bodies = BodyAdmission(pool.bodyBudget)
-    internal val inFlight = AtomicInteger()
+    internal val inFlight: MutableSet<RequestForwarder> = ConcurrentHashMap.newKeySet()
 
     /** Number of requests without a final response. */
-    public val requestsInFlight: Int get() = inFlight.get()
+    public val requestsInFlight: Int get() = inFlight.size
 
     /** Memory of the bodies that are held for callers and backend servers. */
     public val bodyBytes: Long get() = pool.bodyBudget.heldBytes
@@ -57,6 +57,9 @@
     public var isStopping: Boolean = false
         private set
 
+    /** Returns the requests without a final response. */
+    public fun findRequestsInFlight(): List<RequestInFlight> = inFlight.map { it.toRequestInFlight() }
+
     /** Begins to stop according to [plan]. */
     public fun beginStop(plan: StopPlan) {
         isStopping = true
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/RequestForwarder.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/RequestForwarder.kt
@@ -52,10 +52,14 @@
             fingerprintOf(request.method, request.httpURI.pathQuery, request.headers, body, spec.team?.name)
         spec = spec.copy(fingerprint = fingerprint)
         responses.fingerprint = spec.fingerprint
-        context.inFlight.incrementAndGet()
+        context.inFlight.add(this)
         request.addIdleTimeoutListener { false }
         val remainingMs = (spec.deadlineAtMs - context.clock.nowMs()).coerceAtLeast(0)
-        timer = context.scheduler.schedule(::onTimeout, remainingMs, TimeUnit.MILLISECONDS)
+        timer = context.scheduler.schedule(
+            { finish(AttemptOutcome.TIMED_OUT) { responses.reply(timeoutReply, sent.traces) } },
+            remainingMs,
+            TimeUnit.MILLISECONDS,
+        )
         disconnects?.watchDisconnect(::onCallerDisconnect)
         val (placement, hedgeDelayMs) = context.steering.withLock { steering, nowMs ->
             val placement = steering.place(spec, nowMs)
@@ -71,6 +75,17 @@
         }
     }
 
+    fun toRequestInFlight(): RequestInFlight = synchronized(this) {
+        val nowMs = context.clock.nowMs()
+        RequestInFlight(
+            requestId = spec.id,
+            service = spec.service,
+            servers = sent.placements.map { it.server },
+            tookMs = nowMs - spec.arrivedAtMs,
+            remainingMs = spec.deadlineAtMs - nowMs,
+        )
+    }
+
     /** Sends a hedge if the first attempt is still pending and nothing speaks against one. */
     private fun onFirstAttemptLate() {
         val placement = synchronized(this) {
@@ -153,10 +168,11 @@
         }
     }
 
-    private fun onTimeout() =
-        finish(AttemptOutcome.TIMED_OUT) { responses.reply(timeoutReply, sent.traces) }
-
-    private fun onCallerDisconnect() = finish(AttemptOutcome.CALLER_GONE) { responses.abort(sent.traces) }
+    private fun onCallerDisconnect() {
+        val isClosedHere = disconnects?.isClosedAsIdle == true
+        val outcome = if (isClosedHere) AttemptOutcome.CONNECTION_CLOSED else AttemptOutcome.CALLER_GONE
+        finish(outcome) { responses.abort(outcome, sent.traces) }
+    }
 
     /** Ends the request; attempts that are pending end with [outcome] and are cancelled. */
     private fun finish(outcome: AttemptOutcome = AttemptOutcome.SUPERSEDED, sendFinal: () -> Unit) {
@@ -173,7 +189,7 @@
         timer?.cancel()
         hedgeTimer?.cancel()
         disconnects?.unwatchDisconnect()
-        context.inFlight.decrementAndGet()
+        context.inFlight.remove(this)
         sendFinal()
         cancelled.forEach { it.call?.cancel() }
     }
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/RequestTrace.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/RequestTrace.kt
@@ -1,8 +1,10 @@
 /*
- * Traces of requests for logs and metrics.
+ * Traces of requests for logs and metrics, after their end and before it.
  */
 package org.cardamomwharf.forward.proxy
 
+import org.cardamomwharf.core.ServerName
+import org.cardamomwharf.core.ServiceName
 import org.cardamomwharf.steering.requests.Placement
 
 /**
@@ -43,6 +45,19 @@
     public val isHedge: Boolean = false,
 )
 
+/**
+ * Represents a request without a final response.
+ *
+ * @param servers backend servers of its attempts.
+ */
+public data class RequestInFlight(
+    public val requestId: String,
+    public val service: ServiceName,
+    public val servers: List<ServerName>,
+    public val tookMs: Long,
+    public val remainingMs: Long,
+)
+
 /** Receives the traces of completed requests; must not block. */
 public fun interface TraceSink {
     /** Records the [trace] of a completed request. */
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/ResponseSender.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/ResponseSender.kt
@@ -64,11 +64,11 @@
         writeLocalReply(reply, spec.id.ifEmpty { null }, isClosing, response, done)
     }
 
-    /** Ends the exchange without a response. */
-    fun abort(attempts: List<AttemptTrace>) {
-        trace(AttemptOutcome.CALLER_GONE.code, 0, attempts)
+    /** Ends the exchange without a response because the connection was closed, as [outcome] tells. */
+    fun abort(outcome: AttemptOutcome, attempts: List<AttemptTrace>) {
+        trace(outcome.code, 0, attempts)
         bodies?.release()
-        callback.failed(EofException("the caller closed the connection"))
+        callback.failed(EofException(outcome.code))
     }
 
     private fun trace(outcome: String, status: Int, attempts: List<AttemptTrace>) {
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/GracefulStop.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/GracefulStop.kt
@@ -5,7 +5,9 @@
  */
 package org.cardamomwharf.gateway
 
+import kotlinx.serialization.json.add
 import kotlinx.serialization.json.put
+import kotlinx.serialization.json.putJsonArray
 import org.cardamomwharf.forward.listener.AsyncHttpServer
 import org.cardamomwharf.forward.proxy.ForwardingContext
 import org.cardamomwharf.steering.requests.StopPlan
@@ -19,6 +21,9 @@
 /** Interval between checks for open connections. */
 private const val POLL_INTERVAL_MS = 20L
 
+/** Maximum number of log lines about requests that the end of the process interrupts. */
+private const val MAX_INTERRUPTED_LINES = 50
+
 internal class GracefulStop(
     private val context: TaskContext,
     private val forwarding: ForwardingContext,
@@ -39,16 +44,32 @@
         notifyPeers()
         waitUntil(plan.acceptUntilMs) { false }
         server.closeListener(listener)
+        var idleClosed = 0
         waitUntil(plan.endsAtMs) {
-            server.closeIdleConnections(listener)
+            idleClosed += server.closeIdleConnections(listener)
             server.countConnections(listener) == 0
         }
+        logInterrupted()
         context.log.event("stopped") {
             put("underWay", forwarding.requestsInFlight)
+            put("connections", server.countConnections(listener))
+            put("idleClosed", idleClosed)
             put("tookMs", context.clock.nowMs() - startedAtMs)
         }
     }
 
+    private fun logInterrupted() {
+        forwarding.findRequestsInFlight().take(MAX_INTERRUPTED_LINES).forEach { request ->
+            context.log.event("request-interrupted") {
+                put("id", request.requestId)
+                put("service", request.service.value)
+                put("tookMs", request.tookMs)
+                put("leftMs", request.remainingMs)
+                putJsonArray("servers") { request.servers.forEach { add(it.value) } }
+            }
+        }
+    }
+
     private fun waitUntil(deadlineMs: Long, isDone: () -> Boolean) {
         while (!isDone() && context.clock.nowMs() < deadlineMs) Thread.sleep(POLL_INTERVAL_MS)
     }
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/RouteEstimates.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/placement/RouteEstimates.kt
@@ -35,7 +35,8 @@
             AttemptOutcome.MISDIRECTED, AttemptOutcome.NOT_SENT, AttemptOutcome.LOST ->
                 server.health.recordFailure(nowMs)
             AttemptOutcome.TIMED_OUT -> recordTimeout(send, server, report.tookMs, nowMs)
-            AttemptOutcome.CALLER_GONE, AttemptOutcome.UNWRITABLE, AttemptOutcome.SUPERSEDED -> Unit
+            AttemptOutcome.CALLER_GONE, AttemptOutcome.CONNECTION_CLOSED, AttemptOutcome.UNWRITABLE,
+            AttemptOutcome.SUPERSEDED -> Unit
         }
     }
 
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/requests/AttemptOutcome.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/requests/AttemptOutcome.kt
@@ -37,14 +37,17 @@
     /** The caller closed its connection. */
     CALLER_GONE("caller-gone", false),
 
+    /** This process closed the connection of the caller. */
+    CONNECTION_CLOSED("connection-closed", false),
+
     /** Another attempt of the request was answered first. */
     SUPERSEDED("superseded", false),
     ;
 
     /** True when no retry may follow. */
     public val isFinal: Boolean
-        get() = this == ANSWERED || this == TIMED_OUT || this == CALLER_GONE || this == UNWRITABLE ||
-            this == SUPERSEDED
+        get() = this == ANSWERED || this == TIMED_OUT || this == CALLER_GONE || this == CONNECTION_CLOSED ||
+            this == UNWRITABLE || this == SUPERSEDED
 }
 
 /** Represents the step after an attempt. */
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/requests/FinalStep.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/requests/FinalStep.kt
@@ -10,8 +10,8 @@
  * @param retryAfterMs retry delay for a caller that is refused.
  */
 internal fun finalStepOf(report: AttemptReport, retryAfterMs: Long): NextStep = when (report.outcome) {
-    AttemptOutcome.ANSWERED, AttemptOutcome.FAILED, AttemptOutcome.CALLER_GONE, AttemptOutcome.SUPERSEDED ->
-        NextStep.RelayResponse
+    AttemptOutcome.ANSWERED, AttemptOutcome.FAILED, AttemptOutcome.CALLER_GONE, AttemptOutcome.CONNECTION_CLOSED,
+    AttemptOutcome.SUPERSEDED -> NextStep.RelayResponse
     AttemptOutcome.UNWRITABLE -> NextStep.RejectRequest
     AttemptOutcome.TIMED_OUT -> NextStep.ReportTimeout
     AttemptOutcome.LOST -> NextStep.ReportUnknown
