--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/listener/CallerEndPoint.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/listener/CallerEndPoint.kt
@@ -87,9 +87,9 @@
     }
 
     /**
-     * Closes the connection if it carries no request and no part of one, and returns whether it did. The decision and the
-     * end of its input are one step: a request that arrives before it keeps the connection open, and one that arrives
-     * after it is never read, so its caller may send it again.
+     * Closes the connection if it carries no request and no part of one, and returns whether it did. The decision and
+     * the end of its input are one step: a request that arrives before it keeps the connection open, and one that
+     * arrives after it is never read, so its caller may send it again.
      */
     fun closeIfIdle(): Boolean {
         val isClosing = synchronized(lock) { isIdle.also { if (it) isClosedAsIdle = true } }
