Leave a connection alone that carries another request when a call is cancelled

Callers would see: a booking ends with 502 (unknown) although its server was sound, because another request ended at its deadline.

A request that ends (deadline, caller gone, hedge superseded) cancels its call, and the cancel closed the connection that the call had been sent on. If the response had been read meanwhile, the connection was idle again or carried another request, which was lost with it. Servers end their work at the same deadline, so the response and the deadline come together.

Why the fix works: the connection closes under its lock only if it still carries the cancelled call.

--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/ServerCall.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/ServerCall.kt
@@ -49,13 +49,11 @@
     /** True when the call has a result. */
     public val isCompleted: Boolean get() = completed.get()
 
-    /** Cancels the call and closes its connection. */
+    /** Cancels the call and closes its connection, unless the connection carries another call by now. */
     public fun cancel() {
-        val current = connection
-        complete(
-            if (current == null) CallResult.NotSent(CallFailure.CANCELLED) else CallResult.Lost(CallFailure.CANCELLED),
-        )
-        current?.discard()
+        val isSent = connection != null
+        complete(if (isSent) CallResult.Lost(CallFailure.CANCELLED) else CallResult.NotSent(CallFailure.CANCELLED))
+        connection?.discardIfCarrying(this)
     }
 
     internal fun attach(next: ServerConnection) {
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/ServerConnection.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/ServerConnection.kt
@@ -32,6 +32,11 @@
 
     @Volatile
     private var isWritten = false
+    private val whenWritten = Callback.from(
+        Invocable.InvocationType.NON_BLOCKING,
+        { isWritten = true },
+        { _ -> fail(CallFailure.RESET) },
+    )
 
     /** Time at which the connection last became idle. */
     var idleSinceMs: Long = 0
@@ -71,7 +76,7 @@
             val body = next.request.body?.duplicate() ?: EMPTY
             // Another thread may read the response before flush returns; under the lock it waits for the result.
             val isFlushed = synchronized(this) { endPoint.flush(head, body).also { isWritten = it } }
-            if (!isFlushed) endPoint.write(whenWritten(), head, body)
+            if (!isFlushed) endPoint.write(whenWritten, head, body)
             true
         } catch (@Suppress("SwallowedException") e: IOException) {
             synchronized(this) { call = null }
@@ -80,12 +85,6 @@
         }
     }
 
-    private fun whenWritten(): Callback = Callback.from(
-        Invocable.InvocationType.NON_BLOCKING,
-        { isWritten = true },
-        { _ -> fail(CallFailure.RESET) },
-    )
-
     override fun onFillable() {
         // The thread is left to other connections after each buffer, also when more input is available.
         val finished = synchronized(this) { readOnce().also { if (it == null) fillInterested() } }
@@ -150,6 +149,12 @@
         close()
     }
 
+    /** Closes the connection if it still carries [cancelled]; otherwise it may belong to another call. */
+    fun discardIfCarrying(cancelled: ServerCall) {
+        val isCarrying = synchronized(this) { (call === cancelled).also { if (it) call = null } }
+        if (isCarrying) discard()
+    }
+
     override fun onClose(cause: Throwable?) {
         super.onClose(cause)
         pool.onClosed()
--- /dev/null
+++ b/cardamomwharf-forward/src/test/kotlin/org/cardamomwharf/forward/server/ConnectionOwnershipTest.kt
@@ -0,0 +1,74 @@
+/*
+ * Ends of a connection to a backend server that are decided while the connection passes on to another request: that
+ * request must not be lost with it.
+ */
+package org.cardamomwharf.forward.server
+
+import com.github.michaelbull.result.getOrThrow
+import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.shouldBe
+import io.kotest.matchers.types.shouldBeInstanceOf
+import org.cardamomwharf.core.Clock
+import org.cardamomwharf.core.ServerName
+import org.cardamomwharf.core.SocketAddress
+import org.cardamomwharf.forward.bodies.BodyBudgetSettings
+import org.cardamomwharf.forward.bodies.createBodyBudget
+import org.cardamomwharf.forward.support.responseText
+import org.cardamomwharf.platform.HeaderNames
+import org.eclipse.jetty.http.HttpFields
+import org.eclipse.jetty.io.ByteArrayEndPoint
+import org.eclipse.jetty.util.thread.QueuedThreadPool
+import java.util.concurrent.atomic.AtomicReference
+
+private const val BUDGET_BYTES = 1_000_000L
+private const val OUTPUT_BYTES = 65_536
+private val key = ServerKey(ServerName("s"), SocketAddress("127.0.0.1", 1))
+
+/** Reads input, and ends its connection, on the thread that adds the input or closes the end point. */
+private class DirectEndPoint : ByteArrayEndPoint(ByteArray(0), OUTPUT_BYTES) {
+    override fun execute(task: Runnable) = task.run()
+
+    override fun onClose(failure: Throwable?) {
+        super.onClose(failure)
+        connection.onClose(failure)
+    }
+}
+
+class ConnectionOwnershipTest : FunSpec({
+    val threads = QueuedThreadPool(4).apply { start() }
+    val budget = createBodyBudget(BodyBudgetSettings(BUDGET_BYTES, 0, 0))
+    val pool = startConnectionPool(ConnectionPoolSettings(), threads, Clock { 0 })
+    afterSpec {
+        pool.close()
+        threads.stop()
+    }
+
+    fun createCall(id: String, result: AtomicReference<CallResult>): ServerCall {
+        val fields = HttpFields.build().put("Host", "h").put(HeaderNames.REQUEST_ID, id)
+        val request = createServerRequest(id, "POST", "/x", fields, null).getOrThrow { error(it) }
+        val room = checkNotNull(budget.reserve(0, isSmall = true))
+        return ServerCall(key.server, key.address, request, room) { result.set(it) }
+    }
+
+    /** Opens a connection whose first call is [call]. */
+    fun open(endPoint: DirectEndPoint, call: ServerCall): ServerConnection =
+        ServerConnection(endPoint, threads, ConnectionPoolSettings(), pool, PendingConnection(pool, key, call, 0))
+            .also {
+                endPoint.connection = it
+                it.onOpen()
+            }
+
+    // Guards against: a request ends by its deadline while its response is read, and closes the connection on which
+    // another request was sent meanwhile.
+    test("`a cancelled call leaves a connection alone that carries another call`") {
+        val endPoint = DirectEndPoint()
+        val first = createCall("a", AtomicReference())
+        val connection = open(endPoint, first)
+        endPoint.addInput(responseText("a"))
+        val result = AtomicReference<CallResult>()
+        connection.send(createCall("b", result)) shouldBe true
+        first.cancel()
+        endPoint.addInput(responseText("b"))
+        result.get().shouldBeInstanceOf<CallResult.Completed>()
+    }
+})
