Remove expired connections to servers from the pool before they are closed

Callers would see: a request that may not be repeated ends with 502 although its server was sound.

The pool listed the expired idle connections and closed them afterwards; a request whose clock reading was older could take one in between and lose it.

Why the fix works: listing and removal are one step under the lock of the pool; whoever removed a connection owns it.

--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/ConnectionPool.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/ConnectionPool.kt
@@ -133,7 +133,7 @@
 
     /** Closes idle connections whose idle timeout has expired; call about once a second. */
     public fun closeExpired() {
-        idle.findExpired(clock.nowMs()).forEach { it.discard() }
+        idle.removeExpired(clock.nowMs()).forEach { it.discard() }
     }
 
     override fun close() {
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/IdleConnections.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/IdleConnections.kt
@@ -31,9 +31,13 @@
         if (connections.isEmpty()) byKey.remove(connection.key)
     }
 
+    /** Removes and returns the connections that have expired at [nowMs]; none of them can be taken any more. */
     @Synchronized
-    fun findExpired(nowMs: Long): List<ServerConnection> =
-        byKey.values.flatMap { connections -> connections.filter { isExpired(it, nowMs) } }
+    fun removeExpired(nowMs: Long): List<ServerConnection> {
+        val expired = byKey.values.flatMap { connections -> connections.filter { isExpired(it, nowMs) } }
+        expired.forEach { remove(it) }
+        return expired
+    }
 
     private fun isExpired(connection: ServerConnection, nowMs: Long): Boolean =
         nowMs - connection.idleSinceMs >= connection.idleTimeoutMs
--- a/cardamomwharf-forward/src/test/kotlin/org/cardamomwharf/forward/server/ConnectionOwnershipTest.kt
+++ b/cardamomwharf-forward/src/test/kotlin/org/cardamomwharf/forward/server/ConnectionOwnershipTest.kt
@@ -6,6 +6,7 @@
 
 import com.github.michaelbull.result.getOrThrow
 import io.kotest.core.spec.style.FunSpec
+import io.kotest.matchers.nulls.shouldBeNull
 import io.kotest.matchers.shouldBe
 import io.kotest.matchers.types.shouldBeInstanceOf
 import org.cardamomwharf.core.Clock
@@ -71,4 +72,14 @@
         endPoint.addInput(responseText("b"))
         result.get().shouldBeInstanceOf<CallResult.Completed>()
     }
+
+    // Guards against: an idle connection is found expired, a request takes it, and the connection is closed.
+    test("`an idle connection that is removed because it has expired can't be taken`") {
+        val idle = IdleConnections()
+        val connection = open(DirectEndPoint(), createCall("a", AtomicReference()))
+        connection.idleSinceMs = 0
+        idle.add(connection)
+        idle.removeExpired(connection.idleTimeoutMs) shouldBe listOf(connection)
+        idle.take(key, connection.idleTimeoutMs - 1).shouldBeNull()
+    }
 })
