Send no request on a connection to a server that unexpected bytes are ending

Callers would see: a request that may not be repeated ends with 502 although its server was sound.

Bytes or the end of input on an idle connection led to its close after the lock was left; a request that had taken the connection just before was sent in between and lost with it.

Why the fix works: the reader marks the connection under the lock under which a call is attached, and a marked connection takes none, so the pool uses another one.

--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/ServerConnection.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/ServerConnection.kt
@@ -30,6 +30,9 @@
     private var call: ServerCall? = null
     private var skipped = 0
 
+    /** True once input ended the connection; no further call is sent, although it may not be closed yet. */
+    private var isEnding = false
+
     @Volatile
     private var isWritten = false
     private val whenWritten = Callback.from(
@@ -64,6 +67,7 @@
     /** Sends [next]. Returns false if the connection is closed and nothing was sent. */
     fun send(next: ServerCall): Boolean {
         synchronized(this) {
+            if (isEnding) return false
             call = next
             skipped = 0
             reader.reset()
@@ -98,7 +102,10 @@
         if (count < 0) parser.atEOF()
         when {
             count == 0 -> null
-            call == null -> Finished { discard() }
+            call == null -> {
+                isEnding = true
+                Finished { discard() }
+            }
             else -> parse() ?: if (count < 0) Finished { fail(CallFailure.TRUNCATED) } else null
         }
     } catch (@Suppress("SwallowedException") e: IOException) {
--- a/cardamomwharf-forward/src/test/kotlin/org/cardamomwharf/forward/server/ConnectionOwnershipTest.kt
+++ b/cardamomwharf-forward/src/test/kotlin/org/cardamomwharf/forward/server/ConnectionOwnershipTest.kt
@@ -19,10 +19,13 @@
 import org.eclipse.jetty.http.HttpFields
 import org.eclipse.jetty.io.ByteArrayEndPoint
 import org.eclipse.jetty.util.thread.QueuedThreadPool
+import java.util.concurrent.CyclicBarrier
 import java.util.concurrent.atomic.AtomicReference
+import kotlin.concurrent.thread
 
 private const val BUDGET_BYTES = 1_000_000L
 private const val OUTPUT_BYTES = 65_536
+private const val ROUNDS = 3_000
 private val key = ServerKey(ServerName("s"), SocketAddress("127.0.0.1", 1))
 
 /** Reads input, and ends its connection, on the thread that adds the input or closes the end point. */
@@ -82,4 +85,25 @@
         idle.removeExpired(connection.idleTimeoutMs) shouldBe listOf(connection)
         idle.take(key, connection.idleTimeoutMs - 1).shouldBeNull()
     }
+
+    // Guards against: bytes that belong to no request end an idle connection while a request is sent on it.
+    test("`a request isn't sent on a connection that is being closed because of unexpected bytes`") {
+        repeat(ROUNDS) { round ->
+            val endPoint = DirectEndPoint()
+            val connection = open(endPoint, createCall("a", AtomicReference()))
+            endPoint.addInput(responseText("a"))
+            val result = AtomicReference<CallResult>()
+            val start = CyclicBarrier(2)
+            val other = thread {
+                start.await()
+                endPoint.addInput("stray")
+            }
+            val call = createCall("b$round", result)
+            start.await()
+            connection.send(call)
+            other.join()
+            val isClosedUnderCall = result.get() == CallResult.Lost(CallFailure.RESET)
+            isClosedUnderCall shouldBe false
+        }
+    }
 })
