Decide in one step whether the write of a response is too late

Callers would see: a request on a kept connection ends without an answer after a slow but complete download before it.

The time limit of a write closed the connection without a check; a limit that passed as the write ended closed it under the next request.

Why the fix works: the limit and the end of the write decide under one lock; when the limit wins, the exchange fails and no further request is read.

--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/CallerWrite.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/CallerWrite.kt
@@ -4,21 +4,21 @@
  */
 package org.cardamomwharf.forward.proxy
 
-import org.eclipse.jetty.server.Response
+import org.eclipse.jetty.io.EndPoint
 import org.eclipse.jetty.util.Callback
 import org.eclipse.jetty.util.thread.Invocable
 import org.eclipse.jetty.util.thread.Scheduler
 import java.util.concurrent.TimeUnit
 import java.util.concurrent.TimeoutException
 
-/** Completes [callback] after [onEnd] when the write of [response] ends. */
+/** Completes [callback] after [onEnd] when the write to [endPoint] ends. */
 internal class CallerWrite(
-    private val response: Response,
+    private val endPoint: EndPoint,
     private val callback: Callback,
     private val onEnd: () -> Unit,
 ) : Callback {
-    private val endPoint = response.request.connectionMetaData.connection.endPoint
     private var isEnded = false
+    private var isTooLate = false
     private var timer: Scheduler.Task? = null
 
     /** Closes the connection unless the write ends within [timeoutMs]; call when the write was started. */
@@ -30,9 +30,10 @@
 
     override fun getInvocationType(): Invocable.InvocationType = callback.invocationType
 
+    /** Fails the exchange of a connection that is being closed, so that no further request is read from it. */
     override fun succeeded() {
         end()
-        callback.succeeded()
+        if (isTooLate) callback.failed(timeout()) else callback.succeeded()
     }
 
     override fun failed(cause: Throwable) {
@@ -48,5 +49,10 @@
         onEnd()
     }
 
-    private fun closeConnection() = endPoint.close(TimeoutException("the caller doesn't take the response"))
+    private fun closeConnection() {
+        synchronized(this) { isTooLate = !isEnded }
+        if (isTooLate) endPoint.close(timeout())
+    }
+
+    private fun timeout() = TimeoutException("the caller doesn't take the response")
 }
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/ResponseSender.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/ResponseSender.kt
@@ -35,7 +35,8 @@
         context.bodies.recordResponse(spec.route, size)
         bodies?.request?.release()
         bodies?.response?.shrink(size.toLong())
-        val write = CallerWrite(response, callback) { bodies?.release() }
+        val endPoint = response.request.connectionMetaData.connection.endPoint
+        val write = CallerWrite(endPoint, callback) { bodies?.release() }
         writeServerResponse(serverResponse, context.isStopping, response, write)
         write.limitTime(context.scheduler, context.pool.bodyBudget.settings.writeTimeoutMs)
     }
