Attach a call to a server connection and send its first bytes in one step

Callers would see: a booking gets 502 (unknown) and then runs at another server; a request that may be repeated runs twice at once; a request whose caller has left runs all the same, on a connection that is never closed.

Whether a call may be sent was decided apart from sending: a reset of an idle connection was read, and the failure then hit the call that had been attached since, of which nothing was sent; and a call that was cancelled before it had a connection was sent.

Why the fix works: the check of the connection, the attachment and the first flush hold the lock that the reader holds when it ends the connection together with its call. A call that is visible to the reader has been sent at least in part.

--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/ConnectionPool.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/ConnectionPool.kt
@@ -85,8 +85,7 @@
         val key = ServerKey(call.server, call.address)
         var idleConnection = idle.take(key, clock.nowMs())
         while (idleConnection != null) {
-            if (idleConnection.isReusable() && idleConnection.send(call)) return
-            idleConnection.discard()
+            if (idleConnection.send(call)) return
             idleConnection = idle.take(key, clock.nowMs())
         }
         connect(key, call)
@@ -111,11 +110,7 @@
     internal fun onOpen(connection: ServerConnection, call: ServerCall) {
         open.incrementAndGet()
         openedCount.incrementAndGet()
-        if (call.isCompleted) {
-            onIdle(connection)
-        } else if (!connection.send(call)) {
-            call.complete(CallResult.NotSent(CallFailure.RESET))
-        }
+        if (!connection.send(call)) call.complete(CallResult.NotSent(CallFailure.RESET))
     }
 
     internal fun onIdle(connection: ServerConnection) {
--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/ServerConnection.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/ServerConnection.kt
@@ -30,7 +30,7 @@
     private var call: ServerCall? = null
     private var skipped = 0
 
-    /** True once input ended the connection; no further call is sent, although it may not be closed yet. */
+    /** True once the connection has ended; no further call is sent, although it may not be closed yet. */
     private var isEnding = false
 
     @Volatile
@@ -38,7 +38,7 @@
     private val whenWritten = Callback.from(
         Invocable.InvocationType.NON_BLOCKING,
         { isWritten = true },
-        { _ -> fail(CallFailure.RESET) },
+        { _ -> synchronized(this) { end(CallFailure.RESET) }.action() },
     )
 
     /** Time at which the connection last became idle. */
@@ -56,37 +56,47 @@
         pool.onOpen(this, first)
     }
 
-    /** Returns false if the backend server closed the connection or sent unexpected data. */
-    fun isReusable(): Boolean = try {
-        BufferUtil.clear(input)
-        endPoint.isOpen && endPoint.fill(input) == 0
-    } catch (@Suppress("SwallowedException") e: IOException) {
-        false
+    /** Sends [next]. Returns false if the connection can't be used any more and nothing was sent. */
+    fun send(next: ServerCall): Boolean {
+        val head = next.request.head.duplicate()
+        val body = next.request.body?.duplicate() ?: EMPTY
+        val attachment = synchronized(this) { attach(next, head, body) }
+        when (attachment) {
+            Attachment.WRITTEN -> Unit
+            Attachment.WRITING -> endPoint.write(whenWritten, head, body)
+            Attachment.CANCELLED -> pool.onIdle(this)
+            Attachment.REFUSED -> discard()
+        }
+        return attachment != Attachment.REFUSED
     }
 
-    /** Sends [next]. Returns false if the connection is closed and nothing was sent. */
-    fun send(next: ServerCall): Boolean {
-        synchronized(this) {
-            if (isEnding) return false
-            call = next
+    /**
+     * Makes [next] the call of this connection and flushes what it takes of [head] and [body]. Call while holding the
+     * lock: a reader that ends the connection finds no call of which nothing was sent.
+     */
+    private fun attach(next: ServerCall, head: ByteBuffer, body: ByteBuffer): Attachment = try {
+        BufferUtil.clear(input)
+        if (isEnding || endPoint.fill(input) != 0) {
+            isEnding = true // Unexpected bytes, or the backend server closed the connection.
+            Attachment.REFUSED
+        } else {
             skipped = 0
             reader.reset()
             reader.body.reservation = next.reservation
             parser.reset()
+            next.attach(this)
+            if (next.isCompleted) {
+                Attachment.CANCELLED
+            } else {
+                call = next
+                isWritten = endPoint.flush(head, body)
+                if (isWritten) Attachment.WRITTEN else Attachment.WRITING
+            }
         }
-        next.attach(this)
-        return try {
-            val head = next.request.head.duplicate()
-            val body = next.request.body?.duplicate() ?: EMPTY
-            // Another thread may read the response before flush returns; under the lock it waits for the result.
-            val isFlushed = synchronized(this) { endPoint.flush(head, body).also { isWritten = it } }
-            if (!isFlushed) endPoint.write(whenWritten, head, body)
-            true
-        } catch (@Suppress("SwallowedException") e: IOException) {
-            synchronized(this) { call = null }
-            discard()
-            false
-        }
+    } catch (@Suppress("SwallowedException") e: IOException) {
+        call = null
+        isEnding = true
+        Attachment.REFUSED
     }
 
     override fun onFillable() {
@@ -102,14 +112,11 @@
         if (count < 0) parser.atEOF()
         when {
             count == 0 -> null
-            call == null -> {
-                isEnding = true
-                Finished { discard() }
-            }
-            else -> parse() ?: if (count < 0) Finished { fail(CallFailure.TRUNCATED) } else null
+            call == null -> end(CallFailure.FOREIGN)
+            else -> parse() ?: if (count < 0) end(CallFailure.TRUNCATED) else null
         }
     } catch (@Suppress("SwallowedException") e: IOException) {
-        Finished { fail(CallFailure.RESET) }
+        end(CallFailure.RESET)
     }
 
     private fun parse(): Finished? {
@@ -125,9 +132,9 @@
         }
         val failure = reader.failure
         return when {
-            failure != null -> Finished { fail(failure) }
+            failure != null -> end(failure)
             !reader.isComplete -> null
-            reader.isMismatched(id) -> Finished { fail(CallFailure.FOREIGN) }
+            reader.isMismatched(id) -> end(CallFailure.FOREIGN)
             else -> {
                 val endedCall = checkNotNull(call)
                 val response = reader.toResponse()
@@ -144,10 +151,14 @@
         }
     }
 
-    private fun fail(failure: CallFailure) {
-        val failed = synchronized(this) { call.also { call = null } }
-        discard()
-        failed?.complete(CallResult.Lost(failure))
+    /** Ends the connection and, with [failure], the call that it carries. Call while holding the lock. */
+    private fun end(failure: CallFailure): Finished {
+        isEnding = true
+        val failed = call.also { call = null }
+        return Finished {
+            discard()
+            failed?.complete(CallResult.Lost(failure))
+        }
     }
 
     /** Removes the connection from the pool and closes it. */
@@ -172,6 +183,9 @@
         endedCall?.complete(CallResult.Lost(CallFailure.RESET))
     }
 
+    /** Represents what became of a call that was to be sent. */
+    private enum class Attachment { WRITTEN, WRITING, CANCELLED, REFUSED }
+
     /** Represents the end of the call or of the connection; [action] runs outside the lock. */
     private class Finished(val action: () -> Unit)
 
--- a/cardamomwharf-forward/src/test/kotlin/org/cardamomwharf/forward/server/ConnectionOwnershipTest.kt
+++ b/cardamomwharf-forward/src/test/kotlin/org/cardamomwharf/forward/server/ConnectionOwnershipTest.kt
@@ -19,6 +19,8 @@
 import org.eclipse.jetty.http.HttpFields
 import org.eclipse.jetty.io.ByteArrayEndPoint
 import org.eclipse.jetty.util.thread.QueuedThreadPool
+import java.io.IOException
+import java.nio.ByteBuffer
 import java.util.concurrent.CyclicBarrier
 import java.util.concurrent.atomic.AtomicReference
 import kotlin.concurrent.thread
@@ -30,12 +32,26 @@
 
 /** Reads input, and ends its connection, on the thread that adds the input or closes the end point. */
 private class DirectEndPoint : ByteArrayEndPoint(ByteArray(0), OUTPUT_BYTES) {
+    @Volatile
+    private var isReset = false
+
     override fun execute(task: Runnable) = task.run()
 
+    override fun fill(buffer: ByteBuffer): Int = if (isReset) throw IOException("reset") else super.fill(buffer)
+
+    override fun flush(vararg buffers: ByteBuffer): Boolean =
+        if (isReset) throw IOException("reset") else super.flush(*buffers)
+
     override fun onClose(failure: Throwable?) {
         super.onClose(failure)
         connection.onClose(failure)
     }
+
+    /** Lets reading and writing fail from now on. */
+    fun failIo() {
+        isReset = true
+        fillInterest.fillable()
+    }
 }
 
 class ConnectionOwnershipTest : FunSpec({
@@ -86,24 +102,53 @@
         idle.take(key, connection.idleTimeoutMs - 1).shouldBeNull()
     }
 
+    /** Sends a call on an idle connection while [event] happens, and returns whether it was sent and its result. */
+    fun sendWhile(event: DirectEndPoint.() -> Unit): Pair<Boolean, CallResult?> {
+        val endPoint = DirectEndPoint()
+        val connection = open(endPoint, createCall("a", AtomicReference()))
+        endPoint.addInput(responseText("a"))
+        val result = AtomicReference<CallResult>()
+        val call = createCall("b", result)
+        val start = CyclicBarrier(2)
+        val other = thread {
+            start.await()
+            endPoint.event()
+        }
+        start.await()
+        val isSent = connection.send(call)
+        other.join()
+        return isSent to result.get()
+    }
+
     // Guards against: bytes that belong to no request end an idle connection while a request is sent on it.
     test("`a request isn't sent on a connection that is being closed because of unexpected bytes`") {
-        repeat(ROUNDS) { round ->
-            val endPoint = DirectEndPoint()
-            val connection = open(endPoint, createCall("a", AtomicReference()))
-            endPoint.addInput(responseText("a"))
-            val result = AtomicReference<CallResult>()
-            val start = CyclicBarrier(2)
-            val other = thread {
-                start.await()
-                endPoint.addInput("stray")
-            }
-            val call = createCall("b$round", result)
-            start.await()
-            connection.send(call)
-            other.join()
-            val isClosedUnderCall = result.get() == CallResult.Lost(CallFailure.RESET)
+        repeat(ROUNDS) {
+            val (_, result) = sendWhile { addInput("stray") }
+            val isClosedUnderCall = result == CallResult.Lost(CallFailure.RESET)
             isClosedUnderCall shouldBe false
         }
     }
+
+    // Guards against: a request counts as lost, so its caller gets 502, and is then sent on another connection.
+    test("`a request of which nothing was sent because the connection was reset isn't lost`") {
+        repeat(ROUNDS) {
+            val (isSent, result) = sendWhile { failIo() }
+            val isLostUnsent = !isSent && result != null
+            isLostUnsent shouldBe false
+        }
+    }
+
+    // Guards against: a request whose caller has left runs at a server, and its connection is never closed.
+    test("`a call that was cancelled before it was sent isn't sent`") {
+        val endPoint = DirectEndPoint()
+        val connection = open(endPoint, createCall("a", AtomicReference()))
+        endPoint.addInput(responseText("a"))
+        endPoint.takeOutputString()
+        val result = AtomicReference<CallResult>()
+        val call = createCall("b", result)
+        call.cancel()
+        connection.send(call) shouldBe true
+        endPoint.takeOutputString() shouldBe ""
+        result.get() shouldBe CallResult.NotSent(CallFailure.CANCELLED)
+    }
 })
