Don't take a stale idle timeout for a caller that left

Callers would see: a request that was just passed on to a server ends with 500.

Jetty decides that a connection is idle and then fails whatever waits for input on it. A request that arrived in between had registered the watch for its caller's disconnect, which took the timeout for one.

Why the fix works: idle timeouts don't apply while a response is pending, so the watch is registered again.

--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/listener/CallerEndPoint.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/listener/CallerEndPoint.kt
@@ -17,6 +17,7 @@
 import java.nio.ByteBuffer
 import java.nio.channels.SelectionKey
 import java.nio.channels.SocketChannel
+import java.util.concurrent.TimeoutException
 
 /** Time without input after which a connection counts as idle; a request may be in transit until then. */
 private const val IDLE_MS = 250L
@@ -153,8 +154,11 @@
             if (isGone) notifyDisconnect() else found.forEach { it.start() }
         }
 
-        override fun failed(cause: Throwable) {
-            if (cause !== stoppedWatching) notifyDisconnect()
+        override fun failed(cause: Throwable) = when (cause) {
+            stoppedWatching -> Unit
+            // Jetty decided that the connection was idle before the request arrived.
+            is TimeoutException -> synchronized(lock) { if (onDisconnect != null) tryFillInterested(this) }
+            else -> notifyDisconnect()
         }
     }
 
