--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/RequestForwarder.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/proxy/RequestForwarder.kt
@@ -54,13 +54,13 @@
         responses.fingerprint = spec.fingerprint
         context.inFlight.add(this)
         request.addIdleTimeoutListener { false }
+        disconnects?.watchDisconnect(::onCallerDisconnect)
         val remainingMs = (spec.deadlineAtMs - context.clock.nowMs()).coerceAtLeast(0)
         timer = context.scheduler.schedule(
             { finish(AttemptOutcome.TIMED_OUT) { responses.reply(timeoutReply, sent.traces) } },
             remainingMs,
             TimeUnit.MILLISECONDS,
         )
-        disconnects?.watchDisconnect(::onCallerDisconnect)
         val (placement, hedgeDelayMs) = context.steering.withLock { steering, nowMs ->
             val placement = steering.place(spec, nowMs)
             placement to (placement as? Placement.Send)?.let { steering.hedges.delayMs(spec, it) }
