Handle signals before the first listener opens

A gateway that got SIGTERM soon after its start ended at once: its callers' connections closed without an answer, also those whose requests had been sent to a backend server. SIGHUP in the same time ended the process too instead of checking the settings.

Both handlers were registered after the start had returned, when the listeners were open already. Class: the process is ended in a state that another thread has changed since, here the state "nothing is served yet".

The handlers are now registered first. A stop waits for a start that has begun, so it closes what the start has opened; a stop before the start prevents it. Neither waits for the main thread, and a start that fails leaves nothing to stop, so its exit code stays.

--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/GatewayProcess.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/GatewayProcess.kt
@@ -76,7 +76,7 @@
 private const val TICKS_PER_SPILLOVER_LOG = 5
 
 /** Represents a running gateway process. */
-internal class GatewayProcess(private val settings: GatewaySettings) {
+internal class GatewayProcess(private val settings: GatewaySettings) : Daemon {
     private val clock = monotonicClock()
     private val log = DecisionLog(clock)
     private val taskContext = TaskContext(clock, log)
@@ -133,7 +133,7 @@
     private var ticks = 0
 
     /** Starts all components. After an error nothing is served, and the process has to exit. */
-    fun start(): Result<Unit, StartError> = try {
+    override fun start(): Result<Unit, StartError> = try {
         peerStateSync.attach(storeWatcher)
         peerStateSync.start()
         storeWatcher.start()
@@ -161,7 +161,7 @@
     }
 
     /** Stops the process without interrupting requests. */
-    fun stop() {
+    override fun stop() {
         GracefulStop(taskContext, forwarding, server, settings.bounds.stopMs)
             .run(CALLERS) { heartbeats.announceLeaving() }
     }
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/Main.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/Main.kt
@@ -9,14 +9,12 @@
 import kotlinx.cli.ArgParser
 import kotlinx.cli.ArgType
 import kotlinx.cli.default
-import org.apache.logging.log4j.LogManager
 import org.cardamomwharf.document.yaml.Problem
 import org.cardamomwharf.document.yaml.readText
 import org.cardamomwharf.gateway.selftest.runSelfTest
 import org.cardamomwharf.gateway.settings.GatewaySettings
 import org.cardamomwharf.gateway.settings.readGatewaySettings
 import org.cardamomwharf.logging.configureDecisionLog
-import sun.misc.Signal
 import java.nio.file.Path
 import java.util.concurrent.CountDownLatch
 import kotlin.system.exitProcess
@@ -67,11 +65,6 @@
 private fun serve(settings: GatewaySettings, settingsFile: Path) {
     configureDecisionLog()
     val process = GatewayProcess(settings)
-    process.start().onFailure {
-        LogManager.shutdown()
-        exitProcess(EXIT_START)
-    }
-    Runtime.getRuntime().addShutdownHook(Thread({ process.stop().also { LogManager.shutdown() } }, "stop"))
-    Signal.handle(Signal("HUP")) { process.reload(settingsFile) }
+    SignalledDaemon(process).start(JvmSignals) { process.reload(settingsFile) }.onFailure { exitProcess(EXIT_START) }
     CountDownLatch(1).await()
 }
