Go on with a stop of which a step failed

If a step of the graceful stop threw, the shutdown hook ended, and the process with it: callers whose requests were under way saw their connections close without an answer, and no line "stopped" was logged. Steps are the notification of other instances, the close of the listener (Linux refuses to accept when file descriptors run out), the close of idle connections, the count of the open ones, and the log.

Class: the process is ended for a reason that says nothing about its requests.

Each step is now attempted, whatever it throws, and its first failure logged as duty-failed if that is possible. The stop ends only when a count says that no connection is open, or at its deadline; a listener that couldn't be closed is closed again with the next check.

--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/BackgroundTask.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/BackgroundTask.kt
@@ -23,12 +23,17 @@
 internal fun <T : Any> runOrLogFailure(name: String, log: DecisionLog, step: () -> T): T? = try {
     step()
 } catch (e: Exception) {
+    logFailure(name, log, e)
+    null
+}
+
+/** Logs that the task named [name] failed with [cause]. */
+internal fun logFailure(name: String, log: DecisionLog, cause: Throwable) {
     log.event("duty-failed") {
         put("duty", name)
-        put("error", e.toString())
-        put("at", e.stackTrace.firstOrNull()?.toString())
+        put("error", cause.toString())
+        put("at", cause.stackTrace.firstOrNull()?.toString())
     }
-    null
 }
 
 private fun delayAfterFailure(): Boolean {
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/GracefulStop.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/GracefulStop.kt
@@ -31,6 +31,9 @@
     private val stopMs: Long,
     private val acceptMs: Long = (stopMs * ACCEPT_FRACTION).toLong(),
 ) {
+    /** Steps whose failure was logged; each may be repeated many times. */
+    private val failedSteps = mutableSetOf<String>()
+
     /**
      * Stops accepting requests at [listener]; returns when its last connection is closed or the stop timeout has almost
      * expired. Waits for connections, not requests: a request may be arriving on a connection, and the last response
@@ -38,24 +41,46 @@
      */
     fun run(listener: String, notifyPeers: () -> Unit) {
         val startedAtMs = context.clock.nowMs()
-        context.log.event("stop") { put("underWay", forwarding.requestsInFlight) }
         val plan = StopPlan(startedAtMs + acceptMs, startedAtMs + (stopMs * DEADLINE_FRACTION).toLong())
-        forwarding.beginStop(plan)
-        notifyPeers()
+        attempt("log") { context.log.event("stop") { put("underWay", forwarding.requestsInFlight) } }
+        attempt("begin") { forwarding.beginStop(plan) }
+        attempt("notify") { notifyPeers() }
         waitUntil(plan.acceptUntilMs) { false }
-        server.closeListener(listener)
+        val idleClosed = closeConnections(listener, plan.endsAtMs)
+        attempt("log") { logInterrupted() }
+        attempt("log") {
+            context.log.event("stopped") {
+                put("underWay", forwarding.requestsInFlight)
+                put("connections", server.countConnections(listener))
+                put("idleClosed", idleClosed)
+                put("tookMs", context.clock.nowMs() - startedAtMs)
+            }
+        }
+    }
+
+    /** Closes [listener] and waits until its connections are closed; returns the number of those that were idle. */
+    private fun closeConnections(listener: String, deadlineMs: Long): Int {
+        var isClosed = false
         var idleClosed = 0
-        waitUntil(plan.endsAtMs) {
-            idleClosed += server.closeIdleConnections(listener)
-            server.countConnections(listener) == 0
+        waitUntil(deadlineMs) {
+            isClosed = isClosed || attempt("close") { server.closeListener(listener) } != null
+            idleClosed += attempt("close-idle") { server.closeIdleConnections(listener) } ?: 0
+            isClosed && attempt("count") { server.countConnections(listener) } == 0
         }
-        logInterrupted()
-        context.log.event("stopped") {
-            put("underWay", forwarding.requestsInFlight)
-            put("connections", server.countConnections(listener))
-            put("idleClosed", idleClosed)
-            put("tookMs", context.clock.nowMs() - startedAtMs)
+        return idleClosed
+    }
+
+    /** Returns the result of [step], or null if it failed: the end of the stop would cut off the requests under way. */
+    @Suppress("TooGenericExceptionCaught", "SwallowedException") // The stop has to go on whatever a step throws.
+    private fun <T : Any> attempt(name: String, step: () -> T): T? = try {
+        step()
+    } catch (e: Throwable) {
+        try {
+            if (failedSteps.add(name)) logFailure("stop-$name", context.log, e)
+        } catch (unlogged: Throwable) {
+            // There is no other way to report it.
         }
+        null
     }
 
     private fun logInterrupted() {
