Count a connection from the moment at which it is accepted

A stop could end while the selector held a connection that it had accepted and not yet counted. The process then had a moment in which it could still read a request from it and send it to a backend server before the JVM ended; its caller saw the connection close without an answer. Found by reading; no run has shown the whole course.

The count began when Jetty passed the accepted connection to a selector, some instructions after accept() had taken it out of the queue, and a close of the listener doesn't wait for them. Class: check-then-act on the number of connections.

The connection is now counted before accept() is called, and until it is counted as one that is being opened. The connector is open to subclasses for this test.

--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/listener/GracefulCloseConnector.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/listener/GracefulCloseConnector.kt
@@ -21,11 +21,11 @@
 import java.util.concurrent.Executor
 import java.util.concurrent.atomic.AtomicInteger
 
-internal class GracefulCloseConnector(server: Server, private val configuration: HttpConfiguration) :
+internal open class GracefulCloseConnector(server: Server, private val configuration: HttpConfiguration) :
     ServerConnector(server, null, null, null, 0, 1, CallerConnectionFactory(configuration)) {
     private val pendingCount = AtomicInteger()
 
-    /** Number of connections that are open or accepted. */
+    /** Number of connections that are open or accepted; one may be counted twice while it is accepted. */
     val connectionCount: Int get() = pendingCount.get() + connectedEndPoints.size
 
     /** Sets the maximum size of a request head on connections that are opened from now on. */
@@ -73,6 +73,26 @@
 
     private inner class CountingSelectorManager(executor: Executor, scheduler: Scheduler, selectors: Int) :
         ServerConnectorManager(executor, scheduler, selectors) {
+        /** Counts the connection that this call may accept until [accepted] has returned. */
+        override fun doAccept(server: SelectableChannel): SelectableChannel? {
+            pendingCount.incrementAndGet()
+            var channel: SelectableChannel? = null
+            try {
+                channel = super.doAccept(server)
+            } finally {
+                if (channel == null) pendingCount.decrementAndGet()
+            }
+            return channel
+        }
+
+        override fun accepted(channel: SelectableChannel) {
+            try {
+                super.accepted(channel)
+            } finally {
+                pendingCount.decrementAndGet()
+            }
+        }
+
         override fun accept(channel: SelectableChannel, attachment: Any?) {
             pendingCount.incrementAndGet()
             super.accept(channel, attachment)
--- a/cardamomwharf-forward/src/test/kotlin/org/cardamomwharf/forward/listener/ClosedListenerTest.kt
+++ b/cardamomwharf-forward/src/test/kotlin/org/cardamomwharf/forward/listener/ClosedListenerTest.kt
@@ -84,6 +84,31 @@
         server.stop()
     }
 
+    // Guards against a stop that sees no connection while the selector holds one that it has accepted.
+    test("`a connection is counted from the moment at which it is accepted`") {
+        val isAccepted = CountDownLatch(1)
+        val mayContinue = CountDownLatch(1)
+        val server = Server()
+        val connector = object : GracefulCloseConnector(server, HttpConfiguration()) {
+            override fun configure(socket: Socket) {
+                isAccepted.countDown()
+                mayContinue.await()
+                super.configure(socket)
+            }
+        }
+        connector.host = HOST
+        server.addConnector(connector)
+        server.start()
+        Socket(HOST, connector.localPort).use {
+            isAccepted.await()
+            connector.close()
+            connector.connectionCount shouldBe 1
+            mayContinue.countDown()
+        }
+        while (connector.connectionCount > 0) Thread.sleep(POLL_INTERVAL_MS)
+        server.stop()
+    }
+
     test("`closing idle connections keeps those whose request has arrived in part`") {
         withServer { server, port ->
             val unused = Socket(HOST, port)
