Wait beyond the last deadline of a request before a stop ends

A request that was sent during a stop with its deadline at the end of the stop could be cut off: its connection closed without an answer, although the answer for a missed deadline was due at that moment.

A request may be sent if its deadline isn't after the time plan.endsAtMs, and the wait for connections ended at that very time. The answer follows the deadline by the delay of a timer and a write.

The new test sets the clock to the last deadline with a request under way: the stop returned at once before, and waits for the response now.

--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/GracefulStop.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/GracefulStop.kt
@@ -15,9 +15,12 @@
 /** Fraction of the stop timeout during which new requests are accepted; callers cache addresses for some seconds. */
 private const val ACCEPT_FRACTION = 0.5
 
-/** Fraction of the stop timeout after which the process exits even if connections are open. */
+/** Fraction of the stop timeout by which requests end; none is sent that may take longer. */
 private const val DEADLINE_FRACTION = 0.9
 
+/** Fraction of the stop timeout after which the process exits; a request is answered some time after its deadline. */
+private const val EXIT_FRACTION = 0.95
+
 /** Interval between checks for open connections. */
 private const val POLL_INTERVAL_MS = 20L
 
@@ -41,12 +44,12 @@
      */
     fun run(listener: String, notifyPeers: () -> Unit) {
         val startedAtMs = context.clock.nowMs()
-        val plan = StopPlan(startedAtMs + acceptMs, startedAtMs + (stopMs * DEADLINE_FRACTION).toLong())
+        val plan = StopPlan(startedAtMs + acceptMs, startedAtMs + fractionMs(DEADLINE_FRACTION))
         attempt("log") { context.log.event("stop") { put("underWay", forwarding.requestsInFlight) } }
         attempt("begin") { forwarding.beginStop(plan) }
         attempt("notify") { notifyPeers() }
         waitUntil(plan.acceptUntilMs) { false }
-        val idleClosed = closeConnections(listener, plan.endsAtMs)
+        val idleClosed = closeConnections(listener, startedAtMs + fractionMs(EXIT_FRACTION))
         attempt("log") { logInterrupted() }
         attempt("log") {
             context.log.event("stopped") {
@@ -83,6 +86,8 @@
         null
     }
 
+    private fun fractionMs(fraction: Double): Long = (stopMs * fraction).toLong()
+
     private fun logInterrupted() {
         forwarding.findRequestsInFlight().take(MAX_INTERRUPTED_LINES).forEach { request ->
             context.log.event("request-interrupted") {
--- a/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/GracefulStopTest.kt
+++ b/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/GracefulStopTest.kt
@@ -38,7 +38,7 @@
 private const val TIMEOUT_S = 30L
 private const val STOP_MS = 20_000L
 
-/** Nine tenths of the time to stop. */
+/** The latest deadline of a request that may be sent during the stop: nine tenths of its time. */
 private const val DEADLINE_MS = 18_000L
 
 /** Step of a clock that the test controls: the time between two readings. */
@@ -119,6 +119,22 @@
         }
     }
 
+    // Guards against a process that ends at the deadline of its last requests, before it has answered them.
+    test("`a request whose deadline is the last allowed one is answered after it`") {
+        val nowMs = AtomicLong()
+        StopUnderTest(clock = { nowMs.get() }).use { stop ->
+            stop.sendRequest()
+            val stopped = CountDownLatch(1)
+            thread {
+                stop.run { nowMs.set(DEADLINE_MS) }
+                stopped.countDown()
+            }
+            stopped.await(1, TimeUnit.SECONDS) shouldBe false
+            stop.readResponse() shouldStartWith "HTTP/1.1 200"
+            stopped.await(TIMEOUT_S, TimeUnit.SECONDS) shouldBe true
+        }
+    }
+
     // Guards against the end of a stop that couldn't close its listener or count its connections.
     test("`a stop lasts until its deadline if the listener can't be closed`") {
         val nowMs = AtomicLong()
--- a/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/requests/StopPlan.kt
+++ b/cardamomwharf-steering/src/main/kotlin/org/cardamomwharf/steering/requests/StopPlan.kt
@@ -11,7 +11,7 @@
  *
  * @param acceptUntilMs time until which callers may not have noticed the stop; later requests are sent only if their
  * deadline passes before the end, so that none is cut off.
- * @param endsAtMs time at which the process ends, even with requests under way.
+ * @param endsAtMs time by which requests end; the process ends soon afterwards, even with requests under way.
  */
 public data class StopPlan(public val acceptUntilMs: Long, public val endsAtMs: Long)
 
