--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/GracefulStop.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/GracefulStop.kt
@@ -15,9 +15,12 @@
 /** Fraction of the stop timeout during which new requests are accepted; callers cache addresses for some seconds. */
 private const val ACCEPT_FRACTION = 0.5
 
-/** Fraction of the stop timeout after which the process exits even if connections are open. */
+/** Fraction of the stop timeout by which requests end; none is sent that may take longer. */
 private const val DEADLINE_FRACTION = 0.9
 
+/** Fraction of the stop timeout after which the process exits; a request is answered some time after its deadline. */
+private const val EXIT_FRACTION = 0.95
+
 /** Interval between checks for open connections. */
 private const val POLL_INTERVAL_MS = 20L
 
@@ -31,6 +34,9 @@
     private val stopMs: Long,
     private val acceptMs: Long = (stopMs * ACCEPT_FRACTION).toLong(),
 ) {
+    /** Steps whose failure was logged; each may be repeated many times. */
+    private val failedSteps = mutableSetOf<String>()
+
     /**
      * Stops accepting requests at [listener]; returns when its last connection is closed or the stop timeout has almost
      * expired. Waits for connections, not requests: a request may be arriving on a connection, and the last response
@@ -38,26 +44,50 @@
      */
     fun run(listener: String, notifyPeers: () -> Unit) {
         val startedAtMs = context.clock.nowMs()
-        context.log.event("stop") { put("underWay", forwarding.requestsInFlight) }
-        val plan = StopPlan(startedAtMs + acceptMs, startedAtMs + (stopMs * DEADLINE_FRACTION).toLong())
-        forwarding.beginStop(plan)
-        notifyPeers()
+        val plan = StopPlan(startedAtMs + acceptMs, startedAtMs + fractionMs(DEADLINE_FRACTION))
+        attempt("log") { context.log.event("stop") { put("underWay", forwarding.requestsInFlight) } }
+        attempt("begin") { forwarding.beginStop(plan) }
+        attempt("notify") { notifyPeers() }
         waitUntil(plan.acceptUntilMs) { false }
-        server.closeListener(listener)
+        val idleClosed = closeConnections(listener, startedAtMs + fractionMs(EXIT_FRACTION))
+        attempt("log") { logInterrupted() }
+        attempt("log") {
+            context.log.event("stopped") {
+                put("underWay", forwarding.requestsInFlight)
+                put("connections", server.countConnections(listener))
+                put("idleClosed", idleClosed)
+                put("tookMs", context.clock.nowMs() - startedAtMs)
+            }
+        }
+    }
+
+    /** Closes [listener] and waits until its connections are closed; returns the number of those that were idle. */
+    private fun closeConnections(listener: String, deadlineMs: Long): Int {
+        var isClosed = false
         var idleClosed = 0
-        waitUntil(plan.endsAtMs) {
-            idleClosed += server.closeIdleConnections(listener)
-            server.countConnections(listener) == 0
+        waitUntil(deadlineMs) {
+            isClosed = isClosed || attempt("close") { server.closeListener(listener) } != null
+            idleClosed += attempt("close-idle") { server.closeIdleConnections(listener) } ?: 0
+            isClosed && attempt("count") { server.countConnections(listener) } == 0
         }
-        logInterrupted()
-        context.log.event("stopped") {
-            put("underWay", forwarding.requestsInFlight)
-            put("connections", server.countConnections(listener))
-            put("idleClosed", idleClosed)
-            put("tookMs", context.clock.nowMs() - startedAtMs)
+        return idleClosed
+    }
+
+    /** Returns the result of [step], or null if it failed: the end of the stop would cut off the requests under way. */
+    @Suppress("TooGenericExceptionCaught", "SwallowedException") // The stop has to go on whatever a step throws.
+    private fun <T : Any> attempt(name: String, step: () -> T): T? = try {
+        step()
+    } catch (e: Throwable) {
+        try {
+            if (failedSteps.add(name)) logFailure("stop-$name", context.log, e)
+        } catch (unlogged: Throwable) {
+            // There is no other way to report it.
         }
+        null
     }
 
+    private fun fractionMs(fraction: Double): Long = (stopMs * fraction).toLong()
+
     private fun logInterrupted() {
         forwarding.findRequestsInFlight().take(MAX_INTERRUPTED_LINES).forEach { request ->
             context.log.event("request-interrupted") {
