Refuse requests that reach an entry process after its decisions ended

Callers saw: a request on an open connection, sent while the process stopped, ended without an answer although it never ran. Peers would see: the outcome of a request that was handed over then is unknown.

The decision loop ended with the exit effect, and the listeners were closed later: after the writes of final claim states (up to 5 s) and within the stop of the server (1 s). Requests of that time, and those queued behind the exit, were accepted and never handled.

Why the fix works: the loop goes on refusing requests until the listeners are closed. The exit effect comes only when new requests of callers and peers are refused, so nothing is started after it.

--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/EntryProcess.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/EntryProcess.kt
@@ -151,6 +151,7 @@
         callerServer?.stop()
         admin.stop()
         peerNode.close()
+        decisionLoop.stop()
         log.info("${settings.name.value} has left${if (isComplete) "" else " with open requests"}.")
     }
 
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/loop/DecisionLoop.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/loop/DecisionLoop.kt
@@ -1,6 +1,7 @@
 /*
  * Event loop on a single thread. It polls events from the queue, computes the next state, passes the effects to their
- * runner, and publishes snapshots of the state and of the view for look-ups.
+ * runner, and publishes snapshots of the state and of the view for look-ups. After the exit effect it goes on refusing
+ * requests until it is stopped: the listeners are closed later, and nothing else answers what they accept until then.
  */
 package org.cardamomwharf.entry.loop
 
@@ -40,6 +41,9 @@
     private var lastTickAtMs = clock.nowMs()
     private var lastPublishAtMs = 0L
 
+    @Volatile
+    private var isStopped = false
+
     /** The latest published snapshot. */
     @Volatile
     public var snapshot: Snapshot = Snapshot(state, null, clock.nowMs())
@@ -56,12 +60,26 @@
     public fun awaitExit(timeoutMs: Long): Boolean =
         exitLatch.await(timeoutMs, java.util.concurrent.TimeUnit.MILLISECONDS)
 
+    /** Stops the decision thread once no listener accepts requests any more. */
+    public fun stop() {
+        isStopped = true
+    }
+
     private fun runLoop(runner: EffectRunner) {
-        while (exitLatch.count > 0) {
+        while (exitLatch.count > 0 && !isStopped) {
             val event = eventQueue.poll(getMsUntilNextTick())
             if (event != null) processEvent(event, runner)
             if (getMsUntilNextTick() <= 0) tick(runner)
         }
+        refuseRequests(runner)
+    }
+
+    /** Processes requests alone: the exit effect comes when all of them are refused and no other work is open. */
+    private fun refuseRequests(runner: EffectRunner) {
+        while (!isStopped) {
+            val event = eventQueue.poll(times.tickIntervalMs)
+            if (event is EntryEvent.RequestArrived) processEvent(event, runner)
+        }
     }
 
     private fun getMsUntilNextTick(): Long = (lastTickAtMs + times.tickIntervalMs - clock.nowMs()).coerceAtLeast(0)
