Let callers read their responses to the end when an entry process stops

Callers would see: a truncated response to a request that ran, from an entry process that stopped although time was left.

The process counts a request as complete when its response is handed to the server, and the server was stopped a second later, whether the caller had read it or not.

Evidence: ServerStopTest, with the timeout as a parameter that the server ignored as before, received 17,370,147 of 40,000,000 bytes; it passes now. All other tests of the module pass.

Connections that stay idle are still closed after a second.

--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/EntryProcess.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/EntryProcess.kt
@@ -53,6 +53,9 @@
 private const val ADMIN_THREADS = 16
 private const val FINAL_WRITE_POLL_MS = 100L
 private const val FINAL_WRITE_TIMEOUT_MS = 5_000L
+
+/** Time for the responses that are being written when the time to exit has passed. */
+private const val MIN_RESPONSE_WRITE_MS = 1_000L
 private val log = ComponentLog("entry")
 
 /** Represents a running entry process. */
@@ -144,11 +147,12 @@
     /** Shuts down gracefully: completes open requests, writes pending final claim states and stops all components. */
     public fun stop() {
         log.info("${settings.name.value} is leaving.")
+        val deadlineMs = clock.nowMs() + settings.times.exitTimeoutMs
         eventQueue.put(EntryEvent.LeaveRequested)
         callerServer?.disableKeepAlive()
         val isComplete = decisionLoop.awaitExit(settings.times.exitTimeoutMs)
         awaitFinalWrites()
-        callerServer?.stop()
+        callerServer?.stop((deadlineMs - clock.nowMs()).coerceAtLeast(MIN_RESPONSE_WRITE_MS))
         admin.stop()
         peerNode.close()
         decisionLoop.stop()
--- a/cardamomwharf-http/src/main/kotlin/org/cardamomwharf/http/JettyServer.kt
+++ b/cardamomwharf-http/src/main/kotlin/org/cardamomwharf/http/JettyServer.kt
@@ -45,9 +45,9 @@
         bridge.isKeepAliveDisabled = true
     }
 
-    /** Stops the server; requests that are still open after a second are aborted. */
-    public fun stop() {
-        server.stopTimeout = STOP_TIMEOUT_MS
+    /** Stops the server; idle connections are closed after a second, and open requests aborted after [timeoutMs]. */
+    public fun stop(timeoutMs: Long = STOP_TIMEOUT_MS) {
+        server.stopTimeout = timeoutMs
         try {
             server.stop()
         } catch (@Suppress("SwallowedException") e: TimeoutException) {
