Register the stop of an entry process before it listens for callers

Callers saw: connections that were reset without an answer when the process got a SIGTERM shortly after its start.

The listener for callers was opened before the shutdown hook was registered; a SIGTERM in between ended the process at once, with whatever it had accepted.

Why the fix works: the hook is registered between the creation of the process and its start. A stop waits for a start that has begun and then leaves as usual; a start after a stop does nothing, so the server for callers never opens without an orderly stop. startEntryProcess had no other use and is removed.

--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/EntryProcess.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/EntryProcess.kt
@@ -58,7 +58,7 @@
 private const val MIN_RESPONSE_WRITE_MS = 1_000L
 private val log = ComponentLog("entry")
 
-/** Represents a running entry process. */
+/** Represents an entry process. */
 public class EntryProcess internal constructor(private val settings: EntrySettings) {
     private val clock = monotonicClock()
     private val eventQueue = EventQueue()
@@ -97,6 +97,7 @@
     private val peerSender = PeerSender(peerNode, requestRegistry, outgoingHandOvers, eventQueue, clock, metrics)
     private val admin = startAdminServer()
     private var callerServer: JettyServer? = null
+    private var isStopped = false
 
     private fun createPeerNode(): PeerNode {
         val incomingHandOvers = IncomingHandOvers(requestRegistry, eventQueue, clock)
@@ -116,7 +117,10 @@
         return startJettyServer(server, handler = api.handler)
     }
 
+    /** Starts the process, unless it was stopped before. */
+    @Synchronized
     internal fun start() {
+        if (isStopped) return
         documentManager.start()
         claimWorkers.start()
         claimExpirer.start()
@@ -146,16 +150,27 @@
 
     /** Shuts down gracefully: completes open requests, writes pending final claim states and stops all components. */
     public fun stop() {
+        endStart()?.let { leave(it) }
+        admin.stop()
+        peerNode.close()
+        decisionLoop.stop()
+    }
+
+    /** Waits for a start that has begun and prevents a later one; returns the server for callers if it was started. */
+    @Synchronized
+    private fun endStart(): JettyServer? {
+        isStopped = true
+        return callerServer
+    }
+
+    private fun leave(server: JettyServer) {
         log.info("${settings.name.value} is leaving.")
         val deadlineMs = clock.nowMs() + settings.times.exitTimeoutMs
         eventQueue.put(EntryEvent.LeaveRequested)
-        callerServer?.disableKeepAlive()
+        server.disableKeepAlive()
         val isComplete = decisionLoop.awaitExit(settings.times.exitTimeoutMs)
         awaitFinalWrites()
-        callerServer?.stop((deadlineMs - clock.nowMs()).coerceAtLeast(MIN_RESPONSE_WRITE_MS))
-        admin.stop()
-        peerNode.close()
-        decisionLoop.stop()
+        server.stop((deadlineMs - clock.nowMs()).coerceAtLeast(MIN_RESPONSE_WRITE_MS))
         log.info("${settings.name.value} has left${if (isComplete) "" else " with open requests"}.")
     }
 
@@ -169,7 +184,3 @@
         while (claimWorkers.pendingFinalWriteCount > 0 && clock.nowMs() < deadlineMs) Thread.sleep(FINAL_WRITE_POLL_MS)
     }
 }
-
-/** Returns a started entry process. */
-public fun startEntryProcess(settings: EntrySettings): EntryProcess =
-    EntryProcess(settings).also { it.start() }
--- a/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/Main.kt
+++ b/cardamomwharf-entry/src/main/kotlin/org/cardamomwharf/entry/Main.kt
@@ -36,8 +36,9 @@
 
 private fun serve(settings: EntrySettings) {
     configureLogs(settings.logFormat)
-    val process = startEntryProcess(settings)
+    val process = EntryProcess(settings)
     Runtime.getRuntime().addShutdownHook(Thread({ process.stop() }, "stop"))
+    process.start()
     process.awaitExit()
     exitProcess(0)
 }
