--- a/cardamomwharf-entry/src/test/kotlin/org/cardamomwharf/entry/StopAfterStartTest.kt
+++ b/cardamomwharf-entry/src/test/kotlin/org/cardamomwharf/entry/StopAfterStartTest.kt
@@ -12,7 +12,7 @@
 import java.nio.file.Path
 import java.util.concurrent.TimeUnit
 
-private const val HOST = "127.0.7.1"
+private const val HOST = "127.58.2.1"
 private const val CALLER_PORT = 8_000
 private const val SOCKET_TIMEOUT_MS = 60_000
 private const val EXIT_TIMEOUT_S = 60L
