--- a/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/ServerConnection.kt
+++ b/cardamomwharf-forward/src/main/kotlin/org/cardamomwharf/forward/server/ServerConnection.kt
@@ -76,19 +76,18 @@
      */
     private fun attach(next: ServerCall, head: ByteBuffer, body: ByteBuffer): Attachment = try {
         BufferUtil.clear(input)
-        if (isEnding || endPoint.fill(input) != 0) {
-            isEnding = true // Unexpected bytes, or the backend server closed the connection.
-            Attachment.REFUSED
-        } else {
-            skipped = 0
-            reader.reset()
-            reader.body.reservation = next.reservation
-            parser.reset()
-            next.attach(this)
-            if (next.isCompleted) {
-                Attachment.CANCELLED
-            } else {
+        // Bytes that no request is waiting for, or their end, make the connection unusable.
+        isEnding = isEnding || endPoint.fill(input) != 0
+        if (!isEnding) next.attach(this)
+        when {
+            isEnding -> Attachment.REFUSED
+            next.isCompleted -> Attachment.CANCELLED
+            else -> {
                 call = next
+                skipped = 0
+                reader.reset()
+                reader.body.reservation = next.reservation
+                parser.reset()
                 isWritten = endPoint.flush(head, body)
                 if (isWritten) Attachment.WRITTEN else Attachment.WRITING
             }
