Check in the soak that requests that ran are answered outside stops too

A connection that closes without an answer to a request that a server ran was reported only during a planned stop. A gateway that takes a caller for gone although it stayed would not have been seen otherwise. The check of stops is unchanged.

--- a/cardamomwharf-soak/src/main/kotlin/org/cardamomwharf/soak/SoakChecks.kt
+++ b/cardamomwharf-soak/src/main/kotlin/org/cardamomwharf/soak/SoakChecks.kt
@@ -36,7 +36,7 @@
 fun checkRun(record: SoakRecord, runs: Map<String, List<BackendRun>>, faultsEndedAtMs: Long): List<Violation> {
     val runsById = runs.values.flatten().groupingBy { it.requestId }.eachCount()
     return checkResponses(record, runsById) + checkLeavingServers(record, runs) + checkStops(record, runsById) +
-        checkServerResponses(record, runs) +
+        checkConnections(record, runsById) + checkServerResponses(record, runs) +
         record.regressions.map { Violation("versions never go back", it) } +
         record.unexpectedExits.map { Violation("an instance runs until it is stopped", it) } +
         checkRecovery(record, faultsEndedAtMs)
@@ -69,11 +69,20 @@
     call != null && record.isUndisturbed(call.instance, atMs - UNDISTURBED_MS, untilMs) &&
         record.isUndisturbed(SoakRecord.STORE, atMs - UNDISTURBED_MS, untilMs)
 
+/** Returns the requests that ran and whose connection closed without an answer, outside planned stops. */
+private fun checkConnections(record: SoakRecord, runsById: Map<String, Int>): List<Violation> = record.calls
+    .filter { it.isConnectionLost && it.id in runsById }
+    .filter { record.isRunning(it.instance, it.startedAtMs, it.endedAtMs) }
+    .filter { call -> record.stops.none { isDuring(call, it) } }
+    .map { Violation("a request that ran is answered", "$it") }
+
+private fun isDuring(call: CallRecord, stop: StopRecord): Boolean =
+    call.instance == stop.instance && call.startedAtMs <= stop.endedAtMs && call.endedAtMs >= stop.atMs
+
 private fun checkStops(record: SoakRecord, runsById: Map<String, Int>): List<Violation> = record.stops.flatMap { stop ->
     val isRunning = record.isRunning(stop.instance, stop.atMs, stop.endedAtMs)
     val interrupted = record.calls.filter { call ->
-        isRunning && call.instance == stop.instance && call.isConnectionLost && call.id in runsById &&
-            call.startedAtMs <= stop.endedAtMs && call.endedAtMs >= stop.atMs
+        isRunning && call.isConnectionLost && call.id in runsById && isDuring(call, stop)
     }
     val isLate = isRunning && stop.endedAtMs - stop.atMs > STOP_BOUND_MS
     interrupted.map { Violation("a planned stop cuts nothing off", "$it at $stop") } +
--- a/cardamomwharf-soak/src/test/kotlin/org/cardamomwharf/soak/SoakChecksTest.kt
+++ b/cardamomwharf-soak/src/test/kotlin/org/cardamomwharf/soak/SoakChecksTest.kt
@@ -83,6 +83,17 @@
         findViolations { stops.add(StopRecord("i1", 0, 7_000)) } shouldBe listOf("a planned stop ends in time")
     }
 
+    test("`a request that ran and got no answer is reported outside stops unless the process was killed`") {
+        val cut = call("a", 0, isConnectionLost = true)
+        val runs = listOf(ran("a"))
+        findViolations(cut, runs = runs) { stops.add(StopRecord("i1", 4_000, 9_000)) } shouldBe
+            listOf("a request that ran is answered")
+        findViolations(cut, runs = runs) {
+            disturbances.add(Disturbance("i1", SoakRecord.PROCESS, 10_000, 10_300))
+        }.shouldBeEmpty()
+        findViolations(cut).shouldBeEmpty()
+    }
+
     test("`a booking that ended with 502 is reported unless its server or the process was disturbed`") {
         val failed = call("a", 502)
         val runs = listOf(ran("a"))
