Count the time to stop from the signal

Callers would see: a request under way is cut off when a process is killed that was told to stop during a slow start.

Cause: since the handlers are registered before the start, a stop waits for a start that has begun; its time began only then.

The signal's time now begins the plan of the stop.

--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/GatewayProcess.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/GatewayProcess.kt
@@ -161,9 +161,9 @@
     }
 
     /** Stops the process without interrupting requests. */
-    override fun stop() {
+    override fun stop(signalledAtMs: Long) {
         GracefulStop(taskContext, forwarding, server, settings.bounds.stopMs)
-            .run(CALLERS) { heartbeats.announceLeaving() }
+            .run(CALLERS, signalledAtMs) { heartbeats.announceLeaving() }
     }
 
     private fun createListeners(): List<HttpListener> {
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/GracefulStop.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/GracefulStop.kt
@@ -40,10 +40,9 @@
     /**
      * Stops accepting requests at [listener]; returns when its last connection is closed or the stop timeout has almost
      * expired. Waits for connections, not requests: a request may be arriving on a connection, and the last response
-     * may not have been sent yet.
+     * may not have been sent yet. The stop timeout counts from [startedAtMs].
      */
-    fun run(listener: String, notifyPeers: () -> Unit) {
-        val startedAtMs = context.clock.nowMs()
+    fun run(listener: String, startedAtMs: Long, notifyPeers: () -> Unit) {
         val plan = StopPlan(startedAtMs + acceptMs, startedAtMs + fractionMs(DEADLINE_FRACTION))
         attempt("log") { context.log.event("stop") { put("underWay", forwarding.requestsInFlight) } }
         attempt("begin") { forwarding.beginStop(plan) }
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/Main.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/Main.kt
@@ -9,6 +9,7 @@
 import kotlinx.cli.ArgParser
 import kotlinx.cli.ArgType
 import kotlinx.cli.default
+import org.cardamomwharf.core.monotonicClock
 import org.cardamomwharf.document.yaml.Problem
 import org.cardamomwharf.document.yaml.readText
 import org.cardamomwharf.gateway.selftest.runSelfTest
@@ -65,6 +66,7 @@
 private fun serve(settings: GatewaySettings, settingsFile: Path) {
     configureDecisionLog()
     val process = GatewayProcess(settings)
-    SignalledDaemon(process).start(JvmSignals) { process.reload(settingsFile) }.onFailure { exitProcess(EXIT_START) }
+    SignalledDaemon(process, monotonicClock()).start(JvmSignals) { process.reload(settingsFile) }
+        .onFailure { exitProcess(EXIT_START) }
     CountDownLatch(1).await()
 }
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/SignalledDaemon.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/SignalledDaemon.kt
@@ -8,6 +8,7 @@
 import com.github.michaelbull.result.Result
 import com.github.michaelbull.result.onFailure
 import org.apache.logging.log4j.LogManager
+import org.cardamomwharf.core.Clock
 import sun.misc.Signal
 
 /** Represents the work of a process. */
@@ -15,8 +16,8 @@
     /** Starts to serve. After an error nothing is served. */
     fun start(): Result<Unit, StartError>
 
-    /** Returns when nothing is served any more. */
-    fun stop()
+    /** Returns when nothing is served any more; the time to stop counts from [signalledAtMs]. */
+    fun stop(signalledAtMs: Long)
 }
 
 /** Registers the actions to run on signals; each action runs on a thread of its own. */
@@ -45,7 +46,7 @@
     }
 }
 
-internal class SignalledDaemon(private val daemon: Daemon) {
+internal class SignalledDaemon(private val daemon: Daemon, private val clock: Clock) {
     private var isStopping = false
     private var isServing = false
 
@@ -65,10 +66,11 @@
 
     /** Waits for the end of a start that has begun, which isn't interrupted. */
     private fun stop() {
+        val signalledAtMs = clock.nowMs()
         val mustStop = synchronized(this) {
             isStopping = true
             isServing
         }
-        if (mustStop) daemon.stop()
+        if (mustStop) daemon.stop(signalledAtMs)
     }
 }
--- a/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/selftest/SelfTest.kt
+++ b/cardamomwharf-gateway/src/main/kotlin/org/cardamomwharf/gateway/selftest/SelfTest.kt
@@ -11,6 +11,7 @@
 import org.cardamomwharf.core.SocketAddress
 import org.cardamomwharf.core.StatusCode
 import org.cardamomwharf.core.ZoneName
+import org.cardamomwharf.core.monotonicClock
 import org.cardamomwharf.gateway.GatewayProcess
 import org.cardamomwharf.gateway.settings.GatewaySettings
 import org.cardamomwharf.gateway.settings.parseGatewaySettings
@@ -62,7 +63,7 @@
         "${ports.ready}/readyz",
         "${ports.metrics}/metrics",
     ).forEach { client.call(HttpCall("GET", "http://$HOST:$it", timeoutMs = CALL_TIMEOUT_MS)) }
-    process.stop()
+    process.stop(monotonicClock().nowMs())
     return servedCount == REQUIRED_RESPONSES
 }
 
--- a/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/CallerLimitsTest.kt
+++ b/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/CallerLimitsTest.kt
@@ -14,6 +14,7 @@
 import org.cardamomwharf.core.ServiceName
 import org.cardamomwharf.core.SocketAddress
 import org.cardamomwharf.core.ZoneName
+import org.cardamomwharf.core.monotonicClock
 import org.cardamomwharf.gateway.settings.parseGatewaySettings
 import org.cardamomwharf.platform.standin.BackendStandin
 import org.cardamomwharf.platform.standin.StoreFaults
@@ -73,7 +74,7 @@
     )
     process.start()
     afterSpec {
-        process.stop()
+        process.stop(monotonicClock().nowMs())
         servers.forEach { it.stop() }
     }
 
--- a/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/GracefulStopTest.kt
+++ b/cardamomwharf-gateway/src/test/kotlin/org/cardamomwharf/gateway/GracefulStopTest.kt
@@ -45,7 +45,7 @@
 private const val STEP_MS = 1_000L
 
 /** A stop that takes no new requests, of a listener whose requests end when the test allows their responses. */
-private class StopUnderTest(clock: Clock = monotonicClock(), logClock: Clock = clock) : AutoCloseable {
+private class StopUnderTest(private val clock: Clock = monotonicClock(), logClock: Clock = clock) : AutoCloseable {
     private val threads = startHttpThreads(AsyncHttpServerSettings())
     private val location = InstanceLocation(InstanceName("i"), ZoneName("z"), mapOf(ZoneName("z") to RegionName("r")))
     private val parameters = SteeringParameters(RetryBudgetParameters(0.2, 10, 10_000))
@@ -80,7 +80,8 @@
         return socket.getInputStream().bufferedReader().readText()
     }
 
-    fun run(listener: String = LISTENER, notifyPeers: () -> Unit = { }) = stop.run(listener, notifyPeers)
+    fun run(listener: String = LISTENER, notifyPeers: () -> Unit = { }) =
+        stop.run(listener, clock.nowMs(), notifyPeers)
 
     override fun close() {
         socket.close()
