--- a/cardamomwharf-soak/src/main/kotlin/org/cardamomwharf/soak/InstanceFaultInjector.kt
+++ b/cardamomwharf-soak/src/main/kotlin/org/cardamomwharf/soak/InstanceFaultInjector.kt
@@ -40,22 +40,26 @@
     }
 
     private fun stopOnce(gateway: GatewayProcess, steps: List<StopStep>) {
+        val preparation = steps.takeWhile { it.action != StopAction.TERMINATE }
+        preparation.forEach { perform(gateway, it) }
         val atMs = cluster.clock.nowMs()
         recordDisturbance(gateway.name, "planned stop", 0) {
-            steps.forEach { step ->
-                Thread.sleep(step.delayMs)
-                when (step.action) {
-                    StopAction.TERMINATE -> gateway.terminate()
-                    StopAction.HANG_UP -> gateway.hangUp()
-                    StopAction.RECONFIGURE -> cluster.reconfigure()
-                }
-            }
+            steps.drop(preparation.size).forEach { perform(gateway, it) }
             gateway.awaitExit()
             record.stops.add(StopRecord(gateway.name, atMs, cluster.clock.nowMs()))
             gateway.start()
         }
     }
 
+    private fun perform(gateway: GatewayProcess, step: StopStep) {
+        Thread.sleep(step.delayMs)
+        when (step.action) {
+            StopAction.TERMINATE -> gateway.terminate()
+            StopAction.HANG_UP -> gateway.hangUp()
+            StopAction.RECONFIGURE -> cluster.reconfigure()
+        }
+    }
+
     private fun reload(gateway: GatewayProcess, isChanged: Boolean) {
         gateway.awaitOpening()
         if (isChanged) gateway.changeSettings(isChanged = true)
