Show that a gateway uses a withdrawn key after a restore of the store

A gateway that starts between the return of the store from a copy and the operator's next write reads the older desired state and counts the store's answers as the proof that it is the newest.

--- a/review/bed2/Client.java
+++ b/review/bed2/Client.java
@@ -30,6 +30,8 @@
     private static final AtomicInteger numbers = new AtomicInteger();
     private final Bed.Gateway gateway;
     private final Record record;
+    /** Fields that all requests carry besides. */
+    String fields = "";
     private Socket socket;
     private BufferedInputStream in;
 
@@ -52,7 +54,7 @@
                 in = new BufferedInputStream(socket.getInputStream());
             }
             socket.setSoTimeout(deadlineMs + 300);
-            socket.getOutputStream().write(request(method, path, id, body, deadlineMs));
+            socket.getOutputStream().write(request(method, path, id, body, deadlineMs, fields));
             Message answer = Message.read(in, true);
             if (answer == null) {
                 close();
@@ -69,9 +71,9 @@
         return new Answer(id, gateway.name, sentAt, record.now(), status, isOwn);
     }
 
-    static byte[] request(String method, String path, String id, byte[] body, int deadlineMs) {
+    static byte[] request(String method, String path, String id, byte[] body, int deadlineMs, String fields) {
         byte[] head = (method + " " + path + " HTTP/1.1\r\nHost: shop.example\r\nX-Request-Id: " + id
-            + "\r\nX-Affinity-Key: " + id.hashCode() % 40 + "\r\nX-Deadline-Ms: " + deadlineMs + "\r\n"
+            + "\r\nX-Affinity-Key: " + id.hashCode() % 40 + "\r\nX-Deadline-Ms: " + deadlineMs + "\r\n" + fields
             + (body.length > 0 ? "Content-Length: " + body.length + "\r\n" : "") + "\r\n")
             .getBytes(StandardCharsets.ISO_8859_1);
         byte[] all = Arrays.copyOf(head, head.length + body.length);
--- a/review/bed2/Store.java
+++ b/review/bed2/Store.java
@@ -39,6 +39,8 @@
     private final ServerSocket listener;
     private final long startedAt = System.nanoTime();
     private long version = 1;
+    private int era = 1;
+    private volatile boolean isAway;
 
     Store(String host) throws IOException {
         listener = new ServerSocket(0, 200, InetAddress.getByName(host));
@@ -59,6 +61,37 @@
         return version;
     }
 
+    /** A copy of the contents. */
+    static final class Copy {
+        private final TreeMap<String, Row> rows;
+        private final long version;
+
+        private Copy(TreeMap<String, Row> rows, long version) {
+            this.rows = rows;
+            this.version = version;
+        }
+    }
+
+    synchronized Copy copy() {
+        return new Copy(new TreeMap<>(rows), version);
+    }
+
+    /** Takes no calls until [restore]. */
+    void leave() {
+        isAway = true;
+    }
+
+    /** Comes back from [copy]: what was written since is gone, and versions are given out again. */
+    synchronized void restore(Copy copy) {
+        rows.clear();
+        rows.putAll(copy.rows);
+        history.removeIf(row -> row.version > copy.version);
+        version = copy.version;
+        era++;
+        isAway = false;
+        notifyAll();
+    }
+
     private void record(Row row) {
         if (row.value == null) rows.remove(row.table + "\n" + row.key);
         else rows.put(row.table + "\n" + row.key, row);
@@ -80,9 +113,9 @@
             for (Message call = Message.read(in, false); call != null; call = Message.read(in, false)) {
                 Thread.sleep(4);
                 StringBuilder body = new StringBuilder();
-                int status = answer(call, body);
+                int status = isAway ? 503 : answer(call, body);
                 byte[] bytes = body.toString().getBytes(StandardCharsets.UTF_8);
-                out.write(("HTTP/1.1 " + status + " -\r\nContent-Type: application/json\r\nStore-Era: 1\r\n"
+                out.write(("HTTP/1.1 " + status + " -\r\nContent-Type: application/json\r\nStore-Era: " + era + "\r\n"
                     + "Content-Length: " + bytes.length + "\r\n\r\n").getBytes(StandardCharsets.ISO_8859_1));
                 out.write(bytes);
                 out.flush();
