--- a/review/bed2/LongOrders.java
+++ b/review/bed2/LongOrders.java
@@ -19,6 +19,8 @@
     private static final int LONG_WORK_MS = 7 * WORK_MS;
     private static final int LONG_ONE_IN = 33;
     private static final int DEADLINE_MS = 10_000;
+    /** The longest time-out of a route on the site. */
+    private static final int ROUTE_TIMEOUT_MS = 8_000;
     private static final int UPSTREAMS = 36;
     private static final int CLIENTS = 72;
     /** Time for which clients go on with the addresses of an answer of the directory: three times its 2 s. */
@@ -57,7 +59,7 @@
         Record record = new Record(folder.resolve("record.txt"));
         Store store = new Store("127.72.0.1");
         store.put("op", "config",
-            Desired2.config(1, Desired2.route("order", "/order/", "non_idempotent", "orders", DEADLINE_MS)));
+            Desired2.config(1, Desired2.route("order", "/order/", "non_idempotent", "orders", ROUTE_TIMEOUT_MS)));
         List<LongUpstream> upstreams = new ArrayList<>();
         for (int i = 0; i < UPSTREAMS; i++) {
             LongUpstream upstream = new LongUpstream(i, record);
@@ -119,7 +121,7 @@
                 .filter(found -> found != null).findFirst().orElse(null);
             if (endsAt == null) continue;
             boolean isExcused = answer.sentAt - stoppedAt <= 3_000 && endsAt - stoppedAt > GRACE_MS * 5 / 6;
-            boolean isInTime = answer.endedAt < answer.sentAt + DEADLINE_MS;
+            boolean isInTime = answer.endedAt < answer.sentAt + ROUTE_TIMEOUT_MS;
             record.say("order " + answer.id + ": sent " + (answer.sentAt - stoppedAt) + " ms after SIGTERM, work due "
                 + (endsAt - stoppedAt) + " ms after it, connection ended " + (answer.endedAt - stoppedAt)
                 + " ms after it without an answer" + (isExcused ? " (excused)" : ""));
