End the gateways of a case on every way out, and call an error no broken rule

A script of the second review that failed with an error ended with 1, which means that the rule was broken, and left its gateways running. It ends with 2 now and ends them, also when it is stopped. Seen: with a folder that isn't there it ended with 2, and stopped after 9 s it left no gateway.

--- a/review/bed2/Bed.java
+++ b/review/bed2/Bed.java
@@ -8,11 +8,12 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 
 /** What all cases share: threads, free ports, and the gateways as processes with the command of the deploy file. */
 final class Bed {
-    private static final List<Process> started = new ArrayList<>();
+    private static final List<Process> started = new CopyOnWriteArrayList<>();
 
     private Bed() {
     }
@@ -21,6 +22,15 @@
         void run() throws Exception;
     }
 
+    /** Makes sure that all processes are ended and that an error counts as a case that couldn't run; call first. */
+    static void begin() {
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> started.forEach(Process::destroyForcibly)));
+        Thread.setDefaultUncaughtExceptionHandler((thread, cause) -> {
+            cause.printStackTrace();
+            exit(2);
+        });
+    }
+
     static Thread daemon(String name, Work work) {
         Thread thread = new Thread(() -> {
             try {
--- a/review/bed2/KeyAfterRestore.java
+++ b/review/bed2/KeyAfterRestore.java
@@ -21,6 +21,7 @@
     private static final String TEAMS = "teams:\n  maxKeyAgeMs: 5000\n  limits:\n    windowS: 5\n    overshoot: 0.1\n    slack: 20\n";
 
     public static void main(String[] args) throws Exception {
+        Bed.begin();
         Path folder = Path.of(args[0]);
         boolean isTroubled = !args[1].equals("0");
         Path temporary = Files.createTempDirectory("review-key-after-restore");
--- a/review/bed2/LateEntry.java
+++ b/review/bed2/LateEntry.java
@@ -22,6 +22,7 @@
     private static final String[] ZONES = {"sofia-a", "plovdiv-a", "varna-a"};
 
     public static void main(String[] args) throws Exception {
+        Bed.begin();
         Path folder = Path.of(args[0]);
         boolean isTroubled = !args[1].equals("0");
         Path temporary = Files.createTempDirectory("review-late-entry");
--- a/review/bed2/LongOrders.java
+++ b/review/bed2/LongOrders.java
@@ -53,6 +53,7 @@
     }
 
     public static void main(String[] args) throws Exception {
+        Bed.begin();
         Path folder = Path.of(args[0]);
         boolean isTroubled = !args[1].equals("0");
         Path temporary = Files.createTempDirectory("review-long-orders");
